--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,21 @@
+/** Lint and format rules: Standard style, with strict types on top. */
+import neostandard, { plugins } from 'neostandard'
+
+export default [
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  ...neostandard({ ts: true }),
+  {
+    files: ['**/*.ts'],
+    plugins: { '@typescript-eslint': plugins['typescript-eslint'].plugin },
+    rules: {
+      // A constant object and the type of its values share a name: https://www.typescriptlang.org/docs/handbook/enums.html#objects-vs-enums
+      '@typescript-eslint/no-redeclare': 'off',
+      'no-redeclare': 'off',
+      'no-void': ['error', { allowAsStatement: true }],
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/no-non-null-assertion': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', varsIgnorePattern: '^_' }]
+    }
+  }
+]
--- /dev/null
+++ b/packages/batch/src/batch.ts
@@ -0,0 +1,199 @@
+/** A batch process. */
+import { GenerationRunner, Node, PermitClient, ServiceRunner, sleep, startHealthServer, TargetDirectory } from '@arbutusloft/daemon'
+import type { HttpServer, Logger, LogWriter, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
+import type { Settings } from '@arbutusloft/configuration'
+import { createHttpEngine, createHttpPlainService, isGenerationPath, MemberKind } from '@arbutusloft/platform'
+import { StreamName } from '@arbutusloft/protocol'
+import { JobsFold, JobStatus } from '@arbutusloft/state'
+import type { JobState } from '@arbutusloft/state'
+import { Gauge } from 'prom-client'
+import { ChunkCarrier } from './chunk-carrier.js'
+import { ItemRunner } from './items/item-runner.js'
+import { JobClaims } from './job-claims.js'
+import { JobExecution } from './job-execution.js'
+import { JobPump } from './job-pump.js'
+
+const lookMilliseconds = 250
+const drainMilliseconds = 10_000
+const drainPollMilliseconds = 20
+const serviceAttempts = 3
+const generationAttempts = 2
+
+/** A running batch process. */
+export interface Batch extends RunningRole {
+  /** Number of jobs that it owns. */
+  readonly owned: number
+}
+
+/** Starts a batch process. */
+export async function startBatch (settings: Settings, logger: Logger): Promise<Batch> {
+  const batch = new BatchProcess(settings, logger)
+  await batch.start()
+  return batch
+}
+
+class BatchProcess implements Batch {
+  readonly #node: Node
+  readonly #engine
+  readonly #service
+  readonly #permits: PermitClient
+  readonly #fold = new JobsFold()
+  readonly #follower: StreamFollower
+  readonly #jobs: LogWriter
+  readonly #claims: JobClaims
+  readonly #pump: JobPump
+  readonly #runner: ItemRunner
+  readonly #carrier: ChunkCarrier
+  readonly #executions = new Map<string, JobExecution>()
+  #health: HttpServer | null = null
+  #timer: NodeJS.Timeout | null = null
+  #stopListening: () => void = () => {}
+  #lookQueued = false
+
+  constructor (settings: Settings, logger: Logger) {
+    const node = new Node({ settings, role: MemberKind.Batch, logger })
+    this.#node = node
+    const { silenceMilliseconds, itemAttempts, batchConcurrency, retentionMilliseconds, ownerMilliseconds } = settings.limits
+    this.#engine = createHttpEngine({ silenceMilliseconds })
+    this.#service = createHttpPlainService({ silenceMilliseconds })
+    const links = node.linkToSchedulers()
+    const { identity, membership } = node
+    this.#permits = new PermitClient({ identity, membership, links })
+    const directory = new TargetDirectory({ membership, configuration: () => node.configuration })
+    this.#permits.onLoads(loads => { directory.onLoads(loads) })
+    this.#follower = node.follow(StreamName.Jobs, this.#fold)
+    this.#jobs = node.write(StreamName.Jobs)
+    node.keepSnapshots(StreamName.Jobs, this.#follower)
+    const shared = { directory, permits: this.#permits, zone: settings.instance.zone }
+    this.#runner = new ItemRunner({
+      engine: this.#engine,
+      generations: new GenerationRunner({ ...shared, attempts: generationAttempts }),
+      services: new ServiceRunner({ ...shared, service: this.#service, attempts: serviceAttempts }),
+      membership,
+      configuration: () => node.configuration,
+      attempts: itemAttempts
+    })
+    this.#claims = new JobClaims({ identity, fold: this.#fold, follower: this.#follower, membership, jobs: this.#jobs, ownerMilliseconds })
+    this.#pump = new JobPump({ concurrency: batchConcurrency })
+    this.#carrier = new ChunkCarrier({
+      fold: this.#fold,
+      chunks: node.chunks,
+      jobs: this.#jobs,
+      logger,
+      retentionMilliseconds,
+      isOwner: holder => node.ownsAmongPeers(holder)
+    })
+    this.#addMetrics()
+  }
+
+  get owned (): number {
+    return this.#claims.owned().length
+  }
+
+  async start (): Promise<void> {
+    const { health } = this.#node.settings.listen
+    if (health !== null) {
+      this.#health = await startHealthServer(health, { registry: this.#node.registry, readiness: () => this.#readiness() })
+    }
+    await this.#node.start()
+    this.#timer = setInterval(() => { this.#look() }, lookMilliseconds)
+    this.#stopListening = this.#follower.onAdvance(() => { this.#queueLook() })
+  }
+
+  /** Finishes the items in flight and records them; other batch processes claim the rest. */
+  async close (): Promise<void> {
+    this.#stopListening()
+    if (this.#timer !== null) {
+      clearInterval(this.#timer)
+    }
+    this.#claims.close()
+    this.#carrier.close()
+    this.#pump.close()
+    const deadline = Date.now() + drainMilliseconds
+    while (this.#pump.inFlight > 0 && Date.now() < deadline) {
+      await sleep(drainPollMilliseconds)
+    }
+    const flushed = Promise.all([...this.#executions.values()].map(async execution => { await execution.flush() }))
+    await Promise.race([flushed, sleep(drainMilliseconds)])
+    this.#executions.forEach(execution => { execution.stop() })
+    this.#permits.close()
+    await this.#health?.close()
+    await this.#node.close()
+    await this.#engine.close()
+    await this.#service.close()
+  }
+
+  #readiness (): Readiness {
+    const ready = this.#node.caughtUp
+    return { ready, reason: ready ? 'ready' : 'waits for the log or the instance list' }
+  }
+
+  /** Looks once for any number of records that come in one turn of the event loop. */
+  #queueLook (): void {
+    if (!this.#lookQueued) {
+      this.#lookQueued = true
+      setImmediate(() => {
+        this.#lookQueued = false
+        this.#look()
+      })
+    }
+  }
+
+  #look (): void {
+    if (!this.#node.caughtUp) {
+      return
+    }
+    this.#claims.claim()
+    this.#stopLost()
+    for (const job of this.#claims.owned()) {
+      this.#startExecution(job)
+    }
+    this.#pump.set([...this.#executions.values()])
+  }
+
+  /** Stops executions whose job has ended or belongs to another claim. */
+  #stopLost (): void {
+    for (const [id, execution] of this.#executions) {
+      const job = this.#fold.jobs.get(id)
+      if (job?.status !== JobStatus.InProgress || job.claim?.epoch !== execution.epoch) {
+        execution.stop()
+        this.#executions.delete(id)
+      }
+    }
+  }
+
+  #startExecution (job: JobState): void {
+    const input = this.#fold.files.get(job.created.inputFile)
+    if (this.#executions.has(job.created.job) || input === undefined || job.claim === null) {
+      return
+    }
+    this.#executions.set(job.created.job, new JobExecution({
+      job,
+      input,
+      epoch: job.claim.epoch,
+      runner: this.#runner,
+      chunks: this.#node.chunks,
+      follower: this.#follower,
+      jobs: this.#jobs,
+      logger: this.#node.logger,
+      isRepeatable: (endpoint, subject) => {
+        return isGenerationPath(endpoint) || this.#node.configuration.services.get(subject)?.repeatable === true
+      }
+    }))
+  }
+
+  #addMetrics (): void {
+    const owned = new Gauge({
+      name: 'arbutus_jobs_owned',
+      help: 'Jobs that run under a claim of this process',
+      registers: [this.#node.registry],
+      collect: () => { owned.set(this.owned) }
+    })
+    const inFlight = new Gauge({
+      name: 'arbutus_items_in_flight',
+      help: 'Batch items that wait for a permit or run',
+      registers: [this.#node.registry],
+      collect: () => { inFlight.set(this.#pump.inFlight) }
+    })
+  }
+}
--- /dev/null
+++ b/packages/batch/src/items/parse-item.ts
@@ -0,0 +1,93 @@
+/** Parsing of batch input lines. */
+import { GenerationPath, isGenerationPath } from '@arbutusloft/platform'
+import { isPlainObject } from '@arbutusloft/protocol'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { z } from 'zod'
+import { failedItem, ItemErrorCode } from './item-result.js'
+import type { ItemResult } from './item-result.js'
+
+const { Ok, Err } = tsResults
+
+/** A request of a batch. */
+export interface BatchItem {
+  /** Position in the input file, from 0. */
+  readonly item: number
+  readonly customId: string
+  readonly url: string
+  readonly body: Readonly<Record<string, unknown>>
+  /** Model or service. */
+  readonly subject: string
+  /** The prompt as one text; empty for services. */
+  readonly prompt: string
+  readonly greatestTokens: number
+}
+
+const defaultGreatestTokens = 256
+const servicePattern = /^\/v1\/services\/([^/]+)(\/.*)$/
+
+const lineSchema = z.object({
+  custom_id: z.string().min(1).max(512),
+  method: z.literal('POST'),
+  url: z.string(),
+  body: z.record(z.string(), z.unknown())
+})
+
+/** The item of a line, or its result if the line is no request. */
+export function parseItem (item: number, line: string, endpoint: string): Result<BatchItem, ItemResult> {
+  const invalid = (customId: string, message: string): Result<BatchItem, ItemResult> => {
+    return Err(failedItem({ item, customId, subject: '' }, ItemErrorCode.Invalid, `line ${item + 1}: ${message}`))
+  }
+  const json = parseJson(line)
+  const parsed = lineSchema.safeParse(json)
+  const customId = isPlainObject(json) && typeof json['custom_id'] === 'string' ? json['custom_id'] : ''
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0]
+    return invalid(customId, `"${issue?.path.join('.') ?? ''}": ${issue?.message ?? 'not valid'}`)
+  }
+  const { url, body } = parsed.data
+  if (url !== endpoint) {
+    return invalid(customId, `"url" must be the batch's endpoint ${endpoint}`)
+  }
+  if (!isGenerationPath(url)) {
+    const subject = servicePattern.exec(url)?.[1] ?? ''
+    return Ok({ item, customId, url, body, subject, prompt: '', greatestTokens: 0 })
+  }
+  const prompt = promptOf(url, body)
+  if (typeof body['model'] !== 'string' || prompt === null) {
+    return invalid(customId, 'the body needs "model" and "messages" or "prompt"')
+  }
+  const greatestTokens = tokensOf(body['max_completion_tokens'] ?? body['max_tokens'])
+  return Ok({ item, customId, url, body, subject: body['model'], prompt, greatestTokens })
+}
+
+/** Path at the service that a service item's URL names. */
+export function servicePathOf (url: string): string {
+  return servicePattern.exec(url)?.[2] ?? '/'
+}
+
+function parseJson (line: string): unknown {
+  try {
+    return JSON.parse(line)
+  } catch {
+    return null
+  }
+}
+
+function promptOf (url: GenerationPath, body: Readonly<Record<string, unknown>>): string | null {
+  if (url === GenerationPath.Completion) {
+    return typeof body['prompt'] === 'string' ? body['prompt'] : null
+  }
+  if (!Array.isArray(body['messages']) || body['messages'].length === 0) {
+    return null
+  }
+  const messages: readonly unknown[] = body['messages']
+  const texts = messages.map(message => {
+    return isPlainObject(message) ? `${String(message['role'])}: ${String(message['content'] ?? '')}` : null
+  })
+  return texts.includes(null) ? null : texts.join('\n')
+}
+
+function tokensOf (value: unknown): number {
+  return typeof value === 'number' && value > 0 ? value : defaultGreatestTokens
+}
--- /dev/null
+++ b/packages/batch/src/job-claims.ts
@@ -0,0 +1,91 @@
+/** Which jobs this batch process owns, by claims in the log. */
+import { MemberKind } from '@arbutusloft/platform'
+import { shouldClaim } from '@arbutusloft/policy'
+import { RecordType } from '@arbutusloft/protocol'
+import { JobStatus } from '@arbutusloft/state'
+import type { JobsFold, JobState } from '@arbutusloft/state'
+import type { AppliedRecord, Identity, LogWriter, Membership, StreamFollower } from '@arbutusloft/daemon'
+
+/** Options of {@link JobClaims}. */
+export interface JobClaimsOptions {
+  readonly identity: Identity
+  readonly fold: JobsFold
+  readonly follower: StreamFollower
+  readonly membership: Membership
+  /** Writer of the jobs stream. */
+  readonly jobs: LogWriter
+  /** Milliseconds of silence in the log after which an owner counts as lost. */
+  readonly ownerMilliseconds: number
+}
+
+const heartbeatsPerTimeout = 4
+const claimRetryMilliseconds = 2_000
+
+/** Claims jobs that nobody runs, and shows other batch processes that this one is alive. */
+export class JobClaims {
+  /** When the log last showed a record of an owner, by the local clock. */
+  readonly #heardAt = new Map<string, number>()
+  readonly #claimedAt = new Map<string, number>()
+  readonly #since = Date.now()
+  readonly #timer: NodeJS.Timeout
+  readonly #stopListening: () => void
+
+  constructor (private readonly options: JobClaimsOptions) {
+    this.#stopListening = options.follower.onRecord(applied => { this.#onRecord(applied) })
+    this.#timer = setInterval(() => { this.#beat() }, options.ownerMilliseconds / heartbeatsPerTimeout)
+  }
+
+  /** Jobs that run under a claim of this incarnation. */
+  owned (): readonly JobState[] {
+    return this.#open().filter(job => job.claim?.writer === this.options.identity.writer)
+  }
+
+  /** Claims what falls to this process. */
+  claim (): void {
+    const jobs = this.#open().filter(job => this.#shouldClaim(job))
+    if (jobs.length === 0) {
+      return
+    }
+    const owner = this.options.identity.member
+    const now = Date.now()
+    jobs.forEach(job => { this.#claimedAt.set(job.created.job, now) })
+    void this.options.jobs.append(jobs.map(job => ({ type: RecordType.JobClaimed, job: job.created.job, owner })))
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+    this.#stopListening()
+  }
+
+  #open (): readonly JobState[] {
+    return [...this.options.fold.jobs.values()].filter(job => job.status === JobStatus.InProgress)
+  }
+
+  #shouldClaim (job: JobState): boolean {
+    const { identity, membership, ownerMilliseconds } = this.options
+    const now = Date.now()
+    if (job.claim?.writer === identity.writer || now - (this.#claimedAt.get(job.created.job) ?? 0) < claimRetryMilliseconds) {
+      return false
+    }
+    const owner = job.claim?.owner ?? null
+    return shouldClaim({
+      job: job.created.job,
+      // A claim of an earlier incarnation of this process is nobody's.
+      owner: owner === identity.member ? null : owner,
+      self: identity.member,
+      live: membership.live(MemberKind.Batch),
+      ownerSilence: now - (this.#heardAt.get(job.claim?.writer ?? '') ?? this.#since),
+      ownerTimeout: ownerMilliseconds
+    })
+  }
+
+  #onRecord (applied: AppliedRecord): void {
+    this.#heardAt.set(applied.context.writer, Date.now())
+  }
+
+  #beat (): void {
+    if (this.owned().length > 0) {
+      void this.options.jobs.append([{ type: RecordType.OwnerHeartbeat, owner: this.options.identity.member }])
+    }
+  }
+}
--- /dev/null
+++ b/packages/batch/src/job-pump.ts
@@ -0,0 +1,84 @@
+/** Keeps items of all owned jobs in flight. */
+import { BatchOrder } from '@arbutusloft/policy'
+import PQueue from 'p-queue'
+import type { JobExecution } from './job-execution.js'
+
+/** Options of {@link JobPump}. */
+export interface JobPumpOptions {
+  /** Items in flight at once. */
+  readonly concurrency: number
+}
+
+const itemCost = { promptTokens: 1, completionTokens: 1 } as const
+
+/** Takes the next item from the job with the least slack, fairly among clients within a slack class. */
+export class JobPump {
+  readonly #queue: PQueue
+  readonly #order = new BatchOrder()
+  readonly #exhausted = new WeakSet<JobExecution>()
+  #executions: readonly JobExecution[] = []
+  #pumping = false
+  #closed = false
+
+  constructor (private readonly options: JobPumpOptions) {
+    this.#queue = new PQueue({ concurrency: options.concurrency })
+  }
+
+  /** Items in flight. */
+  get inFlight (): number {
+    return this.#queue.pending
+  }
+
+  /** Replaces the set of executions. */
+  set (executions: readonly JobExecution[]): void {
+    this.#executions = executions
+    void this.#pump()
+  }
+
+  /** Takes no new items. */
+  close (): void {
+    this.#closed = true
+  }
+
+  async #pump (): Promise<void> {
+    if (this.#pumping) {
+      return
+    }
+    this.#pumping = true
+    while (!this.#closed && await this.#startOne()) {
+      await this.#queue.onSizeLessThan(1)
+      await this.#untilFree()
+    }
+    this.#pumping = false
+  }
+
+  /** Starts an item; returns whether there was one. */
+  async #startOne (): Promise<boolean> {
+    const open = this.#executions.filter(execution => !execution.stopped && !this.#exhausted.has(execution))
+    const requests = open.map(execution => ({
+      client: execution.job.created.client,
+      slack: execution.slack,
+      cost: itemCost
+    }))
+    const index = this.#order.next(requests)
+    const execution = open[index]
+    const request = requests[index]
+    if (execution === undefined || request === undefined) {
+      return false
+    }
+    const item = await execution.next()
+    if (item === null) {
+      this.#exhausted.add(execution)
+      return true
+    }
+    this.#order.onGranted(request)
+    void this.#queue.add(async () => { await execution.run(item) })
+    return true
+  }
+
+  async #untilFree (): Promise<void> {
+    if (this.#queue.pending >= this.options.concurrency) {
+      await new Promise<void>(resolve => { this.#queue.once('next', resolve) })
+    }
+  }
+}
--- /dev/null
+++ b/packages/batch/src/result-buffer.ts
@@ -0,0 +1,107 @@
+/** Gathers a job's results and records them in groups. */
+import type { ChunkStore, LogWriter } from '@arbutusloft/daemon'
+import { RecordType } from '@arbutusloft/protocol'
+import type { ItemsCompleted } from '@arbutusloft/protocol'
+import type { ItemResult } from './items/item-result.js'
+
+/** Options of {@link ResultBuffer}. */
+export interface ResultBufferOptions {
+  readonly job: string
+  readonly epoch: number
+  readonly chunks: ChunkStore
+  /** Writer of the jobs stream. */
+  readonly jobs: LogWriter
+  readonly signal: AbortSignal
+}
+
+const gatherMilliseconds = 250
+const chunkMilliseconds = 30_000
+
+interface Group {
+  readonly subject: string
+  readonly failed: boolean
+  readonly results: ItemResult[]
+  bytes: number
+}
+
+/**
+ * Results go to a chunk first and then, by a record that refers to it, into the job. They
+ * are kept here until the log has acknowledged both, through an outage of the log as well.
+ */
+export class ResultBuffer {
+  readonly #groups = new Map<string, Group>()
+  #timer: NodeJS.Timeout | null = null
+  #flushing: Promise<void> = Promise.resolve()
+  #bytes = 0
+
+  constructor (private readonly options: ResultBufferOptions) {}
+
+  /** Bytes of results that are not acknowledged. */
+  get bytes (): number {
+    return this.#bytes
+  }
+
+  /** Takes a result. */
+  add (result: ItemResult): void {
+    const bytes = Buffer.byteLength(result.line)
+    const key = `${result.failed ? 1 : 0} ${result.subject}`
+    let group = this.#groups.get(key)
+    if (group !== undefined && !this.options.chunks.fits(group.results.length + 1, group.bytes + bytes)) {
+      this.#flushGroup(key, group)
+      group = undefined
+    }
+    if (group === undefined) {
+      group = { subject: result.subject, failed: result.failed, results: [], bytes: 0 }
+      this.#groups.set(key, group)
+    }
+    group.results.push(result)
+    group.bytes += bytes
+    this.#bytes += bytes
+    this.#timer ??= setTimeout(() => { this.#flushAll() }, gatherMilliseconds)
+  }
+
+  /** Records what is gathered and resolves when the log has acknowledged everything. */
+  async flush (): Promise<void> {
+    this.#flushAll()
+    await this.#flushing
+  }
+
+  #flushAll (): void {
+    if (this.#timer !== null) {
+      clearTimeout(this.#timer)
+      this.#timer = null
+    }
+    for (const [key, group] of this.#groups) {
+      this.#flushGroup(key, group)
+    }
+  }
+
+  #flushGroup (key: string, group: Group): void {
+    this.#groups.delete(key)
+    // Writing one group after the other keeps a job from taking the whole append budget.
+    this.#flushing = this.#flushing.then(async () => { await this.#record(group) })
+  }
+
+  async #record (group: Group): Promise<void> {
+    const { job, epoch, chunks, jobs, signal } = this.options
+    while (!signal.aborted) {
+      const chunk = await chunks.write(group.results.map(result => result.line), chunkMilliseconds, signal)
+      if (chunk.ok) {
+        const record: ItemsCompleted = {
+          type: RecordType.ItemsCompleted,
+          job,
+          epoch,
+          chunk: chunk.val,
+          subject: group.subject,
+          failed: group.failed,
+          items: group.results.map(result => result.item),
+          promptTokens: group.results.map(result => result.promptTokens),
+          completionTokens: group.results.map(result => result.completionTokens)
+        }
+        await jobs.append([record])
+        break
+      }
+    }
+    this.#bytes -= group.bytes
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/fold/configuration-fold.ts
@@ -0,0 +1,163 @@
+/** Fold of the configuration stream: the lists in force and the audit trail. */
+import { ListName, RecordType } from '@arbutusloft/protocol'
+import type { ConfigurationEdited, LogRecord } from '@arbutusloft/protocol'
+import type { Fold, RecordContext } from '@arbutusloft/state'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { parseSection } from '../ini/ini-document.js'
+import type { Configuration } from '../lists/configuration.js'
+import { emptyConfiguration } from '../lists/configuration.js'
+import type { RevisedSection } from '../lists/diff-list.js'
+import { buildConfiguration } from '../lists/parse-lists.js'
+import type { AuditEntry } from './audit-entry.js'
+
+const { Ok, Err } = tsResults
+
+/** Audit entries kept in memory; older ones are in the log for as long as it keeps them. */
+const auditEntries = 1_000
+
+type Sections = ReadonlyMap<string, RevisedSection>
+type Lists = Readonly<Record<ListName, Sections>>
+
+interface SerializedConfiguration {
+  readonly revision: number
+  readonly plans: readonly RevisedSection[]
+  readonly usage: readonly RevisedSection[]
+  readonly audit: readonly AuditEntry[]
+}
+
+/** The configuration in force. Revisions are record positions, so they only rise. */
+export class ConfigurationFold implements Fold {
+  #lists: Lists = { [ListName.Plans]: new Map(), [ListName.Usage]: new Map() }
+  #configuration = emptyConfiguration
+  #revision = 0
+  #audit: AuditEntry[] = []
+
+  /** Position of the last accepted edit, or 0. */
+  get revision (): number {
+    return this.#revision
+  }
+
+  get configuration (): Configuration {
+    return this.#configuration
+  }
+
+  /** The audit trail, oldest first. */
+  get audit (): readonly AuditEntry[] {
+    return this.#audit
+  }
+
+  /** Sections of a list with their revisions. */
+  sections (list: ListName): readonly RevisedSection[] {
+    return [...this.#lists[list].values()]
+  }
+
+  /** What became of an edit, or null if the fold has not come to it. */
+  resultOf (edit: string): AuditEntry | null {
+    return this.#audit.find(entry => entry.edit === edit) ?? null
+  }
+
+  apply (record: LogRecord, context: RecordContext): void {
+    if (record.type !== RecordType.ConfigurationEdited) {
+      return
+    }
+    const result = this.#try(record, context.position)
+    this.#record(record, context, result.err ? result.val : null)
+    if (result.ok) {
+      this.#lists = result.val.lists
+      this.#configuration = result.val.configuration
+      this.#revision = context.position
+    }
+  }
+
+  /** Checks an edit as the fold will, without applying it; returns why it would be refused. */
+  check (record: ConfigurationEdited): string | null {
+    const result = this.#try(record, this.#revision + 1)
+    return result.err ? result.val : null
+  }
+
+  prune (): void {
+    // The lists in force are kept without limit, and the audit trail by number.
+  }
+
+  serialize (): unknown {
+    const serialized: SerializedConfiguration = {
+      revision: this.#revision,
+      plans: this.sections(ListName.Plans),
+      usage: this.sections(ListName.Usage),
+      audit: this.#audit
+    }
+    return serialized
+  }
+
+  restore (state: unknown): void {
+    const serialized = state as SerializedConfiguration
+    this.#lists = {
+      [ListName.Plans]: bySection(serialized.plans),
+      [ListName.Usage]: bySection(serialized.usage)
+    }
+    this.#configuration = configurationOf(this.#lists).unwrap()
+    this.#revision = serialized.revision
+    this.#audit = [...serialized.audit]
+  }
+
+  #try (
+    record: ConfigurationEdited,
+    position: number
+  ): Result<{ readonly lists: Lists, readonly configuration: Configuration }, string> {
+    const sections = new Map(this.#lists[record.list])
+    for (const edit of record.sections) {
+      const present = sections.get(edit.section)?.revision ?? 0
+      if (present !== edit.base) {
+        return Err(`[${edit.section}] is at revision ${present}, not at ${edit.base}: get the list again and redo the edit`)
+      }
+      if (edit.body === null) {
+        sections.delete(edit.section)
+      } else {
+        sections.set(edit.section, { name: edit.section, body: edit.body, revision: position })
+      }
+    }
+    const lists: Lists = { ...this.#lists, [record.list]: sections }
+    const configuration = configurationOf(lists)
+    if (configuration.err) {
+      return configuration
+    }
+    return Ok({ lists, configuration: configuration.val })
+  }
+
+  #record (record: ConfigurationEdited, context: RecordContext, refusal: string | null): void {
+    const entry: AuditEntry = {
+      edit: record.edit,
+      time: context.time,
+      operator: record.operator,
+      list: record.list,
+      sections: record.sections.map(edit => ({
+        section: edit.section,
+        base: edit.base,
+        present: this.#lists[record.list].get(edit.section)?.revision ?? 0,
+        removed: edit.body === null
+      })),
+      revision: refusal === null ? context.position : null,
+      refusal
+    }
+    this.#audit = [...this.#audit, entry].slice(-auditEntries)
+  }
+}
+
+function bySection (sections: readonly RevisedSection[]): Sections {
+  return new Map(sections.map(section => [section.name, section]))
+}
+
+function configurationOf (lists: Lists): Result<Configuration, string> {
+  const parse = (sections: Sections) => [...sections.values()].map(section => {
+    return parseSection(section.name, 1, section.body)
+  })
+  const built = buildConfiguration({
+    [ListName.Plans]: parse(lists[ListName.Plans]),
+    [ListName.Usage]: parse(lists[ListName.Usage])
+  })
+  // Line numbers within single sections would mislead, so only section and message are told.
+  return built.mapErr(error => {
+    return error.problems.map(problem => `[${problem.section ?? ''}] ${problem.message}`).join('; ')
+  })
+}
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,11 @@
+/** Settings of processes, and the two lists that operators edit. */
+export * from './configuration-error.js'
+export * from './ini/ini-document.js'
+export * from './lists/configuration.js'
+export * from './lists/parse-lists.js'
+export * from './lists/diff-list.js'
+export * from './settings/settings.js'
+export * from './settings/load-settings.js'
+export * from './fold/configuration-fold.js'
+export * from './fold/audit-entry.js'
+export * from './util/hash-key.js'
--- /dev/null
+++ b/packages/configuration/src/ini/ini-document.ts
@@ -0,0 +1,81 @@
+/** INI texts as sections with line numbers. Values are parsed by the `ini` library. */
+import ini from 'ini'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { ConfigurationError } from '../configuration-error.js'
+import type { ConfigurationProblem } from '../configuration-error.js'
+
+const { Ok, Err } = tsResults
+
+/** A parsed value, as the library gives it. */
+export type IniValue = string | boolean | null
+
+/** One section of a text. */
+export interface IniSection {
+  readonly name: string
+  /** Line of the header, from 1. */
+  readonly line: number
+  /** The section's lines without its header. */
+  readonly body: string
+  readonly values: Readonly<Record<string, IniValue>>
+}
+
+const headerPattern = /^\s*\[(.+)\]\s*$/
+const commentPattern = /^\s*[;#]/
+
+interface RawSection {
+  readonly name: string
+  readonly line: number
+  readonly lines: string[]
+}
+
+/** Parses a text into its sections, in order; names are unique and no line stands outside. */
+export function parseIni (text: string): Result<readonly IniSection[], ConfigurationError> {
+  const problems: ConfigurationProblem[] = []
+  const sections = splitSections(text, problems)
+  if (problems.length > 0) {
+    return Err(new ConfigurationError(problems))
+  }
+  return Ok(sections.map(section => parseSection(section.name, section.line, section.lines.join('\n'))))
+}
+
+/** Parses a section's body. */
+export function parseSection (name: string, line: number, body: string): IniSection {
+  const trimmed = body.replace(/\s+$/, '')
+  return { name, line, body: trimmed, values: ini.parse(trimmed, { bracketedArray: false }) as IniSection['values'] }
+}
+
+/** Renders sections as a text. */
+export function renderSections (sections: ReadonlyArray<Pick<IniSection, 'name' | 'body'>>): string {
+  return sections.map(section => `[${section.name}]\n${section.body}\n`).join('\n')
+}
+
+/** Line of a key in a section, from 1; the header's line if the key is not there. */
+export function lineOfKey (section: IniSection, key: string): number {
+  const index = section.body.split('\n').findIndex(line => {
+    return !commentPattern.test(line) && line.split('=')[0]?.trim() === key
+  })
+  return section.line + index + 1
+}
+
+function splitSections (text: string, problems: ConfigurationProblem[]): readonly RawSection[] {
+  const sections: RawSection[] = []
+  const names = new Set<string>()
+  text.split(/\r?\n/).forEach((content, index) => {
+    const line = index + 1
+    const name = headerPattern.exec(content)?.[1]?.trim()
+    const present = sections[sections.length - 1]
+    if (name !== undefined) {
+      if (names.has(name)) {
+        problems.push({ section: name, line, message: 'the section stands twice' })
+      }
+      names.add(name)
+      sections.push({ name, line, lines: [] })
+    } else if (present !== undefined) {
+      present.lines.push(content)
+    } else if (content.trim() !== '' && !commentPattern.test(content)) {
+      problems.push({ section: null, line, message: 'expected a section header such as [name] first' })
+    }
+  })
+  return sections
+}
--- /dev/null
+++ b/packages/configuration/src/lists/diff-list.ts
@@ -0,0 +1,32 @@
+/** Differences between a list in force and a list as an operator wants it. */
+import type { SectionEdit } from '@arbutusloft/protocol'
+import type { IniSection } from '../ini/ini-document.js'
+
+/** A section in force, with the revision at which it was last changed. */
+export interface RevisedSection {
+  readonly name: string
+  readonly body: string
+  readonly revision: number
+}
+
+/** The edits that turn the list in force into the wanted one; none if they say the same. */
+export function diffList (
+  present: readonly RevisedSection[],
+  wanted: ReadonlyArray<Pick<IniSection, 'name' | 'body'>>
+): readonly SectionEdit[] {
+  const before = new Map(present.map(section => [section.name, section]))
+  const after = new Set(wanted.map(section => section.name))
+  const edits: SectionEdit[] = []
+  for (const section of wanted) {
+    const old = before.get(section.name)
+    if (old?.body !== section.body) {
+      edits.push({ section: section.name, base: old?.revision ?? 0, body: section.body })
+    }
+  }
+  for (const section of present) {
+    if (!after.has(section.name)) {
+      edits.push({ section: section.name, base: section.revision, body: null })
+    }
+  }
+  return edits
+}
--- /dev/null
+++ b/packages/configuration/src/lists/section-kinds.ts
@@ -0,0 +1,89 @@
+/** Registry of the kinds of sections in the two lists. */
+import { ListName } from '@arbutusloft/protocol'
+import { z } from 'zod'
+import { booleanField, integerField, keyHashesField, namesField, numberField, textField } from '../ini/fields.js'
+import type { Client, Model, Plan, Service, Target } from './configuration.js'
+
+const greatestRate = 1_000_000_000
+const greatestConcurrency = 100_000
+const greatestContext = 10_000_000
+
+/** Kinds of sections; a section's header is its kind and its name. */
+export const SectionKind = {
+  Client: 'client',
+  Plan: 'plan',
+  Model: 'model',
+  Service: 'service',
+  Target: 'target'
+} as const
+
+export type SectionKind = typeof SectionKind[keyof typeof SectionKind]
+
+/** Which list holds which kinds. */
+export const listOfKind: Readonly<Record<SectionKind, ListName>> = {
+  [SectionKind.Client]: ListName.Plans,
+  [SectionKind.Plan]: ListName.Usage,
+  [SectionKind.Model]: ListName.Usage,
+  [SectionKind.Service]: ListName.Usage,
+  [SectionKind.Target]: ListName.Usage
+}
+
+type Unnamed<T> = Omit<T, 'name'>
+
+const clientSchema: z.ZodType<Unnamed<Client>> = z.strictObject({
+  plan: textField,
+  'key-hashes': keyHashesField
+}).transform(value => ({ plan: value.plan, keyHashes: value['key-hashes'] }))
+
+const planSchema: z.ZodType<Unnamed<Plan>> = z.strictObject({
+  'requests-per-minute': integerField(1, greatestRate),
+  'tokens-per-minute': integerField(1, greatestRate),
+  concurrency: integerField(1, greatestConcurrency),
+  'batch-weight': numberField(0.01, 100).default(1),
+  models: namesField.default([]),
+  services: namesField.default([])
+}).transform(value => ({
+  requestsPerMinute: value['requests-per-minute'],
+  tokensPerMinute: value['tokens-per-minute'],
+  concurrency: value.concurrency,
+  batchWeight: value['batch-weight'],
+  models: value.models,
+  services: value.services
+}))
+
+const modelSchema: z.ZodType<Unnamed<Model>> = z.strictObject({
+  'context-tokens': integerField(1, greatestContext)
+}).transform(value => ({ contextTokens: value['context-tokens'] }))
+
+const serviceSchema: z.ZodType<Unnamed<Service>> = z.strictObject({
+  repeatable: booleanField
+})
+
+const targetSchema: z.ZodType<Unnamed<Target>> = z.strictObject({
+  model: textField.optional(),
+  service: textField.optional(),
+  concurrency: integerField(1, greatestConcurrency),
+  'checks-fencing': booleanField.default(false)
+}).refine(
+  value => (value.model === undefined) !== (value.service === undefined),
+  { message: 'expected either "model" or "service"', path: ['model'] }
+).transform(value => ({
+  model: value.model ?? null,
+  service: value.service ?? null,
+  concurrency: value.concurrency,
+  checksFencing: value['checks-fencing']
+}))
+
+/** Schemas of the kinds' values. */
+export const sectionSchemas = {
+  [SectionKind.Client]: clientSchema,
+  [SectionKind.Plan]: planSchema,
+  [SectionKind.Model]: modelSchema,
+  [SectionKind.Service]: serviceSchema,
+  [SectionKind.Target]: targetSchema
+} as const
+
+/** Whether a word names a kind of section. */
+export function isSectionKind (word: string): word is SectionKind {
+  return Object.values<string>(SectionKind).includes(word)
+}
--- /dev/null
+++ b/packages/daemon/src/configuration/configuration-gossip.ts
@@ -0,0 +1,90 @@
+/** Passing on of configuration between processes, for those whose log connection is stuck. */
+import { MessageType } from '@arbutusloft/protocol'
+import type { ConfigurationEntries, ConfigurationFetch, LinkMessage } from '@arbutusloft/protocol'
+import type { Link } from '../links/link.js'
+import type { StreamFollower } from '../log/stream-follower.js'
+
+/** Milliseconds that the log gets to deliver what a peer has announced. */
+const graceMilliseconds = 300
+
+/** Tells each peer how far this process has come, and fetches what a peer has beyond it. */
+export class ConfigurationGossip {
+  readonly #links = new Set<Link>()
+  readonly #timers = new Set<NodeJS.Timeout>()
+  readonly #stopListening: () => void
+
+  /** @param follower follower of the configuration stream */
+  constructor (private readonly follower: StreamFollower) {
+    this.#stopListening = follower.onAdvance(() => { this.#announce() })
+  }
+
+  /** Takes part in gossip over a link until it closes. */
+  addLink (link: Link): void {
+    this.#links.add(link)
+    link.onMessage(message => { this.#onMessage(link, message) })
+    link.onClose(() => { this.#links.delete(link) })
+    this.#sendHead(link)
+  }
+
+  close (): void {
+    this.#stopListening()
+    this.#timers.forEach(timer => { clearTimeout(timer) })
+    this.#timers.clear()
+  }
+
+  #announce (): void {
+    for (const link of this.#links) {
+      this.#sendHead(link)
+    }
+  }
+
+  #sendHead (link: Link): void {
+    link.send({ type: MessageType.ConfigurationHead, next: this.follower.next })
+  }
+
+  #onMessage (link: Link, message: LinkMessage): void {
+    switch (message.type) {
+      case MessageType.ConfigurationHead:
+        this.#onHead(link, message.next)
+        break
+      case MessageType.ConfigurationFetch:
+        this.#answer(link, message)
+        break
+      case MessageType.ConfigurationEntries:
+        this.#take(message)
+        break
+      case MessageType.ConfigurationSnapshot:
+        this.follower.injectSnapshot(message.data)
+        break
+      default:
+        // Other messages are for other listeners of the link.
+    }
+  }
+
+  #onHead (link: Link, next: number): void {
+    if (next <= this.follower.next) {
+      return
+    }
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer)
+      if (this.follower.next < next) {
+        link.send({ type: MessageType.ConfigurationFetch, from: this.follower.next })
+      }
+    }, graceMilliseconds)
+    this.#timers.add(timer)
+  }
+
+  #answer (link: Link, message: ConfigurationFetch): void {
+    const entries = this.follower.entriesFrom(message.from)
+    if (entries === null) {
+      link.send({ type: MessageType.ConfigurationSnapshot, data: this.follower.serialize() })
+      return
+    }
+    link.send({ type: MessageType.ConfigurationEntries, entries })
+  }
+
+  #take (message: ConfigurationEntries): void {
+    this.follower.inject(message.entries)
+    this.follower.markCaughtUpByPeer()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/health-server.ts
@@ -0,0 +1,51 @@
+/** Health, readiness and metrics of a process. */
+import type { ServerResponse } from 'node:http'
+import type { Registry } from 'prom-client'
+import type { Polka } from 'polka'
+import { startHttpServer } from './http/http-server.js'
+import type { HttpServer } from './http/http-server.js'
+
+/** Whether a process takes work, and if not, why. */
+export interface Readiness {
+  readonly ready: boolean
+  readonly reason: string
+}
+
+/** What the health routes show. */
+export interface HealthSource {
+  readonly registry: Registry
+  readiness: () => Readiness
+}
+
+const statusOk = 200
+const statusNotFound = 404
+const statusFailed = 500
+const statusUnavailable = 503
+
+/** Adds `/healthz`, `/readyz` and `/metrics`. */
+export function addHealthRoutes (application: Polka, source: HealthSource): void {
+  application.get('/healthz', (_request, response) => { answer(response, statusOk, 'alive') })
+  application.get('/readyz', (_request, response) => {
+    const readiness = source.readiness()
+    answer(response, readiness.ready ? statusOk : statusUnavailable, readiness.reason)
+  })
+  application.get('/metrics', async (_request, response) => {
+    response.setHeader('content-type', source.registry.contentType)
+    response.end(await source.registry.metrics())
+  })
+}
+
+/** Starts a server that has the health routes only. */
+export async function startHealthServer (address: string, source: HealthSource): Promise<HttpServer> {
+  return await startHttpServer({
+    address,
+    routes: application => { addHealthRoutes(application, source) },
+    onError: (_error, response) => { answer(response, statusFailed, 'failed') },
+    onNoMatch: response => { answer(response, statusNotFound, 'no such page') }
+  })
+}
+
+function answer (response: ServerResponse, status: number, text: string): void {
+  response.writeHead(status, { 'content-type': 'text/plain' })
+  response.end(text + '\n')
+}
--- /dev/null
+++ b/packages/daemon/src/links/handshake.ts
@@ -0,0 +1,91 @@
+/** Opening of a link: both sides prove that they know the shared secret, which is never sent. */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+import { decodeMessage, encodeMessage, MessageType } from '@arbutusloft/protocol'
+import type { LinkMessage } from '@arbutusloft/protocol'
+import type { WebSocket } from 'ws'
+
+/** The other side did not prove that it knows the secret, or did not answer in time. */
+export class HandshakeError extends Error {
+  override readonly name = 'HandshakeError'
+}
+
+/** What a side needs to open a link. */
+export interface HandshakeOptions {
+  /** Member name of this side. */
+  readonly member: string
+  readonly secret: string
+}
+
+const nonceBytes = 32
+const handshakeMilliseconds = 2_000
+
+/** Sides sign under different labels, so that one's proof cannot be sent back as the other's. */
+const connectLabel = 'connect'
+const acceptLabel = 'accept'
+
+/** Opens a link as the accepting side and returns the peer's member name. */
+export async function acceptHandshake (socket: WebSocket, options: HandshakeOptions): Promise<string> {
+  const nonce = randomBytes(nonceBytes)
+  socket.send(encodeMessage({ type: MessageType.Challenge, nonce }))
+  const proof = await receive(socket, MessageType.Proof)
+  const nonces = [nonce, proof.nonce]
+  check(proof.digest, sign(options.secret, connectLabel, proof.instance, nonces))
+  const digest = sign(options.secret, acceptLabel, options.member, nonces)
+  socket.send(encodeMessage({ type: MessageType.Welcome, instance: options.member, digest }))
+  return proof.instance
+}
+
+/** Opens a link as the connecting side and returns the peer's member name. */
+export async function connectHandshake (socket: WebSocket, options: HandshakeOptions): Promise<string> {
+  const challenge = await receive(socket, MessageType.Challenge)
+  const nonce = randomBytes(nonceBytes)
+  const nonces = [challenge.nonce, nonce]
+  const digest = sign(options.secret, connectLabel, options.member, nonces)
+  socket.send(encodeMessage({ type: MessageType.Proof, instance: options.member, nonce, digest }))
+  const welcome = await receive(socket, MessageType.Welcome)
+  check(welcome.digest, sign(options.secret, acceptLabel, welcome.instance, nonces))
+  return welcome.instance
+}
+
+function sign (secret: string, label: string, member: string, nonces: readonly Uint8Array[]): Buffer {
+  const hmac = createHmac('sha256', secret)
+  hmac.update(`${label}\n${member}\n`)
+  for (const nonce of nonces) {
+    hmac.update(nonce)
+  }
+  return hmac.digest()
+}
+
+function check (given: Uint8Array, expected: Buffer): void {
+  if (given.byteLength !== expected.byteLength || !timingSafeEqual(given, expected)) {
+    throw new HandshakeError('the peer does not know the link secret')
+  }
+}
+
+async function receive<T extends LinkMessage['type']> (
+  socket: WebSocket,
+  type: T
+): Promise<Extract<LinkMessage, { readonly type: T }>> {
+  return await new Promise((resolve, reject) => {
+    const fail = (message: string): void => { finish(() => { reject(new HandshakeError(message)) }) }
+    const onMessage = (data: Buffer): void => {
+      const message = decodeMessage(data)
+      if (message.err || message.val.type !== type) {
+        fail(`expected the message ${type}`)
+        return
+      }
+      const value = message.val as Extract<LinkMessage, { readonly type: T }>
+      finish(() => { resolve(value) })
+    }
+    const onClose = (): void => { fail('the connection closed') }
+    const timer = setTimeout(() => { fail('no answer in time') }, handshakeMilliseconds)
+    const finish = (settle: () => void): void => {
+      clearTimeout(timer)
+      socket.off('message', onMessage)
+      socket.off('close', onClose)
+      settle()
+    }
+    socket.on('message', onMessage)
+    socket.on('close', onClose)
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/links/link.ts
@@ -0,0 +1,98 @@
+/** An authenticated link between two processes. */
+import { decodeMessage, encodeMessage } from '@arbutusloft/protocol'
+import type { LinkMessage } from '@arbutusloft/protocol'
+import type { WebSocket } from 'ws'
+import { Listeners } from '../util/listeners.js'
+import type { LinkMeter } from './link-meter.js'
+
+/** Options of {@link Link}. */
+export interface LinkOptions {
+  /** Milliseconds between heartbeats. */
+  readonly heartbeatMilliseconds: number
+  /** Milliseconds of silence after which the link counts as lost. */
+  readonly timeoutMilliseconds: number
+}
+
+export const defaultLinkOptions: LinkOptions = {
+  heartbeatMilliseconds: 500,
+  timeoutMilliseconds: 2_000
+}
+
+/** Carries typed messages, and notices when the other side has gone silent. */
+export class Link {
+  readonly #messages = new Listeners<LinkMessage>()
+  readonly #closes = new Listeners<void>()
+  readonly #heartbeat: NodeJS.Timeout
+  #heardAt = Date.now()
+  #closed = false
+
+  /** @param peer member name of the other side */
+  constructor (
+    readonly peer: string,
+    private readonly socket: WebSocket,
+    private readonly meter: LinkMeter,
+    private readonly options = defaultLinkOptions
+  ) {
+    socket.on('message', data => { this.#onData(data as Buffer) })
+    socket.on('ping', () => { this.#heardAt = Date.now() })
+    socket.on('pong', () => { this.#heardAt = Date.now() })
+    socket.on('close', () => { this.#onClose() })
+    socket.on('error', () => { socket.terminate() })
+    this.#heartbeat = setInterval(() => { this.#beat() }, options.heartbeatMilliseconds)
+  }
+
+  get closed (): boolean {
+    return this.#closed
+  }
+
+  /** Sends a message; on a closed link it is lost, as it would be on a broken one. */
+  send (message: LinkMessage): void {
+    if (this.#closed) {
+      return
+    }
+    const bytes = encodeMessage(message)
+    this.meter.onSent(bytes.byteLength)
+    this.socket.send(bytes)
+  }
+
+  onMessage (listener: (message: LinkMessage) => void): void {
+    this.#messages.add(listener)
+  }
+
+  onClose (listener: () => void): void {
+    this.#closes.add(listener)
+  }
+
+  close (): void {
+    this.socket.close()
+    this.#onClose()
+  }
+
+  #onData (data: Buffer): void {
+    this.#heardAt = Date.now()
+    this.meter.onReceived(data.byteLength)
+    const message = decodeMessage(data)
+    // A peer of a newer version may send messages that this one does not know.
+    if (message.ok) {
+      this.#messages.emit(message.val)
+    }
+  }
+
+  #beat (): void {
+    if (Date.now() - this.#heardAt > this.options.timeoutMilliseconds) {
+      this.socket.terminate()
+      this.#onClose()
+      return
+    }
+    this.socket.ping()
+  }
+
+  #onClose (): void {
+    if (this.#closed) {
+      return
+    }
+    this.#closed = true
+    clearInterval(this.#heartbeat)
+    this.#closes.emit()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/links/scheduler-links.ts
@@ -0,0 +1,119 @@
+/** Links from a process to every scheduler on the instance list. */
+import { MemberKind } from '@arbutusloft/platform'
+import type { Member } from '@arbutusloft/platform'
+import type { LinkMessage } from '@arbutusloft/protocol'
+import { WebSocket } from 'ws'
+import type { Logger } from '../create-logger.js'
+import type { Membership } from '../membership/membership.js'
+import { Listeners } from '../util/listeners.js'
+import { connectHandshake } from './handshake.js'
+import type { HandshakeOptions } from './handshake.js'
+import { Link } from './link.js'
+import type { LinkMeter } from './link-meter.js'
+
+/** Options of {@link SchedulerLinks}. */
+export interface SchedulerLinksOptions extends HandshakeOptions {
+  readonly membership: Membership
+  readonly meter: LinkMeter
+  readonly logger: Logger
+}
+
+/** A message and the link it came over. */
+export interface ReceivedMessage {
+  readonly link: Link
+  readonly message: LinkMessage
+}
+
+const reconnectMilliseconds = 200
+const connectMilliseconds = 2_000
+
+/** Keeps one link to each scheduler and replaces those that break. */
+export class SchedulerLinks {
+  readonly #links = new Map<string, Link>()
+  readonly #connecting = new Set<string>()
+  readonly #opens = new Listeners<Link>()
+  readonly #closes = new Listeners<string>()
+  readonly #messages = new Listeners<ReceivedMessage>()
+  readonly #timer: NodeJS.Timeout
+  readonly #stopListening: () => void
+  #closed = false
+
+  constructor (private readonly options: SchedulerLinksOptions) {
+    this.#timer = setInterval(() => { this.#connectMissing() }, reconnectMilliseconds)
+    this.#stopListening = options.membership.onChange(() => { this.#connectMissing() })
+    this.#connectMissing()
+  }
+
+  /** Calls the listener for each link that opens. */
+  onOpen (listener: (link: Link) => void): void {
+    this.#opens.add(listener)
+  }
+
+  /** Calls the listener with the member name of each scheduler whose link closes. */
+  onClose (listener: (peer: string) => void): void {
+    this.#closes.add(listener)
+  }
+
+  onMessage (listener: (received: ReceivedMessage) => void): void {
+    this.#messages.add(listener)
+  }
+
+  /** The open link to a scheduler, or null. */
+  get (member: string): Link | null {
+    return this.#links.get(member) ?? null
+  }
+
+  all (): readonly Link[] {
+    return [...this.#links.values()]
+  }
+
+  close (): void {
+    this.#closed = true
+    clearInterval(this.#timer)
+    this.#stopListening()
+    for (const link of this.#links.values()) {
+      link.close()
+    }
+  }
+
+  #connectMissing (): void {
+    for (const member of this.options.membership.members(MemberKind.Scheduler)) {
+      if (!this.#links.has(member.id) && !this.#connecting.has(member.id)) {
+        void this.#connect(member)
+      }
+    }
+  }
+
+  async #connect (member: Member): Promise<void> {
+    this.#connecting.add(member.id)
+    const socket = new WebSocket(`ws://${member.address}`, {
+      handshakeTimeout: connectMilliseconds,
+      perMessageDeflate: false
+    })
+    socket.on('error', () => { socket.terminate() })
+    try {
+      const peer = await connectHandshake(socket, this.options)
+      this.#open(peer, member, socket)
+    } catch (error) {
+      this.options.logger.debug('no link to scheduler', { peer: member.id, error })
+      socket.terminate()
+    } finally {
+      this.#connecting.delete(member.id)
+    }
+  }
+
+  #open (peer: string, member: Member, socket: WebSocket): void {
+    if (this.#closed || peer !== member.id) {
+      socket.terminate()
+      return
+    }
+    const link = new Link(peer, socket, this.options.meter)
+    this.#links.set(peer, link)
+    link.onMessage(message => { this.#messages.emit({ link, message }) })
+    link.onClose(() => {
+      this.#links.delete(peer)
+      this.#closes.emit(peer)
+    })
+    this.#opens.emit(link)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/log/log-writer.ts
@@ -0,0 +1,170 @@
+/** Appending of records, many to an entry, each entry until it is acknowledged. */
+import { LogErrorCode } from '@arbutusloft/platform'
+import type { LogService } from '@arbutusloft/platform'
+import { backoffMilliseconds } from '@arbutusloft/policy'
+import { encode, encodeRecordBatch } from '@arbutusloft/protocol'
+import type { LogRecord } from '@arbutusloft/protocol'
+import { recordsPerEntry } from '@arbutusloft/state'
+import type PQueue from 'p-queue'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import type { Logger } from '../create-logger.js'
+import { sleep } from '../util/sleep.js'
+import { AppendError, AppendErrorCode } from './append-error.js'
+
+const { Ok, Err } = tsResults
+
+/** Options of {@link LogWriter}. */
+export interface LogWriterOptions {
+  readonly log: LogService
+  readonly stream: string
+  /** Incarnation of the writing process. */
+  readonly writer: string
+  /** The process's append budget, shared by its writers. */
+  readonly budget: PQueue
+  readonly logger: Logger
+  /** Greatest entry, in bytes. */
+  readonly entryBytes: number
+  /** Bytes of records that may wait while the log is out of reach. */
+  readonly pendingBytes?: number
+}
+
+interface Pending {
+  readonly records: readonly LogRecord[]
+  readonly bytes: number
+  readonly settle: (result: Result<number, AppendError>) => void
+  attempted: boolean
+}
+
+const defaultPendingBytes = 16_777_216
+
+/**
+ * Entries are appended one after the other, each with the next sequence number. An entry
+ * whose answer is lost is appended again; folds skip the second copy.
+ */
+export class LogWriter {
+  #pending: Pending[] = []
+  #pendingBytes = 0
+  #sequence = 0
+  #pumping: Promise<void> | null = null
+  readonly #abort = new AbortController()
+
+  constructor (private readonly options: LogWriterOptions) {}
+
+  /** Bytes of records that are not acknowledged. */
+  get backlogBytes (): number {
+    return this.#pendingBytes
+  }
+
+  /**
+   * Appends records in one entry and resolves with its offset. Without a time limit it
+   * resolves when the log has acknowledged them, however long that takes.
+   */
+  async append (
+    records: readonly LogRecord[],
+    timeoutMilliseconds: number | null = null
+  ): Promise<Result<number, AppendError>> {
+    const bytes = encode(records).byteLength
+    if (this.#pendingBytes + bytes > (this.options.pendingBytes ?? defaultPendingBytes)) {
+      return Err(new AppendError(AppendErrorCode.NotAppended, 'too many records wait for the log'))
+    }
+    return await new Promise(resolve => {
+      const pending: Pending = { records, bytes, settle: resolve, attempted: false }
+      this.#pending.push(pending)
+      this.#pendingBytes += bytes
+      if (timeoutMilliseconds !== null) {
+        this.#limit(pending, timeoutMilliseconds, resolve)
+      }
+      this.#pumping ??= this.#pump()
+    })
+  }
+
+  /** Waits until what was given is acknowledged, or the time is over. */
+  async close (timeoutMilliseconds: number): Promise<void> {
+    if (this.#pumping !== null) {
+      await Promise.race([this.#pumping, sleep(timeoutMilliseconds, this.#abort.signal)])
+    }
+    this.#abort.abort()
+  }
+
+  #limit (
+    pending: Pending,
+    timeoutMilliseconds: number,
+    resolve: (result: Result<number, AppendError>) => void
+  ): void {
+    const timer = setTimeout(() => {
+      if (pending.attempted) {
+        resolve(Err(new AppendError(AppendErrorCode.Unknown, 'the log did not acknowledge in time')))
+        return
+      }
+      this.#pending = this.#pending.filter(candidate => candidate !== pending)
+      this.#pendingBytes -= pending.bytes
+      resolve(Err(new AppendError(AppendErrorCode.NotAppended, 'the log is out of reach')))
+    }, timeoutMilliseconds)
+    timer.unref()
+  }
+
+  async #pump (): Promise<void> {
+    // Records given in the same turn of the event loop share the first entry.
+    await Promise.resolve()
+    while (this.#pending.length > 0 && !this.#abort.signal.aborted) {
+      await this.options.budget.add(async () => { await this.#appendNext() })
+    }
+    this.#pumping = null
+  }
+
+  async #appendNext (): Promise<void> {
+    const group = this.#takeGroup()
+    if (group.length === 0) {
+      return
+    }
+    this.#sequence += 1
+    const data = encodeRecordBatch({
+      writer: this.options.writer,
+      sequence: this.#sequence,
+      records: group.flatMap(pending => pending.records)
+    })
+    const offset = await this.#appendUntilAcknowledged(data)
+    for (const pending of group) {
+      this.#pendingBytes -= pending.bytes
+      pending.settle(offset)
+    }
+  }
+
+  #takeGroup (): readonly Pending[] {
+    const group: Pending[] = []
+    let bytes = 0
+    let records = 0
+    while (this.#pending.length > 0) {
+      const next = this.#pending[0]
+      if (next === undefined) {
+        break
+      }
+      bytes += next.bytes
+      records += next.records.length
+      if (group.length > 0 && (bytes > this.options.entryBytes || records > recordsPerEntry)) {
+        break
+      }
+      next.attempted = true
+      group.push(next)
+      this.#pending.shift()
+    }
+    return group
+  }
+
+  async #appendUntilAcknowledged (data: Uint8Array): Promise<Result<number, AppendError>> {
+    for (let attempt = 1; !this.#abort.signal.aborted; attempt++) {
+      const result = await this.options.log.append(this.options.stream, data)
+      if (result.ok) {
+        return Ok(result.val)
+      }
+      if (result.val.code === LogErrorCode.TooLarge) {
+        this.options.logger.error('entry too large for the log', { bytes: data.byteLength })
+        return Err(new AppendError(AppendErrorCode.NotAppended, result.val.message))
+      }
+      this.options.logger.warn('append failed', { stream: this.options.stream, attempt, error: result.val })
+      await sleep(backoffMilliseconds(attempt, Math.random()), this.#abort.signal)
+    }
+    return Err(new AppendError(AppendErrorCode.Unknown, 'the process stops'))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node.ts
@@ -0,0 +1,175 @@
+/** What each process is built on, made from its settings. */
+import { ConfigurationFold } from '@arbutusloft/configuration'
+import type { Configuration, Settings } from '@arbutusloft/configuration'
+import { createHttpInstanceList, createHttpLogService } from '@arbutusloft/platform'
+import type { InstanceList, LogService, MemberKind } from '@arbutusloft/platform'
+import { ownerOf } from '@arbutusloft/policy'
+import { StreamName } from '@arbutusloft/protocol'
+import type { Fold } from '@arbutusloft/state'
+import PQueue from 'p-queue'
+import { collectDefaultMetrics, Registry } from 'prom-client'
+import { ConfigurationGossip } from './configuration/configuration-gossip.js'
+import type { Logger } from './create-logger.js'
+import { createIdentity } from './identity.js'
+import type { Identity } from './identity.js'
+import { LinkMeter } from './links/link-meter.js'
+import { SchedulerLinks } from './links/scheduler-links.js'
+import { ChunkStore } from './log/chunk-store.js'
+import { LogWriter } from './log/log-writer.js'
+import { SnapshotKeeper } from './log/snapshot-keeper.js'
+import { StreamFollower } from './log/stream-follower.js'
+import { Membership } from './membership/membership.js'
+
+/** Options of {@link Node}. */
+export interface NodeOptions {
+  readonly settings: Settings
+  readonly role: MemberKind
+  readonly logger: Logger
+}
+
+const millisecondsPerSecond = 1_000
+const snapshotsPerRetention = 4
+const writerCloseMilliseconds = 5_000
+
+/** The parts that all roles share. Roles build on it and close it last. */
+export class Node {
+  readonly identity: Identity
+  readonly registry = new Registry()
+  readonly log: LogService
+  readonly membership: Membership
+  readonly meter: LinkMeter
+  readonly configurationFold = new ConfigurationFold()
+  readonly configurationFollower: StreamFollower
+  readonly gossip: ConfigurationGossip
+  readonly chunks: ChunkStore
+  readonly #instanceList: InstanceList
+  readonly #budget: PQueue
+  readonly #writers: LogWriter[] = []
+  readonly #followers: StreamFollower[] = []
+  readonly #keepers: SnapshotKeeper[] = []
+  #links: SchedulerLinks | null = null
+
+  constructor (readonly options: NodeOptions) {
+    const { settings, role, logger } = options
+    this.identity = createIdentity(settings.instance.id, role, settings.instance.zone)
+    collectDefaultMetrics({ register: this.registry })
+    this.log = createHttpLogService({ address: settings.platform.log })
+    this.#instanceList = createHttpInstanceList({ address: settings.platform.instanceList })
+    this.membership = new Membership({
+      instanceList: this.#instanceList,
+      logger,
+      periodMilliseconds: settings.limits.instanceListMilliseconds
+    })
+    this.meter = new LinkMeter(this.registry)
+    this.#budget = createBudget(settings.limits.appendsPerSecond)
+    this.chunks = new ChunkStore({ log: this.log, budget: this.#budget, entryBytes: settings.limits.appendBytes })
+    this.configurationFollower = this.follow(StreamName.Configuration, this.configurationFold)
+    this.gossip = new ConfigurationGossip(this.configurationFollower)
+  }
+
+  get settings (): Settings {
+    return this.options.settings
+  }
+
+  get logger (): Logger {
+    return this.options.logger
+  }
+
+  /** The configuration in force. */
+  get configuration (): Configuration {
+    return this.configurationFold.configuration
+  }
+
+  /** Starts to look at the instance list and to follow streams. */
+  async start (): Promise<void> {
+    await this.membership.start()
+    for (const follower of this.#followers) {
+      follower.start()
+    }
+  }
+
+  /** Waits until every followed stream has been caught up with. */
+  async ready (): Promise<void> {
+    await Promise.all(this.#followers.map(async follower => { await follower.ready }))
+  }
+
+  /** Whether the process knows enough to serve. */
+  get caughtUp (): boolean {
+    return this.membership.known && this.#followers.every(follower => follower.caughtUp)
+  }
+
+  /** A follower of a stream, closed with the node. */
+  follow (stream: StreamName, fold: Fold): StreamFollower {
+    const follower = new StreamFollower({ log: this.log, stream, fold, logger: this.logger })
+    this.#followers.push(follower)
+    return follower
+  }
+
+  /** A writer to a stream, closed with the node. */
+  write (stream: StreamName): LogWriter {
+    const writer = new LogWriter({
+      log: this.log,
+      stream,
+      writer: this.identity.writer,
+      budget: this.#budget,
+      logger: this.logger,
+      entryBytes: this.settings.limits.appendBytes
+    })
+    this.#writers.push(writer)
+    return writer
+  }
+
+  /** Keeps snapshots of a stream when this process's turn comes among the live ones of its kind. */
+  keepSnapshots (stream: StreamName, follower: StreamFollower): SnapshotKeeper {
+    const keeper = new SnapshotKeeper({
+      log: this.log,
+      stream,
+      follower,
+      logger: this.logger,
+      periodMilliseconds: this.settings.limits.retentionMilliseconds / snapshotsPerRetention,
+      entryBytes: this.settings.limits.appendBytes,
+      isOwner: () => this.ownsAmongPeers(stream)
+    })
+    this.#keepers.push(keeper)
+    return keeper
+  }
+
+  /** Whether this process is the one of its kind that a key falls to. */
+  ownsAmongPeers (key: string): boolean {
+    return ownerOf(key, this.membership.live(this.identity.role), null)?.id === this.identity.member
+  }
+
+  /** Links to all schedulers, which also carry configuration; closed with the node. */
+  linkToSchedulers (): SchedulerLinks {
+    const links = new SchedulerLinks({
+      member: this.identity.member,
+      secret: this.settings.link.secret,
+      membership: this.membership,
+      meter: this.meter,
+      logger: this.logger
+    })
+    links.onOpen(link => { this.gossip.addLink(link) })
+    this.#links = links
+    return links
+  }
+
+  /** Waits for what was given to the writers, then stops everything. */
+  async close (): Promise<void> {
+    for (const keeper of this.#keepers) {
+      keeper.close()
+    }
+    await Promise.all(this.#writers.map(async writer => { await writer.close(writerCloseMilliseconds) }))
+    this.gossip.close()
+    this.#links?.close()
+    this.membership.close()
+    await Promise.all(this.#followers.map(async follower => { await follower.close() }))
+    await this.log.close()
+    await this.#instanceList.close()
+  }
+}
+
+function createBudget (appendsPerSecond: number): PQueue {
+  const intervalCap = Math.max(1, Math.floor(appendsPerSecond))
+  // Each writer keeps its own appends in order; the queue only spaces out their starts.
+  return new PQueue({ interval: intervalCap / appendsPerSecond * millisecondsPerSecond, intervalCap })
+}
--- /dev/null
+++ b/packages/daemon/src/run-process.ts
@@ -0,0 +1,85 @@
+/** The life of a process: settings, start, signals, end. */
+import { readFile } from 'node:fs/promises'
+import { ConfigurationError, loadSettings } from '@arbutusloft/configuration'
+import type { Settings } from '@arbutusloft/configuration'
+import { messageOf } from '@arbutusloft/protocol'
+import type { MemberKind } from '@arbutusloft/platform'
+import { createLogger } from './create-logger.js'
+import type { Logger } from './create-logger.js'
+
+/** A running role. */
+export interface RunningRole {
+  /** Drains and stops. */
+  close: () => Promise<void>
+}
+
+/** Starts a role from its settings. */
+export type RoleStarter = (settings: Settings, logger: Logger) => Promise<RunningRole>
+
+const exitUsage = 2
+const exitFailure = 1
+
+/** Runs a role until SIGTERM or SIGINT; the first argument is the settings file. */
+export async function runProcess (role: MemberKind, start: RoleStarter): Promise<void> {
+  const settings = await settingsOf(role)
+  if (settings === null) {
+    process.exitCode = exitUsage
+    return
+  }
+  const logger = createLogger({ fields: { process: role, instance: settings.instance.id } })
+  process.on('uncaughtException', error => {
+    logger.error('uncaught exception', { error, stack: error.stack })
+    process.exit(exitFailure)
+  })
+  process.on('unhandledRejection', error => {
+    logger.error('unhandled rejection', { error: messageOf(error), stack: error instanceof Error ? error.stack : null })
+    process.exit(exitFailure)
+  })
+  try {
+    const running = await start(settings, logger)
+    logger.info('started')
+    stopOnSignals(running, logger)
+  } catch (error) {
+    logger.error('did not start', { error: messageOf(error) })
+    process.exit(exitFailure)
+  }
+}
+
+async function settingsOf (role: MemberKind): Promise<Settings | null> {
+  const path = process.argv[2]
+  if (path === undefined) {
+    process.stderr.write(`usage: arbutus-${role} SETTINGS.ini\n`)
+    return null
+  }
+  try {
+    const settings = loadSettings(await readFile(path, 'utf8'))
+    if (settings.ok) {
+      return settings.val
+    }
+    process.stderr.write(`${path} was refused:\n${settings.val.message}\n`)
+  } catch (error) {
+    const message = error instanceof ConfigurationError ? error.message : messageOf(error)
+    process.stderr.write(`${path} cannot be read: ${message}\n`)
+  }
+  return null
+}
+
+function stopOnSignals (running: RunningRole, logger: Logger): void {
+  let stopping = false
+  const stop = (signal: NodeJS.Signals): void => {
+    if (stopping) {
+      return
+    }
+    stopping = true
+    logger.info('draining', { signal })
+    running.close().then(
+      () => { process.exit(0) },
+      (error: unknown) => {
+        logger.error('did not drain', { error: messageOf(error) })
+        process.exit(exitFailure)
+      }
+    )
+  }
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+}
--- /dev/null
+++ b/packages/daemon/src/util/listeners.ts
@@ -0,0 +1,17 @@
+/** A list of listeners to one kind of event. */
+export class Listeners<T> {
+  readonly #listeners = new Set<(event: T) => void>()
+
+  /** Adds a listener and returns the function that removes it. */
+  add (listener: (event: T) => void): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  /** Calls every listener. */
+  emit (event: T): void {
+    for (const listener of [...this.#listeners]) {
+      listener(event)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/util/sleep.ts
@@ -0,0 +1,17 @@
+/** Waiting. */
+
+/** Resolves after the time, or at once when the signal aborts. */
+export async function sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
+  if (signal?.aborted === true) {
+    return
+  }
+  await new Promise<void>(resolve => {
+    const done = (): void => {
+      clearTimeout(timer)
+      signal?.removeEventListener('abort', done)
+      resolve()
+    }
+    const timer = setTimeout(done, milliseconds)
+    signal?.addEventListener('abort', done)
+  })
+}
--- /dev/null
+++ b/packages/development/src/bin/arbutus-development.ts
@@ -0,0 +1,34 @@
+#!/usr/bin/env node
+/** Binary of the embedded system: keeps it up and prints how to use it. */
+import { sample } from '../sample-lists.js'
+import { startEmbeddedSystem } from '../embedded-system.js'
+
+const callerPort = Number(process.env['ARBUTUS_CALLER_PORT'] ?? 8080)
+const operatorPort = Number(process.env['ARBUTUS_OPERATOR_PORT'] ?? 8081)
+
+const system = await startEmbeddedSystem({
+  callerPort,
+  operatorPort,
+  onLogLine: line => process.stderr.write(line)
+})
+
+process.stdout.write(`arbutusloft is up.
+
+  callers    http://${system.callerAddress}/v1   key ${sample.stylist.key}
+  operators  http://${system.operatorAddress}      key ${sample.operator.key}
+
+Try:
+
+  curl -N http://${system.callerAddress}/v1/chat/completions \\
+    -H 'authorization: Bearer ${sample.stylist.key}' -H 'content-type: application/json' \\
+    -d '{"model":"${sample.model}","stream":true,"messages":[{"role":"user","content":"When can I come in for a fitting?"}]}'
+
+Ctrl-C stops it.
+`)
+
+await new Promise<void>(resolve => {
+  process.once('SIGINT', resolve)
+  process.once('SIGTERM', resolve)
+})
+process.stdout.write('stopping\n')
+await system.close()
--- /dev/null
+++ b/packages/development/src/embedded-system.ts
@@ -0,0 +1,214 @@
+/** All roles and stand-ins in one process. */
+import { startBatch } from '@arbutusloft/batch'
+import { loadSettings } from '@arbutusloft/configuration'
+import type { Settings } from '@arbutusloft/configuration'
+import { createLogger, memberNameOf } from '@arbutusloft/daemon'
+import type { Logger, RunningRole } from '@arbutusloft/daemon'
+import { startEntry } from '@arbutusloft/entry'
+import type { Entry } from '@arbutusloft/entry'
+import { MemberKind, MemberState } from '@arbutusloft/platform'
+import { startScheduler } from '@arbutusloft/scheduler'
+import {
+  startEngineStandIn,
+  startInstanceListStandIn,
+  startLogStandIn,
+  startPlainServiceStandIn
+} from '@arbutusloft/stand-ins'
+import type { EngineOptions, EngineStandIn, InstanceListStandIn, LogStandIn, PlainServiceStandIn, StandIn } from '@arbutusloft/stand-ins'
+import { publishLists } from './publish-lists.js'
+import { sample, samplePlans, sampleUsage } from './sample-lists.js'
+import type { SampleTarget } from './sample-lists.js'
+import { settingsText } from './settings-text.js'
+
+/** Options of {@link startEmbeddedSystem}. */
+export interface EmbeddedSystemOptions {
+  readonly entries?: number
+  readonly schedulers?: number
+  readonly batches?: number
+  readonly engines?: number
+  /** Requests that an engine runs at once. */
+  readonly concurrency?: number
+  readonly engine?: Partial<EngineOptions>
+  /** Ports of the first entry for callers and operators; 0 takes free ones. */
+  readonly callerPort?: number
+  readonly operatorPort?: number
+  /** Lines of [limits]. */
+  readonly limits?: Readonly<Record<string, number>>
+  /** Receives log lines; they are dropped by default. */
+  readonly onLogLine?: (line: string) => void
+}
+
+/** A running embedded system. */
+export interface EmbeddedSystem {
+  readonly entries: readonly Entry[]
+  /** Address of the first entry for callers. */
+  readonly callerAddress: string
+  /** Address of the first entry for operators. */
+  readonly operatorAddress: string
+  readonly engines: readonly EngineStandIn[]
+  readonly service: PlainServiceStandIn
+  readonly log: LogStandIn
+  readonly instanceList: InstanceListStandIn
+  close: () => Promise<void>
+}
+
+const loopbackAnyPort = '127.0.0.1:0'
+const zones = ['a', 'b', 'c'] as const
+const serviceTarget = 'service-1'
+const serviceConcurrency = 32
+
+const defaultOptions = {
+  entries: 1,
+  schedulers: 1,
+  batches: 1,
+  engines: 2,
+  concurrency: 16,
+  callerPort: 0,
+  operatorPort: 0
+} as const
+
+/** Starts the system and publishes the sample lists. */
+export async function startEmbeddedSystem (options: EmbeddedSystemOptions = {}): Promise<EmbeddedSystem> {
+  const system = new EmbeddedSystemBuilder(options)
+  return await system.build()
+}
+
+class EmbeddedSystemBuilder {
+  readonly #options
+  readonly #roles: RunningRole[] = []
+  readonly #standIns: StandIn[] = []
+
+  constructor (options: EmbeddedSystemOptions) {
+    this.#options = { ...defaultOptions, ...options }
+  }
+
+  async build (): Promise<EmbeddedSystem> {
+    const log = this.#keep(await startLogStandIn())
+    const instanceList = this.#keep(await startInstanceListStandIn())
+    const service = this.#keep(await startPlainServiceStandIn())
+    const engines = await this.#startEngines(instanceList)
+    instanceList.put({ id: serviceTarget, kind: MemberKind.Target, address: service.address, zone: zoneOf(0), state: MemberState.Live })
+    await this.#startSchedulers(log, instanceList)
+    const entries = await this.#startEntries(log, instanceList)
+    await this.#startBatches(log, instanceList)
+    const [first] = entries
+    const callerAddress = first?.callerAddress ?? ''
+    const operatorAddress = first?.operatorAddress ?? ''
+    await this.#publish(operatorAddress, engines)
+    await Promise.all(entries.map(async entry => { await entry.ready() }))
+    return {
+      entries,
+      callerAddress,
+      operatorAddress,
+      engines,
+      service,
+      log,
+      instanceList,
+      close: async () => { await this.#close() }
+    }
+  }
+
+  async #startEngines (instanceList: InstanceListStandIn): Promise<readonly EngineStandIn[]> {
+    const engines: EngineStandIn[] = []
+    for (let index = 0; index < this.#options.engines; index++) {
+      const engine = this.#keep(await startEngineStandIn({ model: sample.model, ...this.#options.engine }))
+      engines.push(engine)
+      instanceList.put({ id: targetName(index), kind: MemberKind.Target, address: engine.address, zone: zoneOf(index), state: MemberState.Live })
+    }
+    return engines
+  }
+
+  async #startSchedulers (log: StandIn, instanceList: InstanceListStandIn): Promise<void> {
+    for (let index = 0; index < this.#options.schedulers; index++) {
+      const settings = this.#settings(index, log, instanceList, { link: loopbackAnyPort })
+      const scheduler = await startScheduler(settings, this.#logger(settings, MemberKind.Scheduler))
+      this.#roles.push(scheduler)
+      this.#announce(instanceList, settings, MemberKind.Scheduler, scheduler.linkAddress)
+    }
+  }
+
+  async #startEntries (log: StandIn, instanceList: InstanceListStandIn): Promise<readonly Entry[]> {
+    const entries: Entry[] = []
+    for (let index = 0; index < this.#options.entries; index++) {
+      const first = index === 0
+      const settings = this.#settings(index, log, instanceList, {
+        caller: `127.0.0.1:${first ? this.#options.callerPort : 0}`,
+        operator: `127.0.0.1:${first ? this.#options.operatorPort : 0}`
+      })
+      const entry = await startEntry(settings, this.#logger(settings, MemberKind.Entry))
+      this.#roles.unshift(entry)
+      entries.push(entry)
+      this.#announce(instanceList, settings, MemberKind.Entry, entry.callerAddress)
+    }
+    return entries
+  }
+
+  async #startBatches (log: StandIn, instanceList: InstanceListStandIn): Promise<void> {
+    for (let index = 0; index < this.#options.batches; index++) {
+      const settings = this.#settings(index, log, instanceList, {})
+      const batch = await startBatch(settings, this.#logger(settings, MemberKind.Batch))
+      this.#roles.unshift(batch)
+      this.#announce(instanceList, settings, MemberKind.Batch, loopbackAnyPort)
+    }
+  }
+
+  async #publish (operatorAddress: string, engines: readonly EngineStandIn[]): Promise<void> {
+    const targets: SampleTarget[] = engines.map((_engine, index) => {
+      return { name: targetName(index), model: sample.model, concurrency: this.#options.concurrency }
+    })
+    for (const service of [sample.service, sample.lookupService]) {
+      targets.push({ name: service === sample.service ? serviceTarget : `${serviceTarget}-lookup`, service, concurrency: serviceConcurrency })
+    }
+    await publishLists(operatorAddress, sample.operator.key, { plans: samplePlans(), usage: sampleUsage(targets) })
+  }
+
+  #settings (
+    index: number,
+    log: StandIn,
+    instanceList: StandIn,
+    listen: Readonly<Record<string, string>>
+  ): Settings {
+    return loadSettings(settingsText({
+      instance: `i${index + 1}`,
+      zone: zoneOf(index),
+      log: log.address,
+      instanceList: instanceList.address,
+      listen,
+      secret: sample.linkSecret,
+      operators: { [sample.operator.name]: sample.operator.key },
+      limits: this.#options.limits ?? {}
+    })).unwrap()
+  }
+
+  #logger (settings: Settings, role: MemberKind): Logger {
+    const write = this.#options.onLogLine ?? (() => {})
+    return createLogger({ fields: { process: role, instance: settings.instance.id }, write })
+  }
+
+  #announce (instanceList: InstanceListStandIn, settings: Settings, kind: MemberKind, address: string): void {
+    const { id, zone } = settings.instance
+    instanceList.put({ id: memberNameOf(id, kind), kind, address, zone, state: MemberState.Live })
+  }
+
+  #keep<T extends StandIn> (standIn: T): T {
+    this.#standIns.push(standIn)
+    return standIn
+  }
+
+  async #close (): Promise<void> {
+    for (const role of this.#roles) {
+      await role.close()
+    }
+    for (const standIn of this.#standIns) {
+      await standIn.close()
+    }
+  }
+}
+
+function targetName (index: number): string {
+  return `target-${index + 1}`
+}
+
+function zoneOf (index: number): string {
+  return zones[index % zones.length] ?? zones[0]
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,255 @@
+/** An entry process. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { addHealthRoutes, GenerationRunner, Node, PermitClient, ServiceRunner, sleep, startHealthServer, startHttpServer, TargetDirectory } from '@arbutusloft/daemon'
+import type { HttpServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
+import type { Settings } from '@arbutusloft/configuration'
+import { createHttpEngine, createHttpPlainService, MemberKind, MemberState } from '@arbutusloft/platform'
+import { createIdentifier, messageOf, StreamName } from '@arbutusloft/protocol'
+import { JobsFold, LedgerFold } from '@arbutusloft/state'
+import type { Polka } from 'polka'
+import { BatchesHandler } from './batches/batches-handler.js'
+import { EntryMetrics } from './entry-metrics.js'
+import { FilesHandler } from './files/files-handler.js'
+import { ApiError, ApiErrorType, notFound, RunState, sendError } from './http/api-error.js'
+import { ClientLimits } from './limits/client-limits.js'
+import { OnlineGeneration } from './online/online-generation.js'
+import { ListsHandler } from './operators/lists-handler.js'
+import { OverviewHandler } from './operators/overview-handler.js'
+import { authenticateClient, authenticateOperator } from './pipeline/authenticate.js'
+import { callerRoutes } from './pipeline/caller-routes.js'
+import type { Exchange } from './pipeline/exchange.js'
+import { operatorRoutes } from './pipeline/operator-routes.js'
+import { ServicesHandler } from './services/services-handler.js'
+import { SingleCalls } from './services/single-calls.js'
+
+const generationAttempts = 3
+const serviceAttempts = 3
+const millisecondsPerSecond = 1_000
+const leavingPollMilliseconds = 50
+
+/** A running entry. */
+export interface Entry extends RunningRole {
+  /** Address of callers. */
+  readonly callerAddress: string
+  /** Address of operators, or null if there is none. */
+  readonly operatorAddress: string | null
+  /** Resolves when the entry knows enough to serve. */
+  ready: () => Promise<void>
+}
+
+/** Starts an entry. */
+export async function startEntry (settings: Settings, logger: Logger): Promise<Entry> {
+  const { caller } = settings.listen
+  if (caller === null) {
+    throw new Error('an entry needs the setting "caller" in [listen]')
+  }
+  const entry = new EntryProcess(settings, logger)
+  await entry.start(caller)
+  return entry
+}
+
+class EntryProcess implements Entry {
+  readonly #node: Node
+  readonly #engine
+  readonly #service
+  readonly #permits: PermitClient
+  readonly #limits: ClientLimits
+  readonly #metrics: EntryMetrics
+  readonly #callerRoutes
+  readonly #operatorRoutes
+  #caller: HttpServer | null = null
+  #operator: HttpServer | null = null
+  #health: HttpServer | null = null
+  #leaving = false
+
+  constructor (settings: Settings, logger: Logger) {
+    const node = new Node({ settings, role: MemberKind.Entry, logger })
+    this.#node = node
+    this.#metrics = new EntryMetrics(node.registry)
+    const { silenceMilliseconds } = settings.limits
+    this.#engine = createHttpEngine({ silenceMilliseconds })
+    this.#service = createHttpPlainService({ silenceMilliseconds })
+    const links = node.linkToSchedulers()
+    this.#permits = new PermitClient({ identity: node.identity, membership: node.membership, links })
+    const directory = new TargetDirectory({ membership: node.membership, configuration: () => node.configuration })
+    this.#permits.onLoads(loads => { directory.onLoads(loads) })
+    this.#limits = new ClientLimits({ membership: node.membership, links })
+    const jobs = new JobsFold()
+    const jobsFollower = node.follow(StreamName.Jobs, jobs)
+    const jobsWriter = node.write(StreamName.Jobs)
+    const ledger = new LedgerFold()
+    const ledgerFollower = node.follow(StreamName.Ledger, ledger)
+    const ledgerWriter = node.write(StreamName.Ledger)
+    const zone = settings.instance.zone
+    const shared = { settings, limits: this.#limits, ledger: ledgerWriter, membership: node.membership }
+    const stored = { settings, fold: jobs, follower: jobsFollower, jobs: jobsWriter, chunks: node.chunks }
+    this.#callerRoutes = callerRoutes({
+      generation: new OnlineGeneration({
+        ...shared,
+        engine: this.#engine,
+        runner: new GenerationRunner({ directory, permits: this.#permits, zone, attempts: generationAttempts })
+      }),
+      files: new FilesHandler(stored),
+      batches: new BatchesHandler(stored),
+      services: new ServicesHandler({
+        ...shared,
+        configuration: () => node.configuration,
+        runner: new ServiceRunner({ service: this.#service, directory, permits: this.#permits, zone, attempts: serviceAttempts }),
+        singleCalls: new SingleCalls({ fold: ledger, follower: ledgerFollower, ledger: ledgerWriter })
+      }),
+      addresses: { membership: node.membership, addressMilliseconds: settings.limits.addressMilliseconds }
+    })
+    this.#operatorRoutes = operatorRoutes({
+      lists: new ListsHandler({
+        fold: node.configurationFold,
+        follower: node.configurationFollower,
+        configuration: node.write(StreamName.Configuration),
+        requestBytes: settings.limits.requestBytes
+      }),
+      overview: new OverviewHandler({ jobs, ledger, membership: node.membership, directory, configuration: () => node.configuration })
+    })
+  }
+
+  get callerAddress (): string {
+    return this.#caller?.address ?? ''
+  }
+
+  get operatorAddress (): string | null {
+    return this.#operator?.address ?? null
+  }
+
+  async start (callerAddress: string): Promise<void> {
+    const { operator, health } = this.#node.settings.listen
+    this.#caller = await this.#serve(callerAddress, application => { this.#addCallerRoutes(application) })
+    if (operator !== null) {
+      this.#operator = await this.#serve(operator, application => { this.#addOperatorRoutes(application) })
+    }
+    if (health !== null) {
+      this.#health = await startHealthServer(health, { registry: this.#node.registry, readiness: () => this.#readiness() })
+    }
+    await this.#node.start()
+  }
+
+  async ready (): Promise<void> {
+    await this.#node.ready()
+  }
+
+  /** Serves on until callers have dropped this address, then finishes what is in flight. */
+  async close (): Promise<void> {
+    this.#leaving = true
+    await this.#waitUntilForgotten()
+    await Promise.all([this.#caller?.close(), this.#operator?.close()])
+    this.#limits.close()
+    this.#permits.close()
+    await this.#health?.close()
+    await this.#node.close()
+    await this.#engine.close()
+    await this.#service.close()
+  }
+
+  async #serve (address: string, routes: (application: Polka) => void): Promise<HttpServer> {
+    return await startHttpServer({
+      address,
+      routes,
+      connections: this.#node.settings.limits.connections,
+      onError: (error, response) => { this.#onError(error, response) },
+      onNoMatch: response => { sendError(response, notFound('there is no such path; see the caller guide')) }
+    })
+  }
+
+  /** Callers keep an address for a time after it was last given out, which other entries may do until they see this one leave. */
+  async #waitUntilForgotten (): Promise<void> {
+    const { addressMilliseconds, instanceListMilliseconds } = this.#node.settings.limits
+    const others = this.#node.membership.live(MemberKind.Entry).filter(entry => entry.id !== this.#node.identity.member)
+    if (others.length === 0) {
+      return
+    }
+    const seenBy = Date.now() + addressMilliseconds
+    while (this.#node.membership.find(this.#node.identity.member)?.state === MemberState.Live && Date.now() < seenBy) {
+      await sleep(leavingPollMilliseconds)
+    }
+    await sleep(addressMilliseconds + instanceListMilliseconds)
+  }
+
+  #readiness (): Readiness {
+    if (this.#leaving) {
+      return { ready: false, reason: 'leaving' }
+    }
+    const ready = this.#node.caughtUp
+    return { ready, reason: ready ? 'ready' : 'waits for the log or the instance list' }
+  }
+
+  #addCallerRoutes (application: Polka): void {
+    addHealthRoutes(application, { registry: this.#node.registry, readiness: () => this.#readiness() })
+    for (const route of this.#callerRoutes) {
+      application[route.method](route.pattern, (request, response) => {
+        void this.#run(route.pattern, request, request.params as Exchange['parameters'], response, async exchange => {
+          this.#requireKnowledge()
+          await route.handle(authenticateClient(exchange, this.#node.configuration))
+        })
+      })
+    }
+  }
+
+  #addOperatorRoutes (application: Polka): void {
+    for (const route of this.#operatorRoutes) {
+      application[route.method](route.pattern, (request, response) => {
+        void this.#run(route.pattern, request, request.params as Exchange['parameters'], response, async exchange => {
+          const operator = authenticateOperator(request, this.#node.settings.operators)
+          await route.handle({ ...exchange, operator })
+        })
+      })
+    }
+  }
+
+  /** A process serves only at the newest configuration it can learn. */
+  #requireKnowledge (): void {
+    const { configurationFollower, membership } = this.#node
+    if (!configurationFollower.caughtUp || !membership.known) {
+      throw new ApiError(503, ApiErrorType.Unavailable, 'this entry is starting; use another address', {
+        run: RunState.NotRun,
+        retryAfterMilliseconds: millisecondsPerSecond
+      })
+    }
+  }
+
+  async #run (
+    route: string,
+    request: IncomingMessage,
+    parameters: Exchange['parameters'],
+    response: ServerResponse,
+    handle: (exchange: Exchange) => Promise<void>
+  ): Promise<void> {
+    const id = createIdentifier('request')
+    const startedAt = Date.now()
+    response.setHeader('x-request-id', id)
+    response.once('close', () => {
+      this.#metrics.onEnd(route, response.statusCode, (Date.now() - startedAt) / millisecondsPerSecond)
+    })
+    try {
+      await handle({
+        request,
+        response,
+        parameters,
+        query: queryOf(request),
+        id
+      })
+    } catch (error) {
+      this.#onError(error, response)
+    }
+  }
+
+  #onError (error: unknown, response: ServerResponse): void {
+    if (error instanceof ApiError) {
+      sendError(response, error)
+      return
+    }
+    this.#node.logger.error('request failed', { error: messageOf(error), stack: error instanceof Error ? error.stack : null })
+    sendError(response, new ApiError(500, ApiErrorType.Server, 'internal error', { run: RunState.OutcomeUnknown }))
+  }
+}
+
+function queryOf (request: IncomingMessage): URLSearchParams {
+  const [, query = ''] = (request.url ?? '').split('?', 2)
+  return new URLSearchParams(query)
+}
--- /dev/null
+++ b/packages/entry/src/files/file-intake.ts
@@ -0,0 +1,98 @@
+/** Cutting of uploads into chunks as they arrive. */
+import { StringDecoder } from 'node:string_decoder'
+import type { ChunkStore } from '@arbutusloft/daemon'
+import type { ChunkReference } from '@arbutusloft/protocol'
+import { ApiError, ApiErrorType, invalidRequest, RunState } from '../http/api-error.js'
+
+/** Options of {@link FileIntake}. */
+export interface FileIntakeOptions {
+  readonly chunks: ChunkStore
+  readonly fileBytes: number
+  readonly itemBytes: number
+  readonly jobItems: number
+}
+
+/** A file whose lines are in the chunks stream. */
+export interface StoredFile {
+  readonly bytes: number
+  readonly chunks: readonly ChunkReference[]
+}
+
+const chunkMilliseconds = 10_000
+
+/** Holds one chunk's lines at a time, however large the file. */
+export class FileIntake {
+  readonly #decoder = new StringDecoder('utf8')
+  readonly #chunks: ChunkReference[] = []
+  #rest = ''
+  #lines: string[] = []
+  #lineBytes = 0
+  #bytes = 0
+  #count = 0
+
+  constructor (private readonly options: FileIntakeOptions) {}
+
+  /** Takes the next bytes; resolves when more can be taken. */
+  async push (bytes: Buffer): Promise<void> {
+    this.#bytes += bytes.byteLength
+    if (this.#bytes > this.options.fileBytes) {
+      throw new ApiError(413, ApiErrorType.InvalidRequest, `the file exceeds ${this.options.fileBytes} bytes`, { run: RunState.NotRun })
+    }
+    const lines = (this.#rest + this.#decoder.write(bytes)).split('\n')
+    this.#rest = lines.pop() ?? ''
+    for (const line of lines) {
+      await this.#addLine(line)
+    }
+    this.#checkLine(this.#rest)
+  }
+
+  /** The upload is over; returns where its lines are. */
+  async finish (): Promise<StoredFile> {
+    await this.#addLine(this.#rest + this.#decoder.end())
+    await this.#flush()
+    if (this.#count === 0) {
+      throw invalidRequest('the file has no lines', 'file')
+    }
+    return { bytes: this.#bytes, chunks: this.#chunks }
+  }
+
+  async #addLine (text: string): Promise<void> {
+    const line = text.trim()
+    if (line === '') {
+      return
+    }
+    this.#checkLine(line)
+    this.#count += 1
+    if (this.#count > this.options.jobItems) {
+      throw invalidRequest(`the file has more than ${this.options.jobItems} lines; divide it`, 'file')
+    }
+    const bytes = Buffer.byteLength(line)
+    if (!this.options.chunks.fits(this.#lines.length + 1, this.#lineBytes + bytes)) {
+      await this.#flush()
+    }
+    this.#lines.push(line)
+    this.#lineBytes += bytes
+  }
+
+  #checkLine (line: string): void {
+    if (line.length > this.options.itemBytes) {
+      throw invalidRequest(`line ${this.#count + 1} exceeds ${this.options.itemBytes} bytes`, 'file')
+    }
+  }
+
+  async #flush (): Promise<void> {
+    if (this.#lines.length === 0) {
+      return
+    }
+    const written = await this.options.chunks.write(this.#lines, chunkMilliseconds)
+    if (written.err) {
+      throw new ApiError(503, ApiErrorType.Unavailable, 'the file cannot be stored now; nothing was kept of it', {
+        run: RunState.NotRun,
+        retryAfterMilliseconds: chunkMilliseconds
+      })
+    }
+    this.#chunks.push({ offset: written.val, lines: this.#lines.length })
+    this.#lines = []
+    this.#lineBytes = 0
+  }
+}
--- /dev/null
+++ b/packages/entry/src/files/file-object.ts
@@ -0,0 +1,91 @@
+/** Files as the API shows them, with the results of jobs as files of their own. */
+import { FilePurpose } from '@arbutusloft/protocol'
+import type { FileState, JobState, StoredChunk, JobsFold } from '@arbutusloft/state'
+
+/** Which of a job's results a file holds. */
+export const ResultKind = {
+  Output: 'output',
+  Error: 'error'
+} as const
+
+export type ResultKind = typeof ResultKind[keyof typeof ResultKind]
+
+/** A part of a file's content. */
+export interface ContentPart {
+  readonly chunk: StoredChunk
+  /** Lines of the chunk that belong to the file, or null if all do. */
+  readonly lines: readonly number[] | null
+}
+
+/** A file that a client can see. */
+export interface VisibleFile {
+  readonly object: FileObject
+  readonly parts: readonly ContentPart[]
+}
+
+/** The API's file object. */
+export interface FileObject {
+  readonly id: string
+  readonly object: 'file'
+  readonly bytes: number
+  readonly created_at: number
+  readonly filename: string
+  readonly purpose: string
+  readonly status: 'processed'
+}
+
+const millisecondsPerSecond = 1_000
+const resultPattern = /^file-(batch_[0-9a-f]+)-(output|error)$/
+
+/** Identifier of a job's result file. */
+export function resultFileId (job: string, kind: ResultKind): string {
+  return `file-${job}-${kind}`
+}
+
+/** The file with that identifier if it is the client's, else null. */
+export function findFile (fold: JobsFold, client: string, id: string): VisibleFile | null {
+  const file = fold.files.get(id)
+  if (file !== undefined) {
+    return file.created.client === client ? uploadedFile(file) : null
+  }
+  const [, jobId, kind] = resultPattern.exec(id) ?? []
+  const job = fold.jobs.get(jobId ?? '')
+  return job?.created.client === client ? resultFile(job, kind as ResultKind) : null
+}
+
+/** An uploaded file. */
+export function uploadedFile (file: FileState): VisibleFile {
+  const { created } = file
+  return {
+    object: {
+      id: created.file,
+      object: 'file',
+      bytes: created.bytes,
+      created_at: Math.floor(created.createdAt / millisecondsPerSecond),
+      filename: created.name,
+      purpose: created.purpose,
+      status: 'processed'
+    },
+    parts: file.chunks.map(chunk => ({ chunk, lines: null }))
+  }
+}
+
+/** The results of a job so far. */
+export function resultFile (job: JobState, kind: ResultKind): VisibleFile {
+  const { created } = job
+  const failed = kind === ResultKind.Error
+  return {
+    object: {
+      id: resultFileId(created.job, kind),
+      object: 'file',
+      bytes: 0,
+      created_at: Math.floor((job.endedAt ?? job.time) / millisecondsPerSecond),
+      filename: `${created.job}-${kind}.jsonl`,
+      purpose: FilePurpose.BatchOutput,
+      status: 'processed'
+    },
+    parts: job.results
+      .filter(result => result.failed === failed)
+      .map(result => ({ chunk: result, lines: result.accepted }))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/files/files-handler.ts
@@ -0,0 +1,116 @@
+/** Handlers of `/v1/files`. */
+import type { Settings } from '@arbutusloft/configuration'
+import type { ChunkStore, LogWriter, StreamFollower } from '@arbutusloft/daemon'
+import { createIdentifier, FilePurpose, RecordType } from '@arbutusloft/protocol'
+import type { FileCreated, LogRecord } from '@arbutusloft/protocol'
+import type { JobsFold } from '@arbutusloft/state'
+import { ApiError, ApiErrorType, invalidRequest, notFound, RunState } from '../http/api-error.js'
+import { sendJson } from '../http/send-json.js'
+import { appendAndWait } from '../http/append-and-wait.js'
+import type { ClientExchange } from '../pipeline/exchange.js'
+import { paginate } from '../http/paginate.js'
+import { FileIntake } from './file-intake.js'
+import { findFile, uploadedFile } from './file-object.js'
+import type { ContentPart, VisibleFile } from './file-object.js'
+import { receiveUpload } from './receive-upload.js'
+
+/** Options of {@link FilesHandler}. */
+export interface FilesHandlerOptions {
+  readonly settings: Settings
+  readonly fold: JobsFold
+  readonly follower: StreamFollower
+  /** Writer of the jobs stream. */
+  readonly jobs: LogWriter
+  readonly chunks: ChunkStore
+}
+
+/** Stores, lists, reads and deletes files. */
+export class FilesHandler {
+  constructor (private readonly options: FilesHandlerOptions) {}
+
+  async create (exchange: ClientExchange): Promise<void> {
+    const { limits } = this.options.settings
+    const intake = new FileIntake({ chunks: this.options.chunks, ...limits })
+    const upload = await receiveUpload(exchange.request, intake)
+    if (upload.purpose !== FilePurpose.Batch) {
+      throw invalidRequest('the purpose must be "batch"', 'purpose')
+    }
+    const record: FileCreated = {
+      type: RecordType.FileCreated,
+      file: createIdentifier('file'),
+      client: exchange.client.name,
+      name: upload.name,
+      purpose: FilePurpose.Batch,
+      bytes: upload.stored.bytes,
+      chunks: upload.stored.chunks,
+      createdAt: Date.now()
+    }
+    await this.#append([record])
+    sendJson(exchange.response, this.#find(exchange, record.file).object)
+  }
+
+  async list (exchange: ClientExchange): Promise<void> {
+    const files = [...this.options.fold.files.values()]
+      .filter(file => file.created.client === exchange.client.name)
+      .map(file => uploadedFile(file).object)
+      .reverse()
+    sendJson(exchange.response, paginate(files, exchange.query))
+  }
+
+  async get (exchange: ClientExchange): Promise<void> {
+    sendJson(exchange.response, this.#find(exchange).object)
+  }
+
+  async remove (exchange: ClientExchange): Promise<void> {
+    const { id } = this.#find(exchange).object
+    await this.#append([{ type: RecordType.FileDeleted, file: id, client: exchange.client.name }])
+    if (this.options.fold.files.has(id)) {
+      throw new ApiError(409, ApiErrorType.Conflict, 'a batch in progress still reads the file; cancel it first', { run: RunState.NotRun })
+    }
+    sendJson(exchange.response, { id, object: 'file', deleted: true })
+  }
+
+  /** Sends the content chunk by chunk, so that no process holds it whole. */
+  async content (exchange: ClientExchange): Promise<void> {
+    const { response } = exchange
+    const file = this.#find(exchange)
+    for (const part of file.parts) {
+      const text = await this.#textOf(part)
+      if (!response.headersSent) {
+        response.writeHead(200, { 'content-type': 'application/jsonl' })
+      }
+      if (!response.write(text)) {
+        await drained(exchange)
+      }
+    }
+    response.end()
+  }
+
+  async #textOf (part: ContentPart): Promise<string> {
+    const read = await this.options.chunks.read(part.chunk.offset)
+    if (read.err) {
+      throw new ApiError(503, ApiErrorType.Unavailable, `the content cannot be read now: ${read.val.message}`)
+    }
+    const lines = part.lines === null ? read.val : part.lines.map(line => read.val[line] ?? '')
+    return lines.map(line => `${line}\n`).join('')
+  }
+
+  #find (exchange: ClientExchange, id = exchange.parameters['file'] ?? ''): VisibleFile {
+    const file = findFile(this.options.fold, exchange.client.name, id)
+    if (file === null) {
+      throw notFound(`there is no file "${id}"`)
+    }
+    return file
+  }
+
+  async #append (records: readonly LogRecord[]): Promise<void> {
+    await appendAndWait(this.options.jobs, this.options.follower, records)
+  }
+}
+
+async function drained (exchange: ClientExchange): Promise<void> {
+  await new Promise<void>(resolve => {
+    exchange.response.once('drain', resolve)
+    exchange.response.once('close', resolve)
+  })
+}
--- /dev/null
+++ b/packages/entry/src/files/receive-upload.ts
@@ -0,0 +1,62 @@
+/** Receiving of multipart uploads. */
+import type { IncomingMessage } from 'node:http'
+import type { Readable } from 'node:stream'
+import busboy from 'busboy'
+import { invalidRequest } from '../http/api-error.js'
+import type { FileIntake, StoredFile } from './file-intake.js'
+
+/** An upload that was stored. */
+export interface Upload {
+  readonly name: string
+  readonly purpose: string
+  readonly stored: StoredFile
+}
+
+const greatestFieldBytes = 4_096
+const greatestFields = 16
+
+/** Receives the fields `purpose` and `file` and stores the file as it arrives. */
+export async function receiveUpload (request: IncomingMessage, intake: FileIntake): Promise<Upload> {
+  const parser = createParser(request)
+  let purpose = ''
+  let name = ''
+  let storing: Promise<StoredFile> | null = null
+  await new Promise<void>((resolve, reject) => {
+    parser.on('field', (field, value) => {
+      if (field === 'purpose') {
+        purpose = value
+      }
+    })
+    parser.on('file', (_field, stream, information) => {
+      name = information.filename ?? ''
+      storing = store(stream, intake)
+      storing.catch(reject)
+    })
+    parser.on('close', resolve)
+    parser.on('error', () => { reject(invalidRequest('the multipart body is broken')) })
+    request.on('aborted', () => { reject(invalidRequest('the upload was cut off')) })
+    request.pipe(parser)
+  })
+  if (storing === null) {
+    throw invalidRequest('the form has no file', 'file')
+  }
+  return { name, purpose, stored: await storing }
+}
+
+function createParser (request: IncomingMessage): busboy.Busboy {
+  try {
+    return busboy({
+      headers: request.headers,
+      limits: { files: 1, fields: greatestFields, fieldSize: greatestFieldBytes }
+    })
+  } catch {
+    throw invalidRequest('expected a multipart/form-data body with the fields "purpose" and "file"')
+  }
+}
+
+async function store (stream: Readable, intake: FileIntake): Promise<StoredFile> {
+  for await (const bytes of stream) {
+    await intake.push(bytes as Buffer)
+  }
+  return await intake.finish()
+}
--- /dev/null
+++ b/packages/entry/src/http/append-and-wait.ts
@@ -0,0 +1,30 @@
+/** Appending on behalf of a caller who waits. */
+import { AppendErrorCode } from '@arbutusloft/daemon'
+import type { LogWriter, StreamFollower } from '@arbutusloft/daemon'
+import type { LogRecord } from '@arbutusloft/protocol'
+import { ApiError, ApiErrorType, RunState } from './api-error.js'
+
+const appendMilliseconds = 5_000
+const foldMilliseconds = 5_000
+const retryMilliseconds = 5_000
+
+/** Appends records and waits until the fold has come to them; fails with what is known of them. */
+export async function appendAndWait (
+  writer: LogWriter,
+  follower: StreamFollower,
+  records: readonly LogRecord[]
+): Promise<void> {
+  const appended = await writer.append(records, appendMilliseconds)
+  if (appended.err) {
+    const run = appended.val.code === AppendErrorCode.NotAppended ? RunState.NotRun : RunState.OutcomeUnknown
+    throw unavailable('the platform\'s log is out of reach', run)
+  }
+  if (!await follower.waitFor(appended.val, foldMilliseconds)) {
+    throw unavailable('the request was stored, but what came of it is not known yet', RunState.OutcomeUnknown)
+  }
+}
+
+function unavailable (message: string, run: RunState): ApiError {
+  const advice = run === RunState.NotRun ? 'nothing was kept; send it again later' : 'send it again with the same Idempotency-Key'
+  return new ApiError(503, ApiErrorType.Unavailable, `${message}; ${advice}`, { run, retryAfterMilliseconds: retryMilliseconds })
+}
--- /dev/null
+++ b/packages/entry/src/http/paginate.ts
@@ -0,0 +1,32 @@
+/** Pages of lists, as OpenAI clients ask for them. */
+import { invalidRequest } from './api-error.js'
+
+/** A page of objects. */
+export interface Page<T> {
+  readonly object: 'list'
+  readonly data: readonly T[]
+  readonly first_id: string | null
+  readonly last_id: string | null
+  readonly has_more: boolean
+}
+
+const defaultLimit = 20
+const greatestLimit = 10_000
+
+/** The page that `limit` and `after` name. */
+export function paginate<T extends { readonly id: string }> (all: readonly T[], query: URLSearchParams): Page<T> {
+  const limit = Number(query.get('limit') ?? defaultLimit)
+  if (!Number.isInteger(limit) || limit < 1 || limit > greatestLimit) {
+    throw invalidRequest(`"limit" must be a whole number from 1 to ${greatestLimit}`, 'limit')
+  }
+  const after = query.get('after')
+  const start = after === null ? 0 : all.findIndex(object => object.id === after) + 1
+  const data = all.slice(start, start + limit)
+  return {
+    object: 'list',
+    data,
+    first_id: data[0]?.id ?? null,
+    last_id: data.at(-1)?.id ?? null,
+    has_more: start + limit < all.length
+  }
+}
--- /dev/null
+++ b/packages/entry/src/limits/client-limits.ts
@@ -0,0 +1,117 @@
+/** Filter that holds clients to their plans' limits across all entries. */
+import { MemberKind } from '@arbutusloft/platform'
+import { ClientLimiter, ownerOf } from '@arbutusloft/policy'
+import type { ClientAllowance } from '@arbutusloft/policy'
+import { MessageType } from '@arbutusloft/protocol'
+import type { ClientDemand, LimitShare } from '@arbutusloft/protocol'
+import type { Plan } from '@arbutusloft/configuration'
+import type { Membership, SchedulerLinks } from '@arbutusloft/daemon'
+import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
+
+/** Options of {@link ClientLimits}. */
+export interface ClientLimitsOptions {
+  readonly membership: Membership
+  readonly links: SchedulerLinks
+}
+
+/** An admitted request. */
+export interface Admission {
+  /** Ends the request and corrects the estimate; calls after the first do nothing. */
+  release: (usedTokens: number) => void
+}
+
+const reportMilliseconds = 1_000
+const secondsPerMinute = 60
+
+/** One limiter for each client that is active here. */
+export class ClientLimits {
+  readonly #limiters = new Map<string, ClientLimiter>()
+  readonly #timer: NodeJS.Timeout
+
+  constructor (private readonly options: ClientLimitsOptions) {
+    this.#timer = setInterval(() => { this.#report() }, reportMilliseconds)
+    options.links.onMessage(({ message }) => {
+      if (message.type === MessageType.LimitShare) {
+        this.#onShares(message)
+      }
+    })
+  }
+
+  /** Admits a request, or refuses it with the time after which a resend is sensible. */
+  admit (client: string, plan: Plan, tokens: number): Admission {
+    const limiter = this.#limiterOf(client, plan)
+    const refusal = limiter.admit(tokens, Date.now())
+    if (refusal !== null) {
+      const message = `over the plan's limit of ${refusal.kind}; try again in ${refusal.retryAfterMilliseconds} ms`
+      throw new ApiError(429, ApiErrorType.RateLimit, message, {
+        code: 'rate_limit_exceeded',
+        run: RunState.NotRun,
+        retryAfterMilliseconds: refusal.retryAfterMilliseconds
+      })
+    }
+    let released = false
+    return {
+      release: usedTokens => {
+        if (!released) {
+          released = true
+          limiter.release(tokens, usedTokens, Date.now())
+        }
+      }
+    }
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+
+  #limiterOf (client: string, plan: Plan): ClientLimiter {
+    const now = Date.now()
+    const allowance = allowanceOf(plan)
+    const present = this.#limiters.get(client)
+    if (present !== undefined) {
+      present.setAllowance(allowance, now)
+      return present
+    }
+    const created = new ClientLimiter(client, allowance, this.#entries(), now)
+    this.#limiters.set(client, created)
+    return created
+  }
+
+  #entries (): number {
+    return this.options.membership.live(MemberKind.Entry).length
+  }
+
+  /** Tells each scheduler the demand of the clients that it owns. */
+  #report (): void {
+    const now = Date.now()
+    const schedulers = this.options.membership.live(MemberKind.Scheduler)
+    const byOwner = new Map<string, ClientDemand[]>()
+    for (const [client, limiter] of this.#limiters) {
+      limiter.setEntries(this.#entries())
+      const demand = limiter.takeDemand(now)
+      if (demand === null) {
+        continue
+      }
+      const owner = ownerOf(client, schedulers, null)?.id ?? ''
+      byOwner.set(owner, [...byOwner.get(owner) ?? [], demand])
+    }
+    for (const [owner, clients] of byOwner) {
+      this.options.links.get(owner)?.send({ type: MessageType.LimitDemand, clients })
+    }
+  }
+
+  #onShares (message: LimitShare): void {
+    const now = Date.now()
+    for (const share of message.shares) {
+      this.#limiters.get(share.client)?.setShare(share, now)
+    }
+  }
+}
+
+function allowanceOf (plan: Plan): ClientAllowance {
+  return {
+    requestsPerSecond: plan.requestsPerMinute / secondsPerMinute,
+    tokensPerSecond: plan.tokensPerMinute / secondsPerMinute,
+    concurrency: plan.concurrency
+  }
+}
--- /dev/null
+++ b/packages/entry/src/online/addresses.ts
@@ -0,0 +1,27 @@
+/** Handler of `/v1/addresses`: which entries a caller may use. */
+import { MemberKind } from '@arbutusloft/platform'
+import type { Membership } from '@arbutusloft/daemon'
+import { sendJson } from '../http/send-json.js'
+import type { ClientExchange } from '../pipeline/exchange.js'
+
+/** Options of {@link listAddresses}. */
+export interface AddressesOptions {
+  readonly membership: Membership
+  /** Milliseconds for which callers keep the answer. */
+  readonly addressMilliseconds: number
+}
+
+/** Answers with live entries, those in the caller's availability zone (`?zone=`) first, otherwise in random order. */
+export async function listAddresses (exchange: ClientExchange, options: AddressesOptions): Promise<void> {
+  const zone = exchange.query.get('zone')
+  const entries = options.membership.live(MemberKind.Entry).map(entry => ({ entry, rank: Math.random() }))
+  entries.sort((left, right) => {
+    const nearer = Number(right.entry.zone === zone) - Number(left.entry.zone === zone)
+    return nearer !== 0 ? nearer : left.rank - right.rank
+  })
+  sendJson(exchange.response, {
+    object: 'list',
+    data: entries.map(({ entry }) => ({ address: entry.address, zone: entry.zone })),
+    time_to_live_ms: options.addressMilliseconds
+  })
+}
--- /dev/null
+++ b/packages/entry/src/online/dispatch-failure.ts
@@ -0,0 +1,27 @@
+/** Translation of dispatch errors into errors of the API. */
+import { DispatchErrorCode } from '@arbutusloft/daemon'
+import type { DispatchError } from '@arbutusloft/daemon'
+import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
+
+const statusBadGateway = 502
+const statusUnavailable = 503
+
+/** What the caller is told of a request without a whole answer. */
+export function apiErrorOfDispatch (error: DispatchError): ApiError {
+  const details = {
+    run: error.notRun ? RunState.NotRun : RunState.OutcomeUnknown,
+    code: error.code,
+    ...(error.retryAfter === null ? {} : { retryAfterMilliseconds: error.retryAfter })
+  }
+  switch (error.code) {
+    case DispatchErrorCode.Rejected:
+      return new ApiError(error.status ?? statusBadGateway, ApiErrorType.InvalidRequest, error.message, details)
+    case DispatchErrorCode.Busy:
+    case DispatchErrorCode.NoTarget:
+      return new ApiError(statusUnavailable, ApiErrorType.Unavailable, error.message, details)
+    case DispatchErrorCode.Failed:
+    case DispatchErrorCode.Diverged:
+    case DispatchErrorCode.Cancelled:
+      return new ApiError(statusBadGateway, ApiErrorType.Server, error.message, details)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/online/generation-body.ts
@@ -0,0 +1,90 @@
+/** Checked bodies of generation requests. */
+import { GenerationPath } from '@arbutusloft/platform'
+import { z } from 'zod'
+import { invalidRequest } from '../http/api-error.js'
+
+/** What the entry reads from a body; the target gets the body as it came. */
+export interface GenerationBody {
+  readonly model: string
+  /** The prompt as one text, for estimates and prefix routing. */
+  readonly prompt: string
+  readonly stream: boolean
+  readonly includeUsage: boolean
+  readonly greatestTokens: number
+  readonly body: Readonly<Record<string, unknown>>
+}
+
+const defaultGreatestTokens = 256
+const greatestTokensAllowed = 1_000_000
+
+const contentSchema = z.union([
+  z.string(),
+  z.array(z.looseObject({ type: z.string(), text: z.string().optional() }))
+])
+
+const commonShape = {
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
+  max_tokens: z.number().int().min(1).max(greatestTokensAllowed).nullish(),
+  max_completion_tokens: z.number().int().min(1).max(greatestTokensAllowed).nullish(),
+  n: z.literal(1, { error: 'only one answer a request is supported: leave "n" out' }).nullish()
+}
+
+const chatSchema = z.looseObject({
+  ...commonShape,
+  messages: z.array(z.looseObject({ role: z.string(), content: contentSchema.nullish() })).min(1)
+})
+
+const completionSchema = z.looseObject({
+  ...commonShape,
+  prompt: z.union([z.string(), z.array(z.string()).length(1)])
+})
+
+/** Checks a body for a generation path. */
+export function parseGenerationBody (path: GenerationPath, body: Record<string, unknown>): GenerationBody {
+  const common = path === GenerationPath.Chat ? parseChat(body) : parseCompletion(body)
+  return { ...common, body }
+}
+
+type Parsed = Omit<GenerationBody, 'body'>
+
+function parseChat (body: Record<string, unknown>): Parsed {
+  const value = check(chatSchema, body)
+  const prompt = value.messages.map(message => `${message.role}: ${textOf(message.content)}`).join('\n')
+  return { ...commonOf(value), prompt }
+}
+
+function parseCompletion (body: Record<string, unknown>): Parsed {
+  const value = check(completionSchema, body)
+  const prompt = typeof value.prompt === 'string' ? value.prompt : value.prompt.join('')
+  return { ...commonOf(value), prompt }
+}
+
+type Common = z.infer<z.ZodObject<typeof commonShape>>
+
+function commonOf (value: Common): Omit<Parsed, 'prompt'> {
+  return {
+    model: value.model,
+    stream: value.stream ?? false,
+    includeUsage: value.stream_options?.include_usage ?? false,
+    greatestTokens: value.max_completion_tokens ?? value.max_tokens ?? defaultGreatestTokens
+  }
+}
+
+function textOf (content: z.infer<typeof contentSchema> | null | undefined): string {
+  if (content === null || content === undefined) {
+    return ''
+  }
+  return typeof content === 'string' ? content : content.map(part => part.text ?? '').join('')
+}
+
+function check<T> (schema: z.ZodType<T>, body: Record<string, unknown>): T {
+  const parsed = schema.safeParse(body)
+  if (parsed.success) {
+    return parsed.data
+  }
+  const issue = parsed.error.issues[0]
+  const parameter = issue?.path.join('.') ?? ''
+  throw invalidRequest(`"${parameter}": ${issue?.message ?? 'not valid'}`, parameter)
+}
--- /dev/null
+++ b/packages/entry/src/online/online-generation.ts
@@ -0,0 +1,130 @@
+/** Handler of `/v1/chat/completions` and `/v1/completions`. */
+import type { Settings } from '@arbutusloft/configuration'
+import { Generation } from '@arbutusloft/daemon'
+import type { GenerationRunner, LogWriter, Membership } from '@arbutusloft/daemon'
+import type { Engine, GenerationPath, GenerationUsage } from '@arbutusloft/platform'
+import { estimateTokens, prefixBlocks } from '@arbutusloft/policy'
+import { createIdentifier, RecordType, WorkClass } from '@arbutusloft/protocol'
+import type { ReportedCharge } from '@arbutusloft/protocol'
+import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
+import { abortOf } from '../http/abort-of.js'
+import { readJson } from '../http/read-body.js'
+import type { ClientLimits } from '../limits/client-limits.js'
+import { idempotencyKeyOf } from '../pipeline/exchange.js'
+import type { ClientExchange } from '../pipeline/exchange.js'
+import { StreamWriter, WholeWriter } from './answer-writer.js'
+import type { AnswerWriter } from './answer-writer.js'
+import { apiErrorOfDispatch } from './dispatch-failure.js'
+import { parseGenerationBody } from './generation-body.js'
+import type { GenerationBody } from './generation-body.js'
+
+/** Options of {@link OnlineGeneration}. */
+export interface OnlineGenerationOptions {
+  readonly settings: Settings
+  readonly engine: Engine
+  readonly runner: GenerationRunner
+  readonly limits: ClientLimits
+  readonly membership: Membership
+  /** Writer of the ledger. */
+  readonly ledger: LogWriter
+}
+
+const millisecondsPerSecond = 1_000
+
+/**
+ * The stages of an online generation, in order: parse, allow, limit, then route, permit,
+ * dispatch and relay in the runner, then charge.
+ */
+export class OnlineGeneration {
+  constructor (private readonly options: OnlineGenerationOptions) {}
+
+  /** Handles one request on the path. */
+  async handle (path: GenerationPath, exchange: ClientExchange): Promise<void> {
+    const json = await readJson(exchange.request, this.options.settings.limits.requestBytes)
+    const body = parseGenerationBody(path, json)
+    allowModel(exchange, body.model)
+    const promptTokens = estimateTokens(body.prompt)
+    const admission = this.options.limits.admit(exchange.client.name, exchange.plan, promptTokens + body.greatestTokens)
+    let used = 0
+    try {
+      used = await this.#run(path, exchange, body, promptTokens)
+    } finally {
+      admission.release(used)
+    }
+  }
+
+  /** Runs the request and returns the tokens it used. */
+  async #run (
+    path: GenerationPath,
+    exchange: ClientExchange,
+    body: GenerationBody,
+    promptTokens: number
+  ): Promise<number> {
+    const writer = writerOf(path, exchange, body)
+    const generation = new Generation({
+      engine: this.options.engine,
+      path,
+      body: body.body,
+      onToken: token => { writer.onToken(token) }
+    })
+    const result = await this.options.runner.run({
+      generation,
+      model: body.model,
+      blocks: prefixBlocks(body.prompt),
+      workClass: WorkClass.Online,
+      client: exchange.client.name,
+      cost: { promptTokens, completionTokens: body.greatestTokens },
+      patience: this.options.settings.limits.patienceMilliseconds,
+      slack: 0,
+      signal: abortOf(exchange.response),
+      chargeOf: usage => chargeOf(exchange, body.model, usage)
+    })
+    if (result.err) {
+      void generation.discard(target => this.options.membership.find(target)?.address ?? null)
+      writer.fail(apiErrorOfDispatch(result.val))
+      return promptTokens + generation.delivered
+    }
+    this.#charge(exchange, body.model, result.val)
+    await writer.finish(result.val, generation.finishReason ?? 'stop')
+    return result.val.promptTokens + result.val.completionTokens
+  }
+
+  /** Keeps the charge until the log has it; the scheduler got it with the permit as well. */
+  #charge (exchange: ClientExchange, model: string, usage: GenerationUsage): void {
+    void this.options.ledger.append([{ type: RecordType.Charged, ...chargeOf(exchange, model, usage) }])
+  }
+}
+
+function writerOf (path: GenerationPath, exchange: ClientExchange, body: GenerationBody): AnswerWriter {
+  const head = {
+    id: createIdentifier('chatcmpl'),
+    path,
+    model: body.model,
+    created: Math.floor(Date.now() / millisecondsPerSecond)
+  }
+  return body.stream
+    ? new StreamWriter(exchange.response, head, body.includeUsage)
+    : new WholeWriter(exchange.response, head)
+}
+
+function chargeOf (exchange: ClientExchange, model: string, usage: GenerationUsage): ReportedCharge {
+  const { promptTokens, completionTokens } = usage
+  return {
+    charge: idempotencyKeyOf(exchange) ?? exchange.id,
+    client: exchange.client.name,
+    subject: model,
+    usage: { requests: 1, promptTokens, completionTokens }
+  }
+}
+
+/** Refuses models that the client's plan does not name. */
+export function allowModel (exchange: ClientExchange, model: string): void {
+  if (!exchange.plan.models.includes(model)) {
+    const known = exchange.plan.models.join(', ')
+    throw new ApiError(404, ApiErrorType.NotFound, `your plan has no model "${model}"; it has: ${known}`, {
+      code: 'model_not_found',
+      parameter: 'model',
+      run: RunState.NotRun
+    })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/pipeline/caller-routes.ts
@@ -0,0 +1,53 @@
+/** Routes of callers, listed in one place. */
+import { GenerationPath } from '@arbutusloft/platform'
+import type { BatchesHandler } from '../batches/batches-handler.js'
+import type { FilesHandler } from '../files/files-handler.js'
+import { listAddresses } from '../online/addresses.js'
+import type { AddressesOptions } from '../online/addresses.js'
+import { getModel, listModels } from '../online/models.js'
+import type { OnlineGeneration } from '../online/online-generation.js'
+import type { ServicesHandler } from '../services/services-handler.js'
+import type { ClientHandler } from './exchange.js'
+
+/** Handlers that the routes lead to. */
+export interface CallerHandlers {
+  readonly generation: OnlineGeneration
+  readonly files: FilesHandler
+  readonly batches: BatchesHandler
+  readonly services: ServicesHandler
+  readonly addresses: AddressesOptions
+}
+
+/** One route. */
+export interface CallerRoute {
+  readonly method: 'get' | 'post' | 'delete' | 'all'
+  readonly pattern: string
+  readonly handle: ClientHandler
+}
+
+/** All routes of callers. */
+export function callerRoutes (handlers: CallerHandlers): readonly CallerRoute[] {
+  const { generation, files, batches, services, addresses } = handlers
+  const generate = (path: GenerationPath): CallerRoute => ({
+    method: 'post',
+    pattern: path,
+    handle: async exchange => { await generation.handle(path, exchange) }
+  })
+  return [
+    generate(GenerationPath.Chat),
+    generate(GenerationPath.Completion),
+    { method: 'get', pattern: '/v1/models', handle: listModels },
+    { method: 'get', pattern: '/v1/models/:model', handle: getModel },
+    { method: 'get', pattern: '/v1/addresses', handle: async exchange => { await listAddresses(exchange, addresses) } },
+    { method: 'post', pattern: '/v1/files', handle: async exchange => { await files.create(exchange) } },
+    { method: 'get', pattern: '/v1/files', handle: async exchange => { await files.list(exchange) } },
+    { method: 'get', pattern: '/v1/files/:file', handle: async exchange => { await files.get(exchange) } },
+    { method: 'delete', pattern: '/v1/files/:file', handle: async exchange => { await files.remove(exchange) } },
+    { method: 'get', pattern: '/v1/files/:file/content', handle: async exchange => { await files.content(exchange) } },
+    { method: 'post', pattern: '/v1/batches', handle: async exchange => { await batches.create(exchange) } },
+    { method: 'get', pattern: '/v1/batches', handle: async exchange => { await batches.list(exchange) } },
+    { method: 'get', pattern: '/v1/batches/:batch', handle: async exchange => { await batches.get(exchange) } },
+    { method: 'post', pattern: '/v1/batches/:batch/cancel', handle: async exchange => { await batches.cancel(exchange) } },
+    { method: 'all', pattern: '/v1/services/:service/*', handle: async exchange => { await services.handle(exchange) } }
+  ]
+}
--- /dev/null
+++ b/packages/entry/src/services/single-calls.ts
@@ -0,0 +1,137 @@
+/** Calls that may not be repeated: each key is sent to a target at most once, by anyone. */
+import { AppendErrorCode } from '@arbutusloft/daemon'
+import type { LogWriter, StreamFollower } from '@arbutusloft/daemon'
+import type { ServiceAnswer } from '@arbutusloft/platform'
+import { createIdentifier, RecordType } from '@arbutusloft/protocol'
+import type { CallIntended } from '@arbutusloft/protocol'
+import type { CallState, LedgerFold } from '@arbutusloft/state'
+import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
+
+/** Options of {@link SingleCalls}. */
+export interface SingleCallsOptions {
+  readonly fold: LedgerFold
+  readonly follower: StreamFollower
+  /** Writer of the ledger. */
+  readonly ledger: LogWriter
+}
+
+/** A call by its key. */
+export interface SingleCall {
+  readonly client: string
+  readonly service: string
+  readonly idempotencyKey: string
+  /** Hash of method, path and body. */
+  readonly digest: string
+}
+
+/** What became of sending a call. */
+export interface SendResult {
+  readonly answer: ServiceAnswer | null
+  /** True only if no byte of the call can have reached a target. */
+  readonly notRun: boolean
+  readonly message: string
+}
+
+const intentMilliseconds = 3_000
+const completionMilliseconds = 2_000
+const retryMilliseconds = 2_000
+
+/**
+ * Writes an intent, sends only after the fold shows that the intent won, and keeps the
+ * answer. An intent without an answer is never sent again, by this entry or another.
+ */
+export class SingleCalls {
+  readonly #inFlight = new Map<string, Promise<ServiceAnswer>>()
+
+  constructor (private readonly options: SingleCallsOptions) {}
+
+  /** Runs the call, or answers from what is known of its key. */
+  async run (call: SingleCall, send: () => Promise<SendResult>): Promise<ServiceAnswer> {
+    const key = JSON.stringify([call.client, call.service, call.idempotencyKey, call.digest])
+    const present = this.#inFlight.get(key)
+    if (present !== undefined) {
+      return await present
+    }
+    const running = this.#runOnce(call, send)
+    this.#inFlight.set(key, running)
+    try {
+      return await running
+    } finally {
+      this.#inFlight.delete(key)
+    }
+  }
+
+  async #runOnce (call: SingleCall, send: () => Promise<SendResult>): Promise<ServiceAnswer> {
+    const known = this.#known(call)
+    if (known !== null) {
+      return answerOf(known, call)
+    }
+    const attempt = createIdentifier('attempt')
+    await this.#intend(call, attempt)
+    const winner = this.#known(call)
+    if (winner?.attempt !== attempt) {
+      return answerOf(winner, call)
+    }
+    const result = await send()
+    return await this.#conclude(call, attempt, result)
+  }
+
+  #known (call: SingleCall): CallState | null {
+    return this.options.fold.call(call.client, call.service, call.idempotencyKey)
+  }
+
+  /** Resolves when the fold has come to the intent; otherwise nothing is sent, and the intent is withdrawn. */
+  async #intend (call: SingleCall, attempt: string): Promise<void> {
+    const record: CallIntended = { type: RecordType.CallIntended, ...call, attempt }
+    const appended = await this.options.ledger.append([record], intentMilliseconds)
+    const shown = appended.ok && await this.options.follower.waitFor(appended.val, intentMilliseconds)
+    if (shown) {
+      return
+    }
+    if (appended.ok || appended.val.code === AppendErrorCode.Unknown) {
+      this.#abandon(call, attempt)
+    }
+    throw new ApiError(503, ApiErrorType.Unavailable, 'calls that may not be repeated wait for the platform\'s log; send it again later', {
+      run: RunState.NotRun,
+      retryAfterMilliseconds: retryMilliseconds
+    })
+  }
+
+  async #conclude (call: SingleCall, attempt: string, result: SendResult): Promise<ServiceAnswer> {
+    if (result.answer === null) {
+      if (result.notRun) {
+        this.#abandon(call, attempt)
+      }
+      throw new ApiError(result.notRun ? 503 : 502, ApiErrorType.Unavailable, result.message, {
+        run: result.notRun ? RunState.NotRun : RunState.OutcomeUnknown,
+        ...(result.notRun ? { retryAfterMilliseconds: retryMilliseconds } : {})
+      })
+    }
+    const { client, service, idempotencyKey } = call
+    const record = { type: RecordType.CallCompleted, client, service, idempotencyKey, attempt, ...result.answer } as const
+    // The answer carries the charge, so the log gets a chance to take it before the caller is told.
+    await this.options.ledger.append([record], completionMilliseconds)
+    return result.answer
+  }
+
+  #abandon (call: SingleCall, attempt: string): void {
+    const { client, service, idempotencyKey } = call
+    void this.options.ledger.append([{ type: RecordType.CallAbandoned, client, service, idempotencyKey, attempt }])
+  }
+}
+
+function answerOf (known: CallState | null, call: SingleCall): ServiceAnswer {
+  if (known !== null && known.digest !== call.digest) {
+    throw new ApiError(409, ApiErrorType.Conflict, 'the Idempotency-Key was used for another call', {
+      code: 'idempotency_key_reused',
+      run: RunState.NotRun
+    })
+  }
+  if (known?.answer !== null && known?.answer !== undefined) {
+    return known.answer
+  }
+  throw new ApiError(409, ApiErrorType.Conflict, 'a call with this Idempotency-Key was sent, and its outcome is not known; it will not be sent again', {
+    code: 'outcome_unknown',
+    run: RunState.OutcomeUnknown
+  })
+}
--- /dev/null
+++ b/packages/platform/src/engine/generation-events.ts
@@ -0,0 +1,73 @@
+/** Reading of an engine's event stream. */
+import { createParser } from 'eventsource-parser'
+import { TargetError, TargetErrorCode } from '../target-error.js'
+import type { GenerationSink, GenerationUsage } from './engine.js'
+
+interface StreamChoice {
+  readonly text?: string
+  readonly delta?: { readonly content?: string }
+  readonly finish_reason?: string | null
+}
+
+interface StreamChunk {
+  readonly choices?: readonly StreamChoice[]
+  readonly usage?: {
+    readonly prompt_tokens?: number
+    readonly completion_tokens?: number
+    readonly prompt_tokens_details?: { readonly cached_tokens?: number }
+  } | null
+}
+
+const terminator = '[DONE]'
+
+/** Feeds the bytes of an event stream to a sink; the answer is whole at the terminator only. */
+export class GenerationEvents {
+  readonly #parser = createParser({
+    onEvent: event => { this.#onEvent(event.id, event.data) }
+  })
+
+  readonly #decoder = new TextDecoder()
+  #usage: GenerationUsage | null = null
+  #terminated = false
+
+  constructor (private readonly sink: GenerationSink) {}
+
+  /** Takes the next bytes of the stream. */
+  push (bytes: Uint8Array): void {
+    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }))
+  }
+
+  /** Checks that the stream ended whole, and returns what the engine counted. */
+  finish (): GenerationUsage {
+    if (!this.#terminated) {
+      throw new TargetError(TargetErrorCode.Cut, 'the stream ended without its terminator', true)
+    }
+    if (this.#usage === null) {
+      throw new TargetError(TargetErrorCode.Cut, 'the stream ended without its usage', true)
+    }
+    return this.#usage
+  }
+
+  #onEvent (id: string | undefined, data: string): void {
+    if (data === terminator) {
+      this.#terminated = true
+      return
+    }
+    const chunk = JSON.parse(data) as StreamChunk
+    const choice = chunk.choices?.[0]
+    if (choice !== undefined && id !== undefined) {
+      this.sink.onToken({
+        index: Number(id),
+        text: choice.delta?.content ?? choice.text ?? '',
+        finishReason: choice.finish_reason ?? null
+      })
+    }
+    if (chunk.usage !== undefined && chunk.usage !== null) {
+      this.#usage = {
+        promptTokens: chunk.usage.prompt_tokens ?? 0,
+        completionTokens: chunk.usage.completion_tokens ?? 0,
+        cachedTokens: chunk.usage.prompt_tokens_details?.cached_tokens ?? 0
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/src/engine/http-engine.ts
@@ -0,0 +1,215 @@
+/** Model engines over OpenAI-compatible HTTP. */
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { z } from 'zod'
+import { TargetError, TargetErrorCode } from '../target-error.js'
+import { targetErrorOf } from '../util/target-error-of.js'
+import type {
+  CacheEvent,
+  Engine,
+  EngineLoad,
+  EngineOrder,
+  EngineState,
+  GenerationRequest,
+  GenerationSink,
+  GenerationUsage,
+  ResumeRequest
+} from './engine.js'
+import { GenerationEvents } from './generation-events.js'
+
+const { Ok, Err } = tsResults
+
+/** Options of {@link createHttpEngine}. */
+export interface HttpEngineOptions {
+  /** Milliseconds within which a connection must come about. */
+  readonly connectMilliseconds?: number
+  /** Milliseconds within which an engine must begin its answer; engines do so before they generate. */
+  readonly headersMilliseconds?: number
+  /** Milliseconds of silence after which a stream counts as lost. */
+  readonly silenceMilliseconds?: number
+  /** Milliseconds within which a control call must be answered. */
+  readonly controlMilliseconds?: number
+}
+
+const defaultOptions: Required<HttpEngineOptions> = {
+  connectMilliseconds: 1_000,
+  headersMilliseconds: 3_000,
+  silenceMilliseconds: 10_000,
+  controlMilliseconds: 2_000
+}
+
+const dispatchHeader = 'x-dispatch-id'
+const statusOk = 200
+const statusNotFound = 404
+
+const loadSchema = z.object({
+  running: z.number(),
+  queued: z.number(),
+  measuredAt: z.number()
+})
+
+const cacheEventsSchema = z.object({
+  events: z.array(z.object({ sequence: z.number(), stored: z.boolean(), blocks: z.array(z.string()) }))
+})
+
+const stateSchema = z.object({
+  model: z.string(),
+  version: z.string(),
+  role: z.string(),
+  adapters: z.array(z.string()),
+  fencing: z.number()
+})
+
+/** Creates the adapter that serves all engines. */
+export function createHttpEngine (options: HttpEngineOptions = {}): Engine {
+  return new HttpEngine({ ...defaultOptions, ...options })
+}
+
+class HttpEngine implements Engine {
+  readonly #agent: Agent
+
+  constructor (private readonly options: Required<HttpEngineOptions>) {
+    this.#agent = this.#createAgent()
+  }
+
+  async generate (
+    address: string,
+    generation: GenerationRequest,
+    sink: GenerationSink
+  ): Promise<Result<GenerationUsage, TargetError>> {
+    const body = { ...generation.body, stream: true, stream_options: { include_usage: true } }
+    return await this.#stream(`http://${address}${generation.path}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json', [dispatchHeader]: generation.dispatch },
+      body: JSON.stringify(body)
+    }, generation.dispatch, generation.signal, sink)
+  }
+
+  async resume (
+    address: string,
+    resumption: ResumeRequest,
+    sink: GenerationSink
+  ): Promise<Result<GenerationUsage, TargetError>> {
+    const url = `http://${address}/v1/streams/${resumption.dispatch}?from=${resumption.from}`
+    // A pooled connection may have gone silent too, so the new try gets a connection of its own.
+    const agent = this.#createAgent()
+    try {
+      const options = { method: 'GET', dispatcher: agent } as const
+      return await this.#stream(url, options, resumption.dispatch, resumption.signal, sink)
+    } finally {
+      await agent.destroy()
+    }
+  }
+
+  async cancel (address: string, dispatch: string): Promise<Result<void, TargetError>> {
+    const answer = await this.#control(`http://${address}/v1/streams/${dispatch}`, 'DELETE')
+    if (answer.err && answer.val.status !== statusNotFound) {
+      return answer
+    }
+    return Ok(undefined)
+  }
+
+  async load (address: string): Promise<Result<EngineLoad, TargetError>> {
+    return parse(loadSchema, await this.#control(`http://${address}/load`, 'GET'))
+  }
+
+  async cacheEvents (address: string, from: number): Promise<Result<readonly CacheEvent[], TargetError>> {
+    const answer = await this.#control(`http://${address}/cache/events?from=${from}`, 'GET')
+    return parse(cacheEventsSchema, answer).map(value => value.events)
+  }
+
+  async order (address: string, order: EngineOrder): Promise<Result<EngineState, TargetError>> {
+    return parse(stateSchema, await this.#control(`http://${address}/orders`, 'POST', order))
+  }
+
+  async state (address: string): Promise<Result<EngineState, TargetError>> {
+    return parse(stateSchema, await this.#control(`http://${address}/state`, 'GET'))
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  #createAgent (): Agent {
+    return new Agent({
+      connect: { timeout: this.options.connectMilliseconds },
+      headersTimeout: this.options.headersMilliseconds,
+      bodyTimeout: this.options.silenceMilliseconds
+    })
+  }
+
+  async #stream (
+    url: string,
+    options: Pick<Dispatcher.RequestOptions, 'method' | 'headers' | 'body'> & { readonly dispatcher?: Agent },
+    dispatch: string,
+    signal: AbortSignal | undefined,
+    sink: GenerationSink
+  ): Promise<Result<GenerationUsage, TargetError>> {
+    try {
+      const response = await request(url, {
+        dispatcher: this.#agent,
+        ...options,
+        ...(signal === undefined ? {} : { signal })
+      })
+      if (response.statusCode !== statusOk) {
+        return Err(await refusalOf(response))
+      }
+      if (response.headers[dispatchHeader] !== dispatch) {
+        response.body.destroy()
+        return Err(new TargetError(TargetErrorCode.Crossed, 'the answer bears another dispatch', true))
+      }
+      return Ok(await relay(response, sink))
+    } catch (error) {
+      return Err(targetErrorOf(error, signal))
+    }
+  }
+
+  async #control (
+    url: string,
+    method: Dispatcher.HttpMethod,
+    body?: object
+  ): Promise<Result<unknown, TargetError>> {
+    const signal = AbortSignal.timeout(this.options.controlMilliseconds)
+    try {
+      const response = await request(url, {
+        method,
+        dispatcher: this.#agent,
+        signal,
+        ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
+      })
+      if (response.statusCode !== statusOk) {
+        return Err(await refusalOf(response))
+      }
+      return Ok(await response.body.json())
+    } catch (error) {
+      return Err(targetErrorOf(error, undefined))
+    }
+  }
+}
+
+async function relay (response: Dispatcher.ResponseData, sink: GenerationSink): Promise<GenerationUsage> {
+  const events = new GenerationEvents(sink)
+  for await (const bytes of response.body) {
+    events.push(bytes as Uint8Array)
+  }
+  return events.finish()
+}
+
+async function refusalOf (response: Dispatcher.ResponseData): Promise<TargetError> {
+  const text = await response.body.text()
+  const code = response.statusCode === statusNotFound ? TargetErrorCode.UnknownStream : TargetErrorCode.Refused
+  return new TargetError(code, text.slice(0, 500), true, response.statusCode)
+}
+
+function parse<T> (schema: z.ZodType<T>, answer: Result<unknown, TargetError>): Result<T, TargetError> {
+  if (answer.err) {
+    return answer
+  }
+  const parsed = schema.safeParse(answer.val)
+  if (!parsed.success) {
+    return Err(new TargetError(TargetErrorCode.Refused, z.prettifyError(parsed.error), true, null))
+  }
+  return Ok(parsed.data)
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,12 @@
+/** Adapters to what the platform gives, each behind one narrow interface. */
+export * from './log-service/log-service.js'
+export * from './log-service/http-log-service.js'
+export * from './instance-list/instance-list.js'
+export * from './instance-list/http-instance-list.js'
+export * from './weight-store/weight-store.js'
+export * from './weight-store/http-weight-store.js'
+export * from './engine/engine.js'
+export * from './engine/http-engine.js'
+export * from './plain-service/plain-service.js'
+export * from './plain-service/http-plain-service.js'
+export * from './target-error.js'
--- /dev/null
+++ b/packages/platform/src/instance-list/http-instance-list.ts
@@ -0,0 +1,61 @@
+/** The instance list over its HTTP protocol. */
+import { Agent, request } from 'undici'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { z } from 'zod'
+import { InstanceListError, MemberKind, MemberState } from './instance-list.js'
+import type { InstanceList, Member } from './instance-list.js'
+
+const { Ok, Err } = tsResults
+
+/** Options of {@link createHttpInstanceList}. */
+export interface HttpInstanceListOptions {
+  /** Address of the list as `ip:port`. */
+  readonly address: string
+  readonly timeoutMilliseconds?: number
+}
+
+const defaultTimeoutMilliseconds = 2_000
+const statusOk = 200
+
+const listSchema = z.object({
+  instances: z.array(z.object({
+    id: z.string(),
+    kind: z.enum(MemberKind),
+    address: z.string(),
+    zone: z.string(),
+    state: z.enum(MemberState)
+  }))
+})
+
+/** Creates a client of the instance list. */
+export function createHttpInstanceList (options: HttpInstanceListOptions): InstanceList {
+  return new HttpInstanceList(options.address, options.timeoutMilliseconds ?? defaultTimeoutMilliseconds)
+}
+
+class HttpInstanceList implements InstanceList {
+  readonly #agent = new Agent()
+
+  constructor (private readonly address: string, private readonly timeoutMilliseconds: number) {}
+
+  async fetch (): Promise<Result<readonly Member[], InstanceListError>> {
+    try {
+      const response = await request(`http://${this.address}/instances`, {
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(this.timeoutMilliseconds)
+      })
+      const body = await response.body.text()
+      if (response.statusCode !== statusOk) {
+        return Err(new InstanceListError(`the instance list answered ${response.statusCode}`))
+      }
+      return Ok(listSchema.parse(JSON.parse(body)).instances)
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error)
+      return Err(new InstanceListError(message, { cause: error }))
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/platform/src/log-service/http-log-service.ts
@@ -0,0 +1,118 @@
+/** The log service over its HTTP protocol. */
+import { Agent, request } from 'undici'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { z } from 'zod'
+import { LogError, LogErrorCode } from './log-service.js'
+import type { LogEntry, LogPage, LogService, ReadOptions } from './log-service.js'
+
+const { Ok, Err } = tsResults
+
+/** Options of {@link createHttpLogService}. */
+export interface HttpLogServiceOptions {
+  /** Address of the log service as `ip:port`. */
+  readonly address: string
+  /** Milliseconds after which an unanswered call has failed. */
+  readonly timeoutMilliseconds?: number
+}
+
+const defaultTimeoutMilliseconds = 3_000
+
+const receiptSchema = z.object({ offset: z.number().int().nonnegative() })
+
+const pageSchema = z.object({
+  first: z.number().int().nonnegative(),
+  next: z.number().int().nonnegative(),
+  records: z.array(z.object({
+    offset: z.number().int().nonnegative(),
+    time: z.number(),
+    data: z.string()
+  }))
+})
+
+const statusRateLimited = 429
+const statusTooLarge = 413
+const statusOk = 200
+
+/** Creates a client of the log service. */
+export function createHttpLogService (options: HttpLogServiceOptions): LogService {
+  return new HttpLogService(options.address, options.timeoutMilliseconds ?? defaultTimeoutMilliseconds)
+}
+
+class HttpLogService implements LogService {
+  readonly #agent: Agent
+
+  constructor (private readonly address: string, private readonly timeoutMilliseconds: number) {
+    this.#agent = new Agent({ connect: { timeout: timeoutMilliseconds } })
+  }
+
+  async append (stream: string, data: Uint8Array): Promise<Result<number, LogError>> {
+    try {
+      const response = await request(this.#url(stream), {
+        method: 'POST',
+        body: data,
+        dispatcher: this.#agent,
+        headers: { 'content-type': 'application/octet-stream' },
+        signal: AbortSignal.timeout(this.timeoutMilliseconds)
+      })
+      const body = await response.body.text()
+      if (response.statusCode !== statusOk) {
+        return Err(errorOfStatus(response.statusCode, body))
+      }
+      return Ok(receiptSchema.parse(JSON.parse(body)).offset)
+    } catch (error) {
+      return Err(errorOfThrown(error))
+    }
+  }
+
+  async read (stream: string, options: ReadOptions): Promise<Result<LogPage, LogError>> {
+    const query = `from=${options.from}&limit=${options.limit}&wait=${options.waitMilliseconds}`
+    const timeout = AbortSignal.timeout(this.timeoutMilliseconds + options.waitMilliseconds)
+    const signal = options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal])
+    try {
+      const response = await request(`${this.#url(stream)}?${query}`, { dispatcher: this.#agent, signal })
+      const body = await response.body.text()
+      if (response.statusCode !== statusOk) {
+        return Err(errorOfStatus(response.statusCode, body))
+      }
+      return Ok(pageOf(pageSchema.parse(JSON.parse(body))))
+    } catch (error) {
+      return Err(errorOfThrown(error))
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  #url (stream: string): string {
+    return `http://${this.address}/streams/${encodeURIComponent(stream)}`
+  }
+}
+
+function pageOf (page: z.infer<typeof pageSchema>): LogPage {
+  const entries: LogEntry[] = page.records.map(record => ({
+    offset: record.offset,
+    time: record.time,
+    data: Buffer.from(record.data, 'base64')
+  }))
+  return { first: page.first, next: page.next, entries }
+}
+
+function errorOfStatus (status: number, body: string): LogError {
+  switch (status) {
+    case statusRateLimited:
+      return new LogError(LogErrorCode.RateLimited, 'the log is over its append rate')
+    case statusTooLarge:
+      return new LogError(LogErrorCode.TooLarge, 'the entry exceeds the log\'s limit')
+    default:
+      return new LogError(LogErrorCode.Unavailable, `the log answered ${status}: ${body.slice(0, 200)}`)
+  }
+}
+
+function errorOfThrown (error: unknown): LogError {
+  const message = error instanceof Error ? error.message : String(error)
+  const malformed = error instanceof z.ZodError || error instanceof SyntaxError
+  const code = malformed ? LogErrorCode.Malformed : LogErrorCode.Unavailable
+  return new LogError(code, message, { cause: error })
+}
--- /dev/null
+++ b/packages/platform/src/plain-service/http-plain-service.ts
@@ -0,0 +1,96 @@
+/** Plain services over HTTP. */
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { TargetError, TargetErrorCode } from '../target-error.js'
+import { targetErrorOf } from '../util/target-error-of.js'
+import type { PlainService, ServiceAnswer, ServiceCall } from './plain-service.js'
+
+const { Ok, Err } = tsResults
+
+/** Options of {@link createHttpPlainService}. */
+export interface HttpPlainServiceOptions {
+  /** Milliseconds within which a connection must come about. */
+  readonly connectMilliseconds?: number
+  /** Milliseconds of silence after which a call counts as lost. */
+  readonly silenceMilliseconds?: number
+  /** Greatest answer, in bytes. */
+  readonly answerBytes?: number
+}
+
+const defaultOptions: Required<HttpPlainServiceOptions> = {
+  connectMilliseconds: 1_000,
+  silenceMilliseconds: 10_000,
+  answerBytes: 1_048_576
+}
+
+const dispatchHeader = 'x-dispatch-id'
+
+/** Creates the adapter that serves all plain services. */
+export function createHttpPlainService (options: HttpPlainServiceOptions = {}): PlainService {
+  return new HttpPlainService({ ...defaultOptions, ...options })
+}
+
+class HttpPlainService implements PlainService {
+  readonly #agent: Agent
+
+  constructor (private readonly options: Required<HttpPlainServiceOptions>) {
+    this.#agent = new Agent({
+      connect: { timeout: options.connectMilliseconds },
+      headersTimeout: options.silenceMilliseconds,
+      bodyTimeout: options.silenceMilliseconds
+    })
+  }
+
+  async call (address: string, call: ServiceCall): Promise<Result<ServiceAnswer, TargetError>> {
+    try {
+      const response = await request(`http://${address}${call.path}`, {
+        method: call.method as Dispatcher.HttpMethod,
+        dispatcher: this.#agent,
+        headers: headersOf(call),
+        body: call.body,
+        ...(call.signal === undefined ? {} : { signal: call.signal })
+      })
+      if (response.headers[dispatchHeader] !== call.dispatch) {
+        response.body.destroy()
+        return Err(new TargetError(TargetErrorCode.Crossed, 'the answer bears another dispatch', true))
+      }
+      return Ok({
+        status: response.statusCode,
+        contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
+        body: await this.#bodyOf(response)
+      })
+    } catch (error) {
+      return Err(targetErrorOf(error, call.signal))
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #bodyOf (response: Dispatcher.ResponseData): Promise<Uint8Array> {
+    const parts: Uint8Array[] = []
+    let bytes = 0
+    for await (const part of response.body) {
+      bytes += (part as Uint8Array).byteLength
+      if (bytes > this.options.answerBytes) {
+        throw new TargetError(TargetErrorCode.Refused, `the answer exceeds ${this.options.answerBytes} bytes`, true)
+      }
+      parts.push(part as Uint8Array)
+    }
+    return Buffer.concat(parts)
+  }
+}
+
+function headersOf (call: ServiceCall): Record<string, string> {
+  const headers: Record<string, string> = { [dispatchHeader]: call.dispatch }
+  if (call.contentType !== null) {
+    headers['content-type'] = call.contentType
+  }
+  if (call.idempotencyKey !== null) {
+    headers['idempotency-key'] = call.idempotencyKey
+  }
+  return headers
+}
--- /dev/null
+++ b/packages/platform/src/util/target-error-of.ts
@@ -0,0 +1,44 @@
+/** Translation of HTTP library errors into target errors. */
+import { TargetError, TargetErrorCode } from '../target-error.js'
+
+const neverConnected: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT'
+])
+
+const timedOut: ReadonlySet<string> = new Set([
+  'UND_ERR_HEADERS_TIMEOUT',
+  'UND_ERR_BODY_TIMEOUT'
+])
+
+/** Turns a value thrown by the HTTP library into a target error. */
+export function targetErrorOf (error: unknown, signal: AbortSignal | undefined): TargetError {
+  if (error instanceof TargetError) {
+    return error
+  }
+  const message = error instanceof Error ? error.message : String(error)
+  const code = codeOf(error)
+  if (neverConnected.has(code)) {
+    return new TargetError(TargetErrorCode.Unreachable, message, false, null, { cause: error })
+  }
+  if (signal?.aborted === true) {
+    return new TargetError(TargetErrorCode.Aborted, message, true, null, { cause: error })
+  }
+  if (timedOut.has(code)) {
+    return new TargetError(TargetErrorCode.Silent, message, true, null, { cause: error })
+  }
+  return new TargetError(TargetErrorCode.Cut, message, true, null, { cause: error })
+}
+
+function codeOf (error: unknown): string {
+  if (!(error instanceof Error)) {
+    return ''
+  }
+  const code = (error as NodeJS.ErrnoException).code
+  if (typeof code === 'string' && code !== '') {
+    return code
+  }
+  return error.cause === undefined ? '' : codeOf(error.cause)
+}
--- /dev/null
+++ b/packages/platform/src/weight-store/http-weight-store.ts
@@ -0,0 +1,56 @@
+/** The weight store over its HTTP protocol. */
+import { Agent, request } from 'undici'
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { z } from 'zod'
+import { WeightStoreError } from './weight-store.js'
+import type { WeightCatalogue, WeightStore } from './weight-store.js'
+
+const { Ok, Err } = tsResults
+
+/** Options of {@link createHttpWeightStore}. */
+export interface HttpWeightStoreOptions {
+  /** Address of the store as `ip:port`. */
+  readonly address: string
+  readonly timeoutMilliseconds?: number
+}
+
+const defaultTimeoutMilliseconds = 2_000
+const statusOk = 200
+
+const catalogueSchema = z.object({
+  bytesPerSecond: z.number().positive(),
+  models: z.array(z.object({ model: z.string(), bytes: z.number().nonnegative() }))
+})
+
+/** Creates a client of the weight store. */
+export function createHttpWeightStore (options: HttpWeightStoreOptions): WeightStore {
+  return new HttpWeightStore(options.address, options.timeoutMilliseconds ?? defaultTimeoutMilliseconds)
+}
+
+class HttpWeightStore implements WeightStore {
+  readonly #agent = new Agent()
+
+  constructor (private readonly address: string, private readonly timeoutMilliseconds: number) {}
+
+  async catalogue (): Promise<Result<WeightCatalogue, WeightStoreError>> {
+    try {
+      const response = await request(`http://${this.address}/catalogue`, {
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(this.timeoutMilliseconds)
+      })
+      const body = await response.body.text()
+      if (response.statusCode !== statusOk) {
+        return Err(new WeightStoreError(`the weight store answered ${response.statusCode}`))
+      }
+      return Ok(catalogueSchema.parse(JSON.parse(body)))
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error)
+      return Err(new WeightStoreError(message, { cause: error }))
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/policy/src/retries/backoff.ts
@@ -0,0 +1,25 @@
+/** Delays between tries: https://en.wikipedia.org/wiki/Exponential_backoff */
+
+/** Options of {@link backoffMilliseconds}. */
+export interface BackoffOptions {
+  /** Greatest delay before the first retry. */
+  readonly baseMilliseconds: number
+  /** Greatest delay of all. */
+  readonly capMilliseconds: number
+}
+
+export const defaultBackoff: BackoffOptions = {
+  baseMilliseconds: 50,
+  capMilliseconds: 5_000
+}
+
+/**
+ * Delay before a retry, with full jitter.
+ *
+ * @param attempt number of tries that failed, from 1
+ * @param random a number from 0 to 1
+ */
+export function backoffMilliseconds (attempt: number, random: number, options = defaultBackoff): number {
+  const ceiling = Math.min(options.capMilliseconds, options.baseMilliseconds * 2 ** (attempt - 1))
+  return ceiling * random
+}
--- /dev/null
+++ b/packages/policy/src/util/moving-average.ts
@@ -0,0 +1,17 @@
+/** Exponentially weighted moving average. */
+export class MovingAverage {
+  #value: number
+
+  constructor (initial: number, private readonly weight: number) {
+    this.#value = initial
+  }
+
+  /** Takes a sample. */
+  add (sample: number): void {
+    this.#value += this.weight * (sample - this.#value)
+  }
+
+  get value (): number {
+    return this.#value
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,11 @@
+/** Typed messages, log records and codecs shared by every process of the system. */
+export * from './codec.js'
+export * from './errors.js'
+export * from './work-class.js'
+export * from './streams.js'
+export * from './usage.js'
+export * from './messages/index.js'
+export * from './records/index.js'
+export * from './util/create-identifier.js'
+export * from './util/is-plain-object.js'
+export * from './util/message-of.js'
--- /dev/null
+++ b/packages/protocol/src/records/chunk.ts
@@ -0,0 +1,31 @@
+/** Chunks: bulk lines of job inputs and results in the chunks stream. */
+import tsResults from 'ts-results'
+import type { Result } from 'ts-results'
+import { decode, encode } from '../codec.js'
+import { ProtocolError, ProtocolErrorCode } from '../errors.js'
+import { isPlainObject } from '../util/is-plain-object.js'
+
+const { Ok, Err } = tsResults
+
+/** Consecutive lines of a file, without their line ends. */
+export interface Chunk {
+  readonly lines: readonly string[]
+}
+
+/** Encodes a chunk for appending. */
+export function encodeChunk (chunk: Chunk): Buffer {
+  return encode(chunk)
+}
+
+/** Decodes a chunk read from the log. */
+export function decodeChunk (bytes: Uint8Array): Result<Chunk, ProtocolError> {
+  const decoded = decode(bytes)
+  if (decoded.err) {
+    return decoded
+  }
+  const value = decoded.val
+  if (!isPlainObject(value) || !Array.isArray(value['lines'])) {
+    return Err(new ProtocolError(ProtocolErrorCode.Malformed, 'not a chunk'))
+  }
+  return Ok({ lines: value['lines'] as readonly string[] })
+}
--- /dev/null
+++ b/packages/protocol/src/records/log-record.ts
@@ -0,0 +1,7 @@
+/** The union of all records. */
+import type { ConfigurationRecord } from './configuration-records.js'
+import type { JobRecord } from './job-records.js'
+import type { LedgerRecord } from './ledger-records.js'
+
+/** A record of any stream that is folded into state. */
+export type LogRecord = ConfigurationRecord | JobRecord | LedgerRecord
--- /dev/null
+++ b/packages/scheduler/src/scheduler-metrics.ts
@@ -0,0 +1,39 @@
+/** Metrics of a scheduler. */
+import type { TargetLoad } from '@arbutusloft/protocol'
+import { Gauge } from 'prom-client'
+import type { Registry } from 'prom-client'
+
+/** Adds gauges of the targets' loads, read when metrics are asked for. */
+export function addSchedulerMetrics (registry: Registry, loads: () => readonly TargetLoad[], guarded: () => number): void {
+  const granted = new Gauge({
+    name: 'arbutus_permits_granted',
+    help: 'Permits granted and not returned',
+    labelNames: ['target', 'class'],
+    registers: [registry],
+    collect: () => {
+      granted.reset()
+      for (const load of loads()) {
+        granted.set({ target: load.target, class: 'online' }, load.online)
+        granted.set({ target: load.target, class: 'batch' }, load.batch)
+      }
+    }
+  })
+  const waiting = new Gauge({
+    name: 'arbutus_permits_waiting',
+    help: 'Online requests that wait for a permit',
+    labelNames: ['target'],
+    registers: [registry],
+    collect: () => {
+      waiting.reset()
+      for (const load of loads()) {
+        waiting.set({ target: load.target }, load.waiting)
+      }
+    }
+  })
+  const charges = new Gauge({
+    name: 'arbutus_charges_guarded',
+    help: 'Reported charges that the ledger does not show yet',
+    registers: [registry],
+    collect: () => { charges.set(guarded()) }
+  })
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler.ts
@@ -0,0 +1,203 @@
+/** A scheduler process. */
+import { ownerOf, AllowanceSplit } from '@arbutusloft/policy'
+import { createHttpEngine, MemberKind, MemberState } from '@arbutusloft/platform'
+import type { Engine } from '@arbutusloft/platform'
+import { MessageType, StreamName } from '@arbutusloft/protocol'
+import type { LimitDemand, LinkMessage } from '@arbutusloft/protocol'
+import { LedgerFold } from '@arbutusloft/state'
+import { Node, sleep, startHealthServer, startLinkServer } from '@arbutusloft/daemon'
+import type { HttpServer, Link, LinkServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
+import type { Settings } from '@arbutusloft/configuration'
+import { ChargeGuard } from './charge-guard.js'
+import { ForeignLoad } from './foreign-load.js'
+import { addSchedulerMetrics } from './scheduler-metrics.js'
+import { TargetDesk } from './target-desk.js'
+
+const tickMilliseconds = 50
+const reportMilliseconds = 200
+const unchangedReportMilliseconds = 1_000
+const pruneMilliseconds = 10_000
+const reconnectGraceMilliseconds = 3_000
+const drainMilliseconds = 5_000
+
+/** A running scheduler. */
+export interface Scheduler extends RunningRole {
+  /** Address on which it accepts links. */
+  readonly linkAddress: string
+}
+
+/** Starts a scheduler. */
+export async function startScheduler (settings: Settings, logger: Logger): Promise<Scheduler> {
+  const { link, health } = settings.listen
+  if (link === null) {
+    throw new Error('a scheduler needs the setting "link" in [listen]')
+  }
+  const scheduler = new SchedulerProcess(settings, logger)
+  await scheduler.start(link, health)
+  return scheduler
+}
+
+class SchedulerProcess implements Scheduler {
+  readonly #node: Node
+  readonly #ledger = new LedgerFold()
+  readonly #desk: TargetDesk
+  readonly #split = new AllowanceSplit()
+  readonly #engine: Engine = createHttpEngine()
+  readonly #guard: ChargeGuard
+  readonly #foreign: ForeignLoad
+  readonly #timers: NodeJS.Timeout[] = []
+  #server: LinkServer | null = null
+  #health: HttpServer | null = null
+  #lastReport = ''
+  #reportedAt = 0
+
+  constructor (settings: Settings, logger: Logger) {
+    this.#node = new Node({ settings, role: MemberKind.Scheduler, logger })
+    const ledgerFollower = this.#node.follow(StreamName.Ledger, this.#ledger)
+    this.#desk = new TargetDesk({
+      target: name => this.#node.configuration.targets.get(name) ?? null,
+      isLive: name => this.#node.membership.find(name)?.state === MemberState.Live
+    }, holder => this.#linkOf(holder))
+    this.#guard = new ChargeGuard({
+      follower: ledgerFollower,
+      writer: this.#node.write(StreamName.Ledger),
+      isCharged: (client, charge) => this.#ledger.isCharged(client, charge),
+      isLinked: entry => this.#linkOf(entry) !== null
+    })
+    this.#foreign = new ForeignLoad({
+      engine: this.#engine,
+      owned: () => this.#ownedEngines(),
+      grantedAt: target => this.#desk.grantedAt(target),
+      onForeign: (target, requests) => { this.#desk.setForeign(target, requests) }
+    })
+    this.#node.keepSnapshots(StreamName.Configuration, this.#node.configurationFollower)
+    this.#node.keepSnapshots(StreamName.Ledger, ledgerFollower)
+    addSchedulerMetrics(this.#node.registry, () => this.#desk.loads(), () => this.#guard.size)
+  }
+
+  get linkAddress (): string {
+    return this.#server?.address ?? ''
+  }
+
+  async start (linkAddress: string, healthAddress: string | null): Promise<void> {
+    this.#server = await startLinkServer({
+      address: linkAddress,
+      member: this.#node.identity.member,
+      secret: this.#node.settings.link.secret,
+      meter: this.#node.meter,
+      logger: this.#node.logger,
+      onLink: link => { this.#onLink(link) }
+    })
+    if (healthAddress !== null) {
+      const readiness = (): Readiness => this.#readiness()
+      this.#health = await startHealthServer(healthAddress, { registry: this.#node.registry, readiness })
+    }
+    await this.#node.start()
+    this.#every(tickMilliseconds, () => { this.#desk.tick() })
+    this.#every(reportMilliseconds, () => { this.#report() })
+    this.#every(pruneMilliseconds, () => { this.#split.prune(Date.now()) })
+  }
+
+  async close (): Promise<void> {
+    // Holders register with the new owners as soon as the instance list shows this one leaving.
+    const deadline = Date.now() + drainMilliseconds
+    while (this.#desk.loads().some(load => load.online + load.batch > 0) && Date.now() < deadline) {
+      await sleep(tickMilliseconds)
+    }
+    this.#timers.forEach(timer => { clearInterval(timer) })
+    this.#foreign.close()
+    this.#guard.flush()
+    this.#guard.close()
+    await this.#server?.close()
+    await this.#health?.close()
+    await this.#node.close()
+    await this.#engine.close()
+  }
+
+  #every (milliseconds: number, task: () => void): void {
+    this.#timers.push(setInterval(task, milliseconds))
+  }
+
+  #readiness (): Readiness {
+    const ready = this.#node.caughtUp
+    return { ready, reason: ready ? 'ready' : 'waits for the log or the instance list' }
+  }
+
+  #linkOf (member: string): Link | null {
+    return this.#server?.links.get(member) ?? null
+  }
+
+  #onLink (link: Link): void {
+    link.onMessage(message => { this.#onMessage(link, message) })
+    link.onClose(() => { this.#onLinkClose(link.peer) })
+    this.#node.gossip.addLink(link)
+    link.send({ type: MessageType.LoadReport, targets: this.#desk.loads() })
+  }
+
+  #onLinkClose (holder: string): void {
+    if (this.#linkOf(holder) !== null) {
+      return
+    }
+    this.#desk.dropWaiting(holder)
+    const timer = setTimeout(() => {
+      if (this.#linkOf(holder) === null) {
+        this.#desk.keepOnly(holder, new Set())
+      }
+    }, reconnectGraceMilliseconds)
+    timer.unref()
+  }
+
+  #onMessage (link: Link, message: LinkMessage): void {
+    switch (message.type) {
+      case MessageType.PermitRequest:
+        this.#desk.request(link, message)
+        break
+      case MessageType.PermitReturn:
+        this.#desk.release(message)
+        if (message.charge !== null) {
+          this.#guard.add(link.peer, message.charge)
+        }
+        break
+      case MessageType.PermitWithdraw:
+        this.#desk.withdraw(message)
+        break
+      case MessageType.PermitRegister:
+        this.#desk.register(link.peer, message)
+        break
+      case MessageType.LimitDemand:
+        this.#onDemand(link, message)
+        break
+      default:
+        // Configuration messages are for the gossip, which listens to the link too.
+    }
+  }
+
+  #onDemand (link: Link, message: LimitDemand): void {
+    const entries = this.#node.membership.live(MemberKind.Entry).length
+    const now = Date.now()
+    const shares = message.clients.map(demand => this.#split.update(link.peer, demand, entries, now))
+    link.send({ type: MessageType.LimitShare, shares })
+  }
+
+  #report (): void {
+    const targets = this.#desk.loads()
+    const report = JSON.stringify(targets)
+    const due = Date.now() - this.#reportedAt >= unchangedReportMilliseconds
+    if (targets.length === 0 || (report === this.#lastReport && !due)) {
+      return
+    }
+    this.#lastReport = report
+    this.#reportedAt = Date.now()
+    for (const link of this.#server?.links.values() ?? []) {
+      link.send({ type: MessageType.LoadReport, targets })
+    }
+  }
+
+  #ownedEngines (): ReadonlyArray<{ readonly target: string, readonly address: string }> {
+    const schedulers = this.#node.membership.live(MemberKind.Scheduler)
+    return this.#node.membership.live(MemberKind.Target)
+      .filter(member => typeof this.#node.configuration.targets.get(member.id)?.model === 'string')
+      .filter(member => ownerOf(member.id, schedulers, member.zone)?.id === this.#node.identity.member)
+      .map(member => ({ target: member.id, address: member.address }))
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/bin/arbutus-stand-in-instance-list.ts
@@ -0,0 +1,23 @@
+#!/usr/bin/env node
+/** Binary of the stand-in for the instance list. */
+import { Command, Option } from 'clipanion'
+import { startInstanceListStandIn } from '../instances/instance-list-stand-in.js'
+import { runStandIn, serveUntilSignal } from './run-stand-in.js'
+
+class InstanceListCommand extends Command {
+  static override paths = [Command.Default]
+  static override usage = Command.Usage({ description: 'Stands in for the instance list.' })
+
+  readonly port = Option.String('--port', '0', { description: 'Port; 0 takes a free one' })
+  readonly lag = Option.String('--lag-milliseconds', '0', { description: 'Milliseconds by which readers see changes late' })
+
+  async execute (): Promise<void> {
+    const standIn = await startInstanceListStandIn({
+      port: Number(this.port),
+      lagMilliseconds: Number(this.lag)
+    })
+    await serveUntilSignal(standIn)
+  }
+}
+
+await runStandIn('arbutus-stand-in-instance-list', InstanceListCommand)
--- /dev/null
+++ b/packages/stand-ins/src/engine/answer-text.ts
@@ -0,0 +1,39 @@
+/** Deterministic answers. */
+import { createHash } from 'node:crypto'
+
+const words = [
+  'almond', 'berry', 'caramel', 'dulce', 'eleven', 'fitting', 'ganache', 'hemline', 'icing', 'jasmine',
+  'kiwi', 'layer', 'mocha', 'noon', 'orange', 'pearl', 'quince', 'ribbon', 'sponge', 'tailor',
+  'umber', 'vanilla', 'walnut', 'yellow', 'zest', 'morning', 'velvet', 'saffron', 'linen', 'coral'
+] as const
+
+const shortestAnswer = 16
+const answerSpread = 48
+
+/** An answer that depends on its prompt only, so that every engine gives the same. */
+export class AnswerText {
+  readonly #digest: Buffer
+
+  constructor (prompt: string) {
+    this.#digest = createHash('sha256').update(prompt).digest()
+  }
+
+  /** Tokens of the answer if nothing else limits it. */
+  get naturalTokens (): number {
+    return shortestAnswer + this.#digest.readUInt16BE(0) % answerSpread
+  }
+
+  /** Text of the token at an index. */
+  token (index: number): string {
+    const mixed = this.#digest.readUInt32BE(index * 4 % 28) + index * 2_654_435_761
+    const word = words[Math.abs(mixed) % words.length] ?? words[0]
+    return index === 0 ? word : ` ${word}`
+  }
+}
+
+const charactersPerToken = 4
+
+/** Tokens of a prompt, as the engine counts them. */
+export function promptTokensOf (prompt: string): number {
+  return Math.max(1, Math.ceil(prompt.length / charactersPerToken))
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/batcher.ts
@@ -0,0 +1,129 @@
+/** Continuous batching: admits in order of arrival while memory lasts, and steps all running sequences together. */
+import type { EngineOptions } from './engine-options.js'
+import type { Sequence } from './sequence.js'
+
+const tokensPerContextUnit = 1_000
+
+/** Runs sequences. It knows no priorities. */
+export class Batcher {
+  readonly #queue: Sequence[] = []
+  readonly #running = new Set<Sequence>()
+  #timer: NodeJS.Timeout | null = null
+  #immediate: NodeJS.Immediate | null = null
+  #generated = 0
+
+  constructor (private readonly options: EngineOptions) {}
+
+  get running (): number {
+    return this.#running.size
+  }
+
+  get queued (): number {
+    return this.#queue.length
+  }
+
+  /** Tokens generated since the start. */
+  get generated (): number {
+    return this.#generated
+  }
+
+  /** Adds a sequence to the end of the queue. */
+  add (sequence: Sequence): void {
+    this.#queue.push(sequence)
+    this.#schedule()
+  }
+
+  /** Takes a sequence out; what it has generated stays with it. */
+  remove (sequence: Sequence): void {
+    this.#running.delete(sequence)
+    const index = this.#queue.indexOf(sequence)
+    if (index >= 0) {
+      this.#queue.splice(index, 1)
+    }
+  }
+
+  close (): void {
+    this.#queue.length = 0
+    this.#running.clear()
+    if (this.#timer !== null) {
+      clearTimeout(this.#timer)
+    }
+    if (this.#immediate !== null) {
+      clearImmediate(this.#immediate)
+    }
+  }
+
+  #schedule (): void {
+    if (this.#timer !== null || this.#immediate !== null) {
+      return
+    }
+    this.#admit()
+    if (this.#running.size === 0) {
+      return
+    }
+    const milliseconds = this.#beginStep()
+    const end = (): void => {
+      this.#timer = null
+      this.#immediate = null
+      this.#endStep()
+      this.#schedule()
+    }
+    if (milliseconds < 1) {
+      this.#immediate = setImmediate(end)
+    } else {
+      this.#timer = setTimeout(end, milliseconds)
+    }
+  }
+
+  #admit (): void {
+    let used = 0
+    for (const sequence of this.#running) {
+      used += sequence.promptTokens + sequence.length
+    }
+    while (this.#queue.length > 0 && this.#running.size < this.options.sequences) {
+      const next = this.#queue[0]
+      if (next === undefined) {
+        return
+      }
+      used += next.promptTokens + next.length
+      if (used > this.options.memoryTokens && this.#running.size > 0) {
+        return
+      }
+      this.#queue.shift()
+      this.#running.add(next)
+    }
+  }
+
+  /** Computes part of the open prompts; returns the milliseconds that the step takes. */
+  #beginStep (): number {
+    const { costs, prefillTokens } = this.options
+    let left = prefillTokens
+    let context = 0
+    for (const sequence of this.#running) {
+      const part = Math.min(left, sequence.prefillLeft)
+      sequence.prefillLeft -= part
+      left -= part
+      context += sequence.promptTokens + sequence.generated
+    }
+    return costs.stepMilliseconds +
+      costs.sequenceMilliseconds * this.#running.size +
+      costs.contextMilliseconds * context / tokensPerContextUnit +
+      costs.prefillMilliseconds * (prefillTokens - left)
+  }
+
+  #endStep (): void {
+    for (const sequence of [...this.#running]) {
+      if (sequence.prefillLeft > 0) {
+        continue
+      }
+      const index = sequence.generated
+      sequence.generated += 1
+      this.#generated += 1
+      sequence.reader?.onToken(index)
+      if (sequence.generated >= sequence.length) {
+        this.#running.delete(sequence)
+        sequence.reader?.onEnd()
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/cache-journal.ts
@@ -0,0 +1,39 @@
+/** The engine's cache events, told late and with gaps. */
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import type { CacheEvent } from '@arbutusloft/platform'
+import type { EngineOptions } from './engine-options.js'
+
+interface JournalEntry extends CacheEvent {
+  readonly at: number
+}
+
+const greatestEntries = 4_096
+
+/** Keeps events until readers may see them; some are lost. */
+export class CacheJournal {
+  #entries: JournalEntry[] = []
+  #sequence = 0
+  readonly #random
+
+  constructor (private readonly options: EngineOptions) {
+    this.#random = xoroshiro128plus(options.seed)
+  }
+
+  /** The cache changed. */
+  add (stored: boolean, blocks: readonly string[]): void {
+    this.#sequence += 1
+    if (uniformFloat64(this.#random) >= this.options.cacheGaps) {
+      this.#entries.push({ sequence: this.#sequence, stored, blocks, at: Date.now() })
+      this.#entries = this.#entries.slice(-greatestEntries)
+    }
+  }
+
+  /** Events from a sequence number on that are old enough to be told. */
+  from (sequence: number): readonly CacheEvent[] {
+    const visible = Date.now() - this.options.cacheLagMilliseconds
+    return this.#entries
+      .filter(entry => entry.sequence >= sequence && entry.at <= visible)
+      .map(({ sequence: number, stored, blocks }) => ({ sequence: number, stored, blocks }))
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/event-writer.ts
@@ -0,0 +1,32 @@
+/** Server-sent events of one reader of a sequence. */
+import type { ServerResponse } from 'node:http'
+import type { Sequence, SequenceReader } from './sequence.js'
+
+/** Writes tokens as OpenAI stream chunks with the token's index as event id. */
+export class EventWriter implements SequenceReader {
+  constructor (private readonly response: ServerResponse, private readonly sequence: Sequence) {
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-dispatch-id': sequence.id })
+    response.flushHeaders()
+  }
+
+  onToken (index: number): void {
+    const { sequence } = this
+    const content = sequence.text.token(index)
+    const finish = index === sequence.length - 1 ? 'stop' : null
+    const choice = sequence.chat
+      ? { index: 0, delta: { content }, finish_reason: finish }
+      : { index: 0, text: content, finish_reason: finish }
+    this.response.write(`id: ${index}\ndata: ${JSON.stringify({ id: sequence.id, model: sequence.model, choices: [choice] })}\n\n`)
+  }
+
+  onEnd (): void {
+    const { promptTokens, cachedTokens, generated } = this.sequence
+    const usage = {
+      prompt_tokens: promptTokens,
+      completion_tokens: generated,
+      total_tokens: promptTokens + generated,
+      prompt_tokens_details: { cached_tokens: cachedTokens }
+    }
+    this.response.end(`data: ${JSON.stringify({ id: this.sequence.id, choices: [], usage })}\n\ndata: [DONE]\n\n`)
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/instances/instance-list-stand-in.ts
@@ -0,0 +1,85 @@
+/** Stand-in for the platform's lagging instance list. */
+import type { Member } from '@arbutusloft/platform'
+import { answerJson, jsonOf, serve } from '../util/serve.js'
+import type { StandIn } from '../util/stand-in.js'
+
+/** Options of {@link startInstanceListStandIn}. */
+export interface InstanceListStandInOptions {
+  readonly port?: number
+  /** Milliseconds by which readers see changes late. */
+  readonly lagMilliseconds?: number
+}
+
+/** A running instance list stand-in. */
+export interface InstanceListStandIn extends StandIn {
+  /** Adds or changes a member, as the platform's supervisor does. */
+  put: (member: Member) => void
+  /** Removes a member. */
+  remove: (id: string) => void
+}
+
+interface Version {
+  readonly at: number
+  readonly members: ReadonlyMap<string, Member>
+}
+
+/** Starts an instance list stand-in. */
+export async function startInstanceListStandIn (options: InstanceListStandInOptions = {}): Promise<InstanceListStandIn> {
+  const list = new InstanceListServer(options.lagMilliseconds ?? 0)
+  await list.start(options.port ?? 0)
+  return list
+}
+
+class InstanceListServer implements InstanceListStandIn {
+  #versions: Version[] = [{ at: 0, members: new Map() }]
+  #standIn: StandIn | null = null
+
+  constructor (private readonly lagMilliseconds: number) {}
+
+  get address (): string {
+    return this.#standIn?.address ?? ''
+  }
+
+  async start (port: number): Promise<void> {
+    this.#standIn = await serve(port, application => {
+      application.get('/instances', (_request, response) => {
+        answerJson(response, { instances: [...this.#seen().values()] })
+      })
+      application.put('/instances/:id', async (request, response) => {
+        this.put(await jsonOf(request) as unknown as Member)
+        answerJson(response, {})
+      })
+      application.delete('/instances/:id', (request, response) => {
+        this.remove(request.params['id'] as string)
+        answerJson(response, {})
+      })
+    })
+  }
+
+  put (member: Member): void {
+    this.#change(members => { members.set(member.id, member) })
+  }
+
+  remove (id: string): void {
+    this.#change(members => { members.delete(id) })
+  }
+
+  async close (): Promise<void> {
+    await this.#standIn?.close()
+  }
+
+  #change (change: (members: Map<string, Member>) => void): void {
+    const members = new Map(this.#versions.at(-1)?.members)
+    change(members)
+    this.#versions.push({ at: Date.now(), members })
+    this.#seen()
+  }
+
+  /** The newest version that is old enough, dropping those before it. */
+  #seen (): ReadonlyMap<string, Member> {
+    const visible = Date.now() - this.lagMilliseconds
+    const index = this.#versions.findLastIndex(version => version.at <= visible)
+    this.#versions = this.#versions.slice(Math.max(0, index))
+    return this.#versions[0]?.members ?? new Map<string, Member>()
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/plain/plain-service-stand-in.ts
@@ -0,0 +1,91 @@
+/** Stand-in for a plain service that counts what it executes. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { answerJson, bodyOf, jsonOf, serve } from '../util/serve.js'
+import type { StandIn } from '../util/stand-in.js'
+
+/** How the service treats calls. */
+export const ServiceMode = {
+  Normal: 'normal',
+  /** Executes and then cuts the connection without an answer. */
+  CutAfterRun: 'cut-after-run',
+  /** Executes and never answers. */
+  Hang: 'hang',
+  /** Answers with status 500 without executing. */
+  Fail: 'fail'
+} as const
+
+export type ServiceMode = typeof ServiceMode[keyof typeof ServiceMode]
+
+/** Options of {@link startPlainServiceStandIn}. */
+export interface PlainServiceStandInOptions {
+  readonly port?: number
+  /** Milliseconds that an execution takes. */
+  readonly milliseconds?: number
+}
+
+/** A running plain service stand-in. */
+export interface PlainServiceStandIn extends StandIn {
+  setMode: (mode: ServiceMode) => void
+  /** Executions by idempotency key. */
+  readonly executions: ReadonlyMap<string, number>
+}
+
+/** Starts a plain service. */
+export async function startPlainServiceStandIn (options: PlainServiceStandInOptions = {}): Promise<PlainServiceStandIn> {
+  const service = new PlainServiceServer(options.milliseconds ?? 5)
+  await service.start(options.port ?? 0)
+  return service
+}
+
+class PlainServiceServer implements PlainServiceStandIn {
+  readonly executions = new Map<string, number>()
+  #mode: ServiceMode = ServiceMode.Normal
+  #standIn: StandIn | null = null
+
+  constructor (private readonly milliseconds: number) {}
+
+  get address (): string {
+    return this.#standIn?.address ?? ''
+  }
+
+  async start (port: number): Promise<void> {
+    this.#standIn = await serve(port, application => {
+      application.get('/control', (_request, response) => {
+        answerJson(response, { mode: this.#mode, executions: Object.fromEntries(this.executions) })
+      })
+      application.put('/control', async (request, response) => {
+        const { mode } = await jsonOf(request)
+        this.setMode(mode as ServiceMode)
+        answerJson(response, { mode })
+      })
+      application.all('/*', (request, response) => { void this.#call(request, response) })
+    })
+  }
+
+  setMode (mode: ServiceMode): void {
+    this.#mode = mode
+  }
+
+  async close (): Promise<void> {
+    await this.#standIn?.close()
+  }
+
+  async #call (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await bodyOf(request)
+    const mode = this.#mode
+    response.setHeader('x-dispatch-id', String(request.headers['x-dispatch-id'] ?? ''))
+    if (mode === ServiceMode.Fail) {
+      answerJson(response, { error: 'failed' }, 500)
+      return
+    }
+    const key = String(request.headers['idempotency-key'] ?? '')
+    const count = (this.executions.get(key) ?? 0) + 1
+    this.executions.set(key, count)
+    await new Promise(resolve => { setTimeout(resolve, this.milliseconds) })
+    if (mode === ServiceMode.CutAfterRun) {
+      response.destroy()
+    } else if (mode === ServiceMode.Normal) {
+      answerJson(response, { path: request.url, execution: count, received: body.toString('utf8') })
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/proxy/fault-proxy.ts
@@ -0,0 +1,155 @@
+/** TCP proxy that injects faults between two processes. */
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import type { StandIn } from '../util/stand-in.js'
+
+/** Options of {@link startFaultProxy}. */
+export interface FaultProxyOptions {
+  readonly port?: number
+  /** Address to pass connections on to. */
+  readonly target: string
+}
+
+/** A running fault proxy. */
+export interface FaultProxy extends StandIn {
+  /** Breaks every open connection. */
+  cut: () => void
+  /** Keeps open connections open, but passes nothing on over them any more; new ones work. */
+  blackhole: () => void
+  /** Closes the target's side of every open connection and leaves the caller's side open. */
+  halfClose: () => void
+  /** Delays what is passed on, by milliseconds in each direction. */
+  setDelay: (milliseconds: number) => void
+  /** Refuses new connections, or takes them again. */
+  setRefusing: (refusing: boolean) => void
+  /** Number of open connections. */
+  readonly open: number
+}
+
+const loopback = '127.0.0.1'
+
+/** Starts a proxy. */
+export async function startFaultProxy (options: FaultProxyOptions): Promise<FaultProxy> {
+  const proxy = new FaultProxyServer(options.target)
+  await proxy.start(options.port ?? 0)
+  return proxy
+}
+
+interface Pair {
+  readonly caller: Socket
+  readonly target: Socket
+  silent: boolean
+}
+
+class FaultProxyServer implements FaultProxy {
+  readonly #pairs = new Set<Pair>()
+  readonly #server: Server
+  #delayMilliseconds = 0
+  #refusing = false
+  address = ''
+
+  constructor (private readonly target: string) {
+    this.#server = createServer({ allowHalfOpen: true }, socket => { this.#accept(socket) })
+  }
+
+  get open (): number {
+    return this.#pairs.size
+  }
+
+  async start (port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, loopback, resolve)
+    })
+    this.address = `${loopback}:${(this.#server.address() as AddressInfo).port}`
+  }
+
+  cut (): void {
+    for (const pair of [...this.#pairs]) {
+      this.#drop(pair)
+    }
+  }
+
+  blackhole (): void {
+    for (const pair of this.#pairs) {
+      pair.silent = true
+    }
+  }
+
+  halfClose (): void {
+    for (const pair of this.#pairs) {
+      pair.target.end()
+    }
+  }
+
+  setDelay (milliseconds: number): void {
+    this.#delayMilliseconds = milliseconds
+  }
+
+  setRefusing (refusing: boolean): void {
+    this.#refusing = refusing
+  }
+
+  async close (): Promise<void> {
+    this.cut()
+    await new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+  }
+
+  #accept (caller: Socket): void {
+    if (this.#refusing) {
+      caller.destroy()
+      return
+    }
+    const colon = this.target.lastIndexOf(':')
+    const target = connect({
+      host: this.target.slice(0, colon),
+      port: Number(this.target.slice(colon + 1)),
+      allowHalfOpen: true
+    })
+    const pair: Pair = { caller, target, silent: false }
+    this.#pairs.add(pair)
+    this.#pass(pair, caller, target)
+    this.#pass(pair, target, caller)
+  }
+
+  #pass (pair: Pair, from: Socket, to: Socket): void {
+    from.setNoDelay(true)
+    from.on('data', data => {
+      this.#later(() => {
+        if (!pair.silent && !to.destroyed) {
+          to.write(data)
+        }
+      })
+    })
+    from.on('end', () => {
+      this.#later(() => {
+        if (!pair.silent) {
+          to.end()
+        }
+      })
+    })
+    from.on('error', () => { this.#dropUnlessSilent(pair) })
+    from.on('close', () => { this.#later(() => { this.#dropUnlessSilent(pair) }) })
+  }
+
+  #later (action: () => void): void {
+    if (this.#delayMilliseconds === 0) {
+      action()
+    } else {
+      setTimeout(action, this.#delayMilliseconds)
+    }
+  }
+
+  #dropUnlessSilent (pair: Pair): void {
+    // What lies behind a blackhole does not learn that the other end is gone.
+    if (!pair.silent) {
+      this.#drop(pair)
+    }
+  }
+
+  #drop (pair: Pair): void {
+    this.#pairs.delete(pair)
+    pair.caller.destroy()
+    pair.target.destroy()
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/util/serve.ts
@@ -0,0 +1,57 @@
+/** HTTP servers of stand-ins. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import polka from 'polka'
+import type { Polka } from 'polka'
+import type { StandIn } from './stand-in.js'
+
+const loopback = '127.0.0.1'
+
+/** Starts a server on a loopback port; port 0 takes a free one. */
+export async function serve (port: number, routes: (application: Polka) => void): Promise<StandIn> {
+  const server = createServer()
+  const application = polka({ server })
+  routes(application)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    application.listen(port, loopback, () => { resolve() })
+  })
+  const { port: taken } = server.address() as AddressInfo
+  return {
+    address: `${loopback}:${taken}`,
+    close: async () => {
+      await new Promise<void>(resolve => {
+        server.close(() => { resolve() })
+        server.closeAllConnections()
+      })
+    }
+  }
+}
+
+/** Answers with JSON. */
+export function answerJson (response: ServerResponse, value: unknown, status = 200): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(value))
+}
+
+/** Reads a whole body. */
+export async function bodyOf (request: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = []
+  for await (const part of request) {
+    parts.push(part as Buffer)
+  }
+  return Buffer.concat(parts)
+}
+
+/** Reads a JSON body. */
+export async function jsonOf (request: IncomingMessage): Promise<Record<string, unknown>> {
+  const body = await bodyOf(request)
+  return body.byteLength === 0 ? {} : JSON.parse(body.toString('utf8')) as Record<string, unknown>
+}
+
+/** Query parameters of a request. */
+export function queryOf (request: IncomingMessage): URLSearchParams {
+  const [, query = ''] = (request.url ?? '').split('?', 2)
+  return new URLSearchParams(query)
+}
--- /dev/null
+++ b/packages/stand-ins/src/weights/weight-store-stand-in.ts
@@ -0,0 +1,35 @@
+/** Stand-in for the platform's rate-limited weight store. */
+import type { StoredModel } from '@arbutusloft/platform'
+import { answerJson, serve } from '../util/serve.js'
+import type { StandIn } from '../util/stand-in.js'
+
+/** Options of {@link startWeightStoreStandIn}. */
+export interface WeightStoreStandInOptions {
+  readonly port?: number
+  readonly bytesPerSecond?: number
+  readonly models?: readonly StoredModel[]
+}
+
+const defaultBytesPerSecond = 1_000_000_000
+const millisecondsPerSecond = 1_000
+
+/** Starts a weight store; reads of weights queue behind one another at the store's rate. */
+export async function startWeightStoreStandIn (options: WeightStoreStandInOptions = {}): Promise<StandIn> {
+  const bytesPerSecond = options.bytesPerSecond ?? defaultBytesPerSecond
+  const models = options.models ?? []
+  let busyUntil = 0
+  return await serve(options.port ?? 0, application => {
+    application.get('/catalogue', (_request, response) => { answerJson(response, { bytesPerSecond, models }) })
+    application.get('/weights/:model', (request, response) => {
+      const model = models.find(candidate => candidate.model === request.params['model'])
+      if (model === undefined) {
+        answerJson(response, { error: 'no such model' }, 404)
+        return
+      }
+      const now = Date.now()
+      busyUntil = Math.max(now, busyUntil) + model.bytes / bytesPerSecond * millisecondsPerSecond
+      // The bytes themselves would say nothing; what counts is when they have all arrived.
+      setTimeout(() => { answerJson(response, model) }, busyUntil - now)
+    })
+  })
+}
--- /dev/null
+++ b/packages/state/src/index.ts
@@ -0,0 +1,11 @@
+/** Folds: pure functions from log records to state, the same in every process. */
+export * from './fold.js'
+export * from './folded-stream.js'
+export * from './position.js'
+export * from './snapshot.js'
+export * from './jobs/job-state.js'
+export * from './jobs/jobs-fold.js'
+export * from './ledger/call-state.js'
+export * from './ledger/ledger-fold.js'
+export * from './util/item-set.js'
+export * from './util/charge-table.js'
