--- /dev/null
+++ b/packages/state/src/jobs/jobs-fold.ts
@@ -0,0 +1,264 @@
+/** Fold of the jobs stream: files, jobs, claims and completions. */
+import { addUsage, FilePurpose, RecordType } from '@arbutusloft/protocol'
+import type {
+  ChunkMoved,
+  FileCreated,
+  FileDeleted,
+  ItemsCompleted,
+  ItemsIntended,
+  JobCancelled,
+  JobClaimed,
+  JobCreated,
+  LogRecord
+} from '@arbutusloft/protocol'
+import type { Fold, RecordContext } from '../fold.js'
+import { ChargeTable } from '../util/charge-table.js'
+import { ItemSet } from '../util/item-set.js'
+import { createJobState, JobStatus, storedChunks } from './job-state.js'
+import type { FileState, JobState, StoredChunk } from './job-state.js'
+import { deserializeJobs, serializeJobs } from './jobs-serialization.js'
+
+/** Milliseconds of log time for which an ended job and its results are kept. */
+export const resultMilliseconds = 7 * 86_400_000
+
+/** The state of all jobs. Decisions depend on the order of records only. */
+export class JobsFold implements Fold {
+  #files = new Map<string, FileState>()
+  #jobs = new Map<string, JobState>()
+  #keys = new Map<string, string>()
+  readonly #charges = new ChargeTable()
+
+  get files (): ReadonlyMap<string, FileState> {
+    return this.#files
+  }
+
+  get jobs (): ReadonlyMap<string, JobState> {
+    return this.#jobs
+  }
+
+  get charges (): ChargeTable {
+    return this.#charges
+  }
+
+  /** The job that a client's idempotency key stands for, or null. */
+  jobOfKey (client: string, idempotencyKey: string): JobState | null {
+    const job = this.#keys.get(keyOf(client, idempotencyKey))
+    return job === undefined ? null : this.#jobs.get(job) ?? null
+  }
+
+  apply (record: LogRecord, context: RecordContext): void {
+    switch (record.type) {
+      case RecordType.FileCreated:
+        this.#createFile(record, context)
+        break
+      case RecordType.FileDeleted:
+        this.#deleteFile(record)
+        break
+      case RecordType.JobCreated:
+        this.#createJob(record, context)
+        break
+      case RecordType.JobClaimed:
+        this.#claim(record, context)
+        break
+      case RecordType.JobCancelled:
+        this.#cancel(record, context)
+        break
+      case RecordType.ItemsIntended:
+        this.#intend(record)
+        break
+      case RecordType.ItemsCompleted:
+        this.#complete(record, context)
+        break
+      case RecordType.ChunkMoved:
+        this.#move(record, context)
+        break
+      default:
+        // Heartbeats and other streams' records say nothing about jobs.
+    }
+  }
+
+  prune (time: number): void {
+    for (const [id, job] of this.#jobs) {
+      if (job.endedAt !== null && time - job.endedAt > resultMilliseconds) {
+        this.#jobs.delete(id)
+        this.#forgetKey(job)
+      }
+    }
+    for (const [id, file] of this.#files) {
+      if (time - file.time > resultMilliseconds && !this.#isInUse(id)) {
+        this.#files.delete(id)
+      }
+    }
+  }
+
+  serialize (): unknown {
+    return serializeJobs({ files: this.#files, jobs: this.#jobs, charges: this.#charges.lines() })
+  }
+
+  restore (state: unknown): void {
+    const restored = deserializeJobs(state)
+    this.#files = new Map(restored.files)
+    this.#jobs = new Map(restored.jobs)
+    this.#charges.restore(restored.charges)
+    this.#keys = new Map()
+    for (const job of this.#jobs.values()) {
+      this.#rememberKey(job)
+    }
+  }
+
+  #createFile (record: FileCreated, context: RecordContext): void {
+    if (this.#files.has(record.file)) {
+      return
+    }
+    const { type: _type, chunks, ...created } = record
+    this.#files.set(record.file, {
+      created,
+      lines: chunks.reduce((sum, chunk) => sum + chunk.lines, 0),
+      chunks: storedChunks(chunks, context.time),
+      time: context.time
+    })
+  }
+
+  #deleteFile (record: FileDeleted): void {
+    const file = this.#files.get(record.file)
+    if (file?.created.client === record.client && !this.#isInUse(record.file)) {
+      this.#files.delete(record.file)
+    }
+  }
+
+  #createJob (record: JobCreated, context: RecordContext): void {
+    const file = this.#files.get(record.inputFile)
+    if (file === undefined || file.created.client !== record.client || file.created.purpose !== FilePurpose.Batch) {
+      return
+    }
+    if (this.#jobs.has(record.job) || this.#hasKey(record)) {
+      return
+    }
+    const { type: _type, ...created } = record
+    const job = createJobState(created, file.lines, context.time, new ItemSet())
+    this.#jobs.set(record.job, job)
+    this.#rememberKey(job)
+    this.#endIfDone(job, context)
+  }
+
+  #claim (record: JobClaimed, context: RecordContext): void {
+    const job = this.#openJob(record.job)
+    if (job !== null) {
+      job.claim = { owner: record.owner, writer: context.writer, epoch: context.position }
+      job.startedAt ??= context.time
+    }
+  }
+
+  #cancel (record: JobCancelled, context: RecordContext): void {
+    const job = this.#openJob(record.job)
+    if (job !== null && job.created.client === record.client) {
+      job.status = JobStatus.Cancelled
+      job.endedAt = context.time
+    }
+  }
+
+  #intend (record: ItemsIntended): void {
+    const job = this.#openJob(record.job)
+    if (job === null || job.claim?.epoch !== record.epoch) {
+      return
+    }
+    for (const item of record.items) {
+      if (!job.done.has(item) && !job.intents.has(item)) {
+        job.intents.set(item, record.epoch)
+      }
+    }
+  }
+
+  #complete (record: ItemsCompleted, context: RecordContext): void {
+    const job = this.#openJob(record.job)
+    if (job === null || job.claim?.epoch !== record.epoch) {
+      return
+    }
+    const accepted: number[] = []
+    record.items.forEach((item, line) => {
+      if (item < job.total && job.done.add(item)) {
+        accepted.push(line)
+        this.#charge(job, record, line)
+      }
+    })
+    if (accepted.length === 0) {
+      return
+    }
+    job.failed += record.failed ? accepted.length : 0
+    job.results.push({
+      offset: record.chunk,
+      lines: record.items.length,
+      time: context.time,
+      failed: record.failed,
+      accepted: accepted.length === record.items.length ? null : accepted
+    })
+    this.#endIfDone(job, context)
+  }
+
+  #charge (job: JobState, record: ItemsCompleted, line: number): void {
+    if (record.failed) {
+      return
+    }
+    const usage = {
+      requests: 1,
+      promptTokens: record.promptTokens[line] ?? 0,
+      completionTokens: record.completionTokens[line] ?? 0
+    }
+    job.usage = addUsage(job.usage, usage)
+    this.#charges.add(job.created.client, record.subject, usage)
+  }
+
+  #endIfDone (job: JobState, context: RecordContext): void {
+    if (job.done.size === job.total) {
+      job.status = JobStatus.Completed
+      job.endedAt = context.time
+    }
+  }
+
+  #move (record: ChunkMoved, context: RecordContext): void {
+    const chunks: readonly StoredChunk[] = [
+      ...this.#files.get(record.holder)?.chunks ?? [],
+      ...this.#jobs.get(record.holder)?.results ?? []
+    ]
+    for (const chunk of chunks) {
+      if (chunk.offset === record.from) {
+        chunk.offset = record.to
+        chunk.time = context.time
+      }
+    }
+  }
+
+  #openJob (id: string): JobState | null {
+    const job = this.#jobs.get(id)
+    return job?.status === JobStatus.InProgress ? job : null
+  }
+
+  #isInUse (file: string): boolean {
+    for (const job of this.#jobs.values()) {
+      if (job.created.inputFile === file && job.status === JobStatus.InProgress) {
+        return true
+      }
+    }
+    return false
+  }
+
+  #hasKey (record: JobCreated): boolean {
+    return record.idempotencyKey !== null && this.#keys.has(keyOf(record.client, record.idempotencyKey))
+  }
+
+  #rememberKey (job: JobState): void {
+    if (job.created.idempotencyKey !== null) {
+      this.#keys.set(keyOf(job.created.client, job.created.idempotencyKey), job.created.job)
+    }
+  }
+
+  #forgetKey (job: JobState): void {
+    if (job.created.idempotencyKey !== null) {
+      this.#keys.delete(keyOf(job.created.client, job.created.idempotencyKey))
+    }
+  }
+}
+
+function keyOf (client: string, idempotencyKey: string): string {
+  return `${client}\n${idempotencyKey}`
+}
--- /dev/null
+++ b/packages/state/src/jobs/jobs-serialization.ts
@@ -0,0 +1,45 @@
+/** Snapshot form of the jobs fold's state. */
+import type { ChargeLine } from '../util/charge-table.js'
+import { ItemSet } from '../util/item-set.js'
+import type { FileState, JobState } from './job-state.js'
+
+/** The state that is serialized. */
+export interface JobsContent {
+  readonly files: ReadonlyMap<string, FileState>
+  readonly jobs: ReadonlyMap<string, JobState>
+  readonly charges: readonly ChargeLine[]
+}
+
+interface SerializedJob extends Omit<JobState, 'done' | 'intents'> {
+  readonly done: Uint8Array
+  readonly intents: ReadonlyArray<readonly [number, number]>
+}
+
+interface SerializedJobs {
+  readonly files: ReadonlyArray<readonly [string, FileState]>
+  readonly jobs: ReadonlyArray<readonly [string, SerializedJob]>
+  readonly charges: readonly ChargeLine[]
+}
+
+/** The state as a value that MessagePack can carry. */
+export function serializeJobs (content: JobsContent): unknown {
+  const jobs = [...content.jobs].map(([id, job]) => [id, serializeJob(job)] as const)
+  const serialized: SerializedJobs = { files: [...content.files], jobs, charges: content.charges }
+  return serialized
+}
+
+/** The state made by {@link serializeJobs}. */
+export function deserializeJobs (state: unknown): JobsContent {
+  const serialized = state as SerializedJobs
+  const jobs = serialized.jobs.map(([id, job]) => [id, deserializeJob(job)] as const)
+  return { files: new Map(serialized.files), jobs: new Map(jobs), charges: serialized.charges }
+}
+
+function serializeJob (job: JobState): SerializedJob {
+  return { ...job, done: job.done.toBytes(), intents: [...job.intents] }
+}
+
+function deserializeJob (job: SerializedJob): JobState {
+  // The decoder's bytes are a view of the whole snapshot; a copy lets the rest go.
+  return { ...job, done: new ItemSet(Uint8Array.from(job.done)), intents: new Map(job.intents) }
+}
--- /dev/null
+++ b/packages/state/src/util/item-set.ts
@@ -0,0 +1,59 @@
+/** A set of item numbers as a bitmap. */
+
+const bitsPerByte = 8
+
+/** Members are integers from 0; storage grows with the greatest. */
+export class ItemSet {
+  #bytes: Uint8Array
+  #size = 0
+
+  constructor (bytes = new Uint8Array(0)) {
+    this.#bytes = bytes
+    for (const byte of bytes) {
+      this.#size += bitCountOf(byte)
+    }
+  }
+
+  get size (): number {
+    return this.#size
+  }
+
+  has (item: number): boolean {
+    const byte = this.#bytes[Math.floor(item / bitsPerByte)] ?? 0
+    return (byte & (1 << (item % bitsPerByte))) !== 0
+  }
+
+  /** Adds an item and tells whether it was new. */
+  add (item: number): boolean {
+    if (this.has(item)) {
+      return false
+    }
+    const index = Math.floor(item / bitsPerByte)
+    this.#reserve(index)
+    this.#bytes[index] = (this.#bytes[index] ?? 0) | (1 << (item % bitsPerByte))
+    this.#size += 1
+    return true
+  }
+
+  /** The bitmap, for a snapshot. */
+  toBytes (): Uint8Array {
+    return this.#bytes
+  }
+
+  #reserve (index: number): void {
+    if (index < this.#bytes.length) {
+      return
+    }
+    const grown = new Uint8Array(Math.max(index + 1, this.#bytes.length * 2))
+    grown.set(this.#bytes)
+    this.#bytes = grown
+  }
+}
+
+function bitCountOf (byte: number): number {
+  let count = 0
+  for (let rest = byte; rest !== 0; rest &= rest - 1) {
+    count += 1
+  }
+  return count
+}
