Add the demonstration

Cause: a newcomer has nothing to run.

Change: npm run demo starts the embedded system, streams an answer, runs 200 batch items beside online load and prints latencies, results and charges. The embedded system marks its entries as leaving before it closes them, so that the last ones do not wait for callers that cannot exist.

Before: 52 s from start to exit, of which most was the entries' drain.

--- a/packages/batch/src/batch.ts
+++ b/packages/batch/src/batch.ts
@@ -90,6 +90,10 @@
     return this.#claims.owned().length
   }
 
+  get addresses (): RunningRole['addresses'] {
+    return { health: this.#health?.address ?? null }
+  }
+
   async start (): Promise<void> {
     const { health } = this.#node.settings.listen
     if (health !== null) {
--- a/packages/daemon/src/run-process.ts
+++ b/packages/daemon/src/run-process.ts
@@ -9,6 +9,8 @@
 
 /** A running role. */
 export interface RunningRole {
+  /** Addresses on which it listens, by their names in the settings. */
+  readonly addresses: Readonly<Record<string, string | null>>
   /** Drains and stops. */
   close: () => Promise<void>
 }
@@ -37,7 +39,7 @@
   })
   try {
     const running = await start(settings, logger)
-    logger.info('started')
+    logger.info('started', { addresses: running.addresses })
     stopOnSignals(running, logger)
   } catch (error) {
     logger.error('did not start', { error: messageOf(error) })
--- /dev/null
+++ b/packages/development/src/bin/arbutus-demo.ts
@@ -0,0 +1,11 @@
+#!/usr/bin/env node
+/** Binary of the demonstration: online calls with and without a batch beside them, on the embedded system. */
+import { startEmbeddedSystem } from '../embedded-system.js'
+import { runDemonstration } from '../demonstration/run-demonstration.js'
+
+const system = await startEmbeddedSystem({ engines: 4, entries: 2, schedulers: 2, batches: 2 })
+try {
+  process.exitCode = await runDemonstration(system, line => process.stdout.write(line + '\n'))
+} finally {
+  await system.close()
+}
--- /dev/null
+++ b/packages/development/src/demonstration/run-demonstration.ts
@@ -0,0 +1,104 @@
+/** What `npm run demo` shows. */
+import type { EmbeddedSystem } from '../embedded-system.js'
+import { sample } from '../sample-lists.js'
+import { DemonstrationClient } from './demonstration-client.js'
+import type { DemonstrationBatch } from './demonstration-client.js'
+
+const batchItems = 200
+const onlineCalls = 120
+const onlineGapMilliseconds = 40
+const onlineTokens = 24
+const pollMilliseconds = 100
+const chatEndpoint = '/v1/chat/completions'
+
+/** Runs the demonstration and returns its exit code. */
+export async function runDemonstration (system: EmbeddedSystem, print: (line: string) => void): Promise<number> {
+  const stylist = new DemonstrationClient(system.callerAddress, sample.stylist.key)
+  const bakery = new DemonstrationClient(system.callerAddress, sample.bakery.key)
+  print(`arbutusloft: 2 entries, 2 schedulers, 2 batch processes, ${system.engines.length} engines, all in this process\n`)
+
+  print('A stylist asks, and the answer streams:')
+  let streamed = ''
+  const answer = await stylist.chat('When can Mme Roy come in for a fitting?', onlineTokens, text => { streamed += text })
+  print(`  ${streamed}\n  first token after ${answer.timeToFirstToken.toFixed(1)} ms\n`)
+
+  print(`${onlineCalls} online calls alone:`)
+  const alone = await onlineLoad(stylist)
+  print(`  ${describe(alone)}\n`)
+
+  print(`The same load beside a batch of ${batchItems} dedication texts:`)
+  const created = await bakery.createBatch(inputLines(), chatEndpoint)
+  const [beside, batch] = await Promise.all([onlineLoad(stylist), untilDone(bakery, created)])
+  print(`  ${describe(beside)}`)
+  print(`  batch ${batch.status}: ${batch.request_counts.completed} completed, ${batch.request_counts.failed} failed`)
+  const once = await checkOnce(bakery, batch)
+  print(`  every item exactly once: ${once ? 'yes' : 'NO'}`)
+  print(`  first tokens at the 99th percentile: ${(percentile(beside, 0.99) / percentile(alone, 0.99)).toFixed(2)} times those without the batch\n`)
+
+  print('Charges:')
+  for (const line of await charges(system)) {
+    print(`  ${line}`)
+  }
+  return once ? 0 : 1
+}
+
+/** Sends calls at a fixed rate, whether earlier ones have ended or not; returns times to first token. */
+async function onlineLoad (client: DemonstrationClient): Promise<readonly number[]> {
+  const calls: Array<Promise<number>> = []
+  for (let index = 0; index < onlineCalls; index++) {
+    calls.push(client.chat(`Which slot suits client ${index}?`, onlineTokens).then(answer => answer.timeToFirstToken))
+    await new Promise(resolve => { setTimeout(resolve, onlineGapMilliseconds) })
+  }
+  return await Promise.all(calls)
+}
+
+function inputLines (): readonly string[] {
+  return Array.from({ length: batchItems }, (_, index) => JSON.stringify({
+    custom_id: `cake-${index}`,
+    method: 'POST',
+    url: chatEndpoint,
+    body: { model: sample.model, messages: [{ role: 'user', content: `A dedication for cake ${index}` }] }
+  }))
+}
+
+async function untilDone (client: DemonstrationClient, batch: DemonstrationBatch): Promise<DemonstrationBatch> {
+  let current = batch
+  while (current.status === 'in_progress') {
+    await new Promise(resolve => { setTimeout(resolve, pollMilliseconds) })
+    current = await client.getBatch(batch.id)
+  }
+  return current
+}
+
+async function checkOnce (client: DemonstrationClient, batch: DemonstrationBatch): Promise<boolean> {
+  const output = batch.output_file_id === null ? [] : await client.lines(batch.output_file_id)
+  const errors = batch.error_file_id === null ? [] : await client.lines(batch.error_file_id)
+  const names = [...output, ...errors].map(line => (JSON.parse(line) as { readonly custom_id: string }).custom_id)
+  return names.length === batchItems && new Set(names).size === batchItems
+}
+
+async function charges (system: EmbeddedSystem): Promise<readonly string[]> {
+  const response = await fetch(`http://${system.operatorAddress}/admin/charges`, {
+    headers: { authorization: `Bearer ${sample.operator.key}` }
+  })
+  const { charges: lines } = await response.json() as {
+    readonly charges: ReadonlyArray<{
+      readonly client: string
+      readonly subject: string
+      readonly usage: { readonly requests: number, readonly promptTokens: number, readonly completionTokens: number }
+    }>
+  }
+  return lines.map(({ client, subject, usage }) => {
+    return `${client.padEnd(10)} ${subject.padEnd(14)} ${usage.requests} requests, ${usage.promptTokens} + ${usage.completionTokens} tokens`
+  })
+}
+
+function describe (times: readonly number[]): string {
+  const at = (part: number): string => `${percentile(times, part).toFixed(1)} ms`
+  return `time to first token: median ${at(0.5)}, 95th ${at(0.95)}, 99th ${at(0.99)}`
+}
+
+function percentile (times: readonly number[], part: number): number {
+  const sorted = [...times].sort((left, right) => left - right)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0
+}
--- a/packages/development/src/embedded-system.ts
+++ b/packages/development/src/embedded-system.ts
@@ -2,7 +2,7 @@
 import { startBatch } from '@arbutusloft/batch'
 import { loadSettings } from '@arbutusloft/configuration'
 import type { Settings } from '@arbutusloft/configuration'
-import { createLogger, memberNameOf } from '@arbutusloft/daemon'
+import { createLogger, memberNameOf, sleep } from '@arbutusloft/daemon'
 import type { Logger, RunningRole } from '@arbutusloft/daemon'
 import { startEntry } from '@arbutusloft/entry'
 import type { Entry } from '@arbutusloft/entry'
@@ -56,6 +56,7 @@
 const zones = ['a', 'b', 'c'] as const
 const serviceTarget = 'service-1'
 const serviceConcurrency = 32
+const listSeenMilliseconds = 1_000
 
 const defaultOptions = {
   entries: 1,
@@ -77,6 +78,7 @@
   readonly #options
   readonly #roles: RunningRole[] = []
   readonly #standIns: StandIn[] = []
+  readonly #announced: Array<() => void> = []
 
   constructor (options: EmbeddedSystemOptions) {
     this.#options = { ...defaultOptions, ...options }
@@ -187,7 +189,9 @@
 
   #announce (instanceList: InstanceListStandIn, settings: Settings, kind: MemberKind, address: string): void {
     const { id, zone } = settings.instance
-    instanceList.put({ id: memberNameOf(id, kind), kind, address, zone, state: MemberState.Live })
+    const member = { id: memberNameOf(id, kind), kind, address, zone }
+    instanceList.put({ ...member, state: MemberState.Live })
+    this.#announced.push(() => { instanceList.put({ ...member, state: MemberState.Leaving }) })
   }
 
   #keep<T extends StandIn> (standIn: T): T {
@@ -196,6 +200,9 @@
   }
 
   async #close (): Promise<void> {
+    // With every entry leaving there is no other one for which callers would be waited for.
+    this.#announced.forEach(leave => { leave() })
+    await sleep(listSeenMilliseconds)
     for (const role of this.#roles) {
       await role.close()
     }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -118,6 +118,10 @@
     return this.#operator?.address ?? null
   }
 
+  get addresses (): RunningRole['addresses'] {
+    return { caller: this.callerAddress, operator: this.operatorAddress, health: this.#health?.address ?? null }
+  }
+
   async start (callerAddress: string): Promise<void> {
     const { operator, health } = this.#node.settings.listen
     this.#caller = await this.#serve(callerAddress, application => { this.#addCallerRoutes(application) })
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -79,6 +79,10 @@
     return this.#server?.address ?? ''
   }
 
+  get addresses (): RunningRole['addresses'] {
+    return { link: this.linkAddress, health: this.#health?.address ?? null }
+  }
+
   async start (linkAddress: string, healthAddress: string | null): Promise<void> {
     this.#server = await startLinkServer({
       address: linkAddress,
