Stop without waiting for timers that nobody needs

Cause: closing raced a promise against a timer and left the timer running, so a process that was done stayed alive for the batch drain limit of 10 s. Ruled out: open connections and the permits' drain (roles closed within 1.0 s).

Change: settleWithin ends its timer.

--- a/packages/batch/src/batch.ts
+++ b/packages/batch/src/batch.ts
@@ -1,5 +1,5 @@
 /** A batch process. */
-import { GenerationRunner, Node, PermitClient, ServiceRunner, sleep, startHealthServer, TargetDirectory } from '@arbutusloft/daemon'
+import { GenerationRunner, Node, PermitClient, ServiceRunner, settleWithin, sleep, startHealthServer, TargetDirectory } from '@arbutusloft/daemon'
 import type { HttpServer, Logger, LogWriter, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
 import type { Settings } from '@arbutusloft/configuration'
 import { createHttpEngine, createHttpPlainService, isGenerationPath, MemberKind } from '@arbutusloft/platform'
@@ -118,7 +118,7 @@
       await sleep(drainPollMilliseconds)
     }
     const flushed = Promise.all([...this.#executions.values()].map(async execution => { await execution.flush() }))
-    await Promise.race([flushed, sleep(drainMilliseconds)])
+    await settleWithin(flushed, drainMilliseconds)
     this.#executions.forEach(execution => { execution.stop() })
     this.#permits.close()
     await this.#health?.close()
--- a/packages/daemon/src/log/log-writer.ts
+++ b/packages/daemon/src/log/log-writer.ts
@@ -9,6 +9,7 @@
 import tsResults from 'ts-results'
 import type { Result } from 'ts-results'
 import type { Logger } from '../create-logger.js'
+import { settleWithin } from '../util/settle-within.js'
 import { sleep } from '../util/sleep.js'
 import { AppendError, AppendErrorCode } from './append-error.js'
 
@@ -82,7 +83,7 @@
   /** Waits until what was given is acknowledged, or the time is over. */
   async close (timeoutMilliseconds: number): Promise<void> {
     if (this.#pumping !== null) {
-      await Promise.race([this.#pumping, sleep(timeoutMilliseconds, this.#abort.signal)])
+      await settleWithin(this.#pumping, timeoutMilliseconds)
     }
     this.#abort.abort()
   }
