Drive the system with the public openai client, and check histories

Cause: no test ran the whole path, and the promises had no checkers.

Change: an integration test drives models, chat, streams, files, batches and cancellation through the openai client; a harness starts real processes; checkers judge histories, each with a history that breaks its promise.

--- /dev/null
+++ b/packages/integration-tests/tests/harness/with-cluster.ts
@@ -0,0 +1,30 @@
+/** Tests that run on a cluster of their own. */
+import { test } from 'node:test'
+import { sample } from '@arbutusloft/development'
+import { Caller } from './caller.js'
+import { startCluster } from './cluster.js'
+import type { Cluster, ClusterOptions } from './cluster.js'
+import { History } from './history.js'
+
+/** What a test gets. */
+export interface ClusterTest {
+  readonly cluster: Cluster
+  readonly history: History
+  readonly caller: Caller
+}
+
+const greatestTestMilliseconds = 120_000
+
+/** Declares a test that gets a running cluster, which is closed after it. */
+export function testOnCluster (name: string, options: ClusterOptions, body: (given: ClusterTest) => Promise<void>): void {
+  void test(name, { timeout: greatestTestMilliseconds }, async () => {
+    const cluster = await startCluster(options)
+    const history = new History()
+    const caller = new Caller({ addresses: () => cluster.callerAddresses(), key: sample.stylist.key, history })
+    try {
+      await body({ cluster, history, caller })
+    } finally {
+      await cluster.close()
+    }
+  })
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 /** Stand-ins for what the platform gives, and a proxy that injects faults. For tests and development only. */
+export * from './engine/answer-text.js'
 export * from './engine/engine-options.js'
 export * from './engine/engine-stand-in.js'
 export * from './instances/instance-list-stand-in.js'
