Keep messages that arrive right behind the handshake

Cause: an accepting side sends its configuration head right after its welcome. Ruled out: the outage itself, since peers answered a fetch that was sent; kept entries, since they reached back to offset 0.

Change: a socket's messages go through an inbox that keeps them between readers.

--- a/packages/daemon/src/links/handshake.ts
+++ b/packages/daemon/src/links/handshake.ts
@@ -2,7 +2,7 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
 import { decodeMessage, encodeMessage, MessageType } from '@arbutusloft/protocol'
 import type { LinkMessage } from '@arbutusloft/protocol'
-import type { WebSocket } from 'ws'
+import type { SocketInbox } from './socket-inbox.js'
 
 /** The other side did not prove that it knows the secret, or did not answer in time. */
 export class HandshakeError extends Error {
@@ -24,10 +24,11 @@
 const acceptLabel = 'accept'
 
 /** Opens a link as the accepting side and returns the peer's member name. */
-export async function acceptHandshake (socket: WebSocket, options: HandshakeOptions): Promise<string> {
+export async function acceptHandshake (inbox: SocketInbox, options: HandshakeOptions): Promise<string> {
+  const { socket } = inbox
   const nonce = randomBytes(nonceBytes)
   socket.send(encodeMessage({ type: MessageType.Challenge, nonce }))
-  const proof = await receive(socket, MessageType.Proof)
+  const proof = await receive(inbox, MessageType.Proof)
   const nonces = [nonce, proof.nonce]
   check(proof.digest, sign(options.secret, connectLabel, proof.instance, nonces))
   const digest = sign(options.secret, acceptLabel, options.member, nonces)
@@ -36,13 +37,14 @@
 }
 
 /** Opens a link as the connecting side and returns the peer's member name. */
-export async function connectHandshake (socket: WebSocket, options: HandshakeOptions): Promise<string> {
-  const challenge = await receive(socket, MessageType.Challenge)
+export async function connectHandshake (inbox: SocketInbox, options: HandshakeOptions): Promise<string> {
+  const { socket } = inbox
+  const challenge = await receive(inbox, MessageType.Challenge)
   const nonce = randomBytes(nonceBytes)
   const nonces = [challenge.nonce, nonce]
   const digest = sign(options.secret, connectLabel, options.member, nonces)
   socket.send(encodeMessage({ type: MessageType.Proof, instance: options.member, nonce, digest }))
-  const welcome = await receive(socket, MessageType.Welcome)
+  const welcome = await receive(inbox, MessageType.Welcome)
   check(welcome.digest, sign(options.secret, acceptLabel, welcome.instance, nonces))
   return welcome.instance
 }
@@ -63,7 +65,7 @@
 }
 
 async function receive<T extends LinkMessage['type']> (
-  socket: WebSocket,
+  inbox: SocketInbox,
   type: T
 ): Promise<Extract<LinkMessage, { readonly type: T }>> {
   return await new Promise((resolve, reject) => {
@@ -81,11 +83,11 @@
     const timer = setTimeout(() => { fail('no answer in time') }, handshakeMilliseconds)
     const finish = (settle: () => void): void => {
       clearTimeout(timer)
-      socket.off('message', onMessage)
-      socket.off('close', onClose)
+      inbox.pause()
+      inbox.socket.off('close', onClose)
       settle()
     }
-    socket.on('message', onMessage)
-    socket.on('close', onClose)
+    inbox.socket.on('close', onClose)
+    inbox.read(onMessage)
   })
 }
--- a/packages/daemon/src/links/link-server.ts
+++ b/packages/daemon/src/links/link-server.ts
@@ -7,6 +7,7 @@
 import { acceptHandshake } from './handshake.js'
 import type { HandshakeOptions } from './handshake.js'
 import { Link } from './link.js'
+import { SocketInbox } from './socket-inbox.js'
 import type { LinkMeter } from './link-meter.js'
 
 /** Options of {@link startLinkServer}. */
@@ -60,18 +61,19 @@
     // Without a listener a broken connection would end the process.
     socket.on('error', () => { socket.terminate() })
     try {
-      const peer = await acceptHandshake(socket, this.options)
-      this.#open(peer, socket)
+      const inbox = new SocketInbox(socket)
+      const peer = await acceptHandshake(inbox, this.options)
+      this.#open(peer, inbox)
     } catch (error) {
       this.options.logger.warn('link refused', { error })
       socket.terminate()
     }
   }
 
-  #open (peer: string, socket: WebSocket): void {
+  #open (peer: string, inbox: SocketInbox): void {
     // A peer that connects again has given up its former link, even if this side still sees it.
     this.links.get(peer)?.close()
-    const link = new Link(peer, socket, this.options.meter)
+    const link = new Link(peer, inbox, this.options.meter)
     this.links.set(peer, link)
     link.onClose(() => {
       if (this.links.get(peer) === link) {
@@ -79,5 +81,6 @@
       }
     })
     this.options.onLink(link)
+    link.open()
   }
 }
--- a/packages/daemon/src/links/link.ts
+++ b/packages/daemon/src/links/link.ts
@@ -3,6 +3,7 @@
 import type { LinkMessage } from '@arbutusloft/protocol'
 import type { WebSocket } from 'ws'
 import { Listeners } from '../util/listeners.js'
+import type { SocketInbox } from './socket-inbox.js'
 import type { LinkMeter } from './link-meter.js'
 
 /** Options of {@link Link}. */
@@ -23,17 +24,19 @@
   readonly #messages = new Listeners<LinkMessage>()
   readonly #closes = new Listeners<void>()
   readonly #heartbeat: NodeJS.Timeout
+  readonly #socket: WebSocket
   #heardAt = Date.now()
   #closed = false
 
   /** @param peer member name of the other side */
   constructor (
     readonly peer: string,
-    private readonly socket: WebSocket,
+    private readonly inbox: SocketInbox,
     private readonly meter: LinkMeter,
     private readonly options = defaultLinkOptions
   ) {
-    socket.on('message', data => { this.#onData(data as Buffer) })
+    const { socket } = inbox
+    this.#socket = socket
     socket.on('ping', () => { this.#heardAt = Date.now() })
     socket.on('pong', () => { this.#heardAt = Date.now() })
     socket.on('close', () => { this.#onClose() })
@@ -45,6 +48,11 @@
     return this.#closed
   }
 
+  /** Begins to deliver messages, once everybody listens. */
+  open (): void {
+    this.inbox.read(data => { this.#onData(data) })
+  }
+
   /** Sends a message; on a closed link it is lost, as it would be on a broken one. */
   send (message: LinkMessage): void {
     if (this.#closed) {
@@ -52,7 +60,7 @@
     }
     const bytes = encodeMessage(message)
     this.meter.onSent(bytes.byteLength)
-    this.socket.send(bytes)
+    this.#socket.send(bytes)
   }
 
   onMessage (listener: (message: LinkMessage) => void): void {
@@ -64,7 +72,7 @@
   }
 
   close (): void {
-    this.socket.close()
+    this.#socket.close()
     this.#onClose()
   }
 
@@ -80,11 +88,11 @@
 
   #beat (): void {
     if (Date.now() - this.#heardAt > this.options.timeoutMilliseconds) {
-      this.socket.terminate()
+      this.#socket.terminate()
       this.#onClose()
       return
     }
-    this.socket.ping()
+    this.#socket.ping()
   }
 
   #onClose (): void {
--- a/packages/daemon/src/links/scheduler-links.ts
+++ b/packages/daemon/src/links/scheduler-links.ts
@@ -9,6 +9,7 @@
 import { connectHandshake } from './handshake.js'
 import type { HandshakeOptions } from './handshake.js'
 import { Link } from './link.js'
+import { SocketInbox } from './socket-inbox.js'
 import type { LinkMeter } from './link-meter.js'
 
 /** Options of {@link SchedulerLinks}. */
@@ -92,8 +93,9 @@
     })
     socket.on('error', () => { socket.terminate() })
     try {
-      const peer = await connectHandshake(socket, this.options)
-      this.#open(peer, member, socket)
+      const inbox = new SocketInbox(socket)
+      const peer = await connectHandshake(inbox, this.options)
+      this.#open(peer, member, inbox)
     } catch (error) {
       this.options.logger.debug('no link to scheduler', { peer: member.id, error })
       socket.terminate()
@@ -102,12 +104,12 @@
     }
   }
 
-  #open (peer: string, member: Member, socket: WebSocket): void {
+  #open (peer: string, member: Member, inbox: SocketInbox): void {
     if (this.#closed || peer !== member.id) {
-      socket.terminate()
+      inbox.socket.terminate()
       return
     }
-    const link = new Link(peer, socket, this.options.meter)
+    const link = new Link(peer, inbox, this.options.meter)
     this.#links.set(peer, link)
     link.onMessage(message => { this.#messages.emit({ link, message }) })
     link.onClose(() => {
@@ -115,5 +117,6 @@
       this.#closes.emit(peer)
     })
     this.#opens.emit(link)
+    link.open()
   }
 }
