Size the retry budget by requests in flight, and resume while it brings tokens

Cause: 24 streams that were cut three times within 100 ms failed for 3 callers. A fixed reserve of 10 retries is less than the streams that one target's loss takes with it, and two resumes were the limit however much each had brought. Ruled out: the engines, which kept every stream for 30 s; routing, since both targets lived.

Change: each request in flight adds one retry to the budget while it flies; a resume that brought a token does not count towards the limit of three in a row.

--- a/packages/daemon/src/dispatch/generation-runner.ts
+++ b/packages/daemon/src/dispatch/generation-runner.ts
@@ -64,7 +64,15 @@
   async run (task: GenerationTask): Promise<TaskResult> {
     const deadline = Date.now() + task.patience
     const state: TaskState = { reached: false, attempts: 0, refusals: 0 }
-    this.#budget.onFirstTry()
+    this.#budget.onBegin()
+    try {
+      return await this.#runUntilResult(task, state, deadline)
+    } finally {
+      this.#budget.onEnd()
+    }
+  }
+
+  async #runUntilResult (task: GenerationTask, state: TaskState, deadline: number): Promise<TaskResult> {
     for (;;) {
       const granted = await this.#acquire(task, state, deadline)
       if (granted.err) {
--- a/packages/daemon/src/dispatch/generation.ts
+++ b/packages/daemon/src/dispatch/generation.ts
@@ -1,8 +1,10 @@
 /** One logical request for generation, over as many tries as it takes. */
 import { TargetErrorCode } from '@arbutusloft/platform'
 import type { Engine, GeneratedToken, GenerationPath, GenerationUsage, TargetError } from '@arbutusloft/platform'
+import { backoffMilliseconds } from '@arbutusloft/policy'
 import { createIdentifier } from '@arbutusloft/protocol'
 import type { Result } from 'ts-results'
+import { sleep } from '../util/sleep.js'
 
 /** Options of {@link Generation}. */
 export interface GenerationOptions {
@@ -25,7 +27,9 @@
   readonly timeBetweenTokens: number | null
 }
 
-const resumesOnOneTarget = 2
+/** Resumes in a row that may bring no new token before the target is given up. */
+const fruitlessResumes = 3
+const resumeBackoff = { baseMilliseconds: 20, capMilliseconds: 500 } as const
 
 /** A second answer did not begin like the first. */
 class DivergenceError extends Error {
@@ -93,9 +97,7 @@
     let result = this.#stream?.target === at.target && this.#texts.length > 0
       ? await this.#resume(at, this.#stream.dispatch, signal)
       : await this.#begin(at, signal)
-    for (let resumes = 0; resumes < resumesOnOneTarget && this.#isResumable(result, signal); resumes++) {
-      result = await this.#resume(at, this.#stream?.dispatch ?? '', signal)
-    }
+    result = await this.#resumeWhileFruitful(at, result, signal)
     if (result.err && result.val.code === TargetErrorCode.UnknownStream) {
       this.#stream = null
       result = await this.#begin(at, signal)
@@ -116,6 +118,24 @@
     }
   }
 
+  async #resumeWhileFruitful (
+    at: DispatchTarget,
+    first: Result<GenerationUsage, TargetError>,
+    signal: AbortSignal
+  ): Promise<Result<GenerationUsage, TargetError>> {
+    let result = first
+    let fruitless = 0
+    while (fruitless < fruitlessResumes && this.#isResumable(result, signal)) {
+      if (fruitless > 0) {
+        await sleep(backoffMilliseconds(fruitless, Math.random(), resumeBackoff), signal)
+      }
+      const before = this.#texts.length
+      result = await this.#resume(at, this.#stream?.dispatch ?? '', signal)
+      fruitless = this.#texts.length > before ? 0 : fruitless + 1
+    }
+    return result
+  }
+
   async #begin (at: DispatchTarget, signal: AbortSignal): Promise<Result<GenerationUsage, TargetError>> {
     const dispatch = createIdentifier('dispatch')
     this.#stream = { target: at.target, dispatch }
--- a/packages/daemon/src/dispatch/service-runner.ts
+++ b/packages/daemon/src/dispatch/service-runner.ts
@@ -47,9 +47,17 @@
 
   /** Runs a call to its whole answer, or to a final error. */
   async run (task: ServiceTask): Promise<Result<ServiceAnswer, DispatchError>> {
+    this.#budget.onBegin()
+    try {
+      return await this.#runUntilResult(task)
+    } finally {
+      this.#budget.onEnd()
+    }
+  }
+
+  async #runUntilResult (task: ServiceTask): Promise<Result<ServiceAnswer, DispatchError>> {
     const deadline = Date.now() + task.patience
     const unreachable = new Set<string>()
-    this.#budget.onFirstTry()
     for (let attempt = 1; ; attempt++) {
       const at = this.#route(task, unreachable)
       if (at === undefined) {
