Answer look-ups only from what the process has caught up with

Cause: a restarted entry showed operators revision 0 until it had read the stream, and would have answered 404 for a batch that another entry had just accepted. Ruled out: the fold, whose revisions only rose.

Change: operators' routes and the routes of files, batches and services wait for their streams; a file or batch that is not known is looked up again after the fold has come to the stream's present end.

--- a/packages/daemon/src/log/stream-follower.ts
+++ b/packages/daemon/src/log/stream-follower.ts
@@ -108,6 +108,15 @@
     })
   }
 
+  /**
+   * Waits until the fold has come to where the stream ends now; resolves with false if the
+   * log does not answer or the fold does not get there in time.
+   */
+  async catchUp (timeoutMilliseconds: number): Promise<boolean> {
+    const head = await this.options.log.read(this.options.stream, { from: this.next, limit: 1, waitMilliseconds: 0 })
+    return head.ok && await this.waitFor(head.val.next - 1, timeoutMilliseconds)
+  }
+
   /** Takes entries that a peer passed on; those out of order are left to the log. */
   inject (entries: readonly StreamEntry[]): void {
     this.#apply(entries.filter(entry => entry.offset >= this.next))
--- a/packages/entry/src/batches/batches-handler.ts
+++ b/packages/entry/src/batches/batches-handler.ts
@@ -8,7 +8,9 @@
 import type { JobsFold, JobState } from '@arbutusloft/state'
 import { z } from 'zod'
 import { ApiError, ApiErrorType, invalidRequest, notFound, RunState } from '../http/api-error.js'
+import { findFile } from '../files/file-object.js'
 import { appendAndWait } from '../http/append-and-wait.js'
+import { findFresh } from '../http/find-fresh.js'
 import { paginate } from '../http/paginate.js'
 import { readJson } from '../http/read-body.js'
 import { sendJson } from '../http/send-json.js'
@@ -56,7 +58,7 @@
       sendJson(exchange.response, batchObject(checkSame(known, body)))
       return
     }
-    this.#checkInput(exchange, body)
+    await this.#checkInput(exchange, body)
     const record = createRecord(exchange, body, idempotencyKey)
     await appendAndWait(this.options.jobs, this.options.follower, [record])
     // A resend through another entry may have come first; then its job is the answer.
@@ -77,11 +79,11 @@
   }
 
   async get (exchange: ClientExchange): Promise<void> {
-    sendJson(exchange.response, batchObject(this.#find(exchange)))
+    sendJson(exchange.response, batchObject(await this.#find(exchange)))
   }
 
   async cancel (exchange: ClientExchange): Promise<void> {
-    const job = this.#find(exchange)
+    const job = await this.#find(exchange)
     if (job.status === JobStatus.InProgress) {
       const client = exchange.client.name
       const record = { type: RecordType.JobCancelled, job: job.created.job, client, cancelledAt: Date.now() } as const
@@ -93,20 +95,18 @@
     sendJson(exchange.response, batchObject(job))
   }
 
-  #find (exchange: ClientExchange): JobState {
+  async #find (exchange: ClientExchange): Promise<JobState> {
     const id = exchange.parameters['batch'] ?? ''
-    const job = this.options.fold.jobs.get(id)
-    if (job?.created.client !== exchange.client.name) {
-      throw notFound(`there is no batch "${id}"`)
-    }
-    return job
+    return await findFresh(this.options.follower, `there is no batch "${id}"`, () => {
+      const job = this.options.fold.jobs.get(id)
+      return job?.created.client === exchange.client.name ? job : null
+    })
   }
 
-  #checkInput (exchange: ClientExchange, body: CreateBody): void {
-    const file = this.options.fold.files.get(body.input_file_id)
-    if (file?.created.client !== exchange.client.name) {
-      throw invalidRequest(`there is no file "${body.input_file_id}"`, 'input_file_id')
-    }
+  async #checkInput (exchange: ClientExchange, body: CreateBody): Promise<void> {
+    await findFresh(this.options.follower, `there is no file "${body.input_file_id}"`, () => {
+      return findFile(this.options.fold, exchange.client.name, body.input_file_id)
+    })
     const service = servicePattern.exec(body.endpoint)?.[1]
     const allowed = isGenerationPath(body.endpoint) || (service !== undefined && exchange.plan.services.includes(service))
     if (!allowed) {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,7 @@
 /** An entry process. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { addHealthRoutes, GenerationRunner, Node, PermitClient, ServiceRunner, sleep, startHealthServer, startHttpServer, TargetDirectory } from '@arbutusloft/daemon'
-import type { HttpServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
+import type { HttpServer, Logger, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
 import type { Settings } from '@arbutusloft/configuration'
 import { createHttpEngine, createHttpPlainService, MemberKind, MemberState } from '@arbutusloft/platform'
 import { createIdentifier, messageOf, StreamName } from '@arbutusloft/protocol'
@@ -57,6 +57,7 @@
   readonly #metrics: EntryMetrics
   readonly #callerRoutes
   readonly #operatorRoutes
+  readonly #followers: Partial<Record<StreamName, StreamFollower>>
   #caller: HttpServer | null = null
   #operator: HttpServer | null = null
   #health: HttpServer | null = null
@@ -80,6 +81,7 @@
     const ledger = new LedgerFold()
     const ledgerFollower = node.follow(StreamName.Ledger, ledger)
     const ledgerWriter = node.write(StreamName.Ledger)
+    this.#followers = { [StreamName.Jobs]: jobsFollower, [StreamName.Ledger]: ledgerFollower }
     const zone = settings.instance.zone
     const shared = { settings, limits: this.#limits, ledger: ledgerWriter, membership: node.membership }
     const stored = { settings, fold: jobs, follower: jobsFollower, jobs: jobsWriter, chunks: node.chunks }
@@ -188,7 +190,7 @@
     for (const route of this.#callerRoutes) {
       application[route.method](route.pattern, (request, response) => {
         void this.#run(route.pattern, request, request.params as Exchange['parameters'], response, async exchange => {
-          this.#requireKnowledge()
+          this.#requireKnowledge(route.needs)
           await route.handle(authenticateClient(exchange, this.#node.configuration))
         })
       })
@@ -200,6 +202,7 @@
       application[route.method](route.pattern, (request, response) => {
         void this.#run(route.pattern, request, request.params as Exchange['parameters'], response, async exchange => {
           const operator = authenticateOperator(request, this.#node.settings.operators)
+          this.#requireKnowledge()
           await route.handle({ ...exchange, operator })
         })
       })
@@ -207,9 +210,10 @@
   }
 
   /** A process serves only at the newest configuration it can learn. */
-  #requireKnowledge (): void {
+  #requireKnowledge (stream: StreamName = StreamName.Configuration): void {
     const { configurationFollower, membership } = this.#node
-    if (!configurationFollower.caughtUp || !membership.known) {
+    const needed = this.#followers[stream]
+    if (!configurationFollower.caughtUp || !membership.known || needed?.caughtUp === false) {
       throw new ApiError(503, ApiErrorType.Unavailable, 'this entry is starting; use another address', {
         run: RunState.NotRun,
         retryAfterMilliseconds: millisecondsPerSecond
--- a/packages/entry/src/files/files-handler.ts
+++ b/packages/entry/src/files/files-handler.ts
@@ -4,9 +4,10 @@
 import { createIdentifier, FilePurpose, RecordType } from '@arbutusloft/protocol'
 import type { FileCreated, LogRecord } from '@arbutusloft/protocol'
 import type { JobsFold } from '@arbutusloft/state'
-import { ApiError, ApiErrorType, invalidRequest, notFound, RunState } from '../http/api-error.js'
-import { sendJson } from '../http/send-json.js'
+import { ApiError, ApiErrorType, invalidRequest, RunState } from '../http/api-error.js'
 import { appendAndWait } from '../http/append-and-wait.js'
+import { findFresh } from '../http/find-fresh.js'
+import { sendJson } from '../http/send-json.js'
 import type { ClientExchange } from '../pipeline/exchange.js'
 import { paginate } from '../http/paginate.js'
 import { FileIntake } from './file-intake.js'
@@ -46,7 +47,7 @@
       createdAt: Date.now()
     }
     await this.#append([record])
-    sendJson(exchange.response, this.#find(exchange, record.file).object)
+    sendJson(exchange.response, (await this.#find(exchange, record.file)).object)
   }
 
   async list (exchange: ClientExchange): Promise<void> {
@@ -58,11 +59,11 @@
   }
 
   async get (exchange: ClientExchange): Promise<void> {
-    sendJson(exchange.response, this.#find(exchange).object)
+    sendJson(exchange.response, (await this.#find(exchange)).object)
   }
 
   async remove (exchange: ClientExchange): Promise<void> {
-    const { id } = this.#find(exchange).object
+    const { id } = (await this.#find(exchange)).object
     await this.#append([{ type: RecordType.FileDeleted, file: id, client: exchange.client.name }])
     if (this.options.fold.files.has(id)) {
       throw new ApiError(409, ApiErrorType.Conflict, 'a batch in progress still reads the file; cancel it first', { run: RunState.NotRun })
@@ -73,7 +74,7 @@
   /** Sends the content chunk by chunk, so that no process holds it whole. */
   async content (exchange: ClientExchange): Promise<void> {
     const { response } = exchange
-    const file = this.#find(exchange)
+    const file = await this.#find(exchange)
     for (const part of file.parts) {
       const text = await this.#textOf(part)
       if (!response.headersSent) {
@@ -95,12 +96,10 @@
     return lines.map(line => `${line}\n`).join('')
   }
 
-  #find (exchange: ClientExchange, id = exchange.parameters['file'] ?? ''): VisibleFile {
-    const file = findFile(this.options.fold, exchange.client.name, id)
-    if (file === null) {
-      throw notFound(`there is no file "${id}"`)
-    }
-    return file
+  async #find (exchange: ClientExchange, id = exchange.parameters['file'] ?? ''): Promise<VisibleFile> {
+    return await findFresh(this.options.follower, `there is no file "${id}"`, () => {
+      return findFile(this.options.fold, exchange.client.name, id)
+    })
   }
 
   async #append (records: readonly LogRecord[]): Promise<void> {
--- a/packages/entry/src/pipeline/caller-routes.ts
+++ b/packages/entry/src/pipeline/caller-routes.ts
@@ -1,5 +1,6 @@
 /** Routes of callers, listed in one place. */
 import { GenerationPath } from '@arbutusloft/platform'
+import { StreamName } from '@arbutusloft/protocol'
 import type { BatchesHandler } from '../batches/batches-handler.js'
 import type { FilesHandler } from '../files/files-handler.js'
 import { listAddresses } from '../online/addresses.js'
@@ -23,6 +24,8 @@
   readonly method: 'get' | 'post' | 'delete' | 'all'
   readonly pattern: string
   readonly handle: ClientHandler
+  /** Stream that the process must have caught up with, besides the configuration. */
+  readonly needs?: StreamName
 }
 
 /** All routes of callers. */
@@ -33,21 +36,22 @@
     pattern: path,
     handle: async exchange => { await generation.handle(path, exchange) }
   })
+  const jobs = { needs: StreamName.Jobs } as const
   return [
     generate(GenerationPath.Chat),
     generate(GenerationPath.Completion),
     { method: 'get', pattern: '/v1/models', handle: listModels },
     { method: 'get', pattern: '/v1/models/:model', handle: getModel },
     { method: 'get', pattern: '/v1/addresses', handle: async exchange => { await listAddresses(exchange, addresses) } },
-    { method: 'post', pattern: '/v1/files', handle: async exchange => { await files.create(exchange) } },
-    { method: 'get', pattern: '/v1/files', handle: async exchange => { await files.list(exchange) } },
-    { method: 'get', pattern: '/v1/files/:file', handle: async exchange => { await files.get(exchange) } },
-    { method: 'delete', pattern: '/v1/files/:file', handle: async exchange => { await files.remove(exchange) } },
-    { method: 'get', pattern: '/v1/files/:file/content', handle: async exchange => { await files.content(exchange) } },
-    { method: 'post', pattern: '/v1/batches', handle: async exchange => { await batches.create(exchange) } },
-    { method: 'get', pattern: '/v1/batches', handle: async exchange => { await batches.list(exchange) } },
-    { method: 'get', pattern: '/v1/batches/:batch', handle: async exchange => { await batches.get(exchange) } },
-    { method: 'post', pattern: '/v1/batches/:batch/cancel', handle: async exchange => { await batches.cancel(exchange) } },
-    { method: 'all', pattern: '/v1/services/:service/*', handle: async exchange => { await services.handle(exchange) } }
+    { ...jobs, method: 'post', pattern: '/v1/files', handle: async exchange => { await files.create(exchange) } },
+    { ...jobs, method: 'get', pattern: '/v1/files', handle: async exchange => { await files.list(exchange) } },
+    { ...jobs, method: 'get', pattern: '/v1/files/:file', handle: async exchange => { await files.get(exchange) } },
+    { ...jobs, method: 'delete', pattern: '/v1/files/:file', handle: async exchange => { await files.remove(exchange) } },
+    { ...jobs, method: 'get', pattern: '/v1/files/:file/content', handle: async exchange => { await files.content(exchange) } },
+    { ...jobs, method: 'post', pattern: '/v1/batches', handle: async exchange => { await batches.create(exchange) } },
+    { ...jobs, method: 'get', pattern: '/v1/batches', handle: async exchange => { await batches.list(exchange) } },
+    { ...jobs, method: 'get', pattern: '/v1/batches/:batch', handle: async exchange => { await batches.get(exchange) } },
+    { ...jobs, method: 'post', pattern: '/v1/batches/:batch/cancel', handle: async exchange => { await batches.cancel(exchange) } },
+    { needs: StreamName.Ledger, method: 'all', pattern: '/v1/services/:service/*', handle: async exchange => { await services.handle(exchange) } }
   ]
 }
