--- /dev/null
+++ b/packages/integration-tests/tests/harness/read-charges.ts
@@ -0,0 +1,15 @@
+/** Reading of charges over the operators' API. */
+import { sample } from '@arbutusloft/development'
+import type { ChargedRequests } from '../checkers/check-charges.js'
+import type { Cluster } from './cluster.js'
+
+/** All charges as an entry shows them. */
+export async function readCharges (cluster: Cluster, entry = 0): Promise<readonly ChargedRequests[]> {
+  const response = await fetch(`http://${cluster.operatorAddress(entry)}/admin/charges`, {
+    headers: { authorization: `Bearer ${sample.operator.key}` }
+  })
+  const { charges } = await response.json() as {
+    readonly charges: ReadonlyArray<{ readonly client: string, readonly subject: string, readonly usage: { readonly requests: number } }>
+  }
+  return charges.map(({ client, subject, usage }) => ({ client, subject, requests: usage.requests }))
+}
