Publish lists only through an entry that is ready

Cause: since operators' routes wait for the streams, the embedded system published too early, failed, and left its servers running, so that the openai test hung for ten minutes. An unknown input file was answered with 404 in place of 400.

--- a/packages/development/src/embedded-system.ts
+++ b/packages/development/src/embedded-system.ts
@@ -71,7 +71,13 @@
 /** Starts the system and publishes the sample lists. */
 export async function startEmbeddedSystem (options: EmbeddedSystemOptions = {}): Promise<EmbeddedSystem> {
   const system = new EmbeddedSystemBuilder(options)
-  return await system.build()
+  try {
+    return await system.build()
+  } catch (error) {
+    // What has started would keep the process alive.
+    await system.close()
+    throw error
+  }
 }
 
 class EmbeddedSystemBuilder {
@@ -96,8 +102,8 @@
     const [first] = entries
     const callerAddress = first?.callerAddress ?? ''
     const operatorAddress = first?.operatorAddress ?? ''
-    await this.#publish(operatorAddress, engines)
     await Promise.all(entries.map(async entry => { await entry.ready() }))
+    await this.#publish(operatorAddress, engines)
     return {
       entries,
       callerAddress,
@@ -106,7 +112,7 @@
       service,
       log,
       instanceList,
-      close: async () => { await this.#close() }
+      close: async () => { await this.close() }
     }
   }
 
@@ -199,7 +205,7 @@
     return standIn
   }
 
-  async #close (): Promise<void> {
+  async close (): Promise<void> {
     // With every entry leaving there is no other one for which callers would be waited for.
     this.#announced.forEach(leave => { leave() })
     await sleep(listSeenMilliseconds)
--- a/packages/entry/src/batches/batches-handler.ts
+++ b/packages/entry/src/batches/batches-handler.ts
@@ -97,14 +97,15 @@
 
   async #find (exchange: ClientExchange): Promise<JobState> {
     const id = exchange.parameters['batch'] ?? ''
-    return await findFresh(this.options.follower, `there is no batch "${id}"`, () => {
+    return await findFresh(this.options.follower, notFound(`there is no batch "${id}"`), () => {
       const job = this.options.fold.jobs.get(id)
       return job?.created.client === exchange.client.name ? job : null
     })
   }
 
   async #checkInput (exchange: ClientExchange, body: CreateBody): Promise<void> {
-    await findFresh(this.options.follower, `there is no file "${body.input_file_id}"`, () => {
+    const missing = invalidRequest(`there is no file "${body.input_file_id}"`, 'input_file_id')
+    await findFresh(this.options.follower, missing, () => {
       return findFile(this.options.fold, exchange.client.name, body.input_file_id)
     })
     const service = servicePattern.exec(body.endpoint)?.[1]
--- a/packages/entry/src/files/files-handler.ts
+++ b/packages/entry/src/files/files-handler.ts
@@ -4,7 +4,7 @@
 import { createIdentifier, FilePurpose, RecordType } from '@arbutusloft/protocol'
 import type { FileCreated, LogRecord } from '@arbutusloft/protocol'
 import type { JobsFold } from '@arbutusloft/state'
-import { ApiError, ApiErrorType, invalidRequest, RunState } from '../http/api-error.js'
+import { ApiError, ApiErrorType, invalidRequest, notFound, RunState } from '../http/api-error.js'
 import { appendAndWait } from '../http/append-and-wait.js'
 import { findFresh } from '../http/find-fresh.js'
 import { sendJson } from '../http/send-json.js'
@@ -97,7 +97,7 @@
   }
 
   async #find (exchange: ClientExchange, id = exchange.parameters['file'] ?? ''): Promise<VisibleFile> {
-    return await findFresh(this.options.follower, `there is no file "${id}"`, () => {
+    return await findFresh(this.options.follower, notFound(`there is no file "${id}"`), () => {
       return findFile(this.options.fold, exchange.client.name, id)
     })
   }
--- a/packages/entry/src/http/find-fresh.ts
+++ b/packages/entry/src/http/find-fresh.ts
@@ -1,6 +1,6 @@
 /** Look-ups that do not miss what another entry has just stored. */
 import type { StreamFollower } from '@arbutusloft/daemon'
-import { ApiError, ApiErrorType, notFound } from './api-error.js'
+import { ApiError, ApiErrorType } from './api-error.js'
 
 const catchUpMilliseconds = 2_000
 
@@ -8,7 +8,7 @@
  * Looks a thing up; if it is not there, catches up with the log and looks again, since the
  * caller may have stored it through another entry a moment ago.
  */
-export async function findFresh<T> (follower: StreamFollower, missing: string, find: () => T | null): Promise<T> {
+export async function findFresh<T> (follower: StreamFollower, missing: ApiError, find: () => T | null): Promise<T> {
   const known = find()
   if (known !== null) {
     return known
@@ -23,5 +23,5 @@
       retryAfterMilliseconds: catchUpMilliseconds
     })
   }
-  throw notFound(missing)
+  throw missing
 }
--- a/packages/integration-tests/tests/harness/cluster.ts
+++ b/packages/integration-tests/tests/harness/cluster.ts
@@ -82,8 +82,13 @@
 /** Starts stand-ins and processes and publishes the sample lists. */
 export async function startCluster (options: ClusterOptions = {}): Promise<Cluster> {
   const cluster = new Cluster(options)
-  await cluster.start()
-  return cluster
+  try {
+    await cluster.start()
+    return cluster
+  } catch (error) {
+    await cluster.close()
+    throw error
+  }
 }
 
 /** A running cluster. Everything it started ends with {@link Cluster.close}. */
@@ -147,8 +152,8 @@
     await this.#startAll(MemberKind.Scheduler, this.options.schedulers ?? 1)
     await this.#startAll(MemberKind.Entry, this.options.entries ?? 1)
     await this.#startAll(MemberKind.Batch, this.options.batches ?? 1)
-    await publishLists(this.operatorAddress(), sample.operator.key, { plans: samplePlans(), usage: this.usage() })
     await Promise.all(this.processes.map(async candidate => { await candidate.ready() }))
+    await publishLists(this.operatorAddress(), sample.operator.key, { plans: samplePlans(), usage: this.usage() })
     await until('every entry knows the lists', async () => {
       const answers = await Promise.all(this.callerAddresses().map(async address => {
         return await fetch(`http://${address}/v1/models`, { headers: { authorization: `Bearer ${sample.stylist.key}` } })
