--- /dev/null
+++ b/packages/command-line/src/api-client.ts
@@ -0,0 +1,70 @@
+/** Calls of the command line to the system. */
+import { messageOf } from '@arbutusloft/protocol'
+import type { FormData } from 'undici'
+import { request } from 'undici'
+import { CommandError } from './command-error.js'
+import { ExitCode } from './exit-code.js'
+
+/** Where to call, and as whom. */
+export interface ApiEndpoint {
+  /** Address as `ip:port`. */
+  readonly address: string
+  readonly key: string
+}
+
+/** Options of a call. */
+export interface CallOptions {
+  readonly method?: 'GET' | 'POST' | 'PUT' | 'DELETE'
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string | FormData
+}
+
+const firstUnavailableStatus = 500
+const statusTooManyRequests = 429
+const firstErrorStatus = 400
+
+/** Calls one address and turns errors into {@link CommandError}. */
+export class ApiClient {
+  constructor (private readonly endpoint: ApiEndpoint) {}
+
+  /** The JSON answer of a call. */
+  async json<T> (path: string, options: CallOptions = {}): Promise<T> {
+    return JSON.parse(await this.text(path, { ...options, headers: { accept: 'application/json', ...options.headers } })) as T
+  }
+
+  /** The text of an answer. */
+  async text (path: string, options: CallOptions = {}): Promise<string> {
+    const response = await this.#request(path, options)
+    const text = await response.body.text()
+    if (response.statusCode >= firstErrorStatus) {
+      throw new CommandError(exitCodeOf(response.statusCode), messageOfAnswer(response.statusCode, text))
+    }
+    return text
+  }
+
+  async #request (path: string, options: CallOptions): ReturnType<typeof request> {
+    const url = `http://${this.endpoint.address}${path}`
+    try {
+      return await request(url, {
+        method: options.method ?? 'GET',
+        headers: { authorization: `Bearer ${this.endpoint.key}`, ...options.headers },
+        body: options.body ?? null
+      })
+    } catch (error) {
+      throw new CommandError(ExitCode.Unavailable, `${this.endpoint.address} cannot be reached: ${messageOf(error)}`, { cause: error })
+    }
+  }
+}
+
+function exitCodeOf (status: number): ExitCode {
+  return status >= firstUnavailableStatus || status === statusTooManyRequests ? ExitCode.Unavailable : ExitCode.Refused
+}
+
+function messageOfAnswer (status: number, text: string): string {
+  try {
+    const { error } = JSON.parse(text) as { readonly error: { readonly message: string } }
+    return error.message
+  } catch {
+    return `answered with status ${status}: ${text}`
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/audit-command.ts
@@ -0,0 +1,30 @@
+/** `arbutus audit` */
+import type { AuditEntry } from '@arbutusloft/configuration'
+import { Command, Option } from 'clipanion'
+import { ExitCode } from '../exit-code.js'
+import { renderTable } from '../util/render-table.js'
+import { OperatorCommand } from './base-command.js'
+
+/** Shows who changed what, and what was refused. */
+export class AuditCommand extends OperatorCommand {
+  static override paths = [['audit']]
+  static override usage = Command.Usage({ category: 'Overview', description: 'Show accepted and refused edits, oldest first.' })
+  readonly limit = Option.String('--limit', '50', { description: 'Number of entries' })
+
+  protected async run (): Promise<number> {
+    const { entries } = await this.client().json<{ readonly entries: readonly AuditEntry[] }>(`/admin/audit?limit=${this.limit}`)
+    if (this.json) {
+      this.printJson(entries)
+      return ExitCode.Done
+    }
+    const rows = entries.map(entry => [
+      new Date(entry.time).toISOString(),
+      entry.operator,
+      entry.list,
+      entry.sections.map(section => `${section.removed ? '-' : ''}[${section.section}]@${section.base}`).join(' '),
+      entry.refusal === null ? `revision ${entry.revision ?? ''}` : `refused: ${entry.refusal}`
+    ])
+    this.print(renderTable(['TIME', 'OPERATOR', 'LIST', 'SECTIONS', 'OUTCOME'], rows))
+    return ExitCode.Done
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/base-command.ts
@@ -0,0 +1,65 @@
+/** What all commands have in common. */
+import { Command, Option } from 'clipanion'
+import { ApiClient } from '../api-client.js'
+import { CommandError } from '../command-error.js'
+import { ExitCode } from '../exit-code.js'
+
+/** A command that ends with an exit code and tells errors in one line. */
+export abstract class BaseCommand extends Command {
+  readonly json = Option.Boolean('--json', false, { description: 'Print JSON' })
+
+  async execute (): Promise<number> {
+    try {
+      return await this.run()
+    } catch (error) {
+      if (error instanceof CommandError) {
+        this.context.stderr.write(`arbutus: ${error.message}\n`)
+        return error.exitCode
+      }
+      throw error
+    }
+  }
+
+  /** Does the command's work and returns its exit code. */
+  protected abstract run (): Promise<number>
+
+  /** Prints a line. */
+  protected print (line: string): void {
+    this.context.stdout.write(`${line}\n`)
+  }
+
+  /** Prints a value as JSON. */
+  protected printJson (value: unknown): void {
+    this.print(JSON.stringify(value, null, 2))
+  }
+}
+
+/** A command that calls the operators' address. */
+export abstract class OperatorCommand extends BaseCommand {
+  readonly address = Option.String('--address', { env: 'ARBUTUS_OPERATOR_ADDRESS', description: 'Operators\' address of an entry, ip:port' })
+  readonly key = Option.String('--key', { env: 'ARBUTUS_OPERATOR_KEY', description: 'The operator\'s key' })
+
+  protected client (): ApiClient {
+    return createClient(this.address, this.key, 'ARBUTUS_OPERATOR_ADDRESS', 'ARBUTUS_OPERATOR_KEY')
+  }
+}
+
+/** A command that calls the callers' address. */
+export abstract class CallerCommand extends BaseCommand {
+  readonly address = Option.String('--address', { env: 'ARBUTUS_ADDRESS', description: 'Callers\' address of an entry, ip:port' })
+  readonly key = Option.String('--key', { env: 'ARBUTUS_KEY', description: 'The client\'s key' })
+
+  protected client (): ApiClient {
+    return createClient(this.address, this.key, 'ARBUTUS_ADDRESS', 'ARBUTUS_KEY')
+  }
+}
+
+function createClient (address: string | undefined, key: string | undefined, addressName: string, keyName: string): ApiClient {
+  if (address === undefined) {
+    throw new CommandError(ExitCode.Usage, `say where to call: --address ip:port, or set ${addressName}`)
+  }
+  if (key === undefined) {
+    throw new CommandError(ExitCode.Usage, `say with which key: --key KEY, or set ${keyName}`)
+  }
+  return new ApiClient({ address, key })
+}
--- /dev/null
+++ b/packages/command-line/src/commands/charges-command.ts
@@ -0,0 +1,33 @@
+/** `arbutus charges` */
+import type { Usage } from '@arbutusloft/protocol'
+import { Command, Option } from 'clipanion'
+import { ExitCode } from '../exit-code.js'
+import { renderTable } from '../util/render-table.js'
+import { OperatorCommand } from './base-command.js'
+
+interface ChargeView {
+  readonly client: string
+  readonly subject: string
+  readonly usage: Usage
+}
+
+/** Shows what clients are charged for. */
+export class ChargesCommand extends OperatorCommand {
+  static override paths = [['charges']]
+  static override usage = Command.Usage({ category: 'Overview', description: 'Show charges by client and by model or service.' })
+  readonly of = Option.String('--client', { description: 'Only this client' })
+
+  protected async run (): Promise<number> {
+    const query = this.of === undefined ? '' : `?client=${encodeURIComponent(this.of)}`
+    const { charges } = await this.client().json<{ readonly charges: readonly ChargeView[] }>(`/admin/charges${query}`)
+    if (this.json) {
+      this.printJson(charges)
+      return ExitCode.Done
+    }
+    const rows = charges.map(({ client, subject, usage }) => {
+      return [client, subject, String(usage.requests), String(usage.promptTokens), String(usage.completionTokens)]
+    })
+    this.print(renderTable(['CLIENT', 'MODEL OR SERVICE', 'REQUESTS', 'PROMPT TOKENS', 'COMPLETION TOKENS'], rows))
+    return ExitCode.Done
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/jobs-commands.ts
@@ -0,0 +1,182 @@
+/** Commands of users about their batches. */
+import { basename } from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
+import { createIdentifier } from '@arbutusloft/protocol'
+import { Command, Option } from 'clipanion'
+import { SingleBar } from 'cli-progress'
+import { FormData } from 'undici'
+import type { ApiClient } from '../api-client.js'
+import { CommandError } from '../command-error.js'
+import { ExitCode } from '../exit-code.js'
+import { readInput } from '../util/read-input.js'
+import { renderTable } from '../util/render-table.js'
+import { CallerCommand } from './base-command.js'
+
+interface Batch {
+  readonly id: string
+  readonly status: string
+  readonly endpoint: string
+  readonly output_file_id: string | null
+  readonly error_file_id: string | null
+  readonly request_counts: { readonly total: number, readonly completed: number, readonly failed: number }
+}
+
+const pollMilliseconds = 500
+const inProgress = 'in_progress'
+const completed = 'completed'
+
+abstract class JobCommand extends CallerCommand {
+  /** Shows a batch's progress until it ends; on a terminal with a bar. */
+  protected async watch (client: ApiClient, id: string): Promise<number> {
+    const progress = this.#createProgress()
+    let batch = await client.json<Batch>(`/v1/batches/${id}`)
+    progress.begin(batch)
+    while (batch.status === inProgress) {
+      await pause(pollMilliseconds)
+      batch = await client.json<Batch>(`/v1/batches/${id}`)
+      progress.update(batch)
+    }
+    progress.end()
+    this.show(batch)
+    return batch.status === completed && batch.request_counts.failed === 0 ? ExitCode.Done : ExitCode.Failed
+  }
+
+  /** Prints a batch. */
+  protected show (batch: Batch): void {
+    if (this.json) {
+      this.printJson(batch)
+      return
+    }
+    const { total, completed: done, failed } = batch.request_counts
+    this.print(`${batch.id}  ${batch.status}  ${done} of ${total} completed, ${failed} failed`)
+  }
+
+  #createProgress (): Progress {
+    const terminal = this.context.stdout as NodeJS.WriteStream
+    return terminal.isTTY && !this.json ? new BarProgress() : silentProgress
+  }
+}
+
+interface Progress {
+  begin: (batch: Batch) => void
+  update: (batch: Batch) => void
+  end: () => void
+}
+
+const silentProgress: Progress = {
+  begin: () => {},
+  update: () => {},
+  end: () => {}
+}
+
+class BarProgress implements Progress {
+  readonly #bar = new SingleBar({ format: '{bar} {percentage}% | {value} of {total} | {eta_formatted} left' })
+
+  begin (batch: Batch): void {
+    this.#bar.start(batch.request_counts.total, endedItems(batch))
+  }
+
+  update (batch: Batch): void {
+    this.#bar.update(endedItems(batch))
+  }
+
+  end (): void {
+    this.#bar.stop()
+  }
+}
+
+function endedItems (batch: Batch): number {
+  return batch.request_counts.completed + batch.request_counts.failed
+}
+
+/** `arbutus jobs submit FILE` */
+export class SubmitJobCommand extends JobCommand {
+  static override paths = [['jobs', 'submit']]
+  static override usage = Command.Usage({ category: 'Batches', description: 'Upload a JSONL file and create a batch from it.' })
+  readonly file = Option.String({ name: 'file' })
+  readonly endpoint = Option.String('--endpoint', '/v1/chat/completions', { description: 'Path of the items' })
+  readonly window = Option.String('--window', '24h', { description: 'Time by which it should be done, such as 30m, 24h or 2d' })
+  readonly idempotencyKey = Option.String('--idempotency-key', { description: 'Resending with the same key gives the same batch' })
+  readonly wait = Option.Boolean('--wait', false, { description: 'Watch the batch until it ends' })
+
+  protected async run (): Promise<number> {
+    const client = this.client()
+    const form = new FormData()
+    form.set('purpose', 'batch')
+    form.set('file', new Blob([await readInput(this.file)]), basename(this.file))
+    const file = await client.json<{ readonly id: string }>('/v1/files', { method: 'POST', body: form })
+    const batch = await client.json<Batch>('/v1/batches', {
+      method: 'POST',
+      headers: { 'content-type': 'application/json', 'idempotency-key': this.idempotencyKey ?? createIdentifier('key') },
+      body: JSON.stringify({ input_file_id: file.id, endpoint: this.endpoint, completion_window: this.window })
+    })
+    if (this.wait) {
+      return await this.watch(client, batch.id)
+    }
+    this.show(batch)
+    return ExitCode.Done
+  }
+}
+
+/** `arbutus jobs list` */
+export class ListJobsCommand extends JobCommand {
+  static override paths = [['jobs', 'list'], ['jobs']]
+  static override usage = Command.Usage({ category: 'Batches', description: 'List your batches, newest first.' })
+  readonly limit = Option.String('--limit', '20', { description: 'Number of batches' })
+
+  protected async run (): Promise<number> {
+    const { data } = await this.client().json<{ readonly data: readonly Batch[] }>(`/v1/batches?limit=${this.limit}`)
+    if (this.json) {
+      this.printJson(data)
+      return ExitCode.Done
+    }
+    const rows = data.map(batch => {
+      const { total, failed } = batch.request_counts
+      return [batch.id, batch.status, `${endedItems(batch)}/${total}`, String(failed), batch.endpoint]
+    })
+    this.print(renderTable(['BATCH', 'STATUS', 'ENDED', 'FAILED', 'ENDPOINT'], rows))
+    return ExitCode.Done
+  }
+}
+
+/** `arbutus jobs watch BATCH` */
+export class WatchJobCommand extends JobCommand {
+  static override paths = [['jobs', 'watch']]
+  static override usage = Command.Usage({ category: 'Batches', description: 'Watch a batch until it ends; exits with 1 if items failed.' })
+  readonly batch = Option.String({ name: 'batch' })
+
+  protected async run (): Promise<number> {
+    return await this.watch(this.client(), this.batch)
+  }
+}
+
+/** `arbutus jobs cancel BATCH` */
+export class CancelJobCommand extends JobCommand {
+  static override paths = [['jobs', 'cancel']]
+  static override usage = Command.Usage({ category: 'Batches', description: 'Cancel a batch; what is completed stays readable.' })
+  readonly batch = Option.String({ name: 'batch' })
+
+  protected async run (): Promise<number> {
+    this.show(await this.client().json<Batch>(`/v1/batches/${this.batch}/cancel`, { method: 'POST' }))
+    return ExitCode.Done
+  }
+}
+
+/** `arbutus jobs results BATCH` */
+export class JobResultsCommand extends JobCommand {
+  static override paths = [['jobs', 'results']]
+  static override usage = Command.Usage({ category: 'Batches', description: 'Print a batch\'s output lines, or its error lines.' })
+  readonly batch = Option.String({ name: 'batch' })
+  readonly errors = Option.Boolean('--errors', false, { description: 'Print the error file' })
+
+  protected async run (): Promise<number> {
+    const client = this.client()
+    const batch = await client.json<Batch>(`/v1/batches/${this.batch}`)
+    const file = this.errors ? batch.error_file_id : batch.output_file_id
+    if (file === null) {
+      throw new CommandError(ExitCode.Refused, `the batch has no ${this.errors ? 'errors' : 'output'} yet`)
+    }
+    this.context.stdout.write(await client.text(`/v1/files/${file}/content`))
+    return ExitCode.Done
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/list-commands.ts
@@ -0,0 +1,121 @@
+/** Commands that get, compare and publish the two lists. */
+import { parseList, renderSections } from '@arbutusloft/configuration'
+import type { RevisedSection } from '@arbutusloft/configuration'
+import { ListName } from '@arbutusloft/protocol'
+import { Command, Option } from 'clipanion'
+import { createTwoFilesPatch } from 'diff'
+import type { ApiClient } from '../api-client.js'
+import { CommandError } from '../command-error.js'
+import { ExitCode } from '../exit-code.js'
+import { planEdits, revisionLine, revisionOf } from '../plan-edits.js'
+import type { EditPlan } from '../plan-edits.js'
+import { readInput } from '../util/read-input.js'
+import { OperatorCommand } from './base-command.js'
+
+interface ListView {
+  readonly revision: number
+  readonly sections: readonly RevisedSection[]
+}
+
+const listNames: readonly string[] = Object.values(ListName)
+
+function pathsOf (verb: string): string[][] {
+  return listNames.map(list => [list, verb])
+}
+
+abstract class ListCommand extends OperatorCommand {
+  /** The list that the command line names, its first word. */
+  protected get list (): ListName {
+    return this.path[0] === ListName.Plans ? ListName.Plans : ListName.Usage
+  }
+
+  protected async present (client: ApiClient): Promise<ListView> {
+    return await client.json<ListView>(`/admin/lists/${this.list}`)
+  }
+
+  /** Checks the file and plans its edits. */
+  protected async planOf (path: string, present: ListView): Promise<EditPlan> {
+    const text = (await readInput(path)).toString('utf8')
+    const parsed = parseList(this.list, text)
+    if (parsed.err) {
+      throw new CommandError(ExitCode.Refused, `${path} was refused:\n${parsed.val.message}`)
+    }
+    return planEdits(present.sections, parsed.val, revisionOf(text))
+  }
+}
+
+/** `arbutus plans|usage get` */
+export class GetListCommand extends ListCommand {
+  static override paths = pathsOf('get')
+  static override usage = Command.Usage({ category: 'Lists', description: 'Print a list as INI, with the revision it is at.' })
+
+  protected async run (): Promise<number> {
+    const present = await this.present(this.client())
+    if (this.json) {
+      this.printJson(present)
+    } else {
+      this.context.stdout.write(revisionLine(present.revision) + renderSections(present.sections))
+    }
+    return ExitCode.Done
+  }
+}
+
+/** `arbutus plans|usage diff FILE` */
+export class DiffListCommand extends ListCommand {
+  static override paths = pathsOf('diff')
+  static override usage = Command.Usage({ category: 'Lists', description: 'Show what publishing a file would change.' })
+  readonly file = Option.String({ name: 'file' })
+
+  protected async run (): Promise<number> {
+    const present = await this.present(this.client())
+    const plan = await this.planOf(this.file, present)
+    if (this.json) {
+      this.printJson(plan)
+      return ExitCode.Done
+    }
+    for (const edit of plan.edits) {
+      const before = present.sections.find(section => section.name === edit.section)?.body ?? ''
+      this.print(createTwoFilesPatch(`[${edit.section}]`, `[${edit.section}]`, before + '\n', (edit.body ?? '') + '\n', 'in force', this.file))
+    }
+    plan.conflicts.forEach(section => { this.print(`conflict: [${section}] was changed since the file was got`) })
+    return ExitCode.Done
+  }
+}
+
+/** `arbutus plans|usage publish FILE` */
+export class PublishListCommand extends ListCommand {
+  static override paths = pathsOf('publish')
+  static override usage = Command.Usage({
+    category: 'Lists',
+    description: 'Publish a file; sections that somebody else changed meanwhile are refused.'
+  })
+
+  readonly file = Option.String({ name: 'file' })
+
+  protected async run (): Promise<number> {
+    const client = this.client()
+    const plan = await this.planOf(this.file, await this.present(client))
+    if (plan.conflicts.length > 0) {
+      const names = plan.conflicts.map(section => `[${section}]`).join(', ')
+      throw new CommandError(ExitCode.Refused, `${names} changed since the file was got: get the list again and redo the edit`)
+    }
+    if (plan.edits.length === 0) {
+      this.report({ changed: false, revision: null })
+      return ExitCode.Done
+    }
+    this.report(await client.json(`/admin/lists/${this.list}/edits`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ sections: plan.edits })
+    }))
+    return ExitCode.Done
+  }
+
+  private report (result: { readonly changed: boolean, readonly revision: number | null }): void {
+    if (this.json) {
+      this.printJson(result)
+    } else {
+      this.print(result.changed ? `published; in force as revision ${result.revision ?? ''}` : 'nothing to change')
+    }
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/util/render-table.ts
@@ -0,0 +1,8 @@
+/** Tables of text. */
+
+/** Rows as aligned columns under a header. */
+export function renderTable (header: readonly string[], rows: ReadonlyArray<readonly string[]>): string {
+  const all = [header, ...rows]
+  const widths = header.map((_, column) => Math.max(...all.map(row => (row[column] ?? '').length)))
+  return all.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()).join('\n')
+}
--- a/packages/configuration/src/fold/configuration-fold.ts
+++ b/packages/configuration/src/fold/configuration-fold.ts
@@ -26,14 +26,14 @@
   readonly audit: readonly AuditEntry[]
 }
 
-/** The configuration in force. Revisions are record positions, so they only rise. */
+/** The configuration in force. Revisions follow record positions, so they only rise. */
 export class ConfigurationFold implements Fold {
   #lists: Lists = { [ListName.Plans]: new Map(), [ListName.Usage]: new Map() }
   #configuration = emptyConfiguration
   #revision = 0
   #audit: AuditEntry[] = []
 
-  /** Position of the last accepted edit, or 0. */
+  /** Revision made by the last accepted edit, or 0. */
   get revision (): number {
     return this.#revision
   }
@@ -61,21 +61,17 @@
     if (record.type !== RecordType.ConfigurationEdited) {
       return
     }
-    const result = this.#try(record, context.position)
-    this.#record(record, context, result.err ? result.val : null)
+    // Revision 0 means that there is none, so the first record's position cannot stand for itself.
+    const revision = context.position + 1
+    const result = this.#try(record, revision)
+    this.#record(record, context, revision, result.err ? result.val : null)
     if (result.ok) {
       this.#lists = result.val.lists
       this.#configuration = result.val.configuration
-      this.#revision = context.position
+      this.#revision = revision
     }
   }
 
-  /** Checks an edit as the fold will, without applying it; returns why it would be refused. */
-  check (record: ConfigurationEdited): string | null {
-    const result = this.#try(record, this.#revision + 1)
-    return result.err ? result.val : null
-  }
-
   prune (): void {
     // The lists in force are kept without limit, and the audit trail by number.
   }
@@ -103,7 +99,7 @@
 
   #try (
     record: ConfigurationEdited,
-    position: number
+    revision: number
   ): Result<{ readonly lists: Lists, readonly configuration: Configuration }, string> {
     const sections = new Map(this.#lists[record.list])
     for (const edit of record.sections) {
@@ -114,7 +110,7 @@
       if (edit.body === null) {
         sections.delete(edit.section)
       } else {
-        sections.set(edit.section, { name: edit.section, body: edit.body, revision: position })
+        sections.set(edit.section, { name: edit.section, body: edit.body, revision })
       }
     }
     const lists: Lists = { ...this.#lists, [record.list]: sections }
@@ -125,7 +121,7 @@
     return Ok({ lists, configuration: configuration.val })
   }
 
-  #record (record: ConfigurationEdited, context: RecordContext, refusal: string | null): void {
+  #record (record: ConfigurationEdited, context: RecordContext, revision: number, refusal: string | null): void {
     const entry: AuditEntry = {
       edit: record.edit,
       time: context.time,
@@ -137,7 +133,7 @@
         present: this.#lists[record.list].get(edit.section)?.revision ?? 0,
         removed: edit.body === null
       })),
-      revision: refusal === null ? context.position : null,
+      revision: refusal === null ? revision : null,
       refusal
     }
     this.#audit = [...this.#audit, entry].slice(-auditEntries)
--- a/packages/development/src/embedded-system.ts
+++ b/packages/development/src/embedded-system.ts
@@ -55,6 +55,7 @@
 const loopbackAnyPort = '127.0.0.1:0'
 const zones = ['a', 'b', 'c'] as const
 const serviceTarget = 'service-1'
+const lookupTarget = 'service-2'
 const serviceConcurrency = 32
 const listSeenMilliseconds = 1_000
 
@@ -95,7 +96,9 @@
     const instanceList = this.#keep(await startInstanceListStandIn())
     const service = this.#keep(await startPlainServiceStandIn())
     const engines = await this.#startEngines(instanceList)
-    instanceList.put({ id: serviceTarget, kind: MemberKind.Target, address: service.address, zone: zoneOf(0), state: MemberState.Live })
+    for (const id of [serviceTarget, lookupTarget]) {
+      instanceList.put({ id, kind: MemberKind.Target, address: service.address, zone: zoneOf(0), state: MemberState.Live })
+    }
     await this.#startSchedulers(log, instanceList)
     const entries = await this.#startEntries(log, instanceList)
     await this.#startBatches(log, instanceList)
@@ -164,9 +167,8 @@
     const targets: SampleTarget[] = engines.map((_engine, index) => {
       return { name: targetName(index), model: sample.model, concurrency: this.#options.concurrency }
     })
-    for (const service of [sample.service, sample.lookupService]) {
-      targets.push({ name: service === sample.service ? serviceTarget : `${serviceTarget}-lookup`, service, concurrency: serviceConcurrency })
-    }
+    targets.push({ name: serviceTarget, service: sample.service, concurrency: serviceConcurrency })
+    targets.push({ name: lookupTarget, service: sample.lookupService, concurrency: serviceConcurrency })
     await publishLists(operatorAddress, sample.operator.key, { plans: samplePlans(), usage: sampleUsage(targets) })
   }
 
--- /dev/null
+++ b/packages/integration-tests/tests/adapters.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import {
+  createHttpEngine,
+  createHttpInstanceList,
+  createHttpLogService,
+  createHttpPlainService,
+  createHttpWeightStore,
+  GenerationPath,
+  LogErrorCode,
+  MemberKind,
+  MemberState,
+  OrderKind,
+  TargetErrorCode
+} from '@arbutusloft/platform'
+import type { GeneratedToken } from '@arbutusloft/platform'
+import {
+  startEngineStandIn,
+  startInstanceListStandIn,
+  startLogStandIn,
+  startPlainServiceStandIn,
+  startWeightStoreStandIn
+} from '@arbutusloft/stand-ins'
+import { until } from './harness/until.js'
+
+const nowhere = '127.0.0.1:1'
+const body = { model: 'm', prompt: 'a prompt', max_tokens: 6 }
+
+void describe('the log adapter', () => {
+  void it('appends, reads, waits, and tells errors apart', async () => {
+    const log = await startLogStandIn({ entryBytes: 10, appendsPerSecond: 3 })
+    const adapter = createHttpLogService({ address: log.address, timeoutMilliseconds: 1_000 })
+    assert.equal((await adapter.append('s', Buffer.from('one'))).unwrap(), 0)
+    const waiting = adapter.read('s', { from: 1, limit: 10, waitMilliseconds: 5_000 })
+    assert.equal((await adapter.append('s', Buffer.from('two'))).unwrap(), 1)
+    assert.equal(Buffer.from((await waiting).unwrap().entries[0]?.data ?? []).toString(), 'two')
+    const code = async (data: string): Promise<string | null> => {
+      const result = await adapter.append('s', Buffer.from(data))
+      return result.err ? result.val.code : null
+    }
+    assert.equal(await code('much too long'), LogErrorCode.TooLarge)
+    await until('the rate limit refuses', async () => await code('x') === LogErrorCode.RateLimited)
+    log.setFaults({ outage: true })
+    assert.equal(await code('x'), LogErrorCode.Unavailable)
+    await adapter.close()
+    await log.close()
+  })
+})
+
+void describe('the engine adapter', () => {
+  void it('generates, resumes, cancels, orders and reports', async () => {
+    const engine = await startEngineStandIn({ model: 'm', loadLagMilliseconds: 0, cacheLagMilliseconds: 0 })
+    const adapter = createHttpEngine()
+    const tokens: GeneratedToken[] = []
+    const sink = { onToken: (token: GeneratedToken) => { tokens.push(token) } }
+    const request = { dispatch: 'd1', path: GenerationPath.Completion, body }
+    const usage = (await adapter.generate(engine.address, request, sink)).unwrap()
+    assert.equal(usage.completionTokens, 6)
+    assert.deepEqual(tokens.map(token => token.index), [0, 1, 2, 3, 4, 5])
+    const again: GeneratedToken[] = []
+    const resumed = await adapter.resume(engine.address, { dispatch: 'd1', from: 4 }, { onToken: token => { again.push(token) } })
+    assert.ok(resumed.ok)
+    assert.deepEqual(again, tokens.slice(4))
+    assert.ok((await adapter.cancel(engine.address, 'd1')).ok)
+    const gone = await adapter.resume(engine.address, { dispatch: 'd1', from: 0 }, sink)
+    assert.ok(gone.err && gone.val.code === TargetErrorCode.UnknownStream)
+    assert.ok((await adapter.load(engine.address)).ok)
+    assert.ok((await adapter.cacheEvents(engine.address, 0)).ok)
+    const order = { kind: OrderKind.SetVersion, value: '2' } as const
+    assert.equal((await adapter.order(engine.address, { ...order, fencing: 5 })).unwrap().version, '2')
+    assert.ok((await adapter.order(engine.address, { ...order, fencing: 4 })).err)
+    assert.equal((await adapter.state(engine.address)).unwrap().fencing, 5)
+    await adapter.close()
+    await engine.close()
+  })
+
+  void it('says whether a byte can have reached the target', async () => {
+    const engine = await startEngineStandIn({ model: 'm' })
+    const adapter = createHttpEngine()
+    const sink = { onToken: () => {} }
+    const request = { dispatch: 'd', path: GenerationPath.Completion, body }
+    const unreachable = await adapter.generate(nowhere, request, sink)
+    assert.ok(unreachable.err && !unreachable.val.reached)
+    const refused = await adapter.generate(engine.address, { ...request, body: { ...body, model: 'other' } }, sink)
+    assert.ok(refused.err && refused.val.reached)
+    await adapter.close()
+    await engine.close()
+  })
+})
+
+void describe('the other adapters', () => {
+  void it('call plain services', async () => {
+    const service = await startPlainServiceStandIn()
+    const adapter = createHttpPlainService()
+    const call = { dispatch: 'd', method: 'POST', path: '/p?q=1', contentType: 'text/plain', idempotencyKey: 'k', body: Buffer.from('hello') }
+    const answer = (await adapter.call(service.address, call)).unwrap()
+    assert.match(Buffer.from(answer.body).toString(), /"received":"hello"/)
+    const unreachable = await adapter.call(nowhere, call)
+    assert.ok(unreachable.err && !unreachable.val.reached)
+    await adapter.close()
+    await service.close()
+  })
+
+  void it('read the instance list and the weight store', async () => {
+    const list = await startInstanceListStandIn()
+    const member = { id: 't', kind: MemberKind.Target, address: nowhere, zone: 'a', state: MemberState.Live }
+    list.put(member)
+    const instances = createHttpInstanceList({ address: list.address })
+    assert.deepEqual((await instances.fetch()).unwrap(), [member])
+    const store = await startWeightStoreStandIn({ models: [{ model: 'm', bytes: 10 }] })
+    const weights = createHttpWeightStore({ address: store.address })
+    assert.deepEqual((await weights.catalogue()).unwrap().models, [{ model: 'm', bytes: 10 }])
+    await Promise.all([instances.close(), weights.close(), list.close(), store.close()])
+    assert.ok((await createHttpInstanceList({ address: nowhere }).fetch()).err)
+  })
+})
--- /dev/null
+++ b/packages/policy/tests/admission/batch-order.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { BatchOrder } from '../../src/admission/batch-order.js'
+
+const cost = { promptTokens: 10, completionTokens: 10 }
+const hour = 3_600_000
+
+void describe('BatchOrder', () => {
+  void it('takes the least slack class first', () => {
+    const order = new BatchOrder()
+    assert.equal(order.next([{ client: 'a', slack: 24 * hour, cost }, { client: 'b', slack: -1, cost }]), 1)
+  })
+
+  void it('shares a slack class evenly among clients, however many requests each has', () => {
+    const order = new BatchOrder()
+    const requests = [...Array.from({ length: 9 }, () => ({ client: 'many', slack: hour, cost })), { client: 'few', slack: hour, cost }]
+    const served = { many: 0, few: 0 }
+    for (let round = 0; round < 20; round++) {
+      const next = requests[order.next(requests)]
+      assert.ok(next)
+      served[next.client as keyof typeof served] += 1
+      order.onGranted(next)
+    }
+    assert.deepEqual(served, { many: 10, few: 10 })
+  })
+
+  void it('has no next without requests', () => {
+    assert.equal(new BatchOrder().next([]), -1)
+  })
+})
--- /dev/null
+++ b/packages/policy/tests/admission/target-admission.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { PermitRefusal, WorkClass } from '@arbutusloft/protocol'
+import fc from 'fast-check'
+import { DecisionKind } from '../../src/admission/decision.js'
+import type { Decision } from '../../src/admission/decision.js'
+import { TargetAdmission } from '../../src/admission/target-admission.js'
+import type { AdmissionRequest } from '../../src/admission/target-admission.js'
+
+const seed = Number(process.env['FAST_CHECK_SEED'] ?? 20_261_203)
+const concurrency = 4
+const outcome = { timeToFirstToken: 10, timeBetweenTokens: 5 }
+
+function request (permit: string, workClass: WorkClass, more: Partial<AdmissionRequest> = {}): AdmissionRequest {
+  return { permit, holder: 'h', workClass, client: 'c', cost: { promptTokens: 1, completionTokens: 1 }, patience: 1_000, slack: 0, ...more }
+}
+
+function create (): TargetAdmission {
+  return new TargetAdmission('t', { concurrency, headroom: 1 })
+}
+
+function kinds (decisions: readonly Decision[]): readonly string[] {
+  return decisions.map(decision => `${decision.kind} ${decision.permit}`)
+}
+
+void describe('TargetAdmission', () => {
+  void it('grants online at once and takes batch back for it', () => {
+    const admission = create()
+    for (const permit of ['b1', 'b2', 'b3']) {
+      assert.deepEqual(kinds(admission.request(request(permit, WorkClass.Batch), 0)), [`grant ${permit}`])
+    }
+    assert.deepEqual(kinds(admission.request(request('o1', WorkClass.Online), 1)), ['grant o1'])
+    const second = kinds(admission.request(request('o2', WorkClass.Online), 2))
+    assert.equal(second[0], 'grant o2')
+    assert.equal(second.length, 2)
+    assert.match(second[1] ?? '', /^revoke b/)
+  })
+
+  void it('leaves headroom for the next online request', () => {
+    const admission = create()
+    const granted = ['b1', 'b2', 'b3', 'b4'].flatMap(permit => kinds(admission.request(request(permit, WorkClass.Batch), 0)))
+    assert.equal(granted.length, concurrency - 1)
+  })
+
+  void it('refuses an online request that cannot be in time, with the time to come back', () => {
+    const admission = create()
+    for (let index = 0; index < concurrency; index++) {
+      admission.request(request(`o${index}`, WorkClass.Online), 0)
+    }
+    const [decision] = admission.request(request('late', WorkClass.Online, { patience: 10 }), 0)
+    assert.ok(decision?.kind === DecisionKind.Refuse)
+    assert.equal(decision.reason, PermitRefusal.Busy)
+    assert.ok(decision.retryAfter > 0)
+  })
+
+  void it('grants a waiting online request before a waiting batch request', () => {
+    const admission = create()
+    for (let index = 0; index < concurrency; index++) {
+      admission.request(request(`o${index}`, WorkClass.Online), 0)
+    }
+    assert.deepEqual(admission.request(request('batch', WorkClass.Batch), 0), [])
+    assert.deepEqual(admission.request(request('online', WorkClass.Online, { patience: 10_000 }), 0), [])
+    assert.deepEqual(kinds(admission.release('o0', outcome, 5)), ['grant online'])
+  })
+
+  void it('refuses everything once the target leaves', () => {
+    const admission = create()
+    for (let index = 0; index < concurrency; index++) {
+      admission.request(request(`o${index}`, WorkClass.Online), 0)
+    }
+    admission.request(request('waiting', WorkClass.Batch), 0)
+    assert.deepEqual(kinds(admission.leave()), ['refuse waiting'])
+    assert.deepEqual(kinds(admission.request(request('new', WorkClass.Online), 1)), ['refuse new'])
+  })
+
+  void it('frees what a lost holder had', () => {
+    const admission = create()
+    admission.request(request('o0', WorkClass.Online, { holder: 'lost' }), 0)
+    admission.keepOnly('lost', new Set(), 1)
+    assert.equal(admission.granted, 0)
+  })
+
+  void it('never grants online beyond the target, nor batch beyond what online leaves', () => {
+    type Step = { readonly kind: 'request', readonly workClass: WorkClass } | { readonly kind: 'release', readonly index: number } | { readonly kind: 'tick' }
+    const step: fc.Arbitrary<Step> = fc.oneof(
+      fc.record({ kind: fc.constant('request' as const), workClass: fc.constantFrom(WorkClass.Online, WorkClass.Batch) }),
+      fc.record({ kind: fc.constant('release' as const), index: fc.nat() }),
+      fc.record({ kind: fc.constant('tick' as const) })
+    )
+    fc.assert(fc.property(fc.array(step, { maxLength: 80 }), steps => {
+      const admission = create()
+      const held = new Map<string, WorkClass>()
+      const revoked = new Set<string>()
+      const classes = new Map<string, WorkClass>()
+      const take = (decisions: readonly Decision[]): void => {
+        for (const { kind, permit } of decisions) {
+          if (kind === DecisionKind.Grant) {
+            assert.ok(!held.has(permit), 'granted twice')
+            held.set(permit, classes.get(permit) ?? WorkClass.Batch)
+          } else if (kind === DecisionKind.Revoke) {
+            assert.equal(held.get(permit), WorkClass.Batch)
+            revoked.add(permit)
+          }
+        }
+      }
+      steps.forEach((each, now) => {
+        if (each.kind === 'request') {
+          classes.set(`p${now}`, each.workClass)
+          take(admission.request(request(`p${now}`, each.workClass), now))
+        } else if (each.kind === 'release' && held.size > 0) {
+          const permit = [...held.keys()][each.index % held.size] ?? ''
+          held.delete(permit)
+          revoked.delete(permit)
+          take(admission.release(permit, outcome, now))
+        } else if (each.kind === 'tick') {
+          take(admission.tick(now))
+        }
+        const online = [...held.values()].filter(workClass => workClass === WorkClass.Online).length
+        const batch = [...held].filter(([permit, workClass]) => workClass === WorkClass.Batch && !revoked.has(permit)).length
+        assert.ok(online <= concurrency)
+        assert.ok(online + batch <= concurrency)
+      })
+    }), { seed })
+  })
+})
--- /dev/null
+++ b/packages/policy/tests/routing/route.test.ts
@@ -0,0 +1,50 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { prefixBlocks } from '../../src/routing/prefix-blocks.js'
+import { PrefixIndex } from '../../src/routing/prefix-index.js'
+import { route } from '../../src/routing/route.js'
+import type { RouteCandidate } from '../../src/routing/route.js'
+
+const longPrompt = 'A stylist greets the client. '.repeat(60)
+const blocks = prefixBlocks(longPrompt)
+
+function candidate (target: string, more: Partial<RouteCandidate> = {}): RouteCandidate {
+  return { target, zone: 'a', expectedWait: 0, occupied: 0, concurrency: 8, ...more }
+}
+
+function first (candidates: readonly RouteCandidate[], index = new PrefixIndex()): string | undefined {
+  return route({ blocks, zone: 'a', candidates }, index)[0]?.target
+}
+
+void describe('route', () => {
+  void it('prefers the target that has cached the prompt', () => {
+    const index = new PrefixIndex()
+    index.add('warm', blocks)
+    assert.equal(first([candidate('cold'), candidate('warm')], index), 'warm')
+  })
+
+  void it('leaves a cached target when waiting costs more than computing', () => {
+    const index = new PrefixIndex()
+    index.add('warm', blocks)
+    assert.equal(first([candidate('cold'), candidate('warm', { expectedWait: 5_000 })], index), 'cold')
+  })
+
+  void it('prefers the less occupied target, and the near one among equals', () => {
+    assert.equal(first([candidate('full', { occupied: 7 }), candidate('empty')]), 'empty')
+    assert.equal(first([candidate('far', { zone: 'b' }), candidate('near')]), 'near')
+  })
+
+  void it('forgets blocks that were evicted', () => {
+    const index = new PrefixIndex()
+    index.add('t', blocks)
+    index.remove('t', blocks.slice(1))
+    assert.equal(index.match('t', blocks), 1)
+  })
+
+  void it('keeps a bounded number of blocks for each target', () => {
+    const index = new PrefixIndex({ blocksPerTarget: 4 })
+    index.add('t', blocks)
+    assert.equal(index.match('t', blocks), 0)
+    assert.equal(index.match('t', blocks.slice(-4)), 4)
+  })
+})
