--- a/packages/batch/src/items/item-runner.ts
+++ b/packages/batch/src/items/item-runner.ts
@@ -84,9 +84,7 @@
         cost: { promptTokens, completionTokens: item.greatestTokens },
         patience: patienceMilliseconds,
         slack: conditions.slack,
-        signal: conditions.signal,
-        // A batch item is charged by its completion record.
-        chargeOf: () => null
+        signal: conditions.signal
       })
       if (conditions.signal.aborted) {
         void generation.discard(target => this.options.membership.find(target)?.address ?? null)
--- /dev/null
+++ b/packages/bench/src/measures/large-job.ts
@@ -0,0 +1,98 @@
+/** A job of 250,000 items accepted while online calls run. */
+import { MemberKind } from '@arbutusloft/platform'
+import { sample, startCluster } from '@arbutusloft/development'
+import type { Cluster } from '@arbutusloft/development'
+import { sendChat } from '../util/chat-request.js'
+import type { ChatTimes } from '../util/chat-request.js'
+import { describeDistribution, distributionOf } from '../util/distribution.js'
+import { arrivalTimes, runOpenLoop } from '../util/open-loop.js'
+import { processUsage } from '../util/process-usage.js'
+import type { Measure } from './measure.js'
+
+const items = 250_000
+const onlineMilliseconds = 15_000
+const onlineRate = 40
+const onlineTokens = 16
+const batchTokens = 16
+const engines = 4
+const seed = 7
+const bytesPerMebibyte = 1_048_576
+const endpoint = '/v1/chat/completions'
+
+/** `bench large-job` */
+export const largeJobMeasure: Measure = {
+  name: 'large-job',
+  description: `a job of ${items.toLocaleString('en')} items accepted and run beside online calls`,
+  run: async print => {
+    const cluster = await startCluster({ engines, entries: 2, schedulers: 2, batches: 1, concurrency: 16 })
+    try {
+      const alone = await onlineLoad(cluster)
+      print(`online alone:      time to first token ${describeDistribution(alone)}`)
+      const accepting = acceptJob(cluster)
+      const beside = await onlineLoad(cluster)
+      const accepted = await accepting
+      print(`online beside it:  time to first token ${describeDistribution(beside)}`)
+      print(`99th percentile beside the job: ${(beside.p99 / alone.p99).toFixed(2)} times that alone`)
+      print(`accepted after ${(accepted.milliseconds / 1_000).toFixed(1)} s; ${accepted.bytes} bytes of input`)
+      const memory = await memoryOf(cluster)
+      for (const [member, bytes] of Object.entries(memory)) {
+        print(`${member}: ${(bytes / bytesPerMebibyte).toFixed(0)} MiB resident`)
+      }
+      return { alone, beside, accepted, memory }
+    } finally {
+      await cluster.close()
+    }
+  }
+}
+
+async function onlineLoad (cluster: Cluster): Promise<ReturnType<typeof distributionOf>> {
+  const addresses = cluster.callerAddresses()
+  const times = arrivalTimes(seed, onlineMilliseconds, () => onlineRate)
+  const answers = await runOpenLoop(times, async (index, lateness): Promise<ChatTimes> => {
+    const chat = await sendChat({
+      address: addresses[index % addresses.length] ?? '',
+      key: sample.stylist.key,
+      content: `Which slot suits client ${index}?`,
+      greatestTokens: onlineTokens
+    })
+    return { ...chat, timeToFirstToken: chat.timeToFirstToken + lateness }
+  })
+  const broken = answers.filter(answer => !answer.whole).length
+  if (broken > 0) {
+    throw new Error(`${broken} online calls were not answered whole`)
+  }
+  return distributionOf(answers.map(answer => answer.timeToFirstToken))
+}
+
+async function acceptJob (cluster: Cluster): Promise<{ readonly milliseconds: number, readonly bytes: number }> {
+  const line = (index: number): string => JSON.stringify({
+    custom_id: `text-${index}`,
+    method: 'POST',
+    url: endpoint,
+    body: { model: sample.model, max_tokens: batchTokens, messages: [{ role: 'user', content: `dedication ${index}` }] }
+  })
+  const input = Array.from({ length: items }, (_, index) => line(index)).join('\n')
+  const startedAt = performance.now()
+  const headers = { authorization: `Bearer ${sample.bakery.key}` }
+  const address = cluster.callerAddresses()[0] ?? ''
+  const form = new FormData()
+  form.set('purpose', 'batch')
+  form.set('file', new Blob([input]), 'large.jsonl')
+  const file = await (await fetch(`http://${address}/v1/files`, { method: 'POST', headers, body: form })).json() as { readonly id?: string }
+  const response = await fetch(`http://${address}/v1/batches`, {
+    method: 'POST',
+    headers: { ...headers, 'content-type': 'application/json' },
+    body: JSON.stringify({ input_file_id: file.id, endpoint, completion_window: '24h' })
+  })
+  const batch = await response.json() as { readonly request_counts?: { readonly total: number } }
+  if (batch.request_counts?.total !== items) {
+    throw new Error(`the job was not accepted: ${JSON.stringify(batch)}`)
+  }
+  return { milliseconds: performance.now() - startedAt, bytes: input.length }
+}
+
+async function memoryOf (cluster: Cluster): Promise<Readonly<Record<string, number>>> {
+  const roles = [MemberKind.Entry, MemberKind.Scheduler, MemberKind.Batch].flatMap(kind => cluster.of(kind))
+  const usages = await Promise.all(roles.map(async role => [role.member, (await processUsage(role.pid)).residentBytes] as const))
+  return Object.fromEntries(usages)
+}
--- a/packages/daemon/src/dispatch/generation-runner.ts
+++ b/packages/daemon/src/dispatch/generation-runner.ts
@@ -2,7 +2,7 @@
 import { TargetErrorCode } from '@arbutusloft/platform'
 import type { GenerationUsage, TargetError } from '@arbutusloft/platform'
 import { backoffMilliseconds, PrefixIndex, RetryBudget, route } from '@arbutusloft/policy'
-import type { Cost, ReportedCharge } from '@arbutusloft/protocol'
+import type { Cost } from '@arbutusloft/protocol'
 import { WorkClass } from '@arbutusloft/protocol'
 import tsResults from 'ts-results'
 import type { Result } from 'ts-results'
@@ -42,8 +42,6 @@
   /** Milliseconds between a job's deadline and the end of its remaining work; 0 online. */
   readonly slack: number
   readonly signal: AbortSignal
-  /** Makes the charge that travels with the returned permit, or null for none. */
-  readonly chargeOf: (usage: GenerationUsage) => ReportedCharge | null
 }
 
 type TaskResult = Result<GenerationUsage, DispatchError>
@@ -163,8 +161,7 @@
     stop.release()
     done()
     const targetFailed = result.err && isTargetFailure(result.val)
-    const charge = result.ok ? task.chargeOf(result.val) : null
-    permit.finish({ ...generation.times, targetFailed, charge })
+    permit.finish({ ...generation.times, targetFailed })
     if (result.ok) {
       return Ok(result.val)
     }
--- a/packages/daemon/src/log/stream-follower.ts
+++ b/packages/daemon/src/log/stream-follower.ts
@@ -109,12 +109,29 @@
   }
 
   /**
-   * Waits until the fold has come to where the stream ends now; resolves with false if the
-   * log does not answer or the fold does not get there in time.
+   * Comes to where the stream ends now; resolves with false if the log does not answer or
+   * the time is over. It reads by itself, since the connection that follows may be silent.
    */
   async catchUp (timeoutMilliseconds: number): Promise<boolean> {
-    const head = await this.options.log.read(this.options.stream, { from: this.next, limit: 1, waitMilliseconds: 0 })
-    return head.ok && await this.waitFor(head.val.next - 1, timeoutMilliseconds)
+    const deadline = Date.now() + timeoutMilliseconds
+    for (;;) {
+      const page = await this.options.log.read(this.options.stream, {
+        from: this.next,
+        limit: entriesPerRead,
+        waitMilliseconds: 0,
+        signal: this.#abort.signal
+      })
+      if (page.err || page.val.first > this.next) {
+        return false
+      }
+      this.inject(page.val.entries)
+      if (this.next >= page.val.next) {
+        return true
+      }
+      if (Date.now() > deadline) {
+        return false
+      }
+    }
   }
 
   /** Takes entries that a peer passed on; those out of order are left to the log. */
--- a/packages/daemon/src/permits/permit-client.ts
+++ b/packages/daemon/src/permits/permit-client.ts
@@ -53,6 +53,8 @@
   readonly #waiting = new Map<string, Waiting>()
   readonly #held = new Map<string, Held>()
   readonly #allowance = new LocalAllowance()
+  /** Owners by target, until the instance list changes. */
+  readonly #owners = new Map<string, string | null>()
   readonly #loads = new Listeners<readonly TargetLoad[]>()
   readonly #stopListening: () => void
   #counter = 0
@@ -270,6 +272,7 @@
   }
 
   #moveToOwners (): void {
+    this.#owners.clear()
     const moved = [...this.#held.values()].filter(held => {
       return this.#ownerOf(held.described.target, held.targetZone) !== held.owner
     })
@@ -301,7 +304,14 @@
   }
 
   #ownerOf (target: string, zone: string | null): string | null {
-    const schedulers = this.options.membership.live(MemberKind.Scheduler)
-    return ownerOf(target, schedulers, zone ?? this.options.membership.find(target)?.zone ?? null)?.id ?? null
+    const known = this.#owners.get(target)
+    if (known !== undefined) {
+      return known
+    }
+    const { membership } = this.options
+    const schedulers = membership.live(MemberKind.Scheduler)
+    const owner = ownerOf(target, schedulers, zone ?? membership.find(target)?.zone ?? null)?.id ?? null
+    this.#owners.set(target, owner)
+    return owner
   }
 }
--- a/packages/daemon/src/permits/permit.ts
+++ b/packages/daemon/src/permits/permit.ts
@@ -1,5 +1,5 @@
 /** Permits as their holders see them. */
-import type { Cost, PermitRefusal, ReportedCharge, WorkClass } from '@arbutusloft/protocol'
+import type { Cost, PermitRefusal, WorkClass } from '@arbutusloft/protocol'
 
 /** A request for a permit. */
 export interface PermitWish {
@@ -23,15 +23,13 @@
   readonly timeToFirstToken: number | null
   readonly timeBetweenTokens: number | null
   readonly targetFailed: boolean
-  readonly charge: ReportedCharge | null
 }
 
 /** The outcome of a request that was never sent. */
 export const unusedPermit: PermitOutcome = {
   timeToFirstToken: null,
   timeBetweenTokens: null,
-  targetFailed: false,
-  charge: null
+  targetFailed: false
 }
 
 /** A permit to send one request to one target. */
--- a/packages/integration-tests/tests/harness/cluster.ts
+++ b/packages/development/src/cluster/cluster.ts
@@ -1,14 +1,9 @@
-/** Real processes of the system on loopback, beside stand-ins in the test's own process. */
-import { spawn } from 'node:child_process'
-import type { ChildProcess } from 'node:child_process'
+/** Real processes of the system on loopback, beside stand-ins in this process. For tests and measurements. */
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
 import { memberNameOf } from '@arbutusloft/daemon'
-import { publishLists, sample, samplePlans, sampleUsage, settingsText } from '@arbutusloft/development'
-import type { SampleTarget } from '@arbutusloft/development'
 import { MemberKind, MemberState } from '@arbutusloft/platform'
 import type { Member } from '@arbutusloft/platform'
 import {
@@ -16,7 +11,8 @@
   startFaultProxy,
   startInstanceListStandIn,
   startLogStandIn,
-  startPlainServiceStandIn
+  startPlainServiceStandIn,
+  SupervisedProcess
 } from '@arbutusloft/stand-ins'
 import type {
   EngineOptions,
@@ -25,8 +21,13 @@
   InstanceListStandIn,
   LogStandIn,
   LogStandInOptions,
-  PlainServiceStandIn
+  PlainServiceStandIn,
+  ReportedAddresses
 } from '@arbutusloft/stand-ins'
+import { publishLists } from '../publish-lists.js'
+import { sample, samplePlans, sampleUsage } from '../sample-lists.js'
+import type { SampleTarget } from '../sample-lists.js'
+import { settingsText } from '../settings-text.js'
 import { until } from './until.js'
 
 /** Options of {@link startCluster}. */
@@ -41,25 +42,6 @@
   readonly limits?: Readonly<Record<string, number>>
 }
 
-/** A process of the system. */
-export interface ClusterProcess {
-  readonly member: string
-  readonly kind: MemberKind
-  /** Addresses on which it listens now. */
-  readonly addresses: Readonly<Record<string, string | null>>
-  /** Proxy between the process and the log. */
-  readonly logLink: FaultProxy
-  /** Sends a signal. */
-  signal: (signal: NodeJS.Signals) => void
-  /** Kills it as a lost instance; the instance list drops it. */
-  kill: () => Promise<void>
-  /** Starts it again after {@link ClusterProcess.kill}, as a new incarnation. */
-  restart: () => Promise<void>
-  /** Marks it as leaving, sends SIGTERM and waits for its end; resolves with the exit code. */
-  leave: () => Promise<number | null>
-  readonly running: boolean
-}
-
 /** An engine behind a proxy. */
 export interface ClusterEngine {
   readonly name: string
@@ -210,17 +192,15 @@
   }
 }
 
-/** One child process in the place of a platform-started one. */
-export class RoleProcess implements ClusterProcess {
+/** One process of the system, started as the platform's supervisor would. */
+export class RoleProcess {
   readonly member: string
   readonly #instance: string
   readonly #zone: string
-  #child: ChildProcess | null = null
+  #process: SupervisedProcess | null = null
   #logLink: FaultProxy | null = null
-  #exited: Promise<number | null> = Promise.resolve(null)
-  addresses: Readonly<Record<string, string | null>> = {}
-  /** The last lines of its log. */
-  readonly lines: string[] = []
+  /** Addresses on which it listens now. */
+  addresses: ReportedAddresses = {}
 
   constructor (private readonly cluster: Cluster, readonly kind: MemberKind, index: number) {
     this.#instance = `i${index + 1}`
@@ -229,25 +209,35 @@
   }
 
   get running (): boolean {
-    return this.#child !== null && this.#child.exitCode === null && this.#child.signalCode === null
+    return this.#process?.running === true
+  }
+
+  get pid (): number {
+    return this.#process?.pid ?? 0
+  }
+
+  /** The last lines of its log. */
+  get lines (): readonly string[] {
+    return this.#process?.lines ?? []
   }
 
+  /** Proxy between the process and the log. */
   get logLink (): FaultProxy {
     return present(this.#logLink)
   }
 
+  /** Starts it, after {@link RoleProcess.kill} as a new incarnation. */
   async start (): Promise<void> {
     this.#logLink ??= await startFaultProxy({ target: this.cluster.log.address })
     const path = join(this.cluster.directory, `${this.member}.ini`)
     await writeFile(path, this.#settings())
-    const binary = join(packagesDirectory, this.kind, 'dist', 'src', 'bin', `arbutus-${this.kind}.js`)
-    const child = spawn(process.execPath, [binary, path], { stdio: ['ignore', 'ignore', 'pipe'] })
-    this.#child = child
-    this.#exited = new Promise(resolve => { child.once('exit', code => { resolve(code) }) })
-    this.addresses = await this.#untilStarted(child)
+    const program = join(packagesDirectory, this.kind, 'dist', 'src', 'bin', `arbutus-${this.kind}.js`)
+    this.#process = new SupervisedProcess(this.member, program, path)
+    this.addresses = await this.#process.started()
     this.#announce(MemberState.Live)
   }
 
+  /** Waits until it says that it is ready. */
   async ready (): Promise<void> {
     await until(`${this.member} is ready`, async () => {
       const response = await fetch(`http://${this.addresses['health'] ?? ''}/readyz`)
@@ -257,12 +247,13 @@
   }
 
   signal (signal: NodeJS.Signals): void {
-    this.#child?.kill(signal)
+    this.#process?.signal(signal)
   }
 
+  /** Kills it as a lost instance; the instance list drops it. */
   async kill (): Promise<void> {
     this.signal('SIGKILL')
-    await this.#exited
+    await this.#process?.exited
     this.cluster.instanceList.remove(this.member)
   }
 
@@ -271,19 +262,21 @@
     await this.ready()
   }
 
+  /** Marks it as leaving, sends SIGTERM and waits for its end; resolves with the exit code. */
   async leave (): Promise<number | null> {
     this.#announce(MemberState.Leaving)
     this.signal('SIGTERM')
-    const code = await this.#exited
+    const code = await present(this.#process).exited
     this.cluster.instanceList.remove(this.member)
     return code
   }
 
+  /** Ends it whatever state it is in. */
   async destroy (): Promise<void> {
     if (this.running) {
       this.signal('SIGCONT')
       this.signal('SIGKILL')
-      await this.#exited
+      await this.#process?.exited
     }
     await this.#logLink?.close()
   }
@@ -312,36 +305,6 @@
     const member: Member = { id: this.member, kind: this.kind, address, zone: this.#zone, state }
     this.cluster.instanceList.put(member)
   }
-
-  async #untilStarted (child: ChildProcess): Promise<Readonly<Record<string, string | null>>> {
-    const output = present(child.stderr)
-    return await new Promise((resolve, reject) => {
-      createInterface({ input: output }).on('line', line => {
-        this.lines.push(line)
-        if (this.lines.length > 2_000) {
-          this.lines.shift()
-        }
-        const entry = parseLine(line)
-        if (entry?.message === 'started') {
-          resolve(entry.addresses)
-        }
-      })
-      child.once('exit', () => { reject(new Error(`${this.member} did not start:\n${this.lines.join('\n')}`)) })
-    })
-  }
-}
-
-interface StartedLine {
-  readonly message: string
-  readonly addresses: Readonly<Record<string, string | null>>
-}
-
-function parseLine (line: string): StartedLine | null {
-  try {
-    return JSON.parse(line) as StartedLine
-  } catch {
-    return null
-  }
 }
 
 function zoneOf (index: number): string {
--- a/packages/development/src/index.ts
+++ b/packages/development/src/index.ts
@@ -1,4 +1,6 @@
-/** The whole system in one process, with stand-ins for the platform. For development, the demonstration and benchmarks. */
+/** The whole system on one machine, in one process or as a cluster of processes, with stand-ins for the platform. */
+export * from './cluster/cluster.js'
+export * from './cluster/until.js'
 export * from './embedded-system.js'
 export * from './publish-lists.js'
 export * from './sample-lists.js'
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -11,6 +11,7 @@
 import { EntryMetrics } from './entry-metrics.js'
 import { FilesHandler } from './files/files-handler.js'
 import { ApiError, ApiErrorType, notFound, RunState, sendError } from './http/api-error.js'
+import { GuardedLedger } from './ledger/guarded-ledger.js'
 import { ClientLimits } from './limits/client-limits.js'
 import { OnlineGeneration } from './online/online-generation.js'
 import { ListsHandler } from './operators/lists-handler.js'
@@ -83,7 +84,8 @@
     const ledgerWriter = node.write(StreamName.Ledger)
     this.#followers = { [StreamName.Jobs]: jobsFollower, [StreamName.Ledger]: ledgerFollower }
     const zone = settings.instance.zone
-    const shared = { settings, limits: this.#limits, ledger: ledgerWriter, membership: node.membership }
+    const guardedLedger = new GuardedLedger({ links, writer: ledgerWriter })
+    const shared = { settings, limits: this.#limits, ledger: guardedLedger, membership: node.membership }
     const stored = { settings, fold: jobs, follower: jobsFollower, jobs: jobsWriter, chunks: node.chunks }
     this.#callerRoutes = callerRoutes({
       generation: new OnlineGeneration({
@@ -97,7 +99,7 @@
         ...shared,
         configuration: () => node.configuration,
         runner: new ServiceRunner({ service: this.#service, directory, permits: this.#permits, zone, attempts: serviceAttempts }),
-        singleCalls: new SingleCalls({ fold: ledger, follower: ledgerFollower, ledger: ledgerWriter })
+        singleCalls: new SingleCalls({ fold: ledger, follower: ledgerFollower, writer: ledgerWriter, ledger: guardedLedger })
       }),
       addresses: { membership: node.membership, addressMilliseconds: settings.limits.addressMilliseconds }
     })
--- a/packages/entry/src/online/online-generation.ts
+++ b/packages/entry/src/online/online-generation.ts
@@ -1,14 +1,14 @@
 /** Handler of `/v1/chat/completions` and `/v1/completions`. */
 import type { Settings } from '@arbutusloft/configuration'
 import { Generation } from '@arbutusloft/daemon'
-import type { GenerationRunner, LogWriter, Membership } from '@arbutusloft/daemon'
+import type { GenerationRunner, Membership } from '@arbutusloft/daemon'
 import type { Engine, GenerationPath, GenerationUsage } from '@arbutusloft/platform'
 import { estimateTokens, prefixBlocks } from '@arbutusloft/policy'
 import { createIdentifier, RecordType, WorkClass } from '@arbutusloft/protocol'
-import type { ReportedCharge } from '@arbutusloft/protocol'
 import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
 import { abortOf } from '../http/abort-of.js'
 import { readJson } from '../http/read-body.js'
+import type { GuardedLedger } from '../ledger/guarded-ledger.js'
 import type { ClientLimits } from '../limits/client-limits.js'
 import { idempotencyKeyOf } from '../pipeline/exchange.js'
 import type { ClientExchange } from '../pipeline/exchange.js'
@@ -25,8 +25,7 @@
   readonly runner: GenerationRunner
   readonly limits: ClientLimits
   readonly membership: Membership
-  /** Writer of the ledger. */
-  readonly ledger: LogWriter
+  readonly ledger: GuardedLedger
 }
 
 const millisecondsPerSecond = 1_000
@@ -76,8 +75,7 @@
       cost: { promptTokens, completionTokens: body.greatestTokens },
       patience: this.options.settings.limits.patienceMilliseconds,
       slack: 0,
-      signal: abortOf(exchange.response),
-      chargeOf: usage => chargeOf(exchange, body.model, usage)
+      signal: abortOf(exchange.response)
     })
     if (result.err) {
       void generation.discard(target => this.options.membership.find(target)?.address ?? null)
@@ -89,9 +87,16 @@
     return result.val.promptTokens + result.val.completionTokens
   }
 
-  /** Keeps the charge until the log has it; the scheduler got it with the permit as well. */
+  /** Reports and appends the charge before the answer's end is sent, without waiting for the log. */
   #charge (exchange: ClientExchange, model: string, usage: GenerationUsage): void {
-    void this.options.ledger.append([{ type: RecordType.Charged, ...chargeOf(exchange, model, usage) }])
+    const { promptTokens, completionTokens } = usage
+    void this.options.ledger.append({
+      type: RecordType.Charged,
+      charge: idempotencyKeyOf(exchange) ?? exchange.id,
+      client: exchange.client.name,
+      subject: model,
+      usage: { requests: 1, promptTokens, completionTokens }
+    })
   }
 }
 
@@ -107,16 +112,6 @@
     : new WholeWriter(exchange.response, head)
 }
 
-function chargeOf (exchange: ClientExchange, model: string, usage: GenerationUsage): ReportedCharge {
-  const { promptTokens, completionTokens } = usage
-  return {
-    charge: idempotencyKeyOf(exchange) ?? exchange.id,
-    client: exchange.client.name,
-    subject: model,
-    usage: { requests: 1, promptTokens, completionTokens }
-  }
-}
-
 /** Refuses models that the client's plan does not name. */
 export function allowModel (exchange: ClientExchange, model: string): void {
   if (!exchange.plan.models.includes(model)) {
--- a/packages/entry/src/services/services-handler.ts
+++ b/packages/entry/src/services/services-handler.ts
@@ -1,12 +1,13 @@
 /** Handler of `/v1/services/{service}/…`. */
 import { createHash } from 'node:crypto'
 import type { Configuration, Service, Settings } from '@arbutusloft/configuration'
-import type { LogWriter, ServiceRunner } from '@arbutusloft/daemon'
+import type { ServiceRunner } from '@arbutusloft/daemon'
 import type { ServiceAnswer } from '@arbutusloft/platform'
 import { RecordType, WorkClass } from '@arbutusloft/protocol'
 import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
 import { abortOf } from '../http/abort-of.js'
 import { readBody } from '../http/read-body.js'
+import type { GuardedLedger } from '../ledger/guarded-ledger.js'
 import type { ClientLimits } from '../limits/client-limits.js'
 import { apiErrorOfDispatch } from '../online/dispatch-failure.js'
 import { idempotencyKeyOf } from '../pipeline/exchange.js'
@@ -20,8 +21,7 @@
   readonly runner: ServiceRunner
   readonly singleCalls: SingleCalls
   readonly limits: ClientLimits
-  /** Writer of the ledger. */
-  readonly ledger: LogWriter
+  readonly ledger: GuardedLedger
 }
 
 const callTokens = 1
@@ -59,13 +59,13 @@
       throw apiErrorOfDispatch(result.val)
     }
     if (isSuccess(result.val.status)) {
-      void this.options.ledger.append([{
+      void this.options.ledger.append({
         type: RecordType.Charged,
         charge: idempotencyKeyOf(exchange) ?? exchange.id,
         client: exchange.client.name,
         subject: service.name,
         usage: { requests: 1, promptTokens: 0, completionTokens: 0 }
-      }])
+      })
     }
     return result.val
   }
--- a/packages/entry/src/services/single-calls.ts
+++ b/packages/entry/src/services/single-calls.ts
@@ -5,6 +5,7 @@
 import { createIdentifier, RecordType } from '@arbutusloft/protocol'
 import type { CallIntended } from '@arbutusloft/protocol'
 import type { CallState, LedgerFold } from '@arbutusloft/state'
+import type { GuardedLedger } from '../ledger/guarded-ledger.js'
 import { ApiError, ApiErrorType, RunState } from '../http/api-error.js'
 
 /** Options of {@link SingleCalls}. */
@@ -12,7 +13,8 @@
   readonly fold: LedgerFold
   readonly follower: StreamFollower
   /** Writer of the ledger. */
-  readonly ledger: LogWriter
+  readonly writer: LogWriter
+  readonly ledger: GuardedLedger
 }
 
 /** A call by its key. */
@@ -83,7 +85,7 @@
   /** Resolves when the fold has come to the intent; otherwise nothing is sent, and the intent is withdrawn. */
   async #intend (call: SingleCall, attempt: string): Promise<void> {
     const record: CallIntended = { type: RecordType.CallIntended, ...call, attempt }
-    const appended = await this.options.ledger.append([record], intentMilliseconds)
+    const appended = await this.options.writer.append([record], intentMilliseconds)
     const shown = appended.ok && await this.options.follower.waitFor(appended.val, intentMilliseconds)
     if (shown) {
       return
@@ -109,14 +111,14 @@
     }
     const { client, service, idempotencyKey } = call
     const record = { type: RecordType.CallCompleted, client, service, idempotencyKey, attempt, ...result.answer } as const
-    // The answer carries the charge, so the log gets a chance to take it before the caller is told.
-    await this.options.ledger.append([record], completionMilliseconds)
+    // The record carries the charge, so the log gets a chance to take it before the caller is told.
+    await this.options.ledger.append(record, completionMilliseconds)
     return result.answer
   }
 
   #abandon (call: SingleCall, attempt: string): void {
     const { client, service, idempotencyKey } = call
-    void this.options.ledger.append([{ type: RecordType.CallAbandoned, client, service, idempotencyKey, attempt }])
+    void this.options.writer.append([{ type: RecordType.CallAbandoned, client, service, idempotencyKey, attempt }])
   }
 }
 
--- a/packages/integration-tests/tests/adapters.test.ts
+++ b/packages/integration-tests/tests/adapters.test.ts
@@ -21,7 +21,7 @@
   startPlainServiceStandIn,
   startWeightStoreStandIn
 } from '@arbutusloft/stand-ins'
-import { until } from './harness/until.js'
+import { until } from '@arbutusloft/development'
 
 const nowhere = '127.0.0.1:1'
 const body = { model: 'm', prompt: 'a prompt', max_tokens: 6 }
--- a/packages/integration-tests/tests/faults/answers.test.ts
+++ b/packages/integration-tests/tests/faults/answers.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { checkAnswers } from '../checkers/check-answers.js'
 import type { ClusterTest } from '../harness/with-cluster.js'
-import { pause, until } from '../harness/until.js'
+import { pause, until } from '@arbutusloft/development'
 import { testOnCluster } from '../harness/with-cluster.js'
 
 const calls = 24
--- a/packages/integration-tests/tests/faults/charges.test.ts
+++ b/packages/integration-tests/tests/faults/charges.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict'
-import { sample } from '@arbutusloft/development'
+import { sample, until } from '@arbutusloft/development'
 import { MemberKind } from '@arbutusloft/platform'
 import type { ChargedRequests } from '../checkers/check-charges.js'
 import { checkCharges } from '../checkers/check-charges.js'
 import { chatEndpoint, chatLines, itemNames } from '../harness/batch-input.js'
 import { readCharges } from '../harness/read-charges.js'
 import { readResults } from '../harness/read-results.js'
-import { until } from '../harness/until.js'
 import { testOnCluster } from '../harness/with-cluster.js'
 
 const client = sample.stylist.client
@@ -45,6 +44,19 @@
   await until('the scheduler has appended them', async () => requestsOf(await readCharges(cluster), sample.model) === calls)
 })
 
+testOnCluster('an entry and a scheduler lost together, before the log came back, lose no charge', { entries: 2, schedulers: 3 }, async ({ cluster, caller }) => {
+  const [entry] = cluster.of(MemberKind.Entry)
+  const [scheduler] = cluster.of(MemberKind.Scheduler)
+  cluster.log.setFaults({ outage: true })
+  for (let index = 0; index < calls; index++) {
+    await caller.chat(`slot ${index}`, 4, entry?.addresses['caller'] ?? '')
+  }
+  await entry?.kill()
+  await scheduler?.kill()
+  cluster.log.setFaults({ outage: false })
+  await until('the other schedulers have appended them', async () => requestsOf(await readCharges(cluster), sample.model) === calls)
+})
+
 testOnCluster('resends with one key are charged once', { entries: 2 }, async ({ cluster, caller }) => {
   const send = async (address: string): Promise<void> => {
     await caller.json(address, '/v1/chat/completions', {
--- a/packages/integration-tests/tests/faults/configuration.test.ts
+++ b/packages/integration-tests/tests/faults/configuration.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict'
-import { sample } from '@arbutusloft/development'
+import { sample, pause, until } from '@arbutusloft/development'
 import { MemberKind } from '@arbutusloft/platform'
 import { checkRevisions } from '../checkers/check-revisions.js'
 import type { SeenRevision } from '../checkers/check-revisions.js'
-import type { Cluster } from '../harness/cluster.js'
-import { pause, until } from '../harness/until.js'
+import type { Cluster } from '@arbutusloft/development'
 import { testOnCluster } from '../harness/with-cluster.js'
 
 const headers = { authorization: `Bearer ${sample.operator.key}` }
--- a/packages/integration-tests/tests/faults/log-outage.test.ts
+++ b/packages/integration-tests/tests/faults/log-outage.test.ts
@@ -3,7 +3,7 @@
 import { checkItems } from '../checkers/check-items.js'
 import { chatEndpoint, chatLines, itemNames } from '../harness/batch-input.js'
 import { readResults } from '../harness/read-results.js'
-import { pause, until } from '../harness/until.js'
+import { pause, until } from '@arbutusloft/development'
 import { testOnCluster } from '../harness/with-cluster.js'
 
 testOnCluster('through an outage of the log online goes on, batch results are kept, and accepts are refused truthfully', {
--- a/packages/integration-tests/tests/faults/single-calls.test.ts
+++ b/packages/integration-tests/tests/faults/single-calls.test.ts
@@ -2,7 +2,7 @@
 import { MemberKind } from '@arbutusloft/platform'
 import { ServiceMode } from '@arbutusloft/stand-ins'
 import { checkAtMostOnce, checkNotRun } from '../checkers/check-single-calls.js'
-import { until } from '../harness/until.js'
+import { until } from '@arbutusloft/development'
 import { testOnCluster } from '../harness/with-cluster.js'
 
 testOnCluster('a resend through another entry gets the first answer', { entries: 2 }, async ({ cluster, caller }) => {
--- a/packages/integration-tests/tests/faults/takeover.test.ts
+++ b/packages/integration-tests/tests/faults/takeover.test.ts
@@ -3,7 +3,7 @@
 import { checkItems } from '../checkers/check-items.js'
 import { chatEndpoint, chatLines, confirmEndpoint, confirmLines, itemNames } from '../harness/batch-input.js'
 import { readResults } from '../harness/read-results.js'
-import { until } from '../harness/until.js'
+import { until } from '@arbutusloft/development'
 import { testOnCluster } from '../harness/with-cluster.js'
 
 testOnCluster('an entry lost right after it accepted a job loses nothing', { entries: 2, schedulers: 2 }, async ({ cluster, caller }) => {
--- a/packages/integration-tests/tests/harness/read-charges.ts
+++ b/packages/integration-tests/tests/harness/read-charges.ts
@@ -1,7 +1,7 @@
 /** Reading of charges over the operators' API. */
 import { sample } from '@arbutusloft/development'
 import type { ChargedRequests } from '../checkers/check-charges.js'
-import type { Cluster } from './cluster.js'
+import type { Cluster } from '@arbutusloft/development'
 
 /** All charges as an entry shows them. */
 export async function readCharges (cluster: Cluster, entry = 0): Promise<readonly ChargedRequests[]> {
--- a/packages/integration-tests/tests/harness/with-cluster.ts
+++ b/packages/integration-tests/tests/harness/with-cluster.ts
@@ -1,9 +1,8 @@
 /** Tests that run on a cluster of their own. */
 import { test } from 'node:test'
-import { sample } from '@arbutusloft/development'
+import { sample, startCluster } from '@arbutusloft/development'
 import { Caller } from './caller.js'
-import { startCluster } from './cluster.js'
-import type { Cluster, ClusterOptions } from './cluster.js'
+import type { Cluster, ClusterOptions } from '@arbutusloft/development'
 import { History } from './history.js'
 
 /** What a test gets. */
--- a/packages/integration-tests/tests/openai-client.test.ts
+++ b/packages/integration-tests/tests/openai-client.test.ts
@@ -1,11 +1,10 @@
 import assert from 'node:assert/strict'
 import { after, before, describe, it } from 'node:test'
-import { sample, startEmbeddedSystem } from '@arbutusloft/development'
+import { sample, startEmbeddedSystem, until } from '@arbutusloft/development'
 import type { EmbeddedSystem } from '@arbutusloft/development'
 import OpenAI, { toFile } from 'openai'
 import { expectedAnswer } from './checkers/check-answers.js'
 import { chatEndpoint, chatLines, itemNames } from './harness/batch-input.js'
-import { until } from './harness/until.js'
 
 void describe('the public openai client', () => {
   let system: EmbeddedSystem
--- a/packages/policy/src/ownership/owner-of.ts
+++ b/packages/policy/src/ownership/owner-of.ts
@@ -16,16 +16,17 @@
   candidates: readonly T[],
   zone: string | null
 ): T | null {
+  return ownersOf(key, inZone(candidates, zone), 1)[0] ?? null
+}
+
+/** The candidates that stand for the key, best first; fewer if there are not so many. */
+export function ownersOf<T extends Pick<OwnerCandidate, 'id'>> (key: string, candidates: readonly T[], count: number): readonly T[] {
+  const scored = candidates.map(candidate => ({ candidate, score: hash32(`${candidate.id}\n${key}`) }))
+  scored.sort((left, right) => right.score - left.score || (left.candidate.id < right.candidate.id ? -1 : 1))
+  return scored.slice(0, count).map(({ candidate }) => candidate)
+}
+
+function inZone<T extends OwnerCandidate> (candidates: readonly T[], zone: string | null): readonly T[] {
   const nearby = zone === null ? [] : candidates.filter(candidate => candidate.zone === zone)
-  const eligible = nearby.length > 0 ? nearby : candidates
-  let best: T | null = null
-  let bestScore = -1
-  for (const candidate of eligible) {
-    const score = hash32(`${candidate.id}\n${key}`)
-    if (score > bestScore || (score === bestScore && best !== null && candidate.id < best.id)) {
-      best = candidate
-      bestScore = score
-    }
-  }
-  return best
+  return nearby.length > 0 ? nearby : candidates
 }
--- a/packages/protocol/src/messages/index.ts
+++ b/packages/protocol/src/messages/index.ts
@@ -2,6 +2,7 @@
 export * from './message-type.js'
 export * from './link-message.js'
 export * from './permit-messages.js'
+export * from './ledger-messages.js'
 export * from './limit-messages.js'
 export * from './configuration-messages.js'
 export * from './handshake-messages.js'
--- a/packages/protocol/src/messages/link-message.ts
+++ b/packages/protocol/src/messages/link-message.ts
@@ -11,6 +11,7 @@
   ConfigurationSnapshot
 } from './configuration-messages.js'
 import type { Challenge, Proof, Welcome } from './handshake-messages.js'
+import type { LedgerReport } from './ledger-messages.js'
 import type { LimitDemand, LimitShare } from './limit-messages.js'
 import { MessageType } from './message-type.js'
 import type {
@@ -40,6 +41,7 @@
   | PermitReturn
   | PermitWithdraw
   | PermitRegister
+  | LedgerReport
   | LoadReport
   | LimitDemand
   | LimitShare
--- a/packages/protocol/src/messages/message-type.ts
+++ b/packages/protocol/src/messages/message-type.ts
@@ -11,6 +11,7 @@
   PermitReturn: 'permit-return',
   PermitWithdraw: 'permit-withdraw',
   PermitRegister: 'permit-register',
+  LedgerReport: 'ledger-report',
   LoadReport: 'load-report',
   LimitDemand: 'limit-demand',
   LimitShare: 'limit-share',
--- a/packages/protocol/src/messages/permit-messages.ts
+++ b/packages/protocol/src/messages/permit-messages.ts
@@ -1,5 +1,4 @@
 /** Messages about permits to send a request to a target. */
-import type { Usage } from '../usage.js'
 import type { WorkClass } from '../work-class.js'
 import type { MessageType } from './message-type.js'
 
@@ -61,14 +60,6 @@
   readonly permit: string
 }
 
-/** A charge that travels with a returned permit, so that the entry's loss does not lose it. */
-export interface ReportedCharge {
-  readonly charge: string
-  readonly client: string
-  readonly subject: string
-  readonly usage: Usage
-}
-
 /** The holder is done with a permit. */
 export interface PermitReturn {
   readonly type: typeof MessageType.PermitReturn
@@ -80,7 +71,6 @@
   readonly timeBetweenTokens: number | null
   /** Whether the target failed the request. */
   readonly targetFailed: boolean
-  readonly charge: ReportedCharge | null
 }
 
 /** The holder no longer waits for a permit it asked for. */
--- a/packages/scheduler/src/scheduler-metrics.ts
+++ b/packages/scheduler/src/scheduler-metrics.ts
@@ -30,10 +30,10 @@
       }
     }
   })
-  const charges = new Gauge({
-    name: 'arbutus_charges_guarded',
-    help: 'Reported charges that the ledger does not show yet',
+  const records = new Gauge({
+    name: 'arbutus_ledger_records_guarded',
+    help: 'Reported records that the ledger does not show yet',
     registers: [registry],
-    collect: () => { charges.set(guarded()) }
+    collect: () => { records.set(guarded()) }
   })
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -8,7 +8,7 @@
 import { Node, sleep, startHealthServer, startLinkServer } from '@arbutusloft/daemon'
 import type { HttpServer, Link, LinkServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
 import type { Settings } from '@arbutusloft/configuration'
-import { ChargeGuard } from './charge-guard.js'
+import { LedgerGuard } from './ledger-guard.js'
 import { ForeignLoad } from './foreign-load.js'
 import { addSchedulerMetrics } from './scheduler-metrics.js'
 import { TargetDesk } from './target-desk.js'
@@ -43,7 +43,7 @@
   readonly #desk: TargetDesk
   readonly #split = new AllowanceSplit()
   readonly #engine: Engine = createHttpEngine()
-  readonly #guard: ChargeGuard
+  readonly #guard: LedgerGuard
   readonly #foreign: ForeignLoad
   readonly #timers: NodeJS.Timeout[] = []
   #server: LinkServer | null = null
@@ -58,10 +58,10 @@
       target: name => this.#node.configuration.targets.get(name) ?? null,
       isLive: name => this.#node.membership.find(name)?.state === MemberState.Live
     }, holder => this.#linkOf(holder))
-    this.#guard = new ChargeGuard({
+    this.#guard = new LedgerGuard({
+      fold: this.#ledger,
       follower: ledgerFollower,
       writer: this.#node.write(StreamName.Ledger),
-      isCharged: (client, charge) => this.#ledger.isCharged(client, charge),
       isLinked: entry => this.#linkOf(entry) !== null
     })
     this.#foreign = new ForeignLoad({
@@ -158,9 +158,9 @@
         break
       case MessageType.PermitReturn:
         this.#desk.release(message)
-        if (message.charge !== null) {
-          this.#guard.add(link.peer, message.charge)
-        }
+        break
+      case MessageType.LedgerReport:
+        this.#guard.add(link.peer, message.records)
         break
       case MessageType.PermitWithdraw:
         this.#desk.withdraw(message)
--- /dev/null
+++ b/packages/stand-ins/src/supervisor/supervised-process.ts
@@ -0,0 +1,76 @@
+/** Stand-in for the platform's supervisor, which starts the system's processes and sends them signals. */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { createInterface } from 'node:readline'
+
+/** Addresses that a process reports when it has started, by their names in its settings. */
+export type ReportedAddresses = Readonly<Record<string, string | null>>
+
+const linesKept = 2_000
+
+/** One process, from its start to its end. */
+export class SupervisedProcess {
+  readonly #child: ChildProcess
+  readonly #exited: Promise<number | null>
+  /** The last lines of its log. */
+  readonly lines: string[] = []
+
+  /** Starts a program of this Node.js with one argument. */
+  constructor (private readonly name: string, program: string, argument: string) {
+    this.#child = spawn(process.execPath, [program, argument], { stdio: ['ignore', 'ignore', 'pipe'] })
+    this.#exited = new Promise(resolve => { this.#child.once('exit', code => { resolve(code) }) })
+  }
+
+  /** Identifier of the process, or 0 if it did not start. */
+  get pid (): number {
+    return this.#child.pid ?? 0
+  }
+
+  get running (): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null
+  }
+
+  /** Resolves with the exit code, or null after a signal. */
+  get exited (): Promise<number | null> {
+    return this.#exited
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
+  /** Resolves with its addresses when its log says that it has started. */
+  async started (): Promise<ReportedAddresses> {
+    const { stderr } = this.#child
+    return await new Promise((resolve, reject) => {
+      if (stderr !== null) {
+        createInterface({ input: stderr }).on('line', line => { this.#onLine(line, resolve) })
+      }
+      this.#child.once('exit', () => { reject(new Error(`${this.name} did not start:\n${this.lines.join('\n')}`)) })
+    })
+  }
+
+  #onLine (line: string, onStarted: (addresses: ReportedAddresses) => void): void {
+    this.lines.push(line)
+    if (this.lines.length > linesKept) {
+      this.lines.shift()
+    }
+    const entry = parseLine(line)
+    if (entry?.message === 'started') {
+      onStarted(entry.addresses)
+    }
+  }
+}
+
+interface StartedLine {
+  readonly message: string
+  readonly addresses: ReportedAddresses
+}
+
+function parseLine (line: string): StartedLine | null {
+  try {
+    return JSON.parse(line) as StartedLine
+  } catch {
+    return null
+  }
+}
