Compare policies in one run, and learn the batch limit from online latency

Cause: batch work beside online on engines whose steps grow steeply kept gaps at a median of 59 ms and a 95th percentile of 101 ms against a bound of 62: the limit rose by one every 250 ms without evidence and fell by 30% on reports that lag by a request's length.

Change: the limit falls in proportion to the excess, hears only requests that began under it, grows only on evidence of comfort, and is kept while there are no online requests; then batch has the whole target. Plans' batch-weight now counts.

--- a/packages/batch/src/batch.ts
+++ b/packages/batch/src/batch.ts
@@ -1,6 +1,7 @@
 /** A batch process. */
 import { GenerationRunner, Node, PermitClient, ServiceRunner, settleWithin, sleep, startHealthServer, TargetDirectory } from '@arbutusloft/daemon'
 import type { HttpServer, Logger, LogWriter, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
+import { batchWeightOf } from '@arbutusloft/configuration'
 import type { Settings } from '@arbutusloft/configuration'
 import { createHttpEngine, createHttpPlainService, isGenerationPath, MemberKind } from '@arbutusloft/platform'
 import { StreamName } from '@arbutusloft/protocol'
@@ -74,7 +75,10 @@
       attempts: itemAttempts
     })
     this.#claims = new JobClaims({ identity, fold: this.#fold, follower: this.#follower, membership, jobs: this.#jobs, ownerMilliseconds })
-    this.#pump = new JobPump({ concurrency: batchConcurrency })
+    this.#pump = new JobPump({
+      concurrency: batchConcurrency,
+      batchWeight: client => batchWeightOf(node.configuration, client)
+    })
     this.#carrier = new ChunkCarrier({
       fold: this.#fold,
       chunks: node.chunks,
--- a/packages/batch/src/job-pump.ts
+++ b/packages/batch/src/job-pump.ts
@@ -7,6 +7,8 @@
 export interface JobPumpOptions {
   /** Items in flight at once. */
   readonly concurrency: number
+  /** A client's share of batch slots relative to others. */
+  readonly batchWeight: (client: string) => number
 }
 
 const itemCost = { promptTokens: 1, completionTokens: 1 } as const
@@ -58,7 +60,8 @@
     const requests = open.map(execution => ({
       client: execution.job.created.client,
       slack: execution.slack,
-      cost: itemCost
+      cost: itemCost,
+      weight: this.options.batchWeight(execution.job.created.client)
     }))
     const index = this.#order.next(requests)
     const execution = open[index]
--- /dev/null
+++ b/packages/bench/src/measures/control-slopes.ts
@@ -0,0 +1,134 @@
+/** Processor time, memory and control bytes of each role over four numbers of instances. */
+import { pause, sample, startCluster } from '@arbutusloft/development'
+import type { Cluster, RoleProcess } from '@arbutusloft/development'
+import { MemberKind } from '@arbutusloft/platform'
+import { sendChat } from '../util/chat-request.js'
+import { arrivalTimes, runOpenLoop } from '../util/open-loop.js'
+import { processUsage } from '../util/process-usage.js'
+import { describeSlope, slopeOf } from '../util/slope.js'
+import type { Point } from '../util/slope.js'
+import type { Measure } from './measure.js'
+
+const instanceCounts = [2, 4, 6, 8] as const
+const idleMilliseconds = 6_000
+const loadMilliseconds = 6_000
+const requestsPerSecond = 60
+const tokens = 8
+const seed = 11
+const percent = 100
+const bytesPerMebibyte = 1_048_576
+const millisecondsPerSecond = 1_000
+
+interface RoleFigures {
+  /** Percent of a core. */
+  readonly processor: number
+  readonly residentBytes: number
+  /** Bytes a second over links, both directions. */
+  readonly linkBytes: number
+  /** Messages a second over links, both directions. */
+  readonly linkMessages: number
+}
+
+type Figures = ReadonlyMap<MemberKind, RoleFigures>
+
+const roles = [MemberKind.Entry, MemberKind.Scheduler, MemberKind.Batch] as const
+
+/** `bench control-slopes` */
+export const controlSlopesMeasure: Measure = {
+  name: 'control-slopes',
+  description: 'processor, memory and link bytes of each role, idle and under load, over four numbers of instances',
+  run: async print => {
+    const idle: Array<{ readonly size: number, readonly figures: Figures }> = []
+    const loaded: typeof idle = []
+    for (const size of instanceCounts) {
+      const cluster = await startCluster({
+        entries: size,
+        schedulers: size,
+        batches: size,
+        engines: size,
+        concurrency: 16,
+        limits: { 'instance-list-milliseconds': 500, 'address-milliseconds': 10_000, 'owner-milliseconds': 8_000 }
+      })
+      try {
+        await pause(2_000)
+        idle.push({ size, figures: await during(cluster, async () => { await pause(idleMilliseconds) }) })
+        loaded.push({ size, figures: await during(cluster, async () => { await load(cluster) }) })
+      } finally {
+        await cluster.close()
+      }
+    }
+    report(print, 'idle', idle)
+    report(print, `at ${requestsPerSecond} requests a second in all`, loaded)
+    return { idle: idle.map(plain), loaded: loaded.map(plain) }
+  }
+}
+
+async function load (cluster: Cluster): Promise<void> {
+  const addresses = cluster.callerAddresses()
+  const times = arrivalTimes(seed, loadMilliseconds, () => requestsPerSecond)
+  await runOpenLoop(times, async index => {
+    const address = addresses[index % addresses.length] ?? ''
+    await sendChat({ address, key: sample.stylist.key, content: `slot ${index}`, greatestTokens: tokens })
+  })
+}
+
+async function during (cluster: Cluster, action: () => Promise<void>): Promise<Figures> {
+  const before = await Promise.all(cluster.processes.map(snapshot))
+  const startedAt = Date.now()
+  await action()
+  const seconds = (Date.now() - startedAt) / millisecondsPerSecond
+  const after = await Promise.all(cluster.processes.map(snapshot))
+  const figures = new Map<MemberKind, RoleFigures>()
+  for (const kind of roles) {
+    const indexes = cluster.processes.flatMap((candidate, index) => candidate.kind === kind ? [index] : [])
+    const mean = (pick: (index: number) => number): number => indexes.reduce((sum, index) => sum + pick(index), 0) / indexes.length
+    const rate = (pick: (taken: Snapshot) => number): number => mean(index => {
+      const [first, last] = [before[index], after[index]]
+      return first === undefined || last === undefined ? 0 : (pick(last) - pick(first)) / seconds
+    })
+    figures.set(kind, {
+      processor: rate(taken => taken.processorMilliseconds) / millisecondsPerSecond * percent,
+      residentBytes: mean(index => after[index]?.residentBytes ?? 0),
+      linkBytes: rate(taken => taken.linkBytes),
+      linkMessages: rate(taken => taken.linkMessages)
+    })
+  }
+  return figures
+}
+
+interface Snapshot {
+  readonly processorMilliseconds: number
+  readonly residentBytes: number
+  readonly linkBytes: number
+  readonly linkMessages: number
+}
+
+async function snapshot (role: RoleProcess): Promise<Snapshot> {
+  const metrics = await (await fetch(`http://${role.addresses['health'] ?? ''}/metrics`)).text()
+  const sum = (name: string): number => {
+    const lines = metrics.split('\n').filter(line => line.startsWith(`${name}{`))
+    return lines.reduce((total, line) => total + Number(line.split(' ').at(-1)), 0)
+  }
+  return {
+    ...await processUsage(role.pid),
+    linkBytes: sum('arbutus_link_bytes_total'),
+    linkMessages: sum('arbutus_link_messages_total')
+  }
+}
+
+function report (print: (line: string) => void, state: string, runs: ReadonlyArray<{ readonly size: number, readonly figures: Figures }>): void {
+  for (const kind of roles) {
+    const points = (pick: (figures: RoleFigures) => number): readonly Point[] => runs.map(({ size, figures }) => {
+      const role = figures.get(kind)
+      return { size, value: role === undefined ? 0 : pick(role) }
+    })
+    print(describeSlope(`${kind} ${state}, percent of a core by instances`, '%', slopeOf(points(figures => figures.processor))))
+    print(describeSlope(`${kind} ${state}, MiB resident by instances`, 'MiB', slopeOf(points(figures => figures.residentBytes / bytesPerMebibyte))))
+    print(describeSlope(`${kind} ${state}, link bytes a second by instances`, 'B/s', slopeOf(points(figures => figures.linkBytes))))
+    print(describeSlope(`${kind} ${state}, link messages a second by instances`, '/s', slopeOf(points(figures => figures.linkMessages))))
+  }
+}
+
+function plain (run: { readonly size: number, readonly figures: Figures }): object {
+  return { size: run.size, ...Object.fromEntries(run.figures) }
+}
--- a/packages/bench/src/measures/index.ts
+++ b/packages/bench/src/measures/index.ts
@@ -1,10 +1,16 @@
 /** Registry of measurements. */
+import { controlSlopesMeasure } from './control-slopes.js'
 import { largeJobMeasure } from './large-job.js'
 import type { Measure } from './measure.js'
 import { overheadMeasure } from './overhead.js'
+import { scenarioMeasures } from './scenario-measure.js'
+import { stateSlopesMeasure } from './state-slopes.js'
 
 /** Every measurement that the bench can run. */
 export const measures: readonly Measure[] = [
   overheadMeasure,
-  largeJobMeasure
+  largeJobMeasure,
+  stateSlopesMeasure,
+  controlSlopesMeasure,
+  ...scenarioMeasures
 ]
--- a/packages/bench/src/measures/overhead.ts
+++ b/packages/bench/src/measures/overhead.ts
@@ -52,7 +52,8 @@
 }
 
 async function pairedCalls (cluster: Cluster, count: number): Promise<ReadonlyArray<{ readonly direct: number, readonly through: number }>> {
-  const engine = cluster.engines[0]?.engine.address ?? ''
+  // Both sides reach the engine through the cluster's proxy, so that they differ by the entry only.
+  const engine = cluster.engines[0]?.proxy.address ?? ''
   const entry = cluster.callerAddresses()[0] ?? ''
   const calls: Array<{ readonly direct: number, readonly through: number }> = []
   for (let index = 0; index < count; index++) {
--- /dev/null
+++ b/packages/bench/src/measures/state-slopes.ts
@@ -0,0 +1,199 @@
+/** Memory and time of folds and decisions over four sizes. */
+import { ConfigurationFold } from '@arbutusloft/configuration'
+import { ownerOf, TargetAdmission } from '@arbutusloft/policy'
+import { encode, FilePurpose, ListName, RecordType, WorkClass } from '@arbutusloft/protocol'
+import type { LogRecord, SectionEdit } from '@arbutusloft/protocol'
+import { FoldedStream, JobsFold, LedgerFold } from '@arbutusloft/state'
+import type { Fold } from '@arbutusloft/state'
+import { bytesOf } from '../util/heap.js'
+import { describeSlope, slopeOf } from '../util/slope.js'
+import type { Point, Slope } from '../util/slope.js'
+import type { Measure } from './measure.js'
+
+const itemsPerJob = 8_800
+const resultsPerRecord = 400
+const millisecondsPerSecond = 1_000
+const microsecondsPerMillisecond = 1_000
+const rounds = 20_000
+const greatestEditTargets = 1_200
+const clientsPerTarget = 360 / 1_200
+
+/** `bench state-slopes` */
+export const stateSlopesMeasure: Measure = {
+  name: 'state-slopes',
+  description: 'memory and time of folds and decisions over four sizes, for docs/CAPACITY.md',
+  run: async print => {
+    const report: Record<string, Slope> = {}
+    const add = (name: string, unit: string, points: readonly Point[]): void => {
+      const slope = slopeOf(points)
+      report[name] = slope
+      print(describeSlope(name, unit, slope))
+    }
+    add('memory of an ended job of 8,800 items', 'bytes', [50, 100, 200, 400].map(jobsMemory))
+    add('time to fold the records of such a job', 'ms', [50, 100, 200, 400].map(jobsTime))
+    add('snapshot of such a job', 'bytes', [50, 100, 200, 400].map(jobsSnapshot))
+    add('memory of a remembered charge', 'bytes', [10_000, 20_000, 40_000, 80_000].map(chargesMemory))
+    add('time to fold a charge', 'ms', [10_000, 20_000, 40_000, 80_000].map(chargesTime))
+    add('memory of a target with its part of clients in the configuration', 'bytes', [150, 300, 600, 1_200].map(configurationMemory))
+    add('time of one edit, by targets', 'ms', [150, 300, 600, 1_200].map(editTime))
+    add('time to find an owner, by candidates', 'us', [50, 100, 200, 400].map(ownerTime))
+    add('time of a permit from request to return, by concurrency', 'us', [8, 16, 32, 64].map(permitTime))
+    add('bytes of a load report, by targets', 'bytes', [3, 6, 12, 24].map(loadReportBytes))
+    return report
+  }
+}
+
+function fold<T extends Fold> (state: T, records: Iterable<LogRecord>): T {
+  let position = 0
+  for (const record of records) {
+    state.apply(record, { position, time: position, writer: 'writer' })
+    position += 1
+  }
+  return state
+}
+
+function * jobRecords (count: number): Iterable<LogRecord> {
+  for (let index = 0; index < count; index++) {
+    const file = `file_${String(index).padStart(24, '0')}`
+    const job = `batch_${String(index).padStart(24, '0')}`
+    const base = { client: 'client', createdAt: 0 } as const
+    const chunks = Array.from({ length: Math.ceil(itemsPerJob / 4_096) }, (_, chunk) => ({ offset: index + chunk, lines: 4_096 }))
+    chunks[chunks.length - 1] = { offset: index, lines: itemsPerJob % 4_096 }
+    yield { type: RecordType.FileCreated, file, name: 'input.jsonl', purpose: FilePurpose.Batch, bytes: 1, chunks, ...base }
+    yield { type: RecordType.JobCreated, job, idempotencyKey: `key-${index}`, inputFile: file, endpoint: '/v1/chat/completions', deadline: 1, completionWindow: '24h', metadata: {}, ...base }
+    yield { type: RecordType.JobClaimed, job, owner: 'owner' }
+    yield * completions(job, index * 3 + 2)
+  }
+}
+
+function * completions (job: string, claim: number): Iterable<LogRecord> {
+  for (let first = 0; first < itemsPerJob; first += resultsPerRecord) {
+    const items = Array.from({ length: resultsPerRecord }, (_, index) => first + index)
+    const tokens = items.map(() => 100)
+    yield { type: RecordType.ItemsCompleted, job, epoch: claim, chunk: first, subject: 'model', failed: false, items, promptTokens: tokens, completionTokens: tokens }
+  }
+}
+
+/** Folds jobs, with each claim's own position as the epoch of its completions. */
+function foldJobs (count: number): JobsFold {
+  const state = new JobsFold()
+  let position = 0
+  let claim = 0
+  for (const record of jobRecords(count)) {
+    claim = record.type === RecordType.JobClaimed ? position : claim
+    const applied = record.type === RecordType.ItemsCompleted ? { ...record, epoch: claim } : record
+    state.apply(applied, { position, time: position, writer: 'writer' })
+    position += 1
+  }
+  return state
+}
+
+function jobsMemory (size: number): Point {
+  return { size, value: bytesOf(() => foldJobs(size)).bytes }
+}
+
+function jobsTime (size: number): Point {
+  return { size, value: timeOf(() => { foldJobs(size) }) }
+}
+
+function jobsSnapshot (size: number): Point {
+  return { size, value: new FoldedStream(foldJobs(size)).serialize().byteLength }
+}
+
+function * chargeRecords (count: number): Iterable<LogRecord> {
+  const usage = { requests: 1, promptTokens: 100, completionTokens: 100 }
+  for (let index = 0; index < count; index++) {
+    yield { type: RecordType.Charged, charge: `request_${String(index).padStart(24, '0')}`, client: 'client', subject: 'model', usage }
+  }
+}
+
+function chargesMemory (size: number): Point {
+  return { size, value: bytesOf(() => fold(new LedgerFold(), chargeRecords(size))).bytes }
+}
+
+function chargesTime (size: number): Point {
+  return { size, value: timeOf(() => { fold(new LedgerFold(), chargeRecords(size)) }) }
+}
+
+function configurationOf (targets: number): ConfigurationFold {
+  const usage: SectionEdit[] = [
+    { section: 'plan standard', base: 0, body: 'requests-per-minute = 1000\ntokens-per-minute = 100000\nconcurrency = 10\nmodels = model' },
+    { section: 'model model', base: 0, body: 'context-tokens = 8192' },
+    ...Array.from({ length: targets }, (_, index) => ({ section: `target target-${index}`, base: 0, body: 'model = model\nconcurrency = 16\nchecks-fencing = true' }))
+  ]
+  const plans = Array.from({ length: Math.round(targets * clientsPerTarget) }, (_, index) => {
+    return { section: `client client-${index}`, base: 0, body: `plan = standard\nkey-hashes = sha256:${'0'.repeat(64)}` }
+  })
+  const edit = (list: ListName, sections: readonly SectionEdit[]): LogRecord => {
+    return { type: RecordType.ConfigurationEdited, edit: list, list, operator: 'operator', sections }
+  }
+  return fold(new ConfigurationFold(), [edit(ListName.Usage, usage), edit(ListName.Plans, plans)])
+}
+
+function configurationMemory (size: number): Point {
+  return { size, value: bytesOf(() => configurationOf(size)).bytes }
+}
+
+function editTime (size: number): Point {
+  const state = configurationOf(size)
+  const edits = Math.ceil(20 * greatestEditTargets / size)
+  let revision = state.sections(ListName.Usage).find(section => section.name === 'model model')?.revision ?? 0
+  const milliseconds = timeOf(() => {
+    for (let index = 0; index < edits; index++) {
+      const position = 10 + index
+      state.apply({
+        type: RecordType.ConfigurationEdited,
+        edit: `edit-${index}`,
+        list: ListName.Usage,
+        operator: 'operator',
+        sections: [{ section: 'model model', base: revision, body: `context-tokens = ${index + 1}` }]
+      }, { position, time: position, writer: 'writer' })
+      revision = position + 1
+    }
+  })
+  return { size, value: milliseconds / edits }
+}
+
+function ownerTime (size: number): Point {
+  const candidates = Array.from({ length: size }, (_, index) => ({ id: `i${index}.scheduler`, zone: 'a' }))
+  const count = rounds / 10
+  const milliseconds = timeOf(() => {
+    for (let index = 0; index < count; index++) {
+      ownerOf(`target-${index}`, candidates, 'a')
+    }
+  })
+  return { size, value: milliseconds / count * microsecondsPerMillisecond }
+}
+
+function permitTime (size: number): Point {
+  const admission = new TargetAdmission('target', { concurrency: size, headroom: 1 })
+  const request = { holder: 'holder', client: 'client', cost: { promptTokens: 1, completionTokens: 1 }, patience: 1_000, slack: 0, weight: 1 }
+  // Half of the target is busy with batch work while online requests come and go.
+  for (let index = 0; index < size / 2; index++) {
+    admission.request({ ...request, permit: `batch-${index}`, workClass: WorkClass.Batch }, 0)
+  }
+  const milliseconds = timeOf(() => {
+    for (let index = 0; index < rounds; index++) {
+      const permit = `online-${index}`
+      admission.request({ ...request, permit, workClass: WorkClass.Online }, index)
+      admission.release(permit, { timeToFirstToken: 10, timeBetweenTokens: 10 }, index)
+      if (index % 100 === 0) {
+        admission.tick(index * millisecondsPerSecond)
+      }
+    }
+  })
+  return { size, value: milliseconds / rounds * microsecondsPerMillisecond }
+}
+
+function loadReportBytes (size: number): Point {
+  const targets = Array.from({ length: size }, (_, index) => {
+    return new TargetAdmission(`target-${index}`, { concurrency: 16, headroom: 1 }).load()
+  })
+  return { size, value: encode({ type: 'load-report', targets }).byteLength }
+}
+
+function timeOf (action: () => void): number {
+  const startedAt = performance.now()
+  action()
+  return performance.now() - startedAt
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/policies/fifo-policy.ts
@@ -0,0 +1,48 @@
+/** Baseline: one queue for everything, in order of arrival. */
+import type { WorkClass } from '@arbutusloft/protocol'
+import PQueue from 'p-queue'
+import { LeastLoaded } from './least-loaded.js'
+import { neverRevoked } from './send-policy.js'
+import type { Lease, PolicyOptions, SendPolicy } from './send-policy.js'
+
+/** Sends in order of arrival, as many as the engines run at once. */
+export class FifoPolicy implements SendPolicy {
+  readonly name = 'shared FIFO'
+  readonly #queue: PQueue
+  readonly #engines: LeastLoaded
+
+  constructor (options: PolicyOptions) {
+    this.#queue = new PQueue({ concurrency: options.engines * options.concurrency })
+    this.#engines = new LeastLoaded(options.engines)
+  }
+
+  async acquire (_workClass: WorkClass): Promise<Lease> {
+    return await acquireFrom(this.#queue, this.#engines)
+  }
+
+  close (): void {
+    this.#queue.clear()
+  }
+}
+
+/** A lease that holds a place of the queue until it is released. */
+export async function acquireFrom (queue: PQueue, engines: LeastLoaded): Promise<Lease> {
+  return await new Promise(resolve => {
+    void queue.add(async () => { await hold(engines, resolve) })
+  })
+}
+
+/** Gives out a lease and resolves when it is released. */
+async function hold (engines: LeastLoaded, giveOut: (lease: Lease) => void): Promise<void> {
+  const engine = engines.take()
+  await new Promise<void>(resolve => {
+    giveOut({
+      engine,
+      revoked: neverRevoked(),
+      release: () => {
+        engines.give(engine)
+        resolve()
+      }
+    })
+  })
+}
--- /dev/null
+++ b/packages/bench/src/scenarios/policies/permit-policy.ts
@@ -0,0 +1,111 @@
+/** The system's own policy, without the network between holder and owner. */
+import { DecisionKind, defaultBatchFeedback, PrefixIndex, route, TargetAdmission } from '@arbutusloft/policy'
+import type { Decision } from '@arbutusloft/policy'
+import { WorkClass } from '@arbutusloft/protocol'
+import type { Lease, PolicyOptions, SendPolicy } from './send-policy.js'
+
+/** Mechanisms that can be switched off, to see what each is worth. */
+export interface PermitPolicyOptions extends PolicyOptions {
+  readonly name: string
+  /** Whether batch permits are taken back for online requests. */
+  readonly revokes: boolean
+  /** Whether online latency bounds batch work. */
+  readonly feedback: boolean
+  /** Slots that batch work leaves free. */
+  readonly headroom: number
+}
+
+interface Wish {
+  readonly resolve: (lease: Lease) => void
+  readonly engine: number
+}
+
+const tickMilliseconds = 50
+const patience = 600_000
+const cost = { promptTokens: 32, completionTokens: 32 } as const
+const noAlarm = { ...defaultBatchFeedback, alarm: Infinity }
+
+/** One admission for each engine; online goes where route() says, batch where there is room. */
+export class PermitPolicy implements SendPolicy {
+  readonly name: string
+  readonly #admissions: readonly TargetAdmission[]
+  readonly #wishes = new Map<string, Wish>()
+  readonly #revocations = new Map<string, AbortController>()
+  readonly #index = new PrefixIndex()
+  readonly #timer: NodeJS.Timeout
+  #counter = 0
+
+  constructor (private readonly options: PermitPolicyOptions) {
+    const { concurrency, headroom, feedback } = options
+    this.name = options.name
+    this.#admissions = Array.from({ length: options.engines }, (_, engine) => {
+      return new TargetAdmission(String(engine), { concurrency, headroom, feedback: feedback ? defaultBatchFeedback : noAlarm })
+    })
+    this.#timer = setInterval(() => { this.#tick() }, tickMilliseconds)
+  }
+
+  async acquire (workClass: WorkClass, resumeAt: number | null): Promise<Lease> {
+    const engine = resumeAt ?? this.#choose(workClass)
+    this.#counter += 1
+    const permit = `permit-${this.#counter}`
+    return await new Promise(resolve => {
+      this.#wishes.set(permit, { resolve, engine })
+      const request = { permit, holder: 'bench', workClass, client: workClass, cost, patience, slack: 0, weight: 1 }
+      this.#carryOut(this.#admissions[engine]?.request(request, Date.now()) ?? [])
+    })
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+
+  #choose (workClass: WorkClass): number {
+    const loads = this.#admissions.map(admission => admission.load())
+    const candidates = loads.map(load => ({
+      target: load.target,
+      zone: '',
+      expectedWait: load.expectedWait,
+      // Batch requests wait where most room is; online requests do not see them.
+      occupied: load.online + load.waiting + (workClass === WorkClass.Batch ? load.batch : 0),
+      concurrency: this.options.concurrency
+    }))
+    this.#counter += 1
+    const rotated = [...candidates.slice(this.#counter % candidates.length), ...candidates.slice(0, this.#counter % candidates.length)]
+    return Number(route({ blocks: [], zone: '', candidates: rotated }, this.#index)[0]?.target ?? 0)
+  }
+
+  #tick (): void {
+    for (const admission of this.#admissions) {
+      this.#carryOut(admission.tick(Date.now()))
+    }
+  }
+
+  #carryOut (decisions: readonly Decision[]): void {
+    for (const decision of decisions) {
+      if (decision.kind === DecisionKind.Grant) {
+        this.#grant(decision.permit)
+      } else if (decision.kind === DecisionKind.Revoke && this.options.revokes) {
+        this.#revocations.get(decision.permit)?.abort()
+      }
+    }
+  }
+
+  #grant (permit: string): void {
+    const wish = this.#wishes.get(permit)
+    if (wish === undefined) {
+      return
+    }
+    this.#wishes.delete(permit)
+    const revocation = new AbortController()
+    this.#revocations.set(permit, revocation)
+    wish.resolve({
+      engine: wish.engine,
+      revoked: revocation.signal,
+      release: (timeToFirstToken, timeBetweenTokens) => {
+        this.#revocations.delete(permit)
+        const outcome = { timeToFirstToken, timeBetweenTokens }
+        this.#carryOut(this.#admissions[wish.engine]?.release(permit, outcome, Date.now()) ?? [])
+      }
+    })
+  }
+}
--- a/packages/configuration/src/lists/configuration.ts
+++ b/packages/configuration/src/lists/configuration.ts
@@ -57,6 +57,14 @@
   readonly targets: ReadonlyMap<string, Target>
 }
 
+const defaultBatchWeight = 1
+
+/** A client's share of batch slots relative to others, by its plan. */
+export function batchWeightOf (configuration: Configuration, client: string): number {
+  const plan = configuration.clients.get(client)?.plan ?? ''
+  return configuration.plans.get(plan)?.batchWeight ?? defaultBatchWeight
+}
+
 /** The configuration before any edit. */
 export const emptyConfiguration: Configuration = {
   clients: new Map(),
--- /dev/null
+++ b/packages/integration-tests/tests/documents.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict'
+import { readFile } from 'node:fs/promises'
+import { describe, it } from 'node:test'
+import { fileURLToPath } from 'node:url'
+import { settingsSchemas } from '@arbutusloft/configuration'
+
+const root = new URL('../../../../', import.meta.url)
+
+async function read (path: string): Promise<string> {
+  return await readFile(fileURLToPath(new URL(path, root)), 'utf8')
+}
+
+void describe('the documents', () => {
+  void it('describe every setting', async () => {
+    const reference = await read('docs/configuration.md')
+    for (const [section, schema] of Object.entries(settingsSchemas)) {
+      for (const key of Object.keys(schema.shape)) {
+        assert.ok(reference.includes(`\`${key}\``), `${section}.${key} is not in docs/configuration.md`)
+      }
+    }
+  })
+
+  void it('link to pages that exist, and name files that exist', async () => {
+    const pages = ['README.md', 'docs/developers.md', 'docs/architecture.md', 'docs/operators/README.md', 'docs/promises.md', 'docs/CAPACITY.md', 'docs/measurements.md']
+    for (const page of pages) {
+      const text = await read(page)
+      const links = [...text.matchAll(/\]\(([^)#]+\.md)\)/g)].map(match => match[1] ?? '')
+      for (const link of links) {
+        await assert.doesNotReject(read(new URL(link, `file:///${page}`).pathname.slice(1)), `${page} links to ${link}`)
+      }
+    }
+    const files = [...(await read('docs/promises.md')).matchAll(/`([a-z-]+\/src\/[a-z/-]+\.ts)`/g)].map(match => match[1] ?? '')
+    assert.ok(files.length > 0)
+    for (const file of files) {
+      await assert.doesNotReject(read(`packages/${file}`), `docs/promises.md names ${file}`)
+    }
+  })
+})
--- a/packages/policy/src/admission/batch-feedback.ts
+++ b/packages/policy/src/admission/batch-feedback.ts
@@ -6,10 +6,12 @@
   readonly timeToFirstTokenMilliseconds: number
   /** Bound on the 95th percentile of online time between tokens. */
   readonly timeBetweenTokensMilliseconds: number
-  /** Part of a bound at which batch work is reduced. */
+  /** Part of a bound above which batch work is reduced, in proportion to the excess. */
   readonly alarm: number
-  /** Factor by which an alarm reduces the limit. */
-  readonly decrease: number
+  /** Part of a bound below which batch work may grow. */
+  readonly comfort: number
+  /** Part of the concurrency that batch work may take beside online before anything is known. */
+  readonly initialPart: number
   /** Milliseconds between adjustments. */
   readonly periodMilliseconds: number
   /** Milliseconds for which a sample counts. */
@@ -20,7 +22,8 @@
   timeToFirstTokenMilliseconds: 1_200,
   timeBetweenTokensMilliseconds: 62,
   alarm: 0.8,
-  decrease: 0.7,
+  comfort: 0.6,
+  initialPart: 0.5,
   periodMilliseconds: 250,
   sampleMilliseconds: 2_000
 }
@@ -32,24 +35,33 @@
 
 const percentile = 0.95
 
-/** Additive increase, multiplicative decrease of one target's batch limit. */
+/**
+ * Bounds one target's batch work by the latency that online requests report when they end.
+ * A reduction is in proportion to the excess, since a step's time grows with the requests in
+ * it; afterwards only requests that began under the new limit are heard. Without online
+ * requests nothing is learned, and the limit stays for the time when they come back.
+ */
 export class BatchFeedback {
   #limit: number
   #adjustedAt = 0
+  #reducedAt = -Infinity
   #firstTokens: Sample[] = []
   #gaps: Sample[] = []
 
   constructor (private readonly concurrency: number, private readonly options = defaultBatchFeedback) {
-    this.#limit = concurrency
+    this.#limit = Math.max(1, concurrency * options.initialPart)
   }
 
-  /** How many batch requests the target may run. */
+  /** How many batch requests the target may run beside online ones. */
   get limit (): number {
     return Math.floor(this.#limit)
   }
 
-  /** An online request reports its latencies, where it has them. */
-  observe (timeToFirstToken: number | null, timeBetweenTokens: number | null, now: number): void {
+  /** An online request that began at a time reports its latencies, where it has them. */
+  observe (timeToFirstToken: number | null, timeBetweenTokens: number | null, beganAt: number, now: number): void {
+    if (beganAt < this.#reducedAt) {
+      return
+    }
     if (timeToFirstToken !== null) {
       this.#firstTokens.push({ at: now, value: timeToFirstToken })
     }
@@ -66,24 +78,34 @@
     this.#adjustedAt = now
     this.#firstTokens = this.#recent(this.#firstTokens, now)
     this.#gaps = this.#recent(this.#gaps, now)
-    if (this.#alarmed()) {
-      this.#limit = Math.max(1, this.#limit * this.options.decrease)
-      // The samples spoke for the old limit; the next decision waits for new ones.
+    const { alarm, comfort } = this.options
+    const load = this.#load()
+    if (load > alarm) {
+      this.#limit = Math.max(1, this.#limit * alarm / load)
+      this.#reducedAt = now
       this.#firstTokens = []
       this.#gaps = []
-      return
+    } else if (load > 0 && load < comfort && !this.#isSettling(now)) {
+      this.#limit = Math.min(this.concurrency, this.#limit + 1)
     }
-    this.#limit = Math.min(this.concurrency, this.#limit + 1)
+  }
+
+  /** Whether a reduction is too recent for requests that began after it to have ended. */
+  #isSettling (now: number): boolean {
+    return now - this.#reducedAt < this.options.sampleMilliseconds
   }
 
   #recent (samples: Sample[], now: number): Sample[] {
     return samples.filter(sample => now - sample.at <= this.options.sampleMilliseconds)
   }
 
-  #alarmed (): boolean {
-    const { timeToFirstTokenMilliseconds, timeBetweenTokensMilliseconds, alarm } = this.options
-    return highOf(this.#firstTokens) > alarm * timeToFirstTokenMilliseconds ||
-      highOf(this.#gaps) > alarm * timeBetweenTokensMilliseconds
+  /** The latency nearest to its bound, as a part of it; 0 without samples. */
+  #load (): number {
+    const { timeToFirstTokenMilliseconds, timeBetweenTokensMilliseconds } = this.options
+    return Math.max(
+      highOf(this.#firstTokens) / timeToFirstTokenMilliseconds,
+      highOf(this.#gaps) / timeBetweenTokensMilliseconds
+    )
   }
 }
 
--- a/packages/policy/src/admission/batch-order.ts
+++ b/packages/policy/src/admission/batch-order.ts
@@ -6,6 +6,8 @@
   readonly client: string
   readonly slack: number
   readonly cost: Cost
+  /** The client's share relative to others. */
+  readonly weight: number
 }
 
 // A class spans a range of slack within which fairness goes before urgency.
@@ -36,7 +38,7 @@
   onGranted (request: OrderedRequest): void {
     const before = this.#servedOf(request.client)
     this.#floor = Math.max(this.#floor, before)
-    this.#served.set(request.client, before + workOf(request.cost))
+    this.#served.set(request.client, before + workOf(request.cost) / request.weight)
   }
 
   #isBefore (left: OrderedRequest, right: OrderedRequest): boolean {
--- a/packages/policy/src/admission/target-admission.ts
+++ b/packages/policy/src/admission/target-admission.ts
@@ -19,6 +19,8 @@
   /** Milliseconds that the holder is willing to wait. */
   readonly patience: number
   readonly slack: number
+  /** The client's share of batch slots relative to others. */
+  readonly weight: number
 }
 
 /** What a holder saw of a request when it returns the permit. */
@@ -89,7 +91,7 @@
     this.#granted.delete(permit)
     if (granted.workClass === WorkClass.Online) {
       this.#hold.add(Math.max(0, now - granted.grantedAt))
-      this.#feedback.observe(outcome.timeToFirstToken, outcome.timeBetweenTokens, now)
+      this.#feedback.observe(outcome.timeToFirstToken, outcome.timeBetweenTokens, granted.grantedAt, now)
     }
     return this.#fill(now)
   }
@@ -231,9 +233,11 @@
     return decisions
   }
 
+  /** Batch requests that may run now; without online requests there is nobody to harm. */
   #batchLimit (): number {
-    const free = this.options.concurrency - this.#count(WorkClass.Online)
-    return Math.max(0, Math.min(this.#feedback.limit, free))
+    const online = this.#count(WorkClass.Online)
+    const free = this.options.concurrency - online
+    return online === 0 ? free : Math.max(0, Math.min(this.#feedback.limit, free))
   }
 
   #batchRoom (): number {
@@ -241,7 +245,7 @@
       return 0
     }
     const free = this.options.concurrency - this.options.headroom - this.#granted.size - this.#foreign
-    return Math.max(0, Math.min(free, this.#feedback.limit - this.#count(WorkClass.Batch)))
+    return Math.max(0, Math.min(free, this.#batchLimit() - this.#count(WorkClass.Batch)))
   }
 
   #revokeOver (limit: number): readonly Decision[] {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -7,6 +7,7 @@
 import { LedgerFold } from '@arbutusloft/state'
 import { Node, sleep, startHealthServer, startLinkServer } from '@arbutusloft/daemon'
 import type { HttpServer, Link, LinkServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
+import { batchWeightOf } from '@arbutusloft/configuration'
 import type { Settings } from '@arbutusloft/configuration'
 import { LedgerGuard } from './ledger-guard.js'
 import { ForeignLoad } from './foreign-load.js'
@@ -56,7 +57,8 @@
     const ledgerFollower = this.#node.follow(StreamName.Ledger, this.#ledger)
     this.#desk = new TargetDesk({
       target: name => this.#node.configuration.targets.get(name) ?? null,
-      isLive: name => this.#node.membership.find(name)?.state === MemberState.Live
+      isLive: name => this.#node.membership.find(name)?.state === MemberState.Live,
+      batchWeight: client => batchWeightOf(this.#node.configuration, client)
     }, holder => this.#linkOf(holder))
     this.#guard = new LedgerGuard({
       fold: this.#ledger,
--- a/packages/scheduler/src/target-desk.ts
+++ b/packages/scheduler/src/target-desk.ts
@@ -18,6 +18,8 @@
   target: (name: string) => Target | null
   /** Whether the instance list shows the target as live. */
   isLive: (name: string) => boolean
+  /** A client's share of batch slots relative to others. */
+  batchWeight: (client: string) => number
 }
 
 interface Desk {
@@ -45,7 +47,11 @@
       link.send({ type: MessageType.PermitRefuse, permit, reason: PermitRefusal.TargetLeaving, retryAfter: 0 })
       return
     }
-    const decisions = desk.admission.request({ ...message, holder: link.peer }, Date.now())
+    const decisions = desk.admission.request({
+      ...message,
+      holder: link.peer,
+      weight: this.view.batchWeight(message.client)
+    }, Date.now())
     this.#carryOut(target, decisions)
     if (!decisions.some(decision => decision.permit === permit)) {
       link.send({ type: MessageType.PermitQueued, permit })
