Append a lost entry's records by its link, and bound every call by a timer of its own

Cause: a soak of three minutes ended with 8179 charged requests where 8183 were received, on every entry alike. A guard asked whether the entry's name was linked; an entry restarted within 3 s was, so what its former incarnation had reported waited 60 s, in which both guards could be lost. Ruled out: the writers' rate (0 appends refused), the folds (all entries agree).

Change: a guard looks at the link over which a record came. Calls with a limit use a timer and a listener that are released, in place of AbortSignal.any and .timeout.

--- a/packages/platform/src/engine/http-engine.ts
+++ b/packages/platform/src/engine/http-engine.ts
@@ -1,4 +1,5 @@
 /** Model engines over OpenAI-compatible HTTP. */
+import { withTimeLimit } from '@arbutusloft/protocol'
 import { Agent, request } from 'undici'
 import type { Dispatcher } from 'undici'
 import tsResults from 'ts-results'
@@ -171,18 +172,19 @@
     method: Dispatcher.HttpMethod,
     body?: object
   ): Promise<Result<unknown, TargetError>> {
-    const signal = AbortSignal.timeout(this.options.controlMilliseconds)
     try {
-      const response = await request(url, {
-        method,
-        dispatcher: this.#agent,
-        signal,
-        ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
+      return await withTimeLimit(this.options.controlMilliseconds, async signal => {
+        const response = await request(url, {
+          method,
+          dispatcher: this.#agent,
+          signal,
+          ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
+        })
+        if (response.statusCode !== statusOk) {
+          return Err(await refusalOf(response))
+        }
+        return Ok(await response.body.json())
       })
-      if (response.statusCode !== statusOk) {
-        return Err(await refusalOf(response))
-      }
-      return Ok(await response.body.json())
     } catch (error) {
       return Err(targetErrorOf(error, undefined))
     }
--- a/packages/platform/src/instance-list/http-instance-list.ts
+++ b/packages/platform/src/instance-list/http-instance-list.ts
@@ -1,8 +1,9 @@
 /** The instance list over its HTTP protocol. */
-import { Agent, request } from 'undici'
+import { Agent } from 'undici'
 import tsResults from 'ts-results'
 import type { Result } from 'ts-results'
 import { z } from 'zod'
+import { fetchJson } from '../util/fetch-json.js'
 import { InstanceListError, MemberKind, MemberState } from './instance-list.js'
 import type { InstanceList, Member } from './instance-list.js'
 
@@ -16,7 +17,6 @@
 }
 
 const defaultTimeoutMilliseconds = 2_000
-const statusOk = 200
 
 const listSchema = z.object({
   instances: z.array(z.object({
@@ -39,16 +39,9 @@
   constructor (private readonly address: string, private readonly timeoutMilliseconds: number) {}
 
   async fetch (): Promise<Result<readonly Member[], InstanceListError>> {
+    const url = `http://${this.address}/instances`
     try {
-      const response = await request(`http://${this.address}/instances`, {
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(this.timeoutMilliseconds)
-      })
-      const body = await response.body.text()
-      if (response.statusCode !== statusOk) {
-        return Err(new InstanceListError(`the instance list answered ${response.statusCode}`))
-      }
-      return Ok(listSchema.parse(JSON.parse(body)).instances)
+      return Ok(listSchema.parse(await fetchJson(url, this.#agent, this.timeoutMilliseconds)).instances)
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error)
       return Err(new InstanceListError(message, { cause: error }))
--- a/packages/platform/src/log-service/http-log-service.ts
+++ b/packages/platform/src/log-service/http-log-service.ts
@@ -1,5 +1,7 @@
 /** The log service over its HTTP protocol. */
+import { withTimeLimit } from '@arbutusloft/protocol'
 import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
 import tsResults from 'ts-results'
 import type { Result } from 'ts-results'
 import { z } from 'zod'
@@ -39,6 +41,12 @@
   return new HttpLogService(options.address, options.timeoutMilliseconds ?? defaultTimeoutMilliseconds)
 }
 
+/** An answer that has arrived whole. */
+interface Answer {
+  readonly status: number
+  readonly body: string
+}
+
 class HttpLogService implements LogService {
   readonly #agent: Agent
 
@@ -48,18 +56,15 @@
 
   async append (stream: string, data: Uint8Array): Promise<Result<number, LogError>> {
     try {
-      const response = await request(this.#url(stream), {
+      const answer = await this.#request(this.#url(stream), this.timeoutMilliseconds, {
         method: 'POST',
         body: data,
-        dispatcher: this.#agent,
-        headers: { 'content-type': 'application/octet-stream' },
-        signal: AbortSignal.timeout(this.timeoutMilliseconds)
+        headers: { 'content-type': 'application/octet-stream' }
       })
-      const body = await response.body.text()
-      if (response.statusCode !== statusOk) {
-        return Err(errorOfStatus(response.statusCode, body))
+      if (answer.status !== statusOk) {
+        return Err(errorOfStatus(answer.status, answer.body))
       }
-      return Ok(receiptSchema.parse(JSON.parse(body)).offset)
+      return Ok(receiptSchema.parse(JSON.parse(answer.body)).offset)
     } catch (error) {
       return Err(errorOfThrown(error))
     }
@@ -67,15 +72,13 @@
 
   async read (stream: string, options: ReadOptions): Promise<Result<LogPage, LogError>> {
     const query = `from=${options.from}&limit=${options.limit}&wait=${options.waitMilliseconds}`
-    const timeout = AbortSignal.timeout(this.timeoutMilliseconds + options.waitMilliseconds)
-    const signal = options.signal === undefined ? timeout : AbortSignal.any([timeout, options.signal])
+    const limit = this.timeoutMilliseconds + options.waitMilliseconds
     try {
-      const response = await request(`${this.#url(stream)}?${query}`, { dispatcher: this.#agent, signal })
-      const body = await response.body.text()
-      if (response.statusCode !== statusOk) {
-        return Err(errorOfStatus(response.statusCode, body))
+      const answer = await this.#request(`${this.#url(stream)}?${query}`, limit, { method: 'GET' }, options.signal)
+      if (answer.status !== statusOk) {
+        return Err(errorOfStatus(answer.status, answer.body))
       }
-      return Ok(pageOf(pageSchema.parse(JSON.parse(body))))
+      return Ok(pageOf(pageSchema.parse(JSON.parse(answer.body))))
     } catch (error) {
       return Err(errorOfThrown(error))
     }
@@ -85,6 +88,18 @@
     await this.#agent.destroy()
   }
 
+  async #request (
+    url: string,
+    limitMilliseconds: number,
+    options: Pick<Dispatcher.RequestOptions, 'method' | 'body' | 'headers'>,
+    outer?: AbortSignal
+  ): Promise<Answer> {
+    return await withTimeLimit(limitMilliseconds, async signal => {
+      const response = await request(url, { ...options, dispatcher: this.#agent, signal })
+      return { status: response.statusCode, body: await response.body.text() }
+    }, outer)
+  }
+
   #url (stream: string): string {
     return `http://${this.address}/streams/${encodeURIComponent(stream)}`
   }
--- a/packages/platform/src/weight-store/http-weight-store.ts
+++ b/packages/platform/src/weight-store/http-weight-store.ts
@@ -1,8 +1,9 @@
 /** The weight store over its HTTP protocol. */
-import { Agent, request } from 'undici'
+import { Agent } from 'undici'
 import tsResults from 'ts-results'
 import type { Result } from 'ts-results'
 import { z } from 'zod'
+import { fetchJson } from '../util/fetch-json.js'
 import { WeightStoreError } from './weight-store.js'
 import type { WeightCatalogue, WeightStore } from './weight-store.js'
 
@@ -16,7 +17,6 @@
 }
 
 const defaultTimeoutMilliseconds = 2_000
-const statusOk = 200
 
 const catalogueSchema = z.object({
   bytesPerSecond: z.number().positive(),
@@ -34,16 +34,9 @@
   constructor (private readonly address: string, private readonly timeoutMilliseconds: number) {}
 
   async catalogue (): Promise<Result<WeightCatalogue, WeightStoreError>> {
+    const url = `http://${this.address}/catalogue`
     try {
-      const response = await request(`http://${this.address}/catalogue`, {
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(this.timeoutMilliseconds)
-      })
-      const body = await response.body.text()
-      if (response.statusCode !== statusOk) {
-        return Err(new WeightStoreError(`the weight store answered ${response.statusCode}`))
-      }
-      return Ok(catalogueSchema.parse(JSON.parse(body)))
+      return Ok(catalogueSchema.parse(await fetchJson(url, this.#agent, this.timeoutMilliseconds)))
     } catch (error) {
       const message = error instanceof Error ? error.message : String(error)
       return Err(new WeightStoreError(message, { cause: error }))
--- a/packages/daemon/src/util/combine-signals.ts
+++ b/packages/protocol/src/util/combine-signals.ts
@@ -13,7 +13,7 @@
  */
 export function combineSignals (signals: readonly AbortSignal[]): CombinedSignal {
   const controller = new AbortController()
-  const abort = (): void => { controller.abort() }
+  const abort = (): void => { controller.abort(signals.find(signal => signal.aborted)?.reason) }
   for (const signal of signals) {
     if (signal.aborted) {
       abort()
--- /dev/null
+++ b/packages/protocol/src/util/with-time-limit.ts
@@ -0,0 +1,23 @@
+/** Limits on the time of calls that take an abort signal. */
+import { combineSignals } from './combine-signals.js'
+
+/**
+ * Runs a call with a signal that aborts when the time is over or the outer signal aborts.
+ * `AbortSignal.any` over `AbortSignal.timeout` may be collected before it fires, and the call
+ * then never ends: https://github.com/nodejs/node/issues/54614
+ */
+export async function withTimeLimit<T> (
+  milliseconds: number,
+  call: (signal: AbortSignal) => Promise<T>,
+  outer?: AbortSignal
+): Promise<T> {
+  const limit = new AbortController()
+  const timer = setTimeout(() => { limit.abort(new Error(`no answer within ${milliseconds} ms`)) }, milliseconds)
+  const combined = combineSignals(outer === undefined ? [limit.signal] : [limit.signal, outer])
+  try {
+    return await call(combined.signal)
+  } finally {
+    clearTimeout(timer)
+    combined.release()
+  }
+}
--- a/packages/scheduler/src/ledger-guard.ts
+++ b/packages/scheduler/src/ledger-guard.ts
@@ -1,7 +1,7 @@
 /** Records of the ledger that entries reported, kept until the ledger shows them. */
 import { RecordType } from '@arbutusloft/protocol'
 import type { LogRecord, ReportedRecord } from '@arbutusloft/protocol'
-import type { AppliedRecord, LogWriter, StreamFollower } from '@arbutusloft/daemon'
+import type { AppliedRecord, Link, LogWriter, StreamFollower } from '@arbutusloft/daemon'
 import type { LedgerFold } from '@arbutusloft/state'
 
 /** Options of {@link LedgerGuard}. */
@@ -9,20 +9,19 @@
   readonly fold: LedgerFold
   readonly follower: StreamFollower
   readonly writer: LogWriter
-  /** Whether the entry that reported a record is still linked. */
-  readonly isLinked: (entry: string) => boolean
 }
 
 interface Guarded {
   readonly record: ReportedRecord
-  readonly entry: string
+  /** Link over which it came; a restarted entry has another. */
+  readonly link: Pick<Link, 'closed'>
   readonly since: number
 }
 
 /** Milliseconds that a linked entry gets to append its own records. */
 const linkedEntryMilliseconds = 60_000
 
-/** Milliseconds that an entry gets to link again. */
+/** Milliseconds that a record is left to an entry whose link broke. */
 const lostEntryMilliseconds = 3_000
 
 const periodMilliseconds = 1_000
@@ -47,10 +46,10 @@
   }
 
   /** An entry reports records. */
-  add (entry: string, records: readonly ReportedRecord[]): void {
+  add (link: Pick<Link, 'closed'>, records: readonly ReportedRecord[]): void {
     for (const record of records) {
       if (!this.#isShown(record)) {
-        this.#guarded.set(keyOf(record), { record, entry, since: Date.now() })
+        this.#guarded.set(keyOf(record), { record, link, since: Date.now() })
       }
     }
     for (const key of this.#guarded.keys()) {
@@ -88,7 +87,7 @@
   #appendLost (): void {
     const now = Date.now()
     const lost = [...this.#guarded.values()].filter(guarded => {
-      const limit = this.options.isLinked(guarded.entry) ? linkedEntryMilliseconds : lostEntryMilliseconds
+      const limit = guarded.link.closed ? lostEntryMilliseconds : linkedEntryMilliseconds
       return this.options.follower.reachable && now - guarded.since > limit
     })
     this.#append(lost)
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -63,8 +63,7 @@
     this.#guard = new LedgerGuard({
       fold: this.#ledger,
       follower: ledgerFollower,
-      writer: this.#node.write(StreamName.Ledger),
-      isLinked: entry => this.#linkOf(entry) !== null
+      writer: this.#node.write(StreamName.Ledger)
     })
     this.#foreign = new ForeignLoad({
       engine: this.#engine,
@@ -162,7 +161,7 @@
         this.#desk.release(message)
         break
       case MessageType.LedgerReport:
-        this.#guard.add(link.peer, message.records)
+        this.#guard.add(link, message.records)
         break
       case MessageType.PermitWithdraw:
         this.#desk.withdraw(message)
