--- a/packages/bench/src/measures/state-slopes.ts
+++ b/packages/bench/src/measures/state-slopes.ts
@@ -103,7 +103,7 @@
 function * chargeRecords (count: number): Iterable<LogRecord> {
   const usage = { requests: 1, promptTokens: 100, completionTokens: 100 }
   for (let index = 0; index < count; index++) {
-    yield { type: RecordType.Charged, charge: `request_${String(index).padStart(24, '0')}`, client: 'client', subject: 'model', usage }
+    yield { type: RecordType.Charged, charge: `request_${String(index).padStart(24, '0')}`, keyed: false, client: 'client', subject: 'model', usage }
   }
 }
 
--- a/packages/daemon/tests/log/log-writer.test.ts
+++ b/packages/daemon/tests/log/log-writer.test.ts
@@ -12,7 +12,7 @@
 const logger = createLogger({ fields: {}, write: () => {} })
 
 function charge (charge: string): LogRecord {
-  return { type: RecordType.Charged, charge, client: 'c', subject: 's', usage: { requests: 1, promptTokens: 0, completionTokens: 0 } }
+  return { type: RecordType.Charged, charge, keyed: false, client: 'c', subject: 's', usage: { requests: 1, promptTokens: 0, completionTokens: 0 } }
 }
 
 function createWriter (log: FakeLog, pendingBytes?: number): LogWriter {
--- a/packages/daemon/tests/log/stream-follower.test.ts
+++ b/packages/daemon/tests/log/stream-follower.test.ts
@@ -15,7 +15,7 @@
     await log.append(stream, encodeRecordBatch({
       writer: 'w',
       sequence,
-      records: [{ type: RecordType.Charged, charge: `c${sequence}`, client: 'c', subject: 's', usage }]
+      records: [{ type: RecordType.Charged, charge: `c${sequence}`, keyed: false, client: 'c', subject: 's', usage }]
     }))
   }
 }
--- a/packages/entry/src/online/online-generation.ts
+++ b/packages/entry/src/online/online-generation.ts
@@ -10,7 +10,7 @@
 import { readJson } from '../http/read-body.js'
 import type { GuardedLedger } from '../ledger/guarded-ledger.js'
 import type { ClientLimits } from '../limits/client-limits.js'
-import { idempotencyKeyOf } from '../pipeline/exchange.js'
+import { chargeNameOf } from '../pipeline/exchange.js'
 import type { ClientExchange } from '../pipeline/exchange.js'
 import { StreamWriter, WholeWriter } from './answer-writer.js'
 import type { AnswerWriter } from './answer-writer.js'
@@ -92,7 +92,7 @@
     const { promptTokens, completionTokens } = usage
     void this.options.ledger.append({
       type: RecordType.Charged,
-      charge: idempotencyKeyOf(exchange) ?? exchange.id,
+      ...chargeNameOf(exchange),
       client: exchange.client.name,
       subject: model,
       usage: { requests: 1, promptTokens, completionTokens }
--- a/packages/entry/src/pipeline/exchange.ts
+++ b/packages/entry/src/pipeline/exchange.ts
@@ -1,6 +1,7 @@
 /** A request on its way through the pipeline. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Client, Plan } from '@arbutusloft/configuration'
+import type { Charged } from '@arbutusloft/protocol'
 
 /** One request and its answer. */
 export interface Exchange {
@@ -23,6 +24,12 @@
 /** Handles an exchange of a known client. */
 export type ClientHandler = (exchange: ClientExchange) => Promise<void>
 
+/** Name under which an exchange is charged: its idempotency key, or else its own identifier. */
+export function chargeNameOf (exchange: Exchange): Pick<Charged, 'charge' | 'keyed'> {
+  const key = idempotencyKeyOf(exchange)
+  return { charge: key ?? exchange.id, keyed: key !== null }
+}
+
 /** Value of the header that marks resends, or null. */
 export function idempotencyKeyOf (exchange: Exchange): string | null {
   const value = exchange.request.headers['idempotency-key']
--- a/packages/entry/src/services/services-handler.ts
+++ b/packages/entry/src/services/services-handler.ts
@@ -10,7 +10,7 @@
 import type { GuardedLedger } from '../ledger/guarded-ledger.js'
 import type { ClientLimits } from '../limits/client-limits.js'
 import { apiErrorOfDispatch } from '../online/dispatch-failure.js'
-import { idempotencyKeyOf } from '../pipeline/exchange.js'
+import { chargeNameOf, idempotencyKeyOf } from '../pipeline/exchange.js'
 import type { ClientExchange } from '../pipeline/exchange.js'
 import type { SendResult, SingleCalls } from './single-calls.js'
 
@@ -61,7 +61,7 @@
     if (isSuccess(result.val.status)) {
       void this.options.ledger.append({
         type: RecordType.Charged,
-        charge: idempotencyKeyOf(exchange) ?? exchange.id,
+        ...chargeNameOf(exchange),
         client: exchange.client.name,
         subject: service.name,
         usage: { requests: 1, promptTokens: 0, completionTokens: 0 }
--- a/packages/protocol/src/records/ledger-records.ts
+++ b/packages/protocol/src/records/ledger-records.ts
@@ -7,6 +7,8 @@
   readonly type: typeof RecordType.Charged
   /** The client's idempotency key, or else the request's own identifier. */
   readonly charge: string
+  /** Whether the identifier is the client's key, with which the request may be sent again. */
+  readonly keyed: boolean
   readonly client: string
   readonly subject: string
   readonly usage: Usage
--- a/packages/state/src/ledger/ledger-fold.ts
+++ b/packages/state/src/ledger/ledger-fold.ts
@@ -6,8 +6,14 @@
 import type { ChargeLine } from '../util/charge-table.js'
 import type { CallState } from './call-state.js'
 
-/** Milliseconds of log time for which a charge's identifier is remembered. */
-export const chargeMilliseconds = 86_400_000
+/** Milliseconds of log time for which a charge by a client's key is remembered. */
+export const keyedChargeMilliseconds = 86_400_000
+
+/**
+ * Milliseconds of log time for which any other charge is remembered: long enough for the entry
+ * and its guards, which all append it once the log can be reached.
+ */
+export const requestChargeMilliseconds = 3_600_000
 
 /** Milliseconds of log time for which a call's idempotency key is remembered. */
 export const callMilliseconds = 7 * 86_400_000
@@ -15,13 +21,16 @@
 interface SerializedLedger {
   readonly charges: readonly ChargeLine[]
   readonly charged: ReadonlyArray<readonly [string, number]>
+  readonly keyed: ReadonlyArray<readonly [string, number]>
   readonly calls: readonly CallState[]
 }
 
 /** The state of charges and calls. */
 export class LedgerFold implements Fold {
   readonly #charges = new ChargeTable()
+  /** Log times of charges by request, and of those by key. */
   #charged = new Map<string, number>()
+  #keyed = new Map<string, number>()
   #calls = new Map<string, CallState>()
 
   get charges (): ChargeTable {
@@ -35,7 +44,8 @@
 
   /** Whether a charge with this identifier has counted. */
   isCharged (client: string, charge: string): boolean {
-    return this.#charged.has(chargeKeyOf(client, charge))
+    const key = chargeKeyOf(client, charge)
+    return this.#charged.has(key) || this.#keyed.has(key)
   }
 
   /** The call that a key stands for, or null. */
@@ -63,11 +73,8 @@
   }
 
   prune (time: number): void {
-    for (const [key, chargedAt] of this.#charged) {
-      if (time - chargedAt > chargeMilliseconds) {
-        this.#charged.delete(key)
-      }
-    }
+    forgetBefore(this.#charged, time - requestChargeMilliseconds)
+    forgetBefore(this.#keyed, time - keyedChargeMilliseconds)
     for (const [key, call] of this.#calls) {
       if (time - call.time > callMilliseconds) {
         this.#calls.delete(key)
@@ -79,6 +86,7 @@
     const serialized: SerializedLedger = {
       charges: this.#charges.lines(),
       charged: [...this.#charged],
+      keyed: [...this.#keyed],
       calls: [...this.#calls.values()]
     }
     return serialized
@@ -88,15 +96,16 @@
     const serialized = state as SerializedLedger
     this.#charges.restore(serialized.charges)
     this.#charged = new Map(serialized.charged)
+    this.#keyed = new Map(serialized.keyed)
     this.#calls = new Map(serialized.calls.map(call => [callKeyOf(call), call]))
   }
 
   #charge (record: Charged, context: RecordContext): void {
-    const key = chargeKeyOf(record.client, record.charge)
-    if (this.#charged.has(key)) {
+    if (this.isCharged(record.client, record.charge)) {
       return
     }
-    this.#charged.set(key, context.time)
+    const remembered = record.keyed ? this.#keyed : this.#charged
+    remembered.set(chargeKeyOf(record.client, record.charge), context.time)
     this.#charges.add(record.client, record.subject, record.usage)
   }
 
@@ -132,6 +141,16 @@
   }
 }
 
+/** Entries are in the order of log time, so the old ones come first. */
+function forgetBefore (times: Map<string, number>, oldest: number): void {
+  for (const [key, time] of times) {
+    if (time >= oldest) {
+      return
+    }
+    times.delete(key)
+  }
+}
+
 function isSuccess (status: number): boolean {
   return status >= 200 && status < 300
 }
--- a/packages/state/tests/ledger/ledger-fold.test.ts
+++ b/packages/state/tests/ledger/ledger-fold.test.ts
@@ -3,7 +3,7 @@
 import { RecordType } from '@arbutusloft/protocol'
 import type { LedgerRecord } from '@arbutusloft/protocol'
 import fc from 'fast-check'
-import { LedgerFold } from '../../src/ledger/ledger-fold.js'
+import { keyedChargeMilliseconds, LedgerFold, requestChargeMilliseconds } from '../../src/ledger/ledger-fold.js'
 
 const seed = Number(process.env['FAST_CHECK_SEED'] ?? 20_261_203)
 const usage = { requests: 1, promptTokens: 2, completionTokens: 3 }
@@ -31,7 +31,7 @@
   void it('charges each identifier of a client once', () => {
     const charges = fc.array(fc.record({ client: fc.constantFrom('a', 'b'), charge: fc.constantFrom('1', '2', '3') }))
     fc.assert(fc.property(charges, list => {
-      const state = fold(list.map(each => ({ type: RecordType.Charged, subject: 'm', usage, ...each })))
+      const state = fold(list.map(each => ({ type: RecordType.Charged, subject: 'm', keyed: false, usage, ...each })))
       for (const client of ['a', 'b']) {
         const distinct = new Set(list.filter(each => each.client === client).map(each => each.charge)).size
         assert.equal(state.charges.lines(client)[0]?.usage.requests ?? 0, distinct)
@@ -39,6 +39,18 @@
     }), { seed })
   })
 
+  void it('remembers charges by key for longer than those by request', () => {
+    const state = fold([
+      { type: RecordType.Charged, charge: 'request', keyed: false, client: 'c', subject: 'm', usage },
+      { type: RecordType.Charged, charge: 'key', keyed: true, client: 'c', subject: 'm', usage }
+    ])
+    state.prune(requestChargeMilliseconds + 2)
+    assert.deepEqual([state.isCharged('c', 'request'), state.isCharged('c', 'key')], [false, true])
+    state.prune(keyedChargeMilliseconds + 2)
+    assert.equal(state.isCharged('c', 'key'), false)
+    assert.equal(state.charges.lines('c')[0]?.usage.requests, 2)
+  })
+
   void it('lets only the first of several intents win, whatever the order', () => {
     const attempt = fc.constantFrom('x', 'y', 'z')
     const record = fc.oneof(attempt.map(intended), attempt.map(completed), attempt.map(abandoned))
