--- a/packages/batch/src/batch.ts
+++ b/packages/batch/src/batch.ts
@@ -1,5 +1,5 @@
 /** A batch process. */
-import { GenerationRunner, Node, PermitClient, ServiceRunner, settleWithin, sleep, startHealthServer, TargetDirectory } from '@arbutusloft/daemon'
+import { GenerationRunner, Daemon, PermitClient, ServiceRunner, settleWithin, sleep, startHealthServer, TargetDirectory } from '@arbutusloft/daemon'
 import type { HttpServer, Logger, LogWriter, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
 import { batchWeightOf } from '@arbutusloft/configuration'
 import type { Settings } from '@arbutusloft/configuration'
@@ -34,7 +34,7 @@
 }
 
 class BatchProcess implements Batch {
-  readonly #node: Node
+  readonly #daemon: Daemon
   readonly #engine
   readonly #service
   readonly #permits: PermitClient
@@ -52,40 +52,40 @@
   #lookQueued = false
 
   constructor (settings: Settings, logger: Logger) {
-    const node = new Node({ settings, role: MemberKind.Batch, logger })
-    this.#node = node
+    const daemon = new Daemon({ settings, role: MemberKind.Batch, logger })
+    this.#daemon = daemon
     const { silenceMilliseconds, itemAttempts, batchConcurrency, retentionMilliseconds, ownerMilliseconds } = settings.limits
     this.#engine = createHttpEngine({ silenceMilliseconds })
     this.#service = createHttpPlainService({ silenceMilliseconds })
-    const links = node.linkToSchedulers()
-    const { identity, membership } = node
+    const links = daemon.linkToSchedulers()
+    const { identity, membership } = daemon
     this.#permits = new PermitClient({ identity, membership, links })
-    const directory = new TargetDirectory({ membership, configuration: () => node.configuration })
+    const directory = new TargetDirectory({ membership, configuration: () => daemon.configuration })
     this.#permits.onLoads(loads => { directory.onLoads(loads) })
-    this.#follower = node.follow(StreamName.Jobs, this.#fold)
-    this.#jobs = node.write(StreamName.Jobs)
-    node.keepSnapshots(StreamName.Jobs, this.#follower)
+    this.#follower = daemon.follow(StreamName.Jobs, this.#fold)
+    this.#jobs = daemon.write(StreamName.Jobs)
+    daemon.keepSnapshots(StreamName.Jobs, this.#follower)
     const shared = { directory, permits: this.#permits, zone: settings.instance.zone }
     this.#runner = new ItemRunner({
       engine: this.#engine,
       generations: new GenerationRunner({ ...shared, attempts: generationAttempts }),
       services: new ServiceRunner({ ...shared, service: this.#service, attempts: serviceAttempts }),
       membership,
-      configuration: () => node.configuration,
+      configuration: () => daemon.configuration,
       attempts: itemAttempts
     })
     this.#claims = new JobClaims({ identity, fold: this.#fold, follower: this.#follower, membership, jobs: this.#jobs, ownerMilliseconds })
     this.#pump = new JobPump({
       concurrency: batchConcurrency,
-      batchWeight: client => batchWeightOf(node.configuration, client)
+      batchWeight: client => batchWeightOf(daemon.configuration, client)
     })
     this.#carrier = new ChunkCarrier({
       fold: this.#fold,
-      chunks: node.chunks,
+      chunks: daemon.chunks,
       jobs: this.#jobs,
       logger,
       retentionMilliseconds,
-      isOwner: holder => node.ownsAmongPeers(holder)
+      isOwner: holder => daemon.ownsAmongPeers(holder)
     })
     this.#addMetrics()
   }
@@ -99,11 +99,11 @@
   }
 
   async start (): Promise<void> {
-    const { health } = this.#node.settings.listen
+    const { health } = this.#daemon.settings.listen
     if (health !== null) {
-      this.#health = await startHealthServer(health, { registry: this.#node.registry, readiness: () => this.#readiness() })
+      this.#health = await startHealthServer(health, { registry: this.#daemon.registry, readiness: () => this.#readiness() })
     }
-    await this.#node.start()
+    await this.#daemon.start()
     this.#timer = setInterval(() => { this.#look() }, lookMilliseconds)
     this.#stopListening = this.#follower.onAdvance(() => { this.#queueLook() })
   }
@@ -126,13 +126,13 @@
     this.#executions.forEach(execution => { execution.stop() })
     this.#permits.close()
     await this.#health?.close()
-    await this.#node.close()
+    await this.#daemon.close()
     await this.#engine.close()
     await this.#service.close()
   }
 
   #readiness (): Readiness {
-    const ready = this.#node.caughtUp
+    const ready = this.#daemon.caughtUp
     return { ready, reason: ready ? 'ready' : 'waits for the log or the instance list' }
   }
 
@@ -148,7 +148,7 @@
   }
 
   #look (): void {
-    if (!this.#node.caughtUp) {
+    if (!this.#daemon.caughtUp) {
       return
     }
     this.#claims.claim()
@@ -180,12 +180,12 @@
       input,
       epoch: job.claim.epoch,
       runner: this.#runner,
-      chunks: this.#node.chunks,
+      chunks: this.#daemon.chunks,
       follower: this.#follower,
       jobs: this.#jobs,
-      logger: this.#node.logger,
+      logger: this.#daemon.logger,
       isRepeatable: (endpoint, subject) => {
-        return isGenerationPath(endpoint) || this.#node.configuration.services.get(subject)?.repeatable === true
+        return isGenerationPath(endpoint) || this.#daemon.configuration.services.get(subject)?.repeatable === true
       }
     }))
   }
@@ -194,13 +194,13 @@
     const owned = new Gauge({
       name: 'arbutus_jobs_owned',
       help: 'Jobs that run under a claim of this process',
-      registers: [this.#node.registry],
+      registers: [this.#daemon.registry],
       collect: () => { owned.set(this.owned) }
     })
     const inFlight = new Gauge({
       name: 'arbutus_items_in_flight',
       help: 'Batch items that wait for a permit or run',
-      registers: [this.#node.registry],
+      registers: [this.#daemon.registry],
       collect: () => { inFlight.set(this.#pump.inFlight) }
     })
   }
--- a/packages/daemon/src/node.ts
+++ b/packages/daemon/src/daemon.ts
@@ -20,8 +20,8 @@
 import { StreamFollower } from './log/stream-follower.js'
 import { Membership } from './membership/membership.js'
 
-/** Options of {@link Node}. */
-export interface NodeOptions {
+/** Options of {@link Daemon}. */
+export interface DaemonOptions {
   readonly settings: Settings
   readonly role: MemberKind
   readonly logger: Logger
@@ -32,7 +32,7 @@
 const writerCloseMilliseconds = 5_000
 
 /** The parts that all roles share. Roles build on it and close it last. */
-export class Node {
+export class Daemon {
   readonly identity: Identity
   readonly registry = new Registry()
   readonly log: LogService
@@ -49,7 +49,7 @@
   readonly #keepers: SnapshotKeeper[] = []
   #links: SchedulerLinks | null = null
 
-  constructor (readonly options: NodeOptions) {
+  constructor (readonly options: DaemonOptions) {
     const { settings, role, logger } = options
     this.identity = createIdentity(settings.instance.id, role, settings.instance.zone)
     collectDefaultMetrics({ register: this.registry })
@@ -98,14 +98,14 @@
     return this.membership.known && this.#followers.every(follower => follower.caughtUp)
   }
 
-  /** A follower of a stream, closed with the node. */
+  /** A follower of a stream, closed with the daemon. */
   follow (stream: StreamName, fold: Fold): StreamFollower {
     const follower = new StreamFollower({ log: this.log, stream, fold, logger: this.logger })
     this.#followers.push(follower)
     return follower
   }
 
-  /** A writer to a stream, closed with the node. */
+  /** A writer to a stream, closed with the daemon. */
   write (stream: StreamName): LogWriter {
     const writer = new LogWriter({
       log: this.log,
@@ -139,7 +139,7 @@
     return ownerOf(key, this.membership.live(this.identity.role), null)?.id === this.identity.member
   }
 
-  /** Links to all schedulers, which also carry configuration; closed with the node. */
+  /** Links to all schedulers, which also carry configuration; closed with the daemon. */
   linkToSchedulers (): SchedulerLinks {
     const links = new SchedulerLinks({
       member: this.identity.member,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,6 @@
 /** An entry process. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { addHealthRoutes, GenerationRunner, Node, PermitClient, ServiceRunner, sleep, startHealthServer, startHttpServer, TargetDirectory } from '@arbutusloft/daemon'
+import { addHealthRoutes, GenerationRunner, Daemon, PermitClient, ServiceRunner, sleep, startHealthServer, startHttpServer, TargetDirectory } from '@arbutusloft/daemon'
 import type { HttpServer, Logger, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
 import type { Settings } from '@arbutusloft/configuration'
 import { createHttpEngine, createHttpPlainService, MemberKind, MemberState } from '@arbutusloft/platform'
@@ -50,7 +50,7 @@
 }
 
 class EntryProcess implements Entry {
-  readonly #node: Node
+  readonly #daemon: Daemon
   readonly #engine
   readonly #service
   readonly #permits: PermitClient
@@ -65,28 +65,28 @@
   #leaving = false
 
   constructor (settings: Settings, logger: Logger) {
-    const node = new Node({ settings, role: MemberKind.Entry, logger })
-    this.#node = node
-    this.#metrics = new EntryMetrics(node.registry)
+    const daemon = new Daemon({ settings, role: MemberKind.Entry, logger })
+    this.#daemon = daemon
+    this.#metrics = new EntryMetrics(daemon.registry)
     const { silenceMilliseconds } = settings.limits
     this.#engine = createHttpEngine({ silenceMilliseconds })
     this.#service = createHttpPlainService({ silenceMilliseconds })
-    const links = node.linkToSchedulers()
-    this.#permits = new PermitClient({ identity: node.identity, membership: node.membership, links })
-    const directory = new TargetDirectory({ membership: node.membership, configuration: () => node.configuration })
+    const links = daemon.linkToSchedulers()
+    this.#permits = new PermitClient({ identity: daemon.identity, membership: daemon.membership, links })
+    const directory = new TargetDirectory({ membership: daemon.membership, configuration: () => daemon.configuration })
     this.#permits.onLoads(loads => { directory.onLoads(loads) })
-    this.#limits = new ClientLimits({ membership: node.membership, links })
+    this.#limits = new ClientLimits({ membership: daemon.membership, links })
     const jobs = new JobsFold()
-    const jobsFollower = node.follow(StreamName.Jobs, jobs)
-    const jobsWriter = node.write(StreamName.Jobs)
+    const jobsFollower = daemon.follow(StreamName.Jobs, jobs)
+    const jobsWriter = daemon.write(StreamName.Jobs)
     const ledger = new LedgerFold()
-    const ledgerFollower = node.follow(StreamName.Ledger, ledger)
-    const ledgerWriter = node.write(StreamName.Ledger)
+    const ledgerFollower = daemon.follow(StreamName.Ledger, ledger)
+    const ledgerWriter = daemon.write(StreamName.Ledger)
     this.#followers = { [StreamName.Jobs]: jobsFollower, [StreamName.Ledger]: ledgerFollower }
     const zone = settings.instance.zone
     const guardedLedger = new GuardedLedger({ links, writer: ledgerWriter })
-    const shared = { settings, limits: this.#limits, ledger: guardedLedger, membership: node.membership }
-    const stored = { settings, fold: jobs, follower: jobsFollower, jobs: jobsWriter, chunks: node.chunks }
+    const shared = { settings, limits: this.#limits, ledger: guardedLedger, membership: daemon.membership }
+    const stored = { settings, fold: jobs, follower: jobsFollower, jobs: jobsWriter, chunks: daemon.chunks }
     this.#callerRoutes = callerRoutes({
       generation: new OnlineGeneration({
         ...shared,
@@ -97,20 +97,20 @@
       batches: new BatchesHandler(stored),
       services: new ServicesHandler({
         ...shared,
-        configuration: () => node.configuration,
+        configuration: () => daemon.configuration,
         runner: new ServiceRunner({ service: this.#service, directory, permits: this.#permits, zone, attempts: serviceAttempts }),
         singleCalls: new SingleCalls({ fold: ledger, follower: ledgerFollower, writer: ledgerWriter, ledger: guardedLedger })
       }),
-      addresses: { membership: node.membership, addressMilliseconds: settings.limits.addressMilliseconds }
+      addresses: { membership: daemon.membership, addressMilliseconds: settings.limits.addressMilliseconds }
     })
     this.#operatorRoutes = operatorRoutes({
       lists: new ListsHandler({
-        fold: node.configurationFold,
-        follower: node.configurationFollower,
-        configuration: node.write(StreamName.Configuration),
+        fold: daemon.configurationFold,
+        follower: daemon.configurationFollower,
+        configuration: daemon.write(StreamName.Configuration),
         requestBytes: settings.limits.requestBytes
       }),
-      overview: new OverviewHandler({ jobs, ledger, membership: node.membership, directory, configuration: () => node.configuration })
+      overview: new OverviewHandler({ jobs, ledger, membership: daemon.membership, directory, configuration: () => daemon.configuration })
     })
   }
 
@@ -127,19 +127,19 @@
   }
 
   async start (callerAddress: string): Promise<void> {
-    const { operator, health } = this.#node.settings.listen
+    const { operator, health } = this.#daemon.settings.listen
     this.#caller = await this.#serve(callerAddress, application => { this.#addCallerRoutes(application) })
     if (operator !== null) {
       this.#operator = await this.#serve(operator, application => { this.#addOperatorRoutes(application) })
     }
     if (health !== null) {
-      this.#health = await startHealthServer(health, { registry: this.#node.registry, readiness: () => this.#readiness() })
+      this.#health = await startHealthServer(health, { registry: this.#daemon.registry, readiness: () => this.#readiness() })
     }
-    await this.#node.start()
+    await this.#daemon.start()
   }
 
   async ready (): Promise<void> {
-    await this.#node.ready()
+    await this.#daemon.ready()
   }
 
   /** Serves on until callers have dropped this address, then finishes what is in flight. */
@@ -150,7 +150,7 @@
     this.#limits.close()
     this.#permits.close()
     await this.#health?.close()
-    await this.#node.close()
+    await this.#daemon.close()
     await this.#engine.close()
     await this.#service.close()
   }
@@ -159,7 +159,7 @@
     return await startHttpServer({
       address,
       routes,
-      connections: this.#node.settings.limits.connections,
+      connections: this.#daemon.settings.limits.connections,
       onError: (error, response) => { this.#onError(error, response) },
       onNoMatch: response => { sendError(response, notFound('there is no such path; see the caller guide')) }
     })
@@ -167,13 +167,13 @@
 
   /** Callers keep an address for a time after it was last given out, which other entries may do until they see this one leave. */
   async #waitUntilForgotten (): Promise<void> {
-    const { addressMilliseconds, instanceListMilliseconds } = this.#node.settings.limits
-    const others = this.#node.membership.live(MemberKind.Entry).filter(entry => entry.id !== this.#node.identity.member)
+    const { addressMilliseconds, instanceListMilliseconds } = this.#daemon.settings.limits
+    const others = this.#daemon.membership.live(MemberKind.Entry).filter(entry => entry.id !== this.#daemon.identity.member)
     if (others.length === 0) {
       return
     }
     const seenBy = Date.now() + addressMilliseconds
-    while (this.#node.membership.find(this.#node.identity.member)?.state === MemberState.Live && Date.now() < seenBy) {
+    while (this.#daemon.membership.find(this.#daemon.identity.member)?.state === MemberState.Live && Date.now() < seenBy) {
       await sleep(leavingPollMilliseconds)
     }
     await sleep(addressMilliseconds + instanceListMilliseconds)
@@ -183,17 +183,17 @@
     if (this.#leaving) {
       return { ready: false, reason: 'leaving' }
     }
-    const ready = this.#node.caughtUp
+    const ready = this.#daemon.caughtUp
     return { ready, reason: ready ? 'ready' : 'waits for the log or the instance list' }
   }
 
   #addCallerRoutes (application: Polka): void {
-    addHealthRoutes(application, { registry: this.#node.registry, readiness: () => this.#readiness() })
+    addHealthRoutes(application, { registry: this.#daemon.registry, readiness: () => this.#readiness() })
     for (const route of this.#callerRoutes) {
       application[route.method](route.pattern, (request, response) => {
         void this.#run(route.pattern, request, request.params as Exchange['parameters'], response, async exchange => {
           this.#requireKnowledge(route.needs)
-          await route.handle(authenticateClient(exchange, this.#node.configuration))
+          await route.handle(authenticateClient(exchange, this.#daemon.configuration))
         })
       })
     }
@@ -203,7 +203,7 @@
     for (const route of this.#operatorRoutes) {
       application[route.method](route.pattern, (request, response) => {
         void this.#run(route.pattern, request, request.params as Exchange['parameters'], response, async exchange => {
-          const operator = authenticateOperator(request, this.#node.settings.operators)
+          const operator = authenticateOperator(request, this.#daemon.settings.operators)
           this.#requireKnowledge()
           await route.handle({ ...exchange, operator })
         })
@@ -213,7 +213,7 @@
 
   /** A process serves only at the newest configuration it can learn. */
   #requireKnowledge (stream: StreamName = StreamName.Configuration): void {
-    const { configurationFollower, membership } = this.#node
+    const { configurationFollower, membership } = this.#daemon
     const needed = this.#followers[stream]
     if (!configurationFollower.caughtUp || !membership.known || needed?.caughtUp === false) {
       throw new ApiError(503, ApiErrorType.Unavailable, 'this entry is starting; use another address', {
@@ -254,7 +254,7 @@
       sendError(response, error)
       return
     }
-    this.#node.logger.error('request failed', { error: messageOf(error), stack: error instanceof Error ? error.stack : null })
+    this.#daemon.logger.error('request failed', { error: messageOf(error), stack: error instanceof Error ? error.stack : null })
     sendError(response, new ApiError(500, ApiErrorType.Server, 'internal error', { run: RunState.OutcomeUnknown }))
   }
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,7 +5,7 @@
 import { MessageType, StreamName } from '@arbutusloft/protocol'
 import type { LimitDemand, LinkMessage } from '@arbutusloft/protocol'
 import { LedgerFold } from '@arbutusloft/state'
-import { Node, sleep, startHealthServer, startLinkServer } from '@arbutusloft/daemon'
+import { Daemon, sleep, startHealthServer, startLinkServer } from '@arbutusloft/daemon'
 import type { HttpServer, Link, LinkServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
 import { batchWeightOf } from '@arbutusloft/configuration'
 import type { Settings } from '@arbutusloft/configuration'
@@ -39,7 +39,7 @@
 }
 
 class SchedulerProcess implements Scheduler {
-  readonly #node: Node
+  readonly #daemon: Daemon
   readonly #ledger = new LedgerFold()
   readonly #desk: TargetDesk
   readonly #split = new AllowanceSplit()
@@ -53,17 +53,17 @@
   #reportedAt = 0
 
   constructor (settings: Settings, logger: Logger) {
-    this.#node = new Node({ settings, role: MemberKind.Scheduler, logger })
-    const ledgerFollower = this.#node.follow(StreamName.Ledger, this.#ledger)
+    this.#daemon = new Daemon({ settings, role: MemberKind.Scheduler, logger })
+    const ledgerFollower = this.#daemon.follow(StreamName.Ledger, this.#ledger)
     this.#desk = new TargetDesk({
-      target: name => this.#node.configuration.targets.get(name) ?? null,
-      isLive: name => this.#node.membership.find(name)?.state === MemberState.Live,
-      batchWeight: client => batchWeightOf(this.#node.configuration, client)
+      target: name => this.#daemon.configuration.targets.get(name) ?? null,
+      isLive: name => this.#daemon.membership.find(name)?.state === MemberState.Live,
+      batchWeight: client => batchWeightOf(this.#daemon.configuration, client)
     }, holder => this.#linkOf(holder))
     this.#guard = new LedgerGuard({
       fold: this.#ledger,
       follower: ledgerFollower,
-      writer: this.#node.write(StreamName.Ledger)
+      writer: this.#daemon.write(StreamName.Ledger)
     })
     this.#foreign = new ForeignLoad({
       engine: this.#engine,
@@ -71,9 +71,9 @@
       grantedAt: target => this.#desk.grantedAt(target),
       onForeign: (target, requests) => { this.#desk.setForeign(target, requests) }
     })
-    this.#node.keepSnapshots(StreamName.Configuration, this.#node.configurationFollower)
-    this.#node.keepSnapshots(StreamName.Ledger, ledgerFollower)
-    addSchedulerMetrics(this.#node.registry, () => this.#desk.loads(), () => this.#guard.size)
+    this.#daemon.keepSnapshots(StreamName.Configuration, this.#daemon.configurationFollower)
+    this.#daemon.keepSnapshots(StreamName.Ledger, ledgerFollower)
+    addSchedulerMetrics(this.#daemon.registry, () => this.#desk.loads(), () => this.#guard.size)
   }
 
   get linkAddress (): string {
@@ -87,17 +87,17 @@
   async start (linkAddress: string, healthAddress: string | null): Promise<void> {
     this.#server = await startLinkServer({
       address: linkAddress,
-      member: this.#node.identity.member,
-      secret: this.#node.settings.link.secret,
-      meter: this.#node.meter,
-      logger: this.#node.logger,
+      member: this.#daemon.identity.member,
+      secret: this.#daemon.settings.link.secret,
+      meter: this.#daemon.meter,
+      logger: this.#daemon.logger,
       onLink: link => { this.#onLink(link) }
     })
     if (healthAddress !== null) {
       const readiness = (): Readiness => this.#readiness()
-      this.#health = await startHealthServer(healthAddress, { registry: this.#node.registry, readiness })
+      this.#health = await startHealthServer(healthAddress, { registry: this.#daemon.registry, readiness })
     }
-    await this.#node.start()
+    await this.#daemon.start()
     this.#every(tickMilliseconds, () => { this.#desk.tick() })
     this.#every(reportMilliseconds, () => { this.#report() })
     this.#every(pruneMilliseconds, () => { this.#split.prune(Date.now()) })
@@ -115,7 +115,7 @@
     this.#guard.close()
     await this.#server?.close()
     await this.#health?.close()
-    await this.#node.close()
+    await this.#daemon.close()
     await this.#engine.close()
   }
 
@@ -124,7 +124,7 @@
   }
 
   #readiness (): Readiness {
-    const ready = this.#node.caughtUp
+    const ready = this.#daemon.caughtUp
     return { ready, reason: ready ? 'ready' : 'waits for the log or the instance list' }
   }
 
@@ -135,7 +135,7 @@
   #onLink (link: Link): void {
     link.onMessage(message => { this.#onMessage(link, message) })
     link.onClose(() => { this.#onLinkClose(link.peer) })
-    this.#node.gossip.addLink(link)
+    this.#daemon.gossip.addLink(link)
     link.send({ type: MessageType.LoadReport, targets: this.#desk.loads() })
   }
 
@@ -178,7 +178,7 @@
   }
 
   #onDemand (link: Link, message: LimitDemand): void {
-    const entries = this.#node.membership.live(MemberKind.Entry).length
+    const entries = this.#daemon.membership.live(MemberKind.Entry).length
     const now = Date.now()
     const shares = message.clients.map(demand => this.#split.update(link.peer, demand, entries, now))
     link.send({ type: MessageType.LimitShare, shares })
@@ -199,10 +199,10 @@
   }
 
   #ownedEngines (): ReadonlyArray<{ readonly target: string, readonly address: string }> {
-    const schedulers = this.#node.membership.live(MemberKind.Scheduler)
-    return this.#node.membership.live(MemberKind.Target)
-      .filter(member => typeof this.#node.configuration.targets.get(member.id)?.model === 'string')
-      .filter(member => ownerOf(member.id, schedulers, member.zone)?.id === this.#node.identity.member)
+    const schedulers = this.#daemon.membership.live(MemberKind.Scheduler)
+    return this.#daemon.membership.live(MemberKind.Target)
+      .filter(member => typeof this.#daemon.configuration.targets.get(member.id)?.model === 'string')
+      .filter(member => ownerOf(member.id, schedulers, member.zone)?.id === this.#daemon.identity.member)
       .map(member => ({ target: member.id, address: member.address }))
   }
 }
