--- a/packages/scheduler/src/ledger-guard.ts
+++ b/packages/scheduler/src/ledger-guard.ts
@@ -21,10 +21,10 @@
 /** Milliseconds that a linked entry gets to append its own records. */
 const linkedEntryMilliseconds = 60_000
 
-/** Milliseconds that a record is left to an entry whose link broke. */
-const lostEntryMilliseconds = 3_000
+/** Milliseconds that a record is left to an entry whose link broke; appending it in vain costs little. */
+const lostEntryMilliseconds = 500
 
-const periodMilliseconds = 1_000
+const periodMilliseconds = 250
 
 /** Greatest number of records kept; entries keep theirs too, so the oldest may go. */
 const greatestGuarded = 50_000
