Divide the entry into its process and its parts

Cause: the entry's constructor put sixteen parts together in fifty lines, between its servers and its shutdown.

Change: entry-parts.ts puts the parts together and closes them; entry.ts keeps the servers, readiness and the drain.

Before and after: no behaviour changes; the openai, command line, document and single call tests pass.

--- /dev/null
+++ b/packages/entry/src/entry-parts.ts
@@ -0,0 +1,129 @@
+/** The parts of an entry, put together from its daemon. */
+import { GenerationRunner, PermitClient, ServiceRunner, TargetDirectory } from '@arbutusloft/daemon'
+import type { Daemon, LogWriter, SchedulerLinks, StreamFollower } from '@arbutusloft/daemon'
+import { createHttpEngine, createHttpPlainService } from '@arbutusloft/platform'
+import type { Engine, PlainService } from '@arbutusloft/platform'
+import { StreamName } from '@arbutusloft/protocol'
+import { JobsFold, LedgerFold } from '@arbutusloft/state'
+import { BatchesHandler } from './batches/batches-handler.js'
+import { FilesHandler } from './files/files-handler.js'
+import { GuardedLedger } from './ledger/guarded-ledger.js'
+import { ClientLimits } from './limits/client-limits.js'
+import { OnlineGeneration } from './online/online-generation.js'
+import { ListsHandler } from './operators/lists-handler.js'
+import { OverviewHandler } from './operators/overview-handler.js'
+import type { CallerHandlers } from './pipeline/caller-routes.js'
+import type { OperatorHandlers } from './pipeline/operator-routes.js'
+import { ServicesHandler } from './services/services-handler.js'
+import { SingleCalls } from './services/single-calls.js'
+
+const generationAttempts = 3
+const serviceAttempts = 3
+
+/** A stream that an entry follows and writes. */
+interface Stream<T> {
+  readonly fold: T
+  readonly follower: StreamFollower
+  readonly writer: LogWriter
+}
+
+/** Everything that an entry's routes lead to. */
+export class EntryParts {
+  readonly #engine: Engine
+  readonly #service: PlainService
+  readonly #links: SchedulerLinks
+  readonly #permits: PermitClient
+  readonly #limits: ClientLimits
+  readonly #directory: TargetDirectory
+  readonly #jobs: Stream<JobsFold>
+  readonly #ledger: Stream<LedgerFold>
+
+  constructor (private readonly daemon: Daemon) {
+    const { identity, membership, settings } = daemon
+    const { silenceMilliseconds } = settings.limits
+    this.#engine = createHttpEngine({ silenceMilliseconds })
+    this.#service = createHttpPlainService({ silenceMilliseconds })
+    this.#links = daemon.linkToSchedulers()
+    this.#permits = new PermitClient({ identity, membership, links: this.#links })
+    this.#limits = new ClientLimits({ membership, links: this.#links })
+    this.#directory = new TargetDirectory({ membership, configuration: () => daemon.configuration })
+    this.#permits.onLoads(loads => { this.#directory.onLoads(loads) })
+    this.#jobs = this.#open(StreamName.Jobs, new JobsFold())
+    this.#ledger = this.#open(StreamName.Ledger, new LedgerFold())
+  }
+
+  /** The follower of a stream that some routes need, or null. */
+  follower (stream: StreamName): StreamFollower | null {
+    switch (stream) {
+      case StreamName.Jobs:
+        return this.#jobs.follower
+      case StreamName.Ledger:
+        return this.#ledger.follower
+      case StreamName.Configuration:
+        return this.daemon.configurationFollower
+      case StreamName.Chunks:
+        return null
+    }
+  }
+
+  /** Handlers of the callers' routes. */
+  callerHandlers (): CallerHandlers {
+    const { chunks, membership, settings } = this.daemon
+    const ledger = new GuardedLedger({ links: this.#links, writer: this.#ledger.writer })
+    const shared = { settings, limits: this.#limits, ledger, membership }
+    const route = { directory: this.#directory, permits: this.#permits, zone: settings.instance.zone }
+    const stored = { settings, fold: this.#jobs.fold, follower: this.#jobs.follower, jobs: this.#jobs.writer, chunks }
+    return {
+      generation: new OnlineGeneration({
+        ...shared,
+        engine: this.#engine,
+        runner: new GenerationRunner({ ...route, attempts: generationAttempts })
+      }),
+      files: new FilesHandler(stored),
+      batches: new BatchesHandler(stored),
+      services: new ServicesHandler({
+        ...shared,
+        configuration: () => this.daemon.configuration,
+        runner: new ServiceRunner({ ...route, service: this.#service, attempts: serviceAttempts }),
+        singleCalls: new SingleCalls({ ...this.#ledger, ledger })
+      }),
+      addresses: { membership, addressMilliseconds: settings.limits.addressMilliseconds }
+    }
+  }
+
+  /** Handlers of the operators' routes. */
+  operatorHandlers (): OperatorHandlers {
+    const { configurationFold, configurationFollower, membership, settings } = this.daemon
+    return {
+      lists: new ListsHandler({
+        fold: configurationFold,
+        follower: configurationFollower,
+        configuration: this.daemon.write(StreamName.Configuration),
+        requestBytes: settings.limits.requestBytes
+      }),
+      overview: new OverviewHandler({
+        jobs: this.#jobs.fold,
+        ledger: this.#ledger.fold,
+        membership,
+        directory: this.#directory,
+        configuration: () => this.daemon.configuration
+      })
+    }
+  }
+
+  /** Stops asking for permits and reporting demand; requests in flight have ended. */
+  closeControl (): void {
+    this.#limits.close()
+    this.#permits.close()
+  }
+
+  /** Closes connections to targets. */
+  async closeTargets (): Promise<void> {
+    await this.#engine.close()
+    await this.#service.close()
+  }
+
+  #open<T extends JobsFold | LedgerFold> (stream: StreamName, fold: T): Stream<T> {
+    return { fold, follower: this.daemon.follow(stream, fold), writer: this.daemon.write(stream) }
+  }
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,30 +1,21 @@
 /** An entry process. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { addHealthRoutes, GenerationRunner, Daemon, PermitClient, ServiceRunner, sleep, startHealthServer, startHttpServer, TargetDirectory } from '@arbutusloft/daemon'
-import type { HttpServer, Logger, Readiness, RunningRole, StreamFollower } from '@arbutusloft/daemon'
+import { addHealthRoutes, Daemon, sleep, startHealthServer, startHttpServer } from '@arbutusloft/daemon'
+import type { HttpServer, Logger, Readiness, RunningRole } from '@arbutusloft/daemon'
 import type { Settings } from '@arbutusloft/configuration'
-import { createHttpEngine, createHttpPlainService, MemberKind, MemberState } from '@arbutusloft/platform'
+import { MemberKind, MemberState } from '@arbutusloft/platform'
 import { createIdentifier, messageOf, StreamName } from '@arbutusloft/protocol'
-import { JobsFold, LedgerFold } from '@arbutusloft/state'
 import type { Polka } from 'polka'
-import { BatchesHandler } from './batches/batches-handler.js'
 import { EntryMetrics } from './entry-metrics.js'
-import { FilesHandler } from './files/files-handler.js'
+import { EntryParts } from './entry-parts.js'
 import { ApiError, ApiErrorType, notFound, RunState, sendError } from './http/api-error.js'
-import { GuardedLedger } from './ledger/guarded-ledger.js'
-import { ClientLimits } from './limits/client-limits.js'
-import { OnlineGeneration } from './online/online-generation.js'
-import { ListsHandler } from './operators/lists-handler.js'
-import { OverviewHandler } from './operators/overview-handler.js'
 import { authenticateClient, authenticateOperator } from './pipeline/authenticate.js'
 import { callerRoutes } from './pipeline/caller-routes.js'
+import type { CallerRoute } from './pipeline/caller-routes.js'
 import type { Exchange } from './pipeline/exchange.js'
 import { operatorRoutes } from './pipeline/operator-routes.js'
-import { ServicesHandler } from './services/services-handler.js'
-import { SingleCalls } from './services/single-calls.js'
+import type { OperatorRoute } from './pipeline/operator-routes.js'
 
-const generationAttempts = 3
-const serviceAttempts = 3
 const millisecondsPerSecond = 1_000
 const leavingPollMilliseconds = 50
 
@@ -51,14 +42,10 @@
 
 class EntryProcess implements Entry {
   readonly #daemon: Daemon
-  readonly #engine
-  readonly #service
-  readonly #permits: PermitClient
-  readonly #limits: ClientLimits
+  readonly #parts: EntryParts
   readonly #metrics: EntryMetrics
-  readonly #callerRoutes
-  readonly #operatorRoutes
-  readonly #followers: Partial<Record<StreamName, StreamFollower>>
+  readonly #callerRoutes: readonly CallerRoute[]
+  readonly #operatorRoutes: readonly OperatorRoute[]
   #caller: HttpServer | null = null
   #operator: HttpServer | null = null
   #health: HttpServer | null = null
@@ -68,50 +55,9 @@
     const daemon = new Daemon({ settings, role: MemberKind.Entry, logger })
     this.#daemon = daemon
     this.#metrics = new EntryMetrics(daemon.registry)
-    const { silenceMilliseconds } = settings.limits
-    this.#engine = createHttpEngine({ silenceMilliseconds })
-    this.#service = createHttpPlainService({ silenceMilliseconds })
-    const links = daemon.linkToSchedulers()
-    this.#permits = new PermitClient({ identity: daemon.identity, membership: daemon.membership, links })
-    const directory = new TargetDirectory({ membership: daemon.membership, configuration: () => daemon.configuration })
-    this.#permits.onLoads(loads => { directory.onLoads(loads) })
-    this.#limits = new ClientLimits({ membership: daemon.membership, links })
-    const jobs = new JobsFold()
-    const jobsFollower = daemon.follow(StreamName.Jobs, jobs)
-    const jobsWriter = daemon.write(StreamName.Jobs)
-    const ledger = new LedgerFold()
-    const ledgerFollower = daemon.follow(StreamName.Ledger, ledger)
-    const ledgerWriter = daemon.write(StreamName.Ledger)
-    this.#followers = { [StreamName.Jobs]: jobsFollower, [StreamName.Ledger]: ledgerFollower }
-    const zone = settings.instance.zone
-    const guardedLedger = new GuardedLedger({ links, writer: ledgerWriter })
-    const shared = { settings, limits: this.#limits, ledger: guardedLedger, membership: daemon.membership }
-    const stored = { settings, fold: jobs, follower: jobsFollower, jobs: jobsWriter, chunks: daemon.chunks }
-    this.#callerRoutes = callerRoutes({
-      generation: new OnlineGeneration({
-        ...shared,
-        engine: this.#engine,
-        runner: new GenerationRunner({ directory, permits: this.#permits, zone, attempts: generationAttempts })
-      }),
-      files: new FilesHandler(stored),
-      batches: new BatchesHandler(stored),
-      services: new ServicesHandler({
-        ...shared,
-        configuration: () => daemon.configuration,
-        runner: new ServiceRunner({ service: this.#service, directory, permits: this.#permits, zone, attempts: serviceAttempts }),
-        singleCalls: new SingleCalls({ fold: ledger, follower: ledgerFollower, writer: ledgerWriter, ledger: guardedLedger })
-      }),
-      addresses: { membership: daemon.membership, addressMilliseconds: settings.limits.addressMilliseconds }
-    })
-    this.#operatorRoutes = operatorRoutes({
-      lists: new ListsHandler({
-        fold: daemon.configurationFold,
-        follower: daemon.configurationFollower,
-        configuration: daemon.write(StreamName.Configuration),
-        requestBytes: settings.limits.requestBytes
-      }),
-      overview: new OverviewHandler({ jobs, ledger, membership: daemon.membership, directory, configuration: () => daemon.configuration })
-    })
+    this.#parts = new EntryParts(daemon)
+    this.#callerRoutes = callerRoutes(this.#parts.callerHandlers())
+    this.#operatorRoutes = operatorRoutes(this.#parts.operatorHandlers())
   }
 
   get callerAddress (): string {
@@ -147,12 +93,10 @@
     this.#leaving = true
     await this.#waitUntilForgotten()
     await Promise.all([this.#caller?.close(), this.#operator?.close()])
-    this.#limits.close()
-    this.#permits.close()
+    this.#parts.closeControl()
     await this.#health?.close()
     await this.#daemon.close()
-    await this.#engine.close()
-    await this.#service.close()
+    await this.#parts.closeTargets()
   }
 
   async #serve (address: string, routes: (application: Polka) => void): Promise<HttpServer> {
@@ -214,7 +158,7 @@
   /** A process serves only at the newest configuration it can learn. */
   #requireKnowledge (stream: StreamName = StreamName.Configuration): void {
     const { configurationFollower, membership } = this.#daemon
-    const needed = this.#followers[stream]
+    const needed = this.#parts.follower(stream)
     if (!configurationFollower.caughtUp || !membership.known || needed?.caughtUp === false) {
       throw new ApiError(503, ApiErrorType.Unavailable, 'this entry is starting; use another address', {
         run: RunState.NotRun,
