Say what to do when a port is taken

Cause: npm start beside another run ended with a stack trace.

Change: it names the error and the variables that choose other ports.

Before: stack trace.

--- a/packages/development/src/bin/arbutus-development.ts
+++ b/packages/development/src/bin/arbutus-development.ts
@@ -1,16 +1,14 @@
 #!/usr/bin/env node
 /** Binary of the embedded system: keeps it up and prints how to use it. */
-import { sample } from '../sample-lists.js'
+import { messageOf } from '@arbutusloft/protocol'
 import { startEmbeddedSystem } from '../embedded-system.js'
+import type { EmbeddedSystem } from '../embedded-system.js'
+import { sample } from '../sample-lists.js'
 
 const callerPort = Number(process.env['ARBUTUS_CALLER_PORT'] ?? 8080)
 const operatorPort = Number(process.env['ARBUTUS_OPERATOR_PORT'] ?? 8081)
 
-const system = await startEmbeddedSystem({
-  callerPort,
-  operatorPort,
-  onLogLine: line => process.stderr.write(line)
-})
+const system = await start()
 
 process.stdout.write(`arbutusloft is up.
 
@@ -32,3 +30,13 @@
 })
 process.stdout.write('stopping\n')
 await system.close()
+
+async function start (): Promise<EmbeddedSystem> {
+  try {
+    return await startEmbeddedSystem({ callerPort, operatorPort, onLogLine: line => process.stderr.write(line) })
+  } catch (error) {
+    process.stderr.write(`arbutusloft did not start: ${messageOf(error)}\n` +
+      'ARBUTUS_CALLER_PORT and ARBUTUS_OPERATOR_PORT choose other ports than 8080 and 8081.\n')
+    process.exit(1)
+  }
+}
--- a/packages/development/src/cluster/cluster.ts
+++ b/packages/development/src/cluster/cluster.ts
@@ -282,11 +282,11 @@
   }
 
   #settings (): string {
-    const any = '127.0.0.1:0'
+    const anyPort = '127.0.0.1:0'
     const listen: Readonly<Record<string, Readonly<Record<string, string>>>> = {
-      [MemberKind.Entry]: { caller: any, operator: any, health: any },
-      [MemberKind.Scheduler]: { link: any, health: any },
-      [MemberKind.Batch]: { health: any }
+      [MemberKind.Entry]: { caller: anyPort, operator: anyPort, health: anyPort },
+      [MemberKind.Scheduler]: { link: anyPort, health: anyPort },
+      [MemberKind.Batch]: { health: anyPort }
     }
     return settingsText({
       instance: this.#instance,
