Measure how soon an edit is in force with 12 instances

Cause: the bound of 5 s with 12 instances, one process cut off from the log, was not measured.

Before: not measured.

--- /dev/null
+++ b/packages/bench/src/measures/configuration.ts
@@ -0,0 +1,69 @@
+/** Time until an edit is in force on every entry, one of which cannot reach the log. */
+import { pause, sample, startCluster } from '@arbutusloft/development'
+import { MemberKind } from '@arbutusloft/platform'
+import { describeDistribution, distributionOf } from '../util/distribution.js'
+import type { Measure } from './measure.js'
+
+const instances = 12
+const edits = 15
+const pollMilliseconds = 5
+const greatestMilliseconds = 30_000
+const headers = { authorization: `Bearer ${sample.operator.key}` }
+
+/** `bench configuration` */
+export const configurationMeasure: Measure = {
+  name: 'configuration',
+  description: `time until an edit is in force on ${instances} entries, one of them cut off from the log`,
+  run: async print => {
+    const cluster = await startCluster({ entries: instances, schedulers: instances, batches: instances, engines: 2, limits: { 'instance-list-milliseconds': 500 } })
+    try {
+      const addresses = cluster.of(MemberKind.Entry).map(entry => entry.addresses['operator'] ?? '')
+      const stuck = cluster.of(MemberKind.Entry).at(-1)
+      stuck?.logLink.blackhole()
+      stuck?.logLink.setRefusing(true)
+      const reached: number[] = []
+      const cutOff: number[] = []
+      for (let index = 0; index < edits; index++) {
+        const times = await editAndWait(addresses, index)
+        reached.push(...times.slice(0, -1))
+        cutOff.push(times.at(-1) ?? 0)
+      }
+      print(`entries that reach the log: ${describeDistribution(distributionOf(reached))}`)
+      print(`the entry that does not:    ${describeDistribution(distributionOf(cutOff))}`)
+      return { reached: distributionOf(reached), cutOff: distributionOf(cutOff) }
+    } finally {
+      await cluster.close()
+    }
+  }
+}
+
+/** Publishes an edit and returns the milliseconds until each entry shows it. */
+async function editAndWait (addresses: readonly string[], index: number): Promise<readonly number[]> {
+  const first = addresses[0] ?? ''
+  const present = await fetch(`http://${first}/admin/lists/usage`, { headers })
+  const text = (await present.text()).replace(/requests-per-minute = \d+/, `requests-per-minute = ${5_000_000 + index}`)
+  const startedAt = performance.now()
+  const response = await fetch(`http://${first}/admin/lists/usage`, {
+    method: 'PUT',
+    headers: { ...headers, 'if-match': present.headers.get('etag') ?? '' },
+    body: text
+  })
+  const answer = await response.json() as { readonly revision?: number }
+  const { revision } = answer
+  if (revision === undefined) {
+    throw new Error(`the edit was refused: ${JSON.stringify(answer)}`)
+  }
+  return await Promise.all(addresses.map(async address => await timeUntil(address, revision, startedAt)))
+}
+
+async function timeUntil (address: string, revision: number, startedAt: number): Promise<number> {
+  while (performance.now() - startedAt < greatestMilliseconds) {
+    const response = await fetch(`http://${address}/admin/lists/plans`, { headers })
+    await response.text()
+    if (Number(response.headers.get('etag')?.replaceAll('"', '')) >= revision) {
+      return performance.now() - startedAt
+    }
+    await pause(pollMilliseconds)
+  }
+  throw new Error(`${address} did not show revision ${revision}`)
+}
--- a/packages/bench/src/measures/index.ts
+++ b/packages/bench/src/measures/index.ts
@@ -1,4 +1,5 @@
 /** Registry of measurements. */
+import { configurationMeasure } from './configuration.js'
 import { controlSlopesMeasure } from './control-slopes.js'
 import { largeJobMeasure } from './large-job.js'
 import type { Measure } from './measure.js'
@@ -12,5 +13,6 @@
   largeJobMeasure,
   stateSlopesMeasure,
   controlSlopesMeasure,
+  configurationMeasure,
   ...scenarioMeasures
 ]
