--- a/packages/integration-tests/tests/faults/configuration.test.ts
+++ b/packages/integration-tests/tests/faults/configuration.test.ts
@@ -4,43 +4,9 @@
 import { checkRevisions } from '../checkers/check-revisions.js'
 import type { SeenRevision } from '../checkers/check-revisions.js'
 import type { Cluster } from '@arbutusloft/development'
+import { editPlan, operatorHeaders, planOf, usageAt } from '../harness/plan-editor.js'
 import { testOnCluster } from '../harness/with-cluster.js'
 
-const headers = { authorization: `Bearer ${sample.operator.key}` }
-
-interface ListView {
-  readonly revision: number
-  readonly sections: ReadonlyArray<{ readonly name: string, readonly body: string, readonly revision: number }>
-}
-
-async function usageAt (address: string): Promise<ListView> {
-  const response = await fetch(`http://${address}/admin/lists/usage`, { headers: { ...headers, accept: 'application/json' } })
-  return await response.json() as ListView
-}
-
-async function editPlan (address: string, base: number, requests: number): Promise<number> {
-  const body = [
-    `requests-per-minute = ${requests}`,
-    'tokens-per-minute = 900000000',
-    'concurrency = 20000',
-    `models = ${sample.model}`,
-    `services = ${sample.service}, ${sample.lookupService}`
-  ].join('\n')
-  const response = await fetch(`http://${address}/admin/lists/usage/edits`, {
-    method: 'POST',
-    headers: { ...headers, 'content-type': 'application/json' },
-    body: JSON.stringify({ sections: [{ section: 'plan standard', base, body }] })
-  })
-  await response.text()
-  return response.status
-}
-
-function planOf (list: ListView): { readonly body: string, readonly revision: number } {
-  const plan = list.sections.find(section => section.name === 'plan standard')
-  assert.ok(plan)
-  return plan
-}
-
 function operatorAddresses (cluster: Cluster): readonly string[] {
   return cluster.of(MemberKind.Entry).filter(entry => entry.running).map(entry => entry.addresses['operator'] ?? '')
 }
@@ -53,7 +19,7 @@
   const winner = 7_000 + statuses.indexOf(200)
   for (const address of addresses) {
     await until('the winner is in force', async () => planOf(await usageAt(address)).body.includes(`= ${winner}\n`))
-    const response = await fetch(`http://${address}/admin/audit`, { headers })
+    const response = await fetch(`http://${address}/admin/audit`, { headers: operatorHeaders })
     const { entries } = await response.json() as { readonly entries: ReadonlyArray<{ readonly refusal: string | null }> }
     assert.equal(entries.filter(entry => entry.refusal !== null).length, 2)
   }
