--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -1,4 +1,5 @@
 /** The parts of an entry, put together from its daemon. */
+import type { Configuration } from '@arbutusloft/configuration'
 import { GenerationRunner, PermitClient, ServiceRunner, TargetDirectory } from '@arbutusloft/daemon'
 import type { Daemon, LogWriter, SchedulerLinks, StreamFollower } from '@arbutusloft/daemon'
 import { createHttpEngine, createHttpPlainService } from '@arbutusloft/platform'
@@ -70,7 +71,8 @@
   callerHandlers (): CallerHandlers {
     const { chunks, membership, settings } = this.daemon
     const ledger = new GuardedLedger({ links: this.#links, writer: this.#ledger.writer })
-    const shared = { settings, limits: this.#limits, ledger, membership }
+    const configuration = (): Configuration => this.daemon.configuration
+    const shared = { settings, limits: this.#limits, ledger, membership, configuration }
     const route = { directory: this.#directory, permits: this.#permits, zone: settings.instance.zone }
     const stored = { settings, fold: this.#jobs.fold, follower: this.#jobs.follower, jobs: this.#jobs.writer, chunks }
     return {
@@ -83,7 +85,6 @@
       batches: new BatchesHandler(stored),
       services: new ServicesHandler({
         ...shared,
-        configuration: () => this.daemon.configuration,
         runner: new ServiceRunner({ ...route, service: this.#service, attempts: serviceAttempts }),
         singleCalls: new SingleCalls({ ...this.#ledger, ledger })
       }),
--- a/packages/entry/src/online/online-generation.ts
+++ b/packages/entry/src/online/online-generation.ts
@@ -1,5 +1,5 @@
 /** Handler of `/v1/chat/completions` and `/v1/completions`. */
-import type { Settings } from '@arbutusloft/configuration'
+import type { Configuration, Settings } from '@arbutusloft/configuration'
 import { Generation } from '@arbutusloft/daemon'
 import type { GenerationRunner, Membership } from '@arbutusloft/daemon'
 import type { Engine, GenerationPath, GenerationUsage } from '@arbutusloft/platform'
@@ -24,6 +24,7 @@
   readonly engine: Engine
   readonly runner: GenerationRunner
   readonly limits: ClientLimits
+  readonly configuration: () => Configuration
   readonly membership: Membership
   readonly ledger: GuardedLedger
 }
@@ -43,6 +44,7 @@
     const body = parseGenerationBody(path, json)
     allowModel(exchange, body.model)
     const promptTokens = estimateTokens(body.prompt)
+    checkContext(this.options.configuration(), body.model, promptTokens)
     const admission = this.options.limits.admit(exchange.client.name, exchange.plan, promptTokens + body.greatestTokens)
     let used = 0
     try {
@@ -112,6 +114,18 @@
     : new WholeWriter(exchange.response, head)
 }
 
+/** Refuses prompts that are too long for the model by the estimate; the engine counts exactly. */
+function checkContext (configuration: Configuration, model: string, promptTokens: number): void {
+  const contextTokens = configuration.models.get(model)?.contextTokens ?? Infinity
+  if (promptTokens > contextTokens) {
+    throw new ApiError(400, ApiErrorType.InvalidRequest, `the prompt has about ${promptTokens} tokens, and "${model}" takes ${contextTokens}: shorten it`, {
+      code: 'context_length_exceeded',
+      parameter: 'messages',
+      run: RunState.NotRun
+    })
+  }
+}
+
 /** Refuses models that the client's plan does not name. */
 export function allowModel (exchange: ClientExchange, model: string): void {
   if (!exchange.plan.models.includes(model)) {
--- a/packages/integration-tests/tests/openai-client.test.ts
+++ b/packages/integration-tests/tests/openai-client.test.ts
@@ -114,6 +114,8 @@
   void it('is told what to mend', async () => {
     await assert.rejects(client.chat.completions.create({ model: 'unknown', messages: [{ role: 'user', content: 'x' }] }), /your plan has no model/)
     await assert.rejects(client.chat.completions.create({ model: sample.model, messages: [] }), { status: 400 })
+    const long = { role: 'user', content: 'word '.repeat(20_000) } as const
+    await assert.rejects(client.chat.completions.create({ model: sample.model, messages: [long] }), { code: 'context_length_exceeded' })
     await assert.rejects(new OpenAI({ baseURL: client.baseURL, apiKey: 'wrong', maxRetries: 0 }).models.list(), { status: 401 })
   })
 })
