--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,7 +7,7 @@
 import { StreamName } from '@arbutusloft/protocol'
 import type { Fold } from '@arbutusloft/state'
 import PQueue from 'p-queue'
-import { collectDefaultMetrics, Registry } from 'prom-client'
+import { collectDefaultMetrics, Gauge, Registry } from 'prom-client'
 import { ConfigurationGossip } from './configuration/configuration-gossip.js'
 import type { Logger } from './create-logger.js'
 import { createIdentity } from './identity.js'
@@ -44,7 +44,7 @@
   readonly chunks: ChunkStore
   readonly #instanceList: InstanceList
   readonly #budget: PQueue
-  readonly #writers: LogWriter[] = []
+  readonly #writers = new Map<StreamName, LogWriter>()
   readonly #followers: StreamFollower[] = []
   readonly #keepers: SnapshotKeeper[] = []
   #links: SchedulerLinks | null = null
@@ -65,6 +65,7 @@
     this.chunks = new ChunkStore({ log: this.log, budget: this.#budget, entryBytes: settings.limits.appendBytes })
     this.configurationFollower = this.follow(StreamName.Configuration, this.configurationFold)
     this.gossip = new ConfigurationGossip(this.configurationFollower)
+    this.#addMetrics()
   }
 
   get settings (): Settings {
@@ -115,7 +116,7 @@
       logger: this.logger,
       entryBytes: this.settings.limits.appendBytes
     })
-    this.#writers.push(writer)
+    this.#writers.set(stream, writer)
     return writer
   }
 
@@ -153,12 +154,26 @@
     return links
   }
 
+  #addMetrics (): void {
+    const backlog = new Gauge({
+      name: 'arbutus_log_backlog_bytes',
+      help: 'Bytes of records that the log has not acknowledged',
+      labelNames: ['stream'],
+      registers: [this.registry],
+      collect: () => {
+        for (const [stream, writer] of this.#writers) {
+          backlog.set({ stream }, writer.backlogBytes)
+        }
+      }
+    })
+  }
+
   /** Waits for what was given to the writers, then stops everything. */
   async close (): Promise<void> {
     for (const keeper of this.#keepers) {
       keeper.close()
     }
-    await Promise.all(this.#writers.map(async writer => { await writer.close(writerCloseMilliseconds) }))
+    await Promise.all([...this.#writers.values()].map(async writer => { await writer.close(writerCloseMilliseconds) }))
     this.gossip.close()
     this.#links?.close()
     this.membership.close()
--- a/packages/policy/src/routing/prefix-index.ts
+++ b/packages/policy/src/routing/prefix-index.ts
@@ -39,11 +39,6 @@
     }
   }
 
-  /** The target is gone, or its events had a gap. */
-  forget (target: string): void {
-    this.#blocks.delete(target)
-  }
-
   /** Number of leading blocks of the prompt that the target is thought to hold. */
   match (target: string, blocks: readonly string[]): number {
     const known = this.#blocks.get(target)
