Never give a part of a finished batch's output for the whole

Ruled out: the fold and the batch process, since no item was lost.

Change: before an entry sends results of a job that it does not know as ended, it catches up with the log; if the log is out of reach it answers 503.

--- a/packages/entry/src/files/file-object.ts
+++ b/packages/entry/src/files/file-object.ts
@@ -1,5 +1,6 @@
 /** Files as the API shows them, with the results of jobs as files of their own. */
 import { FilePurpose } from '@arbutusloft/protocol'
+import { JobStatus } from '@arbutusloft/state'
 import type { FileState, JobState, StoredChunk, JobsFold } from '@arbutusloft/state'
 
 /** Which of a job's results a file holds. */
@@ -21,6 +22,8 @@
 export interface VisibleFile {
   readonly object: FileObject
   readonly parts: readonly ContentPart[]
+  /** Whether nothing more will be added. */
+  readonly final: boolean
 }
 
 /** The API's file object. */
@@ -66,7 +69,8 @@
       purpose: created.purpose,
       status: 'processed'
     },
-    parts: file.chunks.map(chunk => ({ chunk, lines: null }))
+    parts: file.chunks.map(chunk => ({ chunk, lines: null })),
+    final: true
   }
 }
 
@@ -86,6 +90,7 @@
     },
     parts: job.results
       .filter(result => result.failed === failed)
-      .map(result => ({ chunk: result, lines: result.accepted }))
+      .map(result => ({ chunk: result, lines: result.accepted })),
+    final: job.status !== JobStatus.InProgress
   }
 }
--- a/packages/entry/src/files/files-handler.ts
+++ b/packages/entry/src/files/files-handler.ts
@@ -25,6 +25,8 @@
   readonly chunks: ChunkStore
 }
 
+const catchUpMilliseconds = 2_000
+
 /** Stores, lists, reads and deletes files. */
 export class FilesHandler {
   constructor (private readonly options: FilesHandlerOptions) {}
@@ -74,7 +76,7 @@
   /** Sends the content chunk by chunk, so that no process holds it whole. */
   async content (exchange: ClientExchange): Promise<void> {
     const { response } = exchange
-    const file = await this.#find(exchange)
+    const file = await this.#findCurrent(exchange)
     for (const part of file.parts) {
       const text = await this.#textOf(part)
       if (!response.headersSent) {
@@ -87,6 +89,20 @@
     response.end()
   }
 
+  /** Another entry may have shown the job as ended already, and then a part must not pass for the whole. */
+  async #findCurrent (exchange: ClientExchange): Promise<VisibleFile> {
+    const file = await this.#find(exchange)
+    if (file.final) {
+      return file
+    }
+    if (!await this.options.follower.catchUp(catchUpMilliseconds)) {
+      throw new ApiError(503, ApiErrorType.Unavailable, 'the content cannot be read while the platform\'s log is out of reach', {
+        retryAfterMilliseconds: catchUpMilliseconds
+      })
+    }
+    return await this.#find(exchange)
+  }
+
   async #textOf (part: ContentPart): Promise<string> {
     const read = await this.options.chunks.read(part.chunk.offset)
     if (read.err) {
