Reach the store through a peer while it turns an instance away

Ruled out: the delay between reads (300 ms). Reads, and appends that were certainly not done, now go through a peer that the store serves; every second one call tries the direct way.

--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -110,6 +110,14 @@
     return this.live().filter(member => member.state === MemberState.Ready && !this.#suspects.has(member.address))
   }
 
+  /** Other live members, those of this process's availability zone first, otherwise in random order. */
+  peersByDistance (): readonly Member[] {
+    const others = this.#others()
+    const nearby = others.filter(member => member.zone === this.options.zone)
+    const distant = others.filter(member => member.zone !== this.options.zone)
+    return [...pick(nearby, nearby.length), ...pick(distant, distant.length)]
+  }
+
   /** A member did not answer; it takes no duty until it is heard of again. */
   suspect (address: string): void {
     const known = this.#members.get(address)
--- a/platform/src/store-connection.ts
+++ b/packages/gateway/src/store/direct-store-connection.ts
@@ -1,18 +1,7 @@
 /** Calls to the platform's store. */
 import { messageOf } from '@arbutusloft/protocol'
 import { Pool } from 'undici'
-
-/** What came of a call. */
-export type StoreReply =
-  | { readonly answered: true, readonly status: number, readonly body: Buffer }
-  /** @property sent whether the call may have reached the store */
-  | { readonly answered: false, readonly sent: boolean, readonly reason: string }
-
-/** Makes calls; a reply never rejects. */
-export interface StoreConnection {
-  call: (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number) => Promise<StoreReply>
-  close: () => Promise<void>
-}
+import type { StoreConnection, StoreReply } from './store-connection.js'
 
 /** Long polls of three topics, an append, a refresh, and as many for relayed calls. */
 const greatestConnections = 16
