Let no batch work start before owner and members are known

A new owner now grants no batch work for 500 ms, orphaned jobs wait 1.2 s, and members find each other at once by addresses kept in the log.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import type { HeaderNames } from './online/header-names.js'
 import { createOnlineRequest } from './online/online-request.js'
 import { OnlineRun } from './online/online-runner.js'
+import { MemberDirectory } from './peers/member-directory.js'
 import { Membership } from './peers/membership.js'
 import { MemberState } from './peers/peer-messages.js'
 import type { PeerTransport } from './peers/peer-socket.js'
@@ -31,11 +32,15 @@
   readonly seeds: readonly string[]
   readonly names: HeaderNames
   readonly transport: PeerTransport
-  /** Topic that keeps batch jobs. */
-  readonly jobsTopic: (metrics: GatewayMetrics) => KeyedTopic
+  /** Opens a topic by its name; calls are counted in the metrics. */
+  readonly openTopic: (name: string, metrics: GatewayMetrics) => KeyedTopic
   readonly logger: Logger
 }
 
+/** Topic that keeps batch jobs and their results. */
+const jobsTopicName = 'jobs'
+/** Topic that keeps the addresses of processes. */
+const membersTopicName = 'members'
 /** Milliseconds that a read of the jobs waits; also the age at which a silent store is noticed. */
 const jobsWaitMilliseconds = 800
 /** Milliseconds between reads that brought records; each costs a call. */
@@ -53,6 +58,7 @@
   readonly #connections = new TargetConnections()
   readonly #jobsFollower: KeyedFollower
   readonly #runner: JobRunner
+  readonly #directory: MemberDirectory
   #routes: RouteTable | null = null
   #targetsKnown = false
   #inFlight = 0
@@ -68,7 +74,7 @@
       this.#updateState()
     })
     const fold = new JobsFold(logger)
-    const topic = options.jobsTopic(this.metrics)
+    const topic = options.openTopic(jobsTopicName, this.metrics)
     this.#jobsFollower = new KeyedFollower(
       topic,
       { name: 'jobs', waitMilliseconds: jobsWaitMilliseconds, pauseMilliseconds: jobsPauseMilliseconds },
@@ -86,6 +92,8 @@
     })
     this.jobs = new JobDesk(fold, this.#jobsFollower, log, () => this.#runner.self)
     this.#jobsFollower.start()
+    this.#directory = new MemberDirectory(options.openTopic(membersTopicName, this.metrics), this.membership, logger)
+    this.#directory.start()
   }
 
   /** Routes in force, or null before the first configuration. */
@@ -179,6 +187,7 @@
   async close (): Promise<void> {
     this.#runner.close()
     this.#jobsFollower.close()
+    this.#directory.close()
     this.slots.close()
     this.membership.close()
     await this.#connections.close()
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -21,12 +21,19 @@
 /** Milliseconds between checks of who runs what. */
 const checkMilliseconds = 500
 
+/**
+ * Milliseconds that a process must have been ready before it takes over jobs of others. After all
+ * have started together, each knows only itself at first, and would run everything.
+ */
+const settleMilliseconds = 1_200
+
 /** Starts items of own jobs, and stops those that are done, ended or another process's. */
 export class JobRunner {
   readonly #runs = new Map<string, ItemRun>()
   readonly #timer: NodeJS.Timeout
   readonly #self: string
   #draining = false
+  #readySince: number | null = null
 
   constructor (private readonly parts: JobRunnerParts) {
     this.#self = processNameOf(parts.membership.self)
@@ -60,6 +67,7 @@
 
   #check (jobs: Iterable<Job>): void {
     const ready = this.parts.membership.ready()
+    this.#noteReady()
     const names = new Set(ready.map(processNameOf))
     for (const job of jobs) {
       const isMine = !this.#draining && !isSettled(job) && this.#runnerOf(job, names) === this.#self
@@ -73,11 +81,19 @@
     }
   }
 
+  #noteReady (): void {
+    const isReady = this.parts.membership.state === MemberState.Ready
+    this.#readySince = isReady ? this.#readySince ?? Date.now() : null
+  }
+
   /** The process that accepted the job, or while it is away, one that all agree on. */
   #runnerOf (job: Job, ready: ReadonlySet<string>): string | null {
     if (ready.has(job.acceptedBy)) {
       return job.acceptedBy
     }
+    if (this.#readySince === null || Date.now() - this.#readySince < settleMilliseconds) {
+      return null
+    }
     const candidates = [...ready].map(id => ({ id, zone: '' }))
     return ownerOf(job.id, candidates, null)?.id ?? null
   }
@@ -125,8 +141,3 @@
 export function processNameOf (member: { readonly address: string, readonly incarnation: number }): string {
   return `${member.address}/${member.incarnation}`
 }
-
-/** Whether a member may be given work. */
-export function takesWork (state: MemberState): boolean {
-  return state === MemberState.Ready
-}
--- a/packages/gateway/src/log/keyed-topic.ts
+++ b/packages/gateway/src/log/keyed-topic.ts
@@ -46,6 +46,6 @@
   newest: () => Promise<RecordBatch>
   /** Records from an offset on; waits up to `waitMilliseconds` for the first. */
   read: (from: number, waitMilliseconds: number) => Promise<RecordBatch>
-  /** Appends all records if the topic ends at `at`; never rejects. Done: the offset of the first. */
-  append: (records: readonly NewRecord[], at: number) => Promise<AppendEnd>
+  /** Appends all records if the topic ends at `at`, or wherever it ends if that is null; never rejects. */
+  append: (records: readonly NewRecord[], at: number | null) => Promise<AppendEnd>
 }
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -38,6 +38,8 @@
 const livenessMilliseconds = 1_500
 /** Silence after which a member is forgotten, in milliseconds. */
 const forgetMilliseconds = 15_000
+/** Seeds told in a round while hardly anybody is known. */
+const greatestSeeds = 12
 /** Part of the rounds that also tell a seed, so that divided fleets find each other again. */
 const seedShare = 0.2
 
@@ -60,14 +62,14 @@
     this.addSeeds(options.seeds)
     transport.onMessage((message, sender) => { this.#onMessage(message, sender) })
     this.#timer = setInterval(() => { this.#round() }, gossipMilliseconds)
-    this.#round()
   }
 
-  /** Further addresses at which processes may be found. */
+  /** Further addresses at which processes may be found; new ones are told at once. */
   addSeeds (addresses: Iterable<string>): void {
     for (const address of addresses) {
-      if (address !== this.transport.address) {
+      if (address !== this.transport.address && !this.#seeds.has(address)) {
         this.#seeds.add(address)
+        this.#tell(address)
       }
     }
   }
@@ -145,7 +147,8 @@
       this.#tell(address)
     }
     if (live.length < gossipFanout || Math.random() < seedShare) {
-      for (const address of pick([...this.#seeds], 1)) {
+      const unheard = [...this.#seeds].filter(address => !live.includes(address))
+      for (const address of pick(unheard, live.length < gossipFanout ? greatestSeeds : 1)) {
         this.#tell(address)
       }
     }
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -12,6 +12,12 @@
 /** Silence of a holder after which its slots come free, in milliseconds; holders report several times a second. */
 const holderTimeoutMilliseconds = 2_500
 
+/**
+ * Milliseconds after the first word of a holder for which no batch work is granted: by then every
+ * holder has reported what it holds.
+ */
+const settleMilliseconds = 500
+
 interface OwnedService {
   readonly admission: FleetAdmission
   /** Time of each holder's last report. */
@@ -33,8 +39,7 @@
 
   /** Decides on a request; false if it waits. */
   request (service: string, request: SlotRequest): boolean {
-    const owned = this.#owned(service)
-    owned.holders.set(request.holder, Date.now())
+    const owned = this.#heard(service, request.holder)
     const decisions = owned.admission.request(request, Date.now())
     this.#emit(service, decisions)
     return decisions.some(decision => decision.permit === request.permit)
@@ -50,8 +55,7 @@
 
   /** Takes a holder's report of all that it holds. */
   report (service: string, holder: string, held: readonly HeldSlot[]): void {
-    const owned = this.#owned(service)
-    owned.holders.set(holder, Date.now())
+    const owned = this.#heard(service, holder)
     this.#emit(service, owned.admission.synchronize(holder, held, Date.now()))
   }
 
@@ -64,6 +68,15 @@
     clearInterval(this.#timer)
   }
 
+  #heard (service: string, holder: string): OwnedService {
+    const owned = this.#owned(service)
+    if (owned.holders.size === 0) {
+      owned.admission.holdBatchUntil(Date.now() + settleMilliseconds)
+    }
+    owned.holders.set(holder, Date.now())
+    return owned
+  }
+
   #owned (service: string): OwnedService {
     const known = this.#services.get(service)
     if (known !== undefined) {
--- a/packages/gateway/src/store/direct-store-connection.ts
+++ b/packages/gateway/src/store/direct-store-connection.ts
@@ -1,6 +1,7 @@
 /** Calls to the platform's store. */
 import { messageOf } from '@arbutusloft/protocol'
-import { Pool } from 'undici'
+import { callBuffered, UnansweredCallError } from '../util/buffered-call.js'
+import { Pool } from '../util/undici-pool.js'
 import type { StoreConnection, StoreReply } from './store-connection.js'
 
 /** Long polls of three topics, an append, a refresh, and as many for relayed calls. */
@@ -10,9 +11,6 @@
 /** Milliseconds after which an idle connection is closed: silent ones must not pile up. */
 const idleMilliseconds = 4_000
 
-/** Errors that tell that the call was never written. */
-const unsentCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'])
-
 /** Direct connections to the store. */
 export class DirectStoreConnection implements StoreConnection {
   readonly #pool: Pool
@@ -27,15 +25,11 @@
   }
 
   async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
-    const abort = new AbortController()
-    const timer = setTimeout(() => { abort.abort(new Error('no answer in time')) }, timeoutMilliseconds)
     try {
-      const response = await this.#pool.request({ method, path, body, signal: abort.signal, headersTimeout: 0, bodyTimeout: 0 })
-      return { answered: true, status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) }
+      const answer = await callBuffered(this.#pool, { method, path, body, timeoutMilliseconds })
+      return { answered: true, status: answer.status, body: answer.body }
     } catch (error) {
-      return { answered: false, sent: !isUnsent(error), reason: messageOf(error) }
-    } finally {
-      clearTimeout(timer)
+      return { answered: false, sent: !(error instanceof UnansweredCallError) || error.sent, reason: messageOf(error) }
     }
   }
 
@@ -43,7 +37,3 @@
     await this.#pool.destroy()
   }
 }
-
-function isUnsent (error: unknown): boolean {
-  return error instanceof Error && 'code' in error && unsentCodes.has(String(error.code))
-}
--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -2,9 +2,10 @@
  * Reaches the store directly, or through a peer while the store turns this instance away.
  * A relayed call is the same call: the store orders and conditions it as if it had come directly.
  */
-import { Client } from 'undici'
 import { messageOf } from '@arbutusloft/protocol'
+import { callBuffered, UnansweredCallError } from '../util/buffered-call.js'
 import type { Logger } from '../util/logger.js'
+import { Pool } from '../util/undici-pool.js'
 import type { StoreConnection, StoreReply } from './store-connection.js'
 
 /** Path of relayed calls on the peers' internal address. */
@@ -109,30 +110,23 @@
 
 async function callPeer (peer: string, method: 'GET' | 'POST', path: string, body: Buffer | null, timeout: number): Promise<StoreReply> {
   // A connection for each call: this is rare, and a silent one must not be met twice.
-  const client = new Client(`http://${peer}`, { connect: { timeout: peerMilliseconds } })
-  const abort = new AbortController()
-  const timer = setTimeout(() => { abort.abort(new Error('peer did not answer in time')) }, timeout + peerMilliseconds)
-  let sent = false
+  const pool = new Pool(`http://${peer}`, { connections: 1, connect: { timeout: peerMilliseconds } })
   try {
-    const pending = client.request({
+    const answer = await callBuffered(pool, {
       method,
       path: relayPath,
       headers: { [relayedPathHeader]: path, [relayedTimeoutHeader]: String(timeout) },
       body,
-      signal: abort.signal
+      timeoutMilliseconds: timeout + peerMilliseconds
     })
-    sent = true
-    const response = await pending
-    const bytes = Buffer.from(await response.body.arrayBuffer())
-    if (response.headers[relayedMark] === undefined) {
-      return { answered: false, sent: response.statusCode !== serviceUnavailable, reason: `peer ${peer} answers ${response.statusCode}` }
+    if (answer.headers[relayedMark] === undefined) {
+      return { answered: false, sent: answer.status !== serviceUnavailable, reason: `peer ${peer} answers ${answer.status}` }
     }
-    return { answered: true, status: response.statusCode, body: bytes }
+    return { answered: true, status: answer.status, body: answer.body }
   } catch (error) {
-    return { answered: false, sent, reason: messageOf(error) }
+    return { answered: false, sent: !(error instanceof UnansweredCallError) || error.sent, reason: messageOf(error) }
   } finally {
-    clearTimeout(timer)
-    void client.destroy()
+    void pool.destroy()
   }
 }
 
--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -1,5 +1,5 @@
 /** Kept connections to targets. */
-import { Pool } from 'undici'
+import { Pool } from '../util/undici-pool.js'
 import type { Target } from './target-registry.js'
 
 /** Milliseconds for a new connection; two hundred times the usual, and a small part of an objective. */
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -52,6 +52,7 @@
   readonly #hold = new MovingAverage(initialHoldMilliseconds, holdWeight)
   #online: Waiting[] = []
   #batch = new Map<string, Waiting>()
+  #batchHeldUntil = 0
 
   constructor (private readonly options = defaultFleetAdmissionOptions) {}
 
@@ -112,6 +113,14 @@
     return this.synchronize(holder, [], now)
   }
 
+  /**
+   * Grants no batch work until then. A new owner does not know yet what its predecessor granted:
+   * online work that meets it waits for a moment, but batch work would fill every slot twice.
+   */
+  holdBatchUntil (time: number): void {
+    this.#batchHeldUntil = Math.max(this.#batchHeldUntil, time)
+  }
+
   /** Refuses those whose patience has run out, and fills slots whose suspension has ended. */
   tick (now: number): readonly SlotDecision[] {
     const expired = this.#online.filter(({ request, since }) => now - since > request.patience)
@@ -187,7 +196,7 @@
         this.#online.push(entry)
       }
     }
-    if (this.#online.length === 0 && this.#batch.size > 0) {
+    if (this.#online.length === 0 && this.#batch.size > 0 && now >= this.#batchHeldUntil) {
       this.#fillBatch(now, decisions)
     }
     return decisions
