--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -6,6 +6,7 @@
 import { sharedParts } from '../online/online-request.js'
 import { forwardedHeaders } from '../online/forwarded-headers.js'
 import type { Slot, SlotClient } from '../permits/slot-client.js'
+import { outcomeOf, silentReason } from '../targets/call-outcome.js'
 import { callTarget, CallEnd } from '../targets/target-call.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { Target, TargetRegistry } from '../targets/target-registry.js'
@@ -97,7 +98,7 @@
     this.#excluded = []
     const target = this.parts.targets.get(answer.slot.target)
     if (target === undefined) {
-      answer.slot.release(SlotOutcome.Failed)
+      answer.slot.release(SlotOutcome.Unreachable)
       await sleep(retryMilliseconds)
       return null
     }
@@ -130,7 +131,7 @@
         return true
       }
     })
-    const silence = setTimeout(() => { call.abort('target silent') }, silenceMilliseconds)
+    const silence = setTimeout(() => { call.abort(silentReason) }, silenceMilliseconds)
     const onRevoked = (): void => { call.abort('slot revoked') }
     const onStop = (): void => { call.abort('run stopped') }
     slot.revoked.addEventListener('abort', onRevoked, { once: true })
@@ -142,7 +143,7 @@
     clearTimeout(silence)
     this.#stop.signal.removeEventListener('abort', onStop)
     const stopped = slot.revoked.aborted || this.#stop.signal.aborted
-    slot.release(stopped || end === CallEnd.Complete ? SlotOutcome.Finished : end === CallEnd.NotExecuted ? SlotOutcome.Full : SlotOutcome.Failed)
+    slot.release(stopped ? SlotOutcome.Finished : outcomeOf(end, reason))
     this.parts.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end, reason, status: this.#status, events: this.#text.events, took: Date.now() - sentAt })
     return await this.#onCallEnd(route, end, target, stopped)
   }
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -117,13 +117,28 @@
     if (this.#position === null) {
       await this.#load()
     } else {
-      const batch = await this.topic.read(this.#position, waitMilliseconds)
-      this.#onReached()
-      this.#apply(batch)
+      await this.#readOrLoad(this.#position, waitMilliseconds)
     }
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
   }
 
+  async #readOrLoad (position: number, waitMilliseconds: number): Promise<void> {
+    let batch: RecordBatch
+    try {
+      batch = await this.topic.read(position, waitMilliseconds)
+    } catch (error) {
+      if (!(error instanceof ExpiredOffsetError)) {
+        throw error
+      }
+      this.logger.info('records expired, loading again', { topic: this.options.name, position })
+      this.#position = null
+      await this.#load()
+      return
+    }
+    this.#onReached()
+    this.#apply(batch)
+  }
+
   #onReached (): void {
     if (this.#reachable || this.#closed) {
       return
@@ -158,11 +173,6 @@
   }
 
   #onFailure (error: unknown): void {
-    if (error instanceof ExpiredOffsetError) {
-      this.logger.info('records expired, loading again', { topic: this.options.name, position: this.#position })
-      this.#position = null
-      return
-    }
     if (this.#reachable && !this.#closed) {
       this.#reachable = false
       this.logger.warn('store lost', { topic: this.options.name, position: this.#position, error: messageOf(error) })
--- a/packages/gateway/src/online/online-runner.ts
+++ b/packages/gateway/src/online/online-runner.ts
@@ -6,6 +6,7 @@
 import type { GatewayMetrics } from '../metrics.js'
 import type { Slot, SlotAnswer, SlotClient } from '../permits/slot-client.js'
 import { callTarget, CallEnd } from '../targets/target-call.js'
+import { outcomeOf, silentReason } from '../targets/call-outcome.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { Target, TargetRegistry } from '../targets/target-registry.js'
 import type { Logger } from '../util/logger.js'
@@ -78,7 +79,7 @@
       }
       const target = this.parts.targets.get(answer.slot.target)
       if (target === undefined) {
-        answer.slot.release(SlotOutcome.Failed)
+        answer.slot.release(SlotOutcome.Unreachable)
         this.#refusals += 1
       } else if (await this.#dispatch(answer.slot, target)) {
         return
@@ -138,7 +139,7 @@
       }
     })
     if (this.#mayRepeat()) {
-      silence = setTimeout(() => { call.abort('target silent') }, silenceMilliseconds)
+      silence = setTimeout(() => { call.abort(silentReason) }, silenceMilliseconds)
     }
     const onAbort = (): void => { call.abort(this.#clientGone ? 'client gone' : 'deadline') }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
@@ -147,26 +148,11 @@
       clearTimeout(silence)
     }
     this.#abort.signal.removeEventListener('abort', onAbort)
-    slot.release(this.#outcomeOf(end))
+    slot.release(this.#abort.signal.aborted ? SlotOutcome.Finished : outcomeOf(end, reason))
     parts.logger.info('dispatch ended', { request: request.id, route: request.route.name, target: target.id, end, reason, waited: sentAt - this.#startedAt, took: Date.now() - sentAt, status: this.#answer.status })
     return this.#onCallEnd(end, target)
   }
 
-  #outcomeOf (end: CallEnd): SlotOutcome {
-    if (this.#abort.signal.aborted) {
-      return SlotOutcome.Finished
-    }
-    switch (end) {
-      case CallEnd.Complete:
-        return SlotOutcome.Finished
-      case CallEnd.NotExecuted:
-        return SlotOutcome.Full
-      case CallEnd.Unreachable:
-      case CallEnd.Broken:
-        return SlotOutcome.Failed
-    }
-  }
-
   #onCallEnd (end: CallEnd, target: Target): boolean {
     switch (end) {
       case CallEnd.Complete:
--- a/packages/gateway/src/peers/peer-socket.ts
+++ b/packages/gateway/src/peers/peer-socket.ts
@@ -24,6 +24,7 @@
 /** A bound UDP socket. */
 export class PeerSocket implements PeerTransport {
   readonly #listeners: Array<(message: PeerMessage, sender: string) => void> = []
+  #closed = false
 
   private constructor (
     private readonly socket: Socket,
@@ -53,6 +54,9 @@
   }
 
   send (address: string, message: PeerMessage): void {
+    if (this.#closed) {
+      return
+    }
     this.socket.send(packr.pack(message), this.port, address, error => {
       if (error !== null) {
         this.logger.debug('datagram not sent', { peer: address, error: error.message })
@@ -61,7 +65,10 @@
   }
 
   close (): void {
-    this.socket.close()
+    if (!this.#closed) {
+      this.#closed = true
+      this.socket.close()
+    }
   }
 
   #receive (data: Buffer, sender: string): void {
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -5,6 +5,7 @@
 import { PrefixHomes } from './prefix-homes.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
+import type { TargetSlots } from './fleet-slots.js'
 
 /** Options of {@link FleetAdmission}. */
 export interface FleetAdmissionOptions {
@@ -25,8 +26,10 @@
 /** How a request ended, as its holder tells the owner. */
 export const SlotOutcome = {
   Finished: 'finished',
-  /** The target could not be reached, broke off or stayed silent. */
-  Failed: 'failed',
+  /** The target could not be reached, or stayed silent. */
+  Unreachable: 'unreachable',
+  /** The target broke its answer off, or gave none that can be read. */
+  Broken: 'broken',
   /** The target refused the request as full. */
   Full: 'full'
 } as const
@@ -80,7 +83,7 @@
     if (held === undefined) {
       return []
     }
-    this.#observe(held.target, outcome, now)
+    this.#observe(held.target, held.holder, outcome, now)
     if (held.workClass === WorkClass.Online && outcome === SlotOutcome.Finished) {
       this.#hold.add(Math.max(0, now - held.grantedAt))
     }
@@ -160,12 +163,12 @@
   // The grant does not wait until the revoked stream has stopped: the target may queue one
   // request for that moment, and the online caller does not pay for a round trip.
   #grantOnline (request: SlotRequest, now: number): readonly SlotDecision[] {
-    const free = this.#slots.candidates(now, request.excluded, target => target.taken < target.slots)
+    const free = this.#candidates(now, request, target => target.taken < target.slots)
     const chosen = this.#best(free, request)
     if (chosen !== null) {
       return [this.#grant(request, chosen, now)]
     }
-    const yielding = this.#slots.candidates(now, request.excluded, target => target.online < target.slots)
+    const yielding = this.#candidates(now, request, target => target.online < target.slots)
     const other = this.#best(yielding, request)
     if (other === null) {
       return []
@@ -205,7 +208,7 @@
   #fillBatch (now: number, decisions: SlotDecision[]): void {
     const ordered = [...this.#batch.values()].sort((left, right) => left.request.due - right.request.due)
     for (const { request } of ordered) {
-      const free = this.#slots.candidates(now, request.excluded, target => target.taken < target.slots)
+      const free = this.#candidates(now, request, target => target.taken < target.slots)
       if (this.#slots.free(now) <= this.options.headroom) {
         return
       }
@@ -217,7 +220,7 @@
     }
   }
 
-  #best (candidates: ReturnType<FleetSlots['candidates']>, request: SlotRequest): string | null {
+  #best (candidates: readonly TargetSlots[], request: SlotRequest): string | null {
     const home = this.#homes.find(request.prefix)
     let best: string | null = null
     let bestScore = -Infinity
@@ -233,17 +236,33 @@
     return best
   }
 
-  #observe (target: string, outcome: SlotOutcome, now: number): void {
+  // A batch item waits for as long as it takes: better the same target again than none.
+  #candidates (now: number, request: SlotRequest, condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
+    const { holder, excluded, workClass } = request
+    const others = this.#slots.candidates(now, holder, excluded, condition)
+    if (others.length > 0 || workClass === WorkClass.Online || excluded.length === 0) {
+      return others
+    }
+    const anyOther = this.#slots.candidates(now, holder, excluded, () => true).length > 0
+    return anyOther ? others : this.#slots.candidates(now, holder, [], condition)
+  }
+
+  #observe (target: string, holder: string, outcome: SlotOutcome, now: number): void {
+    const { suspensionMilliseconds, longestSuspensionMilliseconds } = this.options
     switch (outcome) {
       case SlotOutcome.Finished:
-        this.#slots.restore(target)
+        this.#slots.onAnswered(target)
         return
       case SlotOutcome.Full:
-        this.#slots.suspend(target, now, this.options.suspensionMilliseconds, this.options.suspensionMilliseconds)
+        // Somebody else's requests fill it: they are gone, or known, after a while.
+        this.#slots.onUnreachable(target, holder, now, suspensionMilliseconds, suspensionMilliseconds)
         return
-      case SlotOutcome.Failed:
-        this.#slots.suspend(target, now, this.options.suspensionMilliseconds, this.options.longestSuspensionMilliseconds)
+      case SlotOutcome.Unreachable:
+        this.#slots.onUnreachable(target, holder, now, suspensionMilliseconds, longestSuspensionMilliseconds)
         this.#homes.forget(target)
+        return
+      case SlotOutcome.Broken:
+        this.#slots.onBroken(target, now, suspensionMilliseconds, longestSuspensionMilliseconds)
     }
   }
 
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -24,8 +24,17 @@
   /** Slots taken, without those that were revoked. */
   taken: number
   online: number
-  failures: number
+}
+
+/** What holders have told of a target since it last answered one of them. */
+interface Evidence {
+  /** Failures to reach the target, by holder. */
+  readonly unreachable: Map<string, { count: number, until: number }>
+  /** Answers in a row that broke off. */
+  breaks: number
+  /** Time until which nobody uses the target. */
   suspendedUntil: number
+  suspensions: number
 }
 
 /**
@@ -34,10 +43,16 @@
  */
 const grantTransitMilliseconds = 400
 
+/** Holders that must have failed before a target is suspended for all: one alone may itself be cut off. */
+const witnesses = 2
+/** Answers in a row that must have broken off before a target is suspended. */
+const greatestBreaks = 3
+
 /** Bookkeeping only; the choice is made by the admission. */
 export class FleetSlots {
   readonly #targets = new Map<string, TargetSlots>()
   readonly #taken = new Map<string, TakenSlot>()
+  readonly #evidence = new Map<string, Evidence>()
 
   /** Replaces the list of targets; what runs on a target that is gone stays counted until released. */
   setTargets (targets: readonly FleetTarget[]): void {
@@ -53,6 +68,7 @@
     for (const id of this.#targets.keys()) {
       if (!present.has(id)) {
         this.#targets.delete(id)
+        this.#evidence.delete(id)
       }
     }
   }
@@ -95,11 +111,16 @@
     return revoked
   }
 
-  /** Targets that take new work and fulfil the condition. */
-  candidates (now: number, excluded: readonly string[], condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
+  /** Targets that the holder may use and that fulfil the condition. */
+  candidates (
+    now: number,
+    holder: string | null,
+    excluded: readonly string[],
+    condition: (target: TargetSlots) => boolean
+  ): readonly TargetSlots[] {
     const found: TargetSlots[] = []
     for (const target of this.#targets.values()) {
-      if (isUsable(target, now) && condition(target) && !excluded.includes(target.id)) {
+      if (target.accepting && condition(target) && !excluded.includes(target.id) && !this.#isSuspended(target.id, holder, now)) {
         found.push(target)
       }
     }
@@ -124,35 +145,44 @@
 
   /** Slots of targets that take work. */
   usable (now: number): number {
-    return this.candidates(now, [], () => true).reduce((sum, target) => sum + target.slots, 0)
+    return this.candidates(now, null, [], () => true).reduce((sum, target) => sum + target.slots, 0)
   }
 
   /** Free slots of targets that take work. */
   free (now: number): number {
-    return this.candidates(now, [], () => true)
+    return this.candidates(now, null, [], () => true)
       .reduce((sum, target) => sum + Math.max(0, target.slots - target.taken), 0)
   }
 
-  /** Gives a target no work for a while, longer with each failure in a row. */
-  suspend (target: string, now: number, base: number, longest: number): void {
-    const known = this.#targets.get(target)
+  /** A holder could not reach the target: it uses it no more for a while, and with a second witness nobody does. */
+  onUnreachable (target: string, holder: string, now: number, base: number, longest: number): void {
+    const evidence = this.#evidenceOf(target)
+    const known = evidence.unreachable.get(holder)
     // What was sent before the first failure was known tells nothing new.
-    if (known === undefined || known.suspendedUntil > now) {
+    if (known !== undefined && known.until > now) {
       return
     }
-    known.suspendedUntil = now + Math.min(longest, base * 2 ** known.failures)
-    known.failures += 1
+    const count = (known?.count ?? 0) + 1
+    evidence.unreachable.set(holder, { count, until: now + Math.min(longest, base * 2 ** (count - 1)) })
+    if (evidence.unreachable.size >= witnesses) {
+      this.#suspend(evidence, now, base, longest)
+    }
   }
 
-  /** A target has answered. */
-  restore (target: string): void {
-    const known = this.#targets.get(target)
-    if (known !== undefined) {
-      known.failures = 0
-      known.suspendedUntil = 0
+  /** An answer of the target broke off. */
+  onBroken (target: string, now: number, base: number, longest: number): void {
+    const evidence = this.#evidenceOf(target)
+    evidence.breaks += 1
+    if (evidence.breaks >= greatestBreaks) {
+      this.#suspend(evidence, now, base, longest)
     }
   }
 
+  /** A target has answered. */
+  onAnswered (target: string): void {
+    this.#evidence.delete(target)
+  }
+
   load (): { readonly online: number, readonly batch: number, readonly slots: number } {
     let online = 0
     let batch = 0
@@ -165,8 +195,34 @@
     return { online, batch, slots }
   }
 
+  #isSuspended (target: string, holder: string | null, now: number): boolean {
+    const evidence = this.#evidence.get(target)
+    if (evidence === undefined) {
+      return false
+    }
+    const own = holder === null ? undefined : evidence.unreachable.get(holder)
+    return evidence.suspendedUntil > now || (own !== undefined && own.until > now)
+  }
+
+  #suspend (evidence: Evidence, now: number, base: number, longest: number): void {
+    if (evidence.suspendedUntil <= now) {
+      evidence.suspendedUntil = now + Math.min(longest, base * 2 ** evidence.suspensions)
+      evidence.suspensions += 1
+    }
+  }
+
+  #evidenceOf (target: string): Evidence {
+    const known = this.#evidence.get(target)
+    if (known !== undefined) {
+      return known
+    }
+    const evidence = { unreachable: new Map(), breaks: 0, suspendedUntil: 0, suspensions: 0 }
+    this.#evidence.set(target, evidence)
+    return evidence
+  }
+
   #add (id: string, zone: string, slots: number, accepting: boolean): void {
-    const target = { id, zone, slots, accepting, taken: 0, online: 0, failures: 0, suspendedUntil: 0 }
+    const target = { id, zone, slots, accepting, taken: 0, online: 0 }
     this.#targets.set(id, target)
     for (const slot of this.#taken.values()) {
       if (slot.target === id) {
@@ -184,7 +240,3 @@
     target.online += slot.workClass === WorkClass.Online ? change : 0
   }
 }
-
-function isUsable (target: TargetSlots, now: number): boolean {
-  return target.accepting && target.suspendedUntil <= now
-}
