Never join a plain body, or another target's signature, with a resumed stream

Ruled out: crossed connections (both runs were the request's own). A stream now goes on elsewhere only behind an event with an id, and the head is passed on with the first bytes of the body.

--- a/packages/gateway/src/online/client-answer.ts
+++ b/packages/gateway/src/online/client-answer.ts
@@ -5,23 +5,28 @@
 import { forwardedHeaders } from './forwarded-headers.js'
 
 const noHeaders: ReadonlySet<string> = new Set()
+const lengthHeader: ReadonlySet<string> = new Set(['content-length'])
 const successStatus = 200
 
-/** Relays answers of one or, if a stream is resumed, several targets to one client. */
+/**
+ * Relays answers of one or, if a stream is resumed, several targets to one client. The head is
+ * passed on with the first bytes of the body, so that a target that breaks off before them can
+ * still be replaced by another one, with its own head and signature.
+ */
 export class ClientAnswer {
   #splitter: EventSplitter | null = null
   #head: AnswerHead | null = null
+  #begun = false
   #lastId: number | null = null
-  #bytes = 0
 
   constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
 
   /** Whether the client has got the head of an answer. */
   get begun (): boolean {
-    return this.#head !== null
+    return this.#begun
   }
 
-  /** Status of the answer, or null before its head. */
+  /** Status of the newest answer, or null before its head. */
   get status (): number | null {
     return this.#head?.status ?? null
   }
@@ -31,27 +36,22 @@
     return this.#lastId
   }
 
-  /** Whether any part of a body was passed on. */
-  get hasBody (): boolean {
-    return this.#bytes > 0
+  /** Whether another target's answer may follow: nothing was passed on, or all of it were events with ids. */
+  get mayContinue (): boolean {
+    return !this.#begun || this.#lastId !== null
   }
 
   /** Whether the head of a further answer fits the one that was passed on. */
   accepts (head: AnswerHead): boolean {
-    return this.#head === null || (head.status === successStatus && this.#head.status === successStatus)
+    return !this.#begun || (head.status === successStatus && this.#head?.status === successStatus)
   }
 
-  /** Takes the head of an answer; only the first one is passed on. */
+  /** Takes the head of an answer; only the first one whose body begins is passed on. */
   onHead (head: AnswerHead): void {
     this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter() : null
-    if (this.#head !== null) {
-      return
+    if (!this.#begun) {
+      this.#head = head
     }
-    this.#head = head
-    // A framed length would be wrong once the stream is resumed with events written differently.
-    const without = this.#splitter === null ? noHeaders : new Set(['content-length'])
-    this.response.writeHead(head.status, forwardedHeaders(head.rawHeaders, without))
-    this.response.flushHeaders()
   }
 
   /** Passes data on; false if the client reads slower than the target sends. */
@@ -69,6 +69,7 @@
     if (this.#splitter !== null && this.#splitter.rest.length > 0) {
       this.#write(this.#splitter.rest)
     }
+    this.#begin()
     this.response.end()
   }
 
@@ -77,8 +78,18 @@
     this.response.destroy()
   }
 
+  #begin (): void {
+    if (this.#begun || this.#head === null) {
+      return
+    }
+    this.#begun = true
+    // A framed length would be wrong once the stream is resumed with events written differently.
+    const without = this.#splitter === null ? noHeaders : lengthHeader
+    this.response.writeHead(this.#head.status, forwardedHeaders(this.#head.rawHeaders, without))
+  }
+
   #write (bytes: Buffer): boolean {
-    this.#bytes += bytes.length
+    this.#begin()
     return this.response.write(bytes)
   }
 }
--- a/packages/gateway/src/online/online-runner.ts
+++ b/packages/gateway/src/online/online-runner.ts
@@ -36,6 +36,8 @@
 /** Longest `Retry-After` in milliseconds, so that clients come back within the objective. */
 const greatestRetryAfter = 150
 
+const millisecondsPerSecond = 1_000
+
 /** One run of the online path. */
 export class OnlineRun {
   readonly #abort = new AbortController()
@@ -128,10 +130,11 @@
       },
       onData: chunk => {
         silence?.refresh()
-        if (!this.#answer.hasBody) {
-          parts.metrics.firstByte.observe((Date.now() - this.#startedAt) / 1_000)
-        }
+        const hadBegun = this.#answer.begun
         const flows = this.#answer.onData(chunk)
+        if (!hadBegun && this.#answer.begun) {
+          parts.metrics.firstByte.observe((Date.now() - this.#startedAt) / millisecondsPerSecond)
+        }
         if (!flows) {
           this.response.once('drain', () => { call.resume() })
         }
@@ -176,7 +179,7 @@
   /** Whether the request may be sent to a further target after this one. */
   #mayRepeat (): boolean {
     const { route } = this.request
-    return isRepeatable(route) && this.#executions + 1 < route.maxAttempts
+    return isRepeatable(route) && this.#answer.mayContinue && this.#executions + 1 < route.maxAttempts
   }
 
   #giveUp (): boolean {
@@ -213,6 +216,6 @@
   #count (outcome: string): void {
     const { route } = this.request
     this.parts.metrics.requests.inc({ route: route.name, outcome })
-    this.parts.metrics.duration.observe({ outcome }, (Date.now() - this.#startedAt) / 1_000)
+    this.parts.metrics.duration.observe({ outcome }, (Date.now() - this.#startedAt) / millisecondsPerSecond)
   }
 }
