Give duties to the strongest members, drop old jobs, and check the log of jobs under faults

Jobs are dropped from the log after 1.5 times the retention; without that a fleet that runs for weeks would fill the store.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,10 @@
 export interface GatewayOptions {
   readonly zone: string
   readonly incarnation: number
+  /** Processor capacity in thousandths of a core. */
+  readonly capacity: number
+  /** Milliseconds from acceptance for which a job's results are kept. */
+  readonly jobRetentionMilliseconds: number
   readonly seeds: readonly string[]
   readonly names: HeaderNames
   readonly transport: PeerTransport
@@ -65,8 +69,8 @@
   #draining = false
 
   constructor (private readonly options: GatewayOptions) {
-    const { zone, incarnation, seeds, transport, logger } = options
-    this.membership = new Membership(transport, { zone, incarnation, seeds }, logger)
+    const { zone, incarnation, capacity, seeds, transport, logger } = options
+    this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     this.slots = new SlotClient(this.membership, transport, this.targets)
     this.targets.onChange(targets => {
       this.#targetsKnown = true
@@ -87,6 +91,7 @@
       fold,
       log,
       membership: this.membership,
+      retentionMilliseconds: options.jobRetentionMilliseconds,
       routeOf: name => this.#routes?.named(name) ?? null,
       serviceOf: route => pickService(route.services, Math.random())
     })
--- a/packages/gateway/src/jobs/job-log.ts
+++ b/packages/gateway/src/jobs/job-log.ts
@@ -10,7 +10,7 @@
 import { sleep } from '../util/sleep.js'
 import type { Logger } from '../util/logger.js'
 import type { ItemState, JobSubmission } from './job.js'
-import { endRecord, resultRecord, submissionRecords } from './job-records.js'
+import { dropRecords, endRecord, resultRecord, submissionRecords } from './job-records.js'
 import type { JobsFold } from './jobs-fold.js'
 
 /** How a change to the jobs ended. */
@@ -107,6 +107,14 @@
     })
   }
 
+  /** Drops a job and all that is kept of it. */
+  async drop (job: string): Promise<ChangeEnd> {
+    return await this.#change(Infinity, () => {
+      const known = this.fold.get(job)
+      return known === undefined ? ChangeEnd.Done : dropRecords(known)
+    })
+  }
+
   /** Changes that are not in the log yet. */
   get waiting (): number {
     return this.#changes.length
--- a/packages/gateway/src/jobs/job-records.ts
+++ b/packages/gateway/src/jobs/job-records.ts
@@ -2,7 +2,7 @@
 import { Packr } from 'msgpackr'
 import type { KeyedRecord, NewRecord } from '../log/keyed-topic.js'
 import { ItemState } from './job.js'
-import type { JobItem, JobSubmission } from './job.js'
+import type { Job, JobItem, JobSubmission } from './job.js'
 
 /** Kinds of records, by the first letter of their keys. */
 export const JobRecordKind = {
@@ -76,6 +76,14 @@
   return { key: `${JobRecordKind.End}/${job}`, value: Buffer.of(completedMark) }
 }
 
+/** Records that drop all keys of a job, its submission last, so that a job is dropped whole or not at all. */
+export function dropRecords (job: Job): readonly NewRecord[] {
+  const results = job.results.map(({ index }) => `${JobRecordKind.Result}/${job.id}/${index}`)
+  const bodies = Array.from({ length: job.bodyParts }, (_, part) => `${JobRecordKind.Bodies}/${job.id}/${part}`)
+  const ends = job.ended ? [`${JobRecordKind.End}/${job.id}`] : []
+  return [...results, ...bodies, ...ends, `${JobRecordKind.Submission}/${job.id}`].map(key => ({ key, value: null }))
+}
+
 /** Reads a record; null if it is not one of these, or its key was dropped. */
 export function parseJobRecord ({ key, value }: KeyedRecord): JobRecord | null {
   const [kind, job, number] = key.split('/')
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -16,6 +16,8 @@
   readonly log: JobLog
   readonly membership: Membership
   readonly metrics: GatewayMetrics
+  /** Milliseconds from acceptance for which a job is kept. */
+  readonly retentionMilliseconds: number
 }
 
 /** Milliseconds between checks of who runs what. */
@@ -27,11 +29,15 @@
  */
 const settleMilliseconds = 1_200
 
+/** Part of the retention for which jobs are kept, so that no clock that runs ahead drops one too soon. */
+const keptShare = 1.5
+
 /** Starts items of own jobs, and stops those that are done, ended or another process's. */
 export class JobRunner {
   readonly #runs = new Map<string, ItemRun>()
   readonly #timer: NodeJS.Timeout
   readonly #self: string
+  readonly #dropping = new Set<string>()
   #draining = false
   #readySince: number | null = null
 
@@ -70,7 +76,11 @@
     this.#noteReady()
     const names = new Set(ready.map(processNameOf))
     for (const job of jobs) {
-      const isMine = !this.#draining && !isSettled(job) && this.#runnerOf(job, names) === this.#self
+      const isOwn = !this.#draining && this.#runnerOf(job, names) === this.#self
+      const isMine = isOwn && !isSettled(job)
+      if (isOwn && isSettled(job)) {
+        this.#dropIfOld(job)
+      }
       job.items.forEach((_, index) => {
         if (isMine && !job.finished.has(index)) {
           this.#start(job, index)
@@ -123,6 +133,18 @@
     }
   }
 
+  #dropIfOld (job: Job): void {
+    const { log, logger, retentionMilliseconds } = this.parts
+    if (Date.now() < job.acceptedAt + retentionMilliseconds * keptShare || this.#dropping.has(job.id)) {
+      return
+    }
+    this.#dropping.add(job.id)
+    void log.drop(job.id).then(end => {
+      this.#dropping.delete(job.id)
+      logger.info('job dropped', { job: job.id, acceptedAt: job.acceptedAt, end })
+    })
+  }
+
   #stop (job: Job, index: number): void {
     const key = keyOf(job, index)
     const run = this.#runs.get(key)
--- a/packages/gateway/src/jobs/job.ts
+++ b/packages/gateway/src/jobs/job.ts
@@ -43,6 +43,8 @@
   readonly acceptedAt: number
   /** Process that accepted it, as `address/incarnation`; it runs the job while it lives. */
   readonly acceptedBy: string
+  /** Number of records that hold its bodies. */
+  readonly bodyParts: number
   /** In the order of their records. */
   readonly results: ItemResult[]
   /** Indexes of items that have a result. */
--- a/packages/gateway/src/jobs/jobs-fold.ts
+++ b/packages/gateway/src/jobs/jobs-fold.ts
@@ -109,7 +109,7 @@
       start += bodyBytes
       return { id, path, headers, tokens, body }
     })
-    const job: Job = { id: record.job, route, acceptedAt, acceptedBy, items, results: [], finished: new Set(), ended: false }
+    const job: Job = { id: record.job, route, acceptedAt, acceptedBy, items, bodyParts: record.parts, results: [], finished: new Set(), ended: false }
     this.#jobs.set(job.id, job)
     return job
   }
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -11,6 +11,8 @@
   readonly zone: string
   /** Distinguishes starts of a process at the same address; later ones are greater. */
   readonly incarnation: number
+  /** Processor capacity in thousandths of a core. */
+  readonly capacity: number
   readonly state: MemberState
 }
 
@@ -18,6 +20,8 @@
 export interface MembershipOptions {
   readonly zone: string
   readonly incarnation: number
+  /** Processor capacity in thousandths of a core. */
+  readonly capacity: number
   /** Addresses at which other processes may be found; some may be stale. */
   readonly seeds: readonly string[]
 }
@@ -38,6 +42,8 @@
 const livenessMilliseconds = 1_500
 /** Silence after which a member is forgotten, in milliseconds. */
 const forgetMilliseconds = 15_000
+/** Part of the greatest capacity from which members count as equally strong. */
+const similarShare = 0.9
 /** Seeds told in a round while hardly anybody is known. */
 const greatestSeeds = 12
 /** Part of the rounds that also tell a seed, so that divided fleets find each other again. */
@@ -98,8 +104,8 @@
 
   /** This process. */
   get self (): Member {
-    const { zone, incarnation } = this.options
-    return { address: this.transport.address, zone, incarnation, state: this.#state }
+    const { zone, incarnation, capacity } = this.options
+    return { address: this.transport.address, zone, incarnation, capacity, state: this.#state }
   }
 
   /** Members heard of lately, this process first. */
@@ -112,6 +118,16 @@
     return this.live().filter(member => member.state === MemberState.Ready && !this.#suspects.has(member.address))
   }
 
+  /**
+   * Ready members that can carry a duty for all: those with about the greatest capacity, since
+   * every request of the fleet waits for them.
+   */
+  strongest (): readonly Member[] {
+    const ready = this.ready()
+    const greatest = Math.max(...ready.map(member => member.capacity))
+    return ready.filter(member => member.capacity >= greatest * similarShare)
+  }
+
   /** Other live members, those of this process's availability zone first, otherwise in random order. */
   peersByDistance (): readonly Member[] {
     const others = this.#others()
@@ -160,11 +176,11 @@
   }
 
   #rows (): readonly MemberRow[] {
-    const { zone, incarnation } = this.options
+    const { zone, incarnation, capacity } = this.options
     const rows: MemberRow[] = pick(this.#others(), greatestRows - 1).map(member => {
-      return [member.address, member.zone, member.incarnation, member.heartbeat, member.state]
+      return [member.address, member.zone, member.incarnation, member.capacity, member.heartbeat, member.state]
     })
-    return [[this.transport.address, zone, incarnation, this.#heartbeat, this.#state], ...rows]
+    return [[this.transport.address, zone, incarnation, capacity, this.#heartbeat, this.#state], ...rows]
   }
 
   #onMessage (message: PeerMessage, sender: string): void {
@@ -181,7 +197,7 @@
     this.#notifyIfChanged()
   }
 
-  #learn ([address, zone, incarnation, heartbeat, state]: MemberRow): void {
+  #learn ([address, zone, incarnation, capacity, heartbeat, state]: MemberRow): void {
     if (address === this.transport.address) {
       return
     }
@@ -191,7 +207,7 @@
     if (!isNewer) {
       return
     }
-    this.#members.set(address, { address, zone, incarnation, heartbeat, state, heardAt: Date.now() })
+    this.#members.set(address, { address, zone, incarnation, capacity, heartbeat, state, heardAt: Date.now() })
     if (heartbeat > (this.#suspects.get(address) ?? Infinity) || incarnation !== known?.incarnation) {
       this.#suspects.delete(address)
     }
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -14,8 +14,10 @@
   SlotReport: 'p'
 } as const
 
-/** What a process knows of a member: address, availability zone, incarnation, heartbeat count, state. */
-export type MemberRow = readonly [address: string, zone: string, incarnation: number, heartbeat: number, state: MemberState]
+/** What a process knows of a member: address, availability zone, incarnation, processor capacity, heartbeat count, state. */
+export type MemberRow = readonly [
+  address: string, zone: string, incarnation: number, capacity: number, heartbeat: number, state: MemberState
+]
 
 /** States of a member. */
 export const MemberState = {
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -128,7 +128,7 @@
   }
 
   #ownerOf (service: string): string {
-    const candidates = this.membership.ready().map(({ address, zone }) => ({ id: address, zone }))
+    const candidates = this.membership.strongest().map(({ address, zone }) => ({ id: address, zone }))
     return ownerOf(service, candidates, null)?.id ?? this.transport.address
   }
 
--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -21,9 +21,9 @@
     mock.timers.reset()
   })
 
-  function join (address: string, incarnation = 1): Membership {
+  function join (address: string, capacity = 1_000, incarnation = 1): Membership {
     const seeds = ['10.0.0.1', '10.0.0.2']
-    const member = new Membership(network.join(address), { zone: 'a', incarnation, seeds }, createTestLogger())
+    const member = new Membership(network.join(address), { zone: 'a', incarnation, capacity, seeds }, createTestLogger())
     members.push(member)
     return member
   }
@@ -78,6 +78,16 @@
     assert.equal(second.live().length, 2)
   })
 
+  it('gives duties for all to the strongest members only', () => {
+    const all = [join('10.0.0.1', 300), join('10.0.0.2', 1_350), join('10.0.0.3', 1_300)]
+    pass(1_500)
+    for (const member of all) {
+      member.setState(MemberState.Ready)
+    }
+    pass(10)
+    assert.deepEqual(all[0]?.strongest().map(member => member.address).sort(), ['10.0.0.2', '10.0.0.3'])
+  })
+
   it('gives a suspected member no duty until it is heard of again', () => {
     const [first, second] = [join('10.0.0.1'), join('10.0.0.2')]
     pass(700)
--- /dev/null
+++ b/packages/gateway/tests/util/faulty-topic.ts
@@ -0,0 +1,64 @@
+/** A keyed topic in memory whose answers get lost, come late, or never come, by a seeded choice. */
+import { AppendEnd, LogUnavailableError } from '../../src/index.js'
+import type { KeyedRecord, KeyedTopic, NewRecord, RecordBatch } from '../../src/index.js'
+
+/** Gives a number from 0 to 1. */
+export type Random = () => number
+
+/** What all writers share. */
+export class FaultyLog {
+  readonly records: KeyedRecord[] = []
+  /** Parts of the calls, from 0 to 1. */
+  readonly faults = { refused: 0.1, lost: 0.1, late: 0.1, unread: 0.1 }
+
+  constructor (private readonly random: Random, private readonly isConditional = true) {}
+
+  /** The log as one writer reaches it. */
+  connect (): KeyedTopic {
+    return {
+      newest: async () => await this.#read(0),
+      read: async from => await this.#read(from),
+      append: async (records, at) => await this.#append(records, at)
+    }
+  }
+
+  async #read (from: number): Promise<RecordBatch> {
+    await this.#delay()
+    if (this.random() < this.faults.unread) {
+      throw new LogUnavailableError('not now')
+    }
+    return { records: this.records.slice(from), end: Math.max(from, this.records.length) }
+  }
+
+  async #append (records: readonly NewRecord[], at: number | null): Promise<AppendEnd> {
+    await this.#delay()
+    const choice = this.random()
+    const { refused, lost, late } = this.faults
+    if (choice < refused) {
+      return AppendEnd.Refused
+    }
+    if (choice < refused + late) {
+      setTimeout(() => { this.#apply(records, at) }, 20 * this.random())
+      return AppendEnd.Unknown
+    }
+    const done = this.#apply(records, at)
+    if (choice < refused + late + lost) {
+      return AppendEnd.Unknown
+    }
+    return done ? AppendEnd.Done : AppendEnd.Conflict
+  }
+
+  #apply (records: readonly NewRecord[], at: number | null): boolean {
+    if (this.isConditional && at !== null && at !== this.records.length) {
+      return false
+    }
+    for (const record of records) {
+      this.records.push({ ...record, offset: this.records.length })
+    }
+    return true
+  }
+
+  async #delay (): Promise<void> {
+    await new Promise(resolve => { setTimeout(resolve, 3 * this.random()) })
+  }
+}
