Keep late requests behind those in time, and refuse at once only what cannot be in time

Now a request whose expected wait is beyond three quarters of its objective is refused at once, others are kept, and those that have become late get the slots that nobody in time asks for.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -27,7 +27,7 @@
  * Milliseconds that a process must have been ready before it takes over jobs of others. After all
  * have started together, each knows only itself at first, and would run everything.
  */
-const settleMilliseconds = 1_200
+const settleMilliseconds = 700
 
 /** Part of the retention for which jobs are kept, so that no clock that runs ahead drops one too soon. */
 const keptShare = 1.5
--- a/packages/gateway/src/online/online-runner.ts
+++ b/packages/gateway/src/online/online-runner.ts
@@ -26,7 +26,7 @@
 }
 
 /** Part of the objective that a request may wait for a slot; the rest is for reading the prompt. */
-const patienceShare = 0.6
+const patienceShare = 0.75
 /** Targets that may refuse a request, having not run it, before the client is told. */
 const greatestRefusals = 4
 /** Milliseconds without an event after which a resumable stream goes on elsewhere: ten times a slow gap. */
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -16,7 +16,7 @@
  * Milliseconds after the first word of a holder for which no batch work is granted: by then every
  * holder has reported what it holds.
  */
-const settleMilliseconds = 500
+const settleMilliseconds = 400
 
 interface OwnedService {
   readonly admission: FleetAdmission
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -40,6 +40,11 @@
   readonly since: number
 }
 
+/**
+ * Times the patience for which a request is kept at all. A late answer is worth less than one in
+ * time, but more than none: it gets the slots that no request in time asks for.
+ */
+const latePatience = 5
 const initialHoldMilliseconds = 650
 const holdWeight = 0.1
 
@@ -124,9 +129,9 @@
     this.#batchHeldUntil = Math.max(this.#batchHeldUntil, time)
   }
 
-  /** Refuses those whose patience has run out, and fills slots whose suspension has ended. */
+  /** Refuses those that have waited for too long, and fills slots whose suspension has ended. */
   tick (now: number): readonly SlotDecision[] {
-    const expired = this.#online.filter(({ request, since }) => now - since > request.patience)
+    const expired = this.#online.filter(({ request, since }) => now - since > request.patience * latePatience)
     if (expired.length > 0) {
       this.#online = this.#online.filter(waiting => !expired.includes(waiting))
     }
@@ -192,7 +197,7 @@
     const decisions: SlotDecision[] = []
     const waiting = this.#online
     this.#online = []
-    for (const entry of waiting) {
+    for (const entry of inTimeFirst(waiting, now)) {
       const granted = this.#grantOnline(entry.request, now)
       decisions.push(...granted)
       if (granted.length === 0) {
@@ -277,6 +282,16 @@
     if (slots === 0) {
       return this.#hold.value
     }
-    return (this.#online.length + 1) * this.#hold.value / slots
+    const inTime = this.#online.filter(waiting => !isLate(waiting, now)).length
+    return (inTime + 1) * this.#hold.value / slots
   }
 }
+
+function isLate ({ request, since }: Waiting, now: number): boolean {
+  return now - since > request.patience
+}
+
+function inTimeFirst (waiting: readonly Waiting[], now: number): readonly Waiting[] {
+  const late = waiting.filter(entry => isLate(entry, now))
+  return late.length === 0 ? waiting : [...waiting.filter(entry => !isLate(entry, now)), ...late]
+}
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -24,7 +24,7 @@
   readonly prefix: readonly string[]
   /** Targets that must not be chosen, because the request failed there. */
   readonly excluded: readonly string[]
-  /** Online: milliseconds that the holder is willing to wait. */
+  /** Online: milliseconds after which the answer is late; a longer expected wait is refused at once. */
   readonly patience: number
   /** Batch: time at which the item is due, in milliseconds since the epoch. */
   readonly due: number
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -74,6 +74,27 @@
     assert.equal(decision?.kind, DecisionKind.Refuse)
   })
 
+  it('serves requests in time before late ones, and late ones before none', () => {
+    const fleet = admission()
+    for (const permit of ['p1', 'p2', 'p3', 'p4']) {
+      fleet.request(request(permit), 0)
+    }
+    fleet.request(request('old', { patience: 400 }), 0)
+    fleet.request(request('new', { patience: 700 }), 500)
+    assert.deepEqual(kinds(fleet.release('p1', SlotOutcome.Finished, 600)), ['grant new'])
+    assert.deepEqual(kinds(fleet.release('p2', SlotOutcome.Finished, 700)), ['grant old'])
+  })
+
+  it('refuses a request that has waited for far too long', () => {
+    const fleet = admission()
+    for (const permit of ['p1', 'p2', 'p3', 'p4']) {
+      fleet.request(request(permit), 0)
+    }
+    fleet.request(request('old', { patience: 400 }), 0)
+    assert.deepEqual(fleet.tick(1_900), [])
+    assert.deepEqual(kinds(fleet.tick(2_100)), ['refuse old'])
+  })
+
   it('grants batch work in the order in which it is due', () => {
     const fleet = admission()
     for (const permit of ['p1', 'p2', 'p3', 'p4']) {
