--- a/packages/gateway/src/jobs/jobs-fold.ts
+++ b/packages/gateway/src/jobs/jobs-fold.ts
@@ -10,6 +10,15 @@
 /** Receives the jobs that records have changed. */
 export type JobsListener = (changed: ReadonlySet<Job>) => void
 
+/** A submission without all of its bodies: records of one append that were not read together. */
+export class IncompleteJobError extends Error {
+  override readonly name = 'IncompleteJobError'
+
+  constructor (job: string, expected: number, found: number) {
+    super(`job ${job} has ${found} of ${expected} records of bodies`)
+  }
+}
+
 /** Keeps jobs until their keys are dropped. */
 export class JobsFold {
   #jobs = new Map<string, Job>()
@@ -101,7 +110,11 @@
       return known
     }
     const { route, acceptedAt, acceptedBy } = record
-    const bodies = Buffer.concat(this.#bodies.get(record.job) ?? [])
+    const parts = this.#bodies.get(record.job) ?? []
+    if (Object.keys(parts).length !== record.parts) {
+      throw new IncompleteJobError(record.job, record.parts, Object.keys(parts).length)
+    }
+    const bodies = Buffer.concat(parts)
     this.#bodies.delete(record.job)
     let start = 0
     const items = record.items.map(({ id, path, headers, tokens, bodyBytes }): JobItem => {
