--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -44,6 +44,8 @@
 const forgetMilliseconds = 15_000
 /** Part of the greatest capacity from which members count as equally strong. */
 const similarShare = 0.9
+/** Rounds beyond those passed by which a heartbeat must have grown to clear a suspicion. */
+const suspicionRounds = 3
 /** Seeds told in a round while hardly anybody is known. */
 const greatestSeeds = 12
 /** Part of the rounds that also tell a seed, so that divided fleets find each other again. */
@@ -52,6 +54,7 @@
 /** Gossips heartbeats and answers who is alive. */
 export class Membership {
   readonly #members = new Map<string, KnownMember>()
+  /** Heartbeat counts that prove that a suspected member lives. */
   readonly #suspects = new Map<string, number>()
   readonly #timer: NodeJS.Timeout
   readonly #listeners: Array<() => void> = []
@@ -136,12 +139,15 @@
     return [...pick(nearby, nearby.length), ...pick(distant, distant.length)]
   }
 
-  /** A member did not answer; it takes no duty until it is heard of again. */
+  /**
+   * A member did not answer; it takes no duty until it speaks itself. What others tell of it may
+   * be older than the suspicion, and counts only once it is beyond what a dead member can have sent.
+   */
   suspect (address: string): void {
     const known = this.#members.get(address)
     if (known !== undefined && !this.#suspects.has(address)) {
       this.logger.info('member suspected', { peer: address, silence: Date.now() - known.heardAt })
-      this.#suspects.set(address, known.heartbeat)
+      this.#suspects.set(address, known.heartbeat + roundsWithin(Date.now() - known.heardAt) + suspicionRounds)
       this.#notifyIfChanged()
     }
   }
@@ -188,6 +194,7 @@
       return
     }
     const isNews = !this.#members.has(sender)
+    this.#suspects.delete(sender)
     for (const row of message.members) {
       this.#learn(row)
     }
@@ -208,7 +215,7 @@
       return
     }
     this.#members.set(address, { address, zone, incarnation, capacity, heartbeat, state, heardAt: Date.now() })
-    if (heartbeat > (this.#suspects.get(address) ?? Infinity) || incarnation !== known?.incarnation) {
+    if (heartbeat >= (this.#suspects.get(address) ?? Infinity) || incarnation !== known?.incarnation) {
       this.#suspects.delete(address)
     }
   }
@@ -236,6 +243,10 @@
   }
 }
 
+function roundsWithin (milliseconds: number): number {
+  return Math.ceil(milliseconds / gossipMilliseconds)
+}
+
 function isLive (member: KnownMember, now: number): boolean {
   return now - member.heardAt < livenessMilliseconds
 }
--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -88,6 +88,28 @@
     assert.deepEqual(all[0]?.strongest().map(member => member.address).sort(), ['10.0.0.2', '10.0.0.3'])
   })
 
+  it('does not clear a suspicion by what others heard before it', () => {
+    const all = [1, 2, 3, 4, 5, 6].map(number => join(`10.0.0.${number}`))
+    pass(3_000)
+    for (const member of all) {
+      member.setState(MemberState.Ready)
+    }
+    pass(600)
+    network.cut('10.0.0.1')
+    // What is on its way arrives.
+    pass(5)
+    const others = all.slice(1)
+    for (const member of others) {
+      member.suspect('10.0.0.1')
+    }
+    for (let passed = 0; passed < 2_500; passed += 1) {
+      pass(1)
+      for (const member of others) {
+        assert.ok(!member.ready().some(ready => ready.address === '10.0.0.1'), `trusted again after ${passed} ms`)
+      }
+    }
+  })
+
   it('gives a suspected member no duty until it is heard of again', () => {
     const [first, second] = [join('10.0.0.1'), join('10.0.0.2')]
     pass(700)
