--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -1,5 +1,5 @@
 /** Runs one item until it has a result: slot, dispatch, resume after each break. */
-import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import { SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { HeaderNames } from '../online/header-names.js'
@@ -182,8 +182,3 @@
   const index = item.headers.findIndex((header, position) => position % 2 === 0 && header.toLowerCase() === name)
   return item.headers[index + 1] ?? ''
 }
-
-/** Whether a route takes batch jobs. */
-export function isBatchRoute (route: Route): boolean {
-  return route.kind === RouteKind.Batch
-}
--- a/packages/gateway/src/online/header-names.ts
+++ b/packages/gateway/src/online/header-names.ts
@@ -6,8 +6,6 @@
   readonly deadline: string
   /** Id of the target that is meant; any other one refuses the request. */
   readonly expectedTarget: string
-  /** Signature of a target's answer. */
-  readonly signature: string
   /** Set on an answer that says that the target did not run the request. */
   readonly notExecuted: string
   /** The parts of the prompt, as ID:TOKENS entries with commas between them. */
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -189,7 +189,7 @@
   #grant (request: SlotRequest, target: string, now: number): SlotGrant {
     const { permit, holder, workClass, due } = request
     this.#slots.take({ permit, holder, target, workClass, due, grantedAt: now, revoked: false })
-    this.#homes.remember(request.prefix, target, now)
+    this.#homes.remember(request.prefix, target)
     return { kind: DecisionKind.Grant, permit, holder, target }
   }
 
--- a/packages/policy/src/fleet/prefix-homes.ts
+++ b/packages/policy/src/fleet/prefix-homes.ts
@@ -8,7 +8,7 @@
   readonly #homes = new Map<string, string>()
 
   /** A request with these parts was sent to the target. */
-  remember (prefix: readonly string[], target: string, _now: number): void {
+  remember (prefix: readonly string[], target: string): void {
     const key = prefix.at(-1)
     if (key === undefined) {
       return
