--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -1,34 +1,15 @@
 /** The holder's side of slots: asks the owner, holds, reports and returns. */
 import { DecisionKind, ownerOf, SlotOutcome } from '@arbutusloft/policy'
-import type { HeldSlot, SlotDecision, SlotRequest } from '@arbutusloft/policy'
+import type { HeldSlot, SlotDecision } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { PeerMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import type { TargetRegistry } from '../targets/target-registry.js'
+import type { SlotAnswer, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 
-/** A slot that this process holds. */
-export interface Slot {
-  readonly permit: string
-  /** Id of the target. */
-  readonly target: string
-  /** Aborted when the owner takes the slot back. */
-  readonly revoked: AbortSignal
-  /** Gives the slot back; calls after the first do nothing. */
-  release: (outcome: SlotOutcome) => void
-}
-
-/** The answer to a request for a slot. */
-export type SlotAnswer =
-  | { readonly granted: true, readonly slot: Slot }
-  /** @property retryAfter milliseconds */
-  | { readonly granted: false, readonly retryAfter: number }
-
-/** What a request for a slot asks for. */
-export type SlotDemand = Omit<SlotRequest, 'permit' | 'holder' | 'zone'> & { readonly service: string }
-
 interface Pending {
   readonly permit: string
   readonly demand: SlotDemand
