--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,7 +65,6 @@
   readonly #directory: MemberDirectory
   #routes: RouteTable | null = null
   #targetsKnown = false
-  #inFlight = 0
   #draining = false
 
   constructor (private readonly options: GatewayOptions) {
@@ -111,11 +110,6 @@
     return this.membership.state === MemberState.Ready
   }
 
-  /** Online requests that have no final answer yet. */
-  get inFlight (): number {
-    return this.#inFlight
-  }
-
   /** Puts a configuration in force; an older version than the one in force is ignored. */
   configure (configuration: RouteConfiguration): void {
     const current = this.#routes?.configuration.version ?? -Infinity
@@ -164,22 +158,17 @@
   /** Serves an online request to its final answer. */
   async serve (request: IncomingMessage, response: ServerResponse, route: Route): Promise<void> {
     const arrivedAt = Date.now()
-    this.#inFlight += 1
-    try {
-      const body = await this.body(request, response)
-      if (body === null) {
-        return
-      }
-      const service = pickService(route.services, Math.random())
-      if (service === null) {
-        refuse(response, Status.ServiceUnavailable, 'not run: the route has no service', unreadyRetryMilliseconds)
-        return
-      }
-      const online = createOnlineRequest(request, body, route, service, this.options.names, arrivedAt)
-      await new OnlineRun(this.#onlineParts(), online, response).run()
-    } finally {
-      this.#inFlight -= 1
+    const body = await this.body(request, response)
+    if (body === null) {
+      return
+    }
+    const service = pickService(route.services, Math.random())
+    if (service === null) {
+      refuse(response, Status.ServiceUnavailable, 'not run: the route has no service', unreadyRetryMilliseconds)
+      return
     }
+    const online = createOnlineRequest(request, body, route, service, this.options.names, arrivedAt)
+    await new OnlineRun(this.#onlineParts(), online, response).run()
   }
 
   /** Leaves the address answers and hands batch work over; requests that still come are served. */
