--- a/packages/gateway/tests/jobs/job-log.test.ts
+++ b/packages/gateway/tests/jobs/job-log.test.ts
@@ -1,3 +1,4 @@
+/** Histories of several writers through a faulty log, checked for doubled, lost and falsely refused jobs. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -1,3 +1,4 @@
+/** Event streams cut at any byte. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -1,3 +1,4 @@
+/** Members on a network in memory, with paused clocks. */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it, mock } from 'node:test'
 import { Membership, MemberState } from '../../src/index.js'
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -1,3 +1,4 @@
+/** Decisions on slots, without a network or a clock. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { WorkClass } from '@arbutusloft/protocol'
--- a/packages/policy/tests/routes/route-table.test.ts
+++ b/packages/policy/tests/routes/route-table.test.ts
@@ -1,3 +1,4 @@
+/** Choice of routes and services. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { pickService, RouteKind, RouteTable } from '../../src/index.js'
