Let a soak survive a process that is killed while it starts

Cause: the soak brings faults about in two lanes. One lane may kill a process that the other is starting; SupervisedProcess.started() then rejected into the other lane, unhandled, and the soak ended with exit 1. Two lanes that restart the same process started it twice; the first of the two was forgotten, never ended, and kept the command from ending (exit 124 beside load).

Ruled out: a process that ends by itself at start; a typed error now tells it from a signal, and such a start is still rejected.

Conclusion: the harness was at fault, not the process.

--- a/packages/development/src/cluster/cluster.ts
+++ b/packages/development/src/cluster/cluster.ts
@@ -7,6 +7,7 @@
 import { MemberKind, MemberState } from '@arbutusloft/adapters'
 import type { Member } from '@arbutusloft/adapters'
 import {
+  isStartEndedError,
   startEngineStandIn,
   startFaultProxy,
   startInstanceListStandIn,
@@ -198,6 +199,7 @@
   readonly #instance: string
   readonly #zone: string
   #process: SupervisedProcess | null = null
+  #restarting: Promise<boolean> | null = null
   #logLink: FaultProxy | null = null
   /** Addresses on which it listens now. */
   addresses: ReportedAddresses = {}
@@ -239,11 +241,7 @@
 
   /** Waits until it says that it is ready. */
   async ready (): Promise<void> {
-    await until(`${this.member} is ready`, async () => {
-      const response = await fetch(`http://${this.addresses['health'] ?? ''}/readyz`)
-      await response.text()
-      return response.ok
-    })
+    await until(`${this.member} is ready`, async () => await this.#isReady())
   }
 
   signal (signal: NodeJS.Signals): void {
@@ -257,9 +255,36 @@
     this.cluster.instanceList.remove(this.member)
   }
 
-  async restart (): Promise<void> {
-    await this.start()
-    await this.ready()
+  /**
+   * Starts it unless it runs, and waits until it is ready. Restarts that overlap share one start.
+   * Resolves with false if a signal, such as another fault's {@link RoleProcess.kill}, ended it meanwhile.
+   * @throws {StartEndedError} if it ended by itself.
+   */
+  async restart (): Promise<boolean> {
+    this.#restarting ??= this.#startUntilReady().finally(() => { this.#restarting = null })
+    return await this.#restarting
+  }
+
+  async #startUntilReady (): Promise<boolean> {
+    try {
+      if (!this.running) {
+        await this.start()
+      }
+    } catch (error) {
+      if (isStartEndedError(error) && error.signal !== null) {
+        return false
+      }
+      throw error
+    }
+    const process = this.#process
+    await until(`${this.member} is ready or has ended`, async () => process?.running !== true || await this.#isReady())
+    return process?.running === true
+  }
+
+  async #isReady (): Promise<boolean> {
+    const response = await fetch(`http://${this.addresses['health'] ?? ''}/readyz`)
+    await response.text()
+    return response.ok
   }
 
   /** Marks it as leaving, sends SIGTERM and waits for its end; resolves with the exit code. */
--- /dev/null
+++ b/packages/development/tests/cluster/cluster.test.ts
@@ -0,0 +1,61 @@
+import { equal, rejects } from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+import { MemberKind } from '@arbutusloft/adapters'
+import { pause } from '../../src/cluster/until.js'
+import { startCluster } from '../../src/cluster/cluster.js'
+import type { Cluster, RoleProcess } from '../../src/cluster/cluster.js'
+
+function isAlive (pid: number): boolean {
+  try {
+    return process.kill(pid, 0)
+  } catch {
+    return false
+  }
+}
+
+describe('Cluster', () => {
+  let cluster: Cluster
+  let batch: RoleProcess
+
+  before(async () => {
+    cluster = await startCluster({ batches: 2 })
+    batch = cluster.of(MemberKind.Batch)[1] as RoleProcess
+  })
+
+  after(async () => { await cluster.close() })
+
+  it('ends a restart without an error if another fault kills the process meanwhile', async () => {
+    await batch.kill()
+    const restarted = batch.restart()
+    while (!batch.running) {
+      await pause(1)
+    }
+    await batch.kill()
+    equal(await restarted, false)
+    equal(await batch.restart(), true)
+  })
+
+  it('starts one process if two restarts overlap', async () => {
+    await batch.kill()
+    const first = batch.restart()
+    while (!batch.running) {
+      await pause(1)
+    }
+    const started = batch.pid
+    equal(await batch.restart(), true)
+    equal(await first, true)
+    equal(batch.pid, started)
+    // Were there a second process, the first would live on and nothing would end it.
+    equal(isAlive(started), true)
+  })
+
+  it('leaves a process as it is that already runs', async () => {
+    const { pid } = batch
+    equal(await batch.restart(), true)
+    equal(batch.pid, pid)
+  })
+
+  it('rejects a start that the process itself ended', async () => {
+    await rejects(startCluster({ limits: { 'no-such-limit': 1 } }), { name: 'StartEndedError' })
+  })
+})
--- a/packages/stand-ins/src/supervisor/supervised-process.ts
+++ b/packages/stand-ins/src/supervisor/supervised-process.ts
@@ -8,6 +8,21 @@
 
 const linesKept = 2_000
 
+/** A process ended before it reported its start. */
+export class StartEndedError extends Error {
+  override readonly name = 'StartEndedError'
+
+  /** With the signal that ended the process, or null if it ended by itself. */
+  constructor (processName: string, readonly signal: NodeJS.Signals | null, lines: readonly string[]) {
+    super(`${processName} did not start (${signal ?? 'ended by itself'}):\n${lines.join('\n')}`)
+  }
+}
+
+/** Whether an error tells of a process that ended before it had started. */
+export function isStartEndedError (error: unknown): error is StartEndedError {
+  return error instanceof StartEndedError
+}
+
 /** One process, from its start to its end. */
 export class SupervisedProcess {
   readonly #child: ChildProcess
@@ -39,14 +54,17 @@
     this.#child.kill(signal)
   }
 
-  /** Resolves with its addresses when its log says that it has started. */
+  /**
+   * Resolves with its addresses when its log says that it has started.
+   * @throws {StartEndedError} if it ends before.
+   */
   async started (): Promise<ReportedAddresses> {
     const { stderr } = this.#child
     return await new Promise((resolve, reject) => {
       if (stderr !== null) {
         createInterface({ input: stderr }).on('line', line => { this.#onLine(line, resolve) })
       }
-      this.#child.once('exit', () => { reject(new Error(`${this.name} did not start:\n${this.lines.join('\n')}`)) })
+      this.#child.once('exit', (_code, signal) => { reject(new StartEndedError(this.name, signal, this.lines)) })
     })
   }
 
