--- a/packages/development/src/cluster/cluster.ts
+++ b/packages/development/src/cluster/cluster.ts
@@ -234,7 +234,7 @@
     const path = join(this.cluster.directory, `${this.member}.ini`)
     await writeFile(path, this.#settings())
     const program = join(packagesDirectory, this.kind, 'dist', 'src', 'bin', `arbutus-${this.kind}.js`)
-    this.#process = new SupervisedProcess(this.member, program, path)
+    this.#process = new SupervisedProcess(this.member, program, { arguments: [path] })
     this.addresses = await this.#process.started()
     this.#announce(MemberState.Live)
   }
--- a/packages/integration-tests/tests/soak/fault-injector.ts
+++ b/packages/integration-tests/tests/soak/fault-injector.ts
@@ -3,7 +3,7 @@
 import type { Cluster, RoleProcess } from '@arbutusloft/development'
 import { MemberKind, MemberState } from '@arbutusloft/adapters'
 import { ServiceMode } from '@arbutusloft/stand-ins'
-import type { Random } from './random.js'
+import type { Random } from '@arbutusloft/stand-ins'
 
 /** One kind of fault: brings it about, waits, and ends it. */
 interface Fault {
--- a/packages/integration-tests/tests/soak/soak.ts
+++ b/packages/integration-tests/tests/soak/soak.ts
@@ -15,7 +15,7 @@
 import { endFaults, injectFaults } from './fault-injector.js'
 import { MixedLoad } from './mixed-load.js'
 import type { AcceptedJob } from './mixed-load.js'
-import { Random } from './random.js'
+import { Random } from '@arbutusloft/stand-ins'
 
 const { values } = parseArgs({
   options: {
--- a/packages/stand-ins/src/proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/proxy/fault-proxy.ts
@@ -24,6 +24,8 @@
   setRefusing: (refusing: boolean) => void
   /** Number of open connections. */
   readonly open: number
+  /** Number of pieces that are being delayed. */
+  readonly delayed: number
 }
 
 const loopback = '127.0.0.1'
@@ -45,6 +47,7 @@
   readonly #pairs = new Set<Pair>()
   readonly #server: Server
   #delayMilliseconds = 0
+  #delayed = 0
   #refusing = false
   address = ''
 
@@ -56,6 +59,10 @@
     return this.#pairs.size
   }
 
+  get delayed (): number {
+    return this.#delayed
+  }
+
   async start (port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
@@ -114,29 +121,43 @@
 
   #pass (pair: Pair, from: Socket, to: Socket): void {
     from.setNoDelay(true)
+    const later = this.#createDelay()
     from.on('data', data => {
-      this.#later(() => {
+      later(() => {
         if (!pair.silent && !to.destroyed) {
           to.write(data)
         }
       })
     })
     from.on('end', () => {
-      this.#later(() => {
+      later(() => {
         if (!pair.silent) {
           to.end()
         }
       })
     })
     from.on('error', () => { this.#dropUnlessSilent(pair) })
-    from.on('close', () => { this.#later(() => { this.#dropUnlessSilent(pair) }) })
+    from.on('close', () => { later(() => { this.#dropUnlessSilent(pair) }) })
   }
 
-  #later (action: () => void): void {
-    if (this.#delayMilliseconds === 0) {
-      action()
-    } else {
-      setTimeout(action, this.#delayMilliseconds)
+  /** Delays the pieces of one direction; they keep their order when the delay changes. */
+  #createDelay (): (action: () => void) => void {
+    const waiting: Array<() => void> = []
+    let last = 0
+    return action => {
+      if (this.#delayMilliseconds === 0 && waiting.length === 0) {
+        action()
+        return
+      }
+      const now = Date.now()
+      last = Math.max(last, now + this.#delayMilliseconds)
+      waiting.push(action)
+      this.#delayed += 1
+      // Timers of different lengths that end at the same time have no fixed order, so each takes the oldest piece.
+      setTimeout(() => {
+        this.#delayed -= 1
+        waiting.shift()?.()
+      }, last - now)
     }
   }
 
--- a/packages/stand-ins/src/supervisor/supervised-process.ts
+++ b/packages/stand-ins/src/supervisor/supervised-process.ts
@@ -23,6 +23,13 @@
   return error instanceof StartEndedError
 }
 
+/** How a process is started. */
+export interface SupervisedProcessOptions {
+  readonly arguments?: readonly string[]
+  /** Variables beside those of this process. */
+  readonly environment?: Readonly<Record<string, string>>
+}
+
 /** One process, from its start to its end. */
 export class SupervisedProcess {
   readonly #child: ChildProcess
@@ -30,9 +37,12 @@
   /** The last lines of its log. */
   readonly lines: string[] = []
 
-  /** Starts a program of this Node.js with one argument. */
-  constructor (private readonly name: string, program: string, argument: string) {
-    this.#child = spawn(process.execPath, [program, argument], { stdio: ['ignore', 'ignore', 'pipe'] })
+  /** Starts a program of this Node.js. */
+  constructor (private readonly name: string, program: string, options: SupervisedProcessOptions) {
+    this.#child = spawn(process.execPath, [program, ...options.arguments ?? []], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...options.environment }
+    })
     this.#exited = new Promise(resolve => { this.#child.once('exit', code => { resolve(code) }) })
   }
 
@@ -59,10 +69,12 @@
    * @throws {StartEndedError} if it ends before.
    */
   async started (): Promise<ReportedAddresses> {
-    const { stderr } = this.#child
+    const { stdout, stderr } = this.#child
     return await new Promise((resolve, reject) => {
-      if (stderr !== null) {
-        createInterface({ input: stderr }).on('line', line => { this.#onLine(line, resolve) })
+      for (const input of [stdout, stderr]) {
+        if (input !== null) {
+          createInterface({ input }).on('line', line => { this.#onLine(line, resolve) })
+        }
       }
       this.#child.once('exit', (_code, signal) => { reject(new StartEndedError(this.name, signal, this.lines)) })
     })
@@ -75,14 +87,14 @@
     }
     const entry = parseLine(line)
     if (entry?.message === 'started') {
-      onStarted(entry.addresses)
+      onStarted(entry.addresses ?? {})
     }
   }
 }
 
 interface StartedLine {
   readonly message: string
-  readonly addresses: ReportedAddresses
+  readonly addresses?: ReportedAddresses
 }
 
 function parseLine (line: string): StartedLine | null {
--- a/packages/stand-ins/tests/supervisor/supervised-process.test.ts
+++ b/packages/stand-ins/tests/supervisor/supervised-process.test.ts
@@ -16,7 +16,7 @@
   async function supervise (text: string): Promise<SupervisedProcess> {
     const program = join(directory, 'program.mjs')
     await writeFile(program, text)
-    return new SupervisedProcess('i1.scheduler', program, 'settings.ini')
+    return new SupervisedProcess('i1.scheduler', program, { arguments: ['settings.ini'], environment: { ARBUTUS_TEST: 'yes' } })
   }
 
   it('resolves with the addresses of its line at start', async () => {
@@ -26,6 +26,17 @@
     await supervised.exited
   })
 
+  it('reads both outputs, and gives arguments and variables', async () => {
+    const supervised = await supervise(`console.log(process.argv[2] + process.env.ARBUTUS_TEST); console.error(${JSON.stringify(startedLine)}); setInterval(() => {}, 1_000)`)
+    await supervised.started()
+    while (supervised.lines.length < 2) {
+      await new Promise(resolve => { setTimeout(resolve, 1) })
+    }
+    deepEqual([...supervised.lines].sort(), ['settings.iniyes', startedLine])
+    supervised.signal('SIGKILL')
+    await supervised.exited
+  })
+
   it('tells the signal that ended it before it had started', async () => {
     const supervised = await supervise('setInterval(() => {}, 1_000)')
     const ended = supervised.started().catch((error: unknown) => error)
