Take answers of failing targets for what they promise

A 500 to a request that may run again was passed on although the route had attempts left, and an item that failed could go back to the same target.

Change: such a refusal counts as an unknown outcome; a 500 to a repeatable request is dropped while attempts are left, and the last one is passed on; an item's next attempt goes to another target, with pauses that grow while no event comes; the owner sends work to targets that keep answering 500 only when others are busier (a moving share of failures, tolerated up to a quarter).

Tried and dropped: broken answers in the same share; it fails 'goes on using a target whose answers broke off now and then', and suspension covers them.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -7,7 +7,7 @@
 import { forwardedHeaders } from '../online/forwarded-headers.js'
 import type { Slot } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
-import { outcomeOf, silentReason } from '../targets/call-outcome.js'
+import { failedStatus, outcomeOf, silentReason } from '../targets/call-outcome.js'
 import { callTarget, CallEnd } from '../targets/target-call.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { Target, TargetRegistry } from '../targets/target-registry.js'
@@ -42,6 +42,8 @@
 const silenceMilliseconds = 1_500
 /** Milliseconds before an item that failed asks for another slot. */
 const retryMilliseconds = 50
+/** Longest such pause; an item that no target answers must not keep them busy. */
+const greatestRetryMilliseconds = 800
 /** Lateness added to the due time of an item that has missed it, so that those still in time go first. */
 const lateMilliseconds = 3_600_000
 
@@ -52,6 +54,10 @@
   #failures = 0
   #excluded: string[] = []
   #status: number | null = null
+  /** Events before the last attempt that was not stopped. */
+  #eventsBefore = 0
+  /** Attempts in a row that brought no event. */
+  #fruitless = 0
 
   constructor (
     private readonly parts: ItemRunParts,
@@ -144,7 +150,7 @@
     clearTimeout(silence)
     this.#stop.signal.removeEventListener('abort', onStop)
     const stopped = slot.revoked.aborted || this.#stop.signal.aborted
-    slot.release(stopped ? SlotOutcome.Finished : outcomeOf(end, reason))
+    slot.release(stopped ? SlotOutcome.Finished : outcomeOf(end, reason, this.#status))
     this.parts.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end, reason, status: this.#status, events: this.#text.events, took: Date.now() - sentAt })
     return await this.#onCallEnd(route, end, target, stopped)
   }
@@ -165,18 +171,26 @@
     if (this.#status === unprocessableStatus) {
       return { state: ItemState.Abandoned, text: '' }
     }
-    if (end === CallEnd.Complete) {
+    if (end === CallEnd.Complete && this.#status === failedStatus) {
       this.#failures += 1
       if (this.#failures >= route.maxAttempts) {
         return { state: ItemState.Abandoned, text: '' }
       }
     }
-    if (!stopped && end !== CallEnd.Complete) {
+    if (!stopped) {
       this.#excluded = [target.id]
-      await sleep(retryMilliseconds)
+      await this.#pauseAfterFailure()
     }
     return null
   }
+
+  /** Waits longer with each attempt in a row that brought no event. */
+  async #pauseAfterFailure (): Promise<void> {
+    const hasProgress = this.#text.events > this.#eventsBefore
+    this.#eventsBefore = this.#text.events
+    this.#fruitless = hasProgress ? 0 : this.#fruitless + 1
+    await sleep(Math.min(greatestRetryMilliseconds, retryMilliseconds * 2 ** Math.max(0, this.#fruitless - 1)))
+  }
 }
 
 function headerOf (item: JobItem, name: string): string {
--- a/packages/gateway/src/online/online-runner.ts
+++ b/packages/gateway/src/online/online-runner.ts
@@ -7,7 +7,7 @@
 import type { Slot, SlotAnswer } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
 import { callTarget, CallEnd } from '../targets/target-call.js'
-import { outcomeOf, silentReason } from '../targets/call-outcome.js'
+import { failedStatus, outcomeOf, silentReason } from '../targets/call-outcome.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { Target, TargetRegistry } from '../targets/target-registry.js'
 import type { Logger } from '../util/logger.js'
@@ -114,6 +114,8 @@
     }
     const sentAt = Date.now()
     let silence: NodeJS.Timeout | null = null
+    let status: number | null = null
+    let isDropped = false
     const call = callTarget(parts.connections, target, {
       id: request.id,
       method: request.method,
@@ -123,6 +125,11 @@
       remaining: request.hasDeadline ? this.#remaining() : null
     }, parts.names, {
       onHead: head => {
+        status = head.status
+        isDropped = status === failedStatus && this.#mayRepeat() && this.#remaining() >= leastRemaining
+        if (isDropped) {
+          return
+        }
         if (!this.#answer.accepts(head)) {
           call.abort(`status ${head.status} in place of the rest of a stream`)
           return
@@ -131,6 +138,9 @@
       },
       onData: chunk => {
         silence?.refresh()
+        if (isDropped) {
+          return true
+        }
         const hadBegun = this.#answer.begun
         const flows = this.#answer.onData(chunk)
         if (!hadBegun && this.#answer.begun) {
@@ -152,9 +162,10 @@
       clearTimeout(silence)
     }
     this.#abort.signal.removeEventListener('abort', onAbort)
-    slot.release(this.#abort.signal.aborted ? SlotOutcome.Finished : outcomeOf(end, reason))
-    parts.logger.info('dispatch ended', { request: request.id, route: request.route.name, target: target.id, end, reason, waited: sentAt - this.#startedAt, took: Date.now() - sentAt, status: this.#answer.status })
-    return this.#onCallEnd(end, target)
+    slot.release(this.#abort.signal.aborted ? SlotOutcome.Finished : outcomeOf(end, reason, status))
+    parts.logger.info('dispatch ended', { request: request.id, route: request.route.name, target: target.id, end, reason, waited: sentAt - this.#startedAt, took: Date.now() - sentAt, status })
+    // A failure that is not passed on leaves the client where a broken answer does.
+    return this.#onCallEnd(isDropped && end === CallEnd.Complete ? CallEnd.Broken : end, target)
   }
 
   #onCallEnd (end: CallEnd, target: Target): boolean {
--- a/packages/gateway/src/targets/call-outcome.ts
+++ b/packages/gateway/src/targets/call-outcome.ts
@@ -5,11 +5,14 @@
 /** Reason of a call that was broken off because the target sent nothing. */
 export const silentReason = 'target silent'
 
-/** The outcome of a call that its caller did not stop. */
-export function outcomeOf (end: CallEnd, reason: string): SlotOutcome {
+/** Status of a target that ran a request and failed. */
+export const failedStatus = 500
+
+/** The outcome of a call that its caller did not stop; `status` is that of its answer, or null. */
+export function outcomeOf (end: CallEnd, reason: string, status: number | null): SlotOutcome {
   switch (end) {
     case CallEnd.Complete:
-      return SlotOutcome.Finished
+      return status === failedStatus ? SlotOutcome.Failed : SlotOutcome.Finished
     case CallEnd.NotExecuted:
       return SlotOutcome.Full
     case CallEnd.Unreachable:
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -58,6 +58,7 @@
 const misdirected = 421
 const serviceUnavailable = 503
 const tooManyRequests = 429
+const requestTimeout = 408
 const badRequest = 400
 
 /** Sends the request and hands the answer to the sink. */
@@ -146,6 +147,10 @@
       this.#notExecuted = 'another target at this address'
       return
     }
+    if (promisesNotRun(status)) {
+      controller.abort(new Error(`status ${status} without a word on whether it ran`))
+      return
+    }
     // A late answer to an earlier request may arrive where this one's is due.
     if (headers[this.names.requestId] !== this.request.id) {
       controller.abort(new Error('answer to another request'))
@@ -184,6 +189,11 @@
   }
 }
 
+/** Whether clients take the status for a promise that the request has not run, which this target did not give. */
+function promisesNotRun (status: number): boolean {
+  return status === serviceUnavailable || status === tooManyRequests || status === requestTimeout
+}
+
 function isRefusal (status: number): boolean {
   return status === serviceUnavailable || status === tooManyRequests || status === misdirected || status === badRequest
 }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -2,6 +2,7 @@
 import { WorkClass } from '@arbutusloft/protocol'
 import { DecisionKind } from '../admission/decision.js'
 import { MovingAverage } from '../util/moving-average.js'
+import { FailureShares } from './failure-shares.js'
 import { PrefixHomes } from './prefix-homes.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
@@ -30,6 +31,8 @@
   Unreachable: 'unreachable',
   /** The target broke its answer off, or gave none that can be read. */
   Broken: 'broken',
+  /** The target answered that it failed. */
+  Failed: 'failed',
   /** The target refused the request as full. */
   Full: 'full'
 } as const
@@ -52,11 +55,16 @@
 const prefixWeight = 1.5
 /** Weight of the holder's own availability zone against one busy slot. */
 const zoneWeight = 1
+/** Weight of a target that fails all requests against one busy slot: more than the slots of a usual target. */
+const failureWeight = 10
+/** Share of failures that counts as chance: one failure among several answers. */
+const toleratedFailures = 0.25
 
 /** Soft state: lost with its owner, and rebuilt from what holders report. */
 export class FleetAdmission {
   readonly #slots = new FleetSlots()
   readonly #homes = new PrefixHomes()
+  readonly #failures = new FailureShares()
   readonly #hold = new MovingAverage(initialHoldMilliseconds, holdWeight)
   #online: Waiting[] = []
   #batch = new Map<string, Waiting>()
@@ -67,6 +75,7 @@
   /** Replaces the list of targets. */
   setTargets (targets: readonly FleetTarget[], now: number): readonly SlotDecision[] {
     this.#slots.setTargets(targets)
+    this.#failures.keepOnly(new Set(targets.map(target => target.id)))
     return this.#fill(now)
   }
 
@@ -169,12 +178,12 @@
   // request for that moment, and the online caller does not pay for a round trip.
   #grantOnline (request: SlotRequest, now: number): readonly SlotDecision[] {
     const free = this.#candidates(now, request, target => target.taken < target.slots)
-    const chosen = this.#best(free, request)
+    const chosen = this.#best(free, request, now)
     if (chosen !== null) {
       return [this.#grant(request, chosen, now)]
     }
     const yielding = this.#candidates(now, request, target => target.online < target.slots)
-    const other = this.#best(yielding, request)
+    const other = this.#best(yielding, request, now)
     if (other === null) {
       return []
     }
@@ -217,7 +226,7 @@
       if (this.#slots.free(now) <= this.options.headroom) {
         return
       }
-      const target = this.#best(free, request)
+      const target = this.#best(free, request, now)
       if (target !== null) {
         this.#batch.delete(request.permit)
         decisions.push(this.#grant(request, target, now))
@@ -225,14 +234,15 @@
     }
   }
 
-  #best (candidates: readonly TargetSlots[], request: SlotRequest): string | null {
+  #best (candidates: readonly TargetSlots[], request: SlotRequest, now: number): string | null {
     const home = this.#homes.find(request.prefix)
     let best: string | null = null
     let bestScore = -Infinity
     for (const candidate of candidates) {
       const prefix = home.get(candidate.id) ?? 0
       const zone = candidate.zone === request.zone ? zoneWeight : 0
-      const score = prefix * prefixWeight + zone - candidate.taken
+      const failures = Math.max(0, this.#failures.of(candidate.id, now) - toleratedFailures) * failureWeight
+      const score = prefix * prefixWeight + zone - failures - candidate.taken
       if (score > bestScore) {
         best = candidate.id
         bestScore = score
@@ -256,6 +266,8 @@
     const { suspensionMilliseconds, longestSuspensionMilliseconds } = this.options
     switch (outcome) {
       case SlotOutcome.Finished:
+      case SlotOutcome.Failed:
+        this.#failures.add(target, outcome === SlotOutcome.Failed, now)
         this.#slots.onAnswered(target)
         return
       case SlotOutcome.Full:
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -171,4 +171,22 @@
     const granted = ['p1', 'p2', 'p3'].flatMap(permit => fleet.request(request(permit), 0))
     assert.deepEqual(granted.map(decision => decision.kind === DecisionKind.Grant ? decision.target : null), ['two', 'two', null])
   })
+
+  // Load: a target fails two of five requests, while its health answers are good.
+  it('sends requests to a target that keeps failing only when the others are busy', () => {
+    const fleet = admission()
+    let now = 0
+    for (let run = 0; run < 10; run += 1) {
+      now += 10
+      fleet.request(request(`p${run}`, { excluded: ['two'] }), now)
+      fleet.release(`p${run}`, run % 5 < 2 ? SlotOutcome.Finished : SlotOutcome.Failed, now)
+    }
+    assert.equal(targetOf(fleet.request(request('q1'), now)), 'two')
+    assert.equal(targetOf(fleet.request(request('q2'), now)), 'two')
+    assert.equal(targetOf(fleet.request(request('q3'), now)), 'one')
+    fleet.release('q1', SlotOutcome.Finished, now)
+    fleet.release('q3', SlotOutcome.Finished, now)
+    // What it did ten seconds ago no longer counts.
+    assert.equal(targetOf(fleet.request(request('q4'), now + 10_000)), 'one')
+  })
 })
