Keep the progress of items in the log, and go on behind it

Load: all instances lose power while items of eight seconds run, due in 18 s. The same on each planned restart.

Change: every two seconds, and when its instance leaves, what an item has received goes to a topic of its own, keyed by job and item, each job in one partition; a process that takes over a job older than that reads it and asks the target with Last-Event-Id. No condition is needed: any whole beginning of the output will do, and older progress only costs events that are made again.

Ruled out: parts in the jobs' topic, which every instance reads, and whose end all writers condition on.

Before: the two new tests time out or see no Last-Event-Id (load() answering nothing). After: 42 of 42 of the platform's integration tests.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { JobLog } from './jobs/job-log.js'
 import { JobRunner } from './jobs/job-runner.js'
 import { JobsFold } from './jobs/jobs-fold.js'
+import { ProgressLog } from './jobs/progress-log.js'
 import { KeyedFollower } from './log/keyed-follower.js'
 import type { KeyedTopic } from './log/keyed-topic.js'
 import { GatewayMetrics } from './metrics.js'
@@ -24,6 +25,7 @@
 import { TargetRegistry } from './targets/target-registry.js'
 import type { Target } from './targets/target-registry.js'
 import type { Logger } from './util/logger.js'
+import { sleep } from './util/sleep.js'
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -36,13 +38,17 @@
   readonly seeds: readonly string[]
   readonly names: HeaderNames
   readonly transport: PeerTransport
-  /** Opens a topic by its name; calls are counted in the metrics. */
-  readonly openTopic: (name: string, metrics: GatewayMetrics) => KeyedTopic
+  /** Opens a partition of a topic by its name; calls are counted in the metrics. */
+  readonly openTopic: (name: string, partition: number, metrics: GatewayMetrics) => KeyedTopic
+  /** Number of partitions that topics have. */
+  readonly partitions: number
   readonly logger: Logger
 }
 
 /** Topic that keeps batch jobs and their results. */
 const jobsTopicName = 'jobs'
+/** Topic that keeps how far items have come. */
+const progressTopicName = 'progress'
 /** Topic that keeps the addresses of processes. */
 const membersTopicName = 'members'
 /** Milliseconds that a read of the jobs waits; also the age at which a silent store is noticed. */
@@ -52,6 +58,9 @@
 /** Milliseconds after which clients may come back to a process that is starting or stopping. */
 const unreadyRetryMilliseconds = 50
 
+/** Milliseconds for which a leaving process waits until the progress of its items is kept: a slow append. */
+const progressPatienceMilliseconds = 100
+
 /** Serves online requests and batch jobs; adapters bring in configuration, targets and calls. */
 export class Gateway {
   readonly metrics = new GatewayMetrics()
@@ -77,7 +86,7 @@
       this.#updateState()
     })
     const fold = new JobsFold(logger)
-    const topic = options.openTopic(jobsTopicName, this.metrics)
+    const topic = options.openTopic(jobsTopicName, 0, this.metrics)
     this.#jobsFollower = new KeyedFollower(
       topic,
       { name: 'jobs', waitMilliseconds: jobsWaitMilliseconds, pauseMilliseconds: jobsPauseMilliseconds },
@@ -90,13 +99,17 @@
       fold,
       log,
       membership: this.membership,
+      progress: new ProgressLog(
+        Array.from({ length: options.partitions }, (_, partition) => options.openTopic(progressTopicName, partition, this.metrics)),
+        logger
+      ),
       retentionMilliseconds: options.jobRetentionMilliseconds,
       routeOf: name => this.#routes?.named(name) ?? null,
       serviceOf: route => pickService(route.services, Math.random())
     })
     this.jobs = new JobDesk(fold, this.#jobsFollower, log, () => this.#runner.self)
     this.#jobsFollower.start()
-    this.#directory = new MemberDirectory(options.openTopic(membersTopicName, this.metrics), this.membership, logger)
+    this.#directory = new MemberDirectory(options.openTopic(membersTopicName, 0, this.metrics), this.membership, logger)
     this.#directory.start()
   }
 
@@ -174,8 +187,11 @@
   /** Leaves the address answers and hands batch work over; requests that still come are served. */
   drain (): void {
     this.#draining = true
-    this.membership.setState(MemberState.Draining)
-    this.#runner.drain()
+    const kept = this.#runner.drain()
+    // The processes that take the items over read how far they have come as soon as they know of this.
+    void Promise.race([kept, sleep(progressPatienceMilliseconds)]).then(() => {
+      this.membership.setState(MemberState.Draining)
+    })
   }
 
   async close (): Promise<void> {
--- a/packages/gateway/src/jobs/event-text.ts
+++ b/packages/gateway/src/jobs/event-text.ts
@@ -1,6 +1,7 @@
 /** Gathers the data of an event stream as text. */
 import { createParser } from 'eventsource-parser'
 import { EventSplitter } from '../online/event-splitter.js'
+import type { ItemProgress } from './item-progress.js'
 
 /** Text of the events so far; goes on over several streams of the same item. */
 export class EventText {
@@ -23,6 +24,17 @@
     return this.#parts.join('\n')
   }
 
+  /** The whole events so far, or null before the first. */
+  get progress (): ItemProgress | null {
+    return this.#lastId === null ? null : { lastId: this.#lastId, text: this.text }
+  }
+
+  /** Begins behind events that another process has received. */
+  resume ({ lastId, text }: ItemProgress): void {
+    this.#lastId = lastId
+    this.#parts = [text]
+  }
+
   /** Adds a chunk of the current stream. */
   push (chunk: Buffer): void {
     const { bytes } = this.#splitter.push(chunk)
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -14,6 +14,7 @@
 import type { Logger } from '../util/logger.js'
 import { sleep } from '../util/sleep.js'
 import { EventText } from './event-text.js'
+import type { ItemProgress } from './item-progress.js'
 import { ItemState } from './job.js'
 import type { Job, JobItem } from './job.js'
 
@@ -62,11 +63,22 @@
   constructor (
     private readonly parts: ItemRunParts,
     private readonly job: Job,
-    private readonly item: JobItem
+    private readonly item: JobItem,
+    private readonly known: Promise<ItemProgress | null>
   ) {}
 
+  /** How far it has come, or null before the first event. */
+  get progress (): ItemProgress | null {
+    return this.#text.progress
+  }
+
   /** Runs the item; null if it was stopped. */
   async run (): Promise<ItemOutcome | null> {
+    const known = await this.known
+    if (known !== null) {
+      this.#text.resume(known)
+      this.parts.logger.info('item goes on', { job: this.job.id, item: this.item.id, after: known.lastId })
+    }
     while (!this.#stop.signal.aborted) {
       const route = this.parts.routeOf(this.job.route)
       if (route === null || Date.now() > this.job.acceptedAt + route.retentionMilliseconds) {
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -9,6 +9,8 @@
 import type { JobsFold } from './jobs-fold.js'
 import { ItemRun } from './item-run.js'
 import type { ItemRunParts } from './item-run.js'
+import type { ItemProgress, ProgressEntry } from './item-progress.js'
+import type { ProgressLog } from './progress-log.js'
 
 /** What the runner works with. */
 export interface JobRunnerParts extends ItemRunParts {
@@ -16,6 +18,7 @@
   readonly log: JobLog
   readonly membership: Membership
   readonly metrics: GatewayMetrics
+  readonly progress: ProgressLog
   /** Milliseconds from acceptance for which a job is kept. */
   readonly retentionMilliseconds: number
 }
@@ -29,12 +32,24 @@
  */
 const settleMilliseconds = 700
 
+/** Milliseconds between two records of a run's progress, and from a job's acceptance to the first one. */
+const progressMilliseconds = 2_000
+
 /** Part of the retention for which jobs are kept, so that no clock that runs ahead drops one too soon. */
 const keptShare = 1.5
 
+interface StartedRun {
+  readonly job: Job
+  readonly index: number
+  readonly run: ItemRun
+  savedAt: number
+  /** Id of the last event that was saved, or null. */
+  savedId: number | null
+}
+
 /** Starts items of own jobs, and stops those that are done, ended or another process's. */
 export class JobRunner {
-  readonly #runs = new Map<string, ItemRun>()
+  readonly #runs = new Map<string, StartedRun>()
   readonly #timer: NodeJS.Timeout
   readonly #self: string
   readonly #dropping = new Set<string>()
@@ -43,9 +58,12 @@
 
   constructor (private readonly parts: JobRunnerParts) {
     this.#self = processNameOf(parts.membership.self)
-    parts.fold.onChange(changed => { this.#check(changed) })
-    parts.membership.onChange(() => { this.#check(parts.fold.all()) })
-    this.#timer = setInterval(() => { this.#check(parts.fold.all()) }, checkMilliseconds)
+    parts.fold.onChange(changed => { void this.#check(changed) })
+    parts.membership.onChange(() => { void this.#check(parts.fold.all()) })
+    this.#timer = setInterval(() => {
+      void this.#check(parts.fold.all())
+      this.#saveProgress()
+    }, checkMilliseconds)
   }
 
   /** Name of this process as it stands in the jobs that it accepts. */
@@ -58,23 +76,25 @@
     return this.#runs.size
   }
 
-  /** Leaves all jobs to other processes. */
-  drain (): void {
+  /** Leaves all jobs to other processes; resolves when their progress is kept, or cannot be. */
+  async drain (): Promise<void> {
     this.#draining = true
-    this.#check(this.parts.fold.all())
+    await this.#check(this.parts.fold.all())
   }
 
   close (): void {
     clearInterval(this.#timer)
-    for (const run of this.#runs.values()) {
+    for (const { run } of this.#runs.values()) {
       run.stop()
     }
   }
 
-  #check (jobs: Iterable<Job>): void {
+  async #check (jobs: Iterable<Job>): Promise<void> {
     const ready = this.parts.membership.ready()
     this.#noteReady()
     const names = new Set(ready.map(processNameOf))
+    const known = new Map<Job, Promise<ReadonlyMap<number, ItemProgress>>>()
+    const leaving: ProgressEntry[] = []
     for (const job of jobs) {
       const isOwn = !this.#draining && this.#runnerOf(job, names) === this.#self
       const isMine = isOwn && !isSettled(job)
@@ -83,12 +103,13 @@
       }
       job.items.forEach((_, index) => {
         if (isMine && !job.finished.has(index)) {
-          this.#start(job, index)
+          this.#start(job, index, known)
         } else {
-          this.#stop(job, index)
+          leaving.push(...this.#stop(job, index))
         }
       })
     }
+    await this.parts.progress.save(leaving)
   }
 
   #noteReady (): void {
@@ -108,18 +129,43 @@
     return ownerOf(job.id, candidates, null)?.id ?? null
   }
 
-  #start (job: Job, index: number): void {
+  #start (job: Job, index: number, known: Map<Job, Promise<ReadonlyMap<number, ItemProgress>>>): void {
     const key = keyOf(job, index)
     const item = job.items[index]
     if (item === undefined || this.#runs.has(key)) {
       return
     }
-    const run = new ItemRun(this.parts, job, item)
-    this.#runs.set(key, run)
-    void this.#complete(job, index, run)
+    const run = new ItemRun(this.parts, job, item, this.#knownProgress(job, index, known))
+    const started = { job, index, run, savedAt: Date.now(), savedId: null }
+    this.#runs.set(key, started)
+    void this.#complete(started)
+  }
+
+  /** What a process that ran the item before has saved; a young job has nothing yet. */
+  async #knownProgress (job: Job, index: number, known: Map<Job, Promise<ReadonlyMap<number, ItemProgress>>>): Promise<ItemProgress | null> {
+    if (Date.now() - job.acceptedAt < progressMilliseconds) {
+      return null
+    }
+    const loading = known.get(job) ?? this.parts.progress.load(job.id)
+    known.set(job, loading)
+    return (await loading).get(index) ?? null
   }
 
-  async #complete (job: Job, index: number, run: ItemRun): Promise<void> {
+  #saveProgress (): void {
+    const now = Date.now()
+    const entries: ProgressEntry[] = []
+    for (const started of this.#runs.values()) {
+      const { job, index, run: { progress } } = started
+      if (now - started.savedAt >= progressMilliseconds && progress !== null && progress.lastId !== started.savedId) {
+        Object.assign(started, { savedAt: now, savedId: progress.lastId })
+        entries.push({ job: job.id, index, progress })
+      }
+    }
+    void this.parts.progress.save(entries)
+  }
+
+  async #complete (started: StartedRun): Promise<void> {
+    const { job, index, run } = started
     const outcome = await run.run()
     if (outcome === null) {
       this.parts.metrics.items.inc({ outcome: 'stopped' })
@@ -128,9 +174,12 @@
       const end = await this.parts.log.finish(job.id, index, outcome.state, outcome.text)
       this.parts.logger.info('item finished', { job: job.id, index, state: outcome.state, end })
     }
-    if (this.#runs.get(keyOf(job, index)) === run) {
+    if (this.#runs.get(keyOf(job, index)) === started) {
       this.#runs.delete(keyOf(job, index))
     }
+    if (outcome !== null && started.savedId !== null) {
+      await this.parts.progress.save([{ job: job.id, index, progress: null }])
+    }
   }
 
   #dropIfOld (job: Job): void {
@@ -139,19 +188,28 @@
       return
     }
     this.#dropping.add(job.id)
+    void this.parts.progress.save(job.items.map((_, index) => ({ job: job.id, index, progress: null })))
     void log.drop(job.id).then(end => {
       this.#dropping.delete(job.id)
       logger.info('job dropped', { job: job.id, acceptedAt: job.acceptedAt, end })
     })
   }
 
-  #stop (job: Job, index: number): void {
+  /** Stops a run; returns the progress that its next process should know. */
+  #stop (job: Job, index: number): readonly ProgressEntry[] {
     const key = keyOf(job, index)
-    const run = this.#runs.get(key)
-    if (run !== undefined) {
-      this.#runs.delete(key)
-      run.stop()
+    const started = this.#runs.get(key)
+    if (started === undefined) {
+      return []
+    }
+    this.#runs.delete(key)
+    started.run.stop()
+    const { progress } = started.run
+    const isOver = job.ended || job.finished.has(index)
+    if (isOver) {
+      return started.savedId === null ? [] : [{ job: job.id, index, progress: null }]
     }
+    return progress === null ? [] : [{ job: job.id, index, progress }]
   }
 }
 
