Read the jobs less often in larger fleets

Appends are conditional on the topic's end, and with 45 appends a second a process is behind after 150 ms as after 500.

Change: the pause grows with the processes from 150 to 500 ms; fleets up to 18 keep 150. Freshness of reads (700 ms) is bounded as before by a read of its own.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { JobLog } from './jobs/job-log.js'
 import { JobRunner } from './jobs/job-runner.js'
 import { JobsFold } from './jobs/jobs-fold.js'
+import { jobsPauseMilliseconds } from './jobs/jobs-pause.js'
 import { ProgressLog } from './jobs/progress-log.js'
 import { KeyedFollower } from './log/keyed-follower.js'
 import type { KeyedTopic } from './log/keyed-topic.js'
@@ -53,8 +54,6 @@
 const membersTopicName = 'members'
 /** Milliseconds that a read of the jobs waits; also the age at which a silent store is noticed. */
 const jobsWaitMilliseconds = 800
-/** Milliseconds between reads that brought records; each costs a call. */
-const jobsPauseMilliseconds = 150
 /** Milliseconds after which clients may come back to a process that is starting or stopping. */
 const unreadyRetryMilliseconds = 50
 
@@ -89,7 +88,7 @@
     const topic = options.openTopic(jobsTopicName, 0, this.metrics)
     this.#jobsFollower = new KeyedFollower(
       topic,
-      { name: 'jobs', waitMilliseconds: jobsWaitMilliseconds, pauseMilliseconds: jobsPauseMilliseconds },
+      { name: 'jobs', waitMilliseconds: jobsWaitMilliseconds, pauseMilliseconds: () => jobsPauseMilliseconds(this.membership.live().length) },
       (records, isReset) => { fold.apply(records, isReset) },
       logger
     )
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -11,7 +11,7 @@
   /** Milliseconds that a read waits for records; also bounds how long a silent store goes unnoticed. */
   readonly waitMilliseconds: number
   /** Milliseconds between a read that brought records and the next one. */
-  readonly pauseMilliseconds: number
+  readonly pauseMilliseconds: () => number
 }
 
 /** Receives records by offset. After `isReset`, they are all that the topic holds. */
@@ -103,7 +103,7 @@
         const before = this.#position
         await this.#step(this.options.waitMilliseconds)
         if (this.#position !== before) {
-          await sleep(this.options.pauseMilliseconds)
+          await sleep(this.options.pauseMilliseconds())
         }
       } catch (error) {
         this.#onFailure(error)
--- a/packages/gateway/tests/jobs/job-log.test.ts
+++ b/packages/gateway/tests/jobs/job-log.test.ts
@@ -39,7 +39,7 @@
   await Promise.all(Array.from({ length: writers }, async (_, writer) => {
     const logger = createTestLogger()
     const fold = new JobsFold(logger)
-    const follower = new KeyedFollower(log.connect(), { name: 'jobs', waitMilliseconds: 5, pauseMilliseconds: 3 }, (records, isReset) => { fold.apply(records, isReset) }, logger)
+    const follower = new KeyedFollower(log.connect(), { name: 'jobs', waitMilliseconds: 5, pauseMilliseconds: () => 3 }, (records, isReset) => { fold.apply(records, isReset) }, logger)
     const jobLog = new JobLog(log.connect(), follower, fold, logger)
     follower.start()
     close.push(() => { follower.close() })
