Save the progress of all items of a process together

Change: one save every two seconds for all runs with new events, and the keys of finished items with it.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -32,7 +32,7 @@
  */
 const settleMilliseconds = 700
 
-/** Milliseconds between two records of a run's progress, and from a job's acceptance to the first one. */
+/** Milliseconds between saves of progress. All runs are saved together, since each call to the store costs. */
 const progressMilliseconds = 2_000
 
 /** Part of the retention for which jobs are kept, so that no clock that runs ahead drops one too soon. */
@@ -42,7 +42,6 @@
   readonly job: Job
   readonly index: number
   readonly run: ItemRun
-  savedAt: number
   /** Id of the last event that was saved, or null. */
   savedId: number | null
 }
@@ -50,7 +49,9 @@
 /** Starts items of own jobs, and stops those that are done, ended or another process's. */
 export class JobRunner {
   readonly #runs = new Map<string, StartedRun>()
-  readonly #timer: NodeJS.Timeout
+  readonly #timers: readonly NodeJS.Timeout[]
+  /** Entries to be dropped with the next save. */
+  #dropped: ProgressEntry[] = []
   readonly #self: string
   readonly #dropping = new Set<string>()
   #draining = false
@@ -60,10 +61,10 @@
     this.#self = processNameOf(parts.membership.self)
     parts.fold.onChange(changed => { void this.#check(changed) })
     parts.membership.onChange(() => { void this.#check(parts.fold.all()) })
-    this.#timer = setInterval(() => {
-      void this.#check(parts.fold.all())
-      this.#saveProgress()
-    }, checkMilliseconds)
+    this.#timers = [
+      setInterval(() => { void this.#check(parts.fold.all()) }, checkMilliseconds),
+      setInterval(() => { void this.#saveProgress() }, progressMilliseconds)
+    ]
   }
 
   /** Name of this process as it stands in the jobs that it accepts. */
@@ -83,7 +84,7 @@
   }
 
   close (): void {
-    clearInterval(this.#timer)
+    this.#timers.forEach(clearInterval)
     for (const { run } of this.#runs.values()) {
       run.stop()
     }
@@ -136,7 +137,7 @@
       return
     }
     const run = new ItemRun(this.parts, job, item, this.#knownProgress(job, index, known))
-    const started = { job, index, run, savedAt: Date.now(), savedId: null }
+    const started = { job, index, run, savedId: null }
     this.#runs.set(key, started)
     void this.#complete(started)
   }
@@ -151,17 +152,17 @@
     return (await loading).get(index) ?? null
   }
 
-  #saveProgress (): void {
-    const now = Date.now()
-    const entries: ProgressEntry[] = []
+  async #saveProgress (): Promise<void> {
+    const entries = this.#dropped
+    this.#dropped = []
     for (const started of this.#runs.values()) {
       const { job, index, run: { progress } } = started
-      if (now - started.savedAt >= progressMilliseconds && progress !== null && progress.lastId !== started.savedId) {
-        Object.assign(started, { savedAt: now, savedId: progress.lastId })
+      if (progress !== null && progress.lastId !== started.savedId) {
+        started.savedId = progress.lastId
         entries.push({ job: job.id, index, progress })
       }
     }
-    void this.parts.progress.save(entries)
+    await this.parts.progress.save(entries)
   }
 
   async #complete (started: StartedRun): Promise<void> {
@@ -177,8 +178,8 @@
     if (this.#runs.get(keyOf(job, index)) === started) {
       this.#runs.delete(keyOf(job, index))
     }
-    if (outcome !== null && started.savedId !== null) {
-      await this.parts.progress.save([{ job: job.id, index, progress: null }])
+    if (outcome !== null) {
+      this.#drop(started)
     }
   }
 
@@ -207,10 +208,18 @@
     const { progress } = started.run
     const isOver = job.ended || job.finished.has(index)
     if (isOver) {
-      return started.savedId === null ? [] : [{ job: job.id, index, progress: null }]
+      this.#drop(started)
+      return []
     }
     return progress === null ? [] : [{ job: job.id, index, progress }]
   }
+
+  #drop (started: StartedRun): void {
+    if (started.savedId !== null) {
+      started.savedId = null
+      this.#dropped.push({ job: started.job.id, index: started.index, progress: null })
+    }
+  }
 }
 
 function keyOf (job: Job, index: number): string {
