Let the items with the most time left give way to online requests

Cause: the owner revoked the batch slot that was granted last, on the target that suited the online request. An item that had just come back from a revocation, and was due soon, was the first to go again.

Change: among all targets that the request may use, the slots of the items that are due last give way (within two seconds of each other the one whose target suits best). Progress is kept, so the youngest run has no more to lose than another.

Before: the new test fails (soon-2 gives way). After: 18 of 18.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -6,7 +6,7 @@
 import { PrefixHomes } from './prefix-homes.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
-import type { TargetSlots } from './fleet-slots.js'
+import type { TakenSlot, TargetSlots } from './fleet-slots.js'
 
 /** Options of {@link FleetAdmission}. */
 export interface FleetAdmissionOptions {
@@ -51,6 +51,8 @@
 const initialHoldMilliseconds = 650
 const holdWeight = 0.1
 
+/** Milliseconds within which items count as equally urgent when one has to give way: a tenth of what the users allow a job. */
+const similarDueMilliseconds = 2_000
 /** Weight of a kept prompt prefix against one busy slot when a target is chosen. */
 const prefixWeight = 1.5
 /** Weight of the holder's own availability zone against one busy slot. */
@@ -183,18 +185,37 @@
       return [this.#grant(request, chosen, now)]
     }
     const yielding = this.#candidates(now, request, target => target.online < target.slots)
-    const other = this.#best(yielding, request, now)
-    if (other === null) {
-      return []
-    }
-    const victim = this.#slots.youngestBatch(other)
-    const grant = this.#grant(request, other, now)
+    const victim = this.#leastUrgent(yielding, request, now)
     if (victim === null) {
-      return [grant]
+      return []
     }
+    this.#slots.revoke(victim)
+    const grant = this.#grant(request, victim.target, now)
     return [grant, { kind: DecisionKind.Revoke, permit: victim.permit, holder: victim.holder }]
   }
 
+  /**
+   * The batch slot that gives way. What an item has received is kept, so it loses its place and
+   * little else: the items with the most time left give way, whichever was granted last. Load:
+   * bursts of online requests that take all slots of batch work several times before it is due.
+   */
+  #leastUrgent (targets: readonly TargetSlots[], request: SlotRequest, now: number): TakenSlot | null {
+    const scores = this.#scores(targets, request, now)
+    const slots = this.#slots.batchOn(scores)
+    const latest = slots.reduce((due, slot) => Math.max(due, slot.due), -Infinity)
+    let victim: TakenSlot | null = null
+    let victimScore = -Infinity
+    for (const slot of slots) {
+      const score = scores.get(slot.target) ?? -Infinity
+      const isBetter = score > victimScore || (score === victimScore && slot.grantedAt >= (victim?.grantedAt ?? 0))
+      if (slot.due > latest - similarDueMilliseconds && isBetter) {
+        victim = slot
+        victimScore = score
+      }
+    }
+    return victim
+  }
+
   #grant (request: SlotRequest, target: string, now: number): SlotGrant {
     const { permit, holder, workClass, due } = request
     this.#slots.take({ permit, holder, target, workClass, due, grantedAt: now, revoked: false })
@@ -235,22 +256,28 @@
   }
 
   #best (candidates: readonly TargetSlots[], request: SlotRequest, now: number): string | null {
-    const home = this.#homes.find(request.prefix)
     let best: string | null = null
     let bestScore = -Infinity
-    for (const candidate of candidates) {
-      const prefix = home.get(candidate.id) ?? 0
-      const zone = candidate.zone === request.zone ? zoneWeight : 0
-      const failures = Math.max(0, this.#failures.of(candidate.id, now) - toleratedFailures) * failureWeight
-      const score = prefix * prefixWeight + zone - failures - candidate.taken
+    for (const [id, score] of this.#scores(candidates, request, now)) {
       if (score > bestScore) {
-        best = candidate.id
+        best = id
         bestScore = score
       }
     }
     return best
   }
 
+  /** How well each target suits the request, in busy slots; greater is better. */
+  #scores (candidates: readonly TargetSlots[], request: SlotRequest, now: number): ReadonlyMap<string, number> {
+    const home = this.#homes.find(request.prefix)
+    return new Map(candidates.map(candidate => {
+      const prefix = home.get(candidate.id) ?? 0
+      const zone = candidate.zone === request.zone ? zoneWeight : 0
+      const failures = Math.max(0, this.#failures.of(candidate.id, now) - toleratedFailures) * failureWeight
+      return [candidate.id, prefix * prefixWeight + zone - failures - candidate.taken]
+    }))
+  }
+
   // A batch item waits for as long as it takes: better the same target again than none.
   #candidates (now: number, request: SlotRequest, condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
     const { holder, excluded, workClass } = request
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -127,20 +127,15 @@
     return found
   }
 
-  /** Revokes the batch slot of a target that was granted last: it has the least to lose. */
-  youngestBatch (target: string): TakenSlot | null {
-    let youngest: TakenSlot | null = null
-    for (const slot of this.#taken.values()) {
-      if (slot.target === target && slot.workClass === WorkClass.Batch && !slot.revoked &&
-        (youngest === null || slot.grantedAt >= youngest.grantedAt)) {
-        youngest = slot
-      }
-    }
-    if (youngest !== null) {
-      this.#count(youngest, -1)
-      youngest.revoked = true
-    }
-    return youngest
+  /** Slots of batch work on these targets that were not revoked. */
+  batchOn (targets: ReadonlyMap<string, unknown>): readonly TakenSlot[] {
+    return [...this.#taken.values()].filter(slot => slot.workClass === WorkClass.Batch && !slot.revoked && targets.has(slot.target))
+  }
+
+  /** Notes that the holder of a slot was told to stop: the slot no longer counts as taken. */
+  revoke (slot: TakenSlot): void {
+    this.#count(slot, -1)
+    slot.revoked = true
   }
 
   /** Slots of targets that take work. */
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -189,4 +189,16 @@
     // What it did ten seconds ago no longer counts.
     assert.equal(targetOf(fleet.request(request('q4'), now + 10_000)), 'one')
   })
+
+  // Load: a burst takes every slot of batch work, while some items are due soon.
+  it('takes slots from the items with the most time left, wherever they run', () => {
+    const fleet = admission()
+    fleet.request(request('soon-1', { ...batch, due: 4_000 }), 0)
+    fleet.request(request('late-1', { ...batch, due: 16_000 }), 1)
+    fleet.request(request('late-2', { ...batch, due: 15_500 }), 2)
+    fleet.request(request('soon-2', { ...batch, due: 5_000 }), 3)
+    const revoked = ['p1', 'p2'].flatMap(permit => fleet.request(request(permit), 10))
+      .flatMap(decision => decision.kind === DecisionKind.Revoke ? [decision.permit] : [])
+    assert.deepEqual([...revoked].sort(), ['late-1', 'late-2'])
+  })
 })
