--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -129,8 +129,8 @@
     assert.equal(second.ready().length, 1)
   })
 
-  // Sizes of the users' larger deployment and of their first letter.
-  for (const [count, seed] of [[76, 1], [76, 2], [150, 3]] as const) {
+  // Sizes of the users' deployments, and beyond.
+  for (const [count, seed] of [[12, 2], [18, 1], [18, 3], [76, 1], [76, 2], [150, 3]] as const) {
     it(`takes none of ${count} living members for dead, within the bytes that control may cost (seed ${seed})`, () => {
       seedRandom(seed)
       for (let number = 1; number <= count; number += 1) {
