--- a/packages/gateway/src/jobs/progress-log.ts
+++ b/packages/gateway/src/jobs/progress-log.ts
@@ -23,7 +23,7 @@
   async save (entries: readonly ProgressEntry[]): Promise<void> {
     const byPartition = new Map<KeyedTopic, NewRecord[]>()
     for (const entry of entries) {
-      if (entry.progress === null || entry.progress.text.length <= greatestTextBytes) {
+      if (entry.progress === null || Buffer.byteLength(entry.progress.text) <= greatestTextBytes) {
         const partition = this.#partitionOf(entry.job)
         byPartition.set(partition, [...byPartition.get(partition) ?? [], progressRecord(entry)])
       }
--- /dev/null
+++ b/packages/gateway/tests/jobs/progress-log.test.ts
@@ -0,0 +1,93 @@
+/** Progress of items in partitions in memory. */
+import assert from 'node:assert/strict'
+import { beforeEach, describe, it } from 'node:test'
+import { AppendEnd, LogUnavailableError, ProgressLog } from '../../src/index.js'
+import type { KeyedTopic, NewRecord } from '../../src/index.js'
+import { createTestLogger } from '../util/silent-logger.js'
+
+class Partition implements KeyedTopic {
+  readonly appends: Array<readonly NewRecord[]> = []
+  readonly kept = new Map<string, Buffer>()
+  fails = false
+
+  async newest (): ReturnType<KeyedTopic['newest']> {
+    if (this.fails) {
+      throw new LogUnavailableError('not now')
+    }
+    return await Promise.resolve({ records: [...this.kept].map(([key, value], offset) => ({ key, value, offset })), end: this.kept.size })
+  }
+
+  async read (): ReturnType<KeyedTopic['read']> {
+    return await Promise.resolve({ records: [], end: 0 })
+  }
+
+  async append (records: readonly NewRecord[]): Promise<AppendEnd> {
+    if (this.fails) {
+      return await Promise.resolve(AppendEnd.Refused)
+    }
+    this.appends.push(records)
+    for (const { key, value } of records) {
+      if (value === null) {
+        this.kept.delete(key)
+      } else {
+        this.kept.set(key, value)
+      }
+    }
+    return AppendEnd.Done
+  }
+}
+
+describe('ProgressLog', () => {
+  let partitions: Partition[]
+  let log: ProgressLog
+
+  beforeEach(() => {
+    partitions = [new Partition(), new Partition(), new Partition()]
+    log = new ProgressLog(partitions, createTestLogger())
+  })
+
+  it('gives back the newest progress of each item of a job, and of no other job', async () => {
+    await log.save([
+      { job: 'one', index: 0, progress: { lastId: 3, text: 'a\nb\nc' } },
+      { job: 'one', index: 1, progress: { lastId: 70_000, text: 'é' } },
+      { job: 'one/more', index: 0, progress: { lastId: 9, text: 'x' } }
+    ])
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 4, text: 'a\nb\nc\nd' } }])
+    assert.deepEqual([...await log.load('one')], [[0, { lastId: 4, text: 'a\nb\nc\nd' }], [1, { lastId: 70_000, text: 'é' }]])
+  })
+
+  it('drops progress that is of no more use', async () => {
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 3, text: 'a' } }])
+    await log.save([{ job: 'one', index: 0, progress: null }])
+    assert.equal((await log.load('one')).size, 0)
+  })
+
+  it('keeps each job in one partition, and uses several', async () => {
+    const jobs = Array.from({ length: 20 }, (_, number) => `job-${number}`)
+    await log.save(jobs.flatMap(job => [0, 1].map(index => ({ job, index, progress: { lastId: 1, text: 'a' } }))))
+    const homes = partitions.map(partition => new Set([...partition.kept.keys()].map(key => key.split('/')[0])))
+    assert.equal(homes.reduce((sum, home) => sum + home.size, 0), jobs.length)
+    assert.ok(homes.every(home => home.size > 0))
+    // One append for each partition, whatever the number of jobs.
+    assert.deepEqual(partitions.map(partition => partition.appends.length), [1, 1, 1])
+  })
+
+  it('leaves out texts that the store would not take, counted in bytes, and splits large appends', async () => {
+    const small = 'x'.repeat(190_000)
+    const large = 'é'.repeat(150_000)
+    await log.save([...Array.from({ length: 10 }, (_, index) => ({ job: 'one', index, progress: { lastId: 1, text: small } })), { job: 'one', index: 10, progress: { lastId: 1, text: large } }])
+    const found = await log.load('one')
+    assert.equal(found.size, 10)
+    const appends = partitions.flatMap(partition => partition.appends)
+    assert.equal(appends.length, 2)
+    for (const records of appends) {
+      assert.ok(records.reduce((sum, record) => sum + (record.value?.length ?? 0), 0) < 2_000_000)
+    }
+  })
+
+  it('does without progress while the store is away', async () => {
+    partitions.forEach(partition => { partition.fails = true })
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 3, text: 'a' } }])
+    assert.equal((await log.load('one')).size, 0)
+  })
+})
