Revert "Let online requests wait only as long as they can still be in time"

Cause: who is refused earlier comes back, and is later than who waits; the model had no clients that come back.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** All parts of a gateway process, put together. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, QueuePatience, RouteTable } from '@arbutusloft/policy'
+import { pickService, RouteTable } from '@arbutusloft/policy'
 import type { Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -68,7 +68,6 @@
   readonly slots: SlotClient
   readonly jobs: JobDesk
   readonly #connections = new TargetConnections()
-  readonly #patience = new QueuePatience()
   readonly #jobsFollower: KeyedFollower
   readonly #runner: JobRunner
   readonly #directory: MemberDirectory
@@ -207,7 +206,7 @@
 
   #onlineParts (): ConstructorParameters<typeof OnlineRun>[0] {
     const { names, logger } = this.options
-    return { slots: this.slots, targets: this.targets, connections: this.#connections, names, metrics: this.metrics, patience: this.#patience, logger }
+    return { slots: this.slots, targets: this.targets, connections: this.#connections, names, metrics: this.metrics, logger }
   }
 
   #updateState (): void {
--- a/packages/gateway/src/online/online-runner.ts
+++ b/packages/gateway/src/online/online-runner.ts
@@ -1,7 +1,6 @@
 /** Takes a request from its route to a whole answer: slot, dispatch, resume, relay. */
 import type { ServerResponse } from 'node:http'
 import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
-import type { QueuePatience } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { refuse, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
@@ -24,11 +23,11 @@
   readonly connections: TargetConnections
   readonly names: HeaderNames
   readonly metrics: GatewayMetrics
-  /** Shared by all runs of the process. */
-  readonly patience: QueuePatience
   readonly logger: Logger
 }
 
+/** Part of the objective that a request may wait for a slot; the rest is for reading the prompt. */
+const patienceShare = 0.75
 /** Targets that may refuse a request, having not run it, before the client is told. */
 const greatestRefusals = 4
 /** Milliseconds without an event after which a resumable stream goes on elsewhere: ten times a slow gap. */
@@ -97,7 +96,7 @@
 
   async #acquire (): Promise<SlotAnswer> {
     const { route, service, prefix } = this.request
-    const patience = Math.min(this.parts.patience.of(route.objectiveMilliseconds), this.#remaining())
+    const patience = Math.min(route.objectiveMilliseconds * patienceShare, this.#remaining())
     const excluded = this.#excluded
     return await this.parts.slots.acquire(
       { service, workClass: WorkClass.Online, prefix, excluded, patience, due: 0 },
@@ -146,7 +145,6 @@
         const hadBegun = this.#answer.begun
         const flows = this.#answer.onData(chunk)
         if (!hadBegun && this.#answer.begun) {
-          parts.patience.add(Date.now() - sentAt)
           parts.metrics.firstByte.observe((Date.now() - this.#startedAt) / millisecondsPerSecond)
         }
         if (!flows) {
