--- a/packages/batch/src/job-claims.ts
+++ b/packages/batch/src/job-claims.ts
@@ -32,7 +32,7 @@
 
   constructor (private readonly options: JobClaimsOptions) {
     this.#stopListening = options.follower.onRecord(applied => { this.#onRecord(applied) })
-    this.#timer = setInterval(() => { this.#beat() }, options.ownerMilliseconds / heartbeatsPerTimeout)
+    this.#timer = setInterval(() => { this.#appendHeartbeat() }, options.ownerMilliseconds / heartbeatsPerTimeout)
   }
 
   /** Jobs that run under a claim of this incarnation. */
@@ -83,7 +83,7 @@
     this.#heardAt.set(applied.context.writer, Date.now())
   }
 
-  #beat (): void {
+  #appendHeartbeat (): void {
     if (this.owned().length > 0) {
       void this.options.jobs.append([{ type: RecordType.OwnerHeartbeat, owner: this.options.identity.member }])
     }
--- a/packages/daemon/src/links/link.ts
+++ b/packages/daemon/src/links/link.ts
@@ -41,7 +41,7 @@
     socket.on('pong', () => { this.#heardAt = Date.now() })
     socket.on('close', () => { this.#onClose() })
     socket.on('error', () => { socket.terminate() })
-    this.#heartbeat = setInterval(() => { this.#beat() }, options.heartbeatMilliseconds)
+    this.#heartbeat = setInterval(() => { this.#sendHeartbeat() }, options.heartbeatMilliseconds)
   }
 
   get closed (): boolean {
@@ -86,7 +86,7 @@
     }
   }
 
-  #beat (): void {
+  #sendHeartbeat (): void {
     if (Date.now() - this.#heardAt > this.options.timeoutMilliseconds) {
       this.#socket.terminate()
       this.#onClose()
