--- a/packages/bench/src/measures/large-job.ts
+++ b/packages/bench/src/measures/large-job.ts
@@ -6,7 +6,7 @@
 import type { ChatResult } from '../util/chat-request.js'
 import { computeDistribution, formatDistribution } from '../util/distribution.js'
 import { generateArrivalTimes, runOpenLoop } from '../util/open-loop.js'
-import { readProcessUsage } from '../util/process-usage.js'
+import { readProcessUsage } from '@arbutusloft/stand-ins'
 import type { Measurement } from './measure.js'
 
 const itemCount = 250_000
--- a/packages/bench/src/measures/overhead.ts
+++ b/packages/bench/src/measures/overhead.ts
@@ -5,7 +5,7 @@
 import { sendChat } from '../util/chat-request.js'
 import type { ChatResult } from '../util/chat-request.js'
 import { computeDistribution, formatDistribution } from '../util/distribution.js'
-import { readProcessUsage } from '../util/process-usage.js'
+import { readProcessUsage } from '@arbutusloft/stand-ins'
 import type { Measurement } from './measure.js'
 
 const warmUpPairs = 300
--- a/packages/stand-ins/src/supervisor/supervised-process.ts
+++ b/packages/stand-ins/src/supervisor/supervised-process.ts
@@ -29,6 +29,8 @@
 /** Options of a {@link SupervisedProcess}. */
 export interface SupervisedProcessOptions {
   readonly arguments?: readonly string[]
+  /** Options of Node.js itself, for example for profiling. */
+  readonly nodeOptions?: readonly string[]
   /** Environment variables to set in addition to those of this process. */
   readonly environment?: Readonly<Record<string, string>>
 }
@@ -46,7 +48,7 @@
    * @param program path of the program
    */
   constructor (private readonly name: string, program: string, options: SupervisedProcessOptions) {
-    this.#child = spawn(process.execPath, [program, ...options.arguments ?? []], {
+    this.#child = spawn(process.execPath, [...options.nodeOptions ?? [], program, ...options.arguments ?? []], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...options.environment }
     })
