Find failed members by probes whose cost does not grow with the fleet, and wake only when something is due

Cause: each instance sent rows of all members twice every 300 ms, merged them row by row, and waited longer for a death the larger the fleet was; timers of 20 and 25 ms for slots ran with nothing to do. Change: probes, indirect probes, suspicions that only the member itself can refute, and changes passed on as they happen (SWIM with Lifeguard's self-doubt); an Alarm in place of the slots' intervals; reports of held slots every 900 ms, and every 300 ms for a second after a change of the members. Ruled out: heartbeats in the store (priced, and blind where the store turns an instance away).

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -1,7 +1,7 @@
 /** Runs the items of the jobs that this process owns, and takes over jobs of processes that failed or left. */
 import { ownerOf } from '@arbutusloft/policy'
 import type { Membership } from '../peers/membership.js'
-import { MemberState } from '../peers/peer-messages.js'
+import { MemberState } from '../peers/member.js'
 import type { GatewayMetrics } from '../metrics.js'
 import { isSettled } from './job.js'
 import type { Job } from './job.js'
--- a/packages/gateway/src/peers/member-digest.ts
+++ b/packages/gateway/src/peers/member-digest.ts
@@ -1,39 +1,54 @@
-/** Encodes member rows as plain numbers, so that several dozen members fit into one datagram. */
-import type { MemberRow, MemberState } from './peer-messages.js'
+/** Encodes member updates as plain numbers, so that several dozen of them fit into one datagram. */
+import type { MemberState, MemberUpdate } from './member.js'
 
-/** Encoded member rows; the first one describes the sender. */
+/** Encoded member updates; the first one describes the sender. */
 export interface MemberDigest {
-  /** Names of availability zones; rows refer to them by index. */
+  /** Names of availability zones; updates refer to them by index. */
   readonly zones: readonly string[]
-  /** Incarnation of the sender, in milliseconds since the epoch; rows hold the difference from it. */
+  /** Incarnation of the sender, in milliseconds since the epoch; updates hold the difference from it. */
   readonly incarnation: number
-  /** Six numbers per member: IPv4 address as an integer, zone index, incarnation difference, capacity, heartbeat count, state. */
+  /** Six numbers per update: IPv4 address as an integer, zone index, incarnation difference, capacity, version, state and suspicion. */
   readonly numbers: readonly number[]
 }
 
-const numbersPerRow = 6
-const bytesPerAddress = 4
-const bitsPerByte = 8
+/** Updates that fit into one datagram: each takes up to 18 bytes, and one packet carries 1,472. */
+export const maximumUpdatesPerDatagram = 76
+
+const numbersPerUpdate = 6
 const valuesPerByte = 256
+/** Added to the state of a suspected member. */
+const suspectedFlag = 4
 
-/** Encodes member rows; the first row must be the sender's. */
-export function packMembers (rows: readonly MemberRow[]): MemberDigest {
-  const zones = [...new Set(rows.map(([, zone]) => zone))]
-  const baseIncarnation = rows[0]?.[2] ?? 0
-  const numbers = rows.flatMap(([address, zone, incarnation, capacity, heartbeat, state]) => {
-    return [addressToNumber(address), zones.indexOf(zone), incarnation - baseIncarnation, capacity, heartbeat, state]
-  })
+/** Encodes updates; the first one must be the sender's. */
+export function packMembers (updates: readonly MemberUpdate[]): MemberDigest {
+  const zones: string[] = []
+  const numbers: number[] = []
+  const baseIncarnation = updates[0]?.incarnation ?? 0
+  for (const { address, zone, incarnation, capacity, version, state, suspected } of updates) {
+    if (!zones.includes(zone)) {
+      zones.push(zone)
+    }
+    numbers.push(addressToNumber(address), zones.indexOf(zone), incarnation - baseIncarnation, capacity, version, state + (suspected ? suspectedFlag : 0))
+  }
   return { zones, incarnation: baseIncarnation, numbers }
 }
 
-/** Decodes the member rows of a digest; ignores an incomplete row at the end. */
-export function unpackMembers ({ zones, incarnation, numbers }: MemberDigest): readonly MemberRow[] {
-  const rows: MemberRow[] = []
-  for (let start = 0; start + numbersPerRow <= numbers.length; start += numbersPerRow) {
-    const [address = 0, zone = 0, incarnationDifference = 0, capacity = 0, heartbeat = 0, state = 0] = numbers.slice(start, start + numbersPerRow)
-    rows.push([numberToAddress(address), zones[zone] ?? '', incarnation + incarnationDifference, capacity, heartbeat, state as MemberState])
+/** Decodes the updates of a digest; ignores an incomplete one at the end. */
+export function unpackMembers ({ zones, incarnation, numbers }: MemberDigest): readonly MemberUpdate[] {
+  const updates: MemberUpdate[] = []
+  for (let start = 0; start + numbersPerUpdate <= numbers.length; start += numbersPerUpdate) {
+    const [address = 0, zone = 0, incarnationDifference = 0, capacity = 0, version = 0, status = 0] = numbers.slice(start, start + numbersPerUpdate)
+    updates.push({
+      address: numberToAddress(address),
+      zone: zones[zone] ?? '',
+      incarnation: incarnation + incarnationDifference,
+      capacity,
+      version,
+      state: (status % suspectedFlag) as MemberState,
+      suspected: status >= suspectedFlag
+    })
   }
-  return rows
+  return updates
 }
 
 /** Checks that a decoded value is a well-formed {@link MemberDigest}. */
@@ -41,16 +56,15 @@
   return typeof value === 'object' && value !== null &&
     'zones' in value && Array.isArray(value.zones) && value.zones.every(zone => typeof zone === 'string') &&
     'incarnation' in value && typeof value.incarnation === 'number' &&
-    'numbers' in value && Array.isArray(value.numbers) && value.numbers.length % numbersPerRow === 0 &&
+    'numbers' in value && Array.isArray(value.numbers) && value.numbers.length % numbersPerUpdate === 0 &&
     value.numbers.every(number => typeof number === 'number')
 }
 
 function addressToNumber (address: string): number {
-  return address.split('.').reduce((sum, part) => sum * valuesPerByte + Number(part), 0)
+  const [first, second, third, fourth] = address.split('.')
+  return ((Number(first) * valuesPerByte + Number(second)) * valuesPerByte + Number(third)) * valuesPerByte + Number(fourth)
 }
 
 function numberToAddress (number: number): string {
-  return Array.from({ length: bytesPerAddress }, (_, index) => {
-    return (number >>> ((bytesPerAddress - 1 - index) * bitsPerByte)) % valuesPerByte
-  }).join('.')
+  return `${number >>> 24}.${(number >>> 16) % valuesPerByte}.${(number >>> 8) % valuesPerByte}.${number % valuesPerByte}`
 }
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -5,7 +5,12 @@
 
 /** Message types. The values are short because messages are sent several times a second. */
 export const PeerMessageType = {
-  Gossip: 'g',
+  Ping: 'i',
+  PingRequest: 'j',
+  Ack: 'k',
+  Nack: 'l',
+  MemberUpdates: 'u',
+  MemberSync: 'y',
   SlotRequest: 'q',
   SlotQueued: 'w',
   SlotGrant: 'a',
@@ -16,22 +21,51 @@
   SlotReport: 'p'
 } as const
 
-/** What a process knows of a member; see {@link MemberDigest} for the encoding. `capacity` is in thousandths of a core. */
-export type MemberRow = readonly [
-  address: string, zone: string, incarnation: number, capacity: number, heartbeat: number, state: MemberState
-]
+/** Asks the receiver to show that it is alive. */
+export interface PingMessage {
+  readonly type: typeof PeerMessageType.Ping
+  readonly sequence: number
+  /** Hash of the members that the sender knows; see {@link MemberTable.hash}. */
+  readonly hash: number
+  readonly members: MemberDigest
+}
 
-/** States of a member. Only ready members may own services and run batch jobs. */
-export const MemberState = {
-  Starting: 0,
-  Ready: 1,
-  Draining: 2
-} as const
-export type MemberState = typeof MemberState[keyof typeof MemberState]
+/** Asks the receiver to ping a third member and to pass its response on. */
+export interface PingRequestMessage {
+  readonly type: typeof PeerMessageType.PingRequest
+  readonly sequence: number
+  /** Address of the third member. */
+  readonly target: string
+  readonly members: MemberDigest
+}
 
-/** Carries the sender's knowledge of some members; the first row describes the sender itself. */
-export interface GossipMessage {
-  readonly type: typeof PeerMessageType.Gossip
+/** Response to a ping or ping request with the same sequence number. */
+export interface AckMessage {
+  readonly type: typeof PeerMessageType.Ack
+  readonly sequence: number
+  /** As in {@link PingMessage}. */
+  readonly hash: number
+  readonly members: MemberDigest
+}
+
+/** Response to a ping request whose target has not responded. */
+export interface NackMessage {
+  readonly type: typeof PeerMessageType.Nack
+  readonly sequence: number
+  readonly members: MemberDigest
+}
+
+/** Passes on what has changed. */
+export interface MemberUpdatesMessage {
+  readonly type: typeof PeerMessageType.MemberUpdates
+  readonly members: MemberDigest
+}
+
+/** Part of all members that the sender knows, for a member that joins or knows others. */
+export interface MemberSyncMessage {
+  readonly type: typeof PeerMessageType.MemberSync
+  /** Whether the receiver should send all members that it knows in return. */
+  readonly wantsReply: boolean
   readonly members: MemberDigest
 }
 
@@ -92,8 +126,17 @@
   readonly held: readonly HeldSlot[]
 }
 
-export type PeerMessage =
-  | GossipMessage
+/** Messages about members; the first update in each describes its sender. */
+export type MemberMessage =
+  | PingMessage
+  | PingRequestMessage
+  | AckMessage
+  | NackMessage
+  | MemberUpdatesMessage
+  | MemberSyncMessage
+
+/** Messages about slots. */
+export type SlotMessage =
   | SlotRequestMessage
   | SlotQueuedMessage
   | SlotGrantMessage
@@ -103,12 +146,22 @@
   | SlotReleaseMessage
   | SlotReportMessage
 
+export type PeerMessage = MemberMessage | SlotMessage
+
 const types: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType))
+const memberTypes: ReadonlySet<unknown> = new Set([
+  PeerMessageType.Ping, PeerMessageType.PingRequest, PeerMessageType.Ack, PeerMessageType.Nack, PeerMessageType.MemberUpdates, PeerMessageType.MemberSync
+])
 
-/** Checks that a decoded datagram has a message type that this version knows; only gossip has its fields checked as well. */
+/** Checks that a decoded datagram has a message type that this version knows; only messages about members have their fields checked as well. */
 export function isPeerMessage (value: unknown): value is PeerMessage {
   if (typeof value !== 'object' || value === null || !('type' in value) || !types.has(value.type)) {
     return false
   }
-  return value.type !== PeerMessageType.Gossip || ('members' in value && isMemberDigest(value.members))
+  return !memberTypes.has(value.type) || ('members' in value && isMemberDigest(value.members))
+}
+
+/** Whether a message is about members. */
+export function isMemberMessage (message: PeerMessage): message is MemberMessage {
+  return memberTypes.has(message.type)
 }
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -7,10 +7,11 @@
 import type { HeldSlot, SlotDecision } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
-import { PeerMessageType } from '../peers/peer-messages.js'
-import type { PeerMessage } from '../peers/peer-messages.js'
+import { isMemberMessage, PeerMessageType } from '../peers/peer-messages.js'
+import type { SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import type { TargetRegistry } from '../targets/target-registry.js'
+import { Alarm } from '../util/alarm.js'
 import type { AcquireResult, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 
@@ -42,10 +43,12 @@
 const retransmitMilliseconds = 40
 /** Time without a response after which the owner is suspected and the request goes to the next owner. */
 const ownerTimeoutMilliseconds = 120
-/** Interval at which pending requests are checked for timeouts. */
-const checkIntervalMilliseconds = 20
-/** Interval at which held slots are reported to their owners. */
-const reportIntervalMilliseconds = 300
+/** Interval at which held slots are reported to their owners, which lets an owner find slots whose release was lost. */
+const reportIntervalMilliseconds = 900
+/** The same after a change of the members, when a new owner has to learn which slots are held and a report may be lost. */
+const takeoverReportIntervalMilliseconds = 300
+/** Time after a change of the members for which the shorter interval applies. */
+const takeoverMilliseconds = 1_000
 /** Time after which a queued request is sent again, in case the owner has lost its soft state. */
 const queuedResendMilliseconds = 600
 /** Delay before a batch request that was rejected is sent again. */
@@ -56,7 +59,11 @@
   readonly #pending = new Map<string, PendingRequest>()
   readonly #held = new Map<string, LocalSlot>()
   readonly #owner: SlotOwner
-  readonly #timers: readonly NodeJS.Timeout[]
+  readonly #pendingAlarm = new Alarm(now => this.#checkPending(now))
+  readonly #reportAlarm = new Alarm(now => this.#reportAll(now))
+  /** Owners by service, until the members change. */
+  readonly #owners = new Map<string, string>()
+  #membersChangedAt = 0
   readonly #permitPrefix: string
   readonly #servicesWithReportedSlots = new Set<string>()
   #sequence = 0
@@ -68,12 +75,12 @@
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
     this.#owner = new SlotOwner(targets, (service, decision) => { this.#deliverDecision(service, decision) })
-    transport.onMessage((message, sender) => { this.#onMessage(message, sender) })
+    transport.onMessage((message, sender) => {
+      if (!isMemberMessage(message)) {
+        this.#onMessage(message, sender)
+      }
+    })
     membership.onChange(() => { this.#onMembersChanged() })
-    this.#timers = [
-      setInterval(() => { this.#checkPending() }, checkIntervalMilliseconds),
-      setInterval(() => { this.#reportAll() }, reportIntervalMilliseconds)
-    ]
   }
 
   /**
@@ -101,6 +108,7 @@
       signal.addEventListener('abort', abort, { once: true })
       this.#pending.set(permit, pending)
       this.#sendRequest(pending)
+      this.#pendingAlarm.setBy(nextCheckOf(pending))
     })
   }
 
@@ -115,15 +123,20 @@
   }
 
   close (): void {
-    for (const timer of this.#timers) {
-      clearInterval(timer)
-    }
+    this.#pendingAlarm.close()
+    this.#reportAlarm.close()
     this.#owner.close()
   }
 
   #ownerOf (service: string): string {
+    const known = this.#owners.get(service)
+    if (known !== undefined) {
+      return known
+    }
     const candidates = this.membership.ownerCandidates().map(({ address, zone }) => ({ id: address, zone }))
-    return ownerOf(service, candidates, null)?.id ?? this.transport.address
+    const owner = ownerOf(service, candidates, null)?.id ?? this.transport.address
+    this.#owners.set(service, owner)
+    return owner
   }
 
   #sendRequest (pending: PendingRequest): void {
@@ -138,23 +151,28 @@
     this.transport.send(pending.ownerAddress, { type: PeerMessageType.SlotRequest, service, request: { ...request, permit, zone } })
   }
 
-  #checkPending (): void {
-    const now = Date.now()
-    for (const pending of this.#pending.values()) {
-      const waited = now - pending.sentAt
+  /** Retransmits and redirects requests that got no response in time; returns when to check again. */
+  #checkPending (now: number): number {
+    for (const pending of [...this.#pending.values()]) {
+      if (now < nextCheckOf(pending)) {
+        continue
+      }
       if (pending.queued) {
-        if (waited > queuedResendMilliseconds) {
-          this.#restartRequest(pending, now)
-        }
-      } else if (waited > ownerTimeoutMilliseconds) {
+        this.#restartRequest(pending, now)
+      } else if (pending.retransmitted) {
         this.membership.suspect(pending.ownerAddress)
         pending.ownerAddress = this.#ownerOf(pending.demand.service)
         this.#restartRequest(pending, now)
-      } else if (waited > retransmitMilliseconds && !pending.retransmitted) {
+      } else {
         pending.retransmitted = true
         this.#sendRequest(pending)
       }
     }
+    let next = Infinity
+    for (const pending of this.#pending.values()) {
+      next = Math.min(next, nextCheckOf(pending))
+    }
+    return next
   }
 
   #restartRequest (pending: PendingRequest, now: number): void {
@@ -162,10 +180,13 @@
     pending.queued = false
     pending.retransmitted = false
     this.#sendRequest(pending)
+    this.#pendingAlarm.setBy(nextCheckOf(pending))
   }
 
   #onMembersChanged (): void {
     const now = Date.now()
+    this.#owners.clear()
+    this.#membersChangedAt = now
     for (const pending of this.#pending.values()) {
       const owner = this.#ownerOf(pending.demand.service)
       if (owner !== pending.ownerAddress) {
@@ -174,7 +195,7 @@
         this.#restartRequest(pending, now)
       }
     }
-    this.#reportAll()
+    this.#reportAlarm.setBy(this.#reportAll(now))
   }
 
   #withdraw (permit: string): void {
@@ -192,7 +213,8 @@
     }
   }
 
-  #reportAll (): void {
+  /** Reports all slots that this process holds to their owners; returns when to report again. */
+  #reportAll (now: number): number {
     const services = new Map<string, HeldSlot[]>()
     for (const { service, permit, target, workClass, due } of this.#held.values()) {
       const held = services.get(service) ?? []
@@ -214,6 +236,11 @@
         this.#servicesWithReportedSlots.delete(service)
       }
     }
+    return this.#servicesWithReportedSlots.size === 0 && this.#pending.size === 0 ? Infinity : now + this.#reportInterval(now)
+  }
+
+  #reportInterval (now: number): number {
+    return now - this.#membersChangedAt < takeoverMilliseconds ? takeoverReportIntervalMilliseconds : reportIntervalMilliseconds
   }
 
   #sendReport (service: string, held: readonly HeldSlot[]): void {
@@ -231,10 +258,8 @@
     }
   }
 
-  #onMessage (message: PeerMessage, sender: string): void {
+  #onMessage (message: SlotMessage, sender: string): void {
     switch (message.type) {
-      case PeerMessageType.Gossip:
-        return
       case PeerMessageType.SlotRequest: {
         const decided = this.#owner.request(message.service, { ...message.request, holder: sender })
         if (!decided) {
@@ -317,6 +342,8 @@
     const revoke = new AbortController()
     const held: LocalSlot = { permit, target, workClass, due, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
+    const now = Date.now()
+    this.#reportAlarm.setBy(now + this.#reportInterval(now))
     const release = (outcome: SlotOutcome): void => { this.#release(held, outcome) }
     pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, release } })
   }
@@ -329,6 +356,8 @@
     if (pending.demand.workClass === WorkClass.Batch) {
       // Batch requests are never rejected for good: makes the next check after the delay send this one again.
       pending.sentAt = Date.now() - queuedResendMilliseconds + batchRetryMilliseconds
+      pending.queued = true
+      this.#pendingAlarm.setBy(nextCheckOf(pending))
       return
     }
     pending.settle({ granted: false, retryAfter })
@@ -348,3 +377,11 @@
     }
   }
 }
+
+/** Returns the time at which a pending request has to be checked, in milliseconds since the epoch. */
+function nextCheckOf ({ sentAt, queued, retransmitted }: PendingRequest): number {
+  if (queued) {
+    return sentAt + queuedResendMilliseconds
+  }
+  return sentAt + (retransmitted ? ownerTimeoutMilliseconds : retransmitMilliseconds)
+}
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -6,12 +6,15 @@
 import type { HeldSlot, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
+import { Alarm } from '../util/alarm.js'
 
 /** Receives the owner's decisions; `decision.holder` is the process to deliver each one to. */
 export type DecisionListener = (service: string, decision: SlotDecision) => void
 
-/** Interval at which waiting requests and holders are checked for timeouts. */
-const checkIntervalMilliseconds = 25
+/** Interval at which waiting requests are decided anew: their time may be up, and targets may have become available again. */
+const waitingCheckIntervalMilliseconds = 25
+/** Interval at which holders are checked for timeouts. */
+const holderCheckIntervalMilliseconds = 500
 /** Time without a message from a holder after which its slots are freed; holders report several times a second. */
 const holderTimeoutMilliseconds = 2_500
 
@@ -30,21 +33,24 @@
 /** Keeps the soft state of each service for which this process was sent a message; holders' reports rebuild it after a takeover. */
 export class SlotOwner {
   readonly #services = new Map<string, OwnedService>()
-  readonly #timer: NodeJS.Timeout
+  readonly #alarm = new Alarm(now => this.#check(now))
 
   constructor (
     private readonly targets: TargetRegistry,
     private readonly listener: DecisionListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
-    this.#timer = setInterval(() => { this.#checkTimeouts() }, checkIntervalMilliseconds)
   }
 
   /** Passes a request to admission control; returns false if it was queued, and true if it was granted or rejected. */
   request (service: string, request: SlotRequest): boolean {
     const owned = this.#recordContact(service, request.holder)
-    const decisions = owned.admission.request(request, Date.now())
+    const now = Date.now()
+    const decisions = owned.admission.request(request, now)
     this.#emit(service, decisions)
+    if (owned.admission.hasWaiting) {
+      this.#alarm.setBy(now + waitingCheckIntervalMilliseconds)
+    }
     return decisions.some(decision => decision.permit === request.permit)
   }
 
@@ -70,7 +76,7 @@
   }
 
   close (): void {
-    clearInterval(this.#timer)
+    this.#alarm.close()
   }
 
   /** Records that a holder has sent a message; for the first holder of a service, also blocks batch grants. */
@@ -79,7 +85,9 @@
     if (owned.holders.size === 0) {
       owned.admission.blockBatchUntil(Date.now() + batchBlockMilliseconds)
     }
-    owned.holders.set(holder, Date.now())
+    const now = Date.now()
+    owned.holders.set(holder, now)
+    this.#alarm.setBy(now + holderCheckIntervalMilliseconds)
     return owned
   }
 
@@ -101,8 +109,9 @@
     }
   }
 
-  #checkTimeouts (): void {
-    const now = Date.now()
+  /** Removes holders that have fallen silent and decides waiting requests anew; returns when to check again. */
+  #check (now: number): number {
+    let next = Infinity
     for (const [service, { admission, holders }] of this.#services) {
       for (const [holder, lastMessageAt] of holders) {
         if (now - lastMessageAt > holderTimeoutMilliseconds) {
@@ -110,10 +119,15 @@
           this.#emit(service, admission.removeHolder(holder, now))
         }
       }
-      if (holders.size > 0) {
+      if (admission.hasWaiting) {
         this.#emit(service, admission.tick(now))
+        next = Math.min(next, now + waitingCheckIntervalMilliseconds)
+      }
+      if (holders.size > 0) {
+        next = Math.min(next, now + holderCheckIntervalMilliseconds)
       }
     }
+    return next
   }
 
   #emit (service: string, decisions: readonly SlotDecision[]): void {
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -179,6 +179,11 @@
     return { ...this.#slots.load(), waiting: this.#waitingOnline.length }
   }
 
+  /** Whether requests wait, so that {@link tick} has something to do. */
+  get hasWaiting (): boolean {
+    return this.#waitingOnline.length > 0 || this.#waitingBatch.size > 0
+  }
+
   #requestOnline (request: SlotRequest, now: number): readonly SlotDecision[] {
     const granted = this.#grantOnline(request, now)
     if (granted.length > 0) {
