--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,12 +6,11 @@
 import { BodyTooLargeError, readBody } from './http/read-body.js'
 import { rejectRequest, reply, Status } from './http/reply.js'
 import { JobApi } from './jobs/job-api.js'
-import { JobLog } from './jobs/job-log.js'
+import { JobForwarder } from './jobs/job-forwarder.js'
+import { JobPartitions } from './jobs/job-partitions.js'
 import { JobRunner } from './jobs/job-runner.js'
-import { JobsFold } from './jobs/jobs-fold.js'
-import { jobsReadPauseMilliseconds } from './jobs/jobs-read-pause.js'
 import { ProgressLog } from './jobs/progress-log.js'
-import { KeyedFollower } from './log/keyed-follower.js'
+import { TokenLedger } from './jobs/token-ledger.js'
 import type { KeyedTopic } from './log/keyed-topic.js'
 import { GatewayMetrics } from './metrics.js'
 import type { HeaderNames } from './online/header-names.js'
@@ -20,6 +19,7 @@
 import { MemberDirectory } from './peers/member-directory.js'
 import { Membership } from './peers/membership.js'
 import { MemberState } from './peers/member.js'
+import type { Member } from './peers/member.js'
 import type { PeerTransport } from './peers/peer-socket.js'
 import { SlotClient } from './permits/slot-client.js'
 import { TargetConnections } from './targets/target-connections.js'
@@ -42,6 +42,8 @@
   readonly seeds: readonly string[]
   readonly names: HeaderNames
   readonly transport: PeerTransport
+  /** Returns the `ip:port` at which another process serves calls of its peers. */
+  readonly internalAddressOf: (memberAddress: string) => string
   /** Opens a partition of a topic by name; the topic counts its calls to the store in the metrics. */
   readonly openTopic: (name: string, partition: number, metrics: GatewayMetrics) => KeyedTopic
   /** Number of partitions of each topic. */
@@ -53,10 +55,10 @@
 const jobsTopicName = 'jobs'
 /** Topic of the progress of batch items. */
 const progressTopicName = 'progress'
+/** Topic of the tokens that wait in each partition of the jobs. */
+const tokensTopicName = 'tokens'
 /** Topic of the addresses of the fleet's processes. */
 const membersTopicName = 'members'
-/** Time that a read of the jobs topic waits for records; also the time until an unresponsive store is noticed. */
-const jobsReadWaitMilliseconds = 800
 /** Retry delay for clients whose request a process rejects because it has no configuration yet, or no service for the route. */
 const unreadyRetryMilliseconds = 50
 
@@ -70,8 +72,10 @@
   readonly membership: Membership
   readonly slots: SlotClient
   readonly jobs: JobApi
+  readonly jobForwarder: JobForwarder
   readonly #connections = new TargetConnections()
-  readonly #jobsFollower: KeyedFollower
+  readonly #jobPartitions: JobPartitions
+  readonly #tokenLedger: TokenLedger
   readonly #jobRunner: JobRunner
   readonly #memberDirectory: MemberDirectory
   #routes: RouteTable | null = null
@@ -87,20 +91,15 @@
       this.#connections.retainOnly(targets)
       this.#updateState()
     })
-    const fold = new JobsFold(logger)
-    const topic = options.openTopic(jobsTopicName, 0, this.metrics)
-    this.#jobsFollower = new KeyedFollower(
-      topic,
-      { name: 'jobs', waitMilliseconds: jobsReadWaitMilliseconds, pauseMilliseconds: () => jobsReadPauseMilliseconds(this.membership.live().length) },
-      (records, isReset) => { fold.apply(records, isReset) },
+    this.#jobPartitions = new JobPartitions({
+      count: options.partitions,
+      openTopic: partition => options.openTopic(jobsTopicName, partition, this.metrics),
+      membership: this.membership,
       logger
-    )
-    const log = new JobLog(topic, this.#jobsFollower, fold, logger)
+    })
     this.#jobRunner = new JobRunner({
       ...this.#onlineDependencies(),
-      fold,
-      log,
-      membership: this.membership,
+      partitions: this.#jobPartitions,
       progress: new ProgressLog(
         Array.from({ length: options.partitions }, (_, partition) => options.openTopic(progressTopicName, partition, this.metrics)),
         logger
@@ -109,8 +108,10 @@
       routeOf: name => this.#routes?.findByName(name) ?? null,
       serviceOf: route => pickService(route.services, Math.random())
     })
-    this.jobs = new JobApi(fold, this.#jobsFollower, log, () => this.#jobRunner.self, logger)
-    this.#jobsFollower.start()
+    const processName = (): string => processNameOf(this.membership.self)
+    this.#tokenLedger = new TokenLedger(options.openTopic(tokensTopicName, 0, this.metrics), this.#jobPartitions, processName, logger)
+    this.jobs = new JobApi(this.#jobPartitions, this.#tokenLedger, processName, logger)
+    this.jobForwarder = new JobForwarder(this.#jobPartitions, this.membership, options.internalAddressOf, logger)
     this.#memberDirectory = new MemberDirectory(options.openTopic(membersTopicName, 0, this.metrics), this.membership, logger)
     this.#memberDirectory.start()
   }
@@ -188,6 +189,11 @@
     await new OnlineRun(this.#onlineDependencies(), online, response).run()
   }
 
+  /** Whether this process runs the items of a job and serves the calls about it. */
+  ownsJob (job: string): boolean {
+    return this.#jobPartitions.isOwn(this.#jobPartitions.numberOf(job))
+  }
+
   /** Removes this process from the addresses given to clients and hands its batch work over; requests that still arrive are served. */
   drain (): void {
     this.#draining = true
@@ -200,10 +206,12 @@
 
   async close (): Promise<void> {
     this.#jobRunner.close()
-    this.#jobsFollower.close()
+    this.#tokenLedger.close()
+    this.#jobPartitions.close()
     this.#memberDirectory.close()
     this.slots.close()
     this.membership.close()
+    await this.jobForwarder.close()
     await this.#connections.close()
   }
 
@@ -218,3 +226,8 @@
     }
   }
 }
+
+/** Returns the name of a process, as recorded in the jobs that it accepts: its address and incarnation. */
+function processNameOf (member: Member): string {
+  return `${member.address}/${member.incarnation}`
+}
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -31,12 +31,12 @@
   return { key, value: Buffer.concat([head, Buffer.from(progress.text)]) }
 }
 
-/** Decodes a record; returns null if it holds no progress of this job. */
-export function parseProgressRecord (job: string, { key, value }: KeyedRecord): ProgressEntry | null {
+/** Decodes a record; returns null if it holds no progress. */
+export function parseProgressRecord ({ key, value }: KeyedRecord): ProgressEntry | null {
   const separator = key.lastIndexOf('/')
   const index = Number(key.slice(separator + 1))
-  if (value === null || value.length < idBytes || key.slice(0, separator) !== job || !Number.isInteger(index)) {
+  if (value === null || value.length < idBytes || separator < 0 || !Number.isInteger(index)) {
     return null
   }
-  return { job, index, progress: { lastId: value.readUInt32BE(), text: value.toString('utf8', idBytes) } }
+  return { job: key.slice(0, separator), index, progress: { lastId: value.readUInt32BE(), text: value.toString('utf8', idBytes) } }
 }
--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -1,12 +1,12 @@
-/** Operations on batch jobs for clients; every process serves them for every job. */
+/** Operations on batch jobs for clients. Every process can serve them for every job; the owner of the job's partition need not read the log for it. */
 import { RouteKind } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
-import type { KeyedFollower } from '../log/keyed-follower.js'
-import type { ItemResult, Job, JobItem } from './job.js'
 import type { Logger } from '../util/logger.js'
+import type { ItemResult, Job, JobItem } from './job.js'
 import { ChangeOutcome } from './job-log.js'
-import type { JobLog } from './job-log.js'
-import type { JobsFold } from './jobs-fold.js'
+import type { JobPartition } from './job-partition.js'
+import type { JobPartitions } from './job-partitions.js'
+import type { TokenLedger } from './token-ledger.js'
 
 /** Outcome of an operation on a job. */
 export const JobCallOutcome = {
@@ -37,6 +37,9 @@
 /** Bytes of results in one page; the API contract allows one megabyte. */
 const maximumPageBytes = 900_000
 
+/** Partition that holds the jobs accepted by builds that did not divide them. */
+const undividedPartition = 0
+
 /** A read of results that waits for a new one. */
 interface WaitingRead {
   readonly job: Job
@@ -44,84 +47,109 @@
   readonly wake: () => void
 }
 
-/** Serves operations from the fold, and refreshes it from the log where it may be out of date. */
+/** A job, and the partition in which it was found. */
+interface FoundJob {
+  readonly job: Job
+  readonly partition: JobPartition
+}
+
+/** Serves operations from the partitions' folds, and refreshes these from the log where they may be out of date. */
 export class JobApi {
   readonly #waitingReads = new Set<WaitingRead>()
+  readonly #watchedPartitions = new WeakSet<JobPartition>()
 
   constructor (
-    private readonly fold: JobsFold,
-    private readonly follower: KeyedFollower,
-    private readonly log: JobLog,
+    private readonly partitions: JobPartitions,
+    private readonly ledger: TokenLedger,
     private readonly processName: () => string,
     private readonly logger: Logger
-  ) {
-    fold.onChange(changed => { this.#wakeReads(changed) })
-  }
+  ) {}
 
   /** Submits a job. Idempotent: a job that is submitted again with the same id is accepted again but runs once. */
   async submit (route: Route, id: string, items: readonly JobItem[]): Promise<JobCallOutcome> {
     if (route.kind !== RouteKind.Batch) {
       return JobCallOutcome.NotFound
     }
-    const timeout = Math.min(route.timeoutMilliseconds, changeTimeoutMilliseconds)
-    const waiting = this.fold.waitingTokens(route.name)
-    const outcome = await this.log.submit({ id, route: route.name, items }, route.waitingTokens, this.processName(), timeout)
+    const partition = this.partitions.get(this.partitions.numberOf(id))
+    if (!partition.isLoaded && !await partition.refresh()) {
+      return JobCallOutcome.Unavailable
+    }
+    if (partition.fold.get(id) !== undefined) {
+      return JobCallOutcome.Ok
+    }
+    const deadline = Date.now() + Math.min(route.timeoutMilliseconds, changeTimeoutMilliseconds)
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
-    this.logger.info('job submitted', { job: id, route: route.name, items: items.length, tokens, waiting, limit: route.waitingTokens, position: this.follower.position, end: outcome })
+    const request = { job: id, route: route.name, tokens, limit: route.waitingTokens }
+    const reservation = await this.ledger.reserve(partition, request, deadline)
+    const outcome = reservation.granted
+      ? await partition.log.submit({ id, route: route.name, items }, this.processName(), deadline)
+      : reservation.reason
+    this.ledger.settle(request, outcome)
+    this.logger.info('job submitted', { job: id, route: route.name, items: items.length, tokens, waiting: reservation.waiting, limit: route.waitingTokens, partition: partition.number, position: partition.position, end: outcome })
     return jobCallOutcomeOf(outcome)
   }
 
   /** Ends a job; its results so far remain available. */
   async end (id: string): Promise<JobCallOutcome> {
-    const job = await this.#find(id)
-    if (typeof job === 'string') {
-      return job
+    const found = await this.#find(id)
+    if (typeof found === 'string') {
+      return found
     }
-    const outcome = await this.log.end(job.id, changeTimeoutMilliseconds)
+    const { job, partition } = found
+    const outcome = await partition.log.end(job.id, changeTimeoutMilliseconds)
     this.logger.info('job ended', { job: id, finished: job.finished.size, items: job.items.length, end: outcome })
     return jobCallOutcomeOf(outcome)
   }
 
   /** Returns the results from a position on; waits up to `wait` milliseconds for the first one. */
   async results (id: string, after: number, wait: number): Promise<ResultPage | JobCallOutcome> {
-    const job = await this.#find(id)
-    if (typeof job === 'string') {
-      return job
+    const found = await this.#find(id)
+    if (typeof found === 'string') {
+      return found
     }
+    const { job, partition } = found
     const calledAt = Date.now()
     if (job.results.length <= after && wait > 0 && job.finished.size < job.items.length) {
-      await this.#waitForResults(job, after, wait)
+      await this.#waitForResults(found, after, wait)
     }
-    const isFresh = job.results.length > after || this.follower.isFreshSince(calledAt - maximumAgeMilliseconds)
-    if (!isFresh && !await this.follower.refresh()) {
+    const isFresh = job.results.length > after || partition.isFreshSince(calledAt - maximumAgeMilliseconds)
+    if (!isFresh && !await partition.refresh()) {
       return JobCallOutcome.Unavailable
     }
-    return pageOf(this.fold.get(id) ?? job, after)
+    return pageOf(partition.fold.get(id) ?? job, after)
   }
 
   /** Returns the request body of an item. */
   async body (id: string, item: string): Promise<Buffer | JobCallOutcome> {
-    const job = await this.#find(id)
-    if (typeof job === 'string') {
-      return job
+    const found = await this.#find(id)
+    if (typeof found === 'string') {
+      return found
     }
-    return job.items.find(candidate => candidate.id === item)?.body ?? JobCallOutcome.NotFound
+    return found.job.items.find(candidate => candidate.id === item)?.body ?? JobCallOutcome.NotFound
   }
 
   /** Finds a job or returns why that failed. A job that the fold doesn't have may already be in the log, so refreshes the fold then. */
-  async #find (id: string): Promise<Job | JobCallOutcome> {
-    const known = this.fold.get(id)
-    if (known !== undefined) {
-      return known
-    }
-    if (!await this.follower.refresh()) {
-      return JobCallOutcome.Unavailable
+  async #find (id: string): Promise<FoundJob | JobCallOutcome> {
+    for (const number of new Set([this.partitions.numberOf(id), undividedPartition])) {
+      const partition = this.partitions.get(number)
+      const known = partition.fold.get(id)
+      if (known === undefined && !await partition.refresh()) {
+        return JobCallOutcome.Unavailable
+      }
+      const job = known ?? partition.fold.get(id)
+      if (job !== undefined) {
+        return { job, partition }
+      }
     }
-    return this.fold.get(id) ?? JobCallOutcome.NotFound
+    return JobCallOutcome.NotFound
   }
 
   /** Waits until the job has a result after the position, up to `wait` milliseconds. */
-  async #waitForResults (job: Job, after: number, wait: number): Promise<void> {
+  async #waitForResults ({ job, partition }: FoundJob, after: number, wait: number): Promise<void> {
+    if (!this.#watchedPartitions.has(partition)) {
+      this.#watchedPartitions.add(partition)
+      partition.fold.onChange(changed => { this.#wakeReads(changed) })
+    }
     await new Promise<void>(resolve => {
       const finish = (): void => {
         clearTimeout(timer)
--- /dev/null
+++ b/packages/gateway/src/jobs/job-forwarder.ts
@@ -0,0 +1,98 @@
+/** Forwards calls about jobs to the process that owns the job's partition. */
+import type { BufferedResponse } from '../util/buffered-call.js'
+import { callBuffered, UnansweredCallError } from '../util/buffered-call.js'
+import type { Logger } from '../util/logger.js'
+import { Pool } from '../util/undici-pool.js'
+import type { Membership } from '../peers/membership.js'
+import type { JobPartitions } from './job-partitions.js'
+import { messageOf } from '@arbutusloft/protocol'
+
+/** A call about a job. */
+export interface JobCall {
+  readonly job: string
+  readonly method: 'GET' | 'POST' | 'DELETE'
+  /** Path with query. */
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer | null
+  /** Time allowed for the call. */
+  readonly timeoutMilliseconds: number
+}
+
+/** What became of a call that was to be forwarded. */
+export type ForwardOutcome =
+  /** The owner responded. */
+  | { readonly answered: true, readonly response: BufferedResponse }
+  /** @property mayHaveArrived whether the owner may have received the call, and may still carry it out */
+  | { readonly answered: false, readonly mayHaveArrived: boolean }
+
+/** Time to establish a connection to another process. */
+const connectTimeoutMilliseconds = 150
+/** Time after which an idle connection is closed, so that unresponsive connections do not accumulate. */
+const keepAliveMilliseconds = 4_000
+/** Connections to one process; a read of results occupies one while it waits. */
+const maximumConnections = 32
+
+/** Keeps connections to the owners of partitions. */
+export class JobForwarder {
+  readonly #pools = new Map<string, Pool>()
+
+  /** @param portOf returns the `ip:port` at which a member serves calls of other members */
+  constructor (
+    private readonly partitions: JobPartitions,
+    private readonly membership: Membership,
+    private readonly internalAddressOf: (memberAddress: string) => string,
+    private readonly logger: Logger
+  ) {
+    membership.onChange(() => { this.#closeUnusedPools() })
+  }
+
+  /** Forwards a call, or returns null if this process owns the job's partition. An owner that does not respond is suspected. */
+  async forward (call: JobCall): Promise<ForwardOutcome | null> {
+    const number = this.partitions.numberOf(call.job)
+    if (this.partitions.isOwn(number)) {
+      return null
+    }
+    const { address } = this.partitions.ownerOf(number)
+    const { method, path, headers, body, timeoutMilliseconds } = call
+    try {
+      return { answered: true, response: await callBuffered(this.#poolOf(address), { method, path, headers, body, timeoutMilliseconds }) }
+    } catch (error) {
+      const mayHaveArrived = !(error instanceof UnansweredCallError) || error.sent
+      this.logger.info('job call not answered by its owner', { job: call.job, peer: address, method, mayHaveArrived, error: messageOf(error) })
+      this.membership.suspect(address)
+      return { answered: false, mayHaveArrived }
+    }
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.#pools.values()].map(async pool => { await pool.destroy() }))
+  }
+
+  #poolOf (address: string): Pool {
+    const known = this.#pools.get(address)
+    if (known !== undefined) {
+      return known
+    }
+    const pool = new Pool(`http://${this.internalAddressOf(address)}`, {
+      connections: maximumConnections,
+      pipelining: 1,
+      keepAliveTimeout: keepAliveMilliseconds,
+      keepAliveMaxTimeout: keepAliveMilliseconds,
+      connect: { timeout: connectTimeoutMilliseconds }
+    })
+    this.#pools.set(address, pool)
+    return pool
+  }
+
+  /** Closes connections to members that are gone; calls in flight are completed or time out first. */
+  #closeUnusedPools (): void {
+    const live = new Set(this.membership.live().map(member => member.address))
+    for (const [address, pool] of this.#pools) {
+      if (!live.has(address)) {
+        this.#pools.delete(address)
+        void pool.close()
+      }
+    }
+  }
+}
--- a/packages/gateway/src/jobs/job-log.ts
+++ b/packages/gateway/src/jobs/job-log.ts
@@ -1,7 +1,7 @@
 /**
- * Appends changes to the jobs topic. Each append is conditional on the offset at which the topic ends, so a decision
- * made from the fold still holds when its records are appended, even with concurrent writers: a job is accepted once,
- * an item finishes once, and accepted work stays within the route's limit.
+ * Appends changes to a partition of the jobs. Each append is conditional on the offset at which the partition ends, so a
+ * decision made from the fold still holds when its records are appended, even with concurrent writers: a job is accepted
+ * once, and an item finishes once.
  */
 import PQueue from 'p-queue'
 import { AppendOutcome } from '../log/keyed-topic.js'
@@ -30,8 +30,8 @@
 
 /** A change that is not in the log yet. */
 interface PendingChange {
-  /** Returns the records still to be appended, or the outcome if nothing is left to append. */
-  readonly evaluate: (context: BatchContext) => readonly NewRecord[] | ChangeOutcome
+  /** Returns the records still to be appended, or the outcome if nothing is left to append; notes the job that it submits, if any, in `submitted`. */
+  readonly evaluate: (submitted: Set<string>) => readonly NewRecord[] | ChangeOutcome
   readonly settle: (outcome: ChangeOutcome) => void
   /** Time after which the change is abandoned, in milliseconds since the epoch. */
   readonly deadline: number
@@ -39,14 +39,6 @@
   unacknowledgedOffset: number | null
 }
 
-/** Effects of earlier changes in the same append, which the fold doesn't contain yet. */
-interface BatchContext {
-  /** Tokens of submitted jobs by route. */
-  readonly tokens: Map<string, number>
-  /** Ids of submitted jobs. */
-  readonly jobs: Set<string>
-}
-
 /** Number of records at which an append is full and takes no further change. */
 const maximumRecords = 32
 /** Size at which an append is full and takes no further change; the store accepts two megabytes. */
@@ -60,6 +52,7 @@
 export class JobLog {
   readonly #queue = new PQueue({ concurrency: 1 })
   #changes: PendingChange[] = []
+  #closed = false
 
   constructor (
     private readonly topic: KeyedTopic,
@@ -68,23 +61,21 @@
     private readonly logger: Logger
   ) {}
 
-  /** Submits a job, unless more than `waitingTokens` tokens would then wait on its route; 0 means no limit. */
-  async submit (submission: JobSubmission, waitingTokens: number, acceptedBy: string, timeoutMilliseconds: number): Promise<ChangeOutcome> {
+  /**
+   * Submits a job.
+   *
+   * @param deadline time after which the submission is given up, in milliseconds since the epoch
+   */
+  async submit (submission: JobSubmission, acceptedBy: string, deadline: number): Promise<ChangeOutcome> {
     const acceptedAt = Date.now()
-    const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0)
-    return await this.#enqueue(timeoutMilliseconds, context => {
+    return await this.#enqueue(deadline, submitted => {
       if (this.fold.get(submission.id) !== undefined) {
         return ChangeOutcome.Done
       }
-      const batchTokens = context.tokens.get(submission.route) ?? 0
-      if (waitingTokens > 0 && this.fold.waitingTokens(submission.route) + batchTokens + tokens > waitingTokens) {
-        return ChangeOutcome.OverLimit
-      }
-      if (context.jobs.has(submission.id)) {
+      if (submitted.has(submission.id)) {
         return []
       }
-      context.jobs.add(submission.id)
-      context.tokens.set(submission.route, batchTokens + tokens)
+      submitted.add(submission.id)
       return submissionRecords(submission, acceptedAt, acceptedBy)
     })
   }
@@ -102,7 +93,7 @@
 
   /** Ends a job. */
   async end (job: string, timeoutMilliseconds: number): Promise<ChangeOutcome> {
-    return await this.#enqueue(timeoutMilliseconds, () => {
+    return await this.#enqueue(Date.now() + timeoutMilliseconds, () => {
       const known = this.fold.get(job)
       if (known === undefined) {
         return ChangeOutcome.NotFound
@@ -124,9 +115,14 @@
     return this.#changes.length
   }
 
-  async #enqueue (timeoutMilliseconds: number, evaluate: PendingChange['evaluate']): Promise<ChangeOutcome> {
+  /** Settles all changes that are not in the log yet as not done or, if an append was not answered, as unknown. */
+  close (): void {
+    this.#closed = true
+  }
+
+  async #enqueue (deadline: number, evaluate: PendingChange['evaluate']): Promise<ChangeOutcome> {
     return await new Promise(resolve => {
-      this.#changes.push({ evaluate, settle: resolve, deadline: Date.now() + timeoutMilliseconds, unacknowledgedOffset: null })
+      this.#changes.push({ evaluate, settle: resolve, deadline, unacknowledgedOffset: null })
       void this.#queue.add(async () => { await this.#appendAll() })
     })
   }
@@ -136,7 +132,9 @@
       this.#settleExpired()
       const expectedEnd = this.follower.position
       if (expectedEnd === null) {
-        await sleep(retryMilliseconds)
+        if (!await this.follower.refresh()) {
+          await sleep(retryMilliseconds * (1 + Math.random()))
+        }
         continue
       }
       const { batch, records } = this.#takeBatch()
@@ -148,7 +146,7 @@
 
   /** Settles the changes that need no append, and collects the records of the others up to the limits of one append. */
   #takeBatch (): { readonly batch: readonly PendingChange[], readonly records: readonly NewRecord[] } {
-    const context: BatchContext = { tokens: new Map(), jobs: new Set() }
+    const submitted = new Set<string>()
     const batch: PendingChange[] = []
     const records: NewRecord[] = []
     let bytes = 0
@@ -156,7 +154,7 @@
       if (records.length >= maximumRecords || bytes >= maximumBytes) {
         return true
       }
-      const result = change.evaluate(context)
+      const result = change.evaluate(submitted)
       if (typeof result === 'string') {
         change.settle(result)
         return false
@@ -170,10 +168,11 @@
   }
 
   async #append (batch: readonly PendingChange[], records: readonly NewRecord[], expectedEnd: number): Promise<void> {
+    const startedAt = Date.now()
     const outcome = await this.topic.append(records, expectedEnd)
     switch (outcome) {
       case AppendOutcome.Done:
-        this.follower.applyAppended(records.map((record, index) => ({ ...record, offset: expectedEnd + index })))
+        this.follower.applyAppended(records.map((record, index) => ({ ...record, offset: expectedEnd + index })), startedAt)
         return
       case AppendOutcome.Conflict:
         await this.follower.refresh()
@@ -196,10 +195,10 @@
   #settleExpired (): void {
     const now = Date.now()
     this.#changes = this.#changes.filter(change => {
-      if (change.deadline > now) {
+      if (!this.#closed && change.deadline > now) {
         return true
       }
-      const result = change.evaluate({ tokens: new Map(), jobs: new Set() })
+      const result = change.evaluate(new Set())
       change.settle(typeof result === 'string' ? result : this.#outcomeOfExpired(change))
       return false
     })
--- /dev/null
+++ b/packages/gateway/src/jobs/job-partition.ts
@@ -0,0 +1,45 @@
+/** One of the partitions among which jobs are divided. */
+import type { KeyedTopic } from '../log/keyed-topic.js'
+import { KeyedFollower } from '../log/keyed-follower.js'
+import type { Logger } from '../util/logger.js'
+import { JobLog } from './job-log.js'
+import { JobsFold } from './jobs-fold.js'
+
+/** The jobs of a partition, as far as they are known, and the way to change them. Nothing is read before the first {@link refresh}. */
+export class JobPartition {
+  readonly fold: JobsFold
+  readonly log: JobLog
+  readonly #follower: KeyedFollower
+
+  constructor (readonly number: number, topic: KeyedTopic, logger: Logger) {
+    this.fold = new JobsFold(logger)
+    const options = { name: `jobs/${number}`, waitMilliseconds: 0, pauseMilliseconds: () => 0 }
+    this.#follower = new KeyedFollower(topic, options, (records, isReset) => { this.fold.apply(records, isReset) }, logger)
+    this.log = new JobLog(topic, this.#follower, this.fold, logger)
+  }
+
+  /** Whether the jobs were read at least once. */
+  get isLoaded (): boolean {
+    return this.#follower.position !== null
+  }
+
+  /** Offset up to which the partition is known, or null if it was not read yet. */
+  get position (): number | null {
+    return this.#follower.position
+  }
+
+  /** Whether everything that was appended before this time, in milliseconds since the epoch, is known. */
+  isFreshSince (time: number): boolean {
+    return this.#follower.isFreshSince(time)
+  }
+
+  /** Reads what was appended; returns whether that succeeded. */
+  async refresh (): Promise<boolean> {
+    return await this.#follower.refresh()
+  }
+
+  close (): void {
+    this.log.close()
+    this.#follower.close()
+  }
+}
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -1,45 +1,41 @@
-/** Runs the items of the jobs that this process owns, and takes over jobs of processes that failed or left. */
-import { ownerOf } from '@arbutusloft/policy'
-import type { Membership } from '../peers/membership.js'
-import { MemberState } from '../peers/member.js'
+/** Runs the items of the jobs in the partitions that this process owns. */
 import type { GatewayMetrics } from '../metrics.js'
+import { Alarm } from '../util/alarm.js'
 import { isSettled } from './job.js'
 import type { Job } from './job.js'
-import type { JobLog } from './job-log.js'
-import type { JobsFold } from './jobs-fold.js'
+import type { ItemProgress, ProgressEntry } from './item-progress.js'
 import { ItemRun } from './item-run.js'
 import type { ItemRunDependencies } from './item-run.js'
-import type { ItemProgress, ProgressEntry } from './item-progress.js'
-import type { ProgressLog } from './progress-log.js'
+import type { JobPartition } from './job-partition.js'
+import type { JobPartitions } from './job-partitions.js'
+import type { JobProgress, ProgressLog } from './progress-log.js'
 
 /** Dependencies of {@link JobRunner}. */
 export interface JobRunnerDependencies extends ItemRunDependencies {
-  readonly fold: JobsFold
-  readonly log: JobLog
-  readonly membership: Membership
+  readonly partitions: JobPartitions
   readonly metrics: GatewayMetrics
   readonly progress: ProgressLog
   /** Time from acceptance for which a job's records are kept at least. */
   readonly retentionMilliseconds: number
 }
 
-/** Interval at which job ownership is checked. */
-const checkIntervalMilliseconds = 500
-
 /**
- * Time for which a process must have been ready before it takes over jobs of other processes. When all processes start
- * together, each knows only itself at first and would otherwise run all jobs.
+ * Interval at which a partition with unsettled jobs is read: another process may have ended a job in this one's stead, and
+ * its items must have stopped three seconds after that.
  */
-const takeoverDelayMilliseconds = 700
-
+const readIntervalMilliseconds = 1_000
+/** Interval at which settled jobs are checked for the end of their retention. */
+const expiryIntervalMilliseconds = 500
 /** Interval at which progress is saved, in one batch for all runs because every call to the store has a cost. */
 const progressIntervalMilliseconds = 2_000
-
 /** Multiple of the retention after which jobs are deleted; the margin keeps a process whose clock runs ahead from deleting them too early. */
 const retentionFactor = 1.5
+/** Delay before a partition that could not be read is read again. */
+const retryMilliseconds = 200
 
 /** An item that this process runs. */
 interface StartedRun {
+  readonly partition: JobPartition
   readonly job: Job
   readonly index: number
   readonly run: ItemRun
@@ -47,30 +43,34 @@
   savedId: number | null
 }
 
-/** Starts the items of jobs that this process owns; stops items that have a result, or whose job has ended or belongs to another process. */
+/** A partition whose items this process runs. */
+interface ActivePartition {
+  readonly partition: JobPartition
+  /** Progress that the former owner has saved; read once, when this process takes the partition. */
+  readonly savedProgress: Promise<JobProgress>
+}
+
+/** Starts the items of jobs in active partitions; stops items that have a result, whose job has ended, or whose partition has passed to another process. */
 export class JobRunner {
+  readonly #active = new Map<number, ActivePartition>()
   readonly #runs = new Map<string, StartedRun>()
-  readonly #timers: readonly NodeJS.Timeout[]
+  readonly #readAlarm = new Alarm(now => this.#readPartitions(now))
+  readonly #expiryAlarm = new Alarm(now => this.#deleteExpired(now))
+  readonly #progressAlarm = new Alarm(now => this.#saveProgress(now))
+  readonly #watchedPartitions = new WeakSet<JobPartition>()
+  readonly #jobsBeingDeleted = new Set<string>()
   /** Progress entries to be deleted with the next save. */
   #progressDeletions: ProgressEntry[] = []
-  readonly #self: string
-  readonly #jobsBeingDeleted = new Set<string>()
   #draining = false
-  #readySince: number | null = null
 
   constructor (private readonly dependencies: JobRunnerDependencies) {
-    this.#self = processNameOf(dependencies.membership.self)
-    dependencies.fold.onChange(changed => { void this.#reconcile(changed) })
-    dependencies.membership.onChange(() => { void this.#reconcile(dependencies.fold.all()) })
-    this.#timers = [
-      setInterval(() => { void this.#reconcile(dependencies.fold.all()) }, checkIntervalMilliseconds),
-      setInterval(() => { void this.#saveProgress() }, progressIntervalMilliseconds)
-    ]
-  }
-
-  /** Name of this process, as recorded in the jobs that it accepts. */
-  get self (): string {
-    return this.#self
+    dependencies.partitions.onActiveChange((partition, isActive) => {
+      if (isActive) {
+        void this.#take(partition)
+      } else {
+        void this.#giveUp(partition)
+      }
+    })
   }
 
   /** Number of items that wait or run in this process. */
@@ -81,99 +81,89 @@
   /** Stops all items, so that other processes can take them over; resolves when their progress was saved or saving failed. */
   async drain (): Promise<void> {
     this.#draining = true
-    await this.#reconcile(this.dependencies.fold.all())
+    await Promise.all([...this.#active.values()].map(async ({ partition }) => { await this.#giveUp(partition) }))
   }
 
   close (): void {
-    this.#timers.forEach(clearInterval)
+    this.#readAlarm.close()
+    this.#expiryAlarm.close()
+    this.#progressAlarm.close()
+    this.#active.clear()
     for (const { run } of this.#runs.values()) {
       run.stop()
     }
   }
 
-  async #reconcile (jobs: Iterable<Job>): Promise<void> {
-    const ready = this.dependencies.membership.ready()
-    this.#updateReadySince()
-    const names = new Set(ready.map(processNameOf))
-    const progressByJob = new Map<Job, Promise<ReadonlyMap<number, ItemProgress>>>()
+  async #take (partition: JobPartition): Promise<void> {
+    if (this.#draining) {
+      return
+    }
+    const active = { partition, savedProgress: this.dependencies.progress.loadPartition(partition.number) }
+    this.#active.set(partition.number, active)
+    if (!this.#watchedPartitions.has(partition)) {
+      this.#watchedPartitions.add(partition)
+      partition.fold.onChange(changed => { this.#onChanged(partition, changed) })
+    }
+    while (this.#active.get(partition.number) === active && !await partition.refresh()) {
+      await new Promise(resolve => { setTimeout(resolve, retryMilliseconds) })
+    }
+    this.#onChanged(partition, partition.fold.unsettled())
+    const now = Date.now()
+    this.#readAlarm.setBy(now + readIntervalMilliseconds)
+    this.#expiryAlarm.setBy(now + expiryIntervalMilliseconds)
+  }
+
+  /** Stops the items of a partition, and saves their progress for its next owner. */
+  async #giveUp (partition: JobPartition): Promise<void> {
+    this.#active.delete(partition.number)
     const handedOver: ProgressEntry[] = []
+    for (const started of [...this.#runs.values()].filter(run => run.partition === partition)) {
+      handedOver.push(...this.#stop(started))
+    }
+    await this.dependencies.progress.save(handedOver)
+  }
+
+  #onChanged (partition: JobPartition, jobs: Iterable<Job>): void {
+    const active = this.#active.get(partition.number)
+    if (active?.partition !== partition) {
+      return
+    }
     for (const job of jobs) {
-      const isOwner = !this.#draining && this.#ownerOf(job, names) === this.#self
-      const shouldRun = isOwner && !isSettled(job)
-      if (isOwner && isSettled(job)) {
-        this.#deleteIfExpired(job)
-      }
+      const shouldRun = !isSettled(job)
       job.items.forEach((_, index) => {
         if (shouldRun && !job.finished.has(index)) {
-          this.#start(job, index, progressByJob)
+          this.#start(active, job, index)
         } else {
-          handedOver.push(...this.#stop(job, index))
+          const started = this.#runs.get(keyOf(job, index))
+          if (started !== undefined) {
+            this.#stop(started)
+          }
         }
       })
     }
-    await this.dependencies.progress.save(handedOver)
-  }
-
-  #updateReadySince (): void {
-    const isReady = this.dependencies.membership.state === MemberState.Ready
-    this.#readySince = isReady ? this.#readySince ?? Date.now() : null
-  }
-
-  /** Returns the process that accepted the job or, while that one isn't ready, the one that all processes derive from the job's id. */
-  #ownerOf (job: Job, ready: ReadonlySet<string>): string | null {
-    if (ready.has(job.acceptedBy)) {
-      return job.acceptedBy
-    }
-    if (this.#readySince === null || Date.now() - this.#readySince < takeoverDelayMilliseconds) {
-      return null
-    }
-    const candidates = [...ready].map(id => ({ id, zone: '' }))
-    return ownerOf(job.id, candidates, null)?.id ?? null
   }
 
-  #start (job: Job, index: number, progressByJob: Map<Job, Promise<ReadonlyMap<number, ItemProgress>>>): void {
+  #start ({ partition, savedProgress }: ActivePartition, job: Job, index: number): void {
     const key = keyOf(job, index)
     const item = job.items[index]
     if (item === undefined || this.#runs.has(key)) {
       return
     }
-    const run = new ItemRun(this.dependencies, job, item, this.#loadProgress(job, index, progressByJob))
-    const started = { job, index, run, savedId: null }
+    const run = new ItemRun(this.dependencies, job, item, savedProgress.then(progress => progressOf(progress, job, index)))
+    const started = { partition, job, index, run, savedId: null }
     this.#runs.set(key, started)
+    this.#progressAlarm.setBy(Date.now() + progressIntervalMilliseconds)
     void this.#runToEnd(started)
   }
 
-  /** Loads the progress that a previous process saved for the item; a job younger than one save interval has none. */
-  async #loadProgress (job: Job, index: number, progressByJob: Map<Job, Promise<ReadonlyMap<number, ItemProgress>>>): Promise<ItemProgress | null> {
-    if (Date.now() - job.acceptedAt < progressIntervalMilliseconds) {
-      return null
-    }
-    const loading = progressByJob.get(job) ?? this.dependencies.progress.load(job.id)
-    progressByJob.set(job, loading)
-    return (await loading).get(index) ?? null
-  }
-
-  async #saveProgress (): Promise<void> {
-    const entries = this.#progressDeletions
-    this.#progressDeletions = []
-    for (const started of this.#runs.values()) {
-      const { job, index, run: { progress } } = started
-      if (progress !== null && progress.lastId !== started.savedId) {
-        started.savedId = progress.lastId
-        entries.push({ job: job.id, index, progress })
-      }
-    }
-    await this.dependencies.progress.save(entries)
-  }
-
   async #runToEnd (started: StartedRun): Promise<void> {
-    const { job, index, run } = started
+    const { partition, job, index, run } = started
     const outcome = await run.run()
     if (outcome === null) {
       this.dependencies.metrics.items.inc({ outcome: 'stopped' })
     } else {
       this.dependencies.metrics.items.inc({ outcome: outcome.state })
-      const changeOutcome = await this.dependencies.log.finish(job.id, index, outcome.state, outcome.text)
+      const changeOutcome = await partition.log.finish(job.id, index, outcome.state, outcome.text)
       this.dependencies.logger.info('item finished', { job: job.id, index, state: outcome.state, end: changeOutcome })
     }
     if (this.#runs.get(keyOf(job, index)) === started) {
@@ -184,42 +174,75 @@
     }
   }
 
-  #deleteIfExpired (job: Job): void {
-    const { log, logger, retentionMilliseconds } = this.dependencies
-    if (Date.now() < job.acceptedAt + retentionMilliseconds * retentionFactor || this.#jobsBeingDeleted.has(job.id)) {
-      return
-    }
-    this.#jobsBeingDeleted.add(job.id)
-    void this.dependencies.progress.save(job.items.map((_, index) => ({ job: job.id, index, progress: null })))
-    void log.delete(job.id).then(outcome => {
-      this.#jobsBeingDeleted.delete(job.id)
-      logger.info('job dropped', { job: job.id, acceptedAt: job.acceptedAt, end: outcome })
-    })
-  }
-
   /** Stops a run; returns the progress to save for the process that takes the item over. */
-  #stop (job: Job, index: number): readonly ProgressEntry[] {
-    const key = keyOf(job, index)
-    const started = this.#runs.get(key)
-    if (started === undefined) {
-      return []
-    }
-    this.#runs.delete(key)
-    started.run.stop()
-    const { progress } = started.run
+  #stop (started: StartedRun): readonly ProgressEntry[] {
+    const { job, index, run } = started
+    this.#runs.delete(keyOf(job, index))
+    run.stop()
     const isOver = job.ended || job.finished.has(index)
     if (isOver) {
       this.#deleteProgress(started)
       return []
     }
-    return progress === null ? [] : [{ job: job.id, index, progress }]
+    return run.progress === null ? [] : [{ job: job.id, index, progress: run.progress }]
+  }
+
+  /** Reads the active partitions that have unsettled jobs, unless they were read lately; returns when to read again. */
+  #readPartitions (now: number): number {
+    for (const { partition } of this.#active.values()) {
+      if (!partition.fold.unsettled()[Symbol.iterator]().next().done && !partition.isFreshSince(now - readIntervalMilliseconds)) {
+        void partition.refresh()
+      }
+    }
+    return this.#active.size === 0 ? Infinity : now + readIntervalMilliseconds
+  }
+
+  /** Saves progress made since the last save; returns when to save again. */
+  #saveProgress (now: number): number {
+    const entries = this.#progressDeletions
+    this.#progressDeletions = []
+    for (const started of this.#runs.values()) {
+      const { job, index, run: { progress } } = started
+      if (progress !== null && progress.lastId !== started.savedId) {
+        started.savedId = progress.lastId
+        entries.push({ job: job.id, index, progress })
+      }
+    }
+    void this.dependencies.progress.save(entries)
+    return this.#runs.size === 0 ? Infinity : now + progressIntervalMilliseconds
   }
 
   #deleteProgress (started: StartedRun): void {
     if (started.savedId !== null) {
       started.savedId = null
       this.#progressDeletions.push({ job: started.job.id, index: started.index, progress: null })
+      this.#progressAlarm.setBy(Date.now() + progressIntervalMilliseconds)
+    }
+  }
+
+  /** Deletes settled jobs of active partitions whose retention has passed; returns when to check again. */
+  #deleteExpired (now: number): number {
+    const { retentionMilliseconds } = this.dependencies
+    for (const { partition } of this.#active.values()) {
+      for (const job of partition.fold.all()) {
+        if (isSettled(job) && now >= job.acceptedAt + retentionMilliseconds * retentionFactor) {
+          this.#delete(partition, job)
+        }
+      }
     }
+    return this.#active.size === 0 ? Infinity : now + expiryIntervalMilliseconds
+  }
+
+  #delete (partition: JobPartition, job: Job): void {
+    if (this.#jobsBeingDeleted.has(job.id)) {
+      return
+    }
+    this.#jobsBeingDeleted.add(job.id)
+    void this.dependencies.progress.save(job.items.map((_, index) => ({ job: job.id, index, progress: null })))
+    void partition.log.delete(job.id).then(outcome => {
+      this.#jobsBeingDeleted.delete(job.id)
+      this.dependencies.logger.info('job dropped', { job: job.id, acceptedAt: job.acceptedAt, end: outcome })
+    })
   }
 }
 
@@ -227,7 +250,7 @@
   return `${job.id}/${index}`
 }
 
-/** Returns the name of a process: its address and incarnation. */
-export function processNameOf (member: { readonly address: string, readonly incarnation: number }): string {
-  return `${member.address}/${member.incarnation}`
+/** Returns the saved progress of an item, or null if there is none. */
+function progressOf (progress: JobProgress, job: Job, index: number): ItemProgress | null {
+  return progress.get(job.id)?.get(index) ?? null
 }
--- a/packages/gateway/src/jobs/jobs-fold.ts
+++ b/packages/gateway/src/jobs/jobs-fold.ts
@@ -22,6 +22,7 @@
 /** Keeps jobs until their records are deleted. */
 export class JobsFold {
   #jobs = new Map<string, Job>()
+  readonly #unsettled = new Set<Job>()
   #bodies = new Map<string, Buffer[]>()
   readonly #listeners: JobsListener[] = []
 
@@ -31,6 +32,7 @@
   apply (records: readonly KeyedRecord[], isReset: boolean): void {
     if (isReset) {
       this.#jobs = new Map()
+      this.#unsettled.clear()
       this.#bodies = new Map()
     }
     const changed = new Set<Job>()
@@ -38,6 +40,9 @@
       const job = this.#applyKeyedRecord(record)
       if (job !== null) {
         changed.add(job)
+        if (isSettled(job)) {
+          this.#unsettled.delete(job)
+        }
       }
     }
     for (const listener of this.#listeners) {
@@ -53,13 +58,22 @@
     return this.#jobs.values()
   }
 
+  /** Returns the jobs that have not ended and have items without a result. */
+  unsettled (): Iterable<Job> {
+    return this.#unsettled
+  }
+
   /** Returns the number of tokens of a route's items that wait or run. */
   waitingTokens (route: string): number {
-    let tokens = 0
-    for (const job of this.#jobs.values()) {
-      if (job.route === route && !isSettled(job)) {
-        job.items.forEach((item, index) => { tokens += job.finished.has(index) ? 0 : item.tokens })
-      }
+    return this.waitingTokensByRoute().get(route) ?? 0
+  }
+
+  /** Returns the number of tokens of items that wait or run, by route; routes without any are left out. */
+  waitingTokensByRoute (): ReadonlyMap<string, number> {
+    const tokens = new Map<string, number>()
+    for (const job of this.#unsettled) {
+      const waiting = job.items.reduce((sum, item, index) => sum + (job.finished.has(index) ? 0 : item.tokens), 0)
+      tokens.set(job.route, (tokens.get(job.route) ?? 0) + waiting)
     }
     return tokens
   }
@@ -124,6 +138,7 @@
     })
     const job: Job = { id: record.job, route, acceptedAt, acceptedBy, items, bodyParts: record.parts, results: [], finished: new Set(), ended: false }
     this.#jobs.set(job.id, job)
+    this.#unsettled.add(job)
     return job
   }
 
@@ -141,9 +156,11 @@
   }
 
   #delete (key: string): void {
-    const [kind, job] = key.split('/')
+    const [kind, id] = key.split('/')
+    const job = id === undefined ? undefined : this.#jobs.get(id)
     if (kind === JobRecordKind.Submission && job !== undefined) {
-      this.#jobs.delete(job)
+      this.#jobs.delete(job.id)
+      this.#unsettled.delete(job)
     }
   }
 }
--- a/packages/gateway/src/jobs/progress-log.ts
+++ b/packages/gateway/src/jobs/progress-log.ts
@@ -2,7 +2,7 @@
  * Saves the progress of items to the log, so that a process that takes a job over resumes its items. Progress is only
  * an optimisation: with outdated or missing progress, targets generate more events again.
  */
-import { ownersOf } from '@arbutusloft/policy'
+import { hash32 } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedTopic, NewRecord } from '../log/keyed-topic.js'
@@ -15,7 +15,10 @@
 /** Upper bound of one append; the store accepts two megabytes. */
 const maximumAppendBytes = 1_500_000
 
-/** Saves and loads progress. All progress of a job is in one partition, so that a process reads little else when it loads a job. */
+/** Progress of items by job and index. */
+export type JobProgress = ReadonlyMap<string, ReadonlyMap<number, ItemProgress>>
+
+/** Saves and loads progress. All progress of a job is in one partition, with the number of the job's own partition. */
 export class ProgressLog {
   constructor (private readonly partitions: readonly KeyedTopic[], private readonly logger: Logger) {}
 
@@ -33,16 +36,20 @@
     }))
   }
 
-  /** Loads the progress of a job's items by index; returns an empty map if the read fails. */
-  async load (job: string): Promise<ReadonlyMap<number, ItemProgress>> {
+  /** Loads the progress of all items in a partition; returns an empty map if the read fails. */
+  async loadPartition (number: number): Promise<JobProgress> {
+    const progressByJob = new Map<string, Map<number, ItemProgress>>()
     try {
-      const { records } = await this.#partitionOf(job).newest()
-      const found = records.flatMap(record => parseProgressRecord(job, record) ?? [])
-      return new Map(found.flatMap(({ index, progress }) => progress === null ? [] : [[index, progress]]))
+      const { records } = await this.#partition(number).newest()
+      for (const { job, index, progress } of records.flatMap(record => parseProgressRecord(record) ?? [])) {
+        if (progress !== null) {
+          progressByJob.set(job, (progressByJob.get(job) ?? new Map<number, ItemProgress>()).set(index, progress))
+        }
+      }
     } catch (error) {
-      this.logger.warn('progress not read', { job, error: messageOf(error) })
-      return new Map()
+      this.logger.warn('progress not read', { partition: number, error: messageOf(error) })
     }
+    return progressByJob
   }
 
   async #append (partition: KeyedTopic, records: readonly NewRecord[]): Promise<void> {
@@ -53,12 +60,15 @@
   }
 
   #partitionOf (job: string): KeyedTopic {
-    const candidates = this.partitions.map((topic, number) => ({ id: String(number), topic }))
-    const [chosen] = ownersOf(job, candidates, 1)
-    if (chosen === undefined) {
-      throw new RangeError('the progress topic has no partitions')
+    return this.#partition(hash32(job) % this.partitions.length)
+  }
+
+  #partition (number: number): KeyedTopic {
+    const partition = this.partitions[number]
+    if (partition === undefined) {
+      throw new RangeError(`partition ${number} of the progress topic does not exist; it has ${this.partitions.length}`)
     }
-    return chosen.topic
+    return partition
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/jobs/token-ledger.ts
@@ -0,0 +1,240 @@
+/**
+ * Waiting tokens of all partitions, in a topic of their own. A limit on them holds over all partitions, but a process reads
+ * only the partitions that it owns. So each submission first reserves its tokens: it appends a reservation on condition that
+ * nothing was appended since all others were read. Only then is the job itself appended. The owner of its partition later
+ * replaces the reservation by a new total of the partition.
+ */
+import { Packr } from 'msgpackr'
+import PQueue from 'p-queue'
+import { messageOf } from '@arbutusloft/protocol'
+import { AppendOutcome } from '../log/keyed-topic.js'
+import type { KeyedTopic, NewRecord, RecordBatch } from '../log/keyed-topic.js'
+import { Alarm } from '../util/alarm.js'
+import type { Logger } from '../util/logger.js'
+import { sleep } from '../util/sleep.js'
+import { ChangeOutcome } from './job-log.js'
+import type { JobPartition } from './job-partition.js'
+import type { JobPartitions } from './job-partitions.js'
+
+/** A job whose tokens are to be counted before it is accepted. */
+export interface TokenRequest {
+  readonly job: string
+  readonly route: string
+  readonly tokens: number
+  /** Maximum number of tokens that may wait on the route, in all partitions; 0 for no limit. */
+  readonly limit: number
+}
+
+/** Result of a reservation; `waiting` is the number of tokens that waited on the route before it, in all partitions. */
+export type ReservationResult =
+  | { readonly granted: true, readonly waiting: number }
+  | { readonly granted: false, readonly waiting: number, readonly reason: ChangeOutcome }
+
+/** What the ledger needs of {@link JobPartitions}. */
+export type OwnedPartitions = Pick<JobPartitions, 'active' | 'onActiveChange'>
+
+/** Minimum delay before a failed call is repeated; jitter adds up to the same amount. */
+const retryMilliseconds = 10
+/** Interval at which the totals of owned partitions are corrected. */
+const correctionIntervalMilliseconds = 3_000
+/** The same while the waiting tokens of a route are near its limit, when an outdated total would reject a job that fits. */
+const nearLimitCorrectionIntervalMilliseconds = 700
+/** Share of the limit that counts as near. */
+const nearLimitShare = 0.5
+/** Time for which a reservation counts unless it is replaced; an append that was not answered may still be carried out after seconds. */
+const reservationMilliseconds = 10_000
+
+const totalPrefix = 'p/'
+const reservationPrefix = 'r/'
+const packr = new Packr({ useRecords: false })
+
+/** A reservation as it is recorded; its key is `r/JOB/PROCESS`. */
+interface Reservation {
+  readonly job: string
+  readonly partition: number
+  readonly route: string
+  readonly tokens: number
+  /** Time at which it was made, in milliseconds since the epoch. */
+  readonly at: number
+}
+
+/** Content of the topic. */
+interface LedgerContent {
+  /** Tokens by route, by partition. */
+  readonly totals: Map<number, ReadonlyMap<string, number>>
+  /** By key of the record. */
+  readonly reservations: ReadonlyMap<string, Reservation>
+  readonly end: number
+}
+
+/** Reserves tokens for jobs that are about to be accepted, and keeps the totals of owned partitions up to date. */
+export class TokenLedger {
+  /** Appends one change after the other, so that an older total cannot replace a newer one. */
+  readonly #queue = new PQueue({ concurrency: 1 })
+  /** Encoded totals as last appended by this process, by partition. */
+  readonly #appended = new Map<number, string>()
+  readonly #alarm = new Alarm(now => this.#scheduleCorrection(now))
+  /** Time until which totals are corrected more often, in milliseconds since the epoch. */
+  #nearLimitUntil = 0
+
+  constructor (
+    private readonly topic: KeyedTopic,
+    private readonly partitions: OwnedPartitions,
+    private readonly processName: () => string,
+    private readonly logger: Logger
+  ) {
+    partitions.onActiveChange(partition => {
+      this.#appended.delete(partition.number)
+      this.#alarm.setBy(Date.now() + nearLimitCorrectionIntervalMilliseconds)
+    })
+  }
+
+  /**
+   * Counts the tokens of a job if they fit. The caller must call {@link settle} once the job is decided.
+   *
+   * @param deadline time after which the reservation is given up, in milliseconds since the epoch
+   */
+  async reserve (partition: JobPartition, request: TokenRequest, deadline: number): Promise<ReservationResult> {
+    if (request.limit === 0) {
+      return { granted: true, waiting: partition.fold.waitingTokens(request.route) }
+    }
+    while (Date.now() < deadline) {
+      const result = await this.#queue.add(async () => await this.#tryReserve(partition, request))
+      if (result instanceof Object) {
+        return result
+      }
+      await sleep(retryMilliseconds * (1 + Math.random()))
+    }
+    return { granted: false, waiting: 0, reason: ChangeOutcome.NotDone }
+  }
+
+  /** Ends the reservation of a job that was not accepted and never will be. Other reservations are replaced by the owner of the partition. */
+  settle (request: TokenRequest, outcome: ChangeOutcome): void {
+    if (request.limit > 0 && (outcome === ChangeOutcome.NotDone || outcome === ChangeOutcome.NotFound)) {
+      void this.#queue.add(async () => await this.topic.append([{ key: this.#keyOf(request.job), value: null }], null))
+    }
+  }
+
+  /** Appends the totals of owned partitions that have changed; the ledger also does so by itself, every few seconds. */
+  async correct (): Promise<void> {
+    await this.#queue.add(async () => { await this.#correct() })
+  }
+
+  close (): void {
+    this.#alarm.close()
+    this.#queue.clear()
+  }
+
+  /** Makes one attempt; returns null if it has to be repeated. */
+  async #tryReserve (partition: JobPartition, { job, route, tokens, limit }: TokenRequest): Promise<ReservationResult | null> {
+    const content = await this.#read()
+    if (content === null) {
+      return null
+    }
+    const waiting = this.#waitingTokens(content, route, job)
+    if (waiting + tokens > limit * nearLimitShare) {
+      const now = Date.now()
+      this.#nearLimitUntil = now + correctionIntervalMilliseconds
+      this.#alarm.setBy(now + nearLimitCorrectionIntervalMilliseconds)
+    }
+    if (waiting + tokens > limit) {
+      return { granted: false, waiting, reason: ChangeOutcome.OverLimit }
+    }
+    const reservation: Reservation = { job, partition: partition.number, route, tokens, at: Date.now() }
+    const outcome = await this.topic.append([{ key: this.#keyOf(job), value: packr.pack(reservation) }], content.end)
+    return outcome === AppendOutcome.Done ? { granted: true, waiting } : null
+  }
+
+  /** Returns the tokens that wait on the route in all partitions, with reservations for other jobs. */
+  #waitingTokens ({ totals, reservations }: LedgerContent, route: string, job: string): number {
+    const active = new Map(this.#loadedPartitions().map(partition => [partition.number, partition]))
+    for (const [number, partition] of active) {
+      totals.set(number, partition.fold.waitingTokensByRoute())
+    }
+    const counted = new Set([job])
+    let waiting = [...totals.values()].reduce((sum, tokens) => sum + (tokens.get(route) ?? 0), 0)
+    for (const reservation of reservations.values()) {
+      const isInTotal = active.get(reservation.partition)?.fold.get(reservation.job) !== undefined
+      if (reservation.route === route && !counted.has(reservation.job) && !isInTotal && !isExpired(reservation)) {
+        counted.add(reservation.job)
+        waiting += reservation.tokens
+      }
+    }
+    return waiting
+  }
+
+  async #read (): Promise<LedgerContent | null> {
+    let batch: RecordBatch
+    try {
+      batch = await this.topic.newest()
+    } catch (error) {
+      this.logger.debug('waiting tokens not read', { error: messageOf(error) })
+      return null
+    }
+    const totals = new Map<number, ReadonlyMap<string, number>>()
+    const reservations = new Map<string, Reservation>()
+    for (const { key, value } of batch.records) {
+      if (value !== null && key.startsWith(totalPrefix)) {
+        totals.set(Number(key.slice(totalPrefix.length)), new Map(packr.unpack(value) as ReadonlyArray<[string, number]>))
+      } else if (value !== null && key.startsWith(reservationPrefix)) {
+        reservations.set(key, packr.unpack(value) as Reservation)
+      }
+    }
+    return { totals, reservations, end: batch.end }
+  }
+
+  #scheduleCorrection (now: number): number {
+    if (this.partitions.active().length === 0) {
+      return Infinity
+    }
+    void this.correct()
+    return now + (now < this.#nearLimitUntil ? nearLimitCorrectionIntervalMilliseconds : correctionIntervalMilliseconds)
+  }
+
+  /** Appends changed totals, and deletes the reservations that these contain. */
+  async #correct (): Promise<void> {
+    const changed = this.#loadedPartitions().filter(partition => totalOf(partition).toString('latin1') !== this.#appended.get(partition.number))
+    if (changed.length === 0) {
+      return
+    }
+    const content = await this.#read()
+    if (content === null) {
+      return
+    }
+    const totals = changed.map(partition => ({ partition, value: totalOf(partition) }))
+    const replaced = [...content.reservations].filter(([, reservation]) => {
+      const partition = changed.find(({ number }) => number === reservation.partition)
+      return partition !== undefined && (partition.fold.get(reservation.job) !== undefined || isExpired(reservation))
+    })
+    const records: NewRecord[] = [
+      ...totals.map(({ partition, value }) => ({ key: `${totalPrefix}${partition.number}`, value })),
+      ...replaced.map(([key]) => ({ key, value: null }))
+    ]
+    const outcome = await this.topic.append(records, null)
+    for (const { partition, value } of totals) {
+      if (outcome === AppendOutcome.Done) {
+        this.#appended.set(partition.number, value.toString('latin1'))
+      } else {
+        // The total may be in the topic or not, so it is appended again.
+        this.#appended.delete(partition.number)
+      }
+    }
+  }
+
+  #loadedPartitions (): readonly JobPartition[] {
+    return this.partitions.active().filter(partition => partition.isLoaded)
+  }
+
+  /** Returns the key of this process's reservation for a job; a later attempt at another process has its own. */
+  #keyOf (job: string): string {
+    return `${reservationPrefix}${job}/${this.processName()}`
+  }
+}
+
+function totalOf (partition: JobPartition): Buffer {
+  return packr.pack([...partition.fold.waitingTokensByRoute()])
+}
+
+function isExpired ({ at }: Reservation): boolean {
+  return Date.now() - at > reservationMilliseconds
+}
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -70,11 +70,17 @@
     return await this.#refreshing
   }
 
-  /** Passes on records that this process itself has just appended at the current position. */
-  applyAppended (records: readonly KeyedRecord[]): void {
+  /**
+   * Passes on records that this process itself has just appended at the current position, which shows that nobody else had
+   * appended anything there.
+   *
+   * @param startedAt time at which the append was sent, in milliseconds since the epoch
+   */
+  applyAppended (records: readonly KeyedRecord[], startedAt: number): void {
     const last = records.at(-1)
     if (last !== undefined) {
-      this.#apply({ records, end: last.offset + 1 })
+      this.#apply({ records, end: last.offset + 1, isComplete: true })
+      this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
     }
   }
 
@@ -120,12 +126,17 @@
     if (this.#position === null) {
       await this.#loadNewest()
     } else {
-      await this.#readOrLoad(this.#position, waitMilliseconds)
+      let isAtEnd = await this.#readOrLoad(this.#position, waitMilliseconds)
+      // One read returns only a part if there is much to read.
+      while (!isAtEnd) {
+        isAtEnd = await this.#readOrLoad(this.#position, 0)
+      }
     }
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
   }
 
-  async #readOrLoad (position: number, waitMilliseconds: number): Promise<void> {
+  /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the end of the topic was reached. */
+  async #readOrLoad (position: number, waitMilliseconds: number): Promise<boolean> {
     let batch: RecordBatch
     try {
       batch = await this.topic.read(position, waitMilliseconds)
@@ -136,10 +147,11 @@
       this.logger.info('records expired, loading again', { topic: this.options.name, position })
       this.#position = null
       await this.#loadNewest()
-      return
+      return true
     }
     this.#onReadSucceeded()
     this.#apply(batch)
+    return batch.isComplete || this.#closed
   }
 
   #onReadSucceeded (): void {
--- a/packages/gateway/src/log/keyed-topic.ts
+++ b/packages/gateway/src/log/keyed-topic.ts
@@ -16,6 +16,8 @@
   readonly records: readonly KeyedRecord[]
   /** Offset from which to read on. */
   readonly end: number
+  /** Whether these records reach to the end of the topic at the time of the read; false if there are more than fit into one read. */
+  readonly isComplete: boolean
 }
 
 /** Outcome of an append. */
--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -10,7 +10,7 @@
 
 /** Parameters of a call. */
 export interface BufferedCall {
-  readonly method: 'GET' | 'POST'
+  readonly method: 'GET' | 'POST' | 'DELETE'
   readonly path: string
   readonly headers?: Readonly<Record<string, string>>
   readonly body: Buffer | null
--- a/packages/gateway/tests/jobs/job-log.test.ts
+++ b/packages/gateway/tests/jobs/job-log.test.ts
@@ -1,13 +1,13 @@
 /**
- * Runs several writers concurrently against a faulty log and checks the resulting history for duplicated, lost and
- * falsely rejected jobs. These arise if an append is applied although its response was lost, or applied late, and the
+ * Runs several writers concurrently against faulty logs, two partitions of jobs and the ledger of their tokens, and checks
+ * the resulting history for duplicated, lost and falsely rejected jobs, and for more waiting tokens than allowed. These arise if an append is applied although its response was lost, or applied late, and the
  * writer repeats it, or if writers decide on outdated state.
  */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
-import { ChangeOutcome, ItemState, JobLog, JobsFold, KeyedFollower, sleep } from '../../src/index.js'
+import { ChangeOutcome, ItemState, JobPartition, sleep, TokenLedger } from '../../src/index.js'
 import type { JobSubmission } from '../../src/index.js'
 import { FaultyLog } from '../util/faulty-topic.js'
 import type { Random } from '../util/faulty-topic.js'
@@ -26,7 +26,7 @@
 }
 
 interface History {
-  /** Keys of all records of the log, by offset. */
+  /** Keys of the records of all partitions, in the order in which they were appended. */
   readonly keys: readonly string[]
   readonly outcomes: readonly ReportedOutcome[]
 }
@@ -39,31 +39,49 @@
 /** Has several writers submit the same jobs and finish the same items through a faulty log. */
 async function runWriters (seed: number, isConditional: boolean): Promise<History> {
   const random = randomOf(seed)
-  const log = new FaultyLog(random, isConditional)
+  const keys: string[] = []
+  const logs = [0, 1].map(() => new FaultyLog(random, isConditional, key => { keys.push(key) }))
+  const totals = new FaultyLog(random, isConditional)
   const outcomes: ReportedOutcome[] = []
+  const partitions: JobPartition[] = []
   const close: Array<() => void> = []
   await Promise.all(Array.from({ length: writers }, async (_, writer) => {
     const logger = createTestLogger()
-    const fold = new JobsFold(logger)
-    const follower = new KeyedFollower(log.connect(), { name: 'jobs', waitMilliseconds: 5, pauseMilliseconds: () => 3 }, (records, isReset) => { fold.apply(records, isReset) }, logger)
-    const jobLog = new JobLog(log.connect(), follower, fold, logger)
-    follower.start()
-    close.push(() => { follower.close() })
+    const own = logs.map((log, number) => new JobPartition(number, log.connect(), logger))
+    partitions.push(...own)
+    // The first two writers own a partition each; all of them submit to both.
+    const owned = own.filter(partition => partition.number === writer)
+    const ledger = new TokenLedger(totals.connect(), { active: () => owned, onActiveChange: () => {} }, () => `writer-${writer}`, logger)
+    close.push(() => { ledger.close() })
     await Promise.all(Array.from({ length: jobs }, async (_unused, number) => {
       const id = `job-${number}`
-      const end = await jobLog.submit(submission(id), waitingTokens, `writer-${writer}`, 400)
+      const partition = own[number % own.length]
+      if (partition === undefined) {
+        throw new RangeError(`writer ${writer} has no partition for ${id}`)
+      }
+      const end = await submit(ledger, partition, id, writer)
       outcomes.push({ job: id, end })
       if (end === ChangeOutcome.Done) {
-        await Promise.all([0, 1].map(async index => await jobLog.finish(id, index, ItemState.Completed, `text of ${writer}`)))
+        await Promise.all([0, 1].map(async index => await partition.log.finish(id, index, ItemState.Completed, `text of ${writer}`)))
+        await ledger.correct()
       }
     }))
   }))
   // Waits until late appends have been applied.
   await sleep(40)
-  for (const stop of close) {
-    stop()
-  }
-  return { keys: log.records.map(record => record.key), outcomes }
+  partitions.forEach(partition => { partition.close() })
+  close.forEach(stop => { stop() })
+  return { keys, outcomes }
+}
+
+/** Submits a job as {@link JobApi} does: its tokens are reserved first. */
+async function submit (ledger: TokenLedger, partition: JobPartition, id: string, writer: number): Promise<ChangeOutcome> {
+  const deadline = Date.now() + 400
+  const request = { job: id, route: 'route', tokens: itemsOfJob * tokensOfItem, limit: waitingTokens }
+  const reservation = await ledger.reserve(partition, request, deadline)
+  const end = reservation.granted ? await partition.log.submit(submission(id), `writer-${writer}`, deadline) : reservation.reason
+  ledger.settle(request, end)
+  return end
 }
 
 function submission (id: string): JobSubmission {
--- a/packages/gateway/tests/jobs/progress-log.test.ts
+++ b/packages/gateway/tests/jobs/progress-log.test.ts
@@ -1,8 +1,9 @@
 /** Tests saving and loading item progress, with in-memory partitions. */
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
+import { hash32 } from '@arbutusloft/policy'
 import { AppendOutcome, LogUnavailableError, ProgressLog } from '../../src/index.js'
-import type { KeyedTopic, NewRecord } from '../../src/index.js'
+import type { ItemProgress, KeyedTopic, NewRecord } from '../../src/index.js'
 import { createTestLogger } from '../util/test-logger.js'
 
 /** A partition that keeps the newest value of each key, and the appends it has received. */
@@ -16,11 +17,11 @@
     if (this.isUnreachable) {
       throw new LogUnavailableError('injected read failure')
     }
-    return await Promise.resolve({ records: [...this.values].map(([key, value], offset) => ({ key, value, offset })), end: this.values.size })
+    return await Promise.resolve({ records: [...this.values].map(([key, value], offset) => ({ key, value, offset })), end: this.values.size, isComplete: true })
   }
 
   async read (): ReturnType<KeyedTopic['read']> {
-    return await Promise.resolve({ records: [], end: 0 })
+    return await Promise.resolve({ records: [], end: 0, isComplete: true })
   }
 
   async append (records: readonly NewRecord[]): Promise<AppendOutcome> {
@@ -48,6 +49,12 @@
     log = new ProgressLog(partitions, createTestLogger())
   })
 
+  /** Loads the progress of a job's items by index. */
+  async function loadJob (job: string): Promise<ReadonlyMap<number, ItemProgress>> {
+    const loaded = await log.loadPartition(hash32(job) % partitions.length)
+    return loaded.get(job) ?? new Map<number, ItemProgress>()
+  }
+
   it('loads the newest progress of each item of a job, and of no other job', async () => {
     await log.save([
       { job: 'one', index: 0, progress: { lastId: 3, text: 'a\nb\nc' } },
@@ -55,13 +62,13 @@
       { job: 'one/more', index: 0, progress: { lastId: 9, text: 'x' } }
     ])
     await log.save([{ job: 'one', index: 0, progress: { lastId: 4, text: 'a\nb\nc\nd' } }])
-    assert.deepEqual([...await log.load('one')], [[0, { lastId: 4, text: 'a\nb\nc\nd' }], [1, { lastId: 70_000, text: 'é' }]])
+    assert.deepEqual([...await loadJob('one')], [[0, { lastId: 4, text: 'a\nb\nc\nd' }], [1, { lastId: 70_000, text: 'é' }]])
   })
 
   it('deletes the progress of an item when null is saved', async () => {
     await log.save([{ job: 'one', index: 0, progress: { lastId: 3, text: 'a' } }])
     await log.save([{ job: 'one', index: 0, progress: null }])
-    assert.equal((await log.load('one')).size, 0)
+    assert.equal((await loadJob('one')).size, 0)
   })
 
   it('stores each job in one partition, and distributes jobs over all partitions', async () => {
@@ -78,7 +85,7 @@
     const small = 'x'.repeat(190_000)
     const large = 'é'.repeat(150_000)
     await log.save([...Array.from({ length: 10 }, (_, index) => ({ job: 'one', index, progress: { lastId: 1, text: small } })), { job: 'one', index: 10, progress: { lastId: 1, text: large } }])
-    const found = await log.load('one')
+    const found = await loadJob('one')
     assert.equal(found.size, 10)
     const appends = partitions.flatMap(partition => partition.appends)
     assert.equal(appends.length, 2)
@@ -90,6 +97,6 @@
   it('treats progress as missing while the store is unreachable', async () => {
     partitions.forEach(partition => { partition.isUnreachable = true })
     await log.save([{ job: 'one', index: 0, progress: { lastId: 3, text: 'a' } }])
-    assert.equal((await log.load('one')).size, 0)
+    assert.equal((await loadJob('one')).size, 0)
   })
 })
--- a/packages/gateway/tests/util/faulty-topic.ts
+++ b/packages/gateway/tests/util/faulty-topic.ts
@@ -11,24 +11,37 @@
   /** Probability of each fault. A lost response belongs to an append that was applied; a late append is applied without a response. */
   readonly faults = { rejectedAppend: 0.1, lostResponse: 0.1, lateAppend: 0.1, failedRead: 0.1 }
 
-  /** @param isConditional whether appends fail if the log doesn't end at the expected offset */
-  constructor (private readonly random: Random, private readonly isConditional = true) {}
+  /**
+   * @param isConditional whether appends fail if the log doesn't end at the expected offset
+   * @param onAppended called with the key of each record that is appended
+   */
+  constructor (
+    private readonly random: Random,
+    private readonly isConditional = true,
+    private readonly onAppended: (key: string) => void = () => {}
+  ) {}
 
   /** Returns a connection of one writer. */
   connect (): KeyedTopic {
     return {
-      newest: async () => await this.#read(0),
+      newest: async () => await this.#readNewest(),
       read: async from => await this.#read(from),
       append: async (records, expectedEnd) => await this.#append(records, expectedEnd)
     }
   }
 
+  async #readNewest (): Promise<RecordBatch> {
+    const { records, end } = await this.#read(0)
+    const newest = new Map(records.map(record => [record.key, record]))
+    return { records: [...newest.values()].filter(record => record.value !== null), end, isComplete: true }
+  }
+
   async #read (from: number): Promise<RecordBatch> {
     await this.#delay()
     if (this.random() < this.faults.failedRead) {
       throw new LogUnavailableError('injected read failure')
     }
-    return { records: this.records.slice(from), end: Math.max(from, this.records.length) }
+    return { records: this.records.slice(from), end: Math.max(from, this.records.length), isComplete: true }
   }
 
   async #append (records: readonly NewRecord[], expectedEnd: number | null): Promise<AppendOutcome> {
@@ -55,6 +68,7 @@
     }
     for (const record of records) {
       this.records.push({ ...record, offset: this.records.length })
+      this.onAppended(record.key)
     }
     return true
   }
