Use only connections used lately again, and take two lost store answers for a dead path, not one

Change: 200 ms for all requests; a path to the store counts as dead after two calls in a row without an answer; without peers calls stay direct.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -150,7 +150,6 @@
       path: this.item.path,
       headers: this.#headers(route),
       body: this.item.body,
-      isRepeatable: true,
       remainingMilliseconds: null
     }, this.dependencies.names, {
       onHead: head => { this.#status = head.status },
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -125,7 +125,6 @@
       path: request.path,
       headers,
       body: request.body,
-      isRepeatable: isRepeatable(request.route),
       remainingMilliseconds: request.hasDeadline ? this.#remainingMilliseconds() : null
     }, dependencies.names, {
       onHead: head => {
--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -19,6 +19,8 @@
 
 /** Interval at which a direct call is tried while direct calls fail. */
 const probeIntervalMilliseconds = 1_000
+/** Calls in a row without a response after which direct calls count as unavailable; a single response may just have been lost. */
+const maximumUnansweredCalls = 2
 /** Peers that are tried for one call. */
 const maximumPeers = 2
 /** Time to connect to a peer, and the time allowed for the relay in addition to the call's own timeout. */
@@ -38,6 +40,8 @@
 export class RelayingStoreConnection implements StoreConnection {
   #isDirectAvailable = true
   #probedAt = 0
+  /** Direct calls in a row that were sent and not answered. */
+  #unansweredCalls = 0
   /** Incremented whenever direct calls become available or unavailable. */
   #stateVersion = 0
 
@@ -49,7 +53,7 @@
   }
 
   async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
-    if (!this.#shouldCallDirectly()) {
+    if (!this.#shouldCallDirectly() && this.options.peers().length > 0) {
       return await this.#relay(method, path, body, timeoutMilliseconds)
     }
     const reply = await this.callDirectly(method, path, body, timeoutMilliseconds)
@@ -75,8 +79,10 @@
     const stateVersion = this.#stateVersion
     const reply = await this.direct.call(method, path, body, timeoutMilliseconds)
     const served = isServed(reply)
+    this.#unansweredCalls = !reply.answered && reply.sent ? this.#unansweredCalls + 1 : 0
+    const isLost = this.#unansweredCalls > 0 && this.#unansweredCalls < maximumUnansweredCalls
     // The outcome of a call that began before the last change of state is out of date.
-    if (served !== this.#isDirectAvailable && stateVersion === this.#stateVersion) {
+    if (served !== this.#isDirectAvailable && !isLost && stateVersion === this.#stateVersion) {
       this.#stateVersion += 1
       this.#isDirectAvailable = served
       this.#probedAt = Date.now()
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -15,8 +15,6 @@
   /** Names and values alternating, without the headers that the call sets itself. */
   readonly headers: readonly string[]
   readonly body: Buffer | null
-  /** Whether the request may safely run more than once. */
-  readonly isRepeatable: boolean
   /** Milliseconds until the deadline, or null if the request has none. */
   readonly remainingMilliseconds: number | null
 }
@@ -68,7 +66,7 @@
   names: HeaderNames,
   sink: ResponseSink
 ): RunningCall {
-  const connection = connections.acquire(target, request.isRepeatable)
+  const connection = connections.acquire(target)
   const call = new TargetCall(connection, request.id, names, sink)
   connection.send(encodeRequest(request, target, names), call)
   return call
--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -4,16 +4,10 @@
 import type { Target } from './target-registry.js'
 
 /**
- * Time for which an idle connection is kept, and used for requests that may safely run more than once. Targets close idle
- * connections themselves; a request that is sent at that moment fails without telling whether it ran. A short time makes
- * this rare.
+ * Time for which an idle connection is used again. Some targets drop connections that were idle for 300 ms and reset
+ * requests that arrive on them; such a request may have run, for all that the sender can tell.
  */
-const keepAliveMilliseconds = 900
-/**
- * Time for which an idle connection is used for requests that may run at most once. Some targets drop connections that
- * were idle for 300 ms and reset requests that arrive on them; such a request would have to be reported to the client as having an unknown outcome.
- */
-const singleRunKeepAliveMilliseconds = 200
+const keepAliveMilliseconds = 200
 
 /** The connections to one target. */
 interface TargetPool {
@@ -30,11 +24,10 @@
   readonly #alarm = new Alarm(now => this.#closeExpired(now))
 
   /** Returns an idle or new connection for a request to the target; the one that was used last, since it is the least likely to be closed. */
-  acquire (target: Target, isRepeatable: boolean): TargetConnection {
+  acquire (target: Target): TargetConnection {
     const pool = this.#poolOf(target)
-    const limit = isRepeatable ? keepAliveMilliseconds : singleRunKeepAliveMilliseconds
     const newest = pool.idle.at(-1)
-    if (newest !== undefined && Date.now() - newest.idleSince < limit) {
+    if (newest !== undefined && Date.now() - newest.idleSince < keepAliveMilliseconds) {
       pool.idle.pop()
       return newest
     }
--- /dev/null
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -0,0 +1,81 @@
+/** Tests when calls to the store are made directly and when through a peer. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { relayStoreCall, RelayingStoreConnection } from '../../src/index.js'
+import type { StoreConnection, StoreReply } from '../../src/index.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+const served: StoreReply = { answered: true, status: 200, body: Buffer.from('direct') }
+const refused: StoreReply = { answered: true, status: 503, body: Buffer.alloc(0) }
+const lost: StoreReply = { answered: false, sent: true, reason: 'answer lost' }
+
+/** A connection with prepared replies; the last one is repeated. */
+class PreparedConnection implements StoreConnection {
+  calls = 0
+
+  constructor (private readonly replies: readonly StoreReply[]) {}
+
+  async call (): Promise<StoreReply> {
+    this.calls += 1
+    return await Promise.resolve(this.replies[Math.min(this.calls, this.replies.length) - 1] ?? served)
+  }
+
+  async close (): Promise<void> {}
+}
+
+describe('RelayingStoreConnection', () => {
+  let peer: Server
+  let peerCalls: PreparedConnection
+
+  beforeEach(async () => {
+    peerCalls = new PreparedConnection([{ answered: true, status: 200, body: Buffer.from('relayed') }])
+    const peerConnection = new RelayingStoreConnection(peerCalls, { peers: () => [], logger: createTestLogger() })
+    peer = createServer((request, response) => { void relayStoreCall(peerConnection, request, response) })
+    peer.listen(0, '127.0.0.1')
+    await once(peer, 'listening')
+  })
+
+  afterEach(() => { peer.close() })
+
+  function connect (replies: readonly StoreReply[], hasPeer = true): RelayingStoreConnection {
+    const peers = hasPeer ? [`127.0.0.1:${(peer.address() as AddressInfo).port}`] : []
+    return new RelayingStoreConnection(new PreparedConnection(replies), { peers: () => peers, logger: createTestLogger() })
+  }
+
+  async function read (connection: RelayingStoreConnection): Promise<string> {
+    const reply = await connection.call('GET', '/log-read', null, 100)
+    return reply.answered ? `${reply.status} ${reply.body.toString()}` : reply.reason
+  }
+
+  it('goes on with direct calls after a single lost answer', async () => {
+    const connection = connect([lost, served])
+    assert.equal((await connection.call('POST', '/log-append', Buffer.alloc(0), 100)).answered, false)
+    assert.equal(await read(connection), '200 direct')
+    assert.equal(peerCalls.calls, 0)
+  })
+
+  it('relays calls after two lost answers in a row, and never an append that may have been done', async () => {
+    const connection = connect([lost])
+    assert.equal((await connection.call('POST', '/log-append', Buffer.alloc(0), 100)).answered, false)
+    assert.equal((await connection.call('POST', '/log-append', Buffer.alloc(0), 100)).answered, false)
+    assert.equal(peerCalls.calls, 0)
+    assert.equal(await read(connection), '200 relayed')
+  })
+
+  it('relays a call that the store rejects, and those after it', async () => {
+    const connection = connect([refused])
+    assert.equal(await read(connection), '200 relayed')
+    assert.equal(await read(connection), '200 relayed')
+  })
+
+  it('calls the store directly while it knows no peer', async () => {
+    const connection = connect([refused, refused, served], false)
+    assert.equal(await read(connection), '503 ')
+    assert.equal(await read(connection), '503 ')
+    assert.equal(await read(connection), '200 direct')
+  })
+})
--- a/packages/gateway/tests/targets/target-connections.test.ts
+++ b/packages/gateway/tests/targets/target-connections.test.ts
@@ -49,10 +49,10 @@
     return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready }
   }
 
-  function start (id: string, sink: Partial<ResponseSink> = {}, isRepeatable = true): { readonly call: RunningCall, readonly body: () => string } {
+  function start (id: string, sink: Partial<ResponseSink> = {}): { readonly call: RunningCall, readonly body: () => string } {
     const chunks: Buffer[] = []
     const call = callTarget(connections, target(), {
-      id, method: 'POST', path: '/p', headers: ['Host', 'h', 'X-Request-Id', id], body: Buffer.from('body'), isRepeatable, remainingMilliseconds: 1_000
+      id, method: 'POST', path: '/p', headers: ['Host', 'h', 'X-Request-Id', id], body: Buffer.from('body'), remainingMilliseconds: 1_000
     }, names, {
       onHead: () => {},
       onData: chunk => {
@@ -79,13 +79,13 @@
     assert.match(requests[0] ?? '', /^POST \/p HTTP\/1\.1\r\nHost: h\r\nX-Request-Id: a\r\nx-expected: one\r\nx-deadline: 1000\r\ncontent-length: 4\r\n\r\nbody$/)
   })
 
-  it('use a connection for a request that may run once only shortly after its last use', async () => {
+  it('use a connection again only shortly after its last use', async () => {
     onRequest = (text, socket) => { socket.write(answer(idOf(text), '')) }
     await start('a').call.ended
     await sleep(260)
-    await start('b', {}, false).call.ended
+    await start('b').call.ended
     assert.equal(sockets.length, 2)
-    await start('c', {}, false).call.ended
+    await start('c').call.ended
     assert.equal(sockets.length, 2)
   })
 
@@ -124,7 +124,7 @@
 
   it('report an address at which nobody listens as unreachable, and an aborted request that was not sent as not executed', async () => {
     const gone = { ...target(), address: '127.0.0.1:1' }
-    const request = { id: 'a', method: 'GET', path: '/', headers: [], body: null, isRepeatable: true, remainingMilliseconds: null }
+    const request = { id: 'a', method: 'GET', path: '/', headers: [], body: null, remainingMilliseconds: null }
     const sink = { onHead: () => {}, onData: () => true }
     assert.equal((await callTarget(connections, gone, request, names, sink).ended).end, CallOutcome.Unreachable)
     const aborted = callTarget(connections, { ...gone, id: 'two' }, request, names, sink)
