--- /dev/null
+++ b/packages/fleet-model/src/fleet-load.ts
@@ -0,0 +1,62 @@
+/** A load on a fleet: its targets, the online requests and batch jobs that arrive, and what is lost on the way. */
+
+/** A kind of online request. */
+export interface OnlineKind {
+  readonly name: string
+  /** Mean arrivals per second. */
+  readonly perSecond: number
+  /** Milliseconds from the start of an attempt within which the first event is due. */
+  readonly objectiveMilliseconds: number
+  /** Milliseconds for which a caller waits in all. */
+  readonly deadlineMilliseconds: number
+  /** Mean milliseconds for which a request holds its slot. */
+  readonly holdMilliseconds: number
+  /** Milliseconds from the grant of a slot to the first event. */
+  readonly firstEventMilliseconds: number
+  /** Worth of an answer in time, and of a late one. */
+  readonly worth: number
+  readonly lateWorth: number
+  /** Whether an answer that broke off can be continued at another target. */
+  readonly isResumable: boolean
+}
+
+/** Batch jobs. */
+export interface BatchKind {
+  /** Mean items per second. */
+  readonly itemsPerSecond: number
+  /** Items of one job, which arrive together. */
+  readonly itemsPerJob: number
+  /** Mean milliseconds of a slot that an item needs in all. */
+  readonly holdMilliseconds: number
+  /** Milliseconds from its arrival within which an item is due. */
+  readonly dueMilliseconds: number
+  readonly worth: number
+  readonly lateWorth: number
+}
+
+/** Targets that become unavailable. */
+export interface TargetLoss {
+  /** Milliseconds from the start. */
+  readonly at: number
+  /** Milliseconds after which they are back; `Infinity` if they never are. */
+  readonly forMilliseconds: number
+  /** Share of the targets. */
+  readonly share: number
+  /** Whether they announce it and finish what runs, or break off and refuse connections until the list of targets changes. */
+  readonly isAnnounced: boolean
+}
+
+/** A load. */
+export interface FleetLoad {
+  readonly name: string
+  readonly description: string
+  readonly targets: number
+  readonly slotsOfTarget: number
+  /** Milliseconds for which requests and jobs arrive. */
+  readonly milliseconds: number
+  /** Factors of the rate of online requests; each applies from a time in milliseconds on. */
+  readonly steps: ReadonlyArray<readonly [from: number, factor: number]>
+  readonly online: readonly OnlineKind[]
+  readonly batch: BatchKind
+  readonly losses: readonly TargetLoss[]
+}
--- /dev/null
+++ b/packages/fleet-model/src/index.ts
@@ -0,0 +1,10 @@
+/** A model of a fleet without a network: loads are played against admission policies, and what callers get is counted. */
+export type { AdmissionPolicy } from './admission-policy.js'
+export { estimate, playSeeds } from './compare-policies.js'
+export type { Estimate, NamedPolicy } from './compare-policies.js'
+export type { BatchKind, FleetLoad, OnlineKind, TargetLoss } from './fleet-load.js'
+export { OnlineResult } from './fleet-outcome.js'
+export type { FleetOutcome } from './fleet-outcome.js'
+export { fleetLoads } from './loads.js'
+export { policies } from './policies/index.js'
+export { simulateFleet } from './simulation/simulate-fleet.js'
--- /dev/null
+++ b/packages/fleet-model/src/simulation/batch-item.ts
@@ -0,0 +1,104 @@
+/** An item of a batch job, which goes on after each loss of its slot until it is finished. */
+import { SlotOutcome } from '@arbutusloft/policy'
+import { WorkClass } from '@arbutusloft/protocol'
+import type { BatchKind } from '../fleet-load.js'
+import type { SimulatedClock } from './clock.js'
+import type { Instance } from './instance.js'
+import type { SlotDesk } from './slot-desk.js'
+import type { SlotHolder } from './slot-holder.js'
+import type { Tally } from './tally.js'
+
+/** Milliseconds in which a target reads the prompt and the output so far again, after an item lost its slot. */
+const resumeMilliseconds = 20
+/** Milliseconds until a connection to a lost target is refused. */
+const refusedConnectionMilliseconds = 2
+/** Milliseconds before an item asks again after a failure. */
+const retryMilliseconds = 50
+
+/** Asks for slots until the item has run long enough. */
+export class BatchItem implements SlotHolder {
+  readonly #arrivedAt: number
+  #permit = ''
+  #remaining: number
+  #startedAt: number | null = null
+  #isFinished = false
+  /** Incremented with each grant and loss of a slot. */
+  #run = 0
+
+  constructor (
+    private readonly kind: BatchKind,
+    holdMilliseconds: number,
+    private readonly instance: Instance,
+    private readonly desk: SlotDesk,
+    private readonly clock: SimulatedClock,
+    private readonly tally: Tally
+  ) {
+    this.#remaining = holdMilliseconds
+    this.#arrivedAt = clock.now
+  }
+
+  get isFinished (): boolean {
+    return this.#isFinished
+  }
+
+  get arrivedAt (): number {
+    return this.#arrivedAt
+  }
+
+  request (): void {
+    this.#permit = this.desk.request({
+      holder: this.instance.id,
+      workClass: WorkClass.Batch,
+      zone: this.instance.zone,
+      prefix: [],
+      excluded: [],
+      patience: 0,
+      due: this.#arrivedAt + this.kind.dueMilliseconds
+    }, this)
+  }
+
+  onGranted (target: string): void {
+    if (this.desk.isLost(target)) {
+      this.clock.after(refusedConnectionMilliseconds, () => {
+        this.desk.release(this.#permit, SlotOutcome.Unreachable)
+        this.clock.after(retryMilliseconds, () => { this.request() })
+      })
+      return
+    }
+    this.#run += 1
+    const run = this.#run
+    this.#startedAt = this.clock.now
+    this.clock.after(this.#remaining, () => { this.#onEnd(run) })
+  }
+
+  onRefused (retryAfter: number): void {
+    this.clock.after(retryAfter, () => { this.request() })
+  }
+
+  onRevoked (): void {
+    this.#interrupt(SlotOutcome.Finished)
+    this.request()
+  }
+
+  onTargetLost (): void {
+    this.#interrupt(SlotOutcome.Broken)
+    this.clock.after(retryMilliseconds, () => { this.request() })
+  }
+
+  #interrupt (outcome: SlotOutcome): void {
+    this.#run += 1
+    const ran = this.clock.now - (this.#startedAt ?? this.clock.now)
+    this.#remaining += Math.min(ran, resumeMilliseconds) - ran
+    this.#startedAt = null
+    this.desk.release(this.#permit, outcome)
+  }
+
+  #onEnd (run: number): void {
+    if (run !== this.#run) {
+      return
+    }
+    this.#isFinished = true
+    this.tally.addItem(this.#arrivedAt, this.clock.now - this.#arrivedAt <= this.kind.dueMilliseconds)
+    this.desk.release(this.#permit, SlotOutcome.Finished)
+  }
+}
--- /dev/null
+++ b/packages/fleet-model/src/simulation/online-caller.ts
@@ -0,0 +1,144 @@
+/** A caller with one online request, which it sends again after a refusal. */
+import { SlotOutcome } from '@arbutusloft/policy'
+import { WorkClass } from '@arbutusloft/protocol'
+import type { OnlineKind } from '../fleet-load.js'
+import { OnlineResult } from '../fleet-outcome.js'
+import type { SimulatedClock } from './clock.js'
+import type { Instance } from './instance.js'
+import type { SlotDesk } from './slot-desk.js'
+import type { SlotHolder } from './slot-holder.js'
+import type { Tally } from './tally.js'
+
+/** Share of the objective that a request may wait for a slot, as in the gateway. */
+const slotWaitShare = 0.75
+/** Attempts of a caller. */
+const maximumAttempts = 2
+/** Share of the remaining time up to which callers follow `Retry-After`. */
+const maximumRetryShare = 1 / 3
+/** Milliseconds between a caller and the gateway, both ways. */
+const roundTripMilliseconds = 6
+/** Milliseconds without a first event after which a caller gives up. */
+const patienceMilliseconds = 2_000
+/** Milliseconds until a connection to a lost target is refused. */
+const refusedConnectionMilliseconds = 2
+
+/** Sends a request until it is answered, broken off, or refused for the last time. */
+export class OnlineCaller implements SlotHolder {
+  readonly #arrivedAt: number
+  #attempts = 0
+  #attemptAt = 0
+  #permit = ''
+  #excluded: string[] = []
+  /** Milliseconds for which the answer still needs a slot. */
+  #remaining: number
+  #startedAt: number | null = null
+  #hasFirstEvent = false
+  /** Incremented with each grant, so that events of an earlier one are ignored. */
+  #run = 0
+
+  constructor (
+    private readonly kind: OnlineKind,
+    holdMilliseconds: number,
+    private readonly instance: Instance,
+    private readonly desk: SlotDesk,
+    private readonly clock: SimulatedClock,
+    private readonly tally: Tally
+  ) {
+    this.#remaining = holdMilliseconds
+    this.#arrivedAt = clock.now
+  }
+
+  /** Makes an attempt. */
+  attempt (): void {
+    this.#attempts += 1
+    this.#attemptAt = this.clock.now
+    this.#excluded = []
+    const attempt = this.#attempts
+    this.clock.after(patienceMilliseconds, () => { this.#giveUp(attempt) })
+    this.#request()
+  }
+
+  onGranted (target: string): void {
+    if (this.desk.isLost(target)) {
+      this.#excluded.push(target)
+      this.clock.after(refusedConnectionMilliseconds, () => {
+        this.desk.release(this.#permit, SlotOutcome.Unreachable)
+        this.#request()
+      })
+      return
+    }
+    this.#run += 1
+    const run = this.#run
+    this.#startedAt = this.clock.now
+    this.clock.after(this.kind.firstEventMilliseconds, () => { this.#onFirstEvent(run) })
+    this.clock.after(this.#remaining, () => { this.#onEnd(run) })
+  }
+
+  onRefused (retryAfter: number): void {
+    const remaining = this.#arrivedAt + this.kind.deadlineMilliseconds - this.clock.now
+    if (this.#attempts >= maximumAttempts || this.#hasFirstEvent || remaining <= 0) {
+      this.#end(OnlineResult.Refused, null)
+      return
+    }
+    this.clock.after(Math.min(retryAfter, remaining * maximumRetryShare) + roundTripMilliseconds, () => { this.attempt() })
+  }
+
+  onRevoked (): void {
+    throw new Error(`the slot of online request ${this.#permit} was revoked; only batch slots may be`)
+  }
+
+  onTargetLost (): void {
+    this.#run += 1
+    this.desk.release(this.#permit, SlotOutcome.Broken)
+    if (!this.kind.isResumable) {
+      if (!this.#hasFirstEvent) {
+        this.#end(OnlineResult.Broken, null)
+      }
+      return
+    }
+    this.#remaining -= this.clock.now - (this.#startedAt ?? this.clock.now)
+    this.#request()
+  }
+
+  #request (): void {
+    this.#permit = this.desk.request({
+      holder: this.instance.id,
+      workClass: WorkClass.Online,
+      zone: this.instance.zone,
+      prefix: [],
+      excluded: this.#excluded,
+      patience: this.kind.objectiveMilliseconds * slotWaitShare,
+      due: 0
+    }, this)
+  }
+
+  #onFirstEvent (run: number): void {
+    if (run !== this.#run || this.#hasFirstEvent) {
+      return
+    }
+    this.#hasFirstEvent = true
+    const { now } = this.clock
+    const isInTime = now + roundTripMilliseconds - this.#attemptAt <= this.kind.objectiveMilliseconds
+    const inTime = this.#attempts === 1 ? OnlineResult.InTime : OnlineResult.InTimeOnReturn
+    this.#end(isInTime ? inTime : OnlineResult.Late, now - this.#arrivedAt)
+  }
+
+  #onEnd (run: number): void {
+    if (run === this.#run) {
+      this.#run += 1
+      this.desk.release(this.#permit, SlotOutcome.Finished)
+    }
+  }
+
+  #giveUp (attempt: number): void {
+    if (attempt === this.#attempts && this.#startedAt === null && !this.#hasFirstEvent) {
+      this.desk.withdraw(this.#permit)
+      this.#end(OnlineResult.GivenUp, null)
+      this.#hasFirstEvent = true
+    }
+  }
+
+  #end (result: OnlineResult, firstEventAfter: number | null): void {
+    this.tally.addOnline(this.kind, result, this.#arrivedAt, firstEventAfter)
+  }
+}
--- /dev/null
+++ b/packages/fleet-model/tests/fleet-model.test.ts
@@ -0,0 +1,54 @@
+/** Tests of the model, and of what callers get from the gateway's policy under the loads of the heaviest days. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { estimate, fleetLoads, playSeeds, policies, simulateFleet } from '../src/index.js'
+import type { FleetLoad, FleetOutcome, NamedPolicy } from '../src/index.js'
+
+const seeds = 3
+
+function loadNamed (name: string): FleetLoad {
+  const load = fleetLoads.find(candidate => candidate.name === name)
+  assert.ok(load !== undefined, `no load is named ${name}`)
+  return load
+}
+
+function policyNamed (name: string): NamedPolicy {
+  const policy = policies.find(candidate => candidate.name === name)
+  assert.ok(policy !== undefined, `no policy is named ${name}`)
+  return policy
+}
+
+function play (load: string, policy = 'gateway'): readonly FleetOutcome[] {
+  return playSeeds(loadNamed(load), policyNamed(policy).create, seeds)
+}
+
+describe('simulateFleet', () => {
+  it('gives all policies the same arrivals, and the same outcome for the same seed', () => {
+    const load = loadNamed('bursts')
+    const outcomes = policies.map(({ create }) => simulateFleet(load, create(), 7))
+    assert.equal(new Set(outcomes.map(({ onlineRequests, items }) => `${onlineRequests} ${items}`)).size, 1)
+    assert.deepEqual(simulateFleet(load, policyNamed('gateway').create(), 7), outcomes[0])
+  })
+
+  it('counts each request and item once', () => {
+    const [outcome] = play('bursts-beyond-slots')
+    assert.ok(outcome !== undefined && outcome.online.refused > 0 && outcome.online.late > 0)
+    assert.ok(outcome.itemsInTime + outcome.itemsLate <= outcome.items)
+  })
+})
+
+describe('callers of the gateway', () => {
+  it('get their answers in time in bursts that take all slots beside batch work', () => {
+    const outcomes = play('bursts')
+    assert.ok(estimate(outcomes, outcome => outcome.online.inTime / outcome.onlineRequests).mean > 0.99)
+    assert.ok(estimate(outcomes, outcome => outcome.itemsInTime / outcome.items).mean > 0.99)
+  })
+
+  it('get more than from one queue or from a fixed share of targets, under every load', () => {
+    for (const { name } of fleetLoads) {
+      const worth = (policy: string): number => estimate(play(name, policy), outcome => outcome.worth).mean
+      const gateway = worth('gateway')
+      assert.ok(gateway > worth('fifo') + 0.1 && gateway > worth('reserved') + 0.1, name)
+    }
+  })
+})
