--- a/packages/fleet-model/src/simulation/batch-item.ts
+++ b/packages/fleet-model/src/simulation/batch-item.ts
@@ -21,6 +21,9 @@
   #permit = ''
   #remaining: number
   #startedAt: number | null = null
+  #firstStartedAt: number | null = null
+  /** Milliseconds for which it has held slots. */
+  #ran = 0
   #isFinished = false
   /** Incremented with each grant and loss of a slot. */
   #run = 0
@@ -53,7 +56,11 @@
       prefix: [],
       excluded: [],
       patience: 0,
-      due: this.#arrivedAt + this.kind.dueMilliseconds
+      spent: 0,
+      latestReturn: 0,
+      due: this.#arrivedAt + this.kind.dueMilliseconds,
+      ran: this.#ran,
+      sinceStart: this.#firstStartedAt === null ? 0 : this.clock.now - this.#firstStartedAt
     }, this)
   }
 
@@ -68,6 +75,7 @@
     this.#run += 1
     const run = this.#run
     this.#startedAt = this.clock.now
+    this.#firstStartedAt ??= this.clock.now
     this.clock.after(this.#remaining, () => { this.#onEnd(run) })
   }
 
@@ -76,7 +84,7 @@
   }
 
   onRevoked (): void {
-    this.#interrupt(SlotOutcome.Finished)
+    this.#interrupt(SlotOutcome.Stopped)
     this.request()
   }
 
@@ -89,6 +97,7 @@
     this.#run += 1
     const ran = this.clock.now - (this.#startedAt ?? this.clock.now)
     this.#remaining += Math.min(ran, resumeMilliseconds) - ran
+    this.#ran += ran
     this.#startedAt = null
     this.desk.release(this.#permit, outcome)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { TokenLedger } from './jobs/token-ledger.js'
 import type { KeyedTopic } from './log/keyed-topic.js'
 import { GatewayMetrics } from './metrics.js'
+import { CallerBudgets } from './online/caller-budgets.js'
 import type { HeaderNames } from './online/header-names.js'
 import { createOnlineRequest } from './online/online-request.js'
 import { OnlineRun } from './online/online-run.js'
@@ -74,6 +75,7 @@
   readonly jobs: JobApi
   readonly jobForwarder: JobForwarder
   readonly #connections = new TargetConnections()
+  readonly #callerBudgets = new CallerBudgets()
   readonly #jobPartitions: JobPartitions
   readonly #tokenLedger: TokenLedger
   readonly #jobRunner: JobRunner
@@ -185,7 +187,7 @@
       rejectRequest(response, Status.ServiceUnavailable, 'not run: the route has no service', unreadyRetryMilliseconds)
       return
     }
-    const online = createOnlineRequest(request, body, route, service, this.options.names, arrivedAt)
+    const online = createOnlineRequest(request, body, route, service, this.options.names, this.#callerBudgets, arrivedAt)
     await new OnlineRun(this.#onlineDependencies(), online, response).run()
   }
 
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -12,6 +12,7 @@
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { Target, TargetRegistry } from '../targets/target-registry.js'
 import type { Logger } from '../util/logger.js'
+import { afterNextRead } from '../util/after-next-read.js'
 import { sleep } from '../util/sleep.js'
 import { ItemOutput } from './item-output.js'
 import type { ItemProgress } from './item-progress.js'
@@ -20,7 +21,7 @@
 
 /** Dependencies of {@link ItemRun}. */
 export interface ItemRunDependencies {
-  readonly slots: SlotClient
+  readonly slots: Pick<SlotClient, 'acquire'>
   readonly targets: TargetRegistry
   readonly connections: TargetConnections
   readonly names: HeaderNames
@@ -50,8 +51,6 @@
 const retryMilliseconds = 50
 /** Upper bound of that backoff, which keeps items that fail everywhere from occupying the targets. */
 const maximumRetryMilliseconds = 800
-/** Added to the due time of an overdue item, so that items that can still finish in time are scheduled first. */
-const overduePenaltyMilliseconds = 3_600_000
 
 /** Runs one item of a job. */
 export class ItemRun {
@@ -67,6 +66,10 @@
   #eventsAtLastFailure = 0
   /** Consecutive failed attempts without a new event. */
   #failuresWithoutProgress = 0
+  /** Milliseconds for which the item has held slots. */
+  #ranMilliseconds = 0
+  /** Time of the first slot, in milliseconds since the epoch, or null before it. */
+  #startedAt: number | null = null
 
   constructor (
     private readonly dependencies: ItemRunDependencies,
@@ -117,9 +120,13 @@
       workClass: WorkClass.Batch,
       prefix: sharedPromptParts(headerOf(this.item, this.dependencies.names.promptPrefix)),
       excluded: this.#excluded,
-      // Applies to online requests only; batch items wait without a limit.
+      // These apply to online requests only; batch items wait without a limit.
       patience: 0,
-      due: this.#dueTime(route)
+      spent: 0,
+      latestReturn: 0,
+      due: this.job.acceptedAt + route.completionMilliseconds,
+      ran: this.#ranMilliseconds,
+      sinceStart: this.#startedAt === null ? 0 : Date.now() - this.#startedAt
     }, this.#stop.signal)
     if (!result.granted) {
       return null
@@ -134,16 +141,12 @@
     return await this.#dispatch(route, result.slot, target)
   }
 
-  #dueTime (route: Route): number {
-    const due = this.job.acceptedAt + route.completionMilliseconds
-    return due > Date.now() ? due : due + overduePenaltyMilliseconds
-  }
-
   /** Sends the item to the target and releases the slot at the end; returns the result of the item, or null if it needs another attempt. */
   async #dispatch (route: Route, slot: Slot, target: Target): Promise<ItemOutcome | null> {
     this.#status = null
     this.#output.startStream()
     const sentAt = Date.now()
+    this.#startedAt ??= sentAt
     const call = callTarget(this.dependencies.connections, target, {
       id: this.item.id,
       method: 'POST',
@@ -167,7 +170,11 @@
     })
     let readTimer: NodeJS.Timeout | null = null
     const unresponsiveTimer = setTimeout(() => { call.abort(unresponsiveReason) }, unresponsiveTimeoutMilliseconds)
-    const onRevoked = (): void => { call.abort('slot revoked') }
+    const onRevoked = (): void => {
+      // Reads the events that have arrived since the last read, so that the next target need not make them again.
+      call.resume()
+      afterNextRead(() => { call.abort('slot revoked') })
+    }
     const onStop = (): void => { call.abort('run stopped') }
     slot.revoked.addEventListener('abort', onRevoked, { once: true })
     this.#stop.signal.addEventListener('abort', onStop, { once: true })
@@ -180,8 +187,9 @@
       clearTimeout(readTimer)
     }
     this.#stop.signal.removeEventListener('abort', onStop)
-    const stopped = slot.revoked.aborted || this.#stop.signal.aborted
-    slot.release(stopped ? SlotOutcome.Finished : slotOutcomeOf(outcome, reason, this.#status))
+    this.#ranMilliseconds += Date.now() - sentAt
+    const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted)
+    slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf(outcome, reason, this.#status))
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt })
     return await this.#onCallEnd(route, outcome, target, stopped)
   }
--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { RouteKind } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
+import type { CallerBudgets } from './caller-budgets.js'
 import { forwardedHeaders } from './forwarded-headers.js'
 import type { HeaderNames } from './header-names.js'
 
@@ -26,6 +27,8 @@
   readonly deadline: number
   /** Whether the client sent a timeout. */
   readonly hasDeadline: boolean
+  /** Milliseconds that the client has spent on earlier attempts, as far as its timeout shows. */
+  readonly spentMilliseconds: number
 }
 
 const lastEventIdHeader = 'last-event-id'
@@ -37,9 +40,11 @@
   route: Route,
   service: string,
   names: HeaderNames,
+  budgets: CallerBudgets,
   arrivedAt: number
 ): OnlineRequest {
   const timeout = nonNegativeNumberOf(request.headers[names.deadline])
+  const budget = Math.min(timeout ?? Infinity, route.timeoutMilliseconds)
   return {
     id: firstValueOf(request.headers[names.requestId]),
     method: request.method ?? 'GET',
@@ -50,8 +55,9 @@
     service,
     prefix: sharedPromptParts(firstValueOf(request.headers[names.promptPrefix])),
     lastEventId: nonNegativeNumberOf(request.headers[lastEventIdHeader]),
-    deadline: arrivedAt + Math.min(timeout ?? Infinity, route.timeoutMilliseconds),
-    hasDeadline: timeout !== null
+    deadline: arrivedAt + budget,
+    hasDeadline: timeout !== null,
+    spentMilliseconds: timeout === null ? 0 : budgets.spentOf(route.name, budget, arrivedAt)
   }
 }
 
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -34,8 +34,8 @@
 const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
-/** Upper bound of `Retry-After`, so that clients retry within the latency objective. */
-const maximumRetryAfterMilliseconds = 150
+/** Share of a client's remaining time up to which it follows `Retry-After`; it then has most of its time left for the answer. */
+const maximumRetryShare = 0.3
 
 const millisecondsPerSecond = 1_000
 
@@ -97,14 +97,22 @@
   }
 
   async #acquire (): Promise<AcquireResult> {
-    const { route, service, prefix } = this.request
+    const { route, service, prefix, spentMilliseconds } = this.request
     const maximumWait = Math.min(route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
     const excluded = this.#excluded
-    // due applies to batch items only.
-    return await this.dependencies.slots.acquire(
-      { service, workClass: WorkClass.Online, prefix, excluded, patience: maximumWait, due: 0 },
-      this.#abort.signal
-    )
+    return await this.dependencies.slots.acquire({
+      service,
+      workClass: WorkClass.Online,
+      prefix,
+      excluded,
+      patience: maximumWait,
+      spent: spentMilliseconds,
+      latestReturn: this.#latestReturnMilliseconds(),
+      // The rest applies to batch items only.
+      due: 0,
+      ran: 0,
+      sinceStart: 0
+    }, this.#abort.signal)
   }
 
   /** Sends the request to the target; returns true if the request is finished, and false if it needs another attempt. */
@@ -116,6 +124,7 @@
       headers.push('Last-Event-Id', String(resumeAfter))
     }
     const sentAt = Date.now()
+    let lastDataAt = sentAt
     let unresponsiveTimer: NodeJS.Timeout | null = null
     let status: number | null = null
     let isDiscarded = false
@@ -142,6 +151,7 @@
       },
       onData: chunk => {
         unresponsiveTimer?.refresh()
+        lastDataAt = Date.now()
         if (isDiscarded) {
           return true
         }
@@ -166,7 +176,9 @@
       clearTimeout(unresponsiveTimer)
     }
     this.#abort.signal.removeEventListener('abort', onAbort)
-    slot.release(this.#abort.signal.aborted ? SlotOutcome.Finished : slotOutcomeOf(outcome, reason, status))
+    const wasUnresponsive = Date.now() - lastDataAt > unresponsiveTimeoutMilliseconds
+    const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
+    slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf(outcome, reason, status))
     dependencies.logger.info('dispatch ended', { request: request.id, route: request.route.name, target: target.id, end: outcome, reason, waited: sentAt - this.#startedAt, took: Date.now() - sentAt, status })
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
     return this.#onCallEnd(isDiscarded && outcome === CallOutcome.Complete ? CallOutcome.Broken : outcome, target)
@@ -179,6 +191,7 @@
         this.#count('served')
         return true
       case CallOutcome.NotExecuted:
+      case CallOutcome.Misdirected:
       case CallOutcome.Unreachable:
         this.#rejections += 1
         this.#excluded.push(target.id)
@@ -222,7 +235,7 @@
     }
     const waited = Date.now() - this.#startedAt
     this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, retryAfter, refusals: this.#rejections })
-    rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, maximumRetryAfterMilliseconds))
+    rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
     this.#count('refused')
   }
 
@@ -230,6 +243,10 @@
     return Math.max(0, this.request.deadline - Date.now())
   }
 
+  #latestReturnMilliseconds (): number {
+    return this.#remainingMilliseconds() * maximumRetryShare
+  }
+
   #count (outcome: string): void {
     const { route } = this.request
     this.dependencies.metrics.requests.inc({ route: route.name, outcome })
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -216,9 +216,9 @@
   /** Reports all slots that this process holds to their owners; returns when to report again. */
   #reportAll (now: number): number {
     const services = new Map<string, HeldSlot[]>()
-    for (const { service, permit, target, workClass, due } of this.#held.values()) {
+    for (const { service, permit, target, workClass, due, ran } of this.#held.values()) {
       const held = services.get(service) ?? []
-      held.push({ permit, target, workClass, due })
+      held.push({ permit, target, workClass, due, ran })
       services.set(service, held)
     }
     for (const pending of this.#pending.values()) {
@@ -334,13 +334,13 @@
     if (pending === undefined) {
       // The request was withdrawn, or two owners granted it: releases the slot unless it is in use.
       if (!this.#held.has(permit)) {
-        this.#sendRelease(service, owner, permit, SlotOutcome.Finished)
+        this.#sendRelease(service, owner, permit, SlotOutcome.Stopped)
       }
       return
     }
-    const { workClass, due } = pending.demand
+    const { workClass, due, ran } = pending.demand
     const revoke = new AbortController()
-    const held: LocalSlot = { permit, target, workClass, due, service, revoke, ownerAddress: owner }
+    const held: LocalSlot = { permit, target, workClass, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
     const now = Date.now()
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
--- a/packages/gateway/src/targets/call-outcome.ts
+++ b/packages/gateway/src/targets/call-outcome.ts
@@ -15,6 +15,8 @@
       return status === failedStatus ? SlotOutcome.Failed : SlotOutcome.Finished
     case CallOutcome.NotExecuted:
       return SlotOutcome.Full
+    case CallOutcome.Misdirected:
+      return SlotOutcome.Replaced
     case CallOutcome.Unreachable:
       return SlotOutcome.Unreachable
     case CallOutcome.Broken:
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -25,6 +25,8 @@
   Complete: 'complete',
   /** The target rejected the request, or the request was never sent: it did not run. */
   NotExecuted: 'not-executed',
+  /** Another target responded at the target's address: the request did not run. */
+  Misdirected: 'misdirected',
   /** No connection to the target could be made: the request did not run. */
   Unreachable: 'unreachable',
   /** The response was interrupted, belonged to another request, or never arrived: the request may have run. */
@@ -94,7 +96,7 @@
   readonly ended: RunningCall['ended']
   #settle: (result: { end: CallOutcome, reason: string }) => void = () => {}
   #sent = false
-  #rejectionReason: string | null = null
+  #rejection: { readonly end: CallOutcome, readonly reason: string } | null = null
   #isAborted = false
   #isSettled = false
 
@@ -125,9 +127,9 @@
   onHead (head: ResponseHead): void {
     const { status, headers } = head
     if (canBeRejection(status) && headers[this.names.notExecuted] !== undefined) {
-      this.#rejectionReason = `status ${status}`
+      this.#rejection = { end: status === misdirectedRequestStatus ? CallOutcome.Misdirected : CallOutcome.NotExecuted, reason: `status ${status}` }
     } else if (status === misdirectedRequestStatus) {
-      this.#rejectionReason = 'the address belongs to another target'
+      this.#rejection = { end: CallOutcome.Misdirected, reason: 'the address belongs to another target' }
     } else if (impliesNotExecuted(status)) {
       this.abort(`status ${status} without the not-executed header: the request may have run`)
     } else if (headers[this.names.requestId] !== this.id) {
@@ -139,23 +141,18 @@
   }
 
   onData (bytes: Buffer): boolean {
-    return this.#rejectionReason !== null || this.#isSettled || this.sink.onData(bytes)
+    return this.#rejection !== null || this.#isSettled || this.sink.onData(bytes)
   }
 
   onComplete (): void {
-    if (this.#rejectionReason !== null) {
-      this.#finish(CallOutcome.NotExecuted, this.#rejectionReason)
-      return
-    }
-    this.#finish(CallOutcome.Complete, '')
+    const { end, reason } = this.#rejection ?? { end: CallOutcome.Complete, reason: '' }
+    this.#finish(end, reason)
   }
 
   onFailure (reason: string): void {
-    if (this.#rejectionReason !== null) {
-      this.#finish(CallOutcome.NotExecuted, this.#rejectionReason)
-      return
-    }
-    if (this.#sent) {
+    if (this.#rejection !== null) {
+      this.#finish(this.#rejection.end, this.#rejection.reason)
+    } else if (this.#sent) {
       this.#finish(CallOutcome.Broken, reason)
     } else {
       this.#finish(this.#isAborted ? CallOutcome.NotExecuted : CallOutcome.Unreachable, reason)
--- a/packages/gateway/src/targets/target-connection.ts
+++ b/packages/gateway/src/targets/target-connection.ts
@@ -16,8 +16,8 @@
   onFailure: (reason: string) => void
 }
 
-/** Time to establish a connection: two hundred times the usual duration, but short enough to leave most of a latency objective. */
-const connectTimeoutMilliseconds = 250
+/** Time to establish a connection: a hundred times the usual duration, but short enough to try another target within a latency objective. */
+const connectTimeoutMilliseconds = 120
 /** All connections read into this buffer, one after the other; what is kept of it is copied. */
 const readBuffer = Buffer.allocUnsafe(65_536)
 
--- /dev/null
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -0,0 +1,77 @@
+/** Tests what an item keeps when its slot is revoked. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { describe, it } from 'node:test'
+import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import type { Route } from '@arbutusloft/policy'
+import { ItemRun } from '../../src/jobs/item-run.js'
+import type { Job, JobItem } from '../../src/jobs/job.js'
+import type { AcquireResult } from '../../src/permits/slot.js'
+import { TargetConnections } from '../../src/targets/target-connections.js'
+import { TargetRegistry, TargetState } from '../../src/targets/target-registry.js'
+import { sleep } from '../../src/util/sleep.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+const names = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', promptPrefix: 'x-prompt-prefix', wait: 'x-wait' }
+const route = { name: 'r', host: 'h', kind: RouteKind.Batch, maxAttempts: 3, completionMilliseconds: 10_000, retentionMilliseconds: 60_000 } as unknown as Route
+const item: JobItem = { id: 'i', path: '/p', headers: [], body: Buffer.from('b'), tokens: 1 }
+const job: Job = { id: 'j', route: 'r', items: [item], acceptedAt: Date.now(), acceptedBy: 'a', bodyParts: 1, results: [], finished: new Set(), ended: false }
+
+describe('ItemRun', () => {
+  it('keeps the events that arrived before its slot was revoked', async context => {
+    const server = createServer((request, response) => {
+      response.writeHead(200, { 'x-request-id': String(request.headers['x-request-id']), 'content-type': 'text/event-stream' })
+      let event = 0
+      const timer = setInterval(() => {
+        event += 1
+        response.write(`id: ${event}\ndata: ${event}\n\n`)
+      }, 20)
+      response.once('close', () => { clearInterval(timer) })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const targets = new TargetRegistry()
+    targets.replace([{ id: 't', service: 's', address, zone: 'a', slots: 1, state: TargetState.Ready }])
+    const revoke = new AbortController()
+    const outcomes: SlotOutcome[] = []
+    const demands: Array<{ readonly ran: number }> = []
+    const connections = new TargetConnections()
+    context.after(() => {
+      connections.close()
+      server.closeAllConnections()
+      server.close()
+    })
+    const run = new ItemRun({
+      slots: {
+        acquire: async (demand, signal): Promise<AcquireResult> => {
+          demands.push(demand)
+          if (demands.length > 1) {
+            await once(signal, 'abort')
+            return { granted: false, retryAfter: 0 }
+          }
+          return { granted: true, slot: { permit: 'p', target: 't', revoked: revoke.signal, release: outcome => { outcomes.push(outcome) } } }
+        }
+      },
+      targets,
+      connections,
+      names,
+      logger: createTestLogger(),
+      routeOf: () => route,
+      serviceOf: () => 's'
+    }, job, item, Promise.resolve(null))
+    const ended = run.run()
+    context.after(() => { run.stop() })
+    // The response is read at the first event, and then every 150 ms.
+    await sleep(130)
+    revoke.abort()
+    await sleep(50)
+    assert.ok((run.progress?.lastId ?? 0) >= 4, `progress is ${JSON.stringify(run.progress)}`)
+    assert.deepEqual(outcomes, [SlotOutcome.Stopped])
+    assert.ok((demands[1]?.ran ?? 0) >= 100)
+    run.stop()
+    assert.equal(await ended, null)
+  })
+})
--- /dev/null
+++ b/packages/policy/src/fleet/batch-queue.ts
@@ -0,0 +1,79 @@
+/**
+ * Batch items that wait for a slot. Load: more batch work than slots, where items in the mere order of their deadlines all
+ * become late one after the other: an item that cannot be in time any more waits for those that can.
+ */
+import { MovingAverage } from '../util/moving-average.js'
+import type { SlotRequest } from './fleet-messages.js'
+
+/** Deadline and progress of an item; see {@link SlotRequest}. */
+export type ItemUrgency = Pick<SlotRequest, 'due' | 'ran'>
+
+/** Weight of the newest item in the averages. */
+const sampleWeight = 0.05
+/** Share of the average time that an item still needs at least, however long it has run. */
+const minimumNeedShare = 0.15
+
+/** Orders items, and learns how long they need. */
+export class BatchQueue {
+  readonly #waiting = new Map<string, SlotRequest>()
+  /** Milliseconds of a slot that items need. */
+  #need: MovingAverage | null = null
+  /** Time from an item's first slot to its end, as a multiple of the time for which it held slots. */
+  readonly #stretch = new MovingAverage(1, sampleWeight)
+
+  get length (): number {
+    return this.#waiting.size
+  }
+
+  add (request: SlotRequest): void {
+    this.#waiting.set(request.permit, request)
+  }
+
+  has (permit: string): boolean {
+    return this.#waiting.has(permit)
+  }
+
+  delete (permit: string): void {
+    this.#waiting.delete(permit)
+  }
+
+  deleteHolder (holder: string): void {
+    for (const [permit, request] of this.#waiting) {
+      if (request.holder === holder) {
+        this.#waiting.delete(permit)
+      }
+    }
+  }
+
+  /** Records how long a finished item has held slots, and the time from its first slot to its end, in milliseconds. */
+  recordFinished (ran: number, sinceStart: number): void {
+    this.#need ??= new MovingAverage(ran, sampleWeight)
+    this.#need.add(ran)
+    this.#stretch.add(Math.max(1, sinceStart / Math.max(1, ran)))
+  }
+
+  /** Returns the milliseconds for which an item is expected to need a slot, or 0 as long as no item was finished. */
+  remainingOf ({ ran }: Pick<ItemUrgency, 'ran'>): number {
+    const need = this.#need?.value ?? 0
+    return Math.max(need - ran, need * minimumNeedShare)
+  }
+
+  /** Whether an item is expected to finish after its deadline even if it gets a slot now, and loses it as often as others do. */
+  isLost (item: ItemUrgency, now: number): boolean {
+    return now + this.remainingOf(item) * this.#stretch.value > item.due
+  }
+
+  /** Returns the items in the order in which they are served: those that can be in time by deadline, then the others, the oldest first. */
+  inOrder (now: number): readonly SlotRequest[] {
+    const inTime: SlotRequest[] = []
+    const lost: SlotRequest[] = []
+    for (const request of this.#waiting.values()) {
+      (this.isLost(request, now) ? lost : inTime).push(request)
+    }
+    return [...inTime.sort(byDue), ...lost.sort(byDue)]
+  }
+}
+
+function byDue (left: SlotRequest, right: SlotRequest): number {
+  return left.due - right.due || right.ran - left.ran
+}
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -2,20 +2,22 @@
 import { WorkClass } from '@arbutusloft/protocol'
 import { DecisionKind } from '../admission/decision.js'
 import { MovingAverage } from '../util/moving-average.js'
-import { FailureRates } from './failure-rates.js'
-import { PrefixAffinity } from './prefix-affinity.js'
+import { BatchQueue } from './batch-queue.js'
+import { SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
 import type { GrantedSlot, TargetSlots } from './fleet-slots.js'
+import { OnlineQueue } from './online-queue.js'
+import { OverloadForecast } from './overload-forecast.js'
+import { PrefixAffinity } from './prefix-affinity.js'
+import { TargetAvailability, TargetHealth } from './target-health.js'
+import type { SuspensionOptions } from './target-health.js'
+import { TargetIndex } from './target-index.js'
 
 /** Options of {@link FleetAdmission}. */
-export interface FleetAdmissionOptions {
+export interface FleetAdmissionOptions extends SuspensionOptions {
   /** Slots of the whole fleet that batch work leaves free, so that the next online requests start at once. */
   readonly headroom: number
-  /** Initial suspension of a failed target, in milliseconds; doubles with each consecutive failure. */
-  readonly initialSuspensionMilliseconds: number
-  /** Maximum suspension, in milliseconds. */
-  readonly maximumSuspensionMilliseconds: number
 }
 
 export const defaultFleetAdmissionOptions: FleetAdmissionOptions = {
@@ -24,42 +26,18 @@
   maximumSuspensionMilliseconds: 2_000
 }
 
-/** Outcome of a request, as its holder reports it to the owner when it releases the slot. */
-export const SlotOutcome = {
-  /** The answer is complete, or its receiver stopped it. */
-  Finished: 'finished',
-  /** The target could not be reached, or was unresponsive. */
-  Unreachable: 'unreachable',
-  /** The target's answer was interrupted, or could not be parsed. */
-  Broken: 'broken',
-  /** The target ran the request and answered that it failed. */
-  Failed: 'failed',
-  /** The target rejected the request because it was full. */
-  Full: 'full'
-} as const
-export type SlotOutcome = typeof SlotOutcome[keyof typeof SlotOutcome]
-
-interface WaitingRequest {
-  readonly request: SlotRequest
-  /** Time in milliseconds since the epoch. */
-  readonly queuedAt: number
-}
-
-/**
- * Multiple of a request's `patience` after which a waiting request is rejected. Up to then a late request stays queued: a
- * late answer is worth less than a timely one but more than none. It gets only slots that no timely request needs.
- */
-const maximumWaitFactor = 5
 /** Initial value of the moving average of the time for which online requests hold their slots. */
 const initialHoldTimeMilliseconds = 650
 /** Weight of the newest sample in that average. */
 const holdTimeWeight = 0.1
+/** Time from a grant within which an item has probably produced nothing yet and would begin again from the start. */
+const fruitlessMilliseconds = 250
+/** Makes such an item the last choice for preemption; in milliseconds of remaining work, more than any item has. */
+const fruitlessPenalty = 1_000_000
+const millisecondsPerSecond = 1_000
+/** Milliseconds of remaining work that the requester's availability zone outweighs when an item is preempted. */
+const sameZoneMilliseconds = 500
 
-/**
- * Batch items whose deadlines differ by less than this are equally urgent when one must be preempted: a tenth of the
- * 20 s within which batch jobs are to complete.
- */
-const similarDeadlineMilliseconds = 2_000
 /** Number of busy slots that a probably cached prompt prefix outweighs in a target's score. */
 const prefixAffinityWeight = 1.5
 /** Number of busy slots that the holder's availability zone outweighs in a target's score. */
@@ -69,8 +47,6 @@
  * that such a target is chosen only if all others are full.
  */
 const failureRateWeight = 10
-/** Failure rate that is attributed to chance and not penalised: one failure among several answers. */
-const toleratedFailureRate = 0.25
 
 /**
  * Grants slots of a service's targets to the processes (holders) that send requests to them.
@@ -78,21 +54,31 @@
  * The state is soft state: it is lost when the owner fails, and the next owner rebuilds it from the holders' reports.
  */
 export class FleetAdmission {
-  readonly #slots = new FleetSlots()
+  readonly #slots = new FleetSlots(target => { this.#onTargetChanged(target) })
+  readonly #health: TargetHealth
+  /** Accepting targets of which nothing bad is known. */
+  readonly #sound = new TargetIndex()
+  /** The other accepting targets; each decision examines all of these. */
+  readonly #unsound = new Set<TargetSlots>()
   readonly #prefixAffinity = new PrefixAffinity()
-  readonly #failureRates = new FailureRates()
   readonly #holdTime = new MovingAverage(initialHoldTimeMilliseconds, holdTimeWeight)
-  #waitingOnline: WaitingRequest[] = []
-  #waitingBatch = new Map<string, WaitingRequest>()
+  readonly #forecast = new OverloadForecast()
+  readonly #online = new OnlineQueue()
+  readonly #batch = new BatchQueue()
   #batchBlockedUntil = 0
+  /** Time of the present call, in milliseconds since the epoch. */
+  #now = 0
 
-  constructor (private readonly options = defaultFleetAdmissionOptions) {}
+  constructor (private readonly options = defaultFleetAdmissionOptions) {
+    this.#health = new TargetHealth(options)
+  }
 
   /** Replaces the list of targets and returns the resulting decisions. */
   setTargets (targets: readonly FleetTarget[], now: number): readonly SlotDecision[] {
+    this.#begin(now)
+    this.#health.retainTargets(new Set(targets.map(target => target.id)))
     this.#slots.setTargets(targets)
-    this.#failureRates.retainTargets(new Set(targets.map(target => target.id)))
-    return this.#grantWaiting(now)
+    return this.#grantWaiting()
   }
 
   /**
@@ -100,33 +86,30 @@
    * request whose slot was granted before gets the same grant again.
    */
   request (request: SlotRequest, now: number): readonly SlotDecision[] {
+    this.#begin(now)
     const held = this.#slots.get(request.permit)
     if (held !== undefined) {
       return [{ kind: DecisionKind.Grant, permit: request.permit, holder: request.holder, target: held.target }]
     }
-    return request.workClass === WorkClass.Online
-      ? this.#requestOnline(request, now)
-      : this.#requestBatch(request, now)
+    return request.workClass === WorkClass.Online ? this.#requestOnline(request) : this.#requestBatch(request)
   }
 
   /** Releases a slot and returns the resulting decisions. Ignores unknown permits, since they were released before. */
   release (permit: string, outcome: SlotOutcome, now: number): readonly SlotDecision[] {
+    this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
     if (held === undefined) {
       return []
     }
-    this.#recordOutcome(held.target, held.holder, outcome, now)
-    if (held.workClass === WorkClass.Online && outcome === SlotOutcome.Finished) {
-      this.#holdTime.add(Math.max(0, now - held.grantedAt))
-    }
-    return this.#grantWaiting(now)
+    this.#recordOutcome(held, outcome)
+    return this.#grantWaiting()
   }
 
   /** Removes a waiting request that its holder has given up. */
   withdraw (permit: string): void {
-    this.#waitingOnline = this.#waitingOnline.filter(({ request }) => request.permit !== permit)
-    this.#waitingBatch.delete(permit)
+    this.#online.remove(({ request }) => request.permit === permit)
+    this.#batch.delete(permit)
   }
 
   /**
@@ -135,22 +118,21 @@
    * revokes again those that were revoked before.
    */
   synchronize (holder: string, held: readonly HeldSlot[], now: number): readonly SlotDecision[] {
+    this.#begin(now)
     const revoked = this.#slots.synchronize(holder, held, now)
     return [
       ...revoked.map(permit => ({ kind: DecisionKind.Revoke, permit, holder })),
-      ...this.#grantWaiting(now)
+      ...this.#grantWaiting()
     ]
   }
 
   /** Removes a failed holder with its waiting requests, and frees its slots. */
   removeHolder (holder: string, now: number): readonly SlotDecision[] {
-    this.#waitingOnline = this.#waitingOnline.filter(({ request }) => request.holder !== holder)
-    for (const [permit, { request }] of this.#waitingBatch) {
-      if (request.holder === holder) {
-        this.#waitingBatch.delete(permit)
-      }
-    }
-    return this.synchronize(holder, [], now)
+    this.#begin(now)
+    this.#online.remove(({ request }) => request.holder === holder)
+    this.#batch.deleteHolder(holder)
+    this.#slots.synchronize(holder, [], now, true)
+    return this.#grantWaiting()
   }
 
   /**
@@ -164,11 +146,9 @@
 
   /** Rejects online requests that have waited too long (batch requests wait without a limit), and grants free slots. */
   tick (now: number): readonly SlotDecision[] {
-    const expired = this.#waitingOnline.filter(({ request, queuedAt }) => now - queuedAt > request.patience * maximumWaitFactor)
-    if (expired.length > 0) {
-      this.#waitingOnline = this.#waitingOnline.filter(waiting => !expired.includes(waiting))
-    }
-    return [...expired.map(({ request }) => this.#refuse(request, now)), ...this.#grantWaiting(now)]
+    this.#begin(now)
+    const expired = this.#online.removeExpired(now)
+    return [...expired.map(({ request }) => this.#refuse(request)), ...this.#grantWaiting()]
   }
 
   /**
@@ -176,195 +156,252 @@
    * (suspended ones included).
    */
   load (): { readonly online: number, readonly batch: number, readonly waiting: number, readonly slots: number } {
-    return { ...this.#slots.load(), waiting: this.#waitingOnline.length }
+    return { ...this.#slots.load(), waiting: this.#online.length }
   }
 
   /** Whether requests wait, so that {@link tick} has something to do. */
   get hasWaiting (): boolean {
-    return this.#waitingOnline.length > 0 || this.#waitingBatch.size > 0
+    return this.#online.length > 0 || this.#batch.length > 0
   }
 
-  #requestOnline (request: SlotRequest, now: number): readonly SlotDecision[] {
-    const granted = this.#grantOnline(request, now)
+  #begin (now: number): void {
+    this.#now = now
+    for (const target of this.#unsound) {
+      if (this.#health.isSound(target.id, now)) {
+        this.#unsound.delete(target)
+        this.#sound.place(target)
+      }
+    }
+  }
+
+  #onTargetChanged (target: TargetSlots): void {
+    if (!target.accepting) {
+      this.#sound.remove(target)
+      this.#unsound.delete(target)
+    } else if (this.#health.isSound(target.id, this.#now)) {
+      this.#unsound.delete(target)
+      this.#sound.place(target)
+    } else {
+      this.#sound.remove(target)
+      this.#unsound.add(target)
+    }
+  }
+
+  #requestOnline (request: SlotRequest): readonly SlotDecision[] {
+    const granted = this.#grantOnline(request)
     if (granted.length > 0) {
       return granted
     }
-    if (this.#waitingOnline.some(waiting => waiting.request.permit === request.permit)) {
+    const now = this.#now
+    if (this.#online.has(request.permit)) {
       return []
     }
-    if (this.#expectedWait(now) > request.patience) {
-      return [this.#refuse(request, now)]
+    const { patience, spent } = request
+    // Newcomers have to let those pass who were told to come back meanwhile.
+    const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience)
+    if ((this.#online.countAhead(now - spent, now) + returns + 1) * this.#millisecondsPerRequest() > patience) {
+      return [this.#refuse(request)]
     }
-    this.#waitingOnline.push({ request, queuedAt: now })
-    return []
+    this.#online.add(request, now)
+    const displaced = spent > 0 ? this.#online.removeDisplaced(now, this.#millisecondsPerRequest()) : null
+    return displaced === null ? [] : [this.#refuse(displaced.request)]
   }
 
-  #requestBatch (request: SlotRequest, now: number): readonly SlotDecision[] {
-    if (!this.#waitingBatch.has(request.permit)) {
-      this.#waitingBatch.set(request.permit, { request, queuedAt: now })
+  #requestBatch (request: SlotRequest): readonly SlotDecision[] {
+    if (!this.#batch.has(request.permit)) {
+      this.#batch.add(request)
     }
-    return this.#grantWaiting(now)
+    return this.#grantWaiting()
   }
 
   // The grant is returned together with the revocation, without waiting until the preempted batch work has stopped: the
   // target may queue one request for that moment, and the online request is spared a round trip.
-  #grantOnline (request: SlotRequest, now: number): readonly SlotDecision[] {
-    const free = this.#candidates(now, request, target => target.granted < target.slots)
-    const chosen = this.#selectTarget(free, request, now)
-    if (chosen !== null) {
-      return [this.#grant(request, chosen, now)]
+  #grantOnline (request: SlotRequest): readonly SlotDecision[] {
+    const free = this.#selectTarget(request, TargetAvailability.Available)
+    if (free !== null) {
+      return [this.#grant(request, free.id)]
     }
-    const preemptible = this.#candidates(now, request, target => target.online < target.slots)
-    const victim = this.#selectPreemptedSlot(preemptible, request, now)
-    if (victim === null) {
-      return []
+    const victim = this.#selectVictim(request)
+    if (victim !== null) {
+      this.#slots.revoke(victim)
+      return [this.#grant(request, victim.target), { kind: DecisionKind.Revoke, permit: victim.permit, holder: victim.holder }]
     }
-    this.#slots.revoke(victim)
-    const grant = this.#grant(request, victim.target, now)
-    return [grant, { kind: DecisionKind.Revoke, permit: victim.permit, holder: victim.holder }]
+    const onTrial = this.#selectTarget(request, TargetAvailability.OnTrial)
+    return onTrial === null ? [] : [this.#grant(request, onTrial.id)]
   }
 
   /**
    * Selects the batch slot to preempt, or null if there is none. The output that an item has received is kept, so
-   * preemption costs it little more than its slot. Therefore an item with one of the latest deadlines is preempted,
-   * whenever it was granted; among these the target's score decides, then the latest grant. Load: bursts of
-   * online requests that take all batch slots several times before the items' deadlines.
+   * preemption costs it little more than its slot. Among equally urgent items, one that has just begun is spared, since
+   * it has received nothing, and then the one that has come furthest, since it soon frees its slot by itself.
    */
-  #selectPreemptedSlot (targets: readonly TargetSlots[], request: SlotRequest, now: number): GrantedSlot | null {
-    const scores = this.#scoreTargets(targets, request, now)
-    const slots = this.#slots.batchSlotsOn(scores)
-    const latestDeadline = slots.reduce((latest, slot) => Math.max(latest, slot.due), -Infinity)
-    let victim: GrantedSlot | null = null
-    let victimScore = -Infinity
-    for (const slot of slots) {
-      const score = scores.get(slot.target) ?? -Infinity
-      const isBetter = score > victimScore || (score === victimScore && slot.grantedAt >= (victim?.grantedAt ?? 0))
-      if (slot.due > latestDeadline - similarDeadlineMilliseconds && isBetter) {
-        victim = slot
-        victimScore = score
+  #selectVictim (request: SlotRequest): GrantedSlot | null {
+    const now = this.#now
+    return this.#slots.preemptible.select(
+      slot => this.#batch.isLost({ due: slot.due, ran: slot.ran + now - slot.grantedAt }, now),
+      slot => {
+        const target = this.#slots.target(slot.target)
+        if (target === undefined || target.online >= target.slots || !this.#isUsable(target, request, TargetAvailability.Available)) {
+          return null
+        }
+        const held = now - slot.grantedAt
+        const penalty = held < fruitlessMilliseconds ? fruitlessPenalty : 0
+        const zone = target.zone === request.zone ? sameZoneMilliseconds : 0
+        return this.#batch.remainingOf({ ran: slot.ran + held }) + zone - penalty - held / millisecondsPerSecond
       }
-    }
-    return victim
+    )
   }
 
-  #grant (request: SlotRequest, target: string, now: number): SlotGrant {
-    const { permit, holder, workClass, due } = request
-    this.#slots.recordGrant({ permit, holder, target, workClass, due, grantedAt: now, revoked: false })
+  #grant (request: SlotRequest, target: string): SlotGrant {
+    const { permit, holder, workClass, due, ran, sinceStart } = request
+    const now = this.#now
+    this.#slots.recordGrant({ permit, holder, target, workClass, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#health.onGranted(target, now)
     this.#prefixAffinity.recordGrant(request.prefix, target)
     return { kind: DecisionKind.Grant, permit, holder, target }
   }
 
-  #grantWaiting (now: number): readonly SlotDecision[] {
+  #grantWaiting (): readonly SlotDecision[] {
     const decisions: SlotDecision[] = []
-    const waiting = this.#waitingOnline
-    this.#waitingOnline = []
-    for (const entry of sortTimelyFirst(waiting, now)) {
-      const granted = this.#grantOnline(entry.request, now)
-      decisions.push(...granted)
-      if (granted.length === 0) {
-        this.#waitingOnline.push(entry)
-      }
+    if (this.#online.length > 0 && this.#hasRoom()) {
+      this.#grantWaitingOnline(decisions)
     }
-    if (this.#waitingOnline.length === 0 && this.#waitingBatch.size > 0 && now >= this.#batchBlockedUntil) {
-      this.#grantWaitingBatch(now, decisions)
+    if (this.#online.length === 0 && this.#batch.length > 0 && this.#now >= this.#batchBlockedUntil) {
+      this.#grantWaitingBatch(decisions)
     }
     return decisions
   }
 
   /** Appends the grants to `decisions`. */
-  #grantWaitingBatch (now: number, decisions: SlotDecision[]): void {
-    const byDeadline = [...this.#waitingBatch.values()].sort((left, right) => left.request.due - right.request.due)
-    for (const { request } of byDeadline) {
-      const free = this.#candidates(now, request, target => target.granted < target.slots)
-      if (this.#slots.freeSlots(now) <= this.options.headroom) {
-        return
+  #grantWaitingOnline (decisions: SlotDecision[]): void {
+    const granted = new Set<string>()
+    for (const { request } of this.#online.inOrder(this.#now)) {
+      const result = this.#grantOnline(request)
+      if (result.length > 0) {
+        granted.add(request.permit)
+        decisions.push(...result)
+      }
+      if (!this.#hasRoom()) {
+        break
       }
-      const target = this.#selectTarget(free, request, now)
+    }
+    if (granted.size > 0) {
+      this.#online.remove(({ request }) => granted.has(request.permit))
+    }
+  }
+
+  /** Appends the grants to `decisions`. */
+  #grantWaitingBatch (decisions: SlotDecision[]): void {
+    if (!this.#hasRoomForBatch()) {
+      return
+    }
+    for (const request of this.#batch.inOrder(this.#now)) {
+      // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
+      const target = this.#selectTarget(request, TargetAvailability.OnTrial) ??
+        (this.#freeSlots() > this.options.headroom ? this.#selectTarget(request, TargetAvailability.Available) : null)
       if (target !== null) {
-        this.#waitingBatch.delete(request.permit)
-        decisions.push(this.#grant(request, target, now))
+        this.#batch.delete(request.permit)
+        decisions.push(this.#grant(request, target.id))
+      }
+      if (!this.#hasRoomForBatch()) {
+        return
       }
     }
   }
 
-  #selectTarget (candidates: readonly TargetSlots[], request: SlotRequest, now: number): string | null {
-    let best: string | null = null
+  #hasRoomForBatch (): boolean {
+    return this.#freeSlots() > this.options.headroom ||
+      [...this.#unsound].some(target => this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.OnTrial)
+  }
+
+  /** Whether an online request might get a slot: one is free, or can be taken from batch work. */
+  #hasRoom (): boolean {
+    return this.#sound.free > 0 || this.#slots.preemptible.count > 0 || this.#unsound.size > 0
+  }
+
+  /** Returns the best target with a free slot of those that are available in this way, or null if there is none. */
+  #selectTarget (request: SlotRequest, availability: TargetAvailability): TargetSlots | null {
+    const candidates = [...this.#unsound].filter(target => target.granted < target.slots && this.#isUsable(target, request, availability))
+    if (availability === TargetAvailability.Available) {
+      candidates.push(...this.#soundCandidates(request))
+    }
+    let best: TargetSlots | null = null
     let bestScore = -Infinity
-    for (const [id, score] of this.#scoreTargets(candidates, request, now)) {
+    for (const candidate of candidates) {
+      const score = this.#scoreOf(candidate, request)
       if (score > bestScore) {
-        best = id
+        best = candidate
         bestScore = score
       }
     }
     return best
   }
 
-  /** Scores each target for the request; higher is better, and one busy slot lowers the score by one. */
-  #scoreTargets (candidates: readonly TargetSlots[], request: SlotRequest, now: number): ReadonlyMap<string, number> {
-    const cachedFractions = this.#prefixAffinity.cachedFractions(request.prefix)
-    return new Map(candidates.map(candidate => {
-      const cachedFraction = cachedFractions.get(candidate.id) ?? 0
-      const zone = candidate.zone === request.zone ? sameZoneWeight : 0
-      const failures = Math.max(0, this.#failureRates.rateOf(candidate.id, now) - toleratedFailureRate) * failureRateWeight
-      return [candidate.id, cachedFraction * prefixAffinityWeight + zone - failures - candidate.granted]
-    }))
+  /** Returns the sound targets that can be the best for a request: one that probably caches its prefix, and the least loaded ones. */
+  #soundCandidates (request: SlotRequest): readonly TargetSlots[] {
+    const candidates = this.#sound.leastLoaded(request.zone, target => !this.#isExcluded(target, request))
+    const caching = this.#slots.target(this.#prefixAffinity.targetOf(request.prefix) ?? '')
+    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && !this.#isExcluded(caching, request)
+    return isUsable ? [caching, ...candidates] : candidates
+  }
+
+  #isUsable (target: TargetSlots, request: SlotRequest, availability: TargetAvailability): boolean {
+    return target.accepting && !this.#isExcluded(target, request) &&
+      this.#health.availabilityFor(target.id, request.holder, this.#now) === availability
   }
 
   // A batch item waits without a time limit. If only excluded targets accept work, trying one of them again is better
   // than never running the item.
-  #candidates (now: number, request: SlotRequest, condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
-    const { holder, excluded, workClass } = request
-    const others = this.#slots.candidates(now, holder, excluded, condition)
-    if (others.length > 0 || workClass === WorkClass.Online || excluded.length === 0) {
-      return others
-    }
-    const hasOtherTarget = this.#slots.candidates(now, holder, excluded, () => true).length > 0
-    return hasOtherTarget ? others : this.#slots.candidates(now, holder, [], condition)
+  #isExcluded ({ id }: TargetSlots, { excluded, workClass }: SlotRequest): boolean {
+    return excluded.includes(id) && (workClass === WorkClass.Online || this.#sound.size + this.#unsound.size > excluded.length)
   }
 
-  #recordOutcome (target: string, holder: string, outcome: SlotOutcome, now: number): void {
-    const { initialSuspensionMilliseconds, maximumSuspensionMilliseconds } = this.options
-    switch (outcome) {
-      case SlotOutcome.Finished:
-      case SlotOutcome.Failed:
-        this.#failureRates.recordOutcome(target, outcome === SlotOutcome.Failed, now)
-        this.#slots.onAnswered(target)
-        return
-      case SlotOutcome.Full:
-        // The target is full of requests that this owner does not know. After one suspension they have ended or
-        // were reported, so the suspension does not grow.
-        this.#slots.onUnreachable(target, holder, now, initialSuspensionMilliseconds, initialSuspensionMilliseconds)
-        return
-      case SlotOutcome.Unreachable:
-        this.#slots.onUnreachable(target, holder, now, initialSuspensionMilliseconds, maximumSuspensionMilliseconds)
-        this.#prefixAffinity.removeTarget(target)
-        return
-      case SlotOutcome.Broken:
-        this.#slots.onBroken(target, now, initialSuspensionMilliseconds, maximumSuspensionMilliseconds)
+  /** Scores a target for a request; higher is better, and one busy slot lowers the score by one. */
+  #scoreOf (target: TargetSlots, request: SlotRequest): number {
+    const prefix = this.#prefixAffinity.targetOf(request.prefix) === target.id ? prefixAffinityWeight : 0
+    const zone = target.zone === request.zone ? sameZoneWeight : 0
+    return prefix + zone - this.#health.penaltyOf(target.id, this.#now) * failureRateWeight - target.granted
+  }
+
+  #recordOutcome (held: GrantedSlot, outcome: SlotOutcome): void {
+    const now = this.#now
+    this.#health.recordOutcome(held.target, held.holder, outcome, now)
+    if (outcome === SlotOutcome.Finished && held.workClass === WorkClass.Online) {
+      this.#holdTime.add(Math.max(0, now - held.grantedAt))
+    } else if (outcome === SlotOutcome.Finished) {
+      this.#batch.recordFinished(held.ran + Math.max(0, now - held.grantedAt), Math.max(0, now - held.startedAt))
+    } else if (outcome === SlotOutcome.Unreachable || outcome === SlotOutcome.Replaced) {
+      this.#prefixAffinity.removeTarget(held.target)
+    }
+    const target = this.#slots.target(held.target)
+    if (target !== undefined) {
+      this.#onTargetChanged(target)
     }
   }
 
-  #refuse (request: SlotRequest, now: number): SlotDecision {
-    const retryAfter = Math.max(1, Math.ceil(this.#expectedWait(now)))
-    return { kind: DecisionKind.Refuse, permit: request.permit, holder: request.holder, retryAfter }
+  #refuse (request: SlotRequest): SlotDecision {
+    const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#usableSlots() / this.#holdTime.value, request.latestReturn))
+    return { kind: DecisionKind.Refuse, permit: request.permit, holder: request.holder, retryAfter: Math.max(1, retryAfter) }
   }
 
-  /** Expected wait of a new request, in milliseconds. */
-  #expectedWait (now: number): number {
-    const slots = this.#slots.usableSlots(now)
-    if (slots === 0) {
-      return this.#holdTime.value
-    }
-    const timelyCount = this.#waitingOnline.filter(waiting => !isLate(waiting, now)).length
-    return (timelyCount + 1) * this.#holdTime.value / slots
+  /** Milliseconds in which a slot becomes free for the next waiting request. */
+  #millisecondsPerRequest (): number {
+    return this.#holdTime.value / Math.max(1, this.#usableSlots())
   }
-}
 
-function isLate ({ request, queuedAt }: WaitingRequest, now: number): boolean {
-  return now - queuedAt > request.patience
-}
+  #usableSlots (): number {
+    return this.#sound.slots + this.#sumOfUnsound(target => target.slots)
+  }
 
-function sortTimelyFirst (waiting: readonly WaitingRequest[], now: number): readonly WaitingRequest[] {
-  const late = waiting.filter(entry => isLate(entry, now))
-  return late.length === 0 ? waiting : [...waiting.filter(entry => !isLate(entry, now)), ...late]
+  #freeSlots (): number {
+    return this.#sound.free + this.#sumOfUnsound(target => Math.max(0, target.slots - target.granted))
+  }
+
+  #sumOfUnsound (slotsOf: (target: TargetSlots) => number): number {
+    let sum = 0
+    for (const target of this.#unsound) {
+      sum += this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.Available ? slotsOf(target) : 0
+    }
+    return sum
+  }
 }
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -33,8 +33,19 @@
    * rejected at once.
    */
   readonly patience: number
+  /**
+   * Online: milliseconds that the caller has spent on earlier attempts, as far as its deadline shows; callers that come back after a
+   * rejection are served before newcomers.
+   */
+  readonly spent: number
+  /** Online: longest time, in milliseconds, after which the caller can still come back if it is rejected. */
+  readonly latestReturn: number
   /** Batch: deadline of the item, in milliseconds since the epoch; 0 for online requests. */
   readonly due: number
+  /** Batch: milliseconds for which the item has run so far, in all its attempts; 0 for online requests. */
+  readonly ran: number
+  /** Batch: milliseconds since the item got its first slot; 0 before, and for online requests. */
+  readonly sinceStart: number
 }
 
 /** A slot that a holder reports as its own. */
@@ -42,8 +53,10 @@
   readonly permit: string
   readonly target: string
   readonly workClass: WorkClass
-  /** Batch: deadline of the item, in milliseconds since the epoch; 0 for online requests. */
+  /** As in {@link SlotRequest}. */
   readonly due: number
+  /** As in {@link SlotRequest}, at the time of the request. */
+  readonly ran: number
 }
 
 /** Grants the slot: the holder may send its request to the target. */
@@ -71,3 +84,22 @@
 }
 
 export type SlotDecision = SlotGrant | SlotRevocation | SlotRefusal
+
+/** Outcome of a request, as its holder reports it to the owner when it releases the slot. */
+export const SlotOutcome = {
+  /** The answer is complete. */
+  Finished: 'finished',
+  /** Its receiver stopped the answer: the client left, its deadline passed, or the slot was revoked. */
+  Stopped: 'stopped',
+  /** The target could not be reached, or was unresponsive. */
+  Unreachable: 'unreachable',
+  /** Another target responded at the target's address. */
+  Replaced: 'replaced',
+  /** The target's answer was interrupted, or could not be parsed. */
+  Broken: 'broken',
+  /** The target ran the request and answered that it failed. */
+  Failed: 'failed',
+  /** The target rejected the request because it was full. */
+  Full: 'full'
+} as const
+export type SlotOutcome = typeof SlotOutcome[keyof typeof SlotOutcome]
--- /dev/null
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -0,0 +1,97 @@
+/**
+ * Online requests that wait for a slot, in the order in which they get one. Load: bursts beyond all slots, whose callers are
+ * rejected and come back: who has been rejected before is served first, so that nobody is rejected twice while newcomers are served.
+ */
+import type { SlotRequest } from './fleet-messages.js'
+
+/** A request that waits. */
+export interface WaitingRequest {
+  readonly request: SlotRequest
+  /** Time in milliseconds since the epoch. */
+  readonly queuedAt: number
+}
+
+/**
+ * Multiple of a request's `patience` after which a waiting request is rejected. Up to then a late request stays queued: a
+ * late answer is worth less than a timely one but more than none. It gets only slots that no timely request needs.
+ */
+const maximumWaitFactor = 5
+/** Share of its patience within which a request may be rejected because of one that came back; later, it has waited too long for that. */
+const earlyRejectionShare = 1 / 3
+
+/** Keeps requests by the time of their callers' first attempts. */
+export class OnlineQueue {
+  #waiting: WaitingRequest[] = []
+
+  get length (): number {
+    return this.#waiting.length
+  }
+
+  has (permit: string): boolean {
+    return this.#waiting.some(({ request }) => request.permit === permit)
+  }
+
+  add (request: SlotRequest, now: number): void {
+    const entry = { request, queuedAt: now }
+    const index = this.#waiting.findLastIndex(other => firstAttemptOf(other) <= firstAttemptOf(entry))
+    this.#waiting.splice(index + 1, 0, entry)
+  }
+
+  /** Removes the requests that meet the condition and returns them. */
+  remove (condition: (entry: WaitingRequest) => boolean): readonly WaitingRequest[] {
+    const removed = this.#waiting.filter(condition)
+    if (removed.length > 0) {
+      this.#waiting = this.#waiting.filter(entry => !removed.includes(entry))
+    }
+    return removed
+  }
+
+  /** Returns the number of requests in time that are served before one of a caller whose first attempt was at the given time. */
+  countAhead (firstAttemptAt: number, now: number): number {
+    let count = 0
+    for (const entry of this.#waiting) {
+      count += firstAttemptOf(entry) <= firstAttemptAt && !isLate(entry, now) ? 1 : 0
+    }
+    return count
+  }
+
+  /** Returns the requests in the order in which they are served: those in time, then the late ones. */
+  inOrder (now: number): readonly WaitingRequest[] {
+    const late = this.#waiting.filter(entry => isLate(entry, now))
+    return late.length === 0 ? [...this.#waiting] : [...this.#waiting.filter(entry => !isLate(entry, now)), ...late]
+  }
+
+  /** Removes the requests that have waited too long even for a late answer, and returns them. */
+  removeExpired (now: number): readonly WaitingRequest[] {
+    return this.remove(({ request, queuedAt }) => now - queuedAt > request.patience * maximumWaitFactor)
+  }
+
+  /**
+   * Removes and returns the last request in time if it would be late, now that another is ahead of it, and has not waited for long.
+   *
+   * @param millisecondsPerRequest time in which the queue advances by one request
+   */
+  removeDisplaced (now: number, millisecondsPerRequest: number): WaitingRequest | null {
+    const timely = this.#waiting.filter(entry => !isLate(entry, now))
+    const last = timely.at(-1)
+    if (last === undefined) {
+      return null
+    }
+    const waited = now - last.queuedAt
+    const { patience } = last.request
+    if (waited > patience * earlyRejectionShare || waited + timely.length * millisecondsPerRequest <= patience) {
+      return null
+    }
+    this.remove(entry => entry === last)
+    return last
+  }
+}
+
+/** Returns when the caller made its first attempt, as far as is known, in milliseconds since the epoch. */
+function firstAttemptOf ({ request, queuedAt }: WaitingRequest): number {
+  return queuedAt - request.spent
+}
+
+function isLate ({ request, queuedAt }: WaitingRequest, now: number): boolean {
+  return now - queuedAt > request.patience
+}
--- a/packages/policy/src/fleet/prefix-affinity.ts
+++ b/packages/policy/src/fleet/prefix-affinity.ts
@@ -23,11 +23,10 @@
     }
   }
 
-  /** Returns, by target, the fraction of the request's prefix that it probably caches: 1 for one target, or an empty map if none is known. */
-  cachedFractions (prefix: readonly string[]): ReadonlyMap<string, number> {
+  /** Returns the target that probably caches the request's most specific shared prefix, or undefined if none is known to. */
+  targetOf (prefix: readonly string[]): string | undefined {
     const key = prefix.at(-1)
-    const target = key === undefined ? undefined : this.#targets.get(key)
-    return target === undefined ? new Map() : new Map([[target, 1]])
+    return key === undefined ? undefined : this.#targets.get(key)
   }
 
   /** Drops all prefixes of a target that has lost its cache. */
