Tell clients to connect to the instances with much capacity, and let these own the partitions of the jobs

Change: selectEntryMembers names the members with at least half of the greatest capacity in the client's availability zone, and all there if fewer than three are left. Partitions go to the candidates for owning services.

--- a/packages/gateway/src/jobs/job-partitions.ts
+++ b/packages/gateway/src/jobs/job-partitions.ts
@@ -61,7 +61,7 @@
   /** Returns the member that owns a partition; this process itself if no member is ready. */
   ownerOf (number: number): Member {
     const { membership, count } = this.dependencies
-    this.#owners ??= partitionOwners(membership.ready(), count)
+    this.#owners ??= partitionOwners(membership.ownerCandidates(), count)
     return this.#owners[number] ?? membership.self
   }
 
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -155,8 +155,8 @@
   }
 
   /**
-   * Returns the ready members that may own services: those whose capacity is close to the greatest, because all
-   * requests of the fleet wait for the owners' decisions.
+   * Returns the ready members that may own services and partitions of the jobs: those whose capacity is close to the greatest,
+   * because all requests of the fleet wait for the owners' decisions.
    */
   ownerCandidates (): readonly Member[] {
     return this.#derive().ownerCandidates
--- /dev/null
+++ b/packages/policy/tests/fleet/entry-members.test.ts
@@ -0,0 +1,44 @@
+/** Tests which members clients are told to connect to. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { selectEntryMembers } from '../../src/index.js'
+
+interface TestMember {
+  readonly kind: string
+  readonly zone: string
+  readonly capacity: number
+}
+
+function members (zone: string, strong: number, weak: number): readonly TestMember[] {
+  const create = (kind: string, count: number, capacity: number): readonly TestMember[] => {
+    return Array.from({ length: count }, () => ({ kind: `${zone}-${kind}`, zone, capacity }))
+  }
+  return [...create('strong', strong, 1_350), ...create('weak', weak, 324)]
+}
+
+function selected (fleet: readonly TestMember[], zone: string): ReadonlySet<string> {
+  return new Set(selectEntryMembers(fleet, zone).map(({ kind }) => kind))
+}
+
+describe('selectEntryMembers', () => {
+  it('returns the members with much capacity in the client\'s availability zone', () => {
+    const fleet = [...members('a', 6, 20), ...members('b', 6, 20)]
+    assert.deepEqual(selected(fleet, 'a'), new Set(['a-strong']))
+    assert.equal(selectEntryMembers(fleet, 'a').length, 6)
+  })
+
+  it('returns all members of an availability zone that has lost most of these', () => {
+    const fleet = [...members('a', 2, 20), ...members('b', 6, 20)]
+    assert.deepEqual(selected(fleet, 'a'), new Set(['a-strong', 'a-weak']))
+  })
+
+  it('returns all members of a fleet whose members are alike', () => {
+    const fleet = members('a', 0, 12)
+    assert.equal(selectEntryMembers(fleet, 'a').length, 12)
+  })
+
+  it('returns members of all availability zones for one that has too few', () => {
+    const fleet = [...members('a', 1, 0), ...members('b', 6, 20)]
+    assert.equal(selectEntryMembers(fleet, 'a').length, 27)
+  })
+})
