Let only the owners of a service follow its targets closely, and poll the store less

Cause: each instance read each heartbeat of each target (52 targets: 43 records a second, decoded by a schema, in about 2.5 calls) though only the owner of a service chooses targets; it polled the configuration each second, and all addresses every 8 s; and it reported all of its slots at each change of any member.

--- a/packages/fleet-model/src/policies/fifo-admission.ts
+++ b/packages/fleet-model/src/policies/fifo-admission.ts
@@ -48,7 +48,7 @@
       const { permit, holder } = request
       this.#granted.set(permit, target)
       this.#counts.set(target, (this.#counts.get(target) ?? 0) + 1)
-      decisions.push({ kind: DecisionKind.Grant, permit, holder, target })
+      decisions.push({ kind: DecisionKind.Grant, permit, holder, target, address: '' })
     }
     return decisions
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -88,9 +88,8 @@
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     this.slots = new SlotClient(this.membership, transport, this.targets)
-    this.targets.onChange(targets => {
+    this.targets.onChange(() => {
       this.#targetsKnown = true
-      this.#connections.retainOnly(targets)
       this.#updateState()
     })
     this.#jobPartitions = new JobPartitions({
@@ -145,6 +144,15 @@
     this.targets.replace(targets)
   }
 
+  /**
+   * Whether this process decides on the slots of some service, or would soon if other processes failed. Others need not follow
+   * the list of targets closely.
+   */
+  get needsTargets (): boolean {
+    const services = this.#routes?.configuration.routes.flatMap(route => route.services.map(({ service }) => service)) ?? []
+    return this.slots.isNearOwner(new Set(services))
+  }
+
   /** Returns the route of a request; if there is none, responds to the request and returns null. */
   route (request: IncomingMessage, response: ServerResponse): Route | null {
     if (this.#routes === null) {
@@ -219,7 +227,7 @@
 
   #onlineDependencies (): ConstructorParameters<typeof OnlineRun>[0] {
     const { names, logger } = this.options
-    return { slots: this.slots, targets: this.targets, connections: this.#connections, names, metrics: this.metrics, logger }
+    return { slots: this.slots, connections: this.#connections, names, metrics: this.metrics, logger }
   }
 
   #updateState (): void {
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -10,7 +10,7 @@
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
 import type { TargetConnections } from '../targets/target-connections.js'
-import type { Target, TargetRegistry } from '../targets/target-registry.js'
+import type { TargetEndpoint } from '../targets/target-registry.js'
 import type { Logger } from '../util/logger.js'
 import { afterNextRead } from '../util/after-next-read.js'
 import { sleep } from '../util/sleep.js'
@@ -22,7 +22,6 @@
 /** Dependencies of {@link ItemRun}. */
 export interface ItemRunDependencies {
   readonly slots: Pick<SlotClient, 'acquire'>
-  readonly targets: TargetRegistry
   readonly connections: TargetConnections
   readonly names: HeaderNames
   readonly logger: Logger
@@ -132,17 +131,12 @@
       return null
     }
     this.#excluded = []
-    const target = this.dependencies.targets.get(result.slot.target)
-    if (target === undefined) {
-      result.slot.release(SlotOutcome.Unreachable)
-      await sleep(retryMilliseconds)
-      return null
-    }
-    return await this.#dispatch(route, result.slot, target)
+    return await this.#dispatch(route, result.slot)
   }
 
   /** Sends the item to the target and releases the slot at the end; returns the result of the item, or null if it needs another attempt. */
-  async #dispatch (route: Route, slot: Slot, target: Target): Promise<ItemOutcome | null> {
+  async #dispatch (route: Route, slot: Slot): Promise<ItemOutcome | null> {
+    const { target } = slot
     this.#status = null
     this.#output.startStream()
     const sentAt = Date.now()
@@ -203,7 +197,7 @@
     return headers
   }
 
-  async #onCallEnd (route: Route, outcome: CallOutcome, target: Target, stopped: boolean): Promise<ItemOutcome | null> {
+  async #onCallEnd (route: Route, outcome: CallOutcome, target: TargetEndpoint, stopped: boolean): Promise<ItemOutcome | null> {
     if (outcome === CallOutcome.Complete && this.#status === okStatus && this.#output.events > 0) {
       return { state: ItemState.Completed, text: this.#output.text }
     }
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -31,6 +31,7 @@
   #refreshing: Promise<boolean> | null = null
   #refreshStartedAt = 0
   readonly #reconnectListeners: Array<() => void> = []
+  #endPause: (() => void) | null = null
 
   constructor (
     private readonly topic: KeyedTopic,
@@ -84,6 +85,11 @@
     }
   }
 
+  /** Ends a pause between two reads. */
+  hurry (): void {
+    this.#endPause?.()
+  }
+
   /** Calls the listener when a read succeeds for the first time or after a failure, before any records are passed on. */
   onReconnect (listener: () => void): void {
     this.#reconnectListeners.push(listener)
@@ -91,6 +97,7 @@
 
   close (): void {
     this.#closed = true
+    this.hurry()
   }
 
   async #refreshOnce (): Promise<boolean> {
@@ -112,7 +119,7 @@
         const before = this.#position
         await this.#readOnce(this.options.waitMilliseconds)
         if (this.#position !== before) {
-          await sleep(this.options.pauseMilliseconds())
+          await this.#pause()
         }
       } catch (error) {
         this.#onReadFailed(error)
@@ -121,6 +128,17 @@
     }
   }
 
+  async #pause (): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, this.options.pauseMilliseconds())
+      this.#endPause = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+    this.#endPause = null
+  }
+
   async #readOnce (waitMilliseconds: number): Promise<void> {
     const startedAt = Date.now()
     if (this.#position === null) {
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -9,7 +9,7 @@
 import { callTarget, CallOutcome } from '../targets/target-call.js'
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import type { TargetConnections } from '../targets/target-connections.js'
-import type { Target, TargetRegistry } from '../targets/target-registry.js'
+import type { TargetEndpoint } from '../targets/target-registry.js'
 import type { Logger } from '../util/logger.js'
 import { ResponseRelay } from './response-relay.js'
 import type { HeaderNames } from './header-names.js'
@@ -19,7 +19,6 @@
 /** Dependencies of {@link OnlineRun}. */
 export interface OnlineRunDependencies {
   readonly slots: SlotClient
-  readonly targets: TargetRegistry
   readonly connections: TargetConnections
   readonly names: HeaderNames
   readonly metrics: GatewayMetrics
@@ -82,11 +81,7 @@
         this.#onSlotRejected(result.retryAfter)
         return
       }
-      const target = this.dependencies.targets.get(result.slot.target)
-      if (target === undefined) {
-        result.slot.release(SlotOutcome.Unreachable)
-        this.#rejections += 1
-      } else if (await this.#dispatch(result.slot, target)) {
+      if (await this.#dispatch(result.slot)) {
         return
       }
       if (this.#rejections > maximumRejections) {
@@ -116,8 +111,9 @@
   }
 
   /** Sends the request to the target; returns true if the request is finished, and false if it needs another attempt. */
-  async #dispatch (slot: Slot, target: Target): Promise<boolean> {
+  async #dispatch (slot: Slot): Promise<boolean> {
     const { request, dependencies } = this
+    const { target } = slot
     const headers = [...request.headers]
     const resumeAfter = this.#relay.lastId ?? request.lastEventId
     if (resumeAfter !== null) {
@@ -184,7 +180,7 @@
     return this.#onCallEnd(isDiscarded && outcome === CallOutcome.Complete ? CallOutcome.Broken : outcome, target)
   }
 
-  #onCallEnd (outcome: CallOutcome, target: Target): boolean {
+  #onCallEnd (outcome: CallOutcome, target: TargetEndpoint): boolean {
     switch (outcome) {
       case CallOutcome.Complete:
         this.#relay.end()
--- a/packages/gateway/src/peers/member-directory.ts
+++ b/packages/gateway/src/peers/member-directory.ts
@@ -4,8 +4,10 @@
 import type { Logger } from '../util/logger.js'
 import type { Membership } from './membership.js'
 
-/** Interval between reads; gossip announces new members sooner. */
-const readIntervalMilliseconds = 8_000
+/** Interval between reads while no other member is known. */
+const searchIntervalMilliseconds = 8_000
+/** Interval between reads otherwise; members tell each other of new ones sooner. */
+const readIntervalMilliseconds = 60_000
 /** Delay before a failed read or append is retried. */
 const retryMilliseconds = 500
 
@@ -33,7 +35,7 @@
   }
 
   async #refresh (): Promise<void> {
-    let delay = readIntervalMilliseconds
+    let delay = searchIntervalMilliseconds
     try {
       const { records } = await this.topic.newest()
       const addresses = records.filter(record => record.value !== null).map(record => record.key)
@@ -42,6 +44,9 @@
       if (!addresses.includes(address)) {
         await this.topic.append([{ key: address, value: Buffer.from(zone) }], null)
       }
+      if (this.membership.live().length > 1) {
+        delay = readIntervalMilliseconds
+      }
     } catch (error) {
       this.logger.debug('could not read or store member addresses', { error: messageOf(error) })
       delay = retryMilliseconds
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -88,6 +88,8 @@
   readonly service: string
   readonly permit: string
   readonly target: string
+  /** `ip:port` of the target. */
+  readonly address: string
 }
 
 /** Rejects a request for a slot. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,14 +3,14 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, ownerOf, SlotOutcome } from '@arbutusloft/policy'
+import { DecisionKind, ownersOf, SlotOutcome } from '@arbutusloft/policy'
 import type { HeldSlot, SlotDecision } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isMemberMessage, PeerMessageType } from '../peers/peer-messages.js'
 import type { SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
-import type { TargetRegistry } from '../targets/target-registry.js'
+import type { TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import type { AcquireResult, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
@@ -45,12 +45,14 @@
 const ownerTimeoutMilliseconds = 120
 /** Interval at which held slots are reported to their owners, which lets an owner find slots whose release was lost. */
 const reportIntervalMilliseconds = 900
-/** The same after a change of the members, when a new owner has to learn which slots are held and a report may be lost. */
+/** The same after a change of owners, when a new owner has to learn which slots are held and a report may be lost. */
 const takeoverReportIntervalMilliseconds = 300
-/** Time after a change of the members for which the shorter interval applies. */
+/** Time after a change of owners for which the shorter interval applies. */
 const takeoverMilliseconds = 1_000
 /** Time after which a queued request is sent again, in case the owner has lost its soft state. */
 const queuedResendMilliseconds = 600
+/** Number of members, in the order in which they succeed each other as owner of a service, that keep themselves ready for it. */
+const successorCount = 3
 /** Delay before a batch request that was rejected is sent again. */
 const batchRetryMilliseconds = 100
 
@@ -61,9 +63,9 @@
   readonly #owner: SlotOwner
   readonly #pendingAlarm = new Alarm(now => this.#checkPending(now))
   readonly #reportAlarm = new Alarm(now => this.#reportAll(now))
-  /** Owners by service, until the members change. */
-  readonly #owners = new Map<string, string>()
-  #membersChangedAt = 0
+  /** Addresses of the owner of each service and of its successors, until the members change. */
+  readonly #owners = new Map<string, readonly string[]>()
+  #ownersChangedAt = 0
   readonly #permitPrefix: string
   readonly #servicesWithReportedSlots = new Set<string>()
   #sequence = 0
@@ -117,6 +119,11 @@
     return this.#ownerOf(service) === this.transport.address ? this.#owner.serviceLoad(service) : null
   }
 
+  /** Whether this process owns one of the services, or would soon if their owners failed. */
+  isNearOwner (services: Iterable<string>): boolean {
+    return [...services].some(service => this.#ownersOf(service).includes(this.transport.address))
+  }
+
   /** Number of slots that this process holds. */
   get held (): number {
     return this.#held.size
@@ -129,14 +136,18 @@
   }
 
   #ownerOf (service: string): string {
+    return this.#ownersOf(service)[0] ?? this.transport.address
+  }
+
+  #ownersOf (service: string): readonly string[] {
     const known = this.#owners.get(service)
     if (known !== undefined) {
       return known
     }
-    const candidates = this.membership.ownerCandidates().map(({ address, zone }) => ({ id: address, zone }))
-    const owner = ownerOf(service, candidates, null)?.id ?? this.transport.address
-    this.#owners.set(service, owner)
-    return owner
+    const candidates = this.membership.ownerCandidates().map(({ address }) => ({ id: address }))
+    const owners = ownersOf(service, candidates, successorCount).map(({ id }) => id)
+    this.#owners.set(service, owners)
+    return owners
   }
 
   #sendRequest (pending: PendingRequest): void {
@@ -185,8 +196,12 @@
 
   #onMembersChanged (): void {
     const now = Date.now()
+    const owners = new Map([...this.#owners].map(([service, [owner]]) => [service, owner]))
     this.#owners.clear()
-    this.#membersChangedAt = now
+    if ([...owners].every(([service, owner]) => owner === this.#ownerOf(service))) {
+      return
+    }
+    this.#ownersChangedAt = now
     for (const pending of this.#pending.values()) {
       const owner = this.#ownerOf(pending.demand.service)
       if (owner !== pending.ownerAddress) {
@@ -240,7 +255,7 @@
   }
 
   #reportInterval (now: number): number {
-    return now - this.#membersChangedAt < takeoverMilliseconds ? takeoverReportIntervalMilliseconds : reportIntervalMilliseconds
+    return now - this.#ownersChangedAt < takeoverMilliseconds ? takeoverReportIntervalMilliseconds : reportIntervalMilliseconds
   }
 
   #sendReport (service: string, held: readonly HeldSlot[]): void {
@@ -280,7 +295,7 @@
         this.#onQueued(message.permit)
         return
       case PeerMessageType.SlotGrant:
-        this.#onGrant(message.service, message.permit, message.target, sender)
+        this.#onGrant(message.service, message.permit, { id: message.target, address: message.address }, sender)
         return
       case PeerMessageType.SlotRejection:
         this.#onRejection(message.permit, message.retryAfter)
@@ -299,7 +314,7 @@
     }
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target })
+        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address })
         return
       case DecisionKind.Refuse:
         this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, retryAfter: decision.retryAfter })
@@ -312,7 +327,7 @@
   #applyDecision (service: string, decision: SlotDecision): void {
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.#onGrant(service, decision.permit, decision.target, this.transport.address)
+        this.#onGrant(service, decision.permit, { id: decision.target, address: decision.address }, this.transport.address)
         return
       case DecisionKind.Refuse:
         this.#onRejection(decision.permit, decision.retryAfter)
@@ -329,7 +344,7 @@
     }
   }
 
-  #onGrant (service: string, permit: string, target: string, owner: string): void {
+  #onGrant (service: string, permit: string, target: TargetEndpoint, owner: string): void {
     const pending = this.#pending.get(permit)
     if (pending === undefined) {
       // The request was withdrawn, or two owners granted it: releases the slot unless it is in use.
@@ -340,7 +355,7 @@
     }
     const { workClass, due, ran } = pending.demand
     const revoke = new AbortController()
-    const held: LocalSlot = { permit, target, workClass, due, ran, service, revoke, ownerAddress: owner }
+    const held: LocalSlot = { permit, target: target.id, workClass, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
     const now = Date.now()
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -3,7 +3,7 @@
  * send slot requests to this one.
  */
 import { FleetAdmission } from '@arbutusloft/policy'
-import type { HeldSlot, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { FleetTarget, HeldSlot, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
@@ -137,7 +137,7 @@
   }
 }
 
-function toFleetTarget (target: Target): { id: string, zone: string, slots: number, accepting: boolean } {
-  const { id, zone, slots, state } = target
-  return { id, zone, slots, accepting: state === TargetState.Ready }
+function toFleetTarget (target: Target): FleetTarget {
+  const { id, address, zone, slots, state } = target
+  return { id, address, zone, slots, accepting: state === TargetState.Ready }
 }
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -1,12 +1,12 @@
 /** Requests for slots, and their results. A slot lets its holder run one request on one target. */
 import type { SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { TargetEndpoint } from '../targets/target-registry.js'
 
 /** A slot that this process holds. */
 export interface Slot {
   /** Id of the permit under which the slot was granted. */
   readonly permit: string
-  /** Id of the target. */
-  readonly target: string
+  readonly target: TargetEndpoint
   /** Aborted when the owner revokes the slot; the holder must then stop the request and release the slot. */
   readonly revoked: AbortSignal
   /** Releases the slot; calls after the first one do nothing. */
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -3,7 +3,7 @@
 import type { ResponseHead } from './response-parser.js'
 import type { Exchange, TargetConnection } from './target-connection.js'
 import type { TargetConnections } from './target-connections.js'
-import type { Target } from './target-registry.js'
+import type { TargetEndpoint } from './target-registry.js'
 
 /** A request to a target. */
 export interface TargetRequest {
@@ -63,7 +63,7 @@
 /** Sends the request and passes the response to the sink. */
 export function callTarget (
   connections: TargetConnections,
-  target: Target,
+  target: TargetEndpoint,
   request: TargetRequest,
   names: HeaderNames,
   sink: ResponseSink
@@ -74,7 +74,7 @@
   return call
 }
 
-function encodeRequest (request: TargetRequest, target: Target, names: HeaderNames): Buffer {
+function encodeRequest (request: TargetRequest, target: TargetEndpoint, names: HeaderNames): Buffer {
   const { method, path, headers, body, remainingMilliseconds } = request
   const lines = [`${method} ${path} HTTP/1.1`]
   for (let index = 0; index + 1 < headers.length; index += 2) {
--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -1,7 +1,7 @@
 /** Connections to targets, which are used again for later requests. */
 import { Alarm } from '../util/alarm.js'
 import { TargetConnection } from './target-connection.js'
-import type { Target } from './target-registry.js'
+import type { TargetEndpoint } from './target-registry.js'
 
 /**
  * Time for which an idle connection is used again. Some targets drop connections that were idle for 300 ms and reset
@@ -14,8 +14,6 @@
   /** Connections without a request, the one that was used last at the end. */
   readonly idle: TargetConnection[]
   readonly all: Set<TargetConnection>
-  /** Whether the target has left the list, so that its connections are closed after their requests. */
-  isRetired: boolean
 }
 
 /** Keeps connections by target id, so that a new target at the address of a former one gets its own connections. */
@@ -24,7 +22,7 @@
   readonly #alarm = new Alarm(now => this.#closeExpired(now))
 
   /** Returns an idle or new connection for a request to the target; the one that was used last, since it is the least likely to be closed. */
-  acquire (target: Target): TargetConnection {
+  acquire (target: TargetEndpoint): TargetConnection {
     const pool = this.#poolOf(target)
     const newest = pool.idle.at(-1)
     if (newest !== undefined && Date.now() - newest.idleSince < keepAliveMilliseconds) {
@@ -34,24 +32,12 @@
     const connection: TargetConnection = new TargetConnection(
       target.address,
       () => { this.#onIdle(pool, connection) },
-      () => { this.#onClosed(pool, connection) }
+      () => { this.#onClosed(target.id, pool, connection) }
     )
     pool.all.add(connection)
     return connection
   }
 
-  /** Closes the connections to targets that are not in the list; calls in flight are completed first. */
-  retainOnly (targets: readonly Target[]): void {
-    const present = new Set(targets.map(target => target.id))
-    for (const [id, pool] of this.#pools) {
-      if (!present.has(id)) {
-        this.#pools.delete(id)
-        pool.isRetired = true
-        closeAll(pool.idle)
-      }
-    }
-  }
-
   close (): void {
     this.#alarm.close()
     for (const { all } of this.#pools.values()) {
@@ -59,27 +45,26 @@
     }
   }
 
-  #poolOf (target: Target): TargetPool {
+  #poolOf (target: TargetEndpoint): TargetPool {
     const known = this.#pools.get(target.id)
     if (known !== undefined) {
       return known
     }
-    const pool = { idle: [], all: new Set<TargetConnection>(), isRetired: false }
+    const pool = { idle: [], all: new Set<TargetConnection>() }
     this.#pools.set(target.id, pool)
     return pool
   }
 
   #onIdle (pool: TargetPool, connection: TargetConnection): void {
-    if (pool.isRetired) {
-      connection.close('target gone')
-      return
-    }
     pool.idle.push(connection)
     this.#alarm.setBy(connection.idleSince + keepAliveMilliseconds)
   }
 
-  #onClosed (pool: TargetPool, connection: TargetConnection): void {
+  #onClosed (id: string, pool: TargetPool, connection: TargetConnection): void {
     pool.all.delete(connection)
+    if (pool.all.size === 0 && this.#pools.get(id) === pool) {
+      this.#pools.delete(id)
+    }
     const index = pool.idle.indexOf(connection)
     if (index >= 0) {
       pool.idle.splice(index, 1)
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -19,6 +19,9 @@
   readonly state: TargetState
 }
 
+/** Where a request is sent. */
+export type TargetEndpoint = Pick<Target, 'id' | 'address'>
+
 /** Holds the current list of targets and notifies listeners of changes. */
 export class TargetRegistry {
   #targets: ReadonlyMap<string, Target> = new Map()
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -89,7 +89,7 @@
     this.#begin(now)
     const held = this.#slots.get(request.permit)
     if (held !== undefined) {
-      return [{ kind: DecisionKind.Grant, permit: request.permit, holder: request.holder, target: held.target }]
+      return [{ kind: DecisionKind.Grant, permit: request.permit, holder: request.holder, target: held.target, address: held.address }]
     }
     return request.workClass === WorkClass.Online ? this.#requestOnline(request) : this.#requestBatch(request)
   }
@@ -219,15 +219,16 @@
   #grantOnline (request: SlotRequest): readonly SlotDecision[] {
     const free = this.#selectTarget(request, TargetAvailability.Available)
     if (free !== null) {
-      return [this.#grant(request, free.id)]
+      return [this.#grant(request, free)]
     }
     const victim = this.#selectVictim(request)
-    if (victim !== null) {
+    const target = this.#slots.target(victim?.target ?? '')
+    if (victim !== null && target !== undefined) {
       this.#slots.revoke(victim)
-      return [this.#grant(request, victim.target), { kind: DecisionKind.Revoke, permit: victim.permit, holder: victim.holder }]
+      return [this.#grant(request, target), { kind: DecisionKind.Revoke, permit: victim.permit, holder: victim.holder }]
     }
     const onTrial = this.#selectTarget(request, TargetAvailability.OnTrial)
-    return onTrial === null ? [] : [this.#grant(request, onTrial.id)]
+    return onTrial === null ? [] : [this.#grant(request, onTrial)]
   }
 
   /**
@@ -252,13 +253,13 @@
     )
   }
 
-  #grant (request: SlotRequest, target: string): SlotGrant {
+  #grant (request: SlotRequest, { id: target, address }: TargetSlots): SlotGrant {
     const { permit, holder, workClass, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, workClass, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, workClass, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
     this.#prefixAffinity.recordGrant(request.prefix, target)
-    return { kind: DecisionKind.Grant, permit, holder, target }
+    return { kind: DecisionKind.Grant, permit, holder, target, address }
   }
 
   #grantWaiting (): readonly SlotDecision[] {
@@ -301,7 +302,7 @@
         (this.#freeSlots() > this.options.headroom ? this.#selectTarget(request, TargetAvailability.Available) : null)
       if (target !== null) {
         this.#batch.delete(request.permit)
-        decisions.push(this.#grant(request, target.id))
+        decisions.push(this.#grant(request, target))
       }
       if (!this.#hasRoomForBatch()) {
         return
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -5,6 +5,8 @@
 /** A target as admission control sees it. */
 export interface FleetTarget {
   readonly id: string
+  /** `ip:port`. */
+  readonly address: string
   readonly zone: string
   /** Number of requests that the target runs concurrently. */
   readonly slots: number
@@ -65,6 +67,8 @@
   readonly permit: string
   readonly holder: string
   readonly target: string
+  /** `ip:port` of the target; the holder need not know the target otherwise. */
+  readonly address: string
 }
 
 /** Revokes a slot: the holder must stop the request and release the slot. */
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -8,6 +8,8 @@
   readonly permit: string
   readonly holder: string
   readonly target: string
+  /** `ip:port` of the target; empty if the slot is known from a report of its holder. */
+  readonly address: string
   readonly workClass: WorkClass
   /** Batch: deadline of the item, in milliseconds since the epoch. */
   readonly due: number
@@ -24,6 +26,7 @@
 /** A target with the number of its granted slots. */
 export interface TargetSlots {
   readonly id: string
+  address: string
   zone: string
   slots: number
   accepting: boolean
@@ -54,10 +57,10 @@
   /** Replaces the list of targets. Slots of removed targets stay recorded until they are released. */
   setTargets (targets: readonly FleetTarget[]): void {
     const present = new Set(targets.map(target => target.id))
-    for (const { id, zone, slots, accepting } of targets) {
+    for (const { id, address, zone, slots, accepting } of targets) {
       const known = this.#targets.get(id)
-      const target = known ?? { id, zone, slots, accepting, granted: 0, online: 0 }
-      Object.assign(target, { zone, slots, accepting })
+      const target = known ?? { id, address, zone, slots, accepting, granted: 0, online: 0 }
+      Object.assign(target, { address, zone, slots, accepting })
       this.#targets.set(id, target)
       if (known === undefined) {
         this.#countGranted(target)
@@ -120,7 +123,7 @@
     for (const { permit, target, workClass, due, ran } of held) {
       const known = this.#granted.get(permit)
       if (known === undefined) {
-        this.recordGrant({ permit, holder, target, workClass, due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
+        this.recordGrant({ permit, holder, target, address: '', workClass, due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
       } else if (known.revoked) {
         revoked.push(permit)
       }
