Explain from the logs of instances what became of requests and items

Cause: on-call engineers searched the logs of up to 195 instances by hand, and failures were not counted by cause. Change: arbutus explain reads files and folders of logs, counts how requests and items ended by classes with examples, and with --id prints all lines about one in order of time. Lines of calls tell when the first byte was relayed and whether that was late; those of results name the item.

--- a/packages/command-line/src/commands/index.ts
+++ b/packages/command-line/src/commands/index.ts
@@ -2,6 +2,7 @@
 import type { CommandClass } from 'clipanion'
 import { AuditCommand } from './audit-command.js'
 import { ChargesCommand } from './charges-command.js'
+import { ExplainCommand } from './explain-command.js'
 import { HashKeyCommand } from './hash-key-command.js'
 import { CancelJobCommand, JobResultsCommand, ListJobsCommand, SubmitJobCommand, WatchJobCommand } from './jobs-commands.js'
 import { DiffListCommand, GetListCommand, PublishListCommand } from './list-commands.js'
@@ -13,6 +14,7 @@
   DiffListCommand,
   PublishListCommand,
   AuditCommand,
+  ExplainCommand,
   TargetsCommand,
   ChargesCommand,
   SubmitJobCommand,
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -164,7 +164,7 @@
     } else {
       this.dependencies.metrics.items.inc({ outcome: outcome.state })
       const changeOutcome = await partition.log.finish(job.id, index, outcome.state, outcome.text)
-      this.dependencies.logger.info('item finished', { job: job.id, index, state: outcome.state, end: changeOutcome })
+      this.dependencies.logger.info('item finished', { job: job.id, item: job.items[index]?.id, index, state: outcome.state, end: changeOutcome })
     }
     if (this.#runs.get(keyOf(job, index)) === started) {
       this.#runs.delete(keyOf(job, index))
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -49,6 +49,8 @@
   /** Number of failed attempts that no target ran. */
   #rejections = 0
   #clientDisconnected = false
+  /** Time from the arrival of the request to the first byte of the response that was relayed, or null before it. */
+  #firstByteMilliseconds: number | null = null
 
   constructor (
     private readonly dependencies: OnlineRunDependencies,
@@ -154,7 +156,8 @@
         const hadBegun = this.#relay.hasBegun
         const isWritable = this.#relay.onData(chunk)
         if (!hadBegun && this.#relay.hasBegun) {
-          dependencies.metrics.firstByte.observe((Date.now() - this.#startedAt) / millisecondsPerSecond)
+          this.#firstByteMilliseconds = Date.now() - this.#startedAt
+          dependencies.metrics.firstByte.observe(this.#firstByteMilliseconds / millisecondsPerSecond)
         }
         if (!isWritable) {
           this.#relay.onceWritable(() => { call.resume() })
@@ -175,7 +178,19 @@
     const wasUnresponsive = Date.now() - lastDataAt > unresponsiveTimeoutMilliseconds
     const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
     slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf(outcome, reason, status))
-    dependencies.logger.info('dispatch ended', { request: request.id, route: request.route.name, target: target.id, end: outcome, reason, waited: sentAt - this.#startedAt, took: Date.now() - sentAt, status })
+    const first = this.#firstByteMilliseconds
+    dependencies.logger.info('dispatch ended', {
+      request: request.id,
+      route: request.route.name,
+      target: target.id,
+      end: outcome,
+      reason,
+      waited: sentAt - this.#startedAt,
+      first,
+      late: first !== null && first > request.route.objectiveMilliseconds,
+      took: Date.now() - sentAt,
+      status
+    })
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
     return this.#onCallEnd(isDiscarded && outcome === CallOutcome.Complete ? CallOutcome.Broken : outcome, target)
   }
