Tell reset connections from a store that turns the instance away, and keep an outage of the store from causing calls among all

Both long polls of each instance failed, which counted as two calls in a row without a response; so all twelve relayed through peers that had no access either, tried the store once a second, and jobs of 1.6 s later were accepted late. In any outage of the store each follower asked two peers about seven times a second, over new connections. Change: calls that fail together count as one; a read whose connection broke is repeated at once over a new connection, and the pool is replaced; direct calls are tried after 100 ms, doubling up to 800; after up to four peers without access no peer is asked for 400 ms, doubling up to 1.6 s; the peer that relayed last is asked first.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -11,8 +11,8 @@
   readonly name: string
   /** Milliseconds that a read waits for records; also limits how long an unresponsive store goes unnoticed. */
   readonly waitMilliseconds: number
-  /** Returns the milliseconds between a read that returned records and the next one. */
-  readonly pauseMilliseconds: () => number
+  /** Returns the milliseconds between a read, which returned records or not, and the next one. */
+  readonly pauseMilliseconds: (hasRecords: boolean) => number
 }
 
 /** Receives records in the order of their offsets. If `isReset`, they are the complete content of the topic and replace all earlier ones. */
@@ -118,8 +118,9 @@
       try {
         const before = this.#position
         await this.#readOnce(this.options.waitMilliseconds)
-        if (this.#position !== before) {
-          await this.#pause()
+        const pause = this.options.pauseMilliseconds(this.#position !== before)
+        if (pause > 0) {
+          await this.#pause(pause)
         }
       } catch (error) {
         this.#onReadFailed(error)
@@ -128,9 +129,9 @@
     }
   }
 
-  async #pause (): Promise<void> {
+  async #pause (milliseconds: number): Promise<void> {
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, this.options.pauseMilliseconds())
+      const timer = setTimeout(resolve, milliseconds)
       this.#endPause = () => {
         clearTimeout(timer)
         resolve()
--- a/packages/gateway/src/store/direct-store-connection.ts
+++ b/packages/gateway/src/store/direct-store-connection.ts
@@ -13,27 +13,49 @@
 
 /** Calls the store over a connection pool. */
 export class DirectStoreConnection implements StoreConnection {
-  readonly #pool: Pool
+  #pool: Pool
+  /** Pools that were replaced, as long as calls use them. */
+  readonly #retired = new Set<Pool>()
+  #isClosed = false
 
-  constructor (address: string) {
-    this.#pool = new Pool(`http://${address}`, {
-      connections: maximumConnections,
-      pipelining: 1,
-      keepAliveTimeout: keepAliveMilliseconds,
-      connect: { timeout: connectTimeoutMilliseconds }
-    })
+  constructor (private readonly address: string) {
+    this.#pool = this.#createPool()
   }
 
   async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
+    const pool = this.#pool
     try {
-      const response = await callBuffered(this.#pool, { method, path, body, timeoutMilliseconds })
+      const response = await callBuffered(pool, { method, path, body, timeoutMilliseconds })
       return { answered: true, status: response.status, body: response.body }
     } catch (error) {
+      this.#retire(pool)
       return { answered: false, sent: !(error instanceof UnansweredCallError) || error.sent, reason: messageOf(error) }
     }
   }
 
   async close (): Promise<void> {
-    await this.#pool.destroy()
+    this.#isClosed = true
+    await Promise.all([this.#pool, ...this.#retired].map(async pool => { await pool.destroy() }))
+  }
+
+  #createPool (): Pool {
+    return new Pool(`http://${this.address}`, {
+      connections: maximumConnections,
+      pipelining: 1,
+      keepAliveTimeout: keepAliveMilliseconds,
+      connect: { timeout: connectTimeoutMilliseconds }
+    })
+  }
+
+  /** Replaces a pool on which a call has failed: its other connections may have become unresponsive together with that of the call. */
+  #retire (pool: Pool): void {
+    if (pool !== this.#pool || this.#isClosed) {
+      return
+    }
+    this.#pool = this.#createPool()
+    this.#retired.add(pool)
+    const forget = (): void => { this.#retired.delete(pool) }
+    // Rejects only if the pool is destroyed meanwhile.
+    pool.close().then(forget, forget)
   }
 }
--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -17,12 +17,20 @@
 /** Header that is present on a response that comes from the store and not from the peer. */
 export const storeReplyHeader = 'x-arbutus-from-store'
 
-/** Interval at which a direct call is tried while direct calls fail. */
-const probeIntervalMilliseconds = 1_000
+/** Delay of the first direct call after direct calls have failed; it doubles with each further one. */
+const initialProbeMilliseconds = 100
+/** Upper bound of that delay: the store may be away for seconds, and each call to it has a cost. */
+const maximumProbeMilliseconds = 800
 /** Calls in a row without a response after which direct calls count as unavailable; a single response may just have been lost. */
 const maximumUnansweredCalls = 2
 /** Peers that are tried for one call. */
-const maximumPeers = 2
+const maximumPeers = 4
+/**
+ * Time for which no peer is asked after those that were had no access to the store either, so that an outage of the store
+ * does not cause calls among all members; it doubles each time.
+ */
+const initialRelayPauseMilliseconds = 400
+const maximumRelayPauseMilliseconds = 1_600
 /** Time to connect to a peer, and the time allowed for the relay in addition to the call's own timeout. */
 const relayOverheadMilliseconds = 150
 
@@ -39,9 +47,18 @@
 /** Calls the store directly unless direct calls have failed recently; relays a call through peers if the direct one isn't served. */
 export class RelayingStoreConnection implements StoreConnection {
   #isDirectAvailable = true
-  #probedAt = 0
-  /** Direct calls in a row that were sent and not answered. */
+  /** Time from which a direct call is tried while they are unavailable, in milliseconds since the epoch. */
+  #nextProbeAt = 0
+  #probeDelay = initialProbeMilliseconds
+  /** Time until which no peer is asked, in milliseconds since the epoch. */
+  #relayPausedUntil = 0
+  #relayPause = initialRelayPauseMilliseconds
+  /** The peer that relayed a call last, or null. */
+  #provenPeer: string | null = null
+  /** Direct calls in a row, each begun after the one before had failed, that were sent and not answered. */
   #unansweredCalls = 0
+  /** Time of the latest direct call without a response, in milliseconds since the epoch. */
+  #unansweredAt = 0
   /** Incremented whenever direct calls become available or unavailable. */
   #stateVersion = 0
 
@@ -56,9 +73,13 @@
     if (!this.#shouldCallDirectly() && this.options.peers().length > 0) {
       return await this.#relay(method, path, body, timeoutMilliseconds)
     }
-    const reply = await this.callDirectly(method, path, body, timeoutMilliseconds)
+    let reply = await this.callDirectly(method, path, body, timeoutMilliseconds)
+    if (isLost(reply) && method === 'GET' && this.#isDirectAvailable) {
+      // The connection may just have been stale; the next call uses a new one.
+      reply = await this.callDirectly(method, path, body, timeoutMilliseconds)
+    }
     // An append that may have been applied must not be sent again through a peer.
-    const mayRelay = !isServed(reply) && (method === 'GET' || reply.answered || !reply.sent)
+    const mayRelay = !isServed(reply) && (method === 'GET' || !isLost(reply))
     return mayRelay ? await this.#relay(method, path, body, timeoutMilliseconds, reply) : reply
   }
 
@@ -77,42 +98,77 @@
   /** Makes a direct call and records whether the store serves this instance. */
   async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
     const stateVersion = this.#stateVersion
+    const startedAt = Date.now()
     const reply = await this.direct.call(method, path, body, timeoutMilliseconds)
+    this.#countUnanswered(reply, startedAt)
     const served = isServed(reply)
-    this.#unansweredCalls = !reply.answered && reply.sent ? this.#unansweredCalls + 1 : 0
-    const isLost = this.#unansweredCalls > 0 && this.#unansweredCalls < maximumUnansweredCalls
+    const isUndecided = isLost(reply) && this.#unansweredCalls < maximumUnansweredCalls
     // The outcome of a call that began before the last change of state is out of date.
-    if (served !== this.#isDirectAvailable && !isLost && stateVersion === this.#stateVersion) {
-      this.#stateVersion += 1
-      this.#isDirectAvailable = served
-      this.#probedAt = Date.now()
-      this.options.logger.info(served ? 'store serves this instance again' : 'store turns this instance away', { reply: describe(reply) })
+    if (served !== this.#isDirectAvailable && !isUndecided && stateVersion === this.#stateVersion) {
+      this.#setAvailable(served, reply)
     }
     return reply
   }
 
+  /** Counts calls without a response. Calls that fail together, as when all connections are reset, count as one. */
+  #countUnanswered (reply: StoreReply, startedAt: number): void {
+    if (!isLost(reply)) {
+      this.#unansweredCalls = 0
+    } else if (this.#unansweredCalls === 0 || startedAt > this.#unansweredAt) {
+      this.#unansweredCalls += 1
+      this.#unansweredAt = Date.now()
+    }
+  }
+
+  #setAvailable (isAvailable: boolean, reply: StoreReply): void {
+    this.#stateVersion += 1
+    this.#isDirectAvailable = isAvailable
+    this.#probeDelay = initialProbeMilliseconds
+    this.#nextProbeAt = Date.now() + this.#probeDelay
+    this.options.logger.info(isAvailable ? 'store serves this instance again' : 'store turns this instance away', { reply: describe(reply) })
+  }
+
   #shouldCallDirectly (): boolean {
     if (this.#isDirectAvailable) {
       return true
     }
-    if (Date.now() - this.#probedAt < probeIntervalMilliseconds) {
+    const now = Date.now()
+    if (now < this.#nextProbeAt) {
       return false
     }
-    this.#probedAt = Date.now()
+    this.#probeDelay = Math.min(this.#probeDelay * 2, maximumProbeMilliseconds)
+    this.#nextProbeAt = now + this.#probeDelay * (1 + Math.random()) / 2
     return true
   }
 
   async #relay (method: 'GET' | 'POST', path: string, body: Buffer | null, timeout: number, directReply?: StoreReply): Promise<StoreReply> {
-    let last: StoreReply = directReply ?? { answered: false, sent: false, reason: 'no peer is available to relay the call to the store' }
-    for (const peer of this.options.peers().slice(0, maximumPeers)) {
+    let last: StoreReply = directReply ?? { answered: false, sent: false, reason: 'no peer has access to the store' }
+    if (Date.now() < this.#relayPausedUntil) {
+      return last
+    }
+    for (const peer of this.#peersToTry()) {
       const reply = await callPeer(peer, method, path, body, timeout)
-      if (isServed(reply) || (method === 'POST' && !reply.answered && reply.sent)) {
+      if (isServed(reply)) {
+        this.#provenPeer = peer
+        this.#relayPause = initialRelayPauseMilliseconds
+        return reply
+      }
+      if (method === 'POST' && isLost(reply)) {
         return reply
       }
       last = reply
     }
+    this.#provenPeer = null
+    this.#relayPausedUntil = Date.now() + this.#relayPause
+    this.#relayPause = Math.min(this.#relayPause * 2, maximumRelayPauseMilliseconds)
     return last
   }
+
+  #peersToTry (): readonly string[] {
+    const peers = this.options.peers()
+    const proven = this.#provenPeer
+    return (proven === null || !peers.includes(proven) ? peers : [proven, ...peers.filter(peer => peer !== proven)]).slice(0, maximumPeers)
+  }
 }
 
 async function callPeer (peer: string, method: 'GET' | 'POST', path: string, body: Buffer | null, timeout: number): Promise<StoreReply> {
@@ -137,6 +193,11 @@
   }
 }
 
+/** Whether a call was sent and not answered, so that it may have been carried out. */
+function isLost (reply: StoreReply): boolean {
+  return !reply.answered && reply.sent
+}
+
 /** Whether the store served the call: it responded, and not with 503 or 429, with which it rejects calls. */
 function isServed (reply: StoreReply): boolean {
   return reply.answered && reply.status !== serviceUnavailableStatus && reply.status !== tooManyRequestsStatus
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -5,7 +5,7 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { relayStoreCall, RelayingStoreConnection } from '../../src/index.js'
+import { relayStoreCall, RelayingStoreConnection, sleep } from '../../src/index.js'
 import type { StoreConnection, StoreReply } from '../../src/index.js'
 import { createTestLogger } from '../util/test-logger.js'
 
@@ -17,7 +17,7 @@
 class PreparedConnection implements StoreConnection {
   calls = 0
 
-  constructor (private readonly replies: readonly StoreReply[]) {}
+  constructor (public replies: readonly StoreReply[]) {}
 
   async call (): Promise<StoreReply> {
     this.calls += 1
@@ -30,11 +30,16 @@
 describe('RelayingStoreConnection', () => {
   let peer: Server
   let peerCalls: PreparedConnection
+  let peerRequests = 0
 
   beforeEach(async () => {
+    peerRequests = 0
     peerCalls = new PreparedConnection([{ answered: true, status: 200, body: Buffer.from('relayed') }])
     const peerConnection = new RelayingStoreConnection(peerCalls, { peers: () => [], logger: createTestLogger() })
-    peer = createServer((request, response) => { void relayStoreCall(peerConnection, request, response) })
+    peer = createServer((request, response) => {
+      peerRequests += 1
+      void relayStoreCall(peerConnection, request, response)
+    })
     peer.listen(0, '127.0.0.1')
     await once(peer, 'listening')
   })
@@ -46,6 +51,10 @@
     return new RelayingStoreConnection(new PreparedConnection(replies), { peers: () => peers, logger: createTestLogger() })
   }
 
+  function connectWith (direct: StoreConnection): RelayingStoreConnection {
+    return new RelayingStoreConnection(direct, { peers: () => [`127.0.0.1:${(peer.address() as AddressInfo).port}`], logger: createTestLogger() })
+  }
+
   async function read (connection: RelayingStoreConnection): Promise<string> {
     const reply = await connection.call('GET', '/log-read', null, 100)
     return reply.answered ? `${reply.status} ${reply.body.toString()}` : reply.reason
@@ -66,6 +75,32 @@
     assert.equal(await read(connection), '200 relayed')
   })
 
+  it('goes on with direct calls after all connections were reset at once', async () => {
+    const connection = connect([lost, lost, lost, served])
+    assert.deepEqual(await Promise.all([read(connection), read(connection), read(connection)]), Array.from({ length: 3 }, () => '200 direct'))
+    assert.equal(peerCalls.calls, 0)
+  })
+
+  it('asks peers seldom while these have no access to the store either, and calls the store directly as soon as it is back', async () => {
+    peerCalls.replies = [refused]
+    const direct = new PreparedConnection([refused])
+    const connection = connectWith(direct)
+    const startedAt = Date.now()
+    while (Date.now() - startedAt < 700) {
+      await read(connection)
+      await sleep(5)
+    }
+    // One direct call at the beginning, and others after 100, 200 and 400 ms or less; a peer is asked every 400 ms, and asks the store itself only once.
+    assert.ok(direct.calls <= 6, `${direct.calls} direct calls`)
+    assert.ok(peerRequests <= 3, `${peerRequests} requests to peers`)
+    direct.replies = [served]
+    const backAt = Date.now()
+    while (await read(connection) !== '200 direct') {
+      await sleep(5)
+    }
+    assert.ok(Date.now() - backAt < 900)
+  })
+
   it('relays a call that the store rejects, and those after it', async () => {
     const connection = connect([refused])
     assert.equal(await read(connection), '200 relayed')
