Hold back prompt parts under which targets crash

Callers saw: while requests with one prompt part arrived, every target of the service crashed, and all others got 502 and 503 for seconds. Cause: outcomes of requests were attributed to targets only. A request whose target crashed under it went to the next target, and so did every further request with the same part. What: the owner of a service's slots, which decides on every dispatch (online, items, repetitions, resumed streams), attributes a crash to the shared prompt parts of the requests that it interrupted. A complete answer clears a part. After the first crash requests with a part that no complete answer was seen with pass one at a time; after the third it is held back: online requests get 503 at once ('not run', Retry-After is the time until the next trial), items wait. Trials follow after 1 s, 8 s, 64 s and so on; a complete answer ends the quarantine. Each change goes to all members and into the log (topic quarantine), and what is known is told to each new owner. A connection lost in mid-answer counts as a crash only if the answer had brought data for less than 300 ms, and without a head only if the request was out for 25 ms, since a target resets connections beyond its limit at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** Composition of a gateway process from its parts. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, RouteTable } from '@arbutusloft/policy'
+import { pickService, PromptQuarantine, RouteTable } from '@arbutusloft/policy'
 import type { Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -23,6 +23,8 @@
 import type { Member } from './peers/member.js'
 import type { PeerTransport } from './peers/peer-socket.js'
 import { SlotClient } from './permits/slot-client.js'
+import { QuarantineLog } from './prompts/quarantine-log.js'
+import { QuarantineSharing } from './prompts/quarantine-sharing.js'
 import { TargetConnections } from './targets/target-connections.js'
 import { TargetRegistry } from './targets/target-registry.js'
 import type { Target } from './targets/target-registry.js'
@@ -58,6 +60,8 @@
 const progressTopicName = 'progress'
 /** Topic of the tokens that wait in each partition of the jobs. */
 const tokensTopicName = 'tokens'
+/** Topic of the prompt parts that are held back. */
+const quarantineTopicName = 'quarantine'
 /** Topic of the addresses of the fleet's processes. */
 const membersTopicName = 'members'
 /** Retry delay for clients whose request a process rejects because it has no configuration yet, or no service for the route. */
@@ -87,7 +91,9 @@
   constructor (private readonly options: GatewayOptions) {
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
-    this.slots = new SlotClient(this.membership, transport, this.targets)
+    const quarantine = new PromptQuarantine()
+    this.slots = new SlotClient(this.membership, transport, this.targets, quarantine)
+    this.#shareQuarantine(quarantine)
     this.targets.onChange(() => {
       this.#targetsKnown = true
       this.#updateState()
@@ -225,6 +231,19 @@
     this.#connections.close()
   }
 
+  #shareQuarantine (quarantine: PromptQuarantine): void {
+    const { transport, logger, openTopic } = this.options
+    const log = new QuarantineLog(openTopic(quarantineTopicName, 0, this.metrics), logger)
+    const sharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log, logger })
+    this.slots.onOwnerChange(address => {
+      if (address === transport.address) {
+        void sharing.load()
+      } else {
+        sharing.tell(address)
+      }
+    })
+  }
+
   #onlineDependencies (): ConstructorParameters<typeof OnlineRun>[0] {
     const { names, logger } = this.options
     return { slots: this.slots, connections: this.#connections, names, metrics: this.metrics, logger }
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -144,6 +144,7 @@
     this.#output.startStream()
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
+    let firstDataAt: number | null = null
     const call = callTarget(this.dependencies.connections, target, {
       id: this.item.id,
       method: 'POST',
@@ -155,6 +156,7 @@
       onHead: head => { this.#status = head.status },
       onData: chunk => {
         unresponsiveTimer.refresh()
+        firstDataAt ??= Date.now()
         if (this.#status === okStatus) {
           this.#output.push(chunk)
         }
@@ -186,7 +188,7 @@
     this.#stop.signal.removeEventListener('abort', onStop)
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted)
-    slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf(outcome, reason, this.#status))
+    slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf({ end: outcome, reason, status: this.#status, sentAt, firstDataAt, endedAt: Date.now() }))
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { parts: this.#parts.map(promptPartDigest) } : {}) })
     return await this.#onCallEnd(route, outcome, target, stopped)
   }
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,6 +1,6 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
-import { promptPartDigest, RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import { promptPartDigest, RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
@@ -80,14 +80,14 @@
     for (;;) {
       const result = await this.#acquire()
       if (!result.granted) {
-        this.#onSlotRejected(result.retryAfter)
+        this.#onSlotRejected(result.reason, result.retryAfter)
         return
       }
       if (await this.#dispatch(result.slot)) {
         return
       }
       if (this.#rejections > maximumRejections) {
-        this.#onSlotRejected(0)
+        this.#onSlotRejected(RefusalReason.Busy, 0)
         return
       }
     }
@@ -122,6 +122,7 @@
       headers.push('Last-Event-Id', String(resumeAfter))
     }
     const sentAt = Date.now()
+    let firstDataAt: number | null = null
     let lastDataAt = sentAt
     let unresponsiveTimer: NodeJS.Timeout | null = null
     let status: number | null = null
@@ -150,6 +151,7 @@
       onData: chunk => {
         unresponsiveTimer?.refresh()
         lastDataAt = Date.now()
+        firstDataAt ??= lastDataAt
         if (isDiscarded) {
           return true
         }
@@ -177,7 +179,7 @@
     this.#abort.signal.removeEventListener('abort', onAbort)
     const wasUnresponsive = Date.now() - lastDataAt > unresponsiveTimeoutMilliseconds
     const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
-    slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf(outcome, reason, status))
+    slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt, firstDataAt, endedAt: Date.now() }))
     const first = this.#firstByteMilliseconds
     dependencies.logger.info('dispatch ended', {
       request: request.id,
@@ -241,14 +243,18 @@
     return true
   }
 
-  #onSlotRejected (retryAfter: number): void {
+  #onSlotRejected (reason: RefusalReason, retryAfter: number): void {
     if (this.#clientDisconnected || this.#relay.hasBegun || this.#possibleExecutions > 0 || this.#abort.signal.aborted) {
       this.#finishIncomplete()
       return
     }
     const waited = Date.now() - this.#startedAt
-    this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, retryAfter, refusals: this.#rejections })
-    rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
+    this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
+    if (reason === RefusalReason.Quarantined) {
+      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets have crashed under a part of its prompt', retryAfter)
+    } else {
+      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
+    }
     this.#count('refused')
   }
 
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { HeldSlot, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, QuarantinedPart, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -18,7 +18,8 @@
   SlotRevocation: 'v',
   SlotWithdrawal: 'x',
   SlotRelease: 'r',
-  SlotReport: 'p'
+  SlotReport: 'p',
+  PromptQuarantine: 'z'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -96,7 +97,8 @@
 export interface SlotRejectionMessage {
   readonly type: typeof PeerMessageType.SlotRejection
   readonly permit: string
-  /** Milliseconds until a slot is expected to be free. */
+  readonly reason: RefusalReason
+  /** Milliseconds until a slot is expected to be free, or until the quarantine is reviewed. */
   readonly retryAfter: number
 }
 
@@ -119,6 +121,8 @@
   readonly service: string
   readonly permit: string
   readonly outcome: SlotOutcome
+  /** The request that the target crashed under; left out if it has not crashed. */
+  readonly crash?: CrashReport
 }
 
 /** Reports all slots of a service that the sender holds. */
@@ -128,6 +132,12 @@
   readonly held: readonly HeldSlot[]
 }
 
+/** Tells which prompt parts are in quarantine, or no longer are. */
+export interface PromptQuarantineMessage {
+  readonly type: typeof PeerMessageType.PromptQuarantine
+  readonly entries: readonly QuarantinedPart[]
+}
+
 /** Messages about members; the first update in each describes its sender. */
 export type MemberMessage =
   | PingMessage
@@ -148,7 +158,7 @@
   | SlotReleaseMessage
   | SlotReportMessage
 
-export type PeerMessage = MemberMessage | SlotMessage
+export type PeerMessage = MemberMessage | SlotMessage | PromptQuarantineMessage
 
 const types: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType))
 const memberTypes: ReadonlySet<unknown> = new Set([
@@ -163,6 +173,11 @@
   return !memberTypes.has(value.type) || ('members' in value && isMemberDigest(value.members))
 }
 
+/** Whether a message is about slots. */
+export function isSlotMessage (message: PeerMessage): message is SlotMessage {
+  return !isMemberMessage(message) && message.type !== PeerMessageType.PromptQuarantine
+}
+
 /** Whether a message is about members. */
 export function isMemberMessage (message: PeerMessage): message is MemberMessage {
   return memberTypes.has(message.type)
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,11 +3,11 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, ownersOf, SlotOutcome } from '@arbutusloft/policy'
-import type { HeldSlot, SlotDecision } from '@arbutusloft/policy'
+import { DecisionKind, ownersOf, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, PromptQuarantine, SlotDecision } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
-import { isMemberMessage, PeerMessageType } from '../peers/peer-messages.js'
+import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
 import type { SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import type { TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
@@ -33,6 +33,8 @@
 /** A slot that this process holds. */
 interface LocalSlot extends HeldSlot {
   readonly service: string
+  /** As in {@link SlotRequest}. */
+  readonly prefix: readonly string[]
   /** Aborted when the owner revokes the slot. */
   readonly revoke: AbortController
   /** Address of the member that granted the slot or got the latest report of it; the release is sent there. */
@@ -68,17 +70,22 @@
   #ownersChangedAt = 0
   readonly #permitPrefix: string
   readonly #servicesWithReportedSlots = new Set<string>()
+  readonly #ownerListeners: Array<(address: string) => void> = []
   #sequence = 0
 
   constructor (
     private readonly membership: Membership,
     private readonly transport: PeerTransport,
-    targets: TargetRegistry
+    targets: TargetRegistry,
+    quarantine: PromptQuarantine
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    this.#owner = new SlotOwner(targets, (service, decision) => { this.#deliverDecision(service, decision) })
+    this.#owner = new SlotOwner(targets, quarantine, {
+      onDecision: (service, decision) => { this.#deliverDecision(service, decision) },
+      onFirstContact: () => { this.#notifyOwner(transport.address) }
+    })
     transport.onMessage((message, sender) => {
-      if (!isMemberMessage(message)) {
+      if (isSlotMessage(message)) {
         this.#onMessage(message, sender)
       }
     })
@@ -91,14 +98,14 @@
    */
   async acquire (demand: SlotDemand, signal: AbortSignal): Promise<AcquireResult> {
     if (signal.aborted) {
-      return { granted: false, retryAfter: 0 }
+      return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
     }
     this.#sequence += 1
     const permit = this.#permitPrefix + this.#sequence.toString(36)
     return await new Promise(resolve => {
       const abort = (): void => {
         this.#withdraw(permit)
-        settle({ granted: false, retryAfter: 0 })
+        settle({ granted: false, reason: RefusalReason.Busy, retryAfter: 0 })
       }
       const settle = (result: AcquireResult): void => {
         signal.removeEventListener('abort', abort)
@@ -124,6 +131,11 @@
     return [...services].some(service => this.#ownersOf(service).includes(this.transport.address))
   }
 
+  /** Calls the listener with the address of each process, this one included, that begins to own slots which this process uses or grants. */
+  onOwnerChange (listener: (address: string) => void): void {
+    this.#ownerListeners.push(listener)
+  }
+
   /** Number of slots that this process holds. */
   get held (): number {
     return this.#held.size
@@ -202,6 +214,11 @@
       return
     }
     this.#ownersChangedAt = now
+    for (const [service, owner] of owners) {
+      if (owner !== this.#ownerOf(service)) {
+        this.#notifyOwner(this.#ownerOf(service))
+      }
+    }
     for (const pending of this.#pending.values()) {
       const owner = this.#ownerOf(pending.demand.service)
       if (owner !== pending.ownerAddress) {
@@ -213,6 +230,12 @@
     this.#reportAlarm.setBy(this.#reportAll(now))
   }
 
+  #notifyOwner (address: string): void {
+    for (const listener of this.#ownerListeners) {
+      listener(address)
+    }
+  }
+
   #withdraw (permit: string): void {
     const pending = this.#pending.get(permit)
     if (pending !== undefined) {
@@ -286,7 +309,7 @@
         this.#owner.withdraw(message.service, message.permit)
         return
       case PeerMessageType.SlotRelease:
-        this.#owner.release(message.service, message.permit, message.outcome)
+        this.#owner.release(message.service, message.permit, message.outcome, message.crash ?? null)
         return
       case PeerMessageType.SlotReport:
         this.#owner.report(message.service, sender, message.held)
@@ -298,7 +321,7 @@
         this.#onGrant(message.service, message.permit, { id: message.target, address: message.address }, sender)
         return
       case PeerMessageType.SlotRejection:
-        this.#onRejection(message.permit, message.retryAfter)
+        this.#onRejection(message.permit, message.reason, message.retryAfter)
         return
       case PeerMessageType.SlotRevocation:
         this.#held.get(message.permit)?.revoke.abort()
@@ -317,7 +340,7 @@
         this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address })
         return
       case DecisionKind.Refuse:
-        this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, retryAfter: decision.retryAfter })
+        this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, reason: decision.reason, retryAfter: decision.retryAfter })
         return
       case DecisionKind.Revoke:
         this.transport.send(holder, { type: PeerMessageType.SlotRevocation, permit })
@@ -330,7 +353,7 @@
         this.#onGrant(service, decision.permit, { id: decision.target, address: decision.address }, this.transport.address)
         return
       case DecisionKind.Refuse:
-        this.#onRejection(decision.permit, decision.retryAfter)
+        this.#onRejection(decision.permit, decision.reason, decision.retryAfter)
         return
       case DecisionKind.Revoke:
         this.#held.get(decision.permit)?.revoke.abort()
@@ -349,13 +372,13 @@
     if (pending === undefined) {
       // The request was withdrawn, or two owners granted it: releases the slot unless it is in use.
       if (!this.#held.has(permit)) {
-        this.#sendRelease(service, owner, permit, SlotOutcome.Stopped)
+        this.#sendRelease(service, owner, permit, SlotOutcome.Stopped, null)
       }
       return
     }
-    const { workClass, due, ran } = pending.demand
+    const { workClass, prefix, due, ran } = pending.demand
     const revoke = new AbortController()
-    const held: LocalSlot = { permit, target: target.id, workClass, due, ran, service, revoke, ownerAddress: owner }
+    const held: LocalSlot = { permit, target: target.id, workClass, prefix, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
     const now = Date.now()
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
@@ -363,7 +386,7 @@
     pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, release } })
   }
 
-  #onRejection (permit: string, retryAfter: number): void {
+  #onRejection (permit: string, reason: RefusalReason, retryAfter: number): void {
     const pending = this.#pending.get(permit)
     if (pending === undefined) {
       return
@@ -375,20 +398,22 @@
       this.#pendingAlarm.setBy(nextCheckOf(pending))
       return
     }
-    pending.settle({ granted: false, retryAfter })
+    pending.settle({ granted: false, reason, retryAfter })
   }
 
   #release (held: LocalSlot, outcome: SlotOutcome): void {
     if (this.#held.delete(held.permit)) {
-      this.#sendRelease(held.service, held.ownerAddress, held.permit, outcome)
+      const { service, ownerAddress, permit, target, prefix } = held
+      const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix } : null
+      this.#sendRelease(service, ownerAddress, permit, outcome, crash)
     }
   }
 
-  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome): void {
+  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null): void {
     if (owner === this.transport.address) {
-      this.#owner.release(service, permit, outcome)
+      this.#owner.release(service, permit, outcome, crash)
     } else {
-      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, outcome })
+      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, outcome, ...(crash === null ? {} : { crash }) })
     }
   }
 }
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -2,14 +2,19 @@
  * The owner side of slot allocation: runs admission control for every service for which other processes, the holders,
  * send slot requests to this one.
  */
-import { FleetAdmission } from '@arbutusloft/policy'
-import type { FleetTarget, HeldSlot, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import { defaultFleetAdmissionOptions, FleetAdmission } from '@arbutusloft/policy'
+import type { CrashReport, FleetTarget, HeldSlot, PromptQuarantine, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 
-/** Receives the owner's decisions; `decision.holder` is the process to deliver each one to. */
-export type DecisionListener = (service: string, decision: SlotDecision) => void
+/** Receives what the owner decides. */
+export interface SlotOwnerListener {
+  /** Called with each decision; `decision.holder` is the process to deliver it to. */
+  readonly onDecision: (service: string, decision: SlotDecision) => void
+  /** Called before the first decision on a service. */
+  readonly onFirstContact: () => void
+}
 
 /** Interval at which waiting requests are decided anew: their time may be up, and targets may have become available again. */
 const waitingCheckIntervalMilliseconds = 25
@@ -37,7 +42,8 @@
 
   constructor (
     private readonly targets: TargetRegistry,
-    private readonly listener: DecisionListener
+    private readonly quarantine: PromptQuarantine,
+    private readonly listener: SlotOwnerListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
   }
@@ -54,8 +60,15 @@
     return decisions.some(decision => decision.permit === request.permit)
   }
 
-  /** Frees the slot of a permit; the outcome tells admission control about the target's health. */
-  release (service: string, permit: string, outcome: SlotOutcome): void {
+  /**
+   * Frees the slot of a permit; the outcome tells admission control about the target's health.
+   *
+   * @param crash the request that the target crashed under, or null if it has not crashed
+   */
+  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null): void {
+    if (crash !== null) {
+      this.quarantine.onCrashed(permit, crash, Date.now())
+    }
     this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now()))
   }
 
@@ -97,8 +110,9 @@
     if (known !== undefined) {
       return known
     }
-    const owned = { admission: new FleetAdmission(), holders: new Map<string, number>() }
+    const owned = { admission: new FleetAdmission(defaultFleetAdmissionOptions, this.quarantine), holders: new Map<string, number>() }
     this.#services.set(service, owned)
+    this.listener.onFirstContact()
     owned.admission.setTargets(this.targets.ofService(service).map(toFleetTarget), Date.now())
     return owned
   }
@@ -132,7 +146,7 @@
 
   #emit (service: string, decisions: readonly SlotDecision[]): void {
     for (const decision of decisions) {
-      this.listener(service, decision)
+      this.listener.onDecision(service, decision)
     }
   }
 }
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -1,5 +1,5 @@
 /** Requests for slots, and their results. A slot lets its holder run one request on one target. */
-import type { SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetEndpoint } from '../targets/target-registry.js'
 
 /** A slot that this process holds. */
@@ -16,8 +16,8 @@
 /** Result of a request for a slot. */
 export type AcquireResult =
   | { readonly granted: true, readonly slot: Slot }
-  /** @property retryAfter milliseconds until a slot is expected to be free; 0 if the request was aborted */
-  | { readonly granted: false, readonly retryAfter: number }
+  /** @property retryAfter milliseconds until a slot is expected to be free or the prompt's quarantine is reviewed; 0 if the request was aborted */
+  | { readonly granted: false, readonly reason: RefusalReason, readonly retryAfter: number }
 
 /** Parameters of a request for a slot on a target of `service`; permit, holder and availability zone are filled in when it is sent. */
 export type SlotDemand = Omit<SlotRequest, 'permit' | 'holder' | 'zone'> & { readonly service: string }
--- /dev/null
+++ b/packages/gateway/src/prompts/quarantine-sharing.ts
@@ -0,0 +1,70 @@
+/**
+ * Shares the quarantine of prompt parts. The owner of a service's slots decides on it; every other process keeps a copy and
+ * hands it to the next owner, and the log keeps it for a fleet that starts again.
+ */
+import type { PromptQuarantine, QuarantinedPart } from '@arbutusloft/policy'
+import type { Membership } from '../peers/membership.js'
+import { PeerMessageType } from '../peers/peer-messages.js'
+import type { PeerTransport } from '../peers/peer-socket.js'
+import type { Logger } from '../util/logger.js'
+import type { QuarantineLog } from './quarantine-log.js'
+
+/** Entries in one datagram; each takes up to 50 bytes, and one packet carries 1,472. */
+const entriesPerDatagram = 24
+
+/** Dependencies of {@link QuarantineSharing}. */
+export interface QuarantineSharingDependencies {
+  readonly quarantine: PromptQuarantine
+  readonly membership: Pick<Membership, 'live' | 'self'>
+  readonly transport: PeerTransport
+  readonly log: Pick<QuarantineLog, 'save' | 'load'>
+  readonly logger: Logger
+}
+
+/** Sends and receives entries. */
+export class QuarantineSharing {
+  constructor (private readonly dependencies: QuarantineSharingDependencies) {
+    const { quarantine, transport } = dependencies
+    quarantine.onChange(entry => { this.#onChange(entry) })
+    transport.onMessage(message => {
+      if (message.type === PeerMessageType.PromptQuarantine) {
+        this.#merge(message.entries)
+      }
+    })
+  }
+
+  /** Reads the entries that earlier processes have kept; called when this process begins to own the slots of a service. */
+  async load (): Promise<void> {
+    this.#merge(await this.dependencies.log.load())
+  }
+
+  /** Tells a process that has become the owner of a service's slots what is in quarantine. */
+  tell (address: string): void {
+    const entries = this.dependencies.quarantine.entries(Date.now())
+    for (let start = 0; start < entries.length; start += entriesPerDatagram) {
+      this.#send(address, entries.slice(start, start + entriesPerDatagram))
+    }
+  }
+
+  #onChange (entry: QuarantinedPart): void {
+    const { membership, log, logger } = this.dependencies
+    logger.warn('quarantine of a prompt part changed', { part: entry.digest, periods: entry.periods, remaining: entry.remaining, version: entry.version })
+    for (const { address } of membership.live()) {
+      if (address !== membership.self.address) {
+        this.#send(address, [entry])
+      }
+    }
+    void log.save(entry)
+  }
+
+  #send (address: string, entries: readonly QuarantinedPart[]): void {
+    this.dependencies.transport.send(address, { type: PeerMessageType.PromptQuarantine, entries })
+  }
+
+  #merge (entries: readonly QuarantinedPart[]): void {
+    const now = Date.now()
+    for (const entry of entries) {
+      this.dependencies.quarantine.merge(entry, now)
+    }
+  }
+}
--- a/packages/gateway/src/targets/call-outcome.ts
+++ b/packages/gateway/src/targets/call-outcome.ts
@@ -8,11 +8,31 @@
 /** Status of a request that the target ran and that failed. */
 export const failedStatus = 500
 
-/** Returns the outcome of a call that its caller did not stop; `status` is that of the response, or null if none arrived. */
-export function slotOutcomeOf (outcome: CallOutcome, reason: string, status: number | null): SlotOutcome {
-  switch (outcome) {
+/**
+ * Time for which an answer has to have brought data to show that its target does not crash under its prompt: several
+ * intervals between events, and longer than an item's answer is left unread.
+ */
+const soundAnswerMilliseconds = 300
+/** Time after which a connection without an answer was not just rejected by a target that has too many of them: several round trips between availability zones. */
+const acceptedMilliseconds = 25
+
+/** How a call ended. Times are in milliseconds since the epoch. */
+export interface EndedCall {
+  readonly end: CallOutcome
+  readonly reason: string
+  /** Status of the response, or null if none arrived. */
+  readonly status: number | null
+  readonly sentAt: number
+  /** Time of the first data of the response's body, or null if none arrived. */
+  readonly firstDataAt: number | null
+  readonly endedAt: number
+}
+
+/** Returns the outcome of a call that its caller did not stop. */
+export function slotOutcomeOf (call: EndedCall): SlotOutcome {
+  switch (call.end) {
     case CallOutcome.Complete:
-      return status === failedStatus ? SlotOutcome.Failed : SlotOutcome.Finished
+      return call.status === failedStatus ? SlotOutcome.Failed : SlotOutcome.Finished
     case CallOutcome.NotExecuted:
       return SlotOutcome.Full
     case CallOutcome.Misdirected:
@@ -20,8 +40,16 @@
     case CallOutcome.Unreachable:
       return SlotOutcome.Unreachable
     case CallOutcome.Disconnected:
-      return SlotOutcome.Broken
+      return mayHaveCrashed(call) ? SlotOutcome.Crashed : SlotOutcome.Broken
     case CallOutcome.Broken:
-      return reason === unresponsiveReason ? SlotOutcome.Unreachable : SlotOutcome.Broken
+      return call.reason === unresponsiveReason ? SlotOutcome.Unreachable : SlotOutcome.Broken
+  }
+}
+
+/** Whether the target may have crashed under the request: it had accepted the request, and its answer had not gone well for some time. */
+function mayHaveCrashed ({ status, sentAt, firstDataAt, endedAt }: EndedCall): boolean {
+  if (firstDataAt !== null) {
+    return endedAt - firstDataAt < soundAnswerMilliseconds
   }
+  return status !== null || endedAt - sentAt >= acceptedMilliseconds
 }
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
-import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import { RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { ItemRun } from '../../src/jobs/item-run.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
@@ -47,7 +47,7 @@
           demands.push(demand)
           if (demands.length > 1) {
             await once(signal, 'abort')
-            return { granted: false, retryAfter: 0 }
+            return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
           }
           return { granted: true, slot: { permit: 'p', target: { id: 't', address }, revoked: revoke.signal, release: outcome => { outcomes.push(outcome) } } }
         }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -3,13 +3,14 @@
 import { DecisionKind } from '../admission/decision.js'
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
-import { SlotOutcome } from './fleet-messages.js'
+import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
 import type { GrantedSlot, TargetSlots } from './fleet-slots.js'
 import { OnlineQueue } from './online-queue.js'
 import { OverloadForecast } from './overload-forecast.js'
 import { PrefixAffinity } from './prefix-affinity.js'
+import { PromptAdmission, PromptQuarantine } from './prompt-quarantine.js'
 import { TargetAvailability, TargetHealth } from './target-health.js'
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
@@ -69,7 +70,8 @@
   /** Time of the present call, in milliseconds since the epoch. */
   #now = 0
 
-  constructor (private readonly options = defaultFleetAdmissionOptions) {
+  /** @param quarantine prompt parts that are held back; services may share it */
+  constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new PromptQuarantine()) {
     this.#health = new TargetHealth(options)
   }
 
@@ -148,7 +150,7 @@
   tick (now: number): readonly SlotDecision[] {
     this.#begin(now)
     const expired = this.#online.removeExpired(now)
-    return [...expired.map(({ request }) => this.#refuse(request)), ...this.#grantWaiting()]
+    return [...this.#refuseQuarantined(), ...expired.map(({ request }) => this.#refuse(request)), ...this.#grantWaiting()]
   }
 
   /**
@@ -188,6 +190,11 @@
   }
 
   #requestOnline (request: SlotRequest): readonly SlotDecision[] {
+    const { admission, retryAfter } = this.quarantine.decide(request.prefix, this.#now)
+    if (admission === PromptAdmission.Quarantined) {
+      this.#online.remove(entry => entry.request.permit === request.permit)
+      return [refusalOf(request, RefusalReason.Quarantined, retryAfter)]
+    }
     const granted = this.#grantOnline(request)
     if (granted.length > 0) {
       return granted
@@ -217,6 +224,9 @@
   // The grant is returned together with the revocation, without waiting until the preempted batch work has stopped: the
   // target may queue one request for that moment, and the online request is spared a round trip.
   #grantOnline (request: SlotRequest): readonly SlotDecision[] {
+    if (!this.#admitsPrompt(request)) {
+      return []
+    }
     const free = this.#selectTarget(request, TargetAvailability.Available)
     if (free !== null) {
       return [this.#grant(request, free)]
@@ -254,11 +264,12 @@
   }
 
   #grant (request: SlotRequest, { id: target, address }: TargetSlots): SlotGrant {
-    const { permit, holder, workClass, due, ran, sinceStart } = request
+    const { permit, holder, workClass, prefix, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, workClass, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
-    this.#prefixAffinity.recordGrant(request.prefix, target)
+    this.#prefixAffinity.recordGrant(prefix, target)
+    this.quarantine.onDispatched(permit, prefix, now)
     return { kind: DecisionKind.Grant, permit, holder, target, address }
   }
 
@@ -297,6 +308,9 @@
       return
     }
     for (const request of this.#batch.inOrder(this.#now)) {
+      if (!this.#admitsPrompt(request)) {
+        continue
+      }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
       const target = this.#selectTarget(request, TargetAvailability.OnTrial) ??
         (this.#freeSlots() > this.options.headroom ? this.#selectTarget(request, TargetAvailability.Available) : null)
@@ -366,6 +380,11 @@
 
   #recordOutcome (held: GrantedSlot, outcome: SlotOutcome): void {
     const now = this.#now
+    if (outcome === SlotOutcome.Finished) {
+      this.quarantine.onCompleted(held.prefix)
+    } else {
+      this.quarantine.onEnded(held.permit, held.prefix)
+    }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
     if (outcome === SlotOutcome.Finished && held.workClass === WorkClass.Online) {
       this.#holdTime.add(Math.max(0, now - held.grantedAt))
@@ -382,7 +401,22 @@
 
   #refuse (request: SlotRequest): SlotDecision {
     const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#usableSlots() / this.#holdTime.value, request.latestReturn))
-    return { kind: DecisionKind.Refuse, permit: request.permit, holder: request.holder, retryAfter: Math.max(1, retryAfter) }
+    return refusalOf(request, RefusalReason.Busy, retryAfter)
+  }
+
+  #admitsPrompt ({ prefix }: SlotRequest): boolean {
+    return this.quarantine.decide(prefix, this.#now).admission === PromptAdmission.Admitted
+  }
+
+  /** Rejects the waiting online requests whose prompt has been quarantined since they were queued. */
+  #refuseQuarantined (): readonly SlotDecision[] {
+    if (!this.quarantine.hasQuarantined) {
+      return []
+    }
+    const isQuarantined = ({ prefix }: SlotRequest): boolean => this.quarantine.decide(prefix, this.#now).admission === PromptAdmission.Quarantined
+    return this.#online.remove(({ request }) => isQuarantined(request)).map(({ request }) => {
+      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(request.prefix, this.#now).retryAfter)
+    })
   }
 
   /** Milliseconds in which a slot becomes free for the next waiting request. */
@@ -406,3 +440,7 @@
     return sum
   }
 }
+
+function refusalOf ({ permit, holder }: SlotRequest, reason: RefusalReason, retryAfter: number): SlotDecision {
+  return { kind: DecisionKind.Refuse, permit, holder, reason, retryAfter: Math.max(1, retryAfter) }
+}
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -78,12 +78,22 @@
   readonly holder: string
 }
 
-/** Rejects a request that cannot start in time. */
+/** Why a request for a slot is rejected. */
+export const RefusalReason = {
+  /** It cannot start in time. */
+  Busy: 'busy',
+  /** Targets have crashed under a part of its prompt; see {@link PromptQuarantine}. */
+  Quarantined: 'quarantined'
+} as const
+export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason]
+
+/** Rejects a request. */
 export interface SlotRefusal {
   readonly kind: typeof DecisionKind.Refuse
   readonly permit: string
   readonly holder: string
-  /** Milliseconds until a slot is expected to be free. */
+  readonly reason: RefusalReason
+  /** Milliseconds until a slot is expected to be free, or until the quarantine is reviewed. */
   readonly retryAfter: number
 }
 
@@ -101,6 +111,8 @@
   Replaced: 'replaced',
   /** The target's answer was interrupted, or could not be parsed. */
   Broken: 'broken',
+  /** The target closed the connection when it was about to answer or had just begun, as it does if it crashes under the request. */
+  Crashed: 'crashed',
   /** The target ran the request and answered that it failed. */
   Failed: 'failed',
   /** The target rejected the request because it was full. */
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -11,6 +11,8 @@
   /** `ip:port` of the target; empty if the slot is known from a report of its holder. */
   readonly address: string
   readonly workClass: WorkClass
+  /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
+  readonly prefix: readonly string[]
   /** Batch: deadline of the item, in milliseconds since the epoch. */
   readonly due: number
   /** Batch: milliseconds for which the item had run before the grant. */
@@ -123,7 +125,7 @@
     for (const { permit, target, workClass, due, ran } of held) {
       const known = this.#granted.get(permit)
       if (known === undefined) {
-        this.recordGrant({ permit, holder, target, address: '', workClass, due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
+        this.recordGrant({ permit, holder, target, address: '', workClass, prefix: [], due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
       } else if (known.revoked) {
         revoked.push(permit)
       }
--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -107,6 +107,7 @@
         this.#suspend(this.#failuresOf(target), now, this.options.maximumSuspensionMilliseconds)
         return
       case SlotOutcome.Broken:
+      case SlotOutcome.Crashed:
         this.#onBroken(target, now)
     }
   }
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { WorkClass } from '@arbutusloft/protocol'
-import { DecisionKind, FleetAdmission, SlotOutcome } from '../../src/index.js'
+import { DecisionKind, FleetAdmission, PromptQuarantine, RefusalReason, SlotOutcome } from '../../src/index.js'
 import type { FleetTarget, SlotDecision, SlotRequest } from '../../src/index.js'
 
 const targets: readonly FleetTarget[] = [
@@ -339,4 +339,35 @@
       .flatMap(decision => decision.kind === DecisionKind.Revoke ? [decision.permit] : [])
     assert.deepEqual([...revoked].sort(), ['late-1', 'late-2'])
   })
+
+  it('rejects online requests with a prompt part that crashes targets, also those that wait, and serves others', () => {
+    const quarantine = new PromptQuarantine()
+    const guarded = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
+    guarded.setTargets(targets, 0)
+    for (const [index, permit] of ['p1', 'p2', 'p3', 'p4'].entries()) {
+      assert.equal(guarded.request(request(permit, { prefix: ['good'] }), index)[0]?.kind, DecisionKind.Grant)
+    }
+    assert.deepEqual(guarded.request(request('waiting', { prefix: ['bad'], patience: 1_000 }), 10), [])
+    for (const target of ['one', 'two', 'three']) {
+      quarantine.onCrashed(`at-${target}`, { target, parts: ['bad'] }, 20)
+    }
+    const [refusal] = guarded.tick(30)
+    assert.ok(refusal?.kind === DecisionKind.Refuse && refusal.permit === 'waiting' && refusal.reason === RefusalReason.Quarantined)
+    assert.ok(refusal.retryAfter > 0)
+    assert.deepEqual(describeDecisions(guarded.request(request('next', { prefix: ['bad'] }), 40)), ['refuse next'])
+    guarded.release('p1', SlotOutcome.Finished, 50)
+    assert.deepEqual(describeDecisions(guarded.request(request('p5', { prefix: ['good'] }), 60)), ['grant p5'])
+  })
+
+  it('lets items with a prompt part that crashes targets wait behind all others', () => {
+    const quarantine = new PromptQuarantine()
+    const fleet = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
+    fleet.setTargets(targets, 0)
+    for (const target of ['one', 'two', 'three']) {
+      quarantine.onCrashed(`at-${target}`, { target, parts: ['bad'] }, 0)
+    }
+    assert.deepEqual(fleet.request(request('b1', { ...batch, prefix: ['bad'], due: 1 }), 10), [])
+    assert.deepEqual(describeDecisions(fleet.request(request('b2', { ...batch, prefix: ['good'], due: 2 }), 20)), ['grant b2'])
+    assert.deepEqual(describeDecisions(fleet.tick(30_000)), ['grant b1'])
+  })
 })
