--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -234,7 +234,7 @@
   #shareQuarantine (quarantine: PromptQuarantine): void {
     const { transport, logger, openTopic } = this.options
     const log = new QuarantineLog(openTopic(quarantineTopicName, 0, this.metrics), logger)
-    const sharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log, logger })
+    const sharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log, metrics: this.metrics, logger })
     this.slots.onOwnerChange(address => {
       if (address === transport.address) {
         void sharing.load()
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -57,6 +57,14 @@
     registers: [this.registry]
   })
 
+  /** Changes of the quarantine of prompt parts that this process has decided, by change: begun, extended or cleared. */
+  readonly quarantineChanges = new Counter({
+    name: 'arbutus_gateway_prompt_quarantine_changes_total',
+    help: 'Changes of the quarantine of prompt parts by change',
+    labelNames: ['change'],
+    registers: [this.registry]
+  })
+
   /** Version of the current configuration. */
   readonly routesVersion = new Gauge({
     name: 'arbutus_gateway_routes_version',
--- a/packages/gateway/src/prompts/quarantine-log.ts
+++ b/packages/gateway/src/prompts/quarantine-log.ts
@@ -51,12 +51,12 @@
     if (value === null) {
       return null
     }
-    const result = recordSchema.safeParse(packr.unpack(value))
-    if (!result.success) {
-      this.logger.warn('quarantine of a prompt part not readable', { part: key, offset, error: result.error.message })
+    try {
+      const { version, periods, until } = recordSchema.parse(packr.unpack(value))
+      return { digest: key, version, periods, remaining: Math.max(0, until - Date.now()) }
+    } catch (error) {
+      this.logger.warn('quarantine of a prompt part not readable', { part: key, offset, error: messageOf(error) })
       return null
     }
-    const { version, periods, until } = result.data
-    return { digest: key, version, periods, remaining: Math.max(0, until - Date.now()) }
   }
 }
--- a/packages/gateway/src/prompts/quarantine-sharing.ts
+++ b/packages/gateway/src/prompts/quarantine-sharing.ts
@@ -3,6 +3,7 @@
  * hands it to the next owner, and the log keeps it for a fleet that starts again.
  */
 import type { PromptQuarantine, QuarantinedPart } from '@arbutusloft/policy'
+import type { GatewayMetrics } from '../metrics.js'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
@@ -18,6 +19,7 @@
   readonly membership: Pick<Membership, 'live' | 'self'>
   readonly transport: PeerTransport
   readonly log: Pick<QuarantineLog, 'save' | 'load'>
+  readonly metrics: GatewayMetrics
   readonly logger: Logger
 }
 
@@ -47,7 +49,8 @@
   }
 
   #onChange (entry: QuarantinedPart): void {
-    const { membership, log, logger } = this.dependencies
+    const { membership, log, metrics, logger } = this.dependencies
+    metrics.quarantineChanges.inc({ change: changeOf(entry) })
     logger.warn('quarantine of a prompt part changed', { part: entry.digest, periods: entry.periods, remaining: entry.remaining, version: entry.version })
     for (const { address } of membership.live()) {
       if (address !== membership.self.address) {
@@ -68,3 +71,11 @@
     }
   }
 }
+
+/** Returns what has changed, as a label of the metric. */
+function changeOf ({ periods }: QuarantinedPart): string {
+  if (periods === 0) {
+    return 'cleared'
+  }
+  return periods === 1 ? 'begun' : 'extended'
+}
--- /dev/null
+++ b/packages/gateway/tests/prompts/quarantine-sharing.test.ts
@@ -0,0 +1,117 @@
+/** Tests how processes share the quarantine of prompt parts: among each other, with a new owner, and through the log. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { PromptAdmission, PromptQuarantine } from '@arbutusloft/policy'
+import type { QuarantinedPart } from '@arbutusloft/policy'
+import { GatewayMetrics } from '../../src/metrics.js'
+import { MemberState } from '../../src/peers/member.js'
+import type { Member } from '../../src/peers/member.js'
+import { QuarantineLog } from '../../src/prompts/quarantine-log.js'
+import { QuarantineSharing } from '../../src/prompts/quarantine-sharing.js'
+import { sleep } from '../../src/util/sleep.js'
+import { FaultyLog } from '../util/faulty-topic.js'
+import { LoopbackNetwork } from '../util/loopback-transport.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+const part = 'crashing'
+const deliveryMilliseconds = 30
+
+interface Process {
+  readonly address: string
+  readonly quarantine: PromptQuarantine
+  readonly sharing: QuarantineSharing
+}
+
+function memberAt (address: string): Member {
+  return { address, zone: 'a', incarnation: 1, capacity: 1_000, state: MemberState.Ready }
+}
+
+function createLog (): FaultyLog {
+  // 1 is above the probability of every fault.
+  return new FaultyLog(() => 1, false)
+}
+
+function createProcesses (count: number, network: LoopbackNetwork, log = createLog()): readonly Process[] {
+  const members = Array.from({ length: count }, (_, index) => memberAt(`10.0.${index >>> 8}.${index % 256}`))
+  return members.map(self => {
+    const quarantine = new PromptQuarantine()
+    const logger = createTestLogger()
+    const sharing = new QuarantineSharing({
+      quarantine,
+      membership: { self, live: () => members },
+      transport: network.join(self.address),
+      log: new QuarantineLog(log.connect(), logger),
+      metrics: new GatewayMetrics(),
+      logger
+    })
+    return { address: self.address, quarantine, sharing }
+  })
+}
+
+function crashThrice (quarantine: PromptQuarantine): void {
+  for (const target of ['one', 'two', 'three']) {
+    quarantine.onCrashed(`at-${target}`, { target, parts: [part] }, Date.now())
+  }
+}
+
+function isHeldBack ({ quarantine }: Process): boolean {
+  return quarantine.decide([part], Date.now()).admission === PromptAdmission.Quarantined
+}
+
+describe('QuarantineSharing', () => {
+  for (const count of [12, 76, 195]) {
+    it(`tells ${count} members of a change with one datagram of less than 200 bytes for each, and sends nothing otherwise`, async () => {
+      const network = new LoopbackNetwork()
+      const processes = createProcesses(count, network)
+      const [owner] = processes
+      assert.ok(owner !== undefined)
+      owner.quarantine.onCrashed('p', { target: 'zero', parts: ['another'] }, Date.now())
+      owner.quarantine.onCompleted(['another'])
+      assert.equal(network.sent, 0)
+      crashThrice(owner.quarantine)
+      await sleep(deliveryMilliseconds)
+      assert.ok(processes.every(isHeldBack))
+      assert.equal(network.sent, count - 1)
+      assert.ok(network.largestMessageBytes < 200, `a datagram has ${network.largestMessageBytes} bytes`)
+    })
+  }
+
+  it('tells a new owner all that is in quarantine, in datagrams that fit one packet', async () => {
+    const network = new LoopbackNetwork()
+    const [known, newOwner] = createProcesses(2, network)
+    assert.ok(known !== undefined && newOwner !== undefined)
+    const entries = Array.from({ length: 500 }, (_, index): QuarantinedPart => ({ digest: `ffffffffff${String(index).padStart(6, '0')}`, version: 1, periods: 3, remaining: 60_000 }))
+    for (const entry of entries) {
+      known.quarantine.merge(entry, Date.now())
+    }
+    known.sharing.tell(newOwner.address)
+    await sleep(deliveryMilliseconds)
+    assert.equal(newOwner.quarantine.entries(Date.now()).length, entries.length)
+    assert.ok(network.largestMessageBytes <= 1_472, `a datagram has ${network.largestMessageBytes} bytes`)
+  })
+
+  it('restores the quarantine from the log after all processes are lost, and a part that was cleared stays cleared', async () => {
+    const log = createLog()
+    const [before] = createProcesses(1, new LoopbackNetwork(), log)
+    assert.ok(before !== undefined)
+    crashThrice(before.quarantine)
+    await sleep(deliveryMilliseconds)
+    const [after] = createProcesses(1, new LoopbackNetwork(), log)
+    assert.ok(after !== undefined && !isHeldBack(after))
+    await after.sharing.load()
+    assert.ok(isHeldBack(after))
+    after.quarantine.onCompleted([part])
+    await sleep(deliveryMilliseconds)
+    const [last] = createProcesses(1, new LoopbackNetwork(), log)
+    await last?.sharing.load()
+    assert.ok(last !== undefined && !isHeldBack(last))
+  })
+
+  it('skips a record that it cannot read', async () => {
+    const log = createLog()
+    await log.connect().append([{ key: 'digest', value: Buffer.from('not a record') }], null)
+    const [process] = createProcesses(1, new LoopbackNetwork(), log)
+    await process?.sharing.load()
+    assert.deepEqual(process?.quarantine.entries(Date.now()), [])
+  })
+})
