Give an item up at the end of its retention also while it waits for a slot

Callers would see: an item that never gets a slot, as one whose prompt is held back, keeps its job open for ever. Cause: route and retention were checked between attempts only, and a wait for a slot ends with a grant only. What: a wait ends after two seconds, or with the retention, and the checks come again. Evidence: two new tests (retention, removed route) wait in vain on the code before, by reading; they pass now.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -5,7 +5,7 @@
 import type { HeaderNames } from '../online/header-names.js'
 import { sharedPromptParts } from '../online/online-request.js'
 import { forwardedHeaders } from '../online/forwarded-headers.js'
-import type { Slot } from '../permits/slot.js'
+import type { AcquireResult, Slot, SlotDemand } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
@@ -51,6 +51,9 @@
 /** Upper bound of that backoff, which keeps items that fail everywhere from occupying the targets. */
 const maximumRetryMilliseconds = 800
 
+/** Time for which an item waits for a slot before its route and retention are checked again. */
+const slotWaitMilliseconds = 2_000
+
 /** Runs one item of a job. */
 export class ItemRun {
   readonly #stop = new AbortController()
@@ -117,7 +120,29 @@
       await sleep(retryMilliseconds)
       return null
     }
-    const result = await this.dependencies.slots.acquire({
+    const result = await this.#acquire(route, service)
+    if (!result.granted) {
+      return null
+    }
+    this.#excluded = []
+    return await this.#dispatch(route, result.slot)
+  }
+
+  /** Waits for a slot, no longer than the item may wait before its route and retention are checked again. */
+  async #acquire (route: Route, service: string): Promise<AcquireResult> {
+    const untilRetention = this.job.acceptedAt + route.retentionMilliseconds - Date.now()
+    const wait = new AbortController()
+    const timer = setTimeout(() => { wait.abort() }, Math.max(0, Math.min(slotWaitMilliseconds, untilRetention + 1)))
+    const demand = this.#demand(route, service)
+    try {
+      return await this.dependencies.slots.acquire(demand, AbortSignal.any([this.#stop.signal, wait.signal]))
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  #demand (route: Route, service: string): SlotDemand {
+    return {
       service,
       workClass: WorkClass.Batch,
       prefix: this.#parts,
@@ -129,12 +154,7 @@
       due: this.job.acceptedAt + route.completionMilliseconds,
       ran: this.#ranMilliseconds,
       sinceStart: this.#startedAt === null ? 0 : Date.now() - this.#startedAt
-    }, this.#stop.signal)
-    if (!result.granted) {
-      return null
     }
-    this.#excluded = []
-    return await this.#dispatch(route, result.slot)
   }
 
   /** Sends the item to the target and releases the slot at the end; returns the result of the item, or null if it needs another attempt. */
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -7,6 +7,7 @@
 import { RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { ItemRun } from '../../src/jobs/item-run.js'
+import { ItemState } from '../../src/jobs/job.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
 import type { AcquireResult } from '../../src/permits/slot.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
@@ -18,6 +19,12 @@
 const item: JobItem = { id: 'i', path: '/p', headers: [], body: Buffer.from('b'), tokens: 1 }
 const job: Job = { id: 'j', route: 'r', items: [item], acceptedAt: Date.now(), acceptedBy: 'a', bodyParts: 1, results: [], finished: new Set(), ended: false }
 
+/** Waits for a slot in vain. */
+async function acquire (_demand: unknown, signal: AbortSignal): Promise<AcquireResult> {
+  await once(signal, 'abort')
+  return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
+}
+
 describe('ItemRun', () => {
   it('keeps the events that arrived before its slot was revoked', async context => {
     const server = createServer((request, response) => {
@@ -70,4 +77,24 @@
     run.stop()
     assert.equal(await ended, null)
   })
+
+  it('gives an item up at the end of its retention although it gets no slot', async () => {
+    const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    const outcome = await Promise.race([run.run(), sleep(3_000).then(() => 'still waiting')])
+    run.stop()
+    assert.deepEqual(outcome, { state: ItemState.Abandoned, text: '' })
+  })
+
+  it('gives an item up soon after its route was removed although it gets no slot', async () => {
+    let current: Route | null = route
+    const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => current, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, job, item, Promise.resolve(null))
+    const ended = run.run()
+    await sleep(50)
+    current = null
+    const outcome = await Promise.race([ended, sleep(4_000).then(() => 'still waiting')])
+    run.stop()
+    assert.deepEqual(outcome, { state: ItemState.Abandoned, text: '' })
+  })
 })
