Read the quarantine of prompt parts at the start of a process, and retry calls about it

Cause: it was read on first contact, after the first decisions, and a read that failed was not repeated; concurrent retries of two saves could write an older entry over a newer one. What: one read at the start, repeated until it succeeds; one writer, which saves the newest entry of each part until the log has it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,7 @@
   readonly #tokenLedger: TokenLedger
   readonly #jobRunner: JobRunner
   readonly #memberDirectory: MemberDirectory
+  readonly #quarantineSharing: QuarantineSharing
   #routes: RouteTable | null = null
   #targetsKnown = false
   #draining = false
@@ -93,7 +94,10 @@
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     const quarantine = new PromptQuarantine()
     this.slots = new SlotClient(this.membership, transport, this.targets, quarantine)
-    this.#shareQuarantine(quarantine)
+    const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
+    this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log: quarantineLog, metrics: this.metrics, logger })
+    this.slots.onOwnerChange(address => { this.#quarantineSharing.tell(address) })
+    void this.#quarantineSharing.load()
     this.targets.onChange(() => {
       this.#targetsKnown = true
       this.#updateState()
@@ -225,25 +229,13 @@
     this.#tokenLedger.close()
     this.#jobPartitions.close()
     this.#memberDirectory.close()
+    this.#quarantineSharing.close()
     this.slots.close()
     this.membership.close()
     await this.jobForwarder.close()
     this.#connections.close()
   }
 
-  #shareQuarantine (quarantine: PromptQuarantine): void {
-    const { transport, logger, openTopic } = this.options
-    const log = new QuarantineLog(openTopic(quarantineTopicName, 0, this.metrics), logger)
-    const sharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log, metrics: this.metrics, logger })
-    this.slots.onOwnerChange(address => {
-      if (address === transport.address) {
-        void sharing.load()
-      } else {
-        sharing.tell(address)
-      }
-    })
-  }
-
   #onlineDependencies (): ConstructorParameters<typeof OnlineRun>[0] {
     const { names, logger } = this.options
     return { slots: this.slots, connections: this.#connections, names, metrics: this.metrics, logger }
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -80,10 +80,7 @@
     quarantine: PromptQuarantine
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    this.#owner = new SlotOwner(targets, quarantine, {
-      onDecision: (service, decision) => { this.#deliverDecision(service, decision) },
-      onFirstContact: () => { this.#notifyOwner(transport.address) }
-    })
+    this.#owner = new SlotOwner(targets, quarantine, (service, decision) => { this.#deliverDecision(service, decision) })
     transport.onMessage((message, sender) => {
       if (isSlotMessage(message)) {
         this.#onMessage(message, sender)
@@ -131,7 +128,7 @@
     return [...services].some(service => this.#ownersOf(service).includes(this.transport.address))
   }
 
-  /** Calls the listener with the address of each process, this one included, that begins to own slots which this process uses or grants. */
+  /** Calls the listener with the address of each other process that begins to own slots which this process uses. */
   onOwnerChange (listener: (address: string) => void): void {
     this.#ownerListeners.push(listener)
   }
@@ -214,10 +211,9 @@
       return
     }
     this.#ownersChangedAt = now
-    for (const [service, owner] of owners) {
-      if (owner !== this.#ownerOf(service)) {
-        this.#notifyOwner(this.#ownerOf(service))
-      }
+    const newOwners = [...owners].filter(([service, owner]) => owner !== this.#ownerOf(service)).map(([service]) => this.#ownerOf(service))
+    for (const address of new Set(newOwners)) {
+      this.#notifyOwner(address)
     }
     for (const pending of this.#pending.values()) {
       const owner = this.#ownerOf(pending.demand.service)
@@ -231,6 +227,9 @@
   }
 
   #notifyOwner (address: string): void {
+    if (address === this.transport.address) {
+      return
+    }
     for (const listener of this.#ownerListeners) {
       listener(address)
     }
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -8,13 +8,8 @@
 import { TargetState } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 
-/** Receives what the owner decides. */
-export interface SlotOwnerListener {
-  /** Called with each decision; `decision.holder` is the process to deliver it to. */
-  readonly onDecision: (service: string, decision: SlotDecision) => void
-  /** Called before the first decision on a service. */
-  readonly onFirstContact: () => void
-}
+/** Receives the owner's decisions; `decision.holder` is the process to deliver each one to. */
+export type DecisionListener = (service: string, decision: SlotDecision) => void
 
 /** Interval at which waiting requests are decided anew: their time may be up, and targets may have become available again. */
 const waitingCheckIntervalMilliseconds = 25
@@ -43,7 +38,7 @@
   constructor (
     private readonly targets: TargetRegistry,
     private readonly quarantine: PromptQuarantine,
-    private readonly listener: SlotOwnerListener
+    private readonly listener: DecisionListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
   }
@@ -112,7 +107,6 @@
     }
     const owned = { admission: new FleetAdmission(defaultFleetAdmissionOptions, this.quarantine), holders: new Map<string, number>() }
     this.#services.set(service, owned)
-    this.listener.onFirstContact()
     owned.admission.setTargets(this.targets.ofService(service).map(toFleetTarget), Date.now())
     return owned
   }
@@ -146,7 +140,7 @@
 
   #emit (service: string, decisions: readonly SlotDecision[]): void {
     for (const decision of decisions) {
-      this.listener.onDecision(service, decision)
+      this.listener(service, decision)
     }
   }
 }
--- a/packages/gateway/src/prompts/quarantine-log.ts
+++ b/packages/gateway/src/prompts/quarantine-log.ts
@@ -4,46 +4,75 @@
 import { Packr } from 'msgpackr'
 import * as z from 'zod'
 import { AppendOutcome } from '../log/keyed-topic.js'
-import type { KeyedRecord, KeyedTopic } from '../log/keyed-topic.js'
+import type { KeyedRecord, KeyedTopic, NewRecord } from '../log/keyed-topic.js'
 import type { Logger } from '../util/logger.js'
 import { sleep } from '../util/sleep.js'
 
 /** Content of a record; its key is the digest of the part. `until` is in milliseconds since the epoch. */
 const recordSchema = z.object({ version: z.number(), periods: z.number(), until: z.number() })
 
-/** Attempts to append an entry; the other processes know it anyway, so more are not worth their calls. */
-const maximumAttempts = 5
-/** Delay before a failed append is retried; the store needs less to reject one. */
+/** Delay before a failed call is retried. */
 const retryMilliseconds = 500
 
 const packr = new Packr({ useRecords: false })
 
 /** Saves and loads entries. */
 export class QuarantineLog {
+  /** Newest entry to be saved, by digest. */
+  readonly #unsaved = new Map<string, NewRecord>()
+  #isSaving = false
+  #closed = false
+
   constructor (private readonly topic: KeyedTopic, private readonly logger: Logger) {}
 
-  /** Saves an entry; logs if that fails. */
-  async save (entry: QuarantinedPart): Promise<void> {
-    const { digest, version, periods, remaining } = entry
+  /** Saves an entry in the background; retries until the log has it or a newer one of the same part. */
+  save ({ digest, version, periods, remaining }: QuarantinedPart): void {
     const value = periods === 0 ? null : packr.pack({ version, periods, until: Date.now() + remaining })
-    for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
-      const outcome = await this.topic.append([{ key: digest, value }], null)
+    this.#unsaved.set(digest, { key: digest, value })
+    if (!this.#isSaving) {
+      void this.#saveAll()
+    }
+  }
+
+  /** Loads all entries; retries until that succeeds, and returns none if the log is closed before. */
+  async load (): Promise<readonly QuarantinedPart[]> {
+    while (!this.#closed) {
+      try {
+        const { records } = await this.topic.newest()
+        return records.flatMap(record => this.#parse(record) ?? [])
+      } catch (error) {
+        this.logger.info('quarantine of prompt parts not read', { error: messageOf(error) })
+        await sleep(retryMilliseconds)
+      }
+    }
+    return []
+  }
+
+  close (): void {
+    this.#closed = true
+  }
+
+  async #saveAll (): Promise<void> {
+    this.#isSaving = true
+    while (this.#unsaved.size > 0 && !this.#closed) {
+      const records = [...this.#unsaved.values()]
+      const outcome = await this.topic.append(records, null)
       if (outcome === AppendOutcome.Done) {
-        return
+        this.#forget(records)
+      } else {
+        this.logger.info('quarantine of prompt parts not kept', { parts: records.map(record => record.key), end: outcome })
+        await sleep(retryMilliseconds)
       }
-      this.logger.warn('quarantine of a prompt part not kept', { part: digest, attempt, end: outcome })
-      await sleep(retryMilliseconds)
     }
+    this.#isSaving = false
   }
 
-  /** Loads all entries; returns none if the read fails, which is logged. */
-  async load (): Promise<readonly QuarantinedPart[]> {
-    try {
-      const { records } = await this.topic.newest()
-      return records.flatMap(record => this.#parse(record) ?? [])
-    } catch (error) {
-      this.logger.warn('quarantine of prompt parts not read', { error: messageOf(error) })
-      return []
+  /** Forgets records that were saved, except those that were replaced meanwhile. */
+  #forget (saved: readonly NewRecord[]): void {
+    for (const record of saved) {
+      if (this.#unsaved.get(record.key) === record) {
+        this.#unsaved.delete(record.key)
+      }
     }
   }
 
--- a/packages/gateway/src/prompts/quarantine-sharing.ts
+++ b/packages/gateway/src/prompts/quarantine-sharing.ts
@@ -18,7 +18,7 @@
   readonly quarantine: PromptQuarantine
   readonly membership: Pick<Membership, 'live' | 'self'>
   readonly transport: PeerTransport
-  readonly log: Pick<QuarantineLog, 'save' | 'load'>
+  readonly log: QuarantineLog
   readonly metrics: GatewayMetrics
   readonly logger: Logger
 }
@@ -35,7 +35,7 @@
     })
   }
 
-  /** Reads the entries that earlier processes have kept; called when this process begins to own the slots of a service. */
+  /** Reads the entries that earlier processes have kept; called once, since processes tell each other of later changes. */
   async load (): Promise<void> {
     this.#merge(await this.dependencies.log.load())
   }
@@ -48,6 +48,10 @@
     }
   }
 
+  close (): void {
+    this.dependencies.log.close()
+  }
+
   #onChange (entry: QuarantinedPart): void {
     const { membership, log, metrics, logger } = this.dependencies
     metrics.quarantineChanges.inc({ change: changeOf(entry) })
@@ -57,7 +61,7 @@
         this.#send(address, [entry])
       }
     }
-    void log.save(entry)
+    log.save(entry)
   }
 
   #send (address: string, entries: readonly QuarantinedPart[]): void {
