Let only successful answers speak for a prompt

Cause: a complete 404, 422 or 502, or an empty 200, counted as an answer that clears the parts of its request, so that a part which crashes targets could be taken for sound. What: a new outcome for complete answers that are neither a success nor a failure of the target; for the health of targets it counts as before.

--- a/packages/gateway/src/targets/call-outcome.ts
+++ b/packages/gateway/src/targets/call-outcome.ts
@@ -7,6 +7,8 @@
 
 /** Status of a request that the target ran and that failed. */
 export const failedStatus = 500
+const firstSuccessStatus = 200
+const lastSuccessStatus = 299
 
 /**
  * Time for which an answer has to have brought data to show that its target does not crash under its prompt: several
@@ -32,7 +34,7 @@
 export function slotOutcomeOf (call: EndedCall): SlotOutcome {
   switch (call.end) {
     case CallOutcome.Complete:
-      return call.status === failedStatus ? SlotOutcome.Failed : SlotOutcome.Finished
+      return outcomeOfAnswer(call)
     case CallOutcome.NotExecuted:
       return SlotOutcome.Full
     case CallOutcome.Misdirected:
@@ -46,6 +48,14 @@
   }
 }
 
+function outcomeOfAnswer ({ status, firstDataAt }: EndedCall): SlotOutcome {
+  if (status === failedStatus) {
+    return SlotOutcome.Failed
+  }
+  const isSuccess = status !== null && status >= firstSuccessStatus && status <= lastSuccessStatus && firstDataAt !== null
+  return isSuccess ? SlotOutcome.Finished : SlotOutcome.Unsuccessful
+}
+
 /** Whether the target may have crashed under the request: it had accepted the request, and its answer had not gone well for some time. */
 function mayHaveCrashed ({ status, sentAt, firstDataAt, endedAt }: EndedCall): boolean {
   if (firstDataAt !== null) {
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -25,7 +25,7 @@
   readonly zone: string
   /**
    * Identifiers of the prompt prefixes that the request shares with others, the most specific last; for prefix-cache
-   * affinity.
+   * affinity and {@link PromptQuarantine}.
    */
   readonly prefix: readonly string[]
   /** Targets that must not be chosen, because the request failed there. */
@@ -82,7 +82,7 @@
 export const RefusalReason = {
   /** It cannot start in time. */
   Busy: 'busy',
-  /** Targets have crashed under a part of its prompt; see {@link PromptQuarantine}. */
+  /** Targets may crash under a part of its prompt; see {@link PromptQuarantine}. */
   Quarantined: 'quarantined'
 } as const
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason]
@@ -101,8 +101,10 @@
 
 /** Outcome of a request, as its holder reports it to the owner when it releases the slot. */
 export const SlotOutcome = {
-  /** The answer is complete. */
+  /** The answer is complete and a success. */
   Finished: 'finished',
+  /** The answer is complete, but neither a success nor {@link SlotOutcome.Failed}. */
+  Unsuccessful: 'unsuccessful',
   /** Its receiver stopped the answer: the client left, its deadline passed, or the slot was revoked. */
   Stopped: 'stopped',
   /** The target could not be reached, or was unresponsive. */
--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -91,6 +91,7 @@
         // Says nothing of the target.
         return
       case SlotOutcome.Finished:
+      case SlotOutcome.Unsuccessful:
       case SlotOutcome.Failed:
         this.#rates.recordOutcome(target, outcome === SlotOutcome.Failed, now)
         this.#failures.delete(target)
