Blame the most specific prompt part for a crash, and count a trial when it begins

What: crashes are attributed from the last shared part to the first, up to one in quarantine; the next period begins, and is told, when the trial is dispatched, and is taken back if the trial shows nothing; a part with five crashes is serialized although it was answered before; digests are computed once for a waiting request; a request under observation blocks others for half a second.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -251,7 +251,7 @@
     const waited = Date.now() - this.#startedAt
     this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
     if (reason === RefusalReason.Quarantined) {
-      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets have crashed under a part of its prompt', retryAfter)
+      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets may crash under a part of its prompt', retryAfter)
     } else {
       rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
     }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -278,12 +278,17 @@
     if (this.#online.length > 0 && this.#hasRoom()) {
       this.#grantWaitingOnline(decisions)
     }
-    if (this.#online.length === 0 && this.#batch.length > 0 && this.#now >= this.#batchBlockedUntil) {
+    if (!this.#isOnlineWaiting() && this.#batch.length > 0 && this.#now >= this.#batchBlockedUntil) {
       this.#grantWaitingBatch(decisions)
     }
     return decisions
   }
 
+  /** Whether an online request waits for a slot, and not for the end of another request with the same prompt part. */
+  #isOnlineWaiting (): boolean {
+    return this.#online.length > 0 && (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => this.#admitsPrompt(request)))
+  }
+
   /** Appends the grants to `decisions`. */
   #grantWaitingOnline (decisions: SlotDecision[]): void {
     const granted = new Set<string>()
@@ -383,7 +388,7 @@
     if (outcome === SlotOutcome.Finished) {
       this.quarantine.onCompleted(held.prefix)
     } else {
-      this.quarantine.onEnded(held.permit, held.prefix)
+      this.quarantine.onEnded(held.permit, held.prefix, now)
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
     if (outcome === SlotOutcome.Finished && held.workClass === WorkClass.Online) {
@@ -400,6 +405,9 @@
   }
 
   #refuse (request: SlotRequest): SlotDecision {
+    if (!this.#admitsPrompt(request)) {
+      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(request.prefix, this.#now).retryAfter)
+    }
     const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#usableSlots() / this.#holdTime.value, request.latestReturn))
     return refusalOf(request, RefusalReason.Busy, retryAfter)
   }
--- a/packages/policy/src/fleet/prompt-quarantine.ts
+++ b/packages/policy/src/fleet/prompt-quarantine.ts
@@ -43,21 +43,23 @@
   readonly parts: readonly string[]
 }
 
-/** Crashes after which a part that no complete answer was seen with is quarantined; a second crash under the same request may be chance. */
+/** Crashes after which a part is quarantined unless a request with it was answered completely before. */
 const crashesToQuarantine = 3
-/** The same for a part that requests were answered with before: the users' bounds begin at the fifth crash. */
+/** The same for a part that requests were answered with before. */
 const provenCrashesToQuarantine = 5
-/** Time without a complete answer that it takes as well: longer than an answer, so that crashes of many targets at once do not quarantine the parts that all requests share. */
+/** Time without a complete answer that it takes as well, so that targets which crash together for another reason do not quarantine the parts that all requests share. */
 const provenSilenceMilliseconds = 1_000
 /** Time within which interrupted requests on one target count as the same crash: less than a target needs to start again. */
 const sameCrashMilliseconds = 1_000
 /** First quarantine period: the time for which requests are held back by mistake if the crashes had another cause. */
 const firstPeriodMilliseconds = 1_000
-/** Multiple of the former period; with it, no more than three requests are tried in the ten minutes after the first. */
+/** Multiple of the former period. */
 const periodFactor = 8
 const maximumPeriodMilliseconds = 3_600_000
+/** Time before a request with a quarantined part is tried again if the last trial showed nothing. */
+const trialRetryMilliseconds = 1_000
 /** Time after which a request under observation no longer blocks others: a target that crashes under its prompt does so earlier. */
-const observationMilliseconds = 2_000
+const observationMilliseconds = 500
 /** Maximum number of parts with crashes; requests with invented parts replace each other, not what is in quarantine. */
 const maximumSuspicions = 1_024
 /** Maximum number of remembered parts with complete answers, which bounds memory to about a megabyte. */
@@ -80,7 +82,7 @@
   until: number
   version: number
   /** Request with the part that was dispatched last, until it ends. */
-  observed: { readonly permit: string, readonly since: number } | null
+  observed: { readonly permit: string, readonly since: number, readonly isTrial: boolean } | null
 }
 
 /** Attributes crashes to prompt parts and decides which requests may be dispatched. */
@@ -90,6 +92,8 @@
   readonly #proven = new Set<string>()
   /** Versions of parts that were cleared after a quarantine. */
   readonly #clearedVersions = new Map<string, number>()
+  /** Digests by list of parts; a list belongs to one request and is looked up again while that waits. */
+  readonly #digests = new WeakMap<readonly string[], readonly string[]>()
   readonly #listeners: Array<(entry: QuarantinedPart) => void> = []
 
   /** Calls the listener when this process begins, extends or ends the quarantine of a part. */
@@ -97,6 +101,11 @@
     this.#listeners.push(listener)
   }
 
+  /** Whether anything is known against any part. */
+  get isActive (): boolean {
+    return this.#suspicions.size > 0
+  }
+
   /** Whether any part is in quarantine. */
   get hasQuarantined (): boolean {
     return [...this.#suspicions.values()].some(suspicion => suspicion.periods > 0)
@@ -106,12 +115,11 @@
   decide (parts: readonly string[], now: number): PromptDecision {
     let isBusy = false
     let retryAfter = 0
-    for (const suspicion of this.#suspicionsOf(parts)) {
-      const isObserved = suspicion.observed !== null && now - suspicion.observed.since < observationMilliseconds
-      if (suspicion.periods > 0 && (now < suspicion.until || isObserved)) {
-        retryAfter = Math.max(retryAfter, suspicion.until - now, isObserved ? observationMilliseconds : 0)
-      } else if (!suspicion.isProven && isObserved) {
-        isBusy = true
+    for (const { observed, periods, until, isProven, crashes } of this.#suspicionsOf(parts)) {
+      if (periods > 0) {
+        retryAfter = Math.max(retryAfter, until - now)
+      } else if (observed !== null && now - observed.since < observationMilliseconds) {
+        isBusy ||= !isProven || crashes >= provenCrashesToQuarantine
       }
     }
     if (retryAfter > 0) {
@@ -122,22 +130,36 @@
 
   /** Records that a request was dispatched. */
   onDispatched (permit: string, parts: readonly string[], now: number): void {
-    for (const suspicion of this.#suspicionsOf(parts)) {
-      suspicion.observed = { permit, since: now }
+    for (const digest of this.#digestsOf(parts)) {
+      const suspicion = this.#suspicions.get(digest)
+      if (suspicion !== undefined) {
+        const isTrial = suspicion.periods > 0
+        suspicion.observed = { permit, since: now, isTrial }
+        if (isTrial) {
+          // The next period begins with the trial, so that no other process tries the part meanwhile.
+          this.#setPeriod(digest, suspicion, suspicion.periods + 1, now)
+        }
+      }
     }
   }
 
   /** Records that a request ended without a complete answer, for another reason than a crash. */
-  onEnded (permit: string, parts: readonly string[]): void {
-    for (const suspicion of this.#suspicionsOf(parts)) {
-      endObservation(suspicion, permit)
+  onEnded (permit: string, parts: readonly string[], now: number): void {
+    for (const digest of this.#digestsOf(parts)) {
+      const suspicion = this.#suspicions.get(digest)
+      if (suspicion?.observed?.permit === permit) {
+        const { isTrial } = suspicion.observed
+        suspicion.observed = null
+        if (isTrial && suspicion.periods > 1) {
+          this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
+        }
+      }
     }
   }
 
   /** Records that a request was answered completely. */
   onCompleted (parts: readonly string[]): void {
-    for (const part of parts) {
-      const digest = promptPartDigest(part)
+    for (const digest of this.#digestsOf(parts)) {
       this.#prove(digest)
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
@@ -147,17 +169,18 @@
     }
   }
 
-  /** Records that a target crashed under a request. */
+  /** Records that a target crashed under a request. A part in quarantine explains the crash, so that the less specific ones before it are spared. */
   onCrashed (permit: string, { target, parts }: CrashReport, now: number): void {
-    for (const part of parts) {
-      const digest = promptPartDigest(part)
-      const suspicion = this.#suspicions.get(digest) ?? this.#suspect(digest, now)
-      const wasObserved = suspicion.observed?.permit === permit
-      endObservation(suspicion, permit)
-      const last = suspicion.crashedAt.get(target)
-      if (last === undefined || now - last >= sameCrashMilliseconds) {
-        this.#countCrash(suspicion, target, now)
-        this.#quarantineIfDue(digest, suspicion, wasObserved, now)
+    let isExplained = false
+    for (const digest of [...this.#digestsOf(parts)].reverse()) {
+      const known = this.#suspicions.get(digest)
+      if (known?.observed?.permit === permit) {
+        known.observed = null
+      }
+      if (!isExplained) {
+        const suspicion = known ?? this.#suspect(digest, now)
+        this.#countCrash(digest, suspicion, target, now)
+        isExplained = suspicion.periods > 0
       }
     }
   }
@@ -179,6 +202,7 @@
       return
     }
     const suspicion = known ?? this.#suspect(digest, now)
+    suspicion.observed = null
     Object.assign(suspicion, { version, periods, until: now + Math.min(remaining, periodOf(periods)) })
     suspicion.crashes = Math.max(suspicion.crashes, crashesToQuarantine)
   }
@@ -187,7 +211,17 @@
     if (this.#suspicions.size === 0) {
       return []
     }
-    return parts.flatMap(part => this.#suspicions.get(promptPartDigest(part)) ?? [])
+    return this.#digestsOf(parts).flatMap(digest => this.#suspicions.get(digest) ?? [])
+  }
+
+  #digestsOf (parts: readonly string[]): readonly string[] {
+    const known = this.#digests.get(parts)
+    if (known !== undefined) {
+      return known
+    }
+    const digests = parts.map(promptPartDigest)
+    this.#digests.set(parts, digests)
+    return digests
   }
 
   #suspect (digest: string, now: number): Suspicion {
@@ -217,7 +251,11 @@
     }
   }
 
-  #countCrash (suspicion: Suspicion, target: string, now: number): void {
+  #countCrash (digest: string, suspicion: Suspicion, target: string, now: number): void {
+    const last = suspicion.crashedAt.get(target)
+    if (last !== undefined && now - last < sameCrashMilliseconds) {
+      return
+    }
     suspicion.crashes += 1
     suspicion.crashedAt.delete(target)
     suspicion.crashedAt.set(target, now)
@@ -225,22 +263,16 @@
     if (suspicion.crashedAt.size > maximumCrashedTargets && oldest !== undefined) {
       suspicion.crashedAt.delete(oldest)
     }
+    // A trial has extended the quarantine when it was dispatched, and requests that were dispatched before do not extend it.
+    if (suspicion.periods === 0 && isQuarantineDue(suspicion, now)) {
+      this.#setPeriod(digest, suspicion, 1, now)
+    }
   }
 
-  #quarantineIfDue (digest: string, suspicion: Suspicion, wasObserved: boolean, now: number): void {
-    const { crashes, isProven, firstCrashAt, periods } = suspicion
-    // Crashes of requests that were dispatched before the quarantine do not extend it.
-    const isDue = periods > 0
-      ? wasObserved
-      : isProven
-        ? crashes >= provenCrashesToQuarantine && now - firstCrashAt >= provenSilenceMilliseconds
-        : crashes >= crashesToQuarantine
-    if (!isDue) {
-      return
-    }
-    suspicion.periods += 1
+  #setPeriod (digest: string, suspicion: Suspicion, periods: number, now: number, milliseconds = periodOf(periods)): void {
+    suspicion.periods = periods
     suspicion.version += 1
-    suspicion.until = now + periodOf(suspicion.periods)
+    suspicion.until = now + milliseconds
     this.#notify(entryOf(digest, suspicion, now))
   }
 
@@ -276,10 +308,8 @@
   }
 }
 
-function endObservation (suspicion: Suspicion, permit: string): void {
-  if (suspicion.observed?.permit === permit) {
-    suspicion.observed = null
-  }
+function isQuarantineDue ({ crashes, isProven, firstCrashAt }: Suspicion, now: number): boolean {
+  return isProven ? crashes >= provenCrashesToQuarantine && now - firstCrashAt >= provenSilenceMilliseconds : crashes >= crashesToQuarantine
 }
 
 function entryOf (digest: string, { version, periods, until }: Suspicion, now: number): QuarantinedPart {
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -370,4 +370,15 @@
     assert.deepEqual(describeDecisions(fleet.request(request('b2', { ...batch, prefix: ['good'], due: 2 }), 20)), ['grant b2'])
     assert.deepEqual(describeDecisions(fleet.tick(30_000)), ['grant b1'])
   })
+
+  it('grants batch slots while online requests wait for the end of another one with the same prompt part', () => {
+    const quarantine = new PromptQuarantine()
+    const fleet = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
+    fleet.setTargets(targets, 0)
+    quarantine.onCrashed('p0', { target: 'gone', parts: ['suspected'] }, 0)
+    assert.deepEqual(describeDecisions(fleet.request(request('p1', { prefix: ['suspected'] }), 10)), ['grant p1'])
+    assert.deepEqual(fleet.request(request('p2', { prefix: ['suspected'], patience: 1_000 }), 20), [])
+    assert.deepEqual(describeDecisions(fleet.request(request('b1', { ...batch, due: 1 }), 30)), ['grant b1'])
+    assert.deepEqual(describeDecisions(fleet.release('p1', SlotOutcome.Finished, 100)), ['grant p2'])
+  })
 })
