Take a stream that ends inside an event for broken off

Callers saw: a resumable stream whose target closed the connection in order inside an event, or ended its chunks there, was returned as complete, with the first bytes of that event; a batch item got state "completed" with the events before it. The same held for a stream that ended before its first event, and for an item that resumed there.

Cause: the end of the response alone decided. OnlineRun relayed the bytes after the last event and ended the client's response; ItemRun asked only for one event in all streams together.

Fix: a complete response with status 200 on a streaming route counts as interrupted if bytes follow its last event, whatever its framing, or if it has no event at all. Only a request that resumed a stream may get an empty rest, and only if a length or chunks say that nothing follows: without them, a cut before the next event looks the same.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -1,6 +1,8 @@
 /** Output of a batch item, collected from event streams. */
 import { createParser } from 'eventsource-parser'
 import { EventSplitter } from '../online/event-splitter.js'
+import { truncationOf } from '../online/stream-truncation.js'
+import type { ResponseHead } from '../targets/response-parser.js'
 import type { ItemProgress } from './item-progress.js'
 
 /** Collects the events of an item's output, which may arrive in several streams that continue each other. */
@@ -8,6 +10,8 @@
   #eventData: string[] = []
   #lastId: number | null = null
   #splitter = new EventSplitter()
+  /** Id of the event after which the current stream continues, or null. */
+  #resumesAfter: number | null = null
 
   /** Id of the last complete event, or null before the first. */
   get lastId (): number | null {
@@ -54,5 +58,11 @@
   /** Starts a new stream, which continues after the last complete event; discards an incomplete one. */
   startStream (): void {
     this.#splitter = new EventSplitter()
+    this.#resumesAfter = this.#lastId
+  }
+
+  /** Returns why the current stream, whose response with this head has ended in order, was broken off, or null if the output is complete. */
+  truncation (head: ResponseHead): string | null {
+    return truncationOf(this.#splitter, head, this.#resumesAfter)
   }
 }
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -8,6 +8,7 @@
 import type { Slot } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
+import type { ResponseHead } from '../targets/response-parser.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { TargetEndpoint } from '../targets/target-registry.js'
@@ -59,8 +60,8 @@
   #failedResponses = 0
   /** Targets that the next slot must not be on. */
   #excluded: string[] = []
-  /** Status of the current attempt's response, or null before its head. */
-  #status: number | null = null
+  /** Head of the current attempt's response, or null before it. */
+  #head: ResponseHead | null = null
   /** Number of events at the last failure. */
   #eventsAtLastFailure = 0
   /** Consecutive failed attempts without a new event. */
@@ -107,6 +108,11 @@
     this.#stop.abort()
   }
 
+  /** Status of the current attempt's response, or null before its head. */
+  get #status (): number | null {
+    return this.#head?.status ?? null
+  }
+
   /** Makes one attempt; returns the result of the item, or null if it needs another attempt. */
   async #attempt (route: Route): Promise<ItemOutcome | null> {
     const service = this.dependencies.serviceOf(route)
@@ -137,7 +143,7 @@
   /** Sends the item to the target and releases the slot at the end; returns the result of the item, or null if it needs another attempt. */
   async #dispatch (route: Route, slot: Slot): Promise<ItemOutcome | null> {
     const { target } = slot
-    this.#status = null
+    this.#head = null
     this.#output.startStream()
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
@@ -149,7 +155,7 @@
       body: this.item.body,
       remainingMilliseconds: null
     }, this.dependencies.names, {
-      onHead: head => { this.#status = head.status },
+      onHead: head => { this.#head = head },
       onData: chunk => {
         unresponsiveTimer.refresh()
         if (this.#status === okStatus) {
@@ -175,7 +181,9 @@
     if (slot.revoked.aborted) {
       onRevoked()
     }
-    const { end: outcome, reason } = await call.ended
+    const ended = await call.ended
+    const truncation = ended.end === CallOutcome.Complete ? this.#truncation() : null
+    const { end: outcome, reason } = truncation === null ? ended : { end: CallOutcome.Broken, reason: truncation }
     clearTimeout(unresponsiveTimer)
     if (readTimer !== null) {
       clearTimeout(readTimer)
@@ -188,6 +196,11 @@
     return await this.#onCallEnd(route, outcome, target, stopped)
   }
 
+  /** Returns why the output of the current attempt, whose response has ended in order, was broken off, or null if it was not. */
+  #truncation (): string | null {
+    return this.#head?.status === okStatus ? this.#output.truncation(this.#head) : null
+  }
+
   #headers (route: Route): string[] {
     const headers = forwardedHeaders(this.item.headers, new Set([this.dependencies.names.requestId, 'host', 'content-length']))
     headers.push('Host', route.host, this.dependencies.names.requestId, this.item.id)
@@ -198,7 +211,7 @@
   }
 
   async #onCallEnd (route: Route, outcome: CallOutcome, target: TargetEndpoint, stopped: boolean): Promise<ItemOutcome | null> {
-    if (outcome === CallOutcome.Complete && this.#status === okStatus && this.#output.events > 0) {
+    if (outcome === CallOutcome.Complete && this.#status === okStatus) {
       return { state: ItemState.Completed, text: this.#output.text }
     }
     if (this.#status === unprocessableStatus) {
--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -14,6 +14,7 @@
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
   #rest: Buffer = emptyBuffer
+  #hasEvents = false
 
   /** Adds a chunk and returns the events that are now complete. */
   push (chunk: Buffer): CompleteEvents {
@@ -21,6 +22,7 @@
     const end = endOfLastEvent(data)
     this.#rest = data.subarray(end)
     const bytes = data.subarray(0, end)
+    this.#hasEvents ||= end > 0
     return { bytes, lastId: end === 0 ? null : lastIdOf(bytes) }
   }
 
@@ -28,6 +30,11 @@
   get rest (): Buffer {
     return this.#rest
   }
+
+  /** Whether at least one event is complete. */
+  get hasEvents (): boolean {
+    return this.#hasEvents
+  }
 }
 
 function endOfLastEvent (data: Buffer): number {
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -170,7 +170,9 @@
     }
     const onAbort = (): void => { call.abort(this.#clientDisconnected ? 'client gone' : 'deadline') }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
-    const { end: outcome, reason } = await call.ended
+    const ended = await call.ended
+    const truncation = ended.end === CallOutcome.Complete && !isDiscarded ? this.#relay.truncation(resumeAfter) : null
+    const { end: outcome, reason } = truncation === null ? ended : { end: CallOutcome.Broken, reason: truncation }
     if (unresponsiveTimer !== null) {
       clearTimeout(unresponsiveTimer)
     }
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -3,6 +3,7 @@
 import type { ResponseHead } from '../targets/response-parser.js'
 import { EventSplitter } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
+import { truncationOf } from './stream-truncation.js'
 
 const noExcludedHeaders: ReadonlySet<string> = new Set()
 const contentLengthHeader: ReadonlySet<string> = new Set(['content-length'])
@@ -16,7 +17,9 @@
  */
 export class ResponseRelay {
   #splitter: EventSplitter | null = null
+  /** The head that was sent to the client or, before that, the latest one. */
   #head: ResponseHead | null = null
+  #latestHead: ResponseHead | null = null
   #hasBegun = false
   /** Whether the response to the client is sent in chunks whose framing this class writes itself after the first one. */
   #framesChunks = false
@@ -51,6 +54,7 @@
 
   /** Receives the head of a response; the client gets the first one whose body begins. */
   onHead (head: ResponseHead): void {
+    this.#latestHead = head
     this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter() : null
     if (!this.#hasBegun) {
       this.#head = head
@@ -67,6 +71,15 @@
     return bytes.length === 0 || this.#write(bytes)
   }
 
+  /**
+   * Returns why the latest response, which has ended in order, was broken off by its target, or null if it is complete.
+   *
+   * @param resumesAfter id of the event after which its request resumed the stream, or null if it did not
+   */
+  truncation (resumesAfter: number | null): string | null {
+    return this.#splitter === null || this.#latestHead === null ? null : truncationOf(this.#splitter, this.#latestHead, resumesAfter)
+  }
+
   /** Calls the listener once when the connection can take more data. */
   onceWritable (listener: () => void): void {
     (this.response.socket ?? this.response).once('drain', listener)
@@ -74,9 +87,6 @@
 
   /** Ends a complete response. */
   end (): void {
-    if (this.#splitter !== null && this.#splitter.rest.length > 0) {
-      this.#write(this.#splitter.rest)
-    }
     this.#begin()
     this.response.end()
   }
--- a/packages/gateway/src/targets/response-parser.ts
+++ b/packages/gateway/src/targets/response-parser.ts
@@ -204,6 +204,11 @@
   }
 }
 
+/** Whether the body of a response has neither a length nor chunks and so ends with its connection. */
+export function endsWithConnection ({ status, headers }: ResponseHead): boolean {
+  return status !== noContentStatus && status !== notModifiedStatus && headers['transfer-encoding'] === undefined && headers['content-length'] === undefined
+}
+
 function parseHead (status: number, lines: readonly string[]): ResponseHead {
   const rawHeaders: string[] = []
   const headers: Record<string, string | undefined> = {}
--- /dev/null
+++ b/packages/gateway/tests/online/response-relay.test.ts
@@ -0,0 +1,82 @@
+/** Tests what a client receives of responses that have neither a length nor chunks, and when an event stream counts as complete. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer, get } from 'node:http'
+import type { IncomingMessage } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { describe, it } from 'node:test'
+import type { TestContext } from 'node:test'
+import { ResponseRelay } from '../../src/online/response-relay.js'
+import type { ResponseHead } from '../../src/index.js'
+
+const unframedHead: ResponseHead = { status: 200, rawHeaders: ['X-Signature', 's'], headers: { 'x-signature': 's' } }
+const chunkedHead: ResponseHead = { status: 200, rawHeaders: ['Transfer-Encoding', 'chunked'], headers: { 'transfer-encoding': 'chunked' } }
+
+interface ClientResponse {
+  readonly message: IncomingMessage
+  readonly body: string
+}
+
+/** Serves one request with a relay and returns what the client receives. */
+async function receive (context: TestContext, isStream: boolean, serve: (relay: ResponseRelay) => void): Promise<ClientResponse> {
+  const server = createServer((_request, response) => { serve(new ResponseRelay(response, isStream)) })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  context.after(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  const { port } = server.address() as AddressInfo
+  const message = await new Promise<IncomingMessage>((resolve, reject) => { get({ port, host: '127.0.0.1' }, resolve).on('error', reject) })
+  const chunks: Buffer[] = []
+  message.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+  message.on('error', () => {})
+  await once(message, 'close')
+  return { message, body: Buffer.concat(chunks).toString() }
+}
+
+describe('ResponseRelay', () => {
+  for (const isStream of [false, true]) {
+    it(`relays a response without length or chunks whole and in chunks of its own, ${isStream ? 'as a stream' : 'as a plain body'}`, async context => {
+      const { message, body } = await receive(context, isStream, relay => {
+        relay.onHead(unframedHead)
+        relay.onData(Buffer.from('id: 1\ndata: a\n'))
+        relay.onData(Buffer.from('\nid: 2\ndata: b\n\n'))
+        assert.equal(relay.truncation(null), null)
+        relay.end()
+      })
+      assert.ok(message.complete)
+      assert.equal(message.headers['transfer-encoding'], 'chunked')
+      assert.equal(body, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+    })
+  }
+
+  it('tells a stream that ended inside an event, and not a plain body, from a complete one', async context => {
+    for (const [head, isStream, expected] of [
+      [unframedHead, true, 'the stream ended inside an event'],
+      [chunkedHead, true, 'the stream ended inside an event'],
+      [unframedHead, false, null],
+      [{ ...unframedHead, status: 500 }, true, null]
+    ] as const) {
+      await receive(context, isStream, relay => {
+        relay.onHead(head)
+        relay.onData(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))
+        assert.equal(relay.truncation(null), expected)
+        relay.end()
+      })
+    }
+  })
+
+  it('takes an empty stream for complete only if the request resumed one and the framing says that nothing follows', async context => {
+    const truncation = 'the stream ended before its first event'
+    for (const [head, resumesAfter, expected] of [
+      [unframedHead, null, truncation], [unframedHead, 4, truncation], [chunkedHead, null, truncation], [chunkedHead, 4, null]
+    ] as const) {
+      await receive(context, true, relay => {
+        relay.onHead(head)
+        assert.equal(relay.truncation(resumesAfter), expected)
+        relay.end()
+      })
+    }
+  })
+})
