Find the end of events whose lines end with CRLF

Callers would see a stream with such lines broken off: all of it counted as the rest of one event.

Cause: EventSplitter knew an empty line only between two line feeds.

Evidence: the new test of EventSplitter failed before: the splitter returned no event.

Fix: an empty line may also be a carriage return and a line feed after a line feed, as the format of event streams allows.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -9,6 +9,7 @@
 }
 
 const lineFeed = 0x0a
+const carriageReturn = 0x0d
 const emptyBuffer = Buffer.alloc(0)
 
 /** Buffers an incomplete event until the rest of it arrives. */
@@ -39,7 +40,8 @@
 
 function endOfLastEvent (data: Buffer): number {
   for (let index = data.length - 1; index > 0; index -= 1) {
-    if (data[index] === lineFeed && data[index - 1] === lineFeed) {
+    const lineEnd = data[index - 1] === carriageReturn ? index - 2 : index - 1
+    if (data[index] === lineFeed && data[lineEnd] === lineFeed) {
       return index + 1
     }
   }
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -17,6 +17,13 @@
     assert.equal(splitter.push(Buffer.from('x-weight-versions: 3\nid: 7\ndata: a\n\n')).lastId, 7)
   })
 
+  it('finds the end of an event whose lines end with a carriage return and a line feed', () => {
+    const splitter = new EventSplitter()
+    assert.deepEqual(splitter.push(Buffer.from('id: 1\r\ndata: a\r\n\r')), { bytes: Buffer.alloc(0), lastId: null })
+    assert.deepEqual(splitter.push(Buffer.from('\nid: 2\r\n')), { bytes: Buffer.from('id: 1\r\ndata: a\r\n\r\n'), lastId: 1 })
+    assert.equal(splitter.rest.toString(), 'id: 2\r\n')
+  })
+
   it('returns every byte in order, wherever the chunks end', () => {
     const events = Array.from({ length: 8 }, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(index)}\n\n`).join('')
     fc.assert(fc.property(fc.array(fc.nat(events.length), { maxLength: 12 }), cuts => {
