Limit the heads, trailers and chunk extensions of a response together

Callers saw a request that may run only once held until its deadline and then answered 504 when its target sent informational responses without end; an instance read such bytes, or trailers or chunk extensions, for as long.

Cause: the parser limited each head, trailer and chunk size line, but not their number.

Fix: all heads and trailers of a response share 32 KB, and its chunk extensions 16 KB. Beyond that the response is malformed, which closes the connection and ends the attempt.

--- a/packages/gateway/src/targets/response-parser.ts
+++ b/packages/gateway/src/targets/response-parser.ts
@@ -38,9 +38,12 @@
 } as const
 type ParserState = typeof ParserState[keyof typeof ParserState]
 
+/** Maximum length of the heads of a response, informational ones included, and its trailers together. */
 const maximumHeadBytes = 32_768
 /** Maximum length of a line between the parts of a chunked body. */
 const maximumLineBytes = 256
+/** Maximum length of the chunk extensions of a response together; Node.js has the same limit. */
+const maximumExtensionBytes = 16_384
 const headEnd = Buffer.from('\r\n\r\n')
 const lineEnd = Buffer.from('\r\n')
 const noBytes = Buffer.alloc(0)
@@ -60,6 +63,10 @@
   #pending: Buffer = noBytes
   /** Bytes that the body or the current chunk still lacks. */
   #remaining = 0
+  /** Bytes that the heads and trailers may still have. */
+  #remainingHeadBytes = maximumHeadBytes
+  /** Bytes that the chunk extensions may still have. */
+  #remainingExtensionBytes = maximumExtensionBytes
   #isPersistent = false
 
   constructor (private readonly listener: ResponseListener) {}
@@ -97,7 +104,7 @@
   #parse (bytes: Buffer): Buffer {
     switch (this.#state) {
       case ParserState.Head:
-        return this.#parseUntil(headEnd, bytes, maximumHeadBytes, text => { this.#onHeadText(text) })
+        return this.#parseHeadPart(headEnd, bytes, text => { this.#onHeadText(text) })
       case ParserState.ChunkSize:
         return this.#parseUntil(lineEnd, bytes, maximumLineBytes, text => { this.#onChunkSize(text) })
       case ParserState.ChunkEnd:
@@ -108,7 +115,7 @@
           this.#state = ParserState.ChunkSize
         })
       case ParserState.Trailers:
-        return this.#parseUntil(lineEnd, bytes, maximumHeadBytes, text => { this.#onTrailer(text) })
+        return this.#parseHeadPart(lineEnd, bytes, text => { this.#onTrailer(text) })
       case ParserState.SizedBody:
         return this.#parseData(bytes, ParserState.Complete)
       case ParserState.ChunkData:
@@ -121,12 +128,20 @@
     }
   }
 
+  /** Parses a head or a trailer, whose length is limited together with that of those before it. */
+  #parseHeadPart (delimiter: Buffer, bytes: Buffer, onText: (text: string) => void): Buffer {
+    return this.#parseUntil(delimiter, bytes, this.#remainingHeadBytes, text => {
+      this.#remainingHeadBytes = Math.max(0, this.#remainingHeadBytes - text.length - delimiter.length)
+      onText(text)
+    })
+  }
+
   /** Collects bytes until the delimiter, and passes the text before it on. */
   #parseUntil (delimiter: Buffer, bytes: Buffer, maximumBytes: number, onText: (text: string) => void): Buffer {
     const data = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes])
     const end = data.indexOf(delimiter)
     if ((end < 0 ? data.length : end) > maximumBytes) {
-      throw new MalformedResponseError(`more than ${maximumBytes} bytes without ${JSON.stringify(delimiter.toString())} in a response's ${this.#state}`)
+      throw new MalformedResponseError(`no ${JSON.stringify(delimiter.toString())} within the ${maximumBytes} bytes that a response's ${this.#state} may have`)
     }
     if (end < 0) {
       this.#pending = Buffer.from(data)
@@ -191,7 +206,12 @@
     if (match === null) {
       throw new MalformedResponseError(`a chunk's size is ${JSON.stringify(text)}, expected hexadecimal digits`)
     }
-    this.#remaining = Number.parseInt(match[1] ?? '', hexadecimal)
+    const [, size = ''] = match
+    this.#remainingExtensionBytes -= text.length - size.length
+    if (this.#remainingExtensionBytes < 0) {
+      throw new MalformedResponseError(`the chunk extensions of a response have more than ${maximumExtensionBytes} bytes`)
+    }
+    this.#remaining = Number.parseInt(size, hexadecimal)
     this.#state = this.#remaining === 0 ? ParserState.Trailers : ParserState.ChunkData
   }
 
--- a/packages/gateway/tests/targets/response-parser.test.ts
+++ b/packages/gateway/tests/targets/response-parser.test.ts
@@ -121,10 +121,13 @@
     ['a chunk that is longer than its size', response('200 OK\r\nTransfer-Encoding: chunked', '2\r\nabc\r\n0\r\n\r\n')],
     ['a malformed trailer', response('200 OK\r\nTransfer-Encoding: chunked', '0\r\nbroken\r\n\r\n')],
     ['an endless head', response(`200 OK\r\nX-A: ${'a'.repeat(40_000)}`)],
+    ['endless informational responses', response('103 Early Hints\r\nX-A: 1').toString().repeat(2_000)],
+    ['endless trailers', response('200 OK\r\nTransfer-Encoding: chunked', `0\r\n${'X-A: 1\r\n'.repeat(5_000)}`)],
+    ['endless chunk extensions', response('200 OK\r\nTransfer-Encoding: chunked', `1;${'a'.repeat(200)}\r\nb\r\n`.repeat(100))],
     ['an endless chunk size', response('200 OK\r\nTransfer-Encoding: chunked', `1;${'a'.repeat(500)}`)]
   ] as const) {
     it(`rejects ${name}`, () => {
-      assert.throws(() => { parse(bytes, [11]) }, MalformedResponseError)
+      assert.throws(() => { parse(Buffer.from(bytes), [11]) }, MalformedResponseError)
     })
   }
 })
