Stop reading an unused body that does not end

Callers saw: a request that may run only once, turned away by a target with a 503 whose body has no end, got 503 at its deadline although another target was free; a resumable one lost 0.7 s. After a 500 with such a body, a resumable request got 502 or 504 at its deadline, and a batch item kept its slot until the retention of its job.

Cause: the call ended with the body, also where nobody uses it: of a rejection, a 500 that another target may make good, or any other failure of an item. Its bytes also counted as signs of life.

Fix: RunningCall.skipBody reads such a body on for 120 ms and 16 KB at most, as it is usually there with the head and the connection can then be used again. Beyond that the connection is closed; a rejection stays one, and a 500 that was cut off does not count as a failure of the item.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -155,12 +155,15 @@
       body: this.item.body,
       remainingMilliseconds: null
     }, this.dependencies.names, {
-      onHead: head => { this.#head = head },
+      onHead: head => {
+        this.#head = head
+        if (head.status !== okStatus) {
+          call.skipBody()
+        }
+      },
       onData: chunk => {
         unresponsiveTimer.refresh()
-        if (this.#status === okStatus) {
-          this.#output.push(chunk)
-        }
+        this.#output.push(chunk)
         readTimer ??= setTimeout(() => {
           readTimer = null
           call.resume()
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -139,6 +139,7 @@
         // A failed response is not relayed if another target can be tried.
         isDiscarded = status === failedStatus && this.#canRetry() && this.#remainingMilliseconds() >= minimumRemainingMilliseconds
         if (isDiscarded) {
+          call.skipBody()
           return
         }
         if (!this.#relay.canContinueWith(head)) {
@@ -150,9 +151,6 @@
       onData: chunk => {
         unresponsiveTimer?.refresh()
         lastDataAt = Date.now()
-        if (isDiscarded) {
-          return true
-        }
         const hadBegun = this.#relay.hasBegun
         const isWritable = this.#relay.onData(chunk)
         if (!hadBegun && this.#relay.hasBegun) {
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -4,6 +4,7 @@
 import type { Exchange, TargetConnection } from './target-connection.js'
 import type { TargetConnections } from './target-connections.js'
 import type { TargetEndpoint } from './target-registry.js'
+import { UnusedBody } from './unused-body.js'
 
 /** A request to a target. */
 export interface TargetRequest {
@@ -47,6 +48,8 @@
   readonly ended: Promise<{ readonly end: CallOutcome, readonly reason: string }>
   /** Resumes a paused response. */
   resume: () => void
+  /** Passes no more data to the sink; closes the connection if the response does not end soon. */
+  skipBody: () => void
   /** Closes the connection, which makes the target stop working on the request. */
   abort: (reason: string) => void
 }
@@ -97,6 +100,7 @@
   #settle: (result: { end: CallOutcome, reason: string }) => void = () => {}
   #sent = false
   #rejection: { readonly end: CallOutcome, readonly reason: string } | null = null
+  #unusedBody: UnusedBody | null = null
   #isAborted = false
   #isSettled = false
 
@@ -113,6 +117,10 @@
     this.connection.resume()
   }
 
+  skipBody (): void {
+    this.#unusedBody ??= new UnusedBody(reason => { this.abort(reason) })
+  }
+
   abort (reason: string): void {
     if (!this.#isSettled) {
       this.#isAborted = true
@@ -128,8 +136,10 @@
     const { status, headers } = head
     if (canBeRejection(status) && headers[this.names.notExecuted] !== undefined) {
       this.#rejection = { end: status === misdirectedRequestStatus ? CallOutcome.Misdirected : CallOutcome.NotExecuted, reason: `status ${status}` }
+      this.skipBody()
     } else if (status === misdirectedRequestStatus) {
       this.#rejection = { end: CallOutcome.Misdirected, reason: 'the address belongs to another target' }
+      this.skipBody()
     } else if (impliesNotExecuted(status)) {
       this.abort(`status ${status} without the not-executed header: the request may have run`)
     } else if (headers[this.names.requestId] !== this.id) {
@@ -141,7 +151,8 @@
   }
 
   onData (bytes: Buffer): boolean {
-    return this.#rejection !== null || this.#isSettled || this.sink.onData(bytes)
+    this.#unusedBody?.onData(bytes)
+    return this.#unusedBody !== null || this.#isSettled || this.sink.onData(bytes)
   }
 
   onComplete (): void {
@@ -162,6 +173,7 @@
   #finish (outcome: CallOutcome, reason: string): void {
     if (!this.#isSettled) {
       this.#isSettled = true
+      this.#unusedBody?.close()
       this.#settle({ end: outcome, reason })
     }
   }
--- a/packages/gateway/tests/targets/target-connections.test.ts
+++ b/packages/gateway/tests/targets/target-connections.test.ts
@@ -138,6 +138,23 @@
     assert.equal((await start('b').call.ended).end, CallOutcome.Broken)
   })
 
+  it('read the short body of a rejection, so that the connection is used again, and close it if the body has no end', async () => {
+    const rejection = 'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
+    onRequest = (_text, socket) => { socket.write(`${rejection}Content-Length: 4\r\n\r\nfull`) }
+    for (const id of ['a', 'b']) {
+      assert.equal((await start(id).call.ended).end, CallOutcome.NotExecuted)
+    }
+    assert.equal(sockets.length, 1)
+    for (const body of ['x', 'x'.repeat(100_000)]) {
+      onRequest = (_text, socket) => { socket.write(`${rejection}\r\n${body}`) }
+      const startedAt = Date.now()
+      assert.equal((await start('c').call.ended).end, CallOutcome.NotExecuted)
+      assert.ok(Date.now() - startedAt < 1_000)
+    }
+    await sleep(20)
+    assert.ok(sockets.every(socket => socket.destroyed))
+  })
+
   it('stop reading while the receiver takes no more, and go on later', async () => {
     const size = 3_000_000
     onRequest = (text, socket) => { socket.write(answer(idOf(text), 'x'.repeat(size))) }
