Break off a stream whose event does not end

Callers saw: a request whose target answered 200 and then sent bytes that never complete an event, many or one at a time, got 502 or 504 at its deadline, even if another target could have resumed it; a batch item kept its slot. The instance kept all of these bytes in memory meanwhile.

Cause: EventSplitter held an incomplete event of any length, and each byte of it counted as a sign of life of the target.

Fix: an event may have 262,144 bytes, as many as a record of the store, which must hold all events of an item. Beyond that the splitter throws, which ends the call like a malformed response. Online, a target is unresponsive if it completes no event for 0.7 s, whatever else it sends.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -8,6 +8,13 @@
   readonly lastId: number | null
 }
 
+/** An event is not what it claims to be. */
+export class MalformedStreamError extends Error {
+  override readonly name = 'MalformedStreamError'
+}
+
+/** Maximum length of an event: the length of the records that the store accepts, as a result holds all events of a batch item. */
+const maximumEventBytes = 262_144
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
 const emptyBuffer = Buffer.alloc(0)
@@ -17,8 +24,11 @@
   #rest: Buffer = emptyBuffer
   #hasEvents = false
 
-  /** Adds a chunk and returns the events that are now complete. */
+  /** Adds a chunk and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end. */
   push (chunk: Buffer): CompleteEvents {
+    if (this.#rest.length > maximumEventBytes) {
+      throw new MalformedStreamError(`an event of a stream has more than ${maximumEventBytes} bytes`)
+    }
     const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
     const end = endOfLastEvent(data)
     this.#rest = data.subarray(end)
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -29,7 +29,7 @@
 const slotWaitShare = 0.75
 /** Number of targets that may reject a request or be unreachable; one more ends the request. */
 const maximumRejections = 4
-/** Time without data after which a target counts as unresponsive and the request goes to another one; ten times a long interval between the events of an online response. */
+/** Time without data or, in a stream, without a complete event after which a target counts as unresponsive and the request goes to another one; ten times a long interval between the events of an online response. */
 const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
@@ -122,7 +122,7 @@
       headers.push('Last-Event-Id', String(resumeAfter))
     }
     const sentAt = Date.now()
-    let lastDataAt = sentAt
+    let lastProgressAt = sentAt
     let unresponsiveTimer: NodeJS.Timeout | null = null
     let status: number | null = null
     let isDiscarded = false
@@ -149,11 +149,13 @@
         this.#relay.onHead(head)
       },
       onData: chunk => {
-        unresponsiveTimer?.refresh()
-        lastDataAt = Date.now()
-        const hadBegun = this.#relay.hasBegun
+        const { hasBegun, relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
-        if (!hadBegun && this.#relay.hasBegun) {
+        if (this.#relay.relayedBytes > relayedBytes) {
+          unresponsiveTimer?.refresh()
+          lastProgressAt = Date.now()
+        }
+        if (!hasBegun && this.#relay.hasBegun) {
           this.#firstByteMilliseconds = Date.now() - this.#startedAt
           dependencies.metrics.firstByte.observe(this.#firstByteMilliseconds / millisecondsPerSecond)
         }
@@ -175,7 +177,7 @@
       clearTimeout(unresponsiveTimer)
     }
     this.#abort.signal.removeEventListener('abort', onAbort)
-    const wasUnresponsive = Date.now() - lastDataAt > unresponsiveTimeoutMilliseconds
+    const wasUnresponsive = Date.now() - lastProgressAt > unresponsiveTimeoutMilliseconds
     const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
     slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf(outcome, reason, status))
     const first = this.#firstByteMilliseconds
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -24,6 +24,7 @@
   /** Whether the response to the client is sent in chunks whose framing this class writes itself after the first one. */
   #framesChunks = false
   #lastId: number | null = null
+  #relayedBytes = 0
 
   constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
 
@@ -42,6 +43,11 @@
     return this.#lastId
   }
 
+  /** Bytes of the body that were sent to the client; the bytes of an event count once it is complete. */
+  get relayedBytes (): number {
+    return this.#relayedBytes
+  }
+
   /** Whether the response of another target may follow: nothing was sent to the client yet, or only events with ids. */
   get canContinue (): boolean {
     return !this.#hasBegun || this.#lastId !== null
@@ -61,7 +67,7 @@
     }
   }
 
-  /** Relays data to the client; returns false if the connection's write buffer is full. */
+  /** Relays data to the client; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end. */
   onData (chunk: Buffer): boolean {
     if (this.#splitter === null) {
       return this.#write(chunk)
@@ -112,6 +118,7 @@
   }
 
   #write (bytes: Buffer): boolean {
+    this.#relayedBytes += bytes.length
     const isFirst = !this.#hasBegun
     this.#begin()
     const { socket } = this.response
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -38,7 +38,7 @@
 /** Receives a response as it arrives. */
 export interface ResponseSink {
   onHead: (head: ResponseHead) => void
-  /** Returns false to pause the response until {@link RunningCall.resume}. */
+  /** Returns false to pause the response until {@link RunningCall.resume}; throws to break the call off for the error's message. */
   onData: (chunk: Buffer) => boolean
 }
 
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { EventSplitter } from '../../src/index.js'
+import { EventSplitter, MalformedStreamError } from '../../src/index.js'
 
 describe('EventSplitter', () => {
   it('buffers an incomplete event until the rest of it arrives', () => {
@@ -24,6 +24,16 @@
     assert.equal(splitter.rest.toString(), 'id: 2\r\n')
   })
 
+  it('rejects an event without end, after returning the complete events before it', () => {
+    const splitter = new EventSplitter()
+    assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\n')).lastId, 1)
+    assert.throws(() => {
+      for (let number = 0; number < 10; number += 1) {
+        splitter.push(Buffer.alloc(65_536, 'x'))
+      }
+    }, MalformedStreamError)
+  })
+
   it('returns every byte in order, wherever the chunks end', () => {
     const events = Array.from({ length: 8 }, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(index)}\n\n`).join('')
     fc.assert(fc.property(fc.array(fc.nat(events.length), { maxLength: 12 }), cuts => {
