Let a batch item's target count as unresponsive without a complete event

Callers saw: an item whose target answered 200 and sent bytes of no event, one now and then, stayed there and was missing from the results of its job.

Cause: each byte restarted the timer that moves the item to another target. An item has no deadline, so nothing else ended the attempt.

Evidence: before, the new test of the endless drip in batch.test.ts was not finished after its 15 seconds.

Fix: only a complete event restarts the timer.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -39,11 +39,12 @@
     this.#eventData = [text]
   }
 
-  /** Adds a chunk of the current stream. */
-  push (chunk: Buffer): void {
+  /** Adds a chunk of the current stream; returns whether it completed an event. Throws a `MalformedStreamError` for an event without end. */
+  push (chunk: Buffer): boolean {
+    const { events } = this
     const { bytes } = this.#splitter.push(chunk)
     if (bytes.length === 0) {
-      return
+      return false
     }
     const parser = createParser({
       onEvent: event => {
@@ -53,6 +54,7 @@
       }
     })
     parser.feed(bytes.toString('utf8'))
+    return this.events > events
   }
 
   /** Starts a new stream, which continues after the last complete event; discards an incomplete one. */
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -40,7 +40,7 @@
 
 const okStatus = 200
 const unprocessableStatus = 422
-/** Time without data after which a target counts as unresponsive and the item resumes on another one; ten times a long interval between the events of a batch item. */
+/** Time without a complete event after which a target counts as unresponsive and the item resumes on another one; ten times a long interval between the events of a batch item. */
 const unresponsiveTimeoutMilliseconds = 1_500
 /**
  * Interval at which an item's response is read. Nobody waits for its single events, and a read for each of them would cost
@@ -162,8 +162,9 @@
         }
       },
       onData: chunk => {
-        unresponsiveTimer.refresh()
-        this.#output.push(chunk)
+        if (this.#output.push(chunk)) {
+          unresponsiveTimer.refresh()
+        }
         readTimer ??= setTimeout(() => {
           readTimer = null
           call.resume()
