Limit the output of a batch item to what a record can hold

Callers saw: an item whose target sent events without end kept its slot and was missing from the results of its job; the instance kept all of the events in memory. A record of the store holds 262,144 bytes.

Cause: ItemOutput took events without a limit.

Fix: beyond 258,048 bytes of text the call is broken off, and the item starts again from its first event, because events of earlier streams may be wrong as well. An item whose true output is longer is abandoned when its retention ends.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -1,14 +1,19 @@
 /** Output of a batch item, collected from event streams. */
 import { createParser } from 'eventsource-parser'
-import { EventSplitter } from '../online/event-splitter.js'
+import { EventSplitter, MalformedStreamError } from '../online/event-splitter.js'
 import { truncationOf } from '../online/stream-truncation.js'
 import type { ResponseHead } from '../targets/response-parser.js'
 import type { ItemProgress } from './item-progress.js'
 
+/** Maximum length of the text, which leaves 4 KB for the state and the key in a record of the store, whose limit is 262,144 bytes. */
+const maximumTextBytes = 258_048
+
 /** Collects the events of an item's output, which may arrive in several streams that continue each other. */
 export class ItemOutput {
   #eventData: string[] = []
   #lastId: number | null = null
+  /** Length of the text, with a line feed after each event. */
+  #textBytes = 0
   #splitter = new EventSplitter()
   /** Id of the event after which the current stream continues, or null. */
   #resumesAfter: number | null = null
@@ -37,9 +42,13 @@
   restore ({ lastId, text }: ItemProgress): void {
     this.#lastId = lastId
     this.#eventData = [text]
+    this.#textBytes = bytesOf(text)
   }
 
-  /** Adds a chunk of the current stream; returns whether it completed an event. Throws a `MalformedStreamError` for an event without end. */
+  /**
+   * Adds a chunk of the current stream; returns whether it completed an event. Throws a {@link MalformedStreamError} for an event
+   * without end, and for more events than a result can hold; then the output starts again from the first event.
+   */
   push (chunk: Buffer): boolean {
     const { events } = this
     const { bytes } = this.#splitter.push(chunk)
@@ -49,11 +58,16 @@
     const parser = createParser({
       onEvent: event => {
         this.#eventData.push(event.data)
+        this.#textBytes += bytesOf(event.data)
         const id = Number.parseInt(event.id ?? '', 10)
         this.#lastId = Number.isNaN(id) ? this.#lastId : id
       }
     })
     parser.feed(bytes.toString('utf8'))
+    if (this.#textBytes > maximumTextBytes) {
+      this.#discard()
+      throw new MalformedStreamError(`the output of an item has more than ${maximumTextBytes} bytes`)
+    }
     return this.events > events
   }
 
@@ -67,4 +81,16 @@
   truncation (head: ResponseHead): string | null {
     return truncationOf(this.#splitter, head, this.#resumesAfter)
   }
+
+  // Any of the streams may have sent events that are not of this output, so none of them is kept.
+  #discard (): void {
+    this.#lastId = null
+    this.#eventData = []
+    this.#textBytes = 0
+  }
+}
+
+/** Returns the length of an event's data with the line feed that follows it. */
+function bytesOf (data: string): number {
+  return Buffer.byteLength(data) + 1
 }
