Give a batch item up at the end of its retention also while it runs

Callers saw: an item whose target went on sending events stayed in its slot beyond the retention of its job, and was not listed.

Cause: ItemRun compared the time with the end of the retention only between two attempts, and each event kept the current one alive.

Evidence: the new test in item-run.test.ts failed before: with a retention of 0.4 s the item was still running after 3.

Fix: each attempt is stopped when the retention ends, which frees the slot without a mark against the target, and the run then gives the item up.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -38,6 +38,10 @@
   readonly text: string
 }
 
+/** Abort reason of a call whose item may be abandoned. */
+const expiredReason = 'retention over'
+/** Longest delay of a timer. */
+const maximumDelayMilliseconds = 2_147_483_647
 const okStatus = 200
 const unprocessableStatus = 422
 /** Time without a complete event after which a target counts as unresponsive and the item resumes on another one; ten times a long interval between the events of a batch item. */
@@ -174,6 +178,8 @@
     })
     let readTimer: NodeJS.Timeout | null = null
     const unresponsiveTimer = setTimeout(() => { call.abort(unresponsiveReason) }, unresponsiveTimeoutMilliseconds)
+    const expiryMilliseconds = this.job.acceptedAt + route.retentionMilliseconds - Date.now() + 1
+    const expiryTimer = setTimeout(() => { call.abort(expiredReason) }, Math.min(expiryMilliseconds, maximumDelayMilliseconds))
     const onRevoked = (): void => {
       // Reads the events that have arrived since the last read, so that the next target need not make them again.
       call.resume()
@@ -189,12 +195,13 @@
     const truncation = ended.end === CallOutcome.Complete ? this.#truncation() : null
     const { end: outcome, reason } = truncation === null ? ended : { end: CallOutcome.Broken, reason: truncation }
     clearTimeout(unresponsiveTimer)
+    clearTimeout(expiryTimer)
     if (readTimer !== null) {
       clearTimeout(readTimer)
     }
     this.#stop.signal.removeEventListener('abort', onStop)
     this.#ranMilliseconds += Date.now() - sentAt
-    const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted)
+    const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
     slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf(outcome, reason, this.#status))
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt })
     return await this.#onCallEnd(route, outcome, target, stopped)
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -1,4 +1,4 @@
-/** Tests what an item keeps when its slot is revoked. */
+/** Tests what an item keeps when its slot is revoked, and when it gives up. */
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
 import { createServer } from 'node:http'
@@ -7,6 +7,7 @@
 import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { ItemRun } from '../../src/jobs/item-run.js'
+import { ItemState } from '../../src/jobs/job.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
 import type { AcquireResult } from '../../src/permits/slot.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
@@ -70,4 +71,37 @@
     run.stop()
     assert.equal(await ended, null)
   })
+
+  it('gives an item up when its retention ends, although a target still sends events', async context => {
+    const server = createServer((request, response) => {
+      response.writeHead(200, { 'x-request-id': String(request.headers['x-request-id']), 'content-type': 'text/event-stream' })
+      const timer = setInterval(() => { response.write('id: 1\ndata: a\n\n') }, 20)
+      response.once('close', () => { clearInterval(timer) })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const outcomes: SlotOutcome[] = []
+    const connections = new TargetConnections()
+    const run = new ItemRun({
+      slots: {
+        acquire: async (): Promise<AcquireResult> => {
+          return { granted: true, slot: { permit: 'p', target: { id: 't', address }, revoked: new AbortController().signal, release: outcome => { outcomes.push(outcome) } } }
+        }
+      },
+      connections,
+      names,
+      logger: createTestLogger(),
+      routeOf: () => ({ ...route, retentionMilliseconds: 400 }),
+      serviceOf: () => 's'
+    }, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    context.after(() => {
+      run.stop()
+      connections.close()
+      server.closeAllConnections()
+      server.close()
+    })
+    assert.deepEqual(await Promise.race([run.run(), sleep(3_000)]), { state: ItemState.Abandoned, text: '' })
+    assert.deepEqual(outcomes, [SlotOutcome.Stopped])
+  })
 })
