--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -40,7 +40,7 @@
 
 /** Abort reason of a call whose item may be abandoned. */
 const expiredReason = 'retention over'
-/** Longest delay of a timer. */
+/** Longest delay that a timer supports. */
 const maximumDelayMilliseconds = 2_147_483_647
 const okStatus = 200
 const unprocessableStatus = 422
--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -8,7 +8,7 @@
   readonly lastId: number | null
 }
 
-/** An event is not what it claims to be. */
+/** The events of a stream exceed a limit; the target sends something else or without end. */
 export class MalformedStreamError extends Error {
   override readonly name = 'MalformedStreamError'
 }
