--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -8,19 +8,32 @@
   readonly lastId: number | null
 }
 
+/** The events of a stream exceed a limit; the target sends something else or without end. */
+export class MalformedStreamError extends Error {
+  override readonly name = 'MalformedStreamError'
+}
+
+/** Maximum length of an event: the length of the records that the store accepts, as a result holds all events of a batch item. */
+const maximumEventBytes = 262_144
 const lineFeed = 0x0a
+const carriageReturn = 0x0d
 const emptyBuffer = Buffer.alloc(0)
 
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
   #rest: Buffer = emptyBuffer
+  #hasEvents = false
 
-  /** Adds a chunk and returns the events that are now complete. */
+  /** Adds a chunk and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end. */
   push (chunk: Buffer): CompleteEvents {
+    if (this.#rest.length > maximumEventBytes) {
+      throw new MalformedStreamError(`an event of a stream has more than ${maximumEventBytes} bytes`)
+    }
     const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
     const end = endOfLastEvent(data)
     this.#rest = data.subarray(end)
     const bytes = data.subarray(0, end)
+    this.#hasEvents ||= end > 0
     return { bytes, lastId: end === 0 ? null : lastIdOf(bytes) }
   }
 
@@ -28,11 +41,17 @@
   get rest (): Buffer {
     return this.#rest
   }
+
+  /** Whether at least one event is complete. */
+  get hasEvents (): boolean {
+    return this.#hasEvents
+  }
 }
 
 function endOfLastEvent (data: Buffer): number {
   for (let index = data.length - 1; index > 0; index -= 1) {
-    if (data[index] === lineFeed && data[index - 1] === lineFeed) {
+    const lineEnd = data[index - 1] === carriageReturn ? index - 2 : index - 1
+    if (data[index] === lineFeed && data[lineEnd] === lineFeed) {
       return index + 1
     }
   }
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -29,7 +29,7 @@
 const slotWaitShare = 0.75
 /** Number of targets that may reject a request or be unreachable; one more ends the request. */
 const maximumRejections = 4
-/** Time without data after which a target counts as unresponsive and the request goes to another one; ten times a long interval between the events of an online response. */
+/** Time without data or, in a stream, without a complete event after which a target counts as unresponsive and the request goes to another one; ten times a long interval between the events of an online response. */
 const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
@@ -123,7 +123,7 @@
     }
     const sentAt = Date.now()
     let firstDataAt: number | null = null
-    let lastDataAt = sentAt
+    let lastProgressAt = sentAt
     let unresponsiveTimer: NodeJS.Timeout | null = null
     let status: number | null = null
     let isDiscarded = false
@@ -140,6 +140,7 @@
         // A failed response is not relayed if another target can be tried.
         isDiscarded = status === failedStatus && this.#canRetry() && this.#remainingMilliseconds() >= minimumRemainingMilliseconds
         if (isDiscarded) {
+          call.skipBody()
           return
         }
         if (!this.#relay.canContinueWith(head)) {
@@ -149,15 +150,14 @@
         this.#relay.onHead(head)
       },
       onData: chunk => {
-        unresponsiveTimer?.refresh()
-        lastDataAt = Date.now()
-        firstDataAt ??= lastDataAt
-        if (isDiscarded) {
-          return true
-        }
-        const hadBegun = this.#relay.hasBegun
+        firstDataAt ??= Date.now()
+        const { hasBegun, relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
-        if (!hadBegun && this.#relay.hasBegun) {
+        if (this.#relay.relayedBytes > relayedBytes) {
+          unresponsiveTimer?.refresh()
+          lastProgressAt = Date.now()
+        }
+        if (!hasBegun && this.#relay.hasBegun) {
           this.#firstByteMilliseconds = Date.now() - this.#startedAt
           dependencies.metrics.firstByte.observe(this.#firstByteMilliseconds / millisecondsPerSecond)
         }
@@ -172,12 +172,14 @@
     }
     const onAbort = (): void => { call.abort(this.#clientDisconnected ? 'client gone' : 'deadline') }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
-    const { end: outcome, reason } = await call.ended
+    const ended = await call.ended
+    const truncation = ended.end === CallOutcome.Complete && !isDiscarded ? this.#relay.truncation(resumeAfter) : null
+    const { end: outcome, reason } = truncation ?? ended
     if (unresponsiveTimer !== null) {
       clearTimeout(unresponsiveTimer)
     }
     this.#abort.signal.removeEventListener('abort', onAbort)
-    const wasUnresponsive = Date.now() - lastDataAt > unresponsiveTimeoutMilliseconds
+    const wasUnresponsive = Date.now() - lastProgressAt > unresponsiveTimeoutMilliseconds
     const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
     slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt, firstDataAt, endedAt: Date.now() }))
     const first = this.#firstByteMilliseconds
@@ -251,7 +253,7 @@
     const waited = Date.now() - this.#startedAt
     this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
     if (reason === RefusalReason.Quarantined) {
-      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets have crashed under a part of its prompt', retryAfter)
+      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets may crash under a part of its prompt', retryAfter)
     } else {
       rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
     }
--- a/packages/gateway/src/prompts/quarantine-sharing.ts
+++ b/packages/gateway/src/prompts/quarantine-sharing.ts
@@ -3,6 +3,7 @@
  * hands it to the next owner, and the log keeps it for a fleet that starts again.
  */
 import type { PromptQuarantine, QuarantinedPart } from '@arbutusloft/policy'
+import type { GatewayMetrics } from '../metrics.js'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
@@ -17,7 +18,8 @@
   readonly quarantine: PromptQuarantine
   readonly membership: Pick<Membership, 'live' | 'self'>
   readonly transport: PeerTransport
-  readonly log: Pick<QuarantineLog, 'save' | 'load'>
+  readonly log: QuarantineLog
+  readonly metrics: GatewayMetrics
   readonly logger: Logger
 }
 
@@ -33,7 +35,7 @@
     })
   }
 
-  /** Reads the entries that earlier processes have kept; called when this process begins to own the slots of a service. */
+  /** Reads the entries that earlier processes have kept; called once, since processes tell each other of later changes. */
   async load (): Promise<void> {
     this.#merge(await this.dependencies.log.load())
   }
@@ -46,15 +48,20 @@
     }
   }
 
+  close (): void {
+    this.dependencies.log.close()
+  }
+
   #onChange (entry: QuarantinedPart): void {
-    const { membership, log, logger } = this.dependencies
+    const { membership, log, metrics, logger } = this.dependencies
+    metrics.quarantineChanges.inc({ change: changeOf(entry) })
     logger.warn('quarantine of a prompt part changed', { part: entry.digest, periods: entry.periods, remaining: entry.remaining, version: entry.version })
     for (const { address } of membership.live()) {
       if (address !== membership.self.address) {
         this.#send(address, [entry])
       }
     }
-    void log.save(entry)
+    log.save(entry)
   }
 
   #send (address: string, entries: readonly QuarantinedPart[]): void {
@@ -68,3 +75,11 @@
     }
   }
 }
+
+/** Returns what has changed, as a label of the metric. */
+function changeOf ({ periods }: QuarantinedPart): string {
+  if (periods === 0) {
+    return 'cleared'
+  }
+  return periods === 1 ? 'begun' : 'extended'
+}
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -4,6 +4,7 @@
 import type { Exchange, TargetConnection } from './target-connection.js'
 import type { TargetConnections } from './target-connections.js'
 import type { TargetEndpoint } from './target-registry.js'
+import { UnusedBody } from './unused-body.js'
 
 /** A request to a target. */
 export interface TargetRequest {
@@ -36,19 +37,27 @@
 } as const
 export type CallOutcome = typeof CallOutcome[keyof typeof CallOutcome]
 
+/** How a call ended, and why; the reason is empty for a complete response. */
+export interface CallEnd {
+  readonly end: CallOutcome
+  readonly reason: string
+}
+
 /** Receives a response as it arrives. */
 export interface ResponseSink {
   onHead: (head: ResponseHead) => void
-  /** Returns false to pause the response until {@link RunningCall.resume}. */
+  /** Returns false to pause the response until {@link RunningCall.resume}; throws to break the call off for the error's message. */
   onData: (chunk: Buffer) => boolean
 }
 
 /** A call in flight. */
 export interface RunningCall {
-  /** Resolves when the call has ended; never rejects. `reason` is empty for a complete response. */
-  readonly ended: Promise<{ readonly end: CallOutcome, readonly reason: string }>
+  /** Resolves when the call has ended; never rejects. */
+  readonly ended: Promise<CallEnd>
   /** Resumes a paused response. */
   resume: () => void
+  /** Passes no more data to the sink; closes the connection if the response does not end soon. */
+  skipBody: () => void
   /** Closes the connection, which makes the target stop working on the request. */
   abort: (reason: string) => void
 }
@@ -99,6 +108,7 @@
   #settle: (result: { end: CallOutcome, reason: string }) => void = () => {}
   #sent = false
   #rejection: { readonly end: CallOutcome, readonly reason: string } | null = null
+  #unusedBody: UnusedBody | null = null
   #isAborted = false
   #isSettled = false
 
@@ -115,6 +125,10 @@
     this.connection.resume()
   }
 
+  skipBody (): void {
+    this.#unusedBody ??= new UnusedBody(reason => { this.abort(reason) })
+  }
+
   abort (reason: string): void {
     if (!this.#isSettled) {
       this.#isAborted = true
@@ -130,8 +144,10 @@
     const { status, headers } = head
     if (canBeRejection(status) && headers[this.names.notExecuted] !== undefined) {
       this.#rejection = { end: status === misdirectedRequestStatus ? CallOutcome.Misdirected : CallOutcome.NotExecuted, reason: `status ${status}` }
+      this.skipBody()
     } else if (status === misdirectedRequestStatus) {
       this.#rejection = { end: CallOutcome.Misdirected, reason: 'the address belongs to another target' }
+      this.skipBody()
     } else if (impliesNotExecuted(status)) {
       this.abort(`status ${status} without the not-executed header: the request may have run`)
     } else if (headers[this.names.requestId] !== this.id) {
@@ -143,7 +159,8 @@
   }
 
   onData (bytes: Buffer): boolean {
-    return this.#rejection !== null || this.#isSettled || this.sink.onData(bytes)
+    this.#unusedBody?.onData(bytes)
+    return this.#unusedBody !== null || this.#isSettled || this.sink.onData(bytes)
   }
 
   onComplete (): void {
@@ -164,6 +181,7 @@
   #finish (outcome: CallOutcome, reason: string): void {
     if (!this.#isSettled) {
       this.#isSettled = true
+      this.#unusedBody?.close()
       this.#settle({ end: outcome, reason })
     }
   }
