Wait for a response of the store as long as parts of it arrive

What callers saw: after a loss of all instances, reads of jobs were answered 503 for as long as the store was slow. Cause: a call to the store had to be complete within 450 ms. A page of a megabyte over a slow link was given up while it arrived, and the retries used up the link and the shared bandwidth of reads in the same way. A store that does not answer at all is noticed as early as before. Calls between instances keep their limit on the whole call.

--- a/packages/gateway/src/store/store-connection.ts
+++ b/packages/gateway/src/store/store-connection.ts
@@ -8,7 +8,11 @@
 
 /** A way to call the store. */
 export interface StoreConnection {
-  /** Makes a call; never rejects. */
+  /**
+   * Makes a call; never rejects.
+   *
+   * @param timeoutMilliseconds time until the response must begin; one that has begun may take longer while parts of it arrive
+   */
   call: (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number) => Promise<StoreReply>
   close: () => Promise<void>
 }
--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -16,6 +16,16 @@
   readonly body: Buffer | null
   /** Time allowed for the call, connecting included. */
   readonly timeoutMilliseconds: number
+  /** Limits of a response that has begun within the timeout; by default it must also be complete within the timeout. */
+  readonly transfer?: TransferLimits
+}
+
+/** Limits of a response that has begun. */
+export interface TransferLimits {
+  /** Time allowed from its head to its end. */
+  readonly totalMilliseconds: number
+  /** Longest time without a part of it. */
+  readonly pauseMilliseconds: number
 }
 
 /** A call ended without a complete response. */
@@ -31,7 +41,7 @@
 /** Makes a call and returns its response; rejects with {@link UnansweredCallError} if there is no complete one in time. */
 export async function callBuffered (dispatcher: Dispatcher, call: BufferedCall): Promise<BufferedResponse> {
   return await new Promise((resolve, reject) => {
-    const handler = new BufferingHandler(call.timeoutMilliseconds, resolve, reject)
+    const handler = new BufferingHandler(call.timeoutMilliseconds, call.transfer ?? null, resolve, reject)
     dispatcher.dispatch({
       method: call.method,
       path: call.path,
@@ -45,13 +55,16 @@
 
 class BufferingHandler implements Dispatcher.DispatchHandler {
   readonly #chunks: Buffer[] = []
-  readonly #timer: NodeJS.Timeout
+  #timer: NodeJS.Timeout
+  /** Time at which a response that has begun is given up although it goes on, in milliseconds since the epoch. */
+  #transferDeadline = 0
   #controller: Dispatcher.DispatchController | null = null
   #head: Pick<BufferedResponse, 'status' | 'headers'> | null = null
   #timedOut = false
 
   constructor (
     timeoutMilliseconds: number,
+    private readonly transfer: TransferLimits | null,
     private readonly resolve: (response: BufferedResponse) => void,
     private readonly reject: (error: UnansweredCallError) => void
   ) {
@@ -68,10 +81,13 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: BufferedResponse['headers']): void {
     this.#head = { status, headers }
+    this.#transferDeadline = Date.now() + (this.transfer?.totalMilliseconds ?? 0)
+    this.#extend()
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk)
+    this.#extend()
   }
 
   onResponseEnd (): void {
@@ -88,6 +104,16 @@
     this.reject(new UnansweredCallError(error.message, this.#controller !== null))
   }
 
+  /** Allows a response that goes on another pause, up to the end of the time for its transfer. */
+  #extend (): void {
+    if (this.transfer === null || this.#timedOut) {
+      return
+    }
+    clearTimeout(this.#timer)
+    const remaining = Math.min(this.transfer.pauseMilliseconds, this.#transferDeadline - Date.now())
+    this.#timer = setTimeout(() => { this.#onTimeout() }, Math.max(0, remaining))
+  }
+
   #onTimeout (): void {
     this.#timedOut = true
     if (this.#controller !== null) {
--- /dev/null
+++ b/packages/gateway/tests/util/buffered-call.test.ts
@@ -0,0 +1,56 @@
+/** Tests the limits on the time of a call, against a server that sends its response in parts. */
+import assert from 'node:assert/strict'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { describe, it } from 'node:test'
+import { sleep } from '../../src/index.js'
+import { callBuffered, UnansweredCallError } from '../../src/util/buffered-call.js'
+import type { BufferedResponse, TransferLimits } from '../../src/util/buffered-call.js'
+import { Pool } from '../../src/util/undici-pool.js'
+
+const timeoutMilliseconds = 200
+const transferLimits = { totalMilliseconds: 2_000, pauseMilliseconds: 200 }
+
+/** Makes a call to a server that waits before its response begins, and pauses before each of its parts. */
+async function callServer (delayMilliseconds: number, pausesMilliseconds: readonly number[], transfer?: TransferLimits): Promise<BufferedResponse> {
+  const server = createServer((_request, response) => {
+    void (async () => {
+      await sleep(delayMilliseconds)
+      response.flushHeaders()
+      for (const pause of pausesMilliseconds) {
+        await sleep(pause)
+        response.write('part')
+      }
+      response.end()
+    })()
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+  try {
+    return await callBuffered(pool, { method: 'GET', path: '/', body: null, timeoutMilliseconds, ...(transfer === undefined ? {} : { transfer }) })
+  } finally {
+    await pool.destroy()
+    server.closeAllConnections()
+    server.close()
+  }
+}
+
+describe('callBuffered', () => {
+  it('waits for a response that goes on if it may take longer than the timeout', async () => {
+    const { body } = await callServer(100, Array.from({ length: 6 }, () => 60), transferLimits)
+    assert.equal(body.length, 6 * 'part'.length)
+  })
+
+  it('gives up a response that takes longer than the timeout by default', async () => {
+    await assert.rejects(callServer(100, Array.from({ length: 6 }, () => 60)), UnansweredCallError)
+  })
+
+  it('gives up a response that does not begin within the timeout, or pauses for longer than that', async () => {
+    await assert.rejects(callServer(400, [0], transferLimits), UnansweredCallError)
+    await assert.rejects(callServer(0, [50, 400], transferLimits), UnansweredCallError)
+  })
+
+  it('gives up a response that goes on for longer than the time for transfers', async () => {
+    await assert.rejects(callServer(0, Array.from({ length: 20 }, () => 50), { ...transferLimits, totalMilliseconds: 500 }), UnansweredCallError)
+  })
+})
