Never answer a read of the log from a refresh that began before it

What callers saw: possibly 404 for a job that had been accepted, from an instance whose refresh had read its first page before. Cause: a refresh joined the one in flight unless that had begun in an earlier millisecond of the clock. In the same millisecond, or after the clock was set back, it joined one that had already read the log. Change: a refresh that finds another in flight waits for it and reads anew; those that come meanwhile share that next one. Evidence: the new test failed before.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -29,7 +29,8 @@
   #closed = false
   #reachable = false
   #refreshing: Promise<boolean> | null = null
-  #refreshStartedAt = 0
+  /** The refresh that begins when the current one has ended. */
+  #nextRefresh: Promise<boolean> | null = null
   readonly #reconnectListeners: Array<() => void> = []
   #endPause: (() => void) | null = null
 
@@ -62,13 +63,13 @@
 
   /** Reads to the end of the topic; returns true if the listener has then received everything that was appended before the call. */
   async refresh (): Promise<boolean> {
-    const calledAt = Date.now()
-    // A refresh that began before this call may miss records that were appended in between.
-    if (this.#refreshing !== null && this.#refreshStartedAt < calledAt) {
-      await this.#refreshing
+    if (this.#refreshing === null && this.#nextRefresh === null) {
+      this.#refreshing = this.#refreshOnce()
+      return await this.#refreshing
     }
-    this.#refreshing ??= this.#refreshOnce()
-    return await this.#refreshing
+    // A refresh that has begun may miss records that were appended in between.
+    this.#nextRefresh ??= this.#refreshAfter(this.#refreshing)
+    return await this.#nextRefresh
   }
 
   /**
@@ -100,8 +101,14 @@
     this.hurry()
   }
 
+  async #refreshAfter (current: Promise<boolean> | null): Promise<boolean> {
+    await current
+    this.#nextRefresh = null
+    this.#refreshing = this.#refreshOnce()
+    return await this.#refreshing
+  }
+
   async #refreshOnce (): Promise<boolean> {
-    this.#refreshStartedAt = Date.now()
     try {
       await this.#readOnce(0)
       return true
--- /dev/null
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -0,0 +1,73 @@
+/** Tests that a refresh has read everything that was appended before it was called, whatever other reads are in flight. */
+import assert from 'node:assert/strict'
+import { setImmediate } from 'node:timers/promises'
+import { describe, it, mock } from 'node:test'
+import { AppendOutcome, KeyedFollower } from '../../src/index.js'
+import type { KeyedRecord, KeyedTopic, RecordBatch } from '../../src/index.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+/** A topic whose reads see the records at the time of their call, and return when the test lets them. */
+class HeldTopic implements KeyedTopic {
+  readonly #records: KeyedRecord[] = []
+  #held: Array<() => void> = []
+
+  add (key: string): void {
+    this.#records.push({ key, value: Buffer.from('value'), offset: this.#records.length })
+  }
+
+  /** Lets the reads that are in flight return, the first one first. */
+  async release (): Promise<void> {
+    for (const resolve of this.#held.splice(0)) {
+      resolve()
+      await setImmediate()
+    }
+  }
+
+  async newest (): Promise<RecordBatch> {
+    return await this.read(0)
+  }
+
+  async read (from: number): Promise<RecordBatch> {
+    const batch = { records: this.#records.slice(from), end: this.#records.length, isComplete: true }
+    await new Promise<void>(resolve => { this.#held.push(resolve) })
+    return batch
+  }
+
+  async append (): Promise<AppendOutcome> {
+    return AppendOutcome.Refused
+  }
+}
+
+function follow (topic: KeyedTopic): { readonly follower: KeyedFollower, readonly keys: Set<string> } {
+  const keys = new Set<string>()
+  const listener = (records: readonly KeyedRecord[]): void => { records.forEach(({ key }) => { keys.add(key) }) }
+  const options = { name: 'topic', waitMilliseconds: 0, pauseMilliseconds: () => 1_000 }
+  return { follower: new KeyedFollower(topic, options, listener, createTestLogger()), keys }
+}
+
+/** Lets all reads return, and returns the result of a refresh. */
+async function resultOf (topic: HeldTopic, promise: Promise<boolean>): Promise<boolean> {
+  // A refresh takes no more reads than this.
+  for (let round = 0; round < 10; round += 1) {
+    await topic.release()
+    await setImmediate()
+  }
+  return await promise
+}
+
+describe('KeyedFollower', () => {
+  it('reads anew for a refresh that is called while another is in flight, even in the same millisecond', async context => {
+    mock.timers.enable({ apis: ['Date'], now: 1_000_000 })
+    context.after(() => { mock.timers.reset() })
+    const topic = new HeldTopic()
+    const { follower, keys } = follow(topic)
+    const first = follower.refresh()
+    await setImmediate()
+    topic.add('later')
+    const second = follower.refresh()
+    assert.equal(await resultOf(topic, second), true)
+    assert.equal(await first, true)
+    assert.ok(keys.has('later'))
+    follower.close()
+  })
+})
