Read on after a load of the log that began before the refresh

What callers could see: 404 for a job that had been accepted, from an instance that still loaded its jobs. Only while a topic is followed in the background and refreshed at once, as all instances did with the one topic of all jobs; partitions of jobs are only refreshed, one refresh at a time. Cause: of two loads in flight the first to end is kept. A refresh whose own load was dropped counted as done, although the load that was kept had begun before it. A read that was dropped because another read had found its records expired counted as done, too. Change: such a refresh reads on from the position of the load that was kept. Evidence: the new test failed before.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -149,19 +149,15 @@
 
   async #readOnce (waitMilliseconds: number): Promise<void> {
     const startedAt = Date.now()
-    if (this.#position === null) {
-      await this.#loadNewest()
-    } else {
-      let isAtEnd = await this.#readOrLoad(this.#position, waitMilliseconds)
-      // One read returns only a part if there is much to read.
-      while (!isAtEnd) {
-        isAtEnd = await this.#readOrLoad(this.#position, 0)
-      }
+    let isAtEnd = false
+    // One read returns only a part if there is much to read.
+    for (let wait = waitMilliseconds; !isAtEnd; wait = 0) {
+      isAtEnd = this.#position === null ? await this.#loadNewest() : await this.#readOrLoad(this.#position, wait)
     }
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
   }
 
-  /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the end of the topic was reached. */
+  /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the listener has received everything up to the end of the topic. */
   async #readOrLoad (position: number, waitMilliseconds: number): Promise<boolean> {
     let batch: RecordBatch
     try {
@@ -172,12 +168,11 @@
       }
       this.logger.info('records expired, loading again', { topic: this.options.name, position })
       this.#position = null
-      await this.#loadNewest()
-      return true
+      return await this.#loadNewest()
     }
     this.#onReadSucceeded()
     this.#apply(batch)
-    return batch.isComplete || this.#closed
+    return this.#closed || (batch.isComplete && this.#position !== null && this.#position >= batch.end)
   }
 
   #onReadSucceeded (): void {
@@ -191,14 +186,16 @@
     }
   }
 
-  async #loadNewest (): Promise<void> {
+  /** Loads the newest records; returns false if another load has ended meanwhile, which may have begun earlier and is kept. */
+  async #loadNewest (): Promise<boolean> {
     const { records, end } = await this.topic.newest()
     if (this.#closed || this.#position !== null) {
-      return
+      return this.#closed
     }
     this.#onReadSucceeded()
     this.#position = end
     this.listener([...records].sort((left, right) => left.offset - right.offset), true)
+    return true
   }
 
   #apply ({ records, end }: RecordBatch): void {
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -70,4 +70,15 @@
     assert.ok(keys.has('later'))
     follower.close()
   })
+
+  it('reads on after a load that began before the refresh and ended during it', async () => {
+    const topic = new HeldTopic()
+    const { follower, keys } = follow(topic)
+    follower.start()
+    await setImmediate()
+    topic.add('later')
+    assert.equal(await resultOf(topic, follower.refresh()), true)
+    assert.ok(keys.has('later'))
+    follower.close()
+  })
 })
