--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -29,7 +29,8 @@
   #closed = false
   #reachable = false
   #refreshing: Promise<boolean> | null = null
-  #refreshStartedAt = 0
+  /** The refresh that begins when the current one has ended. */
+  #nextRefresh: Promise<boolean> | null = null
   readonly #reconnectListeners: Array<() => void> = []
   #endPause: (() => void) | null = null
 
@@ -62,13 +63,13 @@
 
   /** Reads to the end of the topic; returns true if the listener has then received everything that was appended before the call. */
   async refresh (): Promise<boolean> {
-    const calledAt = Date.now()
-    // A refresh that began before this call may miss records that were appended in between.
-    if (this.#refreshing !== null && this.#refreshStartedAt < calledAt) {
-      await this.#refreshing
+    if (this.#refreshing === null && this.#nextRefresh === null) {
+      this.#refreshing = this.#refreshOnce()
+      return await this.#refreshing
     }
-    this.#refreshing ??= this.#refreshOnce()
-    return await this.#refreshing
+    // A refresh that has begun may miss records that were appended in between.
+    this.#nextRefresh ??= this.#refreshAfter(this.#refreshing)
+    return await this.#nextRefresh
   }
 
   /**
@@ -100,8 +101,14 @@
     this.hurry()
   }
 
+  async #refreshAfter (current: Promise<boolean> | null): Promise<boolean> {
+    await current
+    this.#nextRefresh = null
+    this.#refreshing = this.#refreshOnce()
+    return await this.#refreshing
+  }
+
   async #refreshOnce (): Promise<boolean> {
-    this.#refreshStartedAt = Date.now()
     try {
       await this.#readOnce(0)
       return true
@@ -142,19 +149,15 @@
 
   async #readOnce (waitMilliseconds: number): Promise<void> {
     const startedAt = Date.now()
-    if (this.#position === null) {
-      await this.#loadNewest()
-    } else {
-      let isAtEnd = await this.#readOrLoad(this.#position, waitMilliseconds)
-      // One read returns only a part if there is much to read.
-      while (!isAtEnd) {
-        isAtEnd = await this.#readOrLoad(this.#position, 0)
-      }
+    let isAtEnd = false
+    // One read returns only a part if there is much to read.
+    for (let wait = waitMilliseconds; !isAtEnd; wait = 0) {
+      isAtEnd = this.#position === null ? await this.#loadNewest() : await this.#readOrLoad(this.#position, wait)
     }
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
   }
 
-  /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the end of the topic was reached. */
+  /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the listener has received everything up to the end of the topic. */
   async #readOrLoad (position: number, waitMilliseconds: number): Promise<boolean> {
     let batch: RecordBatch
     try {
@@ -165,12 +168,11 @@
       }
       this.logger.info('records expired, loading again', { topic: this.options.name, position })
       this.#position = null
-      await this.#loadNewest()
-      return true
+      return await this.#loadNewest()
     }
     this.#onReadSucceeded()
     this.#apply(batch)
-    return batch.isComplete || this.#closed
+    return this.#closed || (batch.isComplete && this.#position !== null && this.#position >= batch.end)
   }
 
   #onReadSucceeded (): void {
@@ -184,14 +186,16 @@
     }
   }
 
-  async #loadNewest (): Promise<void> {
+  /** Loads the newest records; returns false if another load has ended meanwhile, which may have begun earlier and is kept. */
+  async #loadNewest (): Promise<boolean> {
     const { records, end } = await this.topic.newest()
     if (this.#closed || this.#position !== null) {
-      return
+      return this.#closed
     }
     this.#onReadSucceeded()
     this.#position = end
     this.listener([...records].sort((left, right) => left.offset - right.offset), true)
+    return true
   }
 
   #apply ({ records, end }: RecordBatch): void {
