Read the targets through peers as soon as the store is late, not after two timeouts

Callers saw: requests sent to targets that had announced their departure up to 2.8 s before, while the store was silent for the instance that grants the slots of the service. Cause: a silent store was noticed by two reads of 950 ms in a row; only then was a peer asked, and a peer for which the store was silent as well took 1.1 s more. Change: while the answer to a read of the targets is 80 ms late, an instance that follows them closely reads without waiting: directly, then through one peer after the other, each 100 ms later; the first answer counts. Reads that are answered in time cause no other read.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -13,6 +13,8 @@
   readonly waitMilliseconds: number
   /** Returns the milliseconds between a read, which returned records or not, and the next one. */
   readonly pauseMilliseconds: (hasRecords: boolean) => number
+  /** Whether to refresh while the answer to a read is overdue, instead of waiting until that read fails; by default not. */
+  readonly isUrgent?: () => boolean
 }
 
 /** Receives records in the order of their offsets. If `isReset`, they are the complete content of the topic and replace all earlier ones. */
@@ -20,12 +22,18 @@
 
 /** Minimum delay before a failed read is retried; jitter adds up to the same amount. */
 const retryMilliseconds = 100
+/** Milliseconds by which the answer to a read has to be late to count as overdue; many times the usual answer time. */
+const overdueMilliseconds = 80
+/** Delay of the second refresh while the answer to a read is overdue; it doubles with each further one. */
+const initialRefreshMilliseconds = 200
 
 /** Passes the records of a topic to a listener, and keeps track of its position and of when the topic was last read to the end. */
 export class KeyedFollower {
   #position: number | null = null
   /** Start of the latest successful read; the listener has received everything that was appended before it. */
   #confirmedAt = 0
+  /** Time up to which the latest successful read has shown all records; unlike {@link #confirmedAt} it follows a clock that is set back. */
+  #shownUntil = -Infinity
   #closed = false
   #reachable = false
   #refreshing: Promise<boolean> | null = null
@@ -60,6 +68,11 @@
     return this.#position !== null && this.#confirmedAt >= time
   }
 
+  /** Milliseconds since the time up to which the listener has received everything; `Infinity` before the first load, negative if the clock was set back. */
+  get ageMilliseconds (): number {
+    return Date.now() - this.#shownUntil
+  }
+
   /** Reads to the end of the topic; returns true if the listener has then received everything that was appended before the call. */
   async refresh (): Promise<boolean> {
     const calledAt = Date.now()
@@ -117,7 +130,7 @@
     while (!this.#closed) {
       try {
         const before = this.#position
-        await this.#readOnce(this.options.waitMilliseconds)
+        await this.#readWatched()
         const pause = this.options.pauseMilliseconds(this.#position !== before)
         if (pause > 0) {
           await this.#pause(pause)
@@ -129,6 +142,31 @@
     }
   }
 
+  /** Reads once, and refreshes meanwhile if the answer is overdue and the topic urgent. */
+  async #readWatched (): Promise<void> {
+    const { waitMilliseconds, isUrgent } = this.options
+    if (isUrgent?.() !== true || this.#position === null) {
+      await this.#readOnce(waitMilliseconds)
+      return
+    }
+    let delay = initialRefreshMilliseconds
+    const refresh = (): void => {
+      void this.refresh().then(() => {
+        if (timer !== null) {
+          timer = setTimeout(refresh, delay)
+          delay *= 2
+        }
+      })
+    }
+    let timer: NodeJS.Timeout | null = setTimeout(refresh, waitMilliseconds + overdueMilliseconds)
+    try {
+      await this.#readOnce(waitMilliseconds)
+    } finally {
+      clearTimeout(timer)
+      timer = null
+    }
+  }
+
   async #pause (milliseconds: number): Promise<void> {
     await new Promise<void>(resolve => {
       const timer = setTimeout(resolve, milliseconds)
@@ -142,16 +180,19 @@
 
   async #readOnce (waitMilliseconds: number): Promise<void> {
     const startedAt = Date.now()
-    if (this.#position === null) {
+    const before = this.#position
+    if (before === null) {
       await this.#loadNewest()
     } else {
-      let isAtEnd = await this.#readOrLoad(this.#position, waitMilliseconds)
+      let isAtEnd = await this.#readOrLoad(before, waitMilliseconds)
       // One read returns only a part if there is much to read.
       while (!isAtEnd) {
-        isAtEnd = await this.#readOrLoad(this.#position, 0)
+        isAtEnd = await this.#readOrLoad(this.#position ?? before, 0)
       }
     }
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
+    // The store answers without records only when the wait is over.
+    this.#shownUntil = this.#position === before && before !== null ? Math.min(Date.now(), startedAt + waitMilliseconds) : startedAt
   }
 
   /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the end of the topic was reached. */
--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -34,6 +34,11 @@
 /** Time to connect to a peer, and the time allowed for the relay in addition to the call's own timeout. */
 const relayOverheadMilliseconds = 150
 
+/** Time after which an urgent read that was not answered is also sent another way. */
+const urgentDelayMilliseconds = 100
+/** Peers that an urgent read is sent to: with a store that is silent for a third of them, one in a thousand reads meets only such peers. */
+const maximumUrgentPeers = 6
+
 const serviceUnavailableStatus = 503
 const tooManyRequestsStatus = 429
 
@@ -69,7 +74,10 @@
     return this.#isDirectAvailable
   }
 
-  async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
+  async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isUrgent = false): Promise<StoreReply> {
+    if (isUrgent && method === 'GET') {
+      return await this.#readUrgently(path, timeoutMilliseconds)
+    }
     if (!this.#shouldCallDirectly() && this.options.peers().length > 0) {
       return await this.#relay(method, path, body, timeoutMilliseconds)
     }
@@ -141,12 +149,28 @@
     return true
   }
 
+  /**
+   * Reads directly, and through one peer after the other while no answer comes; the first answer counts. Asks peers also
+   * when those asked before had no access to the store.
+   */
+  async #readUrgently (path: string, timeoutMilliseconds: number): Promise<StoreReply> {
+    const ways = this.#peersToTry(maximumUrgentPeers).map(peer => async () => {
+      const reply = await callPeer(peer, 'GET', path, null, timeoutMilliseconds)
+      this.#provenPeer = isServed(reply) ? peer : this.#provenPeer
+      return reply
+    })
+    const direct = async (): Promise<StoreReply> => await this.callDirectly('GET', path, null, timeoutMilliseconds)
+    // A peer is asked first while the store turns this instance away; the direct call finds out whether it still does.
+    const ordered = this.#isDirectAvailable ? [direct, ...ways] : [...ways.slice(0, 1), direct, ...ways.slice(1)]
+    return await firstServed(ordered, urgentDelayMilliseconds)
+  }
+
   async #relay (method: 'GET' | 'POST', path: string, body: Buffer | null, timeout: number, directReply?: StoreReply): Promise<StoreReply> {
     let last: StoreReply = directReply ?? { answered: false, sent: false, reason: 'no peer has access to the store' }
     if (Date.now() < this.#relayPausedUntil) {
       return last
     }
-    for (const peer of this.#peersToTry()) {
+    for (const peer of this.#peersToTry(maximumPeers)) {
       const reply = await callPeer(peer, method, path, body, timeout)
       if (isServed(reply)) {
         this.#provenPeer = peer
@@ -164,10 +188,10 @@
     return last
   }
 
-  #peersToTry (): readonly string[] {
+  #peersToTry (count: number): readonly string[] {
     const peers = this.options.peers()
     const proven = this.#provenPeer
-    return (proven === null || !peers.includes(proven) ? peers : [proven, ...peers.filter(peer => peer !== proven)]).slice(0, maximumPeers)
+    return (proven === null || !peers.includes(proven) ? peers : [proven, ...peers.filter(peer => peer !== proven)]).slice(0, count)
   }
 }
 
@@ -193,6 +217,38 @@
   }
 }
 
+/**
+ * Makes calls one after the other, each when the one before has failed or has had no reply for a while. Returns the first reply with
+ * which the store served a call, or the last reply if it served none.
+ */
+async function firstServed (calls: ReadonlyArray<() => Promise<StoreReply>>, delayMilliseconds: number): Promise<StoreReply> {
+  return await new Promise(resolve => {
+    let started = 0
+    let ended = 0
+    let timer: NodeJS.Timeout | undefined
+    const startNext = (): void => {
+      clearTimeout(timer)
+      const call = calls[started]
+      if (call === undefined) {
+        return
+      }
+      const number = started += 1
+      timer = setTimeout(startNext, delayMilliseconds)
+      void call().then(reply => {
+        ended += 1
+        if (isServed(reply) || ended === calls.length) {
+          started = calls.length
+          clearTimeout(timer)
+          resolve(reply)
+        } else if (number === started) {
+          startNext()
+        }
+      })
+    }
+    startNext()
+  })
+}
+
 /** Whether a call was sent and not answered, so that it may have been carried out. */
 function isLost (reply: StoreReply): boolean {
   return !reply.answered && reply.sent
--- a/packages/gateway/src/store/store-connection.ts
+++ b/packages/gateway/src/store/store-connection.ts
@@ -8,7 +8,11 @@
 
 /** A way to call the store. */
 export interface StoreConnection {
-  /** Makes a call; never rejects. */
-  call: (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number) => Promise<StoreReply>
+  /**
+   * Makes a call; never rejects.
+   *
+   * @param isUrgent whether a read may be sent several times at once, so that the first answer counts
+   */
+  call: (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isUrgent?: boolean) => Promise<StoreReply>
   close: () => Promise<void>
 }
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -113,4 +113,34 @@
     assert.equal(await read(connection), '503 ')
     assert.equal(await read(connection), '200 direct')
   })
+
+  it('answers an urgent read through a peer while the store is silent for this instance, and for the first peer', async () => {
+    const silent: StoreConnection = {
+      call: async (_method, _path, _body, timeoutMilliseconds) => {
+        await sleep(timeoutMilliseconds)
+        return lost
+      },
+      close: async () => {}
+    }
+    const silentPeerConnection = new RelayingStoreConnection(silent, { peers: () => [], logger: createTestLogger() })
+    const silentPeer = createServer((request, response) => { void relayStoreCall(silentPeerConnection, request, response) })
+    silentPeer.listen(0, '127.0.0.1')
+    await once(silentPeer, 'listening')
+    const peers = [silentPeer, peer].map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    const connection = new RelayingStoreConnection(silent, { peers: () => peers, logger: createTestLogger() })
+    const startedAt = Date.now()
+    const reply = await connection.call('GET', '/log-read', null, 450, true)
+    const took = Date.now() - startedAt
+    silentPeer.closeAllConnections()
+    silentPeer.close()
+    assert.deepEqual(reply, { answered: true, status: 200, body: Buffer.from('relayed') })
+    assert.ok(took < 400, `the read took ${took} ms`)
+  })
+
+  it('sends an urgent read once if it is answered at once', async () => {
+    const direct = new PreparedConnection([served])
+    const reply = await connectWith(direct).call('GET', '/log-read', null, 450, true)
+    await sleep(150)
+    assert.deepEqual([reply, direct.calls, peerRequests], [served, 1, 0])
+  })
 })
