Grant slots only from a list of targets that is recent

Callers saw: requests sent to targets that had left, granted by an owner that had been paused or read the list seldom before. Cause: an owner granted slots whatever the age of its list; an instance that had just become the owner had one of up to 4.5 s. If nobody that it asks has access to the store it goes on granting, since nobody knows a later list. Evidence: slot-owner.test.ts; its five tests fail without the check of the age.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import type { PeerTransport } from './peers/peer-socket.js'
 import { SlotClient } from './permits/slot-client.js'
 import { TargetConnections } from './targets/target-connections.js'
+import { TargetFreshness } from './targets/target-freshness.js'
 import { TargetRegistry } from './targets/target-registry.js'
 import type { Target } from './targets/target-registry.js'
 import type { Logger } from './util/logger.js'
@@ -70,6 +71,7 @@
 export class Gateway {
   readonly metrics = new GatewayMetrics()
   readonly targets = new TargetRegistry()
+  readonly targetFreshness = new TargetFreshness()
   readonly membership: Membership
   readonly slots: SlotClient
   readonly jobs: JobApi
@@ -87,7 +89,7 @@
   constructor (private readonly options: GatewayOptions) {
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
-    this.slots = new SlotClient(this.membership, transport, this.targets)
+    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness)
     this.targets.onChange(() => {
       this.#targetsKnown = true
       this.#updateState()
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -10,6 +10,7 @@
 import { isMemberMessage, PeerMessageType } from '../peers/peer-messages.js'
 import type { SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
+import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import type { AcquireResult, SlotDemand } from './slot.js'
@@ -73,10 +74,11 @@
   constructor (
     private readonly membership: Membership,
     private readonly transport: PeerTransport,
-    targets: TargetRegistry
+    targets: TargetRegistry,
+    freshness: TargetFreshness
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    this.#owner = new SlotOwner(targets, (service, decision) => { this.#deliverDecision(service, decision) })
+    this.#owner = new SlotOwner(targets, freshness, (service, decision) => { this.#deliverDecision(service, decision) })
     transport.onMessage((message, sender) => {
       if (!isMemberMessage(message)) {
         this.#onMessage(message, sender)
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -4,6 +4,7 @@
  */
 import { FleetAdmission } from '@arbutusloft/policy'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
@@ -34,17 +35,28 @@
 export class SlotOwner {
   readonly #services = new Map<string, OwnedService>()
   readonly #alarm = new Alarm(now => this.#check(now))
+  /** Requests, by permit, that arrived while the list of targets was out of date. */
+  readonly #deferred = new Map<string, { readonly service: string, readonly request: SlotRequest }>()
+  /** Whether slots are granted, which the list of targets may be too old for. */
+  #isGranting = true
 
   constructor (
     private readonly targets: TargetRegistry,
+    private readonly freshness: TargetFreshness,
     private readonly listener: DecisionListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
+    freshness.onRefreshed(() => { this.#updateGranting() })
   }
 
   /** Passes a request to admission control; returns false if it was queued, and true if it was granted or rejected. */
   request (service: string, request: SlotRequest): boolean {
     const owned = this.#recordContact(service, request.holder)
+    this.#updateGranting()
+    if (!this.#isGranting) {
+      this.#deferred.set(request.permit, { service, request })
+      return false
+    }
     const now = Date.now()
     const decisions = owned.admission.request(request, now)
     this.#emit(service, decisions)
@@ -56,17 +68,20 @@
 
   /** Frees the slot of a permit; the outcome tells admission control about the target's health. */
   release (service: string, permit: string, outcome: SlotOutcome): void {
+    this.#updateGranting()
     this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now()))
   }
 
   /** Removes a waiting request. */
   withdraw (service: string, permit: string): void {
+    this.#deferred.delete(permit)
     this.#ensureService(service).admission.withdraw(permit)
   }
 
   /** Reconciles the slots of a holder with its report of all slots that it holds. */
   report (service: string, holder: string, held: readonly HeldSlot[]): void {
     const owned = this.#recordContact(service, holder)
+    this.#updateGranting()
     this.#emit(service, owned.admission.synchronize(holder, held, Date.now()))
   }
 
@@ -99,23 +114,46 @@
     }
     const owned = { admission: new FleetAdmission(), holders: new Map<string, number>() }
     this.#services.set(service, owned)
-    owned.admission.setTargets(this.targets.ofService(service).map(toFleetTarget), Date.now())
+    owned.admission.setTargets(this.#targetsOf(service), Date.now())
     return owned
   }
 
   #updateTargets (): void {
     for (const [service, { admission }] of this.#services) {
-      this.#emit(service, admission.setTargets(this.targets.ofService(service).map(toFleetTarget), Date.now()))
+      this.#emit(service, admission.setTargets(this.#targetsOf(service), Date.now()))
+    }
+  }
+
+  /** Stops granting slots while the list of targets is out of date, and goes on once it has been read. */
+  #updateGranting (): void {
+    const isGranting = this.freshness.check()
+    if (isGranting === this.#isGranting) {
+      return
+    }
+    this.#isGranting = isGranting
+    this.#updateTargets()
+    if (isGranting) {
+      const deferred = [...this.#deferred.values()]
+      this.#deferred.clear()
+      for (const { service, request } of deferred) {
+        this.request(service, request)
+      }
     }
   }
 
+  #targetsOf (service: string): readonly FleetTarget[] {
+    return this.targets.ofService(service).map(target => toFleetTarget(target, this.#isGranting))
+  }
+
   /** Removes holders that have fallen silent and decides waiting requests anew; returns when to check again. */
   #check (now: number): number {
+    this.#updateGranting()
     let next = Infinity
     for (const [service, { admission, holders }] of this.#services) {
       for (const [holder, lastMessageAt] of holders) {
         if (now - lastMessageAt > holderTimeoutMilliseconds) {
           holders.delete(holder)
+          this.#forgetDeferred(holder)
           this.#emit(service, admission.removeHolder(holder, now))
         }
       }
@@ -130,6 +168,14 @@
     return next
   }
 
+  #forgetDeferred (holder: string): void {
+    for (const [permit, { request }] of this.#deferred) {
+      if (request.holder === holder) {
+        this.#deferred.delete(permit)
+      }
+    }
+  }
+
   #emit (service: string, decisions: readonly SlotDecision[]): void {
     for (const decision of decisions) {
       this.listener(service, decision)
@@ -137,7 +183,7 @@
   }
 }
 
-function toFleetTarget (target: Target): FleetTarget {
+function toFleetTarget (target: Target, isGranting: boolean): FleetTarget {
   const { id, address, zone, slots, state } = target
-  return { id, address, zone, slots, accepting: state === TargetState.Ready }
+  return { id, address, zone, slots, accepting: isGranting && state === TargetState.Ready }
 }
--- /dev/null
+++ b/packages/gateway/src/targets/target-freshness.ts
@@ -0,0 +1,68 @@
+/** Whether the list of targets is recent enough to grant slots from. */
+import type { Logger } from '../util/logger.js'
+
+/** Where the list of targets comes from. */
+export interface TargetSource {
+  /** Milliseconds since the time up to which the list shows all changes; negative if the clock was set back. */
+  readonly ageMilliseconds: number
+  /** Brings the list up to date; returns false if the store was not reached, neither directly nor through peers. */
+  refresh: () => Promise<boolean>
+}
+
+/** Options of {@link TargetFreshness}. */
+export interface TargetFreshnessOptions {
+  readonly source: TargetSource
+  /** Age of the list in milliseconds from which no slots are granted from it before it has been read again. */
+  readonly maximumAgeMilliseconds: number
+  readonly logger: Logger
+}
+
+/** Reads the list again when it is asked for and too old. */
+export class TargetFreshness {
+  #options: TargetFreshnessOptions | null = null
+  #isRefreshing = false
+  /** Whether the latest refresh found nobody with access to the store, so that nobody knows a later list. */
+  #isUnconfirmable = false
+  readonly #listeners: Array<() => void> = []
+
+  /** Sets the source of the list; before that, any list counts as recent. */
+  follow (options: TargetFreshnessOptions): void {
+    this.#options = options
+  }
+
+  /** Calls the listener when a refresh that {@link check} began has ended. */
+  onRefreshed (listener: () => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /** Returns whether slots may be granted from the list; if not, begins to read it again. */
+  check (): boolean {
+    if (this.#options === null) {
+      return true
+    }
+    const { source, maximumAgeMilliseconds } = this.#options
+    const age = source.ageMilliseconds
+    if (age >= 0 && age <= maximumAgeMilliseconds) {
+      this.#isUnconfirmable = false
+      return true
+    }
+    if (!this.#isUnconfirmable && !this.#isRefreshing) {
+      void this.#refresh(this.#options)
+    }
+    return this.#isUnconfirmable
+  }
+
+  async #refresh ({ source, logger }: TargetFreshnessOptions): Promise<void> {
+    this.#isRefreshing = true
+    logger.info('targets out of date, slots wait', { age: source.ageMilliseconds })
+    const isRead = await source.refresh()
+    this.#isRefreshing = false
+    this.#isUnconfirmable = !isRead
+    if (!isRead) {
+      logger.warn('targets out of date, no access to the store', { age: source.ageMilliseconds })
+    }
+    for (const listener of this.#listeners) {
+      listener()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -0,0 +1,109 @@
+/** Tests that an owner grants slots only from a list of targets that is recent. */
+import assert from 'node:assert/strict'
+import { afterEach, describe, it } from 'node:test'
+import { DecisionKind } from '@arbutusloft/policy'
+import type { SlotDecision, SlotRequest } from '@arbutusloft/policy'
+import { WorkClass } from '@arbutusloft/protocol'
+import { SlotOwner, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
+import type { Target, TargetSource } from '../../src/index.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready }
+const maximumAgeMilliseconds = 1_300
+
+function request (permit: string, workClass: WorkClass = WorkClass.Online): SlotRequest {
+  return { permit, holder: 'h', workClass, zone: 'a', prefix: [], excluded: [], patience: 750, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
+}
+
+/** A list whose age and refreshes the test decides on. */
+class PreparedSource implements TargetSource {
+  ageMilliseconds = 0
+  refreshes = 0
+  #end: (isRead: boolean) => void = () => {}
+
+  async refresh (): Promise<boolean> {
+    this.refreshes += 1
+    return await new Promise(resolve => { this.#end = resolve })
+  }
+
+  async endRefresh (isRead: boolean): Promise<void> {
+    this.ageMilliseconds = isRead ? 0 : this.ageMilliseconds
+    this.#end(isRead)
+    await new Promise(resolve => { setImmediate(resolve) })
+  }
+}
+
+describe('SlotOwner', () => {
+  let owner: SlotOwner | null = null
+
+  function createOwner (source: TargetSource): { readonly owner: SlotOwner, readonly targets: TargetRegistry, readonly granted: string[] } {
+    const targets = new TargetRegistry()
+    const freshness = new TargetFreshness()
+    freshness.follow({ source, maximumAgeMilliseconds, logger: createTestLogger() })
+    targets.replace([target, { ...target, id: 'two' }])
+    const granted: string[] = []
+    const record = (_service: string, decision: SlotDecision): void => {
+      if (decision.kind === DecisionKind.Grant) {
+        granted.push(`${decision.permit} ${decision.target}`)
+      }
+    }
+    owner = new SlotOwner(targets, freshness, record)
+    return { owner, targets, granted }
+  }
+
+  afterEach(() => { owner?.close() })
+
+  it('that was paused grants slots only after it has read which targets left meanwhile', async () => {
+    const source = new PreparedSource()
+    const { owner, targets, granted } = createOwner(source)
+    source.ageMilliseconds = 4_000
+    assert.equal(owner.request('s', request('p1')), false)
+    owner.report('s', 'h', [])
+    owner.release('s', 'unknown', 'stopped')
+    assert.deepEqual([granted, source.refreshes], [[], 1])
+    targets.replace([{ ...target, state: TargetState.Draining }, { ...target, id: 'two' }])
+    await source.endRefresh(true)
+    assert.deepEqual(granted, ['p1 two'])
+  })
+
+  it('grants no slot to waiting requests while its list is out of date', async () => {
+    const source = new PreparedSource()
+    const { owner, granted } = createOwner(source)
+    for (const permit of ['p1', 'p2', 'p3', 'p4', 'p5']) {
+      owner.request('s', request(permit))
+    }
+    source.ageMilliseconds = maximumAgeMilliseconds + 1
+    owner.release('s', 'p1', 'finished')
+    assert.equal(granted.length, 4)
+    await source.endRefresh(true)
+    assert.equal(granted.length, 5)
+  })
+
+  it('reads its list again after the clock was set back', () => {
+    const source = new PreparedSource()
+    const { owner, granted } = createOwner(source)
+    source.ageMilliseconds = -2_000
+    owner.request('s', request('p1'))
+    assert.deepEqual([granted, source.refreshes], [[], 1])
+  })
+
+  it('grants slots while nobody has access to the store', async () => {
+    const source = new PreparedSource()
+    const { owner, granted } = createOwner(source)
+    source.ageMilliseconds = 5_000
+    owner.request('s', request('p1'))
+    await source.endRefresh(false)
+    owner.request('s', request('p2'))
+    assert.deepEqual([granted.length, source.refreshes], [2, 1])
+  })
+
+  it('does not grant a request that was withdrawn while its list was read', async () => {
+    const source = new PreparedSource()
+    const { owner, granted } = createOwner(source)
+    source.ageMilliseconds = 5_000
+    owner.request('s', request('p1'))
+    owner.withdraw('s', 'p1')
+    await source.endRefresh(true)
+    assert.deepEqual(granted, [])
+  })
+})
