Let an urgent read of the store give up sooner when no peer has access either

Cause: with the store silent for all instances, an urgent read ended after 1.2 s, for which an owner held requests back. Change: peers are asked 60 ms after each other, and for 200 ms instead of 450. Evidence: computed, not measured: all ways end after 0.71 s. relaying-store-connection.test.ts passes.

--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -35,7 +35,9 @@
 const relayOverheadMilliseconds = 150
 
 /** Time after which an urgent read that was not answered is also sent another way. */
-const urgentDelayMilliseconds = 100
+const urgentDelayMilliseconds = 60
+/** Timeout of an urgent read at a peer; many times the usual answer time. */
+const urgentTimeoutMilliseconds = 200
 /** Peers that an urgent read is sent to: with a store that is silent for a third of them, one in a thousand reads meets only such peers. */
 const maximumUrgentPeers = 6
 
@@ -155,7 +157,7 @@
    */
   async #readUrgently (path: string, timeoutMilliseconds: number): Promise<StoreReply> {
     const ways = this.#peersToTry(maximumUrgentPeers).map(peer => async () => {
-      const reply = await callPeer(peer, 'GET', path, null, timeoutMilliseconds)
+      const reply = await callPeer(peer, 'GET', path, null, Math.min(timeoutMilliseconds, urgentTimeoutMilliseconds))
       this.#provenPeer = isServed(reply) ? peer : this.#provenPeer
       return reply
     })
