Send nothing more to a target that says in an answer that it leaves

Callers saw: requests run by targets that had said `Server-Leaving: 1`, while the list of targets still showed them as ready, and broken off when these ended. Cause: the header was not read. Change: an instance remembers the target, by id and time of its start, as soon as the head of any answer says so: complete, failed, rejected, broken off or another request's. A grant carries the start of the target; a later one under the id is not leaving.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -149,6 +149,7 @@
       body: this.item.body,
       remainingMilliseconds: null
     }, this.dependencies.names, {
+      onLeaving: () => { slot.markLeaving() },
       onHead: head => { this.#status = head.status },
       onData: chunk => {
         unresponsiveTimer.refresh()
--- a/packages/gateway/src/online/header-names.ts
+++ b/packages/gateway/src/online/header-names.ts
@@ -8,6 +8,8 @@
   readonly expectedTarget: string
   /** Present on a response that says that the target did not run the request. */
   readonly notExecuted: string
+  /** Present on a target's response if the target leaves and must get no further requests soon. */
+  readonly targetLeaving: string
   /** Parts of the prompt, as comma-separated ID:TOKENS entries. */
   readonly promptPrefix: string
   /** Milliseconds that a read of batch results may wait for the first new result. */
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -134,6 +134,7 @@
       body: request.body,
       remainingMilliseconds: request.hasDeadline ? this.#remainingMilliseconds() : null
     }, dependencies.names, {
+      onLeaving: () => { slot.markLeaving() },
       onHead: head => {
         status = head.status
         // A failed response is not relayed if another target can be tried.
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -18,7 +18,8 @@
   SlotRevocation: 'v',
   SlotWithdrawal: 'x',
   SlotRelease: 'r',
-  SlotReport: 'p'
+  SlotReport: 'p',
+  TargetLeaving: 'g'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -90,6 +91,8 @@
   readonly target: string
   /** `ip:port` of the target. */
   readonly address: string
+  /** Start of the target in milliseconds since the epoch. */
+  readonly born: number
 }
 
 /** Rejects a request for a slot. */
@@ -128,6 +131,14 @@
   readonly held: readonly HeldSlot[]
 }
 
+/** Tells a member that may grant slots on a target that the target leaves. */
+export interface TargetLeavingMessage {
+  readonly type: typeof PeerMessageType.TargetLeaving
+  readonly target: string
+  /** As in {@link Target}. */
+  readonly born: number
+}
+
 /** Messages about members; the first update in each describes its sender. */
 export type MemberMessage =
   | PingMessage
@@ -147,6 +158,7 @@
   | SlotWithdrawalMessage
   | SlotReleaseMessage
   | SlotReportMessage
+  | TargetLeavingMessage
 
 export type PeerMessage = MemberMessage | SlotMessage
 
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,7 +3,7 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, ownersOf, SlotOutcome } from '@arbutusloft/policy'
+import { DecisionKind, LeavingTargets, ownersOf, SlotOutcome } from '@arbutusloft/policy'
 import type { HeldSlot, SlotDecision } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
@@ -11,7 +11,8 @@
 import type { SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
-import type { TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
+import { TargetState } from '../targets/target-registry.js'
+import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import type { AcquireResult, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
@@ -19,7 +20,7 @@
 /** A request for a slot that is not granted yet. */
 interface PendingRequest {
   readonly permit: string
-  readonly demand: SlotDemand
+  demand: SlotDemand
   readonly settle: (result: AcquireResult) => void
   /** Address of the member that the request was sent to. */
   ownerAddress: string
@@ -62,6 +63,7 @@
   readonly #pending = new Map<string, PendingRequest>()
   readonly #held = new Map<string, LocalSlot>()
   readonly #owner: SlotOwner
+  readonly #leaving = new LeavingTargets()
   readonly #pendingAlarm = new Alarm(now => this.#checkPending(now))
   readonly #reportAlarm = new Alarm(now => this.#reportAll(now))
   /** Addresses of the owner of each service and of its successors, until the members change. */
@@ -74,11 +76,12 @@
   constructor (
     private readonly membership: Membership,
     private readonly transport: PeerTransport,
-    targets: TargetRegistry,
+    private readonly targets: TargetRegistry,
     freshness: TargetFreshness
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    this.#owner = new SlotOwner(targets, freshness, (service, decision) => { this.#deliverDecision(service, decision) })
+    this.#owner = new SlotOwner(targets, freshness, this.#leaving, (service, decision) => { this.#deliverDecision(service, decision) })
+    targets.onChange(changed => { this.#onTargetsChanged(changed) })
     transport.onMessage((message, sender) => {
       if (!isMemberMessage(message)) {
         this.#onMessage(message, sender)
@@ -297,16 +300,58 @@
         this.#onQueued(message.permit)
         return
       case PeerMessageType.SlotGrant:
-        this.#onGrant(message.service, message.permit, { id: message.target, address: message.address }, sender)
+        this.#onGrant(message.service, message.permit, { id: message.target, address: message.address, born: message.born }, sender)
         return
       case PeerMessageType.SlotRejection:
         this.#onRejection(message.permit, message.retryAfter)
         return
       case PeerMessageType.SlotRevocation:
         this.#held.get(message.permit)?.revoke.abort()
+        return
+      case PeerMessageType.TargetLeaving:
+        if (this.#leaving.add(message.target, message.born)) {
+          this.#owner.onTargetLeaving()
+        }
+    }
+  }
+
+  /** Tells the other members that may grant slots on targets which the list shows as leaving; one of them may have an older list. */
+  #onTargetsChanged (targets: readonly Target[]): void {
+    for (const target of targets) {
+      if (target.state === TargetState.Draining && this.#leaving.add(target.id, target.born) && this.isNearOwner([target.service])) {
+        this.#announceLeaving(target.service, target)
+      }
     }
   }
 
+  #markLeaving (service: string, target: TargetEndpoint): void {
+    if (this.#leaving.add(target.id, target.born)) {
+      this.#owner.onTargetLeaving()
+      this.#announceLeaving(service, target)
+    }
+  }
+
+  #announceLeaving (service: string, target: TargetEndpoint): void {
+    for (const owner of this.#ownersOf(service)) {
+      this.#sendLeaving(owner, target)
+    }
+  }
+
+  #sendLeaving (owner: string, { id, born }: Pick<Target, 'id' | 'born'>): void {
+    if (owner !== this.transport.address) {
+      this.transport.send(owner, { type: PeerMessageType.TargetLeaving, target: id, born })
+    }
+  }
+
+  /** Gives a slot back whose target is known to leave, tells the owner so, and requests another one. */
+  #giveBack (pending: PendingRequest, target: TargetEndpoint, owner: string): void {
+    const { demand, permit } = pending
+    this.#sendLeaving(owner, target)
+    this.#sendRelease(demand.service, owner, permit, SlotOutcome.Stopped)
+    pending.demand = { ...demand, excluded: [...demand.excluded, target.id] }
+    this.#restartRequest(pending, Date.now())
+  }
+
   /** Delivers a decision that this process made as an owner to the holder that it concerns. */
   #deliverDecision (service: string, decision: SlotDecision): void {
     const { holder, permit } = decision
@@ -316,7 +361,7 @@
     }
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address })
+        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, born: this.#bornOf(decision.target) })
         return
       case DecisionKind.Refuse:
         this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, retryAfter: decision.retryAfter })
@@ -329,7 +374,7 @@
   #applyDecision (service: string, decision: SlotDecision): void {
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.#onGrant(service, decision.permit, { id: decision.target, address: decision.address }, this.transport.address)
+        this.#onGrant(service, decision.permit, { id: decision.target, address: decision.address, born: this.#bornOf(decision.target) }, this.transport.address)
         return
       case DecisionKind.Refuse:
         this.#onRejection(decision.permit, decision.retryAfter)
@@ -339,6 +384,10 @@
     }
   }
 
+  #bornOf (target: string): number {
+    return this.targets.get(target)?.born ?? 0
+  }
+
   #onQueued (permit: string): void {
     const pending = this.#pending.get(permit)
     if (pending !== undefined) {
@@ -355,6 +404,10 @@
       }
       return
     }
+    if (this.#leaving.has(target.id, target.born)) {
+      this.#giveBack(pending, target, owner)
+      return
+    }
     const { workClass, due, ran } = pending.demand
     const revoke = new AbortController()
     const held: LocalSlot = { permit, target: target.id, workClass, due, ran, service, revoke, ownerAddress: owner }
@@ -362,7 +415,7 @@
     const now = Date.now()
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
     const release = (outcome: SlotOutcome): void => { this.#release(held, outcome) }
-    pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, release } })
+    pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving: () => { this.#markLeaving(service, target) }, release } })
   }
 
   #onRejection (permit: string, retryAfter: number): void {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -3,7 +3,7 @@
  * send slot requests to this one.
  */
 import { FleetAdmission } from '@arbutusloft/policy'
-import type { FleetTarget, HeldSlot, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { FleetTarget, HeldSlot, LeavingTargets, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
@@ -43,6 +43,7 @@
   constructor (
     private readonly targets: TargetRegistry,
     private readonly freshness: TargetFreshness,
+    private readonly leaving: LeavingTargets,
     private readonly listener: DecisionListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
@@ -90,6 +91,11 @@
     return this.#services.get(service)?.admission.load() ?? null
   }
 
+  /** Grants no more slots on targets that have been added to those that leave. */
+  onTargetLeaving (): void {
+    this.#updateTargets()
+  }
+
   close (): void {
     this.#alarm.close()
   }
@@ -142,7 +148,7 @@
   }
 
   #targetsOf (service: string): readonly FleetTarget[] {
-    return this.targets.ofService(service).map(target => toFleetTarget(target, this.#isGranting))
+    return this.targets.ofService(service).map(target => toFleetTarget(target, this.#isGranting && !this.leaving.has(target.id, target.born)))
   }
 
   /** Removes holders that have fallen silent and decides waiting requests anew; returns when to check again. */
@@ -183,7 +189,7 @@
   }
 }
 
-function toFleetTarget (target: Target, isGranting: boolean): FleetTarget {
+function toFleetTarget (target: Target, isUsable: boolean): FleetTarget {
   const { id, address, zone, slots, state } = target
-  return { id, address, zone, slots, accepting: isGranting && state === TargetState.Ready }
+  return { id, address, zone, slots, accepting: isUsable && state === TargetState.Ready }
 }
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -9,6 +9,8 @@
   readonly target: TargetEndpoint
   /** Aborted when the owner revokes the slot; the holder must then stop the request and release the slot. */
   readonly revoked: AbortSignal
+  /** Records that the target leaves, as it said in a response, so that no instance sends it another request. */
+  markLeaving: () => void
   /** Releases the slot; calls after the first one do nothing. */
   release: (outcome: SlotOutcome) => void
 }
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -39,6 +39,8 @@
   onHead: (head: ResponseHead) => void
   /** Returns false to pause the response until {@link RunningCall.resume}. */
   onData: (chunk: Buffer) => boolean
+  /** Called if the target says that it leaves, before {@link onHead}, and also for a response that is not passed on. */
+  onLeaving: () => void
 }
 
 /** A call in flight. */
@@ -126,6 +128,9 @@
 
   onHead (head: ResponseHead): void {
     const { status, headers } = head
+    if (headers[this.names.targetLeaving] !== undefined) {
+      this.sink.onLeaving()
+    }
     if (canBeRejection(status) && headers[this.names.notExecuted] !== undefined) {
       this.#rejection = { end: status === misdirectedRequestStatus ? CallOutcome.Misdirected : CallOutcome.NotExecuted, reason: `status ${status}` }
     } else if (status === misdirectedRequestStatus) {
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -17,10 +17,12 @@
   /** Requests that it runs concurrently. */
   readonly slots: number
   readonly state: TargetState
+  /** Start of the target in milliseconds since the epoch, which a later target with its id does not share; 0 if it is unknown. */
+  readonly born: number
 }
 
 /** Where a request is sent. */
-export type TargetEndpoint = Pick<Target, 'id' | 'address'>
+export type TargetEndpoint = Pick<Target, 'id' | 'address' | 'born'>
 
 /** Holds the current list of targets and notifies listeners of changes. */
 export class TargetRegistry {
--- /dev/null
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -0,0 +1,143 @@
+/** Tests what holders of slots do about targets that leave, over an in-memory network. */
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { SlotOutcome } from '@arbutusloft/policy'
+import { WorkClass } from '@arbutusloft/protocol'
+import { Membership, MemberState, PeerMessageType, sleep, SlotClient, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
+import type { AcquireResult, PeerMessage, PeerTransport, Slot, SlotDemand, Target } from '../../src/index.js'
+import { LoopbackNetwork } from '../util/loopback-transport.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+const demand: SlotDemand = { service: 's', workClass: WorkClass.Online, prefix: [], excluded: [], patience: 700, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
+const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 4, state: TargetState.Ready, born: 1_000 }
+
+/** Counts the messages of each type, and drops those of one type. */
+class FilteringTransport implements PeerTransport {
+  readonly sent: PeerMessage[] = []
+  dropped: PeerMessage['type'] | null = null
+  readonly address: string
+
+  constructor (private readonly inner: PeerTransport) {
+    this.address = inner.address
+  }
+
+  send (address: string, message: PeerMessage): void {
+    this.sent.push(message)
+    if (message.type !== this.dropped) {
+      this.inner.send(address, message)
+    }
+  }
+
+  onMessage (listener: (message: PeerMessage, sender: string) => void): void {
+    this.inner.onMessage(listener)
+  }
+
+  count (type: PeerMessage['type']): number {
+    return this.sent.filter(message => message.type === type).length
+  }
+}
+
+interface TestMember {
+  readonly transport: FilteringTransport
+  readonly membership: Membership
+  readonly targets: TargetRegistry
+  readonly slots: SlotClient
+}
+
+describe('SlotClient', () => {
+  let members: TestMember[] = []
+  let owner: TestMember
+  let holder: TestMember
+
+  beforeEach(async () => {
+    const network = new LoopbackNetwork()
+    members = ['10.0.0.1', '10.0.0.2'].map(address => {
+      const transport = new FilteringTransport(network.join(address))
+      const membership = new Membership(transport, { zone: 'a', incarnation: 1, capacity: 1, seeds: ['10.0.0.1'] }, createTestLogger())
+      const targets = new TargetRegistry()
+      return { transport, membership, targets, slots: new SlotClient(membership, transport, targets, new TargetFreshness()) }
+    })
+    members.forEach(({ membership }) => { membership.setState(MemberState.Ready) })
+    while (!members.every(({ membership }) => membership.ready().length === 2)) {
+      await sleep(10)
+    }
+    // Any request makes its receiver the owner that keeps state.
+    members.forEach(({ targets }) => { targets.replace([target, { ...target, id: 'two', address: '2:2' }]) })
+    await Promise.all(members.map(async ({ slots }) => { releaseOf(await slots.acquire(demand, AbortSignal.timeout(1_000))) }))
+    const found = members.find(({ slots }) => slots.serviceLoad('s') !== null)
+    const other = members.find(member => member !== found)
+    assert.ok(found !== undefined && other !== undefined)
+    owner = found
+    holder = other
+    members.forEach(({ targets }) => { targets.replace([target]) })
+  })
+
+  afterEach(() => {
+    for (const { slots, membership } of members) {
+      slots.close()
+      membership.close()
+    }
+  })
+
+  function releaseOf (result: AcquireResult): void {
+    if (result.granted) {
+      result.slot.release(SlotOutcome.Finished)
+    }
+  }
+
+  async function acquire (member: TestMember): Promise<Slot | null> {
+    const result = await member.slots.acquire(demand, AbortSignal.timeout(300))
+    return result.granted ? result.slot : null
+  }
+
+  it('tells the owner once that a target leaves, which then grants it to nobody', async () => {
+    const slots = [await acquire(holder), await acquire(holder)]
+    assert.deepEqual(slots.map(slot => slot?.target.id), ['one', 'one'])
+    slots.forEach(slot => { slot?.markLeaving() })
+    slots.forEach(slot => { slot?.release(SlotOutcome.Finished) })
+    await sleep(20)
+    assert.equal(await acquire(owner), null)
+    assert.equal(holder.transport.count(PeerMessageType.TargetLeaving), 1)
+  })
+
+  it('never uses a target that it heard is leaving, also while the owner does not know', async () => {
+    holder.transport.dropped = PeerMessageType.TargetLeaving
+    const slot = await acquire(holder)
+    slot?.markLeaving()
+    slot?.release(SlotOutcome.Finished)
+    assert.equal(await acquire(holder), null)
+    assert.equal(holder.slots.held, 0)
+    const others = await acquire(owner)
+    assert.equal(others?.target.id, 'one')
+    others.release(SlotOutcome.Finished)
+  })
+
+  it('gives a slot on a leaving target back and gets one on another target', async () => {
+    const slot = await acquire(holder)
+    holder.transport.dropped = PeerMessageType.TargetLeaving
+    slot?.markLeaving()
+    slot?.release(SlotOutcome.Finished)
+    holder.transport.dropped = null
+    owner.targets.replace([target, { ...target, id: 'two', address: '2:2', zone: 'b' }])
+    assert.equal((await acquire(holder))?.target.id, 'two')
+    await sleep(20)
+    assert.equal((await acquire(owner))?.target.id, 'two')
+  })
+
+  it('uses a target that has started again under the id of one that left', async () => {
+    (await acquire(holder))?.markLeaving()
+    await sleep(20)
+    assert.equal(await acquire(holder), null)
+    owner.targets.replace([{ ...target, born: 2_000 }])
+    const slot = await acquire(holder)
+    assert.deepEqual([slot?.target.id, slot?.target.born], ['one', 2_000])
+  })
+
+  it('tells the other members that may grant slots when the list shows that a target drains', async () => {
+    members.forEach(member => { member.transport.sent.length = 0 })
+    holder.targets.replace([{ ...target, state: TargetState.Draining }])
+    await sleep(20)
+    assert.equal(await acquire(owner), null)
+    assert.deepEqual(members.map(({ transport }) => transport.count(PeerMessageType.TargetLeaving)).reduce((sum, count) => sum + count), 1)
+  })
+})
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -1,14 +1,14 @@
 /** Tests that an owner grants slots only from a list of targets that is recent. */
 import assert from 'node:assert/strict'
 import { afterEach, describe, it } from 'node:test'
-import { DecisionKind } from '@arbutusloft/policy'
+import { DecisionKind, LeavingTargets } from '@arbutusloft/policy'
 import type { SlotDecision, SlotRequest } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { SlotOwner, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { Target, TargetSource } from '../../src/index.js'
 import { createTestLogger } from '../util/test-logger.js'
 
-const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready }
+const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready, born: 1 }
 const maximumAgeMilliseconds = 1_300
 
 function request (permit: string, workClass: WorkClass = WorkClass.Online): SlotRequest {
@@ -47,7 +47,7 @@
         granted.push(`${decision.permit} ${decision.target}`)
       }
     }
-    owner = new SlotOwner(targets, freshness, record)
+    owner = new SlotOwner(targets, freshness, new LeavingTargets(), record)
     return { owner, targets, granted }
   }
 
--- a/packages/gateway/tests/targets/target-connections.test.ts
+++ b/packages/gateway/tests/targets/target-connections.test.ts
@@ -8,7 +8,7 @@
 import type { HeaderNames, ResponseSink, RunningCall, Target } from '../../src/index.js'
 
 const names: HeaderNames = {
-  requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', promptPrefix: 'x-prefix', wait: 'x-wait'
+  requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', wait: 'x-wait'
 }
 
 function answer (id: string, body: string, headers = ''): string {
@@ -46,7 +46,7 @@
   })
 
   function target (id = 'one'): Target {
-    return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready }
+    return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready, born: 1 }
   }
 
   function start (id: string, sink: Partial<ResponseSink> = {}): { readonly call: RunningCall, readonly body: () => string } {
@@ -54,6 +54,7 @@
     const call = callTarget(connections, target(), {
       id, method: 'POST', path: '/p', headers: ['Host', 'h', 'X-Request-Id', id], body: Buffer.from('body'), remainingMilliseconds: 1_000
     }, names, {
+      onLeaving: () => {},
       onHead: () => {},
       onData: chunk => {
         chunks.push(chunk)
@@ -125,7 +126,7 @@
   it('report an address at which nobody listens as unreachable, and an aborted request that was not sent as not executed', async () => {
     const gone = { ...target(), address: '127.0.0.1:1' }
     const request = { id: 'a', method: 'GET', path: '/', headers: [], body: null, remainingMilliseconds: null }
-    const sink = { onHead: () => {}, onData: () => true }
+    const sink = { onLeaving: () => {}, onHead: () => {}, onData: () => true }
     assert.equal((await callTarget(connections, gone, request, names, sink).ended).end, CallOutcome.Unreachable)
     const aborted = callTarget(connections, { ...gone, id: 'two' }, request, names, sink)
     aborted.abort('stopped')
