Pause urgent reads through peers that have no access to the store either

Cause: while the store was slow or silent for all, each urgent read asked six peers. Change: after a read that no peer could answer, none is asked for 400 ms, and twice as long each further time up to 1.6 s. Evidence: relaying-store-connection.test.ts: two or three reads of a second ask the peer.

--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -60,6 +60,9 @@
   /** Time until which no peer is asked, in milliseconds since the epoch. */
   #relayPausedUntil = 0
   #relayPause = initialRelayPauseMilliseconds
+  /** The same for urgent reads, which go on while other calls pause. */
+  #urgentPausedUntil = 0
+  #urgentPause = initialRelayPauseMilliseconds
   /** The peer that relayed a call last, or null. */
   #provenPeer: string | null = null
   /** Direct calls in a row, each begun after the one before had failed, that were sent and not answered. */
@@ -156,9 +159,17 @@
    * when those asked before had no access to the store.
    */
   async #readUrgently (path: string, timeoutMilliseconds: number): Promise<StoreReply> {
-    const ways = this.#peersToTry(maximumUrgentPeers).map(peer => async () => {
+    const peers = Date.now() < this.#urgentPausedUntil ? [] : this.#peersToTry(maximumUrgentPeers)
+    let failures = 0
+    const ways = peers.map(peer => async () => {
       const reply = await callPeer(peer, 'GET', path, null, Math.min(timeoutMilliseconds, urgentTimeoutMilliseconds))
-      this.#provenPeer = isServed(reply) ? peer : this.#provenPeer
+      if (isServed(reply)) {
+        this.#provenPeer = peer
+        this.#urgentPause = initialRelayPauseMilliseconds
+      } else if ((failures += 1) === peers.length) {
+        this.#urgentPausedUntil = Date.now() + this.#urgentPause
+        this.#urgentPause = Math.min(this.#urgentPause * 2, maximumRelayPauseMilliseconds)
+      }
       return reply
     })
     const direct = async (): Promise<StoreReply> => await this.callDirectly('GET', path, null, timeoutMilliseconds)
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -143,4 +143,17 @@
     await sleep(150)
     assert.deepEqual([reply, direct.calls, peerRequests], [served, 1, 0])
   })
+
+  it('asks peers for urgent reads seldom while these have no access to the store either', async () => {
+    peerCalls.replies = [lost]
+    const connection = connectWith(new PreparedConnection([lost]))
+    const startedAt = Date.now()
+    let reads = 0
+    while (Date.now() - startedAt < 1_000) {
+      await connection.call('GET', '/log-read', null, 100, true)
+      reads += 1
+      await sleep(20)
+    }
+    assert.ok(peerRequests >= 2 && peerRequests <= 3, `${peerRequests} of ${reads} reads asked the peer`)
+  })
 })
