--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { QuarantineLog } from './prompts/quarantine-log.js'
 import { QuarantineSharing } from './prompts/quarantine-sharing.js'
 import { TargetConnections } from './targets/target-connections.js'
+import { TargetFreshness } from './targets/target-freshness.js'
 import { TargetRegistry } from './targets/target-registry.js'
 import type { Target } from './targets/target-registry.js'
 import type { Logger } from './util/logger.js'
@@ -74,6 +75,7 @@
 export class Gateway {
   readonly metrics = new GatewayMetrics()
   readonly targets = new TargetRegistry()
+  readonly targetFreshness = new TargetFreshness()
   readonly membership: Membership
   readonly slots: SlotClient
   readonly jobs: JobApi
@@ -93,7 +95,7 @@
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     const quarantine = new PromptQuarantine()
-    this.slots = new SlotClient(this.membership, transport, this.targets, quarantine)
+    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine)
     const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
     this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log: quarantineLog, metrics: this.metrics, logger })
     this.slots.onOwnerChange(address => { this.#quarantineSharing.tell(address) })
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -184,6 +184,7 @@
       body: this.item.body,
       remainingMilliseconds: null
     }, this.dependencies.names, {
+      onLeaving: () => { slot.markLeaving() },
       onHead: head => {
         this.#head = head
         if (head.status !== okStatus) {
