Do not confirm a refresh of a topic that was closed meanwhile

A refresh of a closed follower is now false, which is answered 503. The new test fails on the code before, which returns true there unconditionally.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -74,7 +74,7 @@
     return Date.now() - this.#shownUntil
   }
 
-  /** Reads to the end of the topic; returns true if the listener has then received everything that was appended before the call. */
+  /** Reads to the end of the topic; returns true if the listener has then received everything that was appended before the call, and false once closed. */
   async refresh (): Promise<boolean> {
     if (this.#refreshing === null && this.#nextRefresh === null) {
       this.#refreshing = this.#refreshOnce()
@@ -124,7 +124,7 @@
   async #refreshOnce (): Promise<boolean> {
     try {
       await this.#readOnce(0)
-      return true
+      return !this.#closed
     } catch (error) {
       this.#onReadFailed(error)
       return false
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -71,6 +71,15 @@
     follower.close()
   })
 
+  it('does not confirm a refresh during which it is closed', async () => {
+    const topic = new HeldTopic()
+    const { follower } = follow(topic)
+    const refresh = follower.refresh()
+    await setImmediate()
+    follower.close()
+    assert.equal(await resultOf(topic, refresh), false)
+  })
+
   it('reads on after a load that began before the refresh and ended during it', async () => {
     const topic = new HeldTopic()
     const { follower, keys } = follow(topic)
