Read own partitions every four seconds also while no job in them is known

Cost: a read every four seconds for each idle partition, six a second in the fleet with 24 partitions.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -24,6 +24,8 @@
  * its items must have stopped three seconds after that.
  */
 const readIntervalMilliseconds = 1_000
+/** The same without unsettled jobs: another process may have accepted one in this one's stead. */
+const idleReadIntervalMilliseconds = 4_000
 /** Interval at which settled jobs are checked for the end of their retention. */
 const expiryIntervalMilliseconds = 500
 /** Interval at which progress is saved, in one batch for all runs because every call to the store has a cost. */
@@ -187,10 +189,11 @@
     return run.progress === null ? [] : [{ job: job.id, index, progress: run.progress }]
   }
 
-  /** Reads the active partitions that have unsettled jobs, unless they were read lately; returns when to read again. */
+  /** Reads the active partitions that were not read lately; returns when to check again. */
   #readPartitions (now: number): number {
     for (const { partition } of this.#active.values()) {
-      if (!partition.fold.unsettled()[Symbol.iterator]().next().done && !partition.isFreshSince(now - readIntervalMilliseconds)) {
+      const isIdle = partition.fold.unsettled()[Symbol.iterator]().next().done === true
+      if (!partition.isFreshSince(now - (isIdle ? idleReadIntervalMilliseconds : readIntervalMilliseconds))) {
         void partition.refresh()
       }
     }
