--- a/packages/gateway/src/store/direct-store-connection.ts
+++ b/packages/gateway/src/store/direct-store-connection.ts
@@ -8,7 +8,7 @@
 const maximumConnections = 16
 /** Time to establish a connection. */
 const connectTimeoutMilliseconds = 400
-/** Limits of a response that has begun: a page of a megabyte may share a slow link with other responses. */
+/** Limits of the response to a read, once it has begun: a page of a megabyte may share a slow link with other responses. */
 const transfer = { totalMilliseconds: 5_000, pauseMilliseconds: 450 }
 /** Time after which an idle connection is closed, so that unresponsive connections don't accumulate. */
 const keepAliveMilliseconds = 4_000
@@ -27,7 +27,7 @@
   async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
     const pool = this.#pool
     try {
-      const response = await callBuffered(pool, { method, path, body, timeoutMilliseconds, transfer })
+      const response = await callBuffered(pool, { method, path, body, timeoutMilliseconds, ...(method === 'GET' ? { transfer } : {}) })
       return { answered: true, status: response.status, body: response.body }
     } catch (error) {
       this.#retire(pool)
--- a/packages/gateway/src/store/store-connection.ts
+++ b/packages/gateway/src/store/store-connection.ts
@@ -11,7 +11,7 @@
   /**
    * Makes a call; never rejects.
    *
-   * @param timeoutMilliseconds time until the response must begin; one that has begun may take longer while parts of it arrive
+   * @param timeoutMilliseconds time allowed for the response; that to a read need only begin within it, and may take longer while parts of it arrive
    * @param isUrgent whether a read may be sent several times at once, so that the first answer counts
    */
   call: (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isUrgent?: boolean) => Promise<StoreReply>
