--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -19,7 +19,8 @@
   SlotWithdrawal: 'x',
   SlotRelease: 'r',
   SlotReport: 'p',
-  PromptQuarantine: 'z'
+  PromptQuarantine: 'z',
+  TargetLeaving: 'g'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -91,6 +92,8 @@
   readonly target: string
   /** `ip:port` of the target. */
   readonly address: string
+  /** Start of the target in milliseconds since the epoch. */
+  readonly born: number
 }
 
 /** Rejects a request for a slot. */
@@ -138,6 +141,14 @@
   readonly entries: readonly QuarantinedPart[]
 }
 
+/** Tells a member that may grant slots on a target that the target leaves. */
+export interface TargetLeavingMessage {
+  readonly type: typeof PeerMessageType.TargetLeaving
+  readonly target: string
+  /** As in {@link Target}. */
+  readonly born: number
+}
+
 /** Messages about members; the first update in each describes its sender. */
 export type MemberMessage =
   | PingMessage
@@ -157,6 +168,7 @@
   | SlotWithdrawalMessage
   | SlotReleaseMessage
   | SlotReportMessage
+  | TargetLeavingMessage
 
 export type PeerMessage = MemberMessage | SlotMessage | PromptQuarantineMessage
 
