Ask again for a recent list of targets after nobody had access to the store, and repeat no grant on a target that leaves

What callers of a target could see is DRAIN: - one failed refresh switched the check of the list's age off until the list happened to be read (age 9 s, no further refresh); now another refresh begins after 300 ms while slots are granted, and a refresh during which the process was paused is repeated instead of believed; - a repeated request got its former grant although the target no longer accepted work; - a request that was released while it was deferred was granted once more; - a grant without the start of the target (older instances send none) made its holder forget what it knew of leaving targets; - reads with a short limit on behalf of peers made a healthy instance take the store for lost when it answers slowly.

--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -93,7 +93,7 @@
   /** `ip:port` of the target. */
   readonly address: string
   /** Start of the target in milliseconds since the epoch. */
-  readonly born: number
+  readonly born?: number
 }
 
 /** Rejects a request for a slot. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -322,7 +322,7 @@
         this.#onQueued(message.permit)
         return
       case PeerMessageType.SlotGrant:
-        this.#onGrant(message.service, message.permit, { id: message.target, address: message.address, born: message.born }, sender)
+        this.#onGrant(message.service, message.permit, { id: message.target, address: message.address, born: message.born ?? this.#bornOf(message.target) }, sender)
         return
       case PeerMessageType.SlotRejection:
         this.#onRejection(message.permit, message.reason, message.retryAfter)
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -77,6 +77,7 @@
     if (crash !== null) {
       this.quarantine.onCrashed(permit, crash, Date.now())
     }
+    this.#deferred.delete(permit)
     this.#updateGranting()
     this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now()))
   }
--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -34,6 +34,8 @@
 /** Time to connect to a peer, and the time allowed for the relay in addition to the call's own timeout. */
 const relayOverheadMilliseconds = 150
 
+/** Time without an answer from which a call shows that the store may not serve this instance; a slow store answers sooner. */
+const conclusiveMilliseconds = 400
 /** Time after which an urgent read that was not answered is also sent another way. */
 const urgentDelayMilliseconds = 60
 /** Timeout of an urgent read at a peer; many times the usual answer time. */
@@ -101,18 +103,25 @@
     if (!this.#isDirectAvailable) {
       return { answered: false, sent: false, reason: 'the store turns this instance away, too' }
     }
-    return await this.callDirectly(method, path, body, timeoutMilliseconds)
+    return await this.callDirectly(method, path, body, timeoutMilliseconds, timeoutMilliseconds >= conclusiveMilliseconds)
   }
 
   async close (): Promise<void> {
     await this.direct.close()
   }
 
-  /** Makes a direct call and records whether the store serves this instance. */
-  async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
+  /**
+   * Makes a direct call and records whether the store serves this instance.
+   *
+   * @param isConclusive whether a call that was not answered in its time may show that it does not
+   */
+  async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isConclusive = true): Promise<StoreReply> {
     const stateVersion = this.#stateVersion
     const startedAt = Date.now()
     const reply = await this.direct.call(method, path, body, timeoutMilliseconds)
+    if (isLost(reply) && !isConclusive) {
+      return reply
+    }
     this.#countUnanswered(reply, startedAt)
     const served = isServed(reply)
     const isUndecided = isLost(reply) && this.#unansweredCalls < maximumUnansweredCalls
--- a/packages/gateway/src/targets/target-freshness.ts
+++ b/packages/gateway/src/targets/target-freshness.ts
@@ -12,17 +12,24 @@
 /** Options of {@link TargetFreshness}. */
 export interface TargetFreshnessOptions {
   readonly source: TargetSource
-  /** Age of the list in milliseconds from which no slots are granted from it before it has been read again. */
+  /** Age in milliseconds up to which the list may be used without reading it again. */
   readonly maximumAgeMilliseconds: number
   readonly logger: Logger
 }
 
+/** Time after a refresh that found nobody with access to the store until the next one begins; slots are granted meanwhile. */
+const retryMilliseconds = 300
+/** Longer than a refresh takes unless the process is paused. */
+const pausedMilliseconds = 2_000
+
 /** Reads the list again when it is asked for and too old. */
 export class TargetFreshness {
   #options: TargetFreshnessOptions | null = null
   #isRefreshing = false
   /** Whether the latest refresh found nobody with access to the store, so that nobody knows a later list. */
   #isUnconfirmable = false
+  /** Time of the end of that refresh, in milliseconds since the epoch. */
+  #failedAt = 0
   readonly #listeners: Array<() => void> = []
 
   /** Sets the source of the list; before that, any list counts as recent. */
@@ -46,7 +53,8 @@
       this.#isUnconfirmable = false
       return true
     }
-    if (!this.#isUnconfirmable && !this.#isRefreshing) {
+    const mayRefresh = !this.#isUnconfirmable || Math.abs(Date.now() - this.#failedAt) >= retryMilliseconds
+    if (mayRefresh && !this.#isRefreshing) {
       void this.#refresh(this.#options)
     }
     return this.#isUnconfirmable
@@ -55,9 +63,16 @@
   async #refresh ({ source, logger }: TargetFreshnessOptions): Promise<void> {
     this.#isRefreshing = true
     logger.info('targets out of date, slots wait', { age: source.ageMilliseconds })
-    const isRead = await source.refresh()
+    let startedAt = Date.now()
+    let isRead = await source.refresh()
+    // A refresh that ends so late was begun before the process was paused, and says nothing about the time since then.
+    while (!isRead && Date.now() - startedAt > pausedMilliseconds) {
+      startedAt = Date.now()
+      isRead = await source.refresh()
+    }
     this.#isRefreshing = false
     this.#isUnconfirmable = !isRead
+    this.#failedAt = Date.now()
     if (!isRead) {
       logger.warn('targets out of date, no access to the store', { age: source.ageMilliseconds })
     }
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -1,11 +1,12 @@
 /** Tests that an owner grants slots only from a list of targets that is recent. */
 import assert from 'node:assert/strict'
-import { afterEach, describe, it } from 'node:test'
+import { afterEach, describe, it, mock } from 'node:test'
 import { DecisionKind, LeavingTargets, PromptQuarantine } from '@arbutusloft/policy'
 import type { SlotDecision, SlotRequest } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { SlotOwner, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { Target, TargetSource } from '../../src/index.js'
+import { sleep } from '../../src/util/sleep.js'
 import { createTestLogger } from '../util/test-logger.js'
 
 const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready, born: 1 }
@@ -97,6 +98,45 @@
     assert.deepEqual([granted.length, source.refreshes], [2, 1])
   })
 
+  it('reads its list again soon after nobody had access to the store, and grants slots meanwhile', async () => {
+    const source = new PreparedSource()
+    const { owner, targets, granted } = createOwner(source)
+    source.ageMilliseconds = 5_000
+    owner.request('s', request('p1'))
+    await source.endRefresh(false)
+    await sleep(350)
+    owner.request('s', request('p2'))
+    assert.deepEqual([granted.length, source.refreshes], [2, 2])
+    targets.replace([{ ...target, state: TargetState.Draining }, { ...target, id: 'two' }])
+    await source.endRefresh(true)
+    owner.request('s', request('p3'))
+    assert.equal(granted.at(-1), 'p3 two')
+  })
+
+  it('does not take a refresh during which the process was paused for one without access to the store', async context => {
+    mock.timers.enable({ apis: ['Date'], now: 1_000_000 })
+    context.after(() => { mock.timers.reset() })
+    const source = new PreparedSource()
+    const { owner, granted } = createOwner(source)
+    source.ageMilliseconds = 5_000
+    owner.request('s', request('p1'))
+    mock.timers.tick(3_000)
+    await source.endRefresh(false)
+    assert.deepEqual([granted, source.refreshes], [[], 2])
+    await source.endRefresh(true)
+    assert.equal(granted.length, 1)
+  })
+
+  it('does not grant a request that was released while its list was read', async () => {
+    const source = new PreparedSource()
+    const { owner, granted } = createOwner(source)
+    source.ageMilliseconds = 5_000
+    owner.request('s', request('p1'))
+    owner.release('s', 'p1', 'stopped', null)
+    await source.endRefresh(true)
+    assert.deepEqual(granted, [])
+  })
+
   it('does not grant a request that was withdrawn while its list was read', async () => {
     const source = new PreparedSource()
     const { owner, granted } = createOwner(source)
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -85,12 +85,15 @@
 
   /**
    * Decides on a request. Returns no decision for it if it has to wait; a later call then returns the decision. A repeated
-   * request whose slot was granted before gets the same grant again.
+   * request whose slot was granted before gets the same grant again while the target accepts work.
    */
   request (request: SlotRequest, now: number): readonly SlotDecision[] {
     this.#begin(now)
     const held = this.#slots.get(request.permit)
-    if (held !== undefined) {
+    if (held !== undefined && this.#slots.target(held.target)?.accepting !== true) {
+      // The holder may not have got the grant, and must not use it any more.
+      this.#slots.release(request.permit)
+    } else if (held !== undefined) {
       return [{ kind: DecisionKind.Grant, permit: request.permit, holder: request.holder, target: held.target, address: held.address }]
     }
     return request.workClass === WorkClass.Online ? this.#requestOnline(request) : this.#requestBatch(request)
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -44,6 +44,14 @@
     assert.equal(fleet.load().online, 1)
   })
 
+  it('does not repeat a grant on a target that no longer accepts work', () => {
+    const fleet = createFleet()
+    assert.equal(targetOf(fleet.request(request('p1'), 0)), 'one')
+    fleet.setTargets(targets.map(target => ({ ...target, accepting: target.id !== 'one' })), 10)
+    assert.equal(targetOf(fleet.request(request('p1'), 20)), 'two')
+    assert.equal(fleet.load().online, 1)
+  })
+
   it('grants an online request at once by preempting recently granted batch work', () => {
     const fleet = createFleet()
     for (const [index, permit] of ['b1', 'b2', 'b3', 'b4'].entries()) {
