--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -38,9 +38,9 @@
 const conclusiveMilliseconds = 400
 /** Time after which an urgent read that was not answered is also sent another way. */
 const urgentDelayMilliseconds = 60
-/** Timeout of an urgent read at a peer; many times the usual answer time. */
+/** Timeout of an urgent read at a peer. */
 const urgentTimeoutMilliseconds = 200
-/** Peers that an urgent read is sent to: with a store that is silent for a third of them, one in a thousand reads meets only such peers. */
+/** Maximum number of peers that an urgent read is sent to. */
 const maximumUrgentPeers = 6
 
 const serviceUnavailableStatus = 503
