Test what a caller can tell of its answer for every way in which it can end

The test plays each framing, kind of answer, place and way of the end, and kind of caller, against one instance's request path.

--- /dev/null
+++ b/packages/gateway/tests/online/answer-ends.test.ts
@@ -0,0 +1,161 @@
+/** Tests what a caller can tell of its answer for every way in which a target's answer can end, by framing, kind of answer and the caller's own connection. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { RouteKind } from '@arbutusloft/policy'
+import type { Route } from '@arbutusloft/policy'
+import { CallerKind, CallerView, ConnectionEnd, OnlineHarness } from '../util/online-harness.js'
+import type { CallerAnswer, ScriptedAnswer } from '../util/online-harness.js'
+
+const Framing = { Length: 'length', Chunks: 'chunks', None: 'none' } as const
+type Framing = typeof Framing[keyof typeof Framing]
+
+/** Where the target's connection ends. */
+const Place = { InHead: 'in the head', AfterHead: 'after the head', InsideEvent: 'inside an event', BetweenEvents: 'between two events', AfterLast: 'after the last event' } as const
+type Place = typeof Place[keyof typeof Place]
+
+/** What can be known of an answer: it is whole, was broken off, was broken off before anything could be passed on, or may be either. */
+const Truth = { Whole: 'whole', Broken: 'broken', Nothing: 'nothing', Unknown: 'unknown' } as const
+type Truth = typeof Truth[keyof typeof Truth]
+
+const events = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']
+const whole = events.join('')
+const badGatewayStatus = 502
+
+const common = { name: 'r', host: 'h', prefix: '/p/', services: [], timeoutMilliseconds: 2_000, objectiveMilliseconds: 1_000, priority: 0, completionMilliseconds: 0, retentionMilliseconds: 0, waitingTokens: 0 }
+const plainRoute: Route = { ...common, kind: RouteKind.Idempotent, maxAttempts: 1, resumable: false }
+const streamRoute: Route = { ...common, kind: RouteKind.Stream, maxAttempts: 1, resumable: false }
+const resumableRoute: Route = { ...common, kind: RouteKind.Stream, maxAttempts: 2, resumable: true }
+
+const bodyUpTo: Readonly<Record<Place, string>> = {
+  [Place.InHead]: '',
+  [Place.AfterHead]: '',
+  [Place.InsideEvent]: `${events[0]}id: 2\nda`,
+  [Place.BetweenEvents]: `${events[0]}${events[1]}`,
+  [Place.AfterLast]: whole
+}
+
+/** Encodes an answer of all events that is cut at the place. */
+function encode (framing: Framing, place: Place, body = bodyUpTo[place], status = 200): string {
+  const head = `HTTP/1.1 ${status} S\r\nX-Request-Id: id\r\nX-Signature: s\r\n`
+  if (place === Place.InHead) {
+    return head
+  }
+  switch (framing) {
+    case Framing.Length:
+      return `${head}Content-Length: ${whole.length}\r\n\r\n${body}`
+    case Framing.Chunks:
+      return `${head}Transfer-Encoding: chunked\r\n\r\n${body === '' ? '' : `${body.length.toString(16)}\r\n${body}\r\n`}${place === Place.AfterLast ? '0\r\n\r\n' : ''}`
+    case Framing.None:
+      return `${head}\r\n${body}`
+  }
+}
+
+function truthOf (isStream: boolean, framing: Framing, place: Place, end: ConnectionEnd): Truth {
+  if (place === Place.InHead) {
+    return Truth.Nothing
+  }
+  if (framing !== Framing.None) {
+    const broken = place === Place.AfterHead ? Truth.Nothing : Truth.Broken
+    return place === Place.AfterLast ? Truth.Whole : broken
+  }
+  if (place === Place.AfterHead && (isStream || end === ConnectionEnd.Reset)) {
+    return Truth.Nothing
+  }
+  if (end === ConnectionEnd.Reset || (isStream && place === Place.InsideEvent)) {
+    return Truth.Broken
+  }
+  return Truth.Unknown
+}
+
+/** Returns what a caller of this kind may be told. Without chunks, an orderly close is the only way to end an answer of unknown length. */
+function expectedView (truth: Truth, caller: CallerKind, isSized: boolean): CallerView {
+  switch (truth) {
+    case Truth.Whole:
+      return caller === CallerKind.Old && !isSized ? CallerView.Closed : CallerView.Complete
+    case Truth.Broken:
+      return CallerView.Broken
+    case Truth.Nothing:
+      return CallerView.Complete
+    case Truth.Unknown:
+      return CallerView.Closed
+  }
+}
+
+async function answerTo (caller: CallerKind, route: Route, answers: readonly ScriptedAnswer[]): Promise<CallerAnswer & { readonly harness: OnlineHarness }> {
+  const harness = await OnlineHarness.start(route, answers)
+  try {
+    return { ...await harness.call(caller), harness }
+  } finally {
+    harness.close()
+  }
+}
+
+describe('an answer whose target ends the connection', () => {
+  for (const [kind, route] of [['plain answer', plainRoute], ['stream', streamRoute]] as const) {
+    for (const framing of Object.values(Framing)) {
+      for (const caller of Object.values(CallerKind)) {
+        it(`is never told as complete unless it is: a ${kind}, framing ${framing}, caller ${JSON.stringify(caller)}`, async () => {
+          for (const place of Object.values(Place)) {
+            for (const end of [ConnectionEnd.Close, ConnectionEnd.Reset]) {
+              const answer = await answerTo(caller, route, [{ bytes: encode(framing, place), end }])
+              const truth = truthOf(route === streamRoute, framing, place, end)
+              const isSized = framing === Framing.Length && route === plainRoute
+              const cell = `${place}, ${end}: status ${answer.status}, ${JSON.stringify(answer.body)}`
+              assert.equal(answer.view, expectedView(truth, caller, isSized), cell)
+              assert.equal(answer.status, truth === Truth.Nothing ? badGatewayStatus : 200, cell)
+              if (truth === Truth.Whole || truth === Truth.Unknown) {
+                assert.equal(answer.body, bodyUpTo[place], cell)
+              }
+            }
+          }
+        })
+      }
+    }
+  }
+
+  it('is passed on alike with a failure status', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      for (const route of [plainRoute, streamRoute]) {
+        for (const end of [ConnectionEnd.Close, ConnectionEnd.Reset]) {
+          const answer = await answerTo(caller, route, [{ bytes: encode(Framing.None, Place.InsideEvent, 'failed', 500), end }])
+          assert.deepEqual([answer.status, answer.view], [500, end === ConnectionEnd.Reset ? CallerView.Broken : CallerView.Closed])
+        }
+      }
+    }
+  })
+
+  it('is passed on without the bytes that follow its end', async () => {
+    for (const [route, framing] of [[plainRoute, Framing.Length], [streamRoute, Framing.Chunks]] as const) {
+      const answer = await answerTo(CallerKind.KeepAlive, route, [{ bytes: `${encode(framing, Place.AfterLast)}${events[0]}`, end: ConnectionEnd.Close }])
+      assert.deepEqual([answer.view, answer.body], [CallerView.Complete, whole])
+    }
+  })
+})
+
+describe('a stream that was resumed', () => {
+  const rest = events.slice(1).join('')
+  const restInChunks = `HTTP/1.1 200 S\r\nX-Request-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n${rest.length.toString(16)}\r\n${rest}\r\n0\r\n\r\n`
+  const openRest = `HTTP/1.1 200 S\r\nX-Request-Id: id\r\n\r\n${rest}`
+
+  it('is whole after an answer without framing that was broken off', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      const answer = await answerTo(caller, resumableRoute, [{ bytes: encode(Framing.None, Place.InsideEvent), end: ConnectionEnd.Close }, { bytes: restInChunks, end: ConnectionEnd.None }])
+      assert.deepEqual([answer.body, answer.view], [whole, CallerView.Closed])
+    }
+  })
+
+  it('is not told as complete in chunks if the end of its last answer is unknown', async () => {
+    const answer = await answerTo(CallerKind.KeepAlive, resumableRoute, [{ bytes: encode(Framing.Chunks, Place.InsideEvent), end: ConnectionEnd.Close }, { bytes: openRest, end: ConnectionEnd.Close }])
+    assert.deepEqual([answer.body, answer.view], [whole, CallerView.Broken])
+  })
+
+  it('is broken off for its caller if its last answer is', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      for (const framing of Object.values(Framing)) {
+        const cut = { bytes: encode(framing, Place.InsideEvent), end: ConnectionEnd.Close }
+        const answer = await answerTo(caller, resumableRoute, [cut, { bytes: openRest.slice(0, -3), end: ConnectionEnd.Close }])
+        assert.equal(answer.view, CallerView.Broken, `${caller}, ${framing}: ${JSON.stringify(answer.body)}`)
+      }
+    }
+  })
+})
--- /dev/null
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -0,0 +1,210 @@
+/** Runs online requests from raw callers to scripted targets: what a caller sees on its connection, for each way in which a target's answer can end. */
+import { once } from 'node:events'
+import { createServer as createHttpServer } from 'node:http'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { RefusalReason } from '@arbutusloft/policy'
+import type { Route, SlotOutcome } from '@arbutusloft/policy'
+import { OnlineRun } from '../../src/online/online-run.js'
+import { CallerBudgets } from '../../src/online/caller-budgets.js'
+import { createOnlineRequest, GatewayMetrics, readBody, sleep, TargetConnections } from '../../src/index.js'
+import type { HeaderNames, SlotClient } from '../../src/index.js'
+import { createTestLogger } from './test-logger.js'
+
+const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', wait: 'x-wait' }
+const loopback = '127.0.0.1'
+const maximumBodyBytes = 1_000_000
+/** Time between an answer's bytes and the end of its connection, so that a reset does not discard them. */
+const endDelayMilliseconds = 15
+
+/** How a target ends the connection after the bytes of its answer. */
+export const ConnectionEnd = {
+  Close: 'close',
+  Reset: 'reset',
+  /** The connection stays open. */
+  None: 'none'
+} as const
+export type ConnectionEnd = typeof ConnectionEnd[keyof typeof ConnectionEnd]
+
+/** Bytes that a target sends for a request, and how its connection ends. */
+export interface ScriptedAnswer {
+  readonly bytes: string
+  readonly end: ConnectionEnd
+}
+
+/** What a caller can tell of its answer. */
+export const CallerView = {
+  /** The framing says that the answer is complete. */
+  Complete: 'complete',
+  /** The answer has no framing and its connection was closed in order. */
+  Closed: 'closed',
+  /** The connection ended before the framing says that the answer is complete, or was reset. */
+  Broken: 'broken'
+} as const
+export type CallerView = typeof CallerView[keyof typeof CallerView]
+
+/** An answer as its caller received it. */
+export interface CallerAnswer {
+  readonly status: number
+  readonly body: string
+  readonly view: CallerView
+}
+
+/** Headers of a caller's connection; each stands for a kind of caller. */
+export const CallerKind = {
+  KeepAlive: 'HTTP/1.1',
+  Close: 'HTTP/1.1\r\nConnection: close',
+  Old: 'HTTP/1.0'
+} as const
+export type CallerKind = typeof CallerKind[keyof typeof CallerKind]
+
+/** Serves requests of one route from targets that answer by a script. */
+export class OnlineHarness {
+  readonly outcomes: SlotOutcome[] = []
+  /** Text of each request at a target. */
+  readonly arrivals: string[] = []
+  readonly logLines: string[] = []
+  readonly #connections = new TargetConnections()
+  readonly #sockets = new Set<Socket>()
+  readonly #servers: Server[] = []
+  #nextTarget = 0
+
+  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[]) {}
+
+  /** @param answers one for each attempt, in order */
+  static async start (route: Route, answers: readonly ScriptedAnswer[]): Promise<OnlineHarness> {
+    const harness = new OnlineHarness(route, [...answers])
+    await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
+    await harness.#listen(createHttpServer((request, response) => {
+      void readBody(request, maximumBodyBytes).then(async body => {
+        const online = createOnlineRequest(request, body, route, 's', names, new CallerBudgets(), Date.now())
+        await new OnlineRun({
+          slots: harness.#slots(),
+          connections: harness.#connections,
+          names,
+          metrics: new GatewayMetrics(),
+          logger: createTestLogger(harness.logLines)
+        }, online, response).run()
+      })
+    }))
+    return harness
+  }
+
+  /** Sends a request as a caller of this kind and returns what it can tell of the answer when that or the connection has ended. */
+  async call (kind: CallerKind): Promise<CallerAnswer> {
+    const { port } = this.#servers[1]?.address() as AddressInfo
+    const socket = connect(port, loopback)
+    socket.write(`POST ${this.route.prefix}x ${kind}\r\nHost: h\r\nX-Request-Id: id\r\nX-Deadline: 2000\r\nContent-Length: 2\r\n\r\nhi`)
+    let text = ''
+    let isReset = false
+    socket.on('error', () => { isReset = true })
+    socket.setEncoding('latin1')
+    return await new Promise(resolve => {
+      const settle = (view: CallerView): void => {
+        socket.destroy()
+        const { status, body } = parseAnswer(text)
+        resolve({ status, body, view })
+      }
+      socket.on('data', (data: string) => {
+        text += data
+        if (parseAnswer(text).isComplete) {
+          settle(CallerView.Complete)
+        }
+      })
+      socket.on('close', () => { settle(parseAnswer(text).isFramed || isReset ? CallerView.Broken : CallerView.Closed) })
+    })
+  }
+
+  close (): void {
+    this.#connections.close()
+    this.#sockets.forEach(socket => { socket.destroy() })
+    this.#servers.forEach(server => { server.close() })
+  }
+
+  async #listen (server: Server): Promise<void> {
+    server.on('connection', (socket: Socket) => {
+      this.#sockets.add(socket)
+      socket.on('error', () => {})
+      socket.once('close', () => { this.#sockets.delete(socket) })
+    })
+    server.listen(0, loopback)
+    await once(server, 'listening')
+    this.#servers.push(server)
+  }
+
+  #serveAsTarget (socket: Socket): void {
+    socket.on('data', data => {
+      this.arrivals.push(data.toString())
+      const answer = this.answers.shift()
+      if (answer === undefined) {
+        socket.destroy()
+        return
+      }
+      socket.write(answer.bytes)
+      void sleep(endDelayMilliseconds).then(() => {
+        if (answer.end === ConnectionEnd.Close) {
+          socket.end()
+        } else if (answer.end === ConnectionEnd.Reset) {
+          socket.resetAndDestroy()
+        }
+      })
+    })
+  }
+
+  #slots (): SlotClient {
+    const acquire: SlotClient['acquire'] = async () => {
+      if (this.answers.length === 0) {
+        return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
+      }
+      this.#nextTarget += 1
+      const { port } = this.#servers[0]?.address() as AddressInfo
+      const target = { id: `t${this.#nextTarget}`, address: `${loopback}:${port}`, born: 1 }
+      return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { this.outcomes.push(outcome) } } }
+    }
+    return { acquire } as unknown as SlotClient
+  }
+}
+
+interface ParsedAnswer {
+  readonly status: number
+  readonly body: string
+  /** Whether a length or chunks say where the answer ends. */
+  readonly isFramed: boolean
+  readonly isComplete: boolean
+}
+
+function parseAnswer (text: string): ParsedAnswer {
+  const headEnd = text.indexOf('\r\n\r\n')
+  if (headEnd < 0) {
+    return { status: 0, body: '', isFramed: true, isComplete: false }
+  }
+  const head = text.slice(0, headEnd)
+  const rest = text.slice(headEnd + '\r\n\r\n'.length)
+  const status = Number(head.split(' ')[1])
+  const length = /\r\ncontent-length: (\d+)/i.exec(head)?.[1]
+  if (length !== undefined) {
+    return { status, body: rest, isFramed: true, isComplete: rest.length >= Number(length) }
+  }
+  if (/\r\ntransfer-encoding: chunked/i.test(head)) {
+    return { status, isFramed: true, ...decodeChunks(rest) }
+  }
+  return { status, body: rest, isFramed: false, isComplete: false }
+}
+
+function decodeChunks (text: string): { readonly body: string, readonly isComplete: boolean } {
+  let body = ''
+  let position = 0
+  for (;;) {
+    const lineEnd = text.indexOf('\r\n', position)
+    if (lineEnd < 0) {
+      return { body, isComplete: false }
+    }
+    const size = Number.parseInt(text.slice(position, lineEnd), 16)
+    const start = lineEnd + '\r\n'.length
+    body += text.slice(start, start + size)
+    if (size === 0) {
+      return { body, isComplete: text.length >= start + '\r\n'.length }
+    }
+    position = start + size + '\r\n'.length
+  }
+}
