Reset the connection of a caller of HTTP/1.0 whose answer is broken off

Callers of HTTP/1.0 saw a broken answer as a complete one: it has no chunks for them, the connection alone ends it, and a target's loss closed that connection in order, in every framing and for streams and plain answers alike. Cause: ResponseRelay.abort destroyed the socket, which sends an orderly close. Fix: an answer that is sent with neither a length nor chunks is broken off by a reset.

--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -24,6 +24,8 @@
   #hasBegun = false
   /** Whether the response to the client is sent in chunks whose framing this class writes itself after the first one. */
   #framesChunks = false
+  /** Whether the response to the client has neither a length nor chunks and so ends with its connection. */
+  #endsWithConnection = false
   #lastId: number | null = null
   #relayedBytes = 0
 
@@ -98,9 +100,15 @@
     this.response.end()
   }
 
-  /** Closes the connection before the response ends, so that the client can tell that the response is incomplete. */
+  /** Ends the connection before the response ends, so that the client can tell that the response is incomplete. */
   abort (): void {
-    this.response.destroy()
+    const { socket } = this.response
+    if (this.#endsWithConnection && socket !== null) {
+      // A closed connection would end the response in order.
+      socket.resetAndDestroy()
+    } else {
+      this.response.destroy()
+    }
   }
 
   #begin (): void {
@@ -111,7 +119,10 @@
     // The first target's Content-Length would be wrong if another target resumes the stream and formats its events differently.
     const excludedHeaders = this.#splitter === null ? noExcludedHeaders : contentLengthHeader
     const headers = forwardedHeaders(this.#head.rawHeaders, excludedHeaders)
-    this.#framesChunks = this.#splitter !== null && this.response.req.httpVersion === '1.1'
+    const isSized = this.#splitter === null && this.#head.headers['content-length'] !== undefined
+    const takesChunks = this.response.req.httpVersion === '1.1'
+    this.#framesChunks = this.#splitter !== null && takesChunks
+    this.#endsWithConnection = !isSized && !takesChunks
     if (this.#framesChunks) {
       headers.push('Transfer-Encoding', 'chunked')
     }
