Explain a request whose target closed the connection as broken off, not as never run

Operators saw 'not taken by a target: has not run' for a request that ended as 'disconnected' and may have run. Cause: that end was added to the log without a class of its own. Fix: it belongs to 'broken off by its target'. Measured: the test with such a line failed before (class 'not taken by a target'), and passes.

--- a/packages/command-line/src/explain/outcome-classes.ts
+++ b/packages/command-line/src/explain/outcome-classes.ts
@@ -68,7 +68,7 @@
   { name: 'deadline', meaning: 'the time of the request was over; long silence of its target, or a late start', matches: history => endsWith(history, ['broken', 'not-executed'], 'deadline') },
   { name: 'failed by its target', meaning: 'the target ran the request and answered 500', matches: history => endsWith(history, ['complete', 'end-unknown']) },
   { name: 'target silent', meaning: 'no data for too long; the request may have run', matches: history => endsWith(history, ['broken'], 'target silent') },
-  { name: 'broken off by its target', meaning: 'it may have run, and may not be repeated or was tried often enough', matches: history => endsWith(history, ['broken']) },
+  { name: 'broken off by its target', meaning: 'it may have run, and may not be repeated or was tried often enough', matches: history => endsWith(history, ['broken', 'disconnected']) },
   { name: 'not taken by a target', meaning: 'has not run; the targets were out of reach or another stood at the address', matches: history => isOnline(history, 'dispatch ended') },
   { name: 'item finished in one run', meaning: '', matches: history => isFinishedItem(history) && runsOf(history).length === 1 },
   { name: 'item finished after losing its slot', meaning: 'preempted by online requests and resumed', matches: history => isFinishedItem(history) && runsOf(history).slice(0, -1).every(wasRevoked) },
--- a/packages/command-line/tests/explain/explain-command.test.ts
+++ b/packages/command-line/tests/explain/explain-command.test.ts
@@ -23,6 +23,7 @@
   line(4, 'one', 'dispatch ended', { ...call, request: 'moved', target: 't2', end: 'complete', waited: 702, first: 730, late: true }),
   line(5, 'one', 'refused', { ...refusal, request: 'refused', refusals: 0 }),
   line(6, 'one', 'dispatch ended', { ...call, request: 'broken', end: 'broken', reason: 'read ECONNRESET' }),
+  line(6, 'one', 'dispatch ended', { ...call, request: 'lost', end: 'disconnected', reason: 'connection closed before the end of the response' }),
   line(8, 'one', 'dispatch ended', { ...call, request: 'open', end: 'end-unknown' }),
   line(7, 'one', 'item run ended', { job: 'j', item: 'i', target: 't1', end: 'broken', reason: 'slot revoked', status: 200, events: 4, took: 300 }),
   '{"time":"half of a line'
@@ -66,7 +67,7 @@
       'late, waited for a slot': ['slow'],
       served: ['served', 'open'],
       'refused, all slots taken': ['refused'],
-      'broken off by its target': ['broken'],
+      'broken off by its target': ['broken', 'lost'],
       'item finished after losing its slot': ['j/i']
     })
   })
