Confirm the end of an item's output that nobody knows at another target

A result said 'completed' although its text may have lacked events: a stream with neither a length nor chunks that was cut between two events counted as the whole output. Cause: any orderly end after a complete event was taken for the end of the output. Fix: such an item goes on after its last event at another target; an end that is framed, or a second unknown one after the same event, completes it, unless a stream has shown that another event follows. Before, a target that never frames its answers could keep an item that resumed after its last event going for ever; now two ends suffice. The former test of a sound unframed stream expected one request; it now expects exactly two, and that the second resumes after the last event.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -2,6 +2,7 @@
 import { createParser } from 'eventsource-parser'
 import { EventSplitter, MalformedStreamError } from '../online/event-splitter.js'
 import { streamEndOf } from '../online/stream-end.js'
+import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
 import type { ItemProgress } from './item-progress.js'
 
@@ -17,6 +18,10 @@
   #splitter = new EventSplitter()
   /** Id of the event after which the current stream continues, or null. */
   #resumesAfter: number | null = null
+  /** Id of the last event before the latest end that was unknown, or null. */
+  #unknownEndAfter: number | null = null
+  /** Id of the last event before the latest one that broke off, or null. */
+  #continuesAfter: number | null = null
 
   /** Id of the last complete event, or null before the first. */
   get lastId (): number | null {
@@ -78,17 +83,30 @@
   }
 
   /**
-   * Returns how the call of the current stream has really ended.
+   * Returns how the call of the current stream has really ended. The first end that is unknown stays so; a second one after the same
+   * event confirms it, since two streams are hardly cut there, unless a stream has shown that another event follows.
    *
    * @param ended end of the call by its framing and connection
    */
   endOf (ended: CallEnd): CallEnd {
-    return streamEndOf(ended, this.#splitter, this.#resumesAfter)
+    if (this.#splitter.rest.length > 0) {
+      this.#continuesAfter = this.#lastId
+    }
+    if (ended.end !== CallOutcome.EndUnknown || this.#lastId === null || this.#lastId === this.#continuesAfter) {
+      return streamEndOf(ended, this.#splitter, this.#resumesAfter)
+    }
+    if (this.#unknownEndAfter === this.#lastId) {
+      return { end: CallOutcome.Complete, reason: '' }
+    }
+    this.#unknownEndAfter = this.#lastId
+    return { end: CallOutcome.EndUnknown, reason: 'the stream may go on' }
   }
 
   // Any of the streams may have sent events that are not of this output, so none of them is kept.
   #discard (): void {
     this.#lastId = null
+    this.#unknownEndAfter = null
+    this.#continuesAfter = null
     this.#eventData = []
     this.#textBytes = 0
   }
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -226,7 +226,7 @@
     }
     this.#stop.signal.removeEventListener('abort', onStop)
     this.#ranMilliseconds += Date.now() - sentAt
-    const stopped = outcome !== CallOutcome.Complete && outcome !== CallOutcome.EndUnknown && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
+    const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
     slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf({ end: outcome, reason, status: this.#status, sentAt, firstDataAt, endedAt: Date.now() }))
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { parts: this.#parts.map(promptPartDigest) } : {}) })
     return await this.#onCallEnd(route, outcome, target, stopped)
@@ -242,14 +242,13 @@
   }
 
   async #onCallEnd (route: Route, outcome: CallOutcome, target: TargetEndpoint, stopped: boolean): Promise<ItemOutcome | null> {
-    const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
-    if (isAnswered && this.#status === okStatus) {
+    if (outcome === CallOutcome.Complete && this.#status === okStatus) {
       return { state: ItemState.Completed, text: this.#output.text }
     }
     if (this.#status === unprocessableStatus) {
       return { state: ItemState.Abandoned, text: '' }
     }
-    if (isAnswered && this.#status === failedStatus) {
+    if ((outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown) && this.#status === failedStatus) {
       this.#failedResponses += 1
       if (this.#failedResponses >= route.maxAttempts) {
         return { state: ItemState.Abandoned, text: '' }
