--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** Composition of a gateway process from its parts. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, PromptQuarantine, RouteTable } from '@arbutusloft/policy'
+import { pickService, CrashQuarantine, RouteTable } from '@arbutusloft/policy'
 import type { Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -23,8 +23,8 @@
 import type { Member } from './peers/member.js'
 import type { PeerTransport } from './peers/peer-socket.js'
 import { SlotClient } from './permits/slot-client.js'
-import { QuarantineLog } from './prompts/quarantine-log.js'
-import { QuarantineSharing } from './prompts/quarantine-sharing.js'
+import { QuarantineLog } from './quarantine/quarantine-log.js'
+import { QuarantineSharing } from './quarantine/quarantine-sharing.js'
 import { TargetConnections } from './targets/target-connections.js'
 import { TargetFreshness } from './targets/target-freshness.js'
 import { TargetRegistry } from './targets/target-registry.js'
@@ -94,7 +94,7 @@
   constructor (private readonly options: GatewayOptions) {
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
-    const quarantine = new PromptQuarantine()
+    const quarantine = new CrashQuarantine()
     this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine)
     const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
     this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log: quarantineLog, metrics: this.metrics, logger })
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, HeldSlot, QuarantinedPart, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, QuarantineEntry, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -138,7 +138,7 @@
 /** Tells which prompt parts are in quarantine, or no longer are. */
 export interface PromptQuarantineMessage {
   readonly type: typeof PeerMessageType.PromptQuarantine
-  readonly entries: readonly QuarantinedPart[]
+  readonly entries: readonly QuarantineEntry[]
 }
 
 /** Tells a member that may grant slots on a target that the target leaves. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -4,7 +4,7 @@
  * that were granted, reports them periodically and releases them.
  */
 import { DecisionKind, LeavingTargets, ownersOf, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, PromptQuarantine, SlotDecision } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -81,7 +81,7 @@
     private readonly transport: PeerTransport,
     private readonly targets: TargetRegistry,
     freshness: TargetFreshness,
-    quarantine: PromptQuarantine
+    quarantine: CrashQuarantine
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
     this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, (service, decision) => { this.#deliverDecision(service, decision) })
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -3,7 +3,7 @@
  * send slot requests to this one.
  */
 import { defaultFleetAdmissionOptions, FleetAdmission } from '@arbutusloft/policy'
-import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, PromptQuarantine, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
@@ -44,7 +44,7 @@
     private readonly targets: TargetRegistry,
     private readonly freshness: TargetFreshness,
     private readonly leaving: LeavingTargets,
-    private readonly quarantine: PromptQuarantine,
+    private readonly quarantine: CrashQuarantine,
     private readonly listener: DecisionListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
--- a/packages/gateway/src/prompts/quarantine-log.ts
+++ b/packages/gateway/src/quarantine/quarantine-log.ts
@@ -1,5 +1,5 @@
 /** Keeps the quarantine of prompt parts in the log, so that it holds when all processes of the fleet are lost at once. */
-import type { QuarantinedPart } from '@arbutusloft/policy'
+import type { QuarantineEntry } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { Packr } from 'msgpackr'
 import * as z from 'zod'
@@ -26,7 +26,7 @@
   constructor (private readonly topic: KeyedTopic, private readonly logger: Logger) {}
 
   /** Saves an entry in the background; retries until the log has it or a newer one of the same part. */
-  save ({ digest, version, periods, remaining }: QuarantinedPart): void {
+  save ({ digest, version, periods, remaining }: QuarantineEntry): void {
     const value = periods === 0 ? null : packr.pack({ version, periods, until: Date.now() + remaining })
     this.#unsaved.set(digest, { key: digest, value })
     if (!this.#isSaving) {
@@ -35,7 +35,7 @@
   }
 
   /** Loads all entries; retries until that succeeds, and returns none if the log is closed before. */
-  async load (): Promise<readonly QuarantinedPart[]> {
+  async load (): Promise<readonly QuarantineEntry[]> {
     while (!this.#closed) {
       try {
         const { records } = await this.topic.newest()
@@ -76,7 +76,7 @@
     }
   }
 
-  #parse ({ key, value, offset }: KeyedRecord): QuarantinedPart | null {
+  #parse ({ key, value, offset }: KeyedRecord): QuarantineEntry | null {
     if (value === null) {
       return null
     }
--- a/packages/gateway/src/prompts/quarantine-sharing.ts
+++ b/packages/gateway/src/quarantine/quarantine-sharing.ts
@@ -2,7 +2,7 @@
  * Shares the quarantine of prompt parts. The owner of a service's slots decides on it; every other process keeps a copy and
  * hands it to the next owner, and the log keeps it for a fleet that starts again.
  */
-import type { PromptQuarantine, QuarantinedPart } from '@arbutusloft/policy'
+import type { CrashQuarantine, QuarantineEntry } from '@arbutusloft/policy'
 import type { GatewayMetrics } from '../metrics.js'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
@@ -15,7 +15,7 @@
 
 /** Dependencies of {@link QuarantineSharing}. */
 export interface QuarantineSharingDependencies {
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: CrashQuarantine
   readonly membership: Pick<Membership, 'live' | 'self'>
   readonly transport: PeerTransport
   readonly log: QuarantineLog
@@ -52,7 +52,7 @@
     this.dependencies.log.close()
   }
 
-  #onChange (entry: QuarantinedPart): void {
+  #onChange (entry: QuarantineEntry): void {
     const { membership, log, metrics, logger } = this.dependencies
     metrics.quarantineChanges.inc({ change: changeOf(entry) })
     logger.warn('quarantine of a prompt part changed', { part: entry.digest, periods: entry.periods, remaining: entry.remaining, version: entry.version })
@@ -64,11 +64,11 @@
     log.save(entry)
   }
 
-  #send (address: string, entries: readonly QuarantinedPart[]): void {
+  #send (address: string, entries: readonly QuarantineEntry[]): void {
     this.dependencies.transport.send(address, { type: PeerMessageType.PromptQuarantine, entries })
   }
 
-  #merge (entries: readonly QuarantinedPart[]): void {
+  #merge (entries: readonly QuarantineEntry[]): void {
     const now = Date.now()
     for (const entry of entries) {
       this.dependencies.quarantine.merge(entry, now)
@@ -77,7 +77,7 @@
 }
 
 /** Returns what has changed, as a label of the metric. */
-function changeOf ({ periods }: QuarantinedPart): string {
+function changeOf ({ periods }: QuarantineEntry): string {
   if (periods === 0) {
     return 'cleared'
   }
--- a/packages/gateway/tests/prompts/quarantine-sharing.test.ts
+++ b/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
@@ -1,13 +1,13 @@
 /** Tests how processes share the quarantine of prompt parts: among each other, with a new owner, and through the log. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { PromptAdmission, PromptQuarantine } from '@arbutusloft/policy'
-import type { QuarantinedPart } from '@arbutusloft/policy'
+import { QuarantineAdmission, CrashQuarantine } from '@arbutusloft/policy'
+import type { QuarantineEntry } from '@arbutusloft/policy'
 import { GatewayMetrics } from '../../src/metrics.js'
 import { MemberState } from '../../src/peers/member.js'
 import type { Member } from '../../src/peers/member.js'
-import { QuarantineLog } from '../../src/prompts/quarantine-log.js'
-import { QuarantineSharing } from '../../src/prompts/quarantine-sharing.js'
+import { QuarantineLog } from '../../src/quarantine/quarantine-log.js'
+import { QuarantineSharing } from '../../src/quarantine/quarantine-sharing.js'
 import { sleep } from '../../src/util/sleep.js'
 import { FaultyLog } from '../util/faulty-topic.js'
 import { LoopbackNetwork } from '../util/loopback-transport.js'
@@ -18,7 +18,7 @@
 
 interface Process {
   readonly address: string
-  readonly quarantine: PromptQuarantine
+  readonly quarantine: CrashQuarantine
   readonly sharing: QuarantineSharing
 }
 
@@ -34,7 +34,7 @@
 function createProcesses (count: number, network: LoopbackNetwork, log = createLog()): readonly Process[] {
   const members = Array.from({ length: count }, (_, index) => memberAt(`10.0.${index >>> 8}.${index % 256}`))
   return members.map(self => {
-    const quarantine = new PromptQuarantine()
+    const quarantine = new CrashQuarantine()
     const logger = createTestLogger()
     const sharing = new QuarantineSharing({
       quarantine,
@@ -48,14 +48,14 @@
   })
 }
 
-function crashThrice (quarantine: PromptQuarantine): void {
+function crashThrice (quarantine: CrashQuarantine): void {
   for (const target of ['one', 'two', 'three']) {
     quarantine.onCrashed(`at-${target}`, { target, parts: [part] }, Date.now())
   }
 }
 
 function isHeldBack ({ quarantine }: Process): boolean {
-  return quarantine.decide([part], Date.now()).admission === PromptAdmission.Quarantined
+  return quarantine.decide([part], Date.now()).admission === QuarantineAdmission.Quarantined
 }
 
 describe('QuarantineSharing', () => {
@@ -80,7 +80,7 @@
     const network = new LoopbackNetwork()
     const [known, newOwner] = createProcesses(2, network)
     assert.ok(known !== undefined && newOwner !== undefined)
-    const entries = Array.from({ length: 500 }, (_, index): QuarantinedPart => ({ digest: `ffffffffff${String(index).padStart(6, '0')}`, version: 1, periods: 3, remaining: 60_000 }))
+    const entries = Array.from({ length: 500 }, (_, index): QuarantineEntry => ({ digest: `ffffffffff${String(index).padStart(6, '0')}`, version: 1, periods: 3, remaining: 60_000 }))
     for (const entry of entries) {
       known.quarantine.merge(entry, Date.now())
     }
--- a/packages/policy/src/fleet/prompt-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -8,7 +8,7 @@
 import { promptPartDigest } from './prompt-part-digest.js'
 
 /** Whether requests with a prompt part may be dispatched, as instances tell each other and keep it in the log. */
-export interface QuarantinedPart {
+export interface QuarantineEntry {
   /** Digest of the part's id; see {@link promptPartDigest}. */
   readonly digest: string
   /** Number of changes of this entry; of two entries for a part, the one with the greater version holds. */
@@ -20,18 +20,18 @@
 }
 
 /** Whether a request may be dispatched. */
-export const PromptAdmission = {
+export const QuarantineAdmission = {
   Admitted: 'admitted',
   /** Another request with one of its parts has to end first, since a target has crashed under that part. */
   Busy: 'busy',
   /** One of its parts is in quarantine. */
   Quarantined: 'quarantined'
 } as const
-export type PromptAdmission = typeof PromptAdmission[keyof typeof PromptAdmission]
+export type QuarantineAdmission = typeof QuarantineAdmission[keyof typeof QuarantineAdmission]
 
 /** Decision on a request. */
-export interface PromptDecision {
-  readonly admission: PromptAdmission
+export interface QuarantineDecision {
+  readonly admission: QuarantineAdmission
   /** Milliseconds until a request with the quarantined part is tried; 0 unless it is quarantined. */
   readonly retryAfter: number
 }
@@ -86,7 +86,7 @@
 }
 
 /** Attributes crashes to prompt parts and decides which requests may be dispatched. */
-export class PromptQuarantine {
+export class CrashQuarantine {
   readonly #suspicions = new Map<string, Suspicion>()
   /** Digests of parts with complete answers, the least recently used first. */
   readonly #proven = new Set<string>()
@@ -94,10 +94,10 @@
   readonly #clearedVersions = new Map<string, number>()
   /** Digests by list of parts; a list belongs to one request and is looked up again while that waits. */
   readonly #digests = new WeakMap<readonly string[], readonly string[]>()
-  readonly #listeners: Array<(entry: QuarantinedPart) => void> = []
+  readonly #listeners: Array<(entry: QuarantineEntry) => void> = []
 
   /** Calls the listener when this process begins, extends or ends the quarantine of a part. */
-  onChange (listener: (entry: QuarantinedPart) => void): void {
+  onChange (listener: (entry: QuarantineEntry) => void): void {
     this.#listeners.push(listener)
   }
 
@@ -112,7 +112,7 @@
   }
 
   /** Decides whether a request with these shared parts may be dispatched. */
-  decide (parts: readonly string[], now: number): PromptDecision {
+  decide (parts: readonly string[], now: number): QuarantineDecision {
     let isBusy = false
     let retryAfter = 0
     for (const { observed, periods, until, isProven, crashes } of this.#suspicionsOf(parts)) {
@@ -123,9 +123,9 @@
       }
     }
     if (retryAfter > 0) {
-      return { admission: PromptAdmission.Quarantined, retryAfter }
+      return { admission: QuarantineAdmission.Quarantined, retryAfter }
     }
-    return { admission: isBusy ? PromptAdmission.Busy : PromptAdmission.Admitted, retryAfter: 0 }
+    return { admission: isBusy ? QuarantineAdmission.Busy : QuarantineAdmission.Admitted, retryAfter: 0 }
   }
 
   /** Records that a request was dispatched. */
@@ -186,12 +186,12 @@
   }
 
   /** Returns all entries, for another process. */
-  entries (now: number): readonly QuarantinedPart[] {
+  entries (now: number): readonly QuarantineEntry[] {
     return [...this.#suspicions].filter(([, { periods }]) => periods > 0).map(([digest, suspicion]) => entryOf(digest, suspicion, now))
   }
 
   /** Adopts an entry of another process or of the log unless a newer one is known. */
-  merge ({ digest, version, periods, remaining }: QuarantinedPart, now: number): void {
+  merge ({ digest, version, periods, remaining }: QuarantineEntry, now: number): void {
     const known = this.#suspicions.get(digest)
     if (version <= Math.max(known?.version ?? 0, this.#clearedVersions.get(digest) ?? 0)) {
       return
@@ -301,7 +301,7 @@
     }
   }
 
-  #notify (entry: QuarantinedPart): void {
+  #notify (entry: QuarantineEntry): void {
     for (const listener of this.#listeners) {
       listener(entry)
     }
@@ -312,7 +312,7 @@
   return isProven ? crashes >= provenCrashesToQuarantine && now - firstCrashAt >= provenSilenceMilliseconds : crashes >= crashesToQuarantine
 }
 
-function entryOf (digest: string, { version, periods, until }: Suspicion, now: number): QuarantinedPart {
+function entryOf (digest: string, { version, periods, until }: Suspicion, now: number): QuarantineEntry {
   return { digest, version, periods, remaining: Math.max(0, until - now) }
 }
 
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -10,7 +10,7 @@
 import { OnlineQueue } from './online-queue.js'
 import { OverloadForecast } from './overload-forecast.js'
 import { PrefixAffinity } from './prefix-affinity.js'
-import { PromptAdmission, PromptQuarantine } from './prompt-quarantine.js'
+import { QuarantineAdmission, CrashQuarantine } from './crash-quarantine.js'
 import { TargetAvailability, TargetHealth } from './target-health.js'
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
@@ -71,7 +71,7 @@
   #now = 0
 
   /** @param quarantine prompt parts that are held back; services may share it */
-  constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new PromptQuarantine()) {
+  constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new CrashQuarantine()) {
     this.#health = new TargetHealth(options)
   }
 
@@ -194,7 +194,7 @@
 
   #requestOnline (request: SlotRequest): readonly SlotDecision[] {
     const { admission, retryAfter } = this.quarantine.decide(request.prefix, this.#now)
-    if (admission === PromptAdmission.Quarantined) {
+    if (admission === QuarantineAdmission.Quarantined) {
       this.#online.remove(entry => entry.request.permit === request.permit)
       return [refusalOf(request, RefusalReason.Quarantined, retryAfter)]
     }
@@ -416,7 +416,7 @@
   }
 
   #admitsPrompt ({ prefix }: SlotRequest): boolean {
-    return this.quarantine.decide(prefix, this.#now).admission === PromptAdmission.Admitted
+    return this.quarantine.decide(prefix, this.#now).admission === QuarantineAdmission.Admitted
   }
 
   /** Rejects the waiting online requests whose prompt has been quarantined since they were queued. */
@@ -424,7 +424,7 @@
     if (!this.quarantine.hasQuarantined) {
       return []
     }
-    const isQuarantined = ({ prefix }: SlotRequest): boolean => this.quarantine.decide(prefix, this.#now).admission === PromptAdmission.Quarantined
+    const isQuarantined = ({ prefix }: SlotRequest): boolean => this.quarantine.decide(prefix, this.#now).admission === QuarantineAdmission.Quarantined
     return this.#online.remove(({ request }) => isQuarantined(request)).map(({ request }) => {
       return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(request.prefix, this.#now).retryAfter)
     })
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { WorkClass } from '@arbutusloft/protocol'
-import { DecisionKind, FleetAdmission, PromptQuarantine, RefusalReason, SlotOutcome } from '../../src/index.js'
+import { DecisionKind, FleetAdmission, CrashQuarantine, RefusalReason, SlotOutcome } from '../../src/index.js'
 import type { FleetTarget, SlotDecision, SlotRequest } from '../../src/index.js'
 
 const targets: readonly FleetTarget[] = [
@@ -349,7 +349,7 @@
   })
 
   it('rejects online requests with a prompt part that crashes targets, also those that wait, and serves others', () => {
-    const quarantine = new PromptQuarantine()
+    const quarantine = new CrashQuarantine()
     const guarded = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
     guarded.setTargets(targets, 0)
     for (const [index, permit] of ['p1', 'p2', 'p3', 'p4'].entries()) {
@@ -368,7 +368,7 @@
   })
 
   it('lets items with a prompt part that crashes targets wait behind all others', () => {
-    const quarantine = new PromptQuarantine()
+    const quarantine = new CrashQuarantine()
     const fleet = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
     fleet.setTargets(targets, 0)
     for (const target of ['one', 'two', 'three']) {
@@ -380,7 +380,7 @@
   })
 
   it('grants batch slots while online requests wait for the end of another one with the same prompt part', () => {
-    const quarantine = new PromptQuarantine()
+    const quarantine = new CrashQuarantine()
     const fleet = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
     fleet.setTargets(targets, 0)
     quarantine.onCrashed('p0', { target: 'gone', parts: ['suspected'] }, 0)
