Log the digest of a request whose target closed the connection

What: dispatch ended and item run ended hold a digest of host, method, path and body if the call ended as 'disconnected'.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -7,6 +7,7 @@
 import { forwardedHeaders } from '../online/forwarded-headers.js'
 import type { AcquireResult, Slot, SlotDemand } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
+import { requestDigest } from '../quarantine/request-digest.js'
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import type { ResponseHead } from '../targets/response-parser.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
@@ -38,6 +39,8 @@
   readonly text: string
 }
 
+/** Method of the requests that run items. */
+const itemMethod = 'POST'
 /** Abort reason of a call whose item may be abandoned. */
 const expiredReason = 'retention over'
 /** Longest delay that a timer supports. */
@@ -63,6 +66,7 @@
 export class ItemRun {
   readonly #stop = new AbortController()
   readonly #parts: readonly string[]
+  readonly #digest: string
   readonly #output = new ItemOutput()
   /** Number of complete responses with which targets reported that the item failed. */
   #failedResponses = 0
@@ -85,6 +89,7 @@
     private readonly item: JobItem,
     private readonly savedProgress: Promise<ItemProgress | null>
   ) {
+    this.#digest = requestDigest({ host: dependencies.routeOf(job.route)?.host ?? '', method: itemMethod, path: item.path, body: item.body })
     this.#parts = sharedPromptParts(headerOf(item, dependencies.names.promptPrefix))
   }
 
@@ -177,7 +182,7 @@
     let firstDataAt: number | null = null
     const call = callTarget(this.dependencies.connections, target, {
       id: this.item.id,
-      method: 'POST',
+      method: itemMethod,
       path: this.item.path,
       headers: this.#headers(route),
       body: this.item.body,
@@ -228,7 +233,7 @@
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
     slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf({ end: outcome, reason, status: this.#status, sentAt, firstDataAt, endedAt: Date.now() }))
-    this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { parts: this.#parts.map(promptPartDigest) } : {}) })
+    this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
     return await this.#onCallEnd(route, outcome, target, stopped)
   }
 
--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -3,6 +3,7 @@
 import { RouteKind } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import type { CallerBudgets } from './caller-budgets.js'
+import { requestDigest } from '../quarantine/request-digest.js'
 import { forwardedHeaders } from './forwarded-headers.js'
 import type { HeaderNames } from './header-names.js'
 
@@ -19,6 +20,8 @@
   readonly route: Route
   /** Service of the route that was chosen for this request. */
   readonly service: string
+  /** See {@link requestDigest}. */
+  readonly digest: string
   /** Ids of the prompt parts that other requests may share, in order; used for prefix-cache affinity. */
   readonly prefix: readonly string[]
   /** Id of the event after which the client resumes a stream, or null. */
@@ -45,10 +48,13 @@
 ): OnlineRequest {
   const timeout = nonNegativeNumberOf(request.headers[names.deadline])
   const budget = Math.min(timeout ?? Infinity, route.timeoutMilliseconds)
+  const method = request.method ?? 'GET'
+  const path = request.url ?? '/'
   return {
     id: firstValueOf(request.headers[names.requestId]),
-    method: request.method ?? 'GET',
-    path: request.url ?? '/',
+    method,
+    path,
+    digest: requestDigest({ host: route.host, method, path, body }),
     headers: forwardedHeaders(request.rawHeaders, new Set([names.deadline, names.expectedTarget, lastEventIdHeader, 'content-length'])),
     body: body.length === 0 && request.headers['content-length'] === undefined ? null : body,
     route,
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -194,7 +194,7 @@
       late: first !== null && first > request.route.objectiveMilliseconds,
       took: Date.now() - sentAt,
       status,
-      ...(outcome === CallOutcome.Disconnected ? { parts: request.prefix.map(promptPartDigest) } : {})
+      ...(outcome === CallOutcome.Disconnected ? { digest: request.digest, parts: request.prefix.map(promptPartDigest) } : {})
     })
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
     const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
