--- a/packages/fleet-model/src/simulation/batch-item.ts
+++ b/packages/fleet-model/src/simulation/batch-item.ts
@@ -54,6 +54,7 @@
       workClass: WorkClass.Batch,
       zone: this.instance.zone,
       prefix: [],
+      digest: '',
       excluded: [],
       patience: 0,
       spent: 0,
--- a/packages/fleet-model/src/simulation/online-caller.ts
+++ b/packages/fleet-model/src/simulation/online-caller.ts
@@ -110,6 +110,7 @@
       workClass: WorkClass.Online,
       zone: this.instance.zone,
       prefix: [],
+      digest: '',
       excluded: this.#excluded,
       patience: this.kind.objectiveMilliseconds * slotWaitShare,
       spent: this.#attemptAt - this.#arrivedAt,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -61,7 +61,7 @@
 const progressTopicName = 'progress'
 /** Topic of the tokens that wait in each partition of the jobs. */
 const tokensTopicName = 'tokens'
-/** Topic of the prompt parts that are held back. */
+/** Topic of the requests and prompt parts that are held back. */
 const quarantineTopicName = 'quarantine'
 /** Topic of the addresses of the fleet's processes. */
 const membersTopicName = 'members'
@@ -97,7 +97,7 @@
     const quarantine = new CrashQuarantine()
     this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine)
     const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
-    this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, log: quarantineLog, metrics: this.metrics, logger })
+    this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, successors: () => this.slots.nearOwners, log: quarantineLog, metrics: this.metrics, logger })
     this.slots.onOwnerChange(address => { this.#quarantineSharing.tell(address) })
     void this.#quarantineSharing.load()
     this.targets.onChange(() => {
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -161,6 +161,7 @@
       service,
       workClass: WorkClass.Batch,
       prefix: this.#parts,
+      digest: this.#digest,
       excluded: this.#excluded,
       // These apply to online requests only; batch items wait without a limit.
       patience: 0,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -57,10 +57,10 @@
     registers: [this.registry]
   })
 
-  /** Changes of the quarantine of prompt parts that this process has decided, by change: begun, extended or cleared. */
+  /** Changes of quarantines that this process has decided, by change: begun, extended or cleared. */
   readonly quarantineChanges = new Counter({
     name: 'arbutus_gateway_prompt_quarantine_changes_total',
-    help: 'Changes of the quarantine of prompt parts by change',
+    help: 'Changes of quarantines by change',
     labelNames: ['change'],
     registers: [this.registry]
   })
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -94,13 +94,14 @@
   }
 
   async #acquire (): Promise<AcquireResult> {
-    const { route, service, prefix, spentMilliseconds } = this.request
+    const { route, service, prefix, digest, spentMilliseconds } = this.request
     const maximumWait = Math.min(route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
     const excluded = this.#excluded
     return await this.dependencies.slots.acquire({
       service,
       workClass: WorkClass.Online,
       prefix,
+      digest,
       excluded,
       patience: maximumWait,
       spent: spentMilliseconds,
@@ -255,7 +256,7 @@
     const waited = Date.now() - this.#startedAt
     this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
     if (reason === RefusalReason.Quarantined) {
-      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets may crash under a part of its prompt', retryAfter)
+      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets have crashed under it or a part of its prompt', retryAfter)
     } else {
       rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
     }
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -19,7 +19,7 @@
   SlotWithdrawal: 'x',
   SlotRelease: 'r',
   SlotReport: 'p',
-  PromptQuarantine: 'z',
+  Quarantine: 'z',
   TargetLeaving: 'g'
 } as const
 
@@ -75,7 +75,7 @@
 export interface SlotRequestMessage {
   readonly type: typeof PeerMessageType.SlotRequest
   readonly service: string
-  readonly request: Omit<SlotRequest, 'holder'>
+  readonly request: Omit<SlotRequest, 'holder' | 'digest'> & Partial<Pick<SlotRequest, 'digest'>>
 }
 
 /** Confirms that the owner has queued a request. */
@@ -125,7 +125,7 @@
   readonly permit: string
   readonly outcome: SlotOutcome
   /** The request that the target crashed under; left out if it has not crashed. */
-  readonly crash?: CrashReport
+  readonly crash?: Omit<CrashReport, 'digest'> & Partial<Pick<CrashReport, 'digest'>>
 }
 
 /** Reports all slots of a service that the sender holds. */
@@ -135,9 +135,9 @@
   readonly held: readonly HeldSlot[]
 }
 
-/** Tells which prompt parts are in quarantine, or no longer are. */
-export interface PromptQuarantineMessage {
-  readonly type: typeof PeerMessageType.PromptQuarantine
+/** Tells which requests and prompt parts are in quarantine or no longer are, or under which requests targets have crashed. */
+export interface QuarantineMessage {
+  readonly type: typeof PeerMessageType.Quarantine
   readonly entries: readonly QuarantineEntry[]
 }
 
@@ -170,7 +170,7 @@
   | SlotReportMessage
   | TargetLeavingMessage
 
-export type PeerMessage = MemberMessage | SlotMessage | PromptQuarantineMessage
+export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage
 
 const types: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType))
 const memberTypes: ReadonlySet<unknown> = new Set([
@@ -187,7 +187,7 @@
 
 /** Whether a message is about slots. */
 export function isSlotMessage (message: PeerMessage): message is SlotMessage {
-  return !isMemberMessage(message) && message.type !== PeerMessageType.PromptQuarantine
+  return !isMemberMessage(message) && message.type !== PeerMessageType.Quarantine
 }
 
 /** Whether a message is about members. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -37,6 +37,8 @@
   readonly service: string
   /** As in {@link SlotRequest}. */
   readonly prefix: readonly string[]
+  /** As in {@link SlotRequest}. */
+  readonly digest: string
   /** Aborted when the owner revokes the slot. */
   readonly revoke: AbortController
   /** Address of the member that granted the slot or got the latest report of it; the release is sent there. */
@@ -81,7 +83,7 @@
     private readonly transport: PeerTransport,
     private readonly targets: TargetRegistry,
     freshness: TargetFreshness,
-    quarantine: CrashQuarantine
+    private readonly quarantine: CrashQuarantine
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
     this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, (service, decision) => { this.#deliverDecision(service, decision) })
@@ -102,6 +104,11 @@
     if (signal.aborted) {
       return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
     }
+    const heldBack = this.quarantine.remainingFor({ parts: demand.prefix, digest: demand.digest }, Date.now())
+    if (demand.workClass === WorkClass.Online && heldBack > 0) {
+      // A new owner may not have been told yet.
+      return { granted: false, reason: RefusalReason.Quarantined, retryAfter: heldBack }
+    }
     this.#sequence += 1
     const permit = this.#permitPrefix + this.#sequence.toString(36)
     return await new Promise(resolve => {
@@ -133,6 +140,13 @@
     return [...services].some(service => this.#ownersOf(service).includes(this.transport.address))
   }
 
+  /** Addresses of the other processes that own the services which this process knows, or would if their owners failed. */
+  get nearOwners (): readonly string[] {
+    const addresses = new Set([...this.#owners.values()].flat())
+    addresses.delete(this.transport.address)
+    return [...addresses]
+  }
+
   /** Calls the listener with the address of each other process that begins to own slots which this process uses. */
   onOwnerChange (listener: (address: string) => void): void {
     this.#ownerListeners.push(listener)
@@ -303,7 +317,8 @@
   #onMessage (message: SlotMessage, sender: string): void {
     switch (message.type) {
       case PeerMessageType.SlotRequest: {
-        const decided = this.#owner.request(message.service, { ...message.request, holder: sender })
+        const { digest = '' } = message.request
+        const decided = this.#owner.request(message.service, { ...message.request, digest, holder: sender })
         if (!decided) {
           this.transport.send(sender, { type: PeerMessageType.SlotQueued, permit: message.request.permit })
         }
@@ -313,7 +328,7 @@
         this.#owner.withdraw(message.service, message.permit)
         return
       case PeerMessageType.SlotRelease:
-        this.#owner.release(message.service, message.permit, message.outcome, message.crash ?? null)
+        this.#owner.release(message.service, message.permit, message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash })
         return
       case PeerMessageType.SlotReport:
         this.#owner.report(message.service, sender, message.held)
@@ -430,9 +445,9 @@
       this.#giveBack(pending, target, owner)
       return
     }
-    const { workClass, prefix, due, ran } = pending.demand
+    const { workClass, prefix, digest, due, ran } = pending.demand
     const revoke = new AbortController()
-    const held: LocalSlot = { permit, target: target.id, workClass, prefix, due, ran, service, revoke, ownerAddress: owner }
+    const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
     const now = Date.now()
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
@@ -457,8 +472,8 @@
 
   #release (held: LocalSlot, outcome: SlotOutcome): void {
     if (this.#held.delete(held.permit)) {
-      const { service, ownerAddress, permit, target, prefix } = held
-      const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix } : null
+      const { service, ownerAddress, permit, target, prefix, digest } = held
+      const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest } : null
       this.#sendRelease(service, ownerAddress, permit, outcome, crash)
     }
   }
--- a/packages/gateway/src/quarantine/quarantine-log.ts
+++ b/packages/gateway/src/quarantine/quarantine-log.ts
@@ -1,4 +1,4 @@
-/** Keeps the quarantine of prompt parts in the log, so that it holds when all processes of the fleet are lost at once. */
+/** Keeps what is in quarantine in the log, so that it holds when all processes of the fleet are lost at once. */
 import type { QuarantineEntry } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { Packr } from 'msgpackr'
@@ -8,7 +8,7 @@
 import type { Logger } from '../util/logger.js'
 import { sleep } from '../util/sleep.js'
 
-/** Content of a record; its key is the digest of the part. `until` is in milliseconds since the epoch. */
+/** Content of a record; its key is the digest of the request or part. `until` is in milliseconds since the epoch. */
 const recordSchema = z.object({ version: z.number(), periods: z.number(), until: z.number() })
 
 /** Delay before a failed call is retried. */
@@ -25,7 +25,7 @@
 
   constructor (private readonly topic: KeyedTopic, private readonly logger: Logger) {}
 
-  /** Saves an entry in the background; retries until the log has it or a newer one of the same part. */
+  /** Saves an entry in the background; retries until the log has it or a newer one with the same digest. */
   save ({ digest, version, periods, remaining }: QuarantineEntry): void {
     const value = periods === 0 ? null : packr.pack({ version, periods, until: Date.now() + remaining })
     this.#unsaved.set(digest, { key: digest, value })
@@ -41,7 +41,7 @@
         const { records } = await this.topic.newest()
         return records.flatMap(record => this.#parse(record) ?? [])
       } catch (error) {
-        this.logger.info('quarantine of prompt parts not read', { error: messageOf(error) })
+        this.logger.info('quarantine not read', { error: messageOf(error) })
         await sleep(retryMilliseconds)
       }
     }
@@ -60,7 +60,7 @@
       if (outcome === AppendOutcome.Done) {
         this.#forget(records)
       } else {
-        this.logger.info('quarantine of prompt parts not kept', { parts: records.map(record => record.key), end: outcome })
+        this.logger.info('quarantine not kept', { digests: records.map(record => record.key), end: outcome })
         await sleep(retryMilliseconds)
       }
     }
@@ -84,7 +84,7 @@
       const { version, periods, until } = recordSchema.parse(packr.unpack(value))
       return { digest: key, version, periods, remaining: Math.max(0, until - Date.now()) }
     } catch (error) {
-      this.logger.warn('quarantine of a prompt part not readable', { part: key, offset, error: messageOf(error) })
+      this.logger.warn('quarantine entry not readable', { digest: key, offset, error: messageOf(error) })
       return null
     }
   }
--- a/packages/gateway/src/quarantine/quarantine-sharing.ts
+++ b/packages/gateway/src/quarantine/quarantine-sharing.ts
@@ -1,6 +1,6 @@
 /**
- * Shares the quarantine of prompt parts. The owner of a service's slots decides on it; every other process keeps a copy and
- * hands it to the next owner, and the log keeps it for a fleet that starts again.
+ * Shares what is in quarantine. The owner of a service's slots decides on it; every other process keeps a copy and hands it to the next
+ * owner, and the log keeps it for a fleet that starts again. Crashes that are counted before are told to the next owners only.
  */
 import type { CrashQuarantine, QuarantineEntry } from '@arbutusloft/policy'
 import type { GatewayMetrics } from '../metrics.js'
@@ -18,6 +18,8 @@
   readonly quarantine: CrashQuarantine
   readonly membership: Pick<Membership, 'live' | 'self'>
   readonly transport: PeerTransport
+  /** Returns the addresses of the processes that may own slots after this one. */
+  readonly successors: () => readonly string[]
   readonly log: QuarantineLog
   readonly metrics: GatewayMetrics
   readonly logger: Logger
@@ -27,9 +29,9 @@
 export class QuarantineSharing {
   constructor (private readonly dependencies: QuarantineSharingDependencies) {
     const { quarantine, transport } = dependencies
-    quarantine.onChange(entry => { this.#onChange(entry) })
+    quarantine.onChange((entry, isQuarantine) => { this.#onChange(entry, isQuarantine) })
     transport.onMessage(message => {
-      if (message.type === PeerMessageType.PromptQuarantine) {
+      if (message.type === PeerMessageType.Quarantine) {
         this.#merge(message.entries)
       }
     })
@@ -40,7 +42,7 @@
     this.#merge(await this.dependencies.log.load())
   }
 
-  /** Tells a process that has become the owner of a service's slots what is in quarantine. */
+  /** Tells a process that has become the owner of a service's slots what is known here. */
   tell (address: string): void {
     const entries = this.dependencies.quarantine.entries(Date.now())
     for (let start = 0; start < entries.length; start += entriesPerDatagram) {
@@ -52,10 +54,14 @@
     this.dependencies.log.close()
   }
 
-  #onChange (entry: QuarantineEntry): void {
-    const { membership, log, metrics, logger } = this.dependencies
+  #onChange (entry: QuarantineEntry, isQuarantine: boolean): void {
+    const { membership, log, metrics, logger, successors } = this.dependencies
+    if (!isQuarantine) {
+      successors().forEach(address => { this.#send(address, [entry]) })
+      return
+    }
     metrics.quarantineChanges.inc({ change: changeOf(entry) })
-    logger.warn('quarantine of a prompt part changed', { part: entry.digest, periods: entry.periods, remaining: entry.remaining, version: entry.version })
+    logger.warn('quarantine changed', { digest: entry.digest, periods: entry.periods, remaining: entry.remaining, version: entry.version })
     for (const { address } of membership.live()) {
       if (address !== membership.self.address) {
         this.#send(address, [entry])
@@ -65,7 +71,7 @@
   }
 
   #send (address: string, entries: readonly QuarantineEntry[]): void {
-    this.dependencies.transport.send(address, { type: PeerMessageType.PromptQuarantine, entries })
+    this.dependencies.transport.send(address, { type: PeerMessageType.Quarantine, entries })
   }
 
   #merge (entries: readonly QuarantineEntry[]): void {
--- a/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
+++ b/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
@@ -1,4 +1,4 @@
-/** Tests how processes share the quarantine of prompt parts: among each other, with a new owner, and through the log. */
+/** Tests how processes share the quarantine: among each other, with a new owner, and through the log. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { QuarantineAdmission, CrashQuarantine } from '@arbutusloft/policy'
@@ -15,6 +15,7 @@
 
 const part = 'crashing'
 const deliveryMilliseconds = 30
+const successors = 3
 
 interface Process {
   readonly address: string
@@ -40,6 +41,7 @@
       quarantine,
       membership: { self, live: () => members },
       transport: network.join(self.address),
+      successors: () => members.slice(0, successors).filter(member => member !== self).map(({ address }) => address),
       log: new QuarantineLog(log.connect(), logger),
       metrics: new GatewayMetrics(),
       logger
@@ -50,12 +52,12 @@
 
 function crashThrice (quarantine: CrashQuarantine): void {
   for (const target of ['one', 'two', 'three']) {
-    quarantine.onCrashed(`at-${target}`, { target, parts: [part] }, Date.now())
+    quarantine.onCrashed(`at-${target}`, { target, parts: [part], digest: '' }, Date.now())
   }
 }
 
 function isHeldBack ({ quarantine }: Process): boolean {
-  return quarantine.decide([part], Date.now()).admission === QuarantineAdmission.Quarantined
+  return quarantine.decide({ parts: [part], digest: '' }, Date.now()).admission === QuarantineAdmission.Quarantined
 }
 
 describe('QuarantineSharing', () => {
@@ -65,8 +67,8 @@
       const processes = createProcesses(count, network)
       const [owner] = processes
       assert.ok(owner !== undefined)
-      owner.quarantine.onCrashed('p', { target: 'zero', parts: ['another'] }, Date.now())
-      owner.quarantine.onCompleted(['another'])
+      owner.quarantine.onCrashed('p', { target: 'zero', parts: ['another'], digest: '' }, Date.now())
+      owner.quarantine.onCompleted({ parts: ['another'], digest: '' })
       assert.equal(network.sent, 0)
       crashThrice(owner.quarantine)
       await sleep(deliveryMilliseconds)
@@ -76,6 +78,20 @@
     })
   }
 
+  for (const count of [12, 76, 195]) {
+    it(`tells only the next owners among ${count} members of crashes under a request that is not in quarantine yet`, async () => {
+      const network = new LoopbackNetwork()
+      const processes = createProcesses(count, network)
+      const [owner, next, last] = processes
+      owner?.quarantine.onCrashed('p', { target: 'zero', parts: [part], digest: 'request' }, Date.now())
+      await sleep(deliveryMilliseconds)
+      assert.equal(network.sent, successors - 1)
+      assert.deepEqual([next, last].map(process => process?.quarantine.entries(0).map(({ crashes }) => crashes)), [[1], [1]])
+      assert.ok(processes.slice(successors).every(({ quarantine }) => !quarantine.isActive))
+      assert.ok(network.largestMessageBytes < 200, `a datagram has ${network.largestMessageBytes} bytes`)
+    })
+  }
+
   it('tells a new owner all that is in quarantine, in datagrams that fit one packet', async () => {
     const network = new LoopbackNetwork()
     const [known, newOwner] = createProcesses(2, network)
@@ -100,7 +116,7 @@
     assert.ok(after !== undefined && !isHeldBack(after))
     await after.sharing.load()
     assert.ok(isHeldBack(after))
-    after.quarantine.onCompleted([part])
+    after.quarantine.onCompleted({ parts: [part], digest: '' })
     await sleep(deliveryMilliseconds)
     const [last] = createProcesses(1, new LoopbackNetwork(), log)
     await last?.sharing.load()
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -1,30 +1,41 @@
 /**
- * Holds back prompt parts under which targets crash. Load: requests that have one part in common, under which every target
- * crashes as soon as it begins to answer, arrive at many instances at once and are each retried at further targets.
+ * Holds back what crashes targets: whole requests, and prompt parts. Load: requests under which every target crashes as soon as it
+ * begins to answer arrive at many instances at once, are each retried at further targets, and come again. They are the same request
+ * each time, or differ in all but one part of their prompt.
  *
- * A crash is attributed to all shared parts of the requests that it interrupted. A complete answer clears the parts of its
- * request, which sets parts that sound requests use apart from the one that crashes targets.
+ * A crash is attributed to the requests that it interrupted and to their shared parts. A complete answer clears its request and all parts
+ * of it, which sets what sound requests use apart from what crashes targets. Crashes that one request explains count against no part.
  */
 import { promptPartDigest } from './prompt-part-digest.js'
 
-/** Whether requests with a prompt part may be dispatched, as instances tell each other and keep it in the log. */
+/** Content of a request, as far as targets may crash under it. */
+export interface RequestContent {
+  /** Ids of the prompt parts that other requests may share. */
+  readonly parts: readonly string[]
+  /** Digest that the same request has each time it comes; empty if it is unknown. */
+  readonly digest: string
+}
+
+/** Whether requests with a prompt part, or a request, may be dispatched, as instances tell each other and keep it in the log. */
 export interface QuarantineEntry {
-  /** Digest of the part's id; see {@link promptPartDigest}. */
+  /** Digest of the part's id (see {@link promptPartDigest}) or of the request. */
   readonly digest: string
-  /** Number of changes of this entry; of two entries for a part, the one with the greater version holds. */
+  /** Number of changes of this entry; of two entries with a digest, the one with the greater version holds. */
   readonly version: number
-  /** Number of quarantine periods so far, which determines the length of the next one; 0 if the part was cleared. */
+  /** Number of quarantine periods so far, which determines the length of the next one; 0 if there is no quarantine. */
   readonly periods: number
-  /** Milliseconds until the next request with this part is tried; 0 if the part was cleared. */
+  /** Milliseconds until the next request with this content is tried; 0 if there is no quarantine. */
   readonly remaining: number
+  /** Crashes of a request that is not in quarantine; left out if there are none. */
+  readonly crashes?: number
 }
 
 /** Whether a request may be dispatched. */
 export const QuarantineAdmission = {
   Admitted: 'admitted',
-  /** Another request with one of its parts has to end first, since a target has crashed under that part. */
+  /** Another request with some of its content has to end first, since a target has crashed under that. */
   Busy: 'busy',
-  /** One of its parts is in quarantine. */
+  /** It or one of its parts is in quarantine. */
   Quarantined: 'quarantined'
 } as const
 export type QuarantineAdmission = typeof QuarantineAdmission[keyof typeof QuarantineAdmission]
@@ -32,23 +43,23 @@
 /** Decision on a request. */
 export interface QuarantineDecision {
   readonly admission: QuarantineAdmission
-  /** Milliseconds until a request with the quarantined part is tried; 0 unless it is quarantined. */
+  /** Milliseconds until a request with the quarantined content is tried; 0 unless it is quarantined. */
   readonly retryAfter: number
 }
 
 /** A request that a target crashed under, as its holder reports it. */
-export interface CrashReport {
+export interface CrashReport extends RequestContent {
   readonly target: string
-  /** Ids of the request's prompt parts that other requests may share. */
-  readonly parts: readonly string[]
 }
 
-/** Crashes after which a part is quarantined unless a request with it was answered completely before. */
+/** Crashes after which a request, or a part that no request was answered with before, is quarantined. */
 const crashesToQuarantine = 3
 /** The same for a part that requests were answered with before. */
 const provenCrashesToQuarantine = 5
-/** Time without a complete answer that it takes as well, so that targets which crash together for another reason do not quarantine the parts that all requests share. */
+/** Time without a complete answer that it takes as well if there was one before, so that targets which crash together for another reason do not quarantine what they all run. */
 const provenSilenceMilliseconds = 1_000
+/** Crashes of a part whose report for the request that explains them may still be in transit. */
+const unreportedCrashes = 1
 /** Time within which interrupted requests on one target count as the same crash: less than a target needs to start again. */
 const sameCrashMilliseconds = 1_000
 /** First quarantine period: the time for which requests are held back by mistake if the crashes had another cause. */
@@ -56,101 +67,129 @@
 /** Multiple of the former period. */
 const periodFactor = 8
 const maximumPeriodMilliseconds = 3_600_000
-/** Time before a request with a quarantined part is tried again if the last trial showed nothing. */
+/** Time before a request is tried again if the last trial did not reach a target. */
 const trialRetryMilliseconds = 1_000
+/** Trials of a quarantine that are repeated so. */
+const maximumTrialRetries = 3
 /** Time after which a request under observation no longer blocks others: a target that crashes under its prompt does so earlier. */
 const observationMilliseconds = 500
-/** Maximum number of parts with crashes; requests with invented parts replace each other, not what is in quarantine. */
+/** Maximum number of requests and parts with crashes; invented ones replace each other, not what is in quarantine. */
 const maximumSuspicions = 1_024
-/** Maximum number of remembered parts with complete answers, which bounds memory to about a megabyte. */
+/** Maximum number of remembered parts, and of remembered requests, with complete answers, which bounds memory to about two megabytes. */
 const maximumProven = 8_192
-/** Maximum number of remembered targets of a part's crashes. */
-const maximumCrashedTargets = 16
+/** Maximum number of remembered crashes of a suspicion. */
+const maximumCountedCrashes = 16
 
-/** What is known against a part. */
+/** A crash that counts against a request or a part. */
+interface CountedCrash {
+  readonly target: string
+  /** Time in milliseconds since the epoch. */
+  readonly at: number
+}
+
+/** What is known against a request or a part. */
 interface Suspicion {
+  readonly isRequest: boolean
   /** Crashes since the last complete answer. */
   crashes: number
   firstCrashAt: number
-  /** Time of the last counted crash, by target. */
-  readonly crashedAt: Map<string, number>
-  /** Whether an answer with the part was complete before the first crash. */
+  /** The latest of these crashes, as far as they were reported to this process. */
+  readonly counted: CountedCrash[]
+  /** Whether an answer with this content was complete before the first crash. */
   readonly isProven: boolean
-  /** Quarantine periods so far; 0 if the part is not in quarantine. */
+  /** Quarantine periods so far; 0 if the content is not in quarantine. */
   periods: number
-  /** Time from which a request with the quarantined part may be tried, in milliseconds since the epoch. */
+  /** Time from which a request with the quarantined content may be tried, in milliseconds since the epoch. */
   until: number
+  /** Trials that were repeated because they did not reach a target. */
+  trialRetries: number
   version: number
-  /** Request with the part that was dispatched last, until it ends. */
+  /** Request with the content that was dispatched last, until it ends. */
   observed: { readonly permit: string, readonly since: number, readonly isTrial: boolean } | null
 }
 
-/** Attributes crashes to prompt parts and decides which requests may be dispatched. */
+/** Receives an entry; `isQuarantine` tells whether a quarantine begins, is extended or ends, and not only a count changes. */
+export type QuarantineListener = (entry: QuarantineEntry, isQuarantine: boolean) => void
+
+/** Attributes crashes to requests and prompt parts, and decides which requests may be dispatched. */
 export class CrashQuarantine {
   readonly #suspicions = new Map<string, Suspicion>()
   /** Digests of parts with complete answers, the least recently used first. */
-  readonly #proven = new Set<string>()
-  /** Versions of parts that were cleared after a quarantine. */
+  readonly #provenParts = new Set<string>()
+  /** The same of requests. */
+  readonly #provenRequests = new Set<string>()
+  /** Versions of entries that were cleared. */
   readonly #clearedVersions = new Map<string, number>()
   /** Digests by list of parts; a list belongs to one request and is looked up again while that waits. */
-  readonly #digests = new WeakMap<readonly string[], readonly string[]>()
-  readonly #listeners: Array<(entry: QuarantineEntry) => void> = []
+  readonly #partDigests = new WeakMap<readonly string[], readonly string[]>()
+  readonly #listeners: QuarantineListener[] = []
 
-  /** Calls the listener when this process begins, extends or ends the quarantine of a part. */
-  onChange (listener: (entry: QuarantineEntry) => void): void {
+  /** Calls the listener when this process begins, extends or ends a quarantine, or counts or clears a crash of a request. */
+  onChange (listener: QuarantineListener): void {
     this.#listeners.push(listener)
   }
 
-  /** Whether anything is known against any part. */
+  /** Whether anything is known against any request or part. */
   get isActive (): boolean {
     return this.#suspicions.size > 0
   }
 
-  /** Whether any part is in quarantine. */
+  /** Whether anything is in quarantine. */
   get hasQuarantined (): boolean {
     return [...this.#suspicions.values()].some(suspicion => suspicion.periods > 0)
   }
 
-  /** Decides whether a request with these shared parts may be dispatched. */
-  decide (parts: readonly string[], now: number): QuarantineDecision {
-    let isBusy = false
-    let retryAfter = 0
-    for (const { observed, periods, until, isProven, crashes } of this.#suspicionsOf(parts)) {
-      if (periods > 0) {
-        retryAfter = Math.max(retryAfter, until - now)
-      } else if (observed !== null && now - observed.since < observationMilliseconds) {
-        isBusy ||= !isProven || crashes >= provenCrashesToQuarantine
-      }
+  /** Returns the milliseconds for which a request is held back, as far as is known here; 0 if it is not. */
+  remainingFor (content: RequestContent, now: number): number {
+    const quarantined = this.#suspicionsOf(content).filter(({ periods }) => periods > 0)
+    return Math.max(0, ...quarantined.map(({ until }) => until - now))
+  }
+
+  /** Decides whether a request with this content may be dispatched. */
+  decide (content: RequestContent, now: number): QuarantineDecision {
+    if (this.#suspicions.size === 0) {
+      return { admission: QuarantineAdmission.Admitted, retryAfter: 0 }
     }
+    this.#quarantineIfDue(content, now)
+    const retryAfter = this.remainingFor(content, now)
     if (retryAfter > 0) {
       return { admission: QuarantineAdmission.Quarantined, retryAfter }
     }
+    const isBusy = this.#suspicionsOf(content).some(({ observed, periods, isProven, crashes }) => {
+      const isObserved = periods === 0 && observed !== null && now - observed.since < observationMilliseconds
+      return isObserved && (!isProven || crashes >= provenCrashesToQuarantine)
+    })
     return { admission: isBusy ? QuarantineAdmission.Busy : QuarantineAdmission.Admitted, retryAfter: 0 }
   }
 
   /** Records that a request was dispatched. */
-  onDispatched (permit: string, parts: readonly string[], now: number): void {
-    for (const digest of this.#digestsOf(parts)) {
+  onDispatched (permit: string, content: RequestContent, now: number): void {
+    for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
         const isTrial = suspicion.periods > 0
         suspicion.observed = { permit, since: now, isTrial }
         if (isTrial) {
-          // The next period begins with the trial, so that no other process tries the part meanwhile.
+          // The next period begins with the trial, so that no other process tries the content meanwhile.
           this.#setPeriod(digest, suspicion, suspicion.periods + 1, now)
         }
       }
     }
   }
 
-  /** Records that a request ended without a complete answer, for another reason than a crash. */
-  onEnded (permit: string, parts: readonly string[], now: number): void {
-    for (const digest of this.#digestsOf(parts)) {
+  /**
+   * Records that a request ended without a complete answer, for another reason than a crash.
+   *
+   * @param mayHaveRun whether it may have reached its target
+   */
+  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean): void {
+    for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion?.observed?.permit === permit) {
         const { isTrial } = suspicion.observed
         suspicion.observed = null
-        if (isTrial && suspicion.periods > 1) {
+        if (isTrial && suspicion.periods > 1 && !mayHaveRun && suspicion.trialRetries < maximumTrialRetries) {
+          suspicion.trialRetries += 1
           this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
         }
       }
@@ -158,9 +197,14 @@
   }
 
   /** Records that a request was answered completely. */
-  onCompleted (parts: readonly string[]): void {
-    for (const digest of this.#digestsOf(parts)) {
-      this.#prove(digest)
+  onCompleted (content: RequestContent): void {
+    for (const digest of this.#partsOf(content)) {
+      remember(this.#provenParts, digest)
+    }
+    if (content.digest !== '') {
+      remember(this.#provenRequests, content.digest)
+    }
+    for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
         this.#suspicions.delete(digest)
@@ -169,17 +213,17 @@
     }
   }
 
-  /** Records that a target crashed under a request. A part in quarantine explains the crash, so that the less specific ones before it are spared. */
-  onCrashed (permit: string, { target, parts }: CrashReport, now: number): void {
+  /** Records that a target crashed under a request. What is in quarantine explains the crash, so that what is less specific is spared. */
+  onCrashed (permit: string, report: CrashReport, now: number): void {
     let isExplained = false
-    for (const digest of [...this.#digestsOf(parts)].reverse()) {
+    for (const digest of this.#digestsOf(report)) {
       const known = this.#suspicions.get(digest)
       if (known?.observed?.permit === permit) {
         known.observed = null
       }
       if (!isExplained) {
-        const suspicion = known ?? this.#suspect(digest, now)
-        this.#countCrash(digest, suspicion, target, now)
+        const suspicion = known ?? this.#suspect(digest, digest === report.digest, now)
+        this.#countCrash(digest, suspicion, report.target, now)
         isExplained = suspicion.periods > 0
       }
     }
@@ -187,54 +231,62 @@
 
   /** Returns all entries, for another process. */
   entries (now: number): readonly QuarantineEntry[] {
-    return [...this.#suspicions].filter(([, { periods }]) => periods > 0).map(([digest, suspicion]) => entryOf(digest, suspicion, now))
+    return [...this.#suspicions].filter(([, { periods, isRequest }]) => periods > 0 || isRequest).map(([digest, suspicion]) => entryOf(digest, suspicion, now))
   }
 
   /** Adopts an entry of another process or of the log unless a newer one is known. */
-  merge ({ digest, version, periods, remaining }: QuarantineEntry, now: number): void {
+  merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
     const known = this.#suspicions.get(digest)
     if (version <= Math.max(known?.version ?? 0, this.#clearedVersions.get(digest) ?? 0)) {
       return
     }
-    if (periods === 0) {
+    if (periods === 0 && crashes === 0) {
       this.#suspicions.delete(digest)
       this.#rememberCleared(digest, version)
       return
     }
-    const suspicion = known ?? this.#suspect(digest, now)
+    const suspicion = known ?? this.#suspect(digest, crashes > 0, now)
     suspicion.observed = null
-    Object.assign(suspicion, { version, periods, until: now + Math.min(remaining, periodOf(periods)) })
-    suspicion.crashes = Math.max(suspicion.crashes, crashesToQuarantine)
+    Object.assign(suspicion, { version, periods, until: periods === 0 ? 0 : now + Math.min(remaining, periodOf(periods)) })
+    suspicion.crashes = Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
   }
 
-  #suspicionsOf (parts: readonly string[]): readonly Suspicion[] {
+  #suspicionsOf (content: RequestContent): readonly Suspicion[] {
     if (this.#suspicions.size === 0) {
       return []
     }
-    return this.#digestsOf(parts).flatMap(digest => this.#suspicions.get(digest) ?? [])
+    return this.#digestsOf(content).flatMap(digest => this.#suspicions.get(digest) ?? [])
   }
 
-  #digestsOf (parts: readonly string[]): readonly string[] {
-    const known = this.#digests.get(parts)
+  /** Returns the digests of a request and its parts, the most specific first. */
+  #digestsOf (content: RequestContent): readonly string[] {
+    const parts = [...this.#partsOf(content)].reverse()
+    return content.digest === '' ? parts : [content.digest, ...parts]
+  }
+
+  #partsOf ({ parts }: RequestContent): readonly string[] {
+    const known = this.#partDigests.get(parts)
     if (known !== undefined) {
       return known
     }
     const digests = parts.map(promptPartDigest)
-    this.#digests.set(parts, digests)
+    this.#partDigests.set(parts, digests)
     return digests
   }
 
-  #suspect (digest: string, now: number): Suspicion {
+  #suspect (digest: string, isRequest: boolean, now: number): Suspicion {
     if (this.#suspicions.size >= maximumSuspicions) {
       this.#dropOldest()
     }
-    const suspicion = {
+    const suspicion: Suspicion = {
+      isRequest,
       crashes: 0,
       firstCrashAt: now,
-      crashedAt: new Map<string, number>(),
-      isProven: this.#proven.has(digest),
+      counted: [],
+      isProven: (isRequest ? this.#provenRequests : this.#provenParts).has(digest),
       periods: 0,
       until: 0,
+      trialRetries: 0,
       version: this.#clearedVersions.get(digest) ?? 0,
       observed: null
     }
@@ -242,7 +294,7 @@
     return suspicion
   }
 
-  /** Drops the oldest suspicion without a quarantine, or the oldest of all if all parts are in quarantine. */
+  /** Drops the oldest suspicion without a quarantine, or the oldest of all if everything is in quarantine. */
   #dropOldest (): void {
     const [first] = this.#suspicions.keys()
     const oldest = [...this.#suspicions].find(([, { periods }]) => periods === 0)?.[0] ?? first
@@ -252,34 +304,79 @@
   }
 
   #countCrash (digest: string, suspicion: Suspicion, target: string, now: number): void {
-    const last = suspicion.crashedAt.get(target)
-    if (last !== undefined && now - last < sameCrashMilliseconds) {
+    if (suspicion.counted.some(crash => isSameCrash(crash, target, now))) {
       return
     }
     suspicion.crashes += 1
-    suspicion.crashedAt.delete(target)
-    suspicion.crashedAt.set(target, now)
-    const [oldest] = suspicion.crashedAt.keys()
-    if (suspicion.crashedAt.size > maximumCrashedTargets && oldest !== undefined) {
-      suspicion.crashedAt.delete(oldest)
+    suspicion.counted.push({ target, at: now })
+    if (suspicion.counted.length > maximumCountedCrashes) {
+      suspicion.counted.shift()
     }
     // A trial has extended the quarantine when it was dispatched, and requests that were dispatched before do not extend it.
-    if (suspicion.periods === 0 && isQuarantineDue(suspicion, now)) {
+    if (suspicion.periods > 0) {
+      return
+    }
+    if (this.#isQuarantineDue(digest, suspicion, now)) {
+      this.#setPeriod(digest, suspicion, 1, now)
+    } else if (suspicion.isRequest) {
+      suspicion.version += 1
+      this.#notify(entryOf(digest, suspicion, now), false)
+    }
+  }
+
+  /** Begins the quarantine of a request that was answered before, once that was long enough ago. */
+  #quarantineIfDue ({ digest }: RequestContent, now: number): void {
+    const suspicion = this.#suspicions.get(digest)
+    if (suspicion?.periods === 0 && this.#isQuarantineDue(digest, suspicion, now)) {
       this.#setPeriod(digest, suspicion, 1, now)
     }
   }
 
+  #isQuarantineDue (digest: string, suspicion: Suspicion, now: number): boolean {
+    const { isRequest, isProven, crashes, firstCrashAt } = suspicion
+    const requiredCrashes = isProven && !isRequest ? provenCrashesToQuarantine : crashesToQuarantine
+    const isSilentLongEnough = !isProven || now - firstCrashAt >= provenSilenceMilliseconds
+    return crashes >= requiredCrashes && isSilentLongEnough && !this.#isExplained(digest, suspicion)
+  }
+
+  /**
+   * Whether another request explains the crashes: one that nearly all of a part's crashes have interrupted, or one with more crashes that
+   * all crashes of a request have interrupted.
+   */
+  #isExplained (digest: string, { isRequest, crashes, counted }: Suspicion): boolean {
+    const interruptions = new Map<string, number>()
+    for (const crash of counted) {
+      for (const request of this.#interruptedBy(crash)) {
+        interruptions.set(request, (interruptions.get(request) ?? 0) + 1)
+      }
+    }
+    for (const [request, count] of interruptions) {
+      const required = isRequest ? counted.length : counted.length - unreportedCrashes
+      const isMoreSuspect = !isRequest || (request !== digest && (this.#suspicions.get(request)?.crashes ?? 0) > crashes)
+      if (isMoreSuspect && count >= required) {
+        return true
+      }
+    }
+    return false
+  }
+
+  /** Returns the digests of the suspected requests that a crash interrupted. */
+  #interruptedBy ({ target, at }: CountedCrash): readonly string[] {
+    const suspected = [...this.#suspicions].filter(([, { isRequest, counted }]) => isRequest && counted.some(crash => isSameCrash(crash, target, at)))
+    return suspected.map(([digest]) => digest)
+  }
+
   #setPeriod (digest: string, suspicion: Suspicion, periods: number, now: number, milliseconds = periodOf(periods)): void {
     suspicion.periods = periods
     suspicion.version += 1
     suspicion.until = now + milliseconds
-    this.#notify(entryOf(digest, suspicion, now))
+    this.#notify(entryOf(digest, suspicion, now), true)
   }
 
-  #onCleared (digest: string, { periods, version }: Suspicion): void {
-    if (periods > 0) {
+  #onCleared (digest: string, { periods, version, isRequest }: Suspicion): void {
+    if (periods > 0 || isRequest) {
       this.#rememberCleared(digest, version + 1)
-      this.#notify({ digest, version: version + 1, periods: 0, remaining: 0 })
+      this.#notify({ digest, version: version + 1, periods: 0, remaining: 0 }, periods > 0)
     }
   }
 
@@ -292,27 +389,31 @@
     }
   }
 
-  #prove (digest: string): void {
-    this.#proven.delete(digest)
-    this.#proven.add(digest)
-    const [oldest] = this.#proven
-    if (this.#proven.size > maximumProven && oldest !== undefined) {
-      this.#proven.delete(oldest)
-    }
-  }
-
-  #notify (entry: QuarantineEntry): void {
+  #notify (entry: QuarantineEntry, isQuarantine: boolean): void {
     for (const listener of this.#listeners) {
-      listener(entry)
+      listener(entry, isQuarantine)
     }
   }
 }
 
-function isQuarantineDue ({ crashes, isProven, firstCrashAt }: Suspicion, now: number): boolean {
-  return isProven ? crashes >= provenCrashesToQuarantine && now - firstCrashAt >= provenSilenceMilliseconds : crashes >= crashesToQuarantine
+function isSameCrash (crash: CountedCrash, target: string, at: number): boolean {
+  return crash.target === target && Math.abs(at - crash.at) < sameCrashMilliseconds
 }
 
-function entryOf (digest: string, { version, periods, until }: Suspicion, now: number): QuarantineEntry {
+/** Adds a digest to those with complete answers, and drops the one that was used least recently if there are too many. */
+function remember (proven: Set<string>, digest: string): void {
+  proven.delete(digest)
+  proven.add(digest)
+  const [oldest] = proven
+  if (proven.size > maximumProven && oldest !== undefined) {
+    proven.delete(oldest)
+  }
+}
+
+function entryOf (digest: string, { version, periods, until, crashes }: Suspicion, now: number): QuarantineEntry {
+  if (periods === 0) {
+    return { digest, version, periods, remaining: 0, crashes }
+  }
   return { digest, version, periods, remaining: Math.max(0, until - now) }
 }
 
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -3,6 +3,8 @@
 import { DecisionKind } from '../admission/decision.js'
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
+import { CrashQuarantine, QuarantineAdmission } from './crash-quarantine.js'
+import type { RequestContent } from './crash-quarantine.js'
 import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
@@ -10,7 +12,6 @@
 import { OnlineQueue } from './online-queue.js'
 import { OverloadForecast } from './overload-forecast.js'
 import { PrefixAffinity } from './prefix-affinity.js'
-import { QuarantineAdmission, CrashQuarantine } from './crash-quarantine.js'
 import { TargetAvailability, TargetHealth } from './target-health.js'
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
@@ -49,6 +50,9 @@
  */
 const failureRateWeight = 10
 
+/** Outcomes that say that the request has not run. */
+const outcomesWithoutRun: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced, SlotOutcome.Full])
+
 /**
  * Grants slots of a service's targets to the processes (holders) that send requests to them.
  *
@@ -70,7 +74,7 @@
   /** Time of the present call, in milliseconds since the epoch. */
   #now = 0
 
-  /** @param quarantine prompt parts that are held back; services may share it */
+  /** @param quarantine what is held back; services may share it */
   constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new CrashQuarantine()) {
     this.#health = new TargetHealth(options)
   }
@@ -193,7 +197,7 @@
   }
 
   #requestOnline (request: SlotRequest): readonly SlotDecision[] {
-    const { admission, retryAfter } = this.quarantine.decide(request.prefix, this.#now)
+    const { admission, retryAfter } = this.quarantine.decide(contentOf(request), this.#now)
     if (admission === QuarantineAdmission.Quarantined) {
       this.#online.remove(entry => entry.request.permit === request.permit)
       return [refusalOf(request, RefusalReason.Quarantined, retryAfter)]
@@ -227,7 +231,7 @@
   // The grant is returned together with the revocation, without waiting until the preempted batch work has stopped: the
   // target may queue one request for that moment, and the online request is spared a round trip.
   #grantOnline (request: SlotRequest): readonly SlotDecision[] {
-    if (!this.#admitsPrompt(request)) {
+    if (!this.#admitsContent(request)) {
       return []
     }
     const free = this.#selectTarget(request, TargetAvailability.Available)
@@ -267,12 +271,12 @@
   }
 
   #grant (request: SlotRequest, { id: target, address }: TargetSlots): SlotGrant {
-    const { permit, holder, workClass, prefix, due, ran, sinceStart } = request
+    const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
     this.#prefixAffinity.recordGrant(prefix, target)
-    this.quarantine.onDispatched(permit, prefix, now)
+    this.quarantine.onDispatched(permit, contentOf(request), now)
     return { kind: DecisionKind.Grant, permit, holder, target, address }
   }
 
@@ -287,9 +291,9 @@
     return decisions
   }
 
-  /** Whether an online request waits for a slot, and not for the end of another request with the same prompt part. */
+  /** Whether an online request waits for a slot, and not for the end of another request with some of its content. */
   #isOnlineWaiting (): boolean {
-    return this.#online.length > 0 && (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => this.#admitsPrompt(request)))
+    return this.#online.length > 0 && (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => this.#admitsContent(request)))
   }
 
   /** Appends the grants to `decisions`. */
@@ -316,7 +320,7 @@
       return
     }
     for (const request of this.#batch.inOrder(this.#now)) {
-      if (!this.#admitsPrompt(request)) {
+      if (!this.#admitsContent(request)) {
         continue
       }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
@@ -389,9 +393,9 @@
   #recordOutcome (held: GrantedSlot, outcome: SlotOutcome): void {
     const now = this.#now
     if (outcome === SlotOutcome.Finished) {
-      this.quarantine.onCompleted(held.prefix)
+      this.quarantine.onCompleted(contentOf(held))
     } else {
-      this.quarantine.onEnded(held.permit, held.prefix, now)
+      this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome))
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
     if (outcome === SlotOutcome.Finished && held.workClass === WorkClass.Online) {
@@ -408,25 +412,25 @@
   }
 
   #refuse (request: SlotRequest): SlotDecision {
-    if (!this.#admitsPrompt(request)) {
-      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(request.prefix, this.#now).retryAfter)
+    if (!this.#admitsContent(request)) {
+      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(contentOf(request), this.#now).retryAfter)
     }
     const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#usableSlots() / this.#holdTime.value, request.latestReturn))
     return refusalOf(request, RefusalReason.Busy, retryAfter)
   }
 
-  #admitsPrompt ({ prefix }: SlotRequest): boolean {
-    return this.quarantine.decide(prefix, this.#now).admission === QuarantineAdmission.Admitted
+  #admitsContent (request: SlotRequest): boolean {
+    return this.quarantine.decide(contentOf(request), this.#now).admission === QuarantineAdmission.Admitted
   }
 
-  /** Rejects the waiting online requests whose prompt has been quarantined since they were queued. */
+  /** Rejects the waiting online requests that have been quarantined since they were queued. */
   #refuseQuarantined (): readonly SlotDecision[] {
     if (!this.quarantine.hasQuarantined) {
       return []
     }
-    const isQuarantined = ({ prefix }: SlotRequest): boolean => this.quarantine.decide(prefix, this.#now).admission === QuarantineAdmission.Quarantined
+    const isQuarantined = (request: SlotRequest): boolean => this.quarantine.decide(contentOf(request), this.#now).admission === QuarantineAdmission.Quarantined
     return this.#online.remove(({ request }) => isQuarantined(request)).map(({ request }) => {
-      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(request.prefix, this.#now).retryAfter)
+      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(contentOf(request), this.#now).retryAfter)
     })
   }
 
@@ -452,6 +456,10 @@
   }
 }
 
+function contentOf ({ prefix, digest }: Pick<SlotRequest, 'prefix' | 'digest'>): RequestContent {
+  return { parts: prefix, digest }
+}
+
 function refusalOf ({ permit, holder }: SlotRequest, reason: RefusalReason, retryAfter: number): SlotDecision {
   return { kind: DecisionKind.Refuse, permit, holder, reason, retryAfter: Math.max(1, retryAfter) }
 }
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -25,9 +25,11 @@
   readonly zone: string
   /**
    * Identifiers of the prompt prefixes that the request shares with others, the most specific last; for prefix-cache
-   * affinity and {@link PromptQuarantine}.
+   * affinity and {@link CrashQuarantine}.
    */
   readonly prefix: readonly string[]
+  /** Digest that the same request has each time it comes, for {@link CrashQuarantine}; empty if it is unknown. */
+  readonly digest: string
   /** Targets that must not be chosen, because the request failed there. */
   readonly excluded: readonly string[]
   /**
@@ -82,7 +84,7 @@
 export const RefusalReason = {
   /** It cannot start in time. */
   Busy: 'busy',
-  /** Targets may crash under a part of its prompt; see {@link PromptQuarantine}. */
+  /** Targets may crash under it, or under a part of its prompt; see {@link CrashQuarantine}. */
   Quarantined: 'quarantined'
 } as const
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason]
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -13,6 +13,8 @@
   readonly workClass: WorkClass
   /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
   readonly prefix: readonly string[]
+  /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
+  readonly digest: string
   /** Batch: deadline of the item, in milliseconds since the epoch. */
   readonly due: number
   /** Batch: milliseconds for which the item had run before the grant. */
@@ -125,7 +127,7 @@
     for (const { permit, target, workClass, due, ran } of held) {
       const known = this.#granted.get(permit)
       if (known === undefined) {
-        this.recordGrant({ permit, holder, target, address: '', workClass, prefix: [], due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
+        this.recordGrant({ permit, holder, target, address: '', workClass, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
       } else if (known.revoked) {
         revoked.push(permit)
       }
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -11,7 +11,7 @@
 ]
 
 function request (permit: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
-  return { permit, holder: 'h', workClass: WorkClass.Online, zone: 'a', prefix: [], excluded: [], patience: 100, spent: 0, latestReturn: 1_000, due: 0, ran: 0, sinceStart: 0, ...overrides }
+  return { permit, holder: 'h', workClass: WorkClass.Online, zone: 'a', prefix: [], digest: '', excluded: [], patience: 100, spent: 0, latestReturn: 1_000, due: 0, ran: 0, sinceStart: 0, ...overrides }
 }
 
 function createFleet (headroom = 0): FleetAdmission {
@@ -357,7 +357,7 @@
     }
     assert.deepEqual(guarded.request(request('waiting', { prefix: ['bad'], patience: 1_000 }), 10), [])
     for (const target of ['one', 'two', 'three']) {
-      quarantine.onCrashed(`at-${target}`, { target, parts: ['bad'] }, 20)
+      quarantine.onCrashed(`at-${target}`, { target, parts: ['bad'], digest: '' }, 20)
     }
     const [refusal] = guarded.tick(30)
     assert.ok(refusal?.kind === DecisionKind.Refuse && refusal.permit === 'waiting' && refusal.reason === RefusalReason.Quarantined)
@@ -372,7 +372,7 @@
     const fleet = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
     fleet.setTargets(targets, 0)
     for (const target of ['one', 'two', 'three']) {
-      quarantine.onCrashed(`at-${target}`, { target, parts: ['bad'] }, 0)
+      quarantine.onCrashed(`at-${target}`, { target, parts: ['bad'], digest: '' }, 0)
     }
     assert.deepEqual(fleet.request(request('b1', { ...batch, prefix: ['bad'], due: 1 }), 10), [])
     assert.deepEqual(describeDecisions(fleet.request(request('b2', { ...batch, prefix: ['good'], due: 2 }), 20)), ['grant b2'])
@@ -383,7 +383,7 @@
     const quarantine = new CrashQuarantine()
     const fleet = new FleetAdmission({ headroom: 0, initialSuspensionMilliseconds: 300, maximumSuspensionMilliseconds: 2_000 }, quarantine)
     fleet.setTargets(targets, 0)
-    quarantine.onCrashed('p0', { target: 'gone', parts: ['suspected'] }, 0)
+    quarantine.onCrashed('p0', { target: 'gone', parts: ['suspected'], digest: '' }, 0)
     assert.deepEqual(describeDecisions(fleet.request(request('p1', { prefix: ['suspected'] }), 10)), ['grant p1'])
     assert.deepEqual(fleet.request(request('p2', { prefix: ['suspected'], patience: 1_000 }), 20), [])
     assert.deepEqual(describeDecisions(fleet.request(request('b1', { ...batch, due: 1 }), 30)), ['grant b1'])
