--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -104,9 +104,10 @@
     if (signal.aborted) {
       return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
     }
-    const heldBack = this.quarantine.remainingFor({ parts: demand.prefix, digest: demand.digest }, Date.now())
-    if (demand.workClass === WorkClass.Online && heldBack > 0) {
-      // A new owner may not have been told yet.
+    const now = Date.now()
+    const heldBack = this.quarantine.remainingFor({ parts: demand.prefix, digest: demand.digest }, now)
+    if (demand.workClass === WorkClass.Online && heldBack > 0 && now - this.#ownersChangedAt < takeoverMilliseconds) {
+      // The new owner may not have been told yet. An owner that knows better decides.
       return { granted: false, reason: RefusalReason.Quarantined, retryAfter: heldBack }
     }
     this.#sequence += 1
--- a/packages/gateway/src/quarantine/quarantine-sharing.ts
+++ b/packages/gateway/src/quarantine/quarantine-sharing.ts
@@ -44,7 +44,8 @@
 
   /** Tells a process that has become the owner of a service's slots what is known here. */
   tell (address: string): void {
-    const entries = this.dependencies.quarantine.entries(Date.now())
+    const { quarantine } = this.dependencies
+    const entries = [...quarantine.entries(Date.now()), ...quarantine.cleared()]
     for (let start = 0; start < entries.length; start += entriesPerDatagram) {
       this.#send(address, entries.slice(start, start + entriesPerDatagram))
     }
--- a/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
+++ b/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
@@ -106,6 +106,24 @@
     assert.ok(network.largestMessageBytes <= 1_472, `a datagram has ${network.largestMessageBytes} bytes`)
   })
 
+  it('tells a new owner what was cleared, so that it does not hold it back for a message that was lost', async () => {
+    const network = new LoopbackNetwork()
+    const [known, newOwner] = createProcesses(2, network)
+    assert.ok(known !== undefined && newOwner !== undefined)
+    crashThrice(known.quarantine)
+    await sleep(deliveryMilliseconds)
+    assert.ok(isHeldBack(newOwner))
+    network.isolate(newOwner.address)
+    known.quarantine.onCompleted({ parts: [part], digest: '' })
+    await sleep(deliveryMilliseconds)
+    network.reconnect(newOwner.address)
+    await sleep(deliveryMilliseconds)
+    assert.ok(isHeldBack(newOwner))
+    known.sharing.tell(newOwner.address)
+    await sleep(deliveryMilliseconds)
+    assert.ok(!isHeldBack(newOwner))
+  })
+
   it('restores the quarantine from the log after all processes are lost, and a part that was cleared stays cleared', async () => {
     const log = createLog()
     const [before] = createProcesses(1, new LoopbackNetwork(), log)
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -77,6 +77,8 @@
 const maximumSuspicions = 1_024
 /** Maximum number of remembered parts, and of remembered requests, with complete answers, which bounds memory to about two megabytes. */
 const maximumProven = 8_192
+/** Number of cleared entries of which a new owner is told: as many as fit one datagram. */
+const maximumToldCleared = 24
 /** Maximum number of remembered crashes of a suspicion. */
 const maximumCountedCrashes = 16
 
@@ -234,6 +236,11 @@
     return [...this.#suspicions].filter(([, { periods, isRequest }]) => periods > 0 || isRequest).map(([digest, suspicion]) => entryOf(digest, suspicion, now))
   }
 
+  /** Returns the entries that were cleared last, for another process that may have missed it; a bounded number. */
+  cleared (): readonly QuarantineEntry[] {
+    return [...this.#clearedVersions].slice(-maximumToldCleared).map(([digest, version]) => ({ digest, version, periods: 0, remaining: 0 }))
+  }
+
   /** Adopts an entry of another process or of the log unless a newer one is known. */
   merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
     const known = this.#suspicions.get(digest)
