Take an item's output for complete only after three unknown ends at the same event

Fix: three ends in a row. A service that never frames its answers now costs an item two more short requests instead of one.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -9,6 +9,9 @@
 /** Maximum length of the text, which leaves 4 KB for the state and the key in a record of the store, whose limit is 262,144 bytes. */
 const maximumTextBytes = 258_048
 
+/** Number of streams that end after the same event, with neither a length nor chunks, until the output counts as complete: a cut at one event is rare, three in a row are not to be expected. */
+const unknownEndsToConfirm = 3
+
 /** Collects the events of an item's output, which may arrive in several streams that continue each other. */
 export class ItemOutput {
   #eventData: string[] = []
@@ -20,6 +23,8 @@
   #resumesAfter: number | null = null
   /** Id of the last event before the latest end that was unknown, or null. */
   #unknownEndAfter: number | null = null
+  /** Number of unknown ends in a row after that event. */
+  #unknownEnds = 0
   /** Id of the last event before the latest one that broke off, or null. */
   #continuesAfter: number | null = null
 
@@ -83,8 +88,8 @@
   }
 
   /**
-   * Returns how the call of the current stream has really ended. The first end that is unknown stays so; a second one after the same
-   * event confirms it, since two streams are hardly cut there, unless a stream has shown that another event follows.
+   * Returns how the call of the current stream has really ended. An end that is unknown stays so until several streams in a row have ended
+   * after the same event, unless one has shown that another event follows.
    *
    * @param ended end of the call by its framing and connection
    */
@@ -95,11 +100,10 @@
     if (ended.end !== CallOutcome.EndUnknown || this.#lastId === null || this.#lastId === this.#continuesAfter) {
       return streamEndOf(ended, this.#splitter, this.#resumesAfter)
     }
-    if (this.#unknownEndAfter === this.#lastId) {
-      return { end: CallOutcome.Complete, reason: '' }
-    }
+    this.#unknownEnds = this.#unknownEndAfter === this.#lastId ? this.#unknownEnds + 1 : 1
     this.#unknownEndAfter = this.#lastId
-    return { end: CallOutcome.EndUnknown, reason: 'the stream may go on' }
+    const isConfirmed = this.#unknownEnds >= unknownEndsToConfirm
+    return isConfirmed ? { end: CallOutcome.Complete, reason: '' } : { end: CallOutcome.EndUnknown, reason: 'the stream may go on' }
   }
 
   // Any of the streams may have sent events that are not of this output, so none of them is kept.
