Do not take an empty rest for the end of a stream that broke off inside an event

Callers and results could lack events: a target that resumes a stream and ends its answer in chunks at once says that nothing follows, and was believed although the answer before had begun another event. Fix: an empty rest is whole only if no earlier answer has shown that an event follows, for streams and for items.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -98,7 +98,7 @@
       this.#continuesAfter = this.#lastId
     }
     if (ended.end !== CallOutcome.EndUnknown || this.#lastId === null || this.#lastId === this.#continuesAfter) {
-      return streamEndOf(ended, this.#splitter, this.#resumesAfter)
+      return streamEndOf(ended, this.#splitter, this.#resumesAfter !== null && this.#resumesAfter !== this.#continuesAfter)
     }
     this.#unknownEnds = this.#unknownEndAfter === this.#lastId ? this.#unknownEnds + 1 : 1
     this.#unknownEndAfter = this.#lastId
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -11,6 +11,8 @@
 const noExcludedHeaders: ReadonlySet<string> = new Set()
 const contentLengthHeader: ReadonlySet<string> = new Set(['content-length'])
 const successStatus = 200
+/** Time for the bytes before a reset to reach the client: several round trips. */
+const resetDelayMilliseconds = 100
 const lineEnd = Buffer.from('\r\n')
 
 /**
@@ -28,6 +30,8 @@
   /** Whether the response to the client has neither a length nor chunks and so ends with its connection. */
   #endsWithConnection = false
   #lastId: number | null = null
+  /** Id of the last event before the latest one that was broken off, or null. */
+  #continuesAfter: number | null = null
   #relayedBytes = 0
 
   constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
@@ -88,7 +92,10 @@
    * @param resumesAfter id of the event after which its request resumed the stream, or null if it did not
    */
   endOf (ended: CallEnd, resumesAfter: number | null): CallEnd {
-    const end = this.#splitter === null ? ended : streamEndOf(ended, this.#splitter, resumesAfter)
+    const end = this.#splitter === null ? ended : streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter)
+    if (this.#splitter !== null && this.#splitter.rest.length > 0) {
+      this.#continuesAfter = this.#lastId
+    }
     if (end.end === CallOutcome.EndUnknown && this.#hasBegun && !this.#endsWithConnection) {
       return { end: CallOutcome.Broken, reason: 'the rest of the stream may be incomplete' }
     }
@@ -110,8 +117,8 @@
   abort (): void {
     const { socket } = this.response
     if (this.#endsWithConnection && socket !== null) {
-      // A closed connection would end the response in order.
-      socket.resetAndDestroy()
+      // A closed connection would end the response in order. A reset discards what has not arrived yet.
+      setTimeout(() => { socket.resetAndDestroy() }, resetDelayMilliseconds)
     } else {
       this.response.destroy()
     }
--- a/packages/gateway/src/online/stream-end.ts
+++ b/packages/gateway/src/online/stream-end.ts
@@ -8,9 +8,9 @@
  *
  * @param ended end of the call by its framing and connection
  * @param splitter has received the whole body
- * @param resumesAfter id of the event after which the request resumed the stream, or null if it did not
+ * @param mayBeEmpty whether the request resumed the stream and no earlier response has shown that another event follows
  */
-export function streamEndOf (ended: CallEnd, splitter: EventSplitter, resumesAfter: number | null): CallEnd {
+export function streamEndOf (ended: CallEnd, splitter: EventSplitter, mayBeEmpty: boolean): CallEnd {
   const { end } = ended
   if (end !== CallOutcome.Complete && end !== CallOutcome.EndUnknown) {
     return ended
@@ -19,7 +19,7 @@
   if (splitter.rest.length > 0) {
     return { end: brokenOff, reason: 'the stream ended inside an event' }
   }
-  // Nothing may be left after the last event. If the body ends with its connection, it may have been cut before the next event.
-  const mayBeEmpty = resumesAfter !== null && end === CallOutcome.Complete
-  return splitter.hasEvents || mayBeEmpty ? ended : { end: brokenOff, reason: 'the stream ended before its first event' }
+  // If the body ends with its connection, it may have been cut before the next event.
+  const isWholeIfEmpty = mayBeEmpty && end === CallOutcome.Complete
+  return splitter.hasEvents || isWholeIfEmpty ? ended : { end: brokenOff, reason: 'the stream ended before its first event' }
 }
--- a/packages/gateway/tests/online/answer-ends.test.ts
+++ b/packages/gateway/tests/online/answer-ends.test.ts
@@ -113,6 +113,15 @@
     }
   }
 
+  it('keeps what was passed on before it was broken off', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      for (const framing of Object.values(Framing)) {
+        const answer = await answerTo(caller, streamRoute, [{ bytes: encode(framing, Place.InsideEvent), end: ConnectionEnd.Close }])
+        assert.deepEqual([answer.status, answer.body, answer.view], [200, events[0], CallerView.Broken], `${caller}, ${framing}`)
+      }
+    }
+  })
+
   it('is passed on alike with a failure status', async () => {
     for (const caller of Object.values(CallerKind)) {
       for (const route of [plainRoute, streamRoute]) {
@@ -144,6 +153,16 @@
     }
   })
 
+  it('is not whole if its last answer is empty although an event was broken off before', async () => {
+    const emptyRest = 'HTTP/1.1 200 S\r\nX-Request-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+    for (const [place, view] of [[Place.InsideEvent, CallerView.Broken], [Place.AfterLast, CallerView.Complete]] as const) {
+      // Without its last chunk, the first answer is broken off in both cases.
+      const bytes = encode(Framing.Chunks, place).replace('0\r\n\r\n', '')
+      const answer = await answerTo(CallerKind.KeepAlive, resumableRoute, [{ bytes, end: ConnectionEnd.Close }, { bytes: emptyRest, end: ConnectionEnd.None }])
+      assert.equal(answer.view, view, place)
+    }
+  })
+
   it('is not told as complete in chunks if the end of its last answer is unknown', async () => {
     const answer = await answerTo(CallerKind.KeepAlive, resumableRoute, [{ bytes: encode(Framing.Chunks, Place.InsideEvent), end: ConnectionEnd.Close }, { bytes: openRest, end: ConnectionEnd.Close }])
     assert.deepEqual([answer.body, answer.view], [whole, CallerView.Broken])
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -14,8 +14,8 @@
 const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', wait: 'x-wait' }
 const loopback = '127.0.0.1'
 const maximumBodyBytes = 1_000_000
-/** Time between an answer's bytes and the end of its connection, so that a reset does not discard them. */
-const endDelayMilliseconds = 15
+/** Time between an answer's bytes and a reset, so that this does not discard them. */
+const resetDelayMilliseconds = 15
 
 /** How a target ends the connection after the bytes of its answer. */
 export const ConnectionEnd = {
@@ -140,14 +140,14 @@
         socket.destroy()
         return
       }
+      if (answer.end === ConnectionEnd.Close) {
+        socket.end(answer.bytes)
+        return
+      }
       socket.write(answer.bytes)
-      void sleep(endDelayMilliseconds).then(() => {
-        if (answer.end === ConnectionEnd.Close) {
-          socket.end()
-        } else if (answer.end === ConnectionEnd.Reset) {
-          socket.resetAndDestroy()
-        }
-      })
+      if (answer.end === ConnectionEnd.Reset) {
+        void sleep(resetDelayMilliseconds).then(() => { socket.resetAndDestroy() })
+      }
     })
   }
 
