Give the limits on a call five times the time in their test

Traced: 0 of 10 runs of the file failed quiet, 9 of 10 beside 40 busy processes, where 60 ms between two parts become more than the limit of 200 ms. All times of the test are now five times as long, in the same ratios, so that the check is as strict; 0 of 6 failed beside 40 busy processes.

--- a/packages/gateway/tests/util/buffered-call.test.ts
+++ b/packages/gateway/tests/util/buffered-call.test.ts
@@ -8,8 +8,8 @@
 import type { BufferedResponse, TransferLimits } from '../../src/util/buffered-call.js'
 import { Pool } from '../../src/util/undici-pool.js'
 
-const timeoutMilliseconds = 200
-const transferLimits = { totalMilliseconds: 2_000, pauseMilliseconds: 200 }
+const timeoutMilliseconds = 1_000
+const transferLimits = { totalMilliseconds: 10_000, pauseMilliseconds: 1_000 }
 
 /** Makes a call to a server that waits before its response begins, and pauses before each of its parts. */
 async function callServer (delayMilliseconds: number, pausesMilliseconds: readonly number[], transfer?: TransferLimits): Promise<BufferedResponse> {
@@ -37,20 +37,20 @@
 
 describe('callBuffered', () => {
   it('waits for a response that goes on if it may take longer than the timeout', async () => {
-    const { body } = await callServer(100, Array.from({ length: 6 }, () => 60), transferLimits)
+    const { body } = await callServer(500, Array.from({ length: 6 }, () => 300), transferLimits)
     assert.equal(body.length, 6 * 'part'.length)
   })
 
   it('gives up a response that takes longer than the timeout by default', async () => {
-    await assert.rejects(callServer(100, Array.from({ length: 6 }, () => 60)), UnansweredCallError)
+    await assert.rejects(callServer(500, Array.from({ length: 6 }, () => 300)), UnansweredCallError)
   })
 
   it('gives up a response that does not begin within the timeout, or pauses for longer than that', async () => {
-    await assert.rejects(callServer(400, [0], transferLimits), UnansweredCallError)
-    await assert.rejects(callServer(0, [50, 400], transferLimits), UnansweredCallError)
+    await assert.rejects(callServer(2_000, [0], transferLimits), UnansweredCallError)
+    await assert.rejects(callServer(0, [250, 2_000], transferLimits), UnansweredCallError)
   })
 
   it('gives up a response that goes on for longer than the time for transfers', async () => {
-    await assert.rejects(callServer(0, Array.from({ length: 20 }, () => 50), { ...transferLimits, totalMilliseconds: 500 }), UnansweredCallError)
+    await assert.rejects(callServer(0, Array.from({ length: 20 }, () => 250), { ...transferLimits, totalMilliseconds: 2_500 }), UnansweredCallError)
   })
 })
