Test that a reset behind unread bytes of an answer is not taken for its end

Callers got an unframed answer that its target had reset, closed in order, as if it could be whole. libuv reports an end without reading the error if a reset arrives in the same poll as data, which happens whenever reading was paused, as it is between two reads of a batch item's answer, or the event loop was busy.

--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -69,11 +69,14 @@
   readonly #servers: Server[] = []
   #nextTarget = 0
 
-  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[]) {}
-
-  /** @param answers one for each attempt, in order */
-  static async start (route: Route, answers: readonly ScriptedAnswer[]): Promise<OnlineHarness> {
-    const harness = new OnlineHarness(route, [...answers])
+  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[]) {}
+
+  /**
+   * @param answers one for each attempt, in order
+   * @param firstTargets `ip:port` of targets of the test that the first attempts go to, in order
+   */
+  static async start (route: Route, answers: readonly ScriptedAnswer[], firstTargets: readonly string[] = []): Promise<OnlineHarness> {
+    const harness = new OnlineHarness(route, [...answers], [...firstTargets])
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
@@ -153,16 +156,22 @@
 
   #slots (): SlotClient {
     const acquire: SlotClient['acquire'] = async () => {
-      if (this.answers.length === 0) {
+      const address = this.firstTargets.shift() ?? this.#scriptedAddress()
+      if (address === null) {
         return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
       }
       this.#nextTarget += 1
-      const { port } = this.#servers[0]?.address() as AddressInfo
-      const target = { id: `t${this.#nextTarget}`, address: `${loopback}:${port}`, born: 1 }
+      const target = { id: `t${this.#nextTarget}`, address, born: 1 }
       return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { this.outcomes.push(outcome) } } }
     }
     return { acquire } as unknown as SlotClient
   }
+
+  /** Returns the address of the target that answers by the script, or null if no answer is left. */
+  #scriptedAddress (): string | null {
+    const { port } = this.#servers[0]?.address() as AddressInfo
+    return this.answers.length === 0 ? null : `${loopback}:${port}`
+  }
 }
 
 interface ParsedAnswer {
