Tell a target's reset from an orderly close also if it arrives with the last bytes

Callers saw an unframed answer that its target had reset end like a whole one, and items went on only after three such ends. Cause: libuv's uv__stream_io turns POLLHUP behind a partial read into an end and leaves the socket's error unread. Class: an end is taken for a statement of the peer that the peer has not made. The connection now stays half open at its end, and a write of no bytes returns the error if there is one: ECONNRESET after a reset, EPIPE after a reset that followed an orderly close, nothing after a close. No byte is sent, and nothing is delayed.

--- a/packages/gateway/src/targets/target-connection.ts
+++ b/packages/gateway/src/targets/target-connection.ts
@@ -2,6 +2,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { messageOf } from '@arbutusloft/protocol'
+import { checkEnd } from './connection-end.js'
 import { ResponseParser } from './response-parser.js'
 import type { ResponseHead } from './response-parser.js'
 
@@ -47,6 +48,8 @@
     this.#socket = connect({
       host,
       port: Number(port),
+      // For checkEnd.
+      allowHalfOpen: true,
       // Reads without a stream: one call for each read, and reading really stops while the exchange does not take more.
       onread: {
         buffer: readBuffer,
@@ -141,11 +144,17 @@
   }
 
   #onEnd (): void {
-    if (this.#parser?.end() === true) {
-      this.#onComplete(false, false)
-    } else {
+    if (this.#parser?.end() !== true) {
       this.#close('connection closed before the end of the response', true)
+      return
     }
+    checkEnd(this.#socket, reset => {
+      if (reset !== null) {
+        this.#close(messageOf(reset), true)
+      } else if (!this.#isClosed) {
+        this.#onComplete(false, false)
+      }
+    })
   }
 
   #close (reason: string, isDisconnected = false): void {
