Hold a plain answer without framing until its end, so that nothing of a broken one reaches its caller

A caller got half of an unframed answer and then a reset, which its own library may take for an orderly end while its event loop is busy, or an orderly close if the instance was killed meanwhile. Such an answer is now held until its end, up to 64 KB: whole, it is passed on as it came; broken off, its request goes to another target if it may be repeated, and else gets 502, which any caller can tell. A longer answer is passed on as before. Streams are not held.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -153,15 +153,14 @@
       },
       onData: chunk => {
         firstDataAt ??= Date.now()
-        const { hasBegun, relayedBytes } = this.#relay
+        const { relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
         if (this.#relay.relayedBytes > relayedBytes) {
           unresponsiveTimer?.refresh()
           lastProgressAt = Date.now()
         }
-        if (!hasBegun && this.#relay.hasBegun) {
-          this.#firstByteMilliseconds = Date.now() - this.#startedAt
-          dependencies.metrics.firstByte.observe(this.#firstByteMilliseconds / millisecondsPerSecond)
+        if (this.#relay.hasBegun) {
+          this.#observeFirstByte()
         }
         if (!isWritable) {
           this.#relay.onceWritable(() => { call.resume() })
@@ -183,6 +182,10 @@
     const wasUnresponsive = Date.now() - lastProgressAt > unresponsiveTimeoutMilliseconds
     const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
     slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt, firstDataAt, endedAt: Date.now() }))
+    const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
+    if (isAnswered && !isDiscarded) {
+      this.#observeFirstByte()
+    }
     const first = this.#firstByteMilliseconds
     dependencies.logger.info('dispatch ended', {
       request: request.id,
@@ -198,10 +201,17 @@
       ...(outcome === CallOutcome.Disconnected ? { digest: request.digest, parts: request.prefix.map(promptPartDigest) } : {})
     })
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
-    const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
     return this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target)
   }
 
+  /** Records when the client gets the first bytes of its response, which is the end of one that was held. */
+  #observeFirstByte (): void {
+    if (this.#firstByteMilliseconds === null) {
+      this.#firstByteMilliseconds = Date.now() - this.#startedAt
+      this.dependencies.metrics.firstByte.observe(this.#firstByteMilliseconds / millisecondsPerSecond)
+    }
+  }
+
   #onCallEnd (outcome: CallOutcome, target: TargetEndpoint): boolean {
     switch (outcome) {
       case CallOutcome.Complete:
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -14,6 +14,11 @@
 /** Time for the bytes before a reset to reach the client: several round trips. */
 const resetDelayMilliseconds = 100
 const lineEnd = Buffer.from('\r\n')
+/**
+ * Length up to which a plain response without framing is held until its end, so that nothing of a broken one is sent: far more than
+ * the usual response, and little memory for each request.
+ */
+const maximumHeldBytes = 65_536
 
 /**
  * Relays the response of one target, or of several targets if a stream is resumed, to one client. Sends the head only
@@ -33,6 +38,9 @@
   /** Id of the last event before the latest one that was broken off, or null. */
   #continuesAfter: number | null = null
   #relayedBytes = 0
+  /** Parts of a plain response without framing that wait for its end; null if the response is passed on as it arrives. */
+  #held: Buffer[] | null = null
+  #heldBytes = 0
 
   constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
 
@@ -51,9 +59,9 @@
     return this.#lastId
   }
 
-  /** Bytes of the body that were sent to the client; the bytes of an event count once it is complete. */
+  /** Bytes of the body that were sent to the client or are held for it; the bytes of an event count once it is complete. */
   get relayedBytes (): number {
-    return this.#relayedBytes
+    return this.#relayedBytes + this.#heldBytes
   }
 
   /** Whether the response of another target may follow: nothing was sent to the client yet, or only events with ids. */
@@ -71,13 +79,15 @@
     this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter() : null
     if (!this.#hasBegun) {
       this.#head = head
+      this.#held = this.#splitter === null && endsWithConnection(head) ? [] : null
+      this.#heldBytes = 0
     }
   }
 
-  /** Relays data to the client; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end. */
+  /** Relays data to the client or holds it; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end. */
   onData (chunk: Buffer): boolean {
     if (this.#splitter === null) {
-      return this.#write(chunk)
+      return this.#hold(chunk) || this.#write(chunk)
     }
     const { bytes, lastId } = this.#splitter.push(chunk)
     this.#lastId = lastId ?? this.#lastId
@@ -109,6 +119,7 @@
 
   /** Ends a response that is complete, or that may be and ends with its connection. */
   end (): void {
+    this.#releaseHeld()
     this.#begin()
     this.response.end()
   }
@@ -124,6 +135,32 @@
     }
   }
 
+  /** Holds a part of a plain response until its end; returns false if the response is not or no longer held. */
+  #hold (bytes: Buffer): boolean {
+    if (this.#held === null) {
+      return false
+    }
+    if (this.#heldBytes + bytes.length > maximumHeldBytes) {
+      this.#releaseHeld()
+      return false
+    }
+    this.#held.push(bytes)
+    this.#heldBytes += bytes.length
+    return true
+  }
+
+  #releaseHeld (): void {
+    if (this.#held === null) {
+      return
+    }
+    const bytes = Buffer.concat(this.#held)
+    this.#held = null
+    this.#heldBytes = 0
+    if (bytes.length > 0) {
+      this.#write(bytes)
+    }
+  }
+
   #begin (): void {
     if (this.#hasBegun || this.#head === null) {
       return
--- a/packages/gateway/tests/online/answer-ends.test.ts
+++ b/packages/gateway/tests/online/answer-ends.test.ts
@@ -58,7 +58,8 @@
     const broken = place === Place.AfterHead ? Truth.Nothing : Truth.Broken
     return place === Place.AfterLast ? Truth.Whole : broken
   }
-  if (place === Place.AfterHead && (isStream || end === ConnectionEnd.Reset)) {
+  // A plain answer is held until its end.
+  if ((isStream && place === Place.AfterHead) || (!isStream && end === ConnectionEnd.Reset)) {
     return Truth.Nothing
   }
   if (end === ConnectionEnd.Reset || (isStream && place === Place.InsideEvent)) {
@@ -127,12 +128,23 @@
       for (const route of [plainRoute, streamRoute]) {
         for (const end of [ConnectionEnd.Close, ConnectionEnd.Reset]) {
           const answer = await answerTo(caller, route, [{ bytes: encode(Framing.None, Place.InsideEvent, 'failed', 500), end }])
-          assert.deepEqual([answer.status, answer.view], [500, end === ConnectionEnd.Reset ? CallerView.Broken : CallerView.Closed])
+          assert.deepEqual([answer.status, answer.view], end === ConnectionEnd.Reset ? [badGatewayStatus, CallerView.Complete] : [500, CallerView.Closed])
         }
       }
     }
   })
 
+  it('is broken off for its caller if it is too long to be held: a plain answer without framing', async () => {
+    const long = 'x'.repeat(70_000)
+    for (const caller of Object.values(CallerKind)) {
+      for (const [end, view] of [[ConnectionEnd.Reset, CallerView.Broken], [ConnectionEnd.Close, CallerView.Closed]] as const) {
+        const answer = await answerTo(caller, plainRoute, [{ bytes: encode(Framing.None, Place.AfterLast, long), end }])
+        assert.deepEqual([answer.status, answer.view], [200, view], `${caller}, ${end}`)
+        assert.ok(long.startsWith(answer.body) && (end === ConnectionEnd.Reset || answer.body === long), `${caller}, ${end}: ${answer.body.length} bytes`)
+      }
+    }
+  })
+
   it('is passed on without the bytes that follow its end', async () => {
     for (const [route, framing] of [[plainRoute, Framing.Length], [streamRoute, Framing.Chunks]] as const) {
       const answer = await answerTo(CallerKind.KeepAlive, route, [{ bytes: `${encode(framing, Place.AfterLast)}${events[0]}`, end: ConnectionEnd.Close }])
