Pass the incomplete event on before an unframed stream is reset towards its caller

A caller whose event loop is busy may take the reset of a broken-off stream without framing for an orderly end, and then has nothing that tells a stream cut between two of the events it got from a whole one. The bytes of the event inside which the target broke off are now sent before the reset, so such a stream ends inside an event for its caller too. Streams in chunks are unchanged: they lack the last chunk.

--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -128,6 +128,10 @@
   abort (): void {
     const { socket } = this.response
     if (this.#endsWithConnection && socket !== null) {
+      if (this.#splitter !== null && this.#splitter.rest.length > 0) {
+        // The client may miss the reset, but not that the stream ends inside an event.
+        this.response.write(this.#splitter.rest)
+      }
       // A closed connection would end the response in order. A reset discards what has not arrived yet.
       setTimeout(() => { socket.resetAndDestroy() }, resetDelayMilliseconds)
     } else {
