Do not take an unframed answer of the store or another instance for complete

undici reports an unframed answer that is reset with its last bytes as complete, like any reader of the event loop. Answers between instances always have a length, and those of the store so far; a success with neither a length nor chunks now counts as unanswered.

New test in buffered-call.test.ts: an unframed answer that is closed or reset; the code before took the closed one for complete. 25 of 25 tests of util and store pass.

--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -1,6 +1,8 @@
 /** HTTP calls that buffer the whole response. */
 import type { Dispatcher } from 'undici'
 
+const okStatus = 200
+
 /** A complete response. */
 export interface BufferedResponse {
   readonly status: number
@@ -96,6 +98,11 @@
       this.reject(new UnansweredCallError('an answer without a head', true))
       return
     }
+    if (mayBeBrokenOff(this.#head)) {
+      // undici takes a reset that arrives with the last bytes for the end.
+      this.reject(new UnansweredCallError('an answer with neither a length nor chunks, which may have been broken off', true))
+      return
+    }
     this.resolve({ ...this.#head, body: Buffer.concat(this.#chunks) })
   }
 
@@ -124,3 +131,8 @@
     this.reject(new UnansweredCallError('no connection in time', false))
   }
 }
+
+/** Whether the body matters, as a failure's does not, and nothing but its connection shows where it ends. */
+function mayBeBrokenOff ({ status, headers }: Pick<BufferedResponse, 'status' | 'headers'>): boolean {
+  return status === okStatus && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+}
--- a/packages/gateway/tests/util/buffered-call.test.ts
+++ b/packages/gateway/tests/util/buffered-call.test.ts
@@ -1,6 +1,7 @@
 /** Tests the limits on the time of a call, against a server that sends its response in parts. */
 import assert from 'node:assert/strict'
 import { createServer } from 'node:http'
+import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
 import { sleep } from '../../src/index.js'
@@ -53,4 +54,22 @@
   it('gives up a response that goes on for longer than the time for transfers', async () => {
     await assert.rejects(callServer(0, Array.from({ length: 20 }, () => 250), { ...transferLimits, totalMilliseconds: 2_500 }), UnansweredCallError)
   })
+
+  it('does not take an answer without framing, which may have been broken off, for a complete one', async () => {
+    for (const isReset of [false, true]) {
+      const server = createTcpServer(socket => {
+        socket.on('error', () => {})
+        socket.once('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\n\r\n{"records":[]}', () => {
+            setTimeout(() => { isReset ? socket.resetAndDestroy() : socket.end() }, 10)
+          })
+        })
+      })
+      await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+      const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+      await assert.rejects(callBuffered(pool, { method: 'GET', path: '/', body: null, timeoutMilliseconds }), UnansweredCallError)
+      await pool.destroy()
+      server.close()
+    }
+  })
 })
