Tell the software version of targets, and which stream a request resumes, in the logs

The logs of second1 could not tell streams that clients take up again, nor which version served what. No decision depends on any of it yet.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -178,6 +178,7 @@
     const { target } = slot
     this.#head = null
     this.#output.startStream()
+    const resumedAfter = this.#output.lastId
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
     let firstDataAt: number | null = null
@@ -234,7 +235,7 @@
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
     slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf({ end: outcome, reason, status: this.#status, sentAt, firstDataAt, endedAt: Date.now() }))
-    this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
+    this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, version: target.softwareVersion, after: resumedAfter, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
     return await this.#onCallEnd(route, outcome, target, stopped)
   }
 
--- a/packages/gateway/src/online/header-names.ts
+++ b/packages/gateway/src/online/header-names.ts
@@ -12,6 +12,8 @@
   readonly targetLeaving: string
   /** Parts of the prompt, as comma-separated ID:TOKENS entries. */
   readonly promptPrefix: string
+  /** Id of the client's attempt that brought the first event of the stream which a request resumes. */
+  readonly resumes: string
   /** Milliseconds that a read of batch results may wait for the first new result. */
   readonly wait: string
 }
--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -26,6 +26,8 @@
   readonly prefix: readonly string[]
   /** Id of the event after which the client resumes a stream, or null. */
   readonly lastEventId: number | null
+  /** Id of the client's attempt that brought the first event of the stream which it resumes; empty if it named none. */
+  readonly resumes: string
   /** Time at which the client or the route times out, whichever is earlier, in milliseconds since the epoch. */
   readonly deadline: number
   /** Whether the client sent a timeout. */
@@ -60,6 +62,7 @@
     route,
     service,
     prefix: sharedPromptParts(firstValueOf(request.headers[names.promptPrefix])),
+    resumes: firstValueOf(request.headers[names.resumes]),
     lastEventId: nonNegativeNumberOf(request.headers[lastEventIdHeader]),
     deadline: arrivedAt + budget,
     hasDeadline: timeout !== null,
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -94,6 +94,8 @@
   readonly address: string
   /** Start of the target in milliseconds since the epoch. */
   readonly born?: number
+  /** Version of the target's software. */
+  readonly softwareVersion?: string
 }
 
 /** Rejects a request for a slot. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -8,7 +8,7 @@
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
-import type { SlotMessage } from '../peers/peer-messages.js'
+import type { SlotGrantMessage, SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import { TargetState } from '../targets/target-registry.js'
@@ -338,7 +338,7 @@
         this.#onQueued(message.permit)
         return
       case PeerMessageType.SlotGrant:
-        this.#onGrant(message.service, message.permit, { id: message.target, address: message.address, born: message.born ?? this.#bornOf(message.target) }, sender)
+        this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender)
         return
       case PeerMessageType.SlotRejection:
         this.#onRejection(message.permit, message.reason, message.retryAfter)
@@ -399,7 +399,7 @@
     }
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, born: this.#bornOf(decision.target) })
+        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, ...this.#startOf(decision.target) })
         return
       case DecisionKind.Refuse:
         this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, reason: decision.reason, retryAfter: decision.retryAfter })
@@ -412,7 +412,7 @@
   #applyDecision (service: string, decision: SlotDecision): void {
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.#onGrant(service, decision.permit, { id: decision.target, address: decision.address, born: this.#bornOf(decision.target) }, this.transport.address)
+        this.#onGrant(service, decision.permit, this.#endpointOf(decision), this.transport.address)
         return
       case DecisionKind.Refuse:
         this.#onRejection(decision.permit, decision.reason, decision.retryAfter)
@@ -422,8 +422,15 @@
     }
   }
 
-  #bornOf (target: string): number {
-    return this.targets.get(target)?.born ?? 0
+  /** Returns the target of a grant. What the grant leaves out is taken from this process's own list. */
+  #endpointOf (grant: Pick<SlotGrantMessage, 'target' | 'address' | 'born' | 'softwareVersion'>): TargetEndpoint {
+    const { born, softwareVersion } = this.#startOf(grant.target)
+    return { id: grant.target, address: grant.address, born: grant.born ?? born, softwareVersion: grant.softwareVersion ?? softwareVersion }
+  }
+
+  #startOf (target: string): Pick<TargetEndpoint, 'born' | 'softwareVersion'> {
+    const { born, softwareVersion } = this.targets.get(target) ?? { born: 0, softwareVersion: '' }
+    return { born, softwareVersion }
   }
 
   #onQueued (permit: string): void {
--- a/packages/gateway/src/targets/target-registry.ts
+++ b/packages/gateway/src/targets/target-registry.ts
@@ -19,10 +19,12 @@
   readonly state: TargetState
   /** Start of the target in milliseconds since the epoch, which a later target with its id does not share; 0 if it is unknown. */
   readonly born: number
+  /** Version of its software, which targets of one service need not share: one target cannot go on with a stream that another version began. */
+  readonly softwareVersion: string
 }
 
 /** Where a request is sent. */
-export type TargetEndpoint = Pick<Target, 'id' | 'address' | 'born'>
+export type TargetEndpoint = Pick<Target, 'id' | 'address' | 'born' | 'softwareVersion'>
 
 /** Holds the current list of targets and notifies listeners of changes. */
 export class TargetRegistry {
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -14,7 +14,7 @@
 import { sleep } from '../../src/util/sleep.js'
 import { createTestLogger } from '../util/test-logger.js'
 
-const names = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prompt-prefix', wait: 'x-wait' }
+const names = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prompt-prefix', resumes: 'x-resumes', wait: 'x-wait' }
 const route = { name: 'r', host: 'h', kind: RouteKind.Batch, maxAttempts: 3, completionMilliseconds: 10_000, retentionMilliseconds: 60_000 } as unknown as Route
 const item: JobItem = { id: 'i', path: '/p', headers: [], body: Buffer.from('b'), tokens: 1 }
 const job: Job = { id: 'j', route: 'r', items: [item], acceptedAt: Date.now(), acceptedBy: 'a', bodyParts: 1, results: [], finished: new Set(), ended: false }
@@ -61,7 +61,7 @@
             await once(signal, 'abort')
             return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
           }
-          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1 }, revoked: revoke.signal, markLeaving: () => {}, release: outcome => { outcomes.push(outcome) } } }
+          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: revoke.signal, markLeaving: () => {}, release: outcome => { outcomes.push(outcome) } } }
         }
       },
       connections,
@@ -119,7 +119,7 @@
     const run = new ItemRun({
       slots: {
         acquire: async (): Promise<AcquireResult> => {
-          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1 }, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { outcomes.push(outcome) } } }
+          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { outcomes.push(outcome) } } }
         }
       },
       connections,
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -9,7 +9,7 @@
 import { sleep } from '../../src/util/sleep.js'
 import { createTestLogger } from '../util/test-logger.js'
 
-const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready, born: 1 }
+const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready, born: 1, softwareVersion: 'v1' }
 const maximumAgeMilliseconds = 1_300
 
 function request (permit: string, workClass: WorkClass = WorkClass.Online): SlotRequest {
--- a/packages/gateway/tests/targets/connection-end.test.ts
+++ b/packages/gateway/tests/targets/connection-end.test.ts
@@ -9,7 +9,7 @@
 import type { CallEnd, HeaderNames } from '../../src/index.js'
 
 const names: HeaderNames = {
-  requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', wait: 'x-wait'
+  requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', resumes: 'x-resumes', wait: 'x-wait'
 }
 const loopback = '127.0.0.1'
 /** Time for bytes and a reset to reach the other side of a loopback connection. */
@@ -64,7 +64,7 @@
   const parts: Buffer[] = []
   let onFirstPart = (): void => {}
   const firstPart = new Promise<void>(resolve => { onFirstPart = resolve })
-  const target = { id: 't', address: `${loopback}:${(server.address() as AddressInfo).port}`, born: 1 }
+  const target = { id: 't', address: `${loopback}:${(server.address() as AddressInfo).port}`, born: 1, softwareVersion: 'v1' }
   const request = { id: 'id', method: 'POST', path: '/p', headers: [], body: null, remainingMilliseconds: null }
   const call = callTarget(connections, target, request, names, {
     onLeaving: () => {},
--- a/packages/gateway/tests/targets/target-connections.test.ts
+++ b/packages/gateway/tests/targets/target-connections.test.ts
@@ -8,7 +8,7 @@
 import type { HeaderNames, ResponseSink, RunningCall, Target } from '../../src/index.js'
 
 const names: HeaderNames = {
-  requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', wait: 'x-wait'
+  requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', resumes: 'x-resumes', wait: 'x-wait'
 }
 
 function answer (id: string, body: string, headers = ''): string {
@@ -46,7 +46,7 @@
   })
 
   function target (id = 'one'): Target {
-    return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready, born: 1 }
+    return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready, born: 1, softwareVersion: 'v1' }
   }
 
   function start (id: string, sink: Partial<ResponseSink> = {}): { readonly call: RunningCall, readonly body: () => string } {
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -11,7 +11,7 @@
 import type { HeaderNames, SlotClient } from '../../src/index.js'
 import { createTestLogger } from './test-logger.js'
 
-const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', wait: 'x-wait' }
+const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prefix', resumes: 'x-resumes', wait: 'x-wait' }
 const loopback = '127.0.0.1'
 const maximumBodyBytes = 1_000_000
 /** Time between an answer's bytes and a reset, so that this does not discard them. */
@@ -161,7 +161,7 @@
         return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
       }
       this.#nextTarget += 1
-      const target = { id: `t${this.#nextTarget}`, address, born: 1 }
+      const target = { id: `t${this.#nextTarget}`, address, born: 1, softwareVersion: 'v1' }
       return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { this.outcomes.push(outcome) } } }
     }
     return { acquire } as unknown as SlotClient
