Let a request for a slot name the stream that it continues, and targets their software version

Types and messages only, no decision yet: what the admission of slots needs to keep a stream at the software version that began it. A request without the field, from an instance of an earlier build, begins a stream.

--- a/packages/fleet-model/src/simulation/batch-item.ts
+++ b/packages/fleet-model/src/simulation/batch-item.ts
@@ -56,6 +56,7 @@
       prefix: [],
       digest: '',
       excluded: [],
+      continues: null,
       patience: 0,
       spent: 0,
       latestReturn: 0,
--- a/packages/fleet-model/src/simulation/online-caller.ts
+++ b/packages/fleet-model/src/simulation/online-caller.ts
@@ -112,6 +112,7 @@
       prefix: [],
       digest: '',
       excluded: this.#excluded,
+      continues: null,
       patience: this.kind.objectiveMilliseconds * slotWaitShare,
       spent: this.#attemptAt - this.#arrivedAt,
       latestReturn: this.#remainingMilliseconds * maximumRetryShare,
--- a/packages/fleet-model/src/simulation/simulate-fleet.ts
+++ b/packages/fleet-model/src/simulation/simulate-fleet.ts
@@ -43,7 +43,7 @@
     this.#desk = new SlotDesk(policy, this.#clock, this.#tally)
     this.#listed = new Map(Array.from({ length: load.targets }, (_, index) => {
       const id = `target-${index}`
-      return [id, { id, address: '', zone: zoneOf(index), slots: load.slotsOfTarget, accepting: true }]
+      return [id, { id, address: '', zone: zoneOf(index), slots: load.slotsOfTarget, born: 1, softwareVersion: 'v1', leaving: false, accepting: true }]
     }))
   }
 
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -163,6 +163,7 @@
       prefix: this.#parts,
       digest: this.#digest,
       excluded: this.#excluded,
+      continues: null,
       // These apply to online requests only; batch items wait without a limit.
       patience: 0,
       spent: 0,
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -103,6 +103,7 @@
       prefix,
       digest,
       excluded,
+      continues: null,
       patience: maximumWait,
       spent: spentMilliseconds,
       latestReturn: this.#latestReturnMilliseconds(),
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -75,7 +75,7 @@
 export interface SlotRequestMessage {
   readonly type: typeof PeerMessageType.SlotRequest
   readonly service: string
-  readonly request: Omit<SlotRequest, 'holder' | 'digest'> & Partial<Pick<SlotRequest, 'digest'>>
+  readonly request: Omit<SlotRequest, 'holder' | 'digest' | 'continues'> & Partial<Pick<SlotRequest, 'digest' | 'continues'>>
 }
 
 /** Confirms that the owner has queued a request. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -318,8 +318,8 @@
   #onMessage (message: SlotMessage, sender: string): void {
     switch (message.type) {
       case PeerMessageType.SlotRequest: {
-        const { digest = '' } = message.request
-        const decided = this.#owner.request(message.service, { ...message.request, digest, holder: sender })
+        const { digest = '', continues = null } = message.request
+        const decided = this.#owner.request(message.service, { ...message.request, digest, continues, holder: sender })
         if (!decided) {
           this.transport.send(sender, { type: PeerMessageType.SlotQueued, permit: message.request.permit })
         }
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -157,7 +157,10 @@
   }
 
   #targetsOf (service: string): readonly FleetTarget[] {
-    return this.targets.ofService(service).map(target => toFleetTarget(target, this.#isGranting && !this.leaving.has(target.id, target.born)))
+    return this.targets.ofService(service).map(target => {
+      const isLeaving = target.state !== TargetState.Ready || this.leaving.has(target.id, target.born)
+      return toFleetTarget(target, this.#isGranting, isLeaving)
+    })
   }
 
   /** Removes holders that have fallen silent and decides waiting requests anew; returns when to check again. */
@@ -198,7 +201,7 @@
   }
 }
 
-function toFleetTarget (target: Target, isUsable: boolean): FleetTarget {
-  const { id, address, zone, slots, state } = target
-  return { id, address, zone, slots, accepting: isUsable && state === TargetState.Ready }
+function toFleetTarget (target: Target, isGranting: boolean, isLeaving: boolean): FleetTarget {
+  const { id, address, zone, slots, born, softwareVersion } = target
+  return { id, address, zone, slots, born, softwareVersion, leaving: isLeaving, accepting: isGranting && !isLeaving }
 }
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -8,7 +8,7 @@
 import { LoopbackNetwork } from '../util/loopback-transport.js'
 import { createTestLogger } from '../util/test-logger.js'
 
-const demand: SlotDemand = { service: 's', workClass: WorkClass.Online, prefix: [], digest: '', excluded: [], patience: 700, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
+const demand: SlotDemand = { service: 's', workClass: WorkClass.Online, prefix: [], digest: '', excluded: [], continues: null, patience: 700, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
 const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 4, state: TargetState.Ready, born: 1_000, softwareVersion: 'v1' }
 
 /** Counts the messages of each type, and drops those of one type. */
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -13,7 +13,7 @@
 const maximumAgeMilliseconds = 1_300
 
 function request (permit: string, workClass: WorkClass = WorkClass.Online): SlotRequest {
-  return { permit, holder: 'h', workClass, zone: 'a', prefix: [], digest: '', excluded: [], patience: 750, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
+  return { permit, holder: 'h', workClass, zone: 'a', prefix: [], digest: '', excluded: [], continues: null, patience: 750, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
 }
 
 /** A list whose age and refreshes the test decides on. */
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -10,10 +10,25 @@
   readonly zone: string
   /** Number of requests that the target runs concurrently. */
   readonly slots: number
-  /** Whether the target takes new work; false while it drains. */
+  /** Start of the target in milliseconds since the epoch, which a later target with its id does not share; 0 if it is unknown. */
+  readonly born: number
+  /** Version of its software. */
+  readonly softwareVersion: string
+  /** Whether the target is about to go for good. */
+  readonly leaving: boolean
+  /** Whether the target takes new work: false if it leaves, or while the list of targets is out of date. */
   readonly accepting: boolean
 }
 
+/** What is known of the target that began a stream. Only targets of the same software version can go on with the stream. */
+export interface StreamOrigin {
+  readonly softwareVersion: string
+  /** Id of the target; empty if only the version is known. */
+  readonly target: string
+  /** As in {@link FleetTarget}. */
+  readonly born: number
+}
+
 /** Request for a slot on any target of the service. */
 export interface SlotRequest {
   /** Identifier of the permit, chosen by its holder; the same in a repeated request. */
@@ -32,6 +47,8 @@
   readonly digest: string
   /** Targets that must not be chosen, because the request failed there. */
   readonly excluded: readonly string[]
+  /** Origin of the stream that the request continues, or null if it begins one or has none. */
+  readonly continues: StreamOrigin | null
   /**
    * Online: milliseconds of waiting after which the answer would be late. A request whose expected wait is longer is
    * rejected at once.
@@ -85,7 +102,11 @@
   /** It cannot start in time. */
   Busy: 'busy',
   /** Targets may crash under it, or under a part of its prompt; see {@link CrashQuarantine}. */
-  Quarantined: 'quarantined'
+  Quarantined: 'quarantined',
+  /** No target of the software version that began its stream is left. */
+  VersionGone: 'version-gone',
+  /** It continues a stream, and it is not certain which software version began it. */
+  VersionUnknown: 'version-unknown'
 } as const
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason]
 
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -6,12 +6,12 @@
 import type { FleetTarget, SlotDecision, SlotRequest } from '../../src/index.js'
 
 const targets: readonly FleetTarget[] = [
-  { id: 'one', address: '1:1', zone: 'a', slots: 2, accepting: true },
-  { id: 'two', address: '2:2', zone: 'b', slots: 2, accepting: true }
+  { id: 'one', address: '1:1', zone: 'a', slots: 2, born: 1, softwareVersion: 'v1', leaving: false, accepting: true },
+  { id: 'two', address: '2:2', zone: 'b', slots: 2, born: 1, softwareVersion: 'v1', leaving: false, accepting: true }
 ]
 
 function request (permit: string, overrides: Partial<SlotRequest> = {}): SlotRequest {
-  return { permit, holder: 'h', workClass: WorkClass.Online, zone: 'a', prefix: [], digest: '', excluded: [], patience: 100, spent: 0, latestReturn: 1_000, due: 0, ran: 0, sinceStart: 0, ...overrides }
+  return { permit, holder: 'h', workClass: WorkClass.Online, zone: 'a', prefix: [], digest: '', excluded: [], continues: null, patience: 100, spent: 0, latestReturn: 1_000, due: 0, ran: 0, sinceStart: 0, ...overrides }
 }
 
 function createFleet (headroom = 0): FleetAdmission {
@@ -155,7 +155,7 @@
 
   it('lets batch work try a target that was suspended, also if no other target is left', () => {
     const fleet = new FleetAdmission()
-    fleet.setTargets([{ id: 'one', address: '1:1', zone: 'a', slots: 4, accepting: true }], 0)
+    fleet.setTargets([{ id: 'one', address: '1:1', zone: 'a', slots: 4, born: 1, softwareVersion: 'v1', leaving: false, accepting: true }], 0)
     for (const at of [0, 1, 2]) {
       fleet.request(request(`b${at}`, batch), at)
       fleet.release(`b${at}`, SlotOutcome.Broken, at)
@@ -252,7 +252,7 @@
   it('decides without a scan of 5,000 targets', () => {
     const timeOf = (count: number): number => {
       const fleet = new FleetAdmission()
-      fleet.setTargets(Array.from({ length: count }, (_, index) => ({ id: `t${index}`, address: '', zone: `z${index % 3}`, slots: 8, accepting: true })), 0)
+      fleet.setTargets(Array.from({ length: count }, (_, index) => ({ id: `t${index}`, address: '', zone: `z${index % 3}`, slots: 8, born: 1, softwareVersion: 'v1', leaving: false, accepting: true })), 0)
       for (let index = 0; index < count * 8; index += 1) {
         fleet.request(request(`b${index}`, { ...batch, zone: `z${index % 3}`, due: index }), 0)
       }
