--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /** Composition of a gateway process from its parts. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, CrashQuarantine, RouteTable } from '@arbutusloft/policy'
+import { pickService, CrashQuarantine, RouteTable, VersionHistory } from '@arbutusloft/policy'
 import type { Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -15,7 +15,7 @@
 import { GatewayMetrics } from './metrics.js'
 import { CallerBudgets } from './online/caller-budgets.js'
 import type { HeaderNames } from './online/header-names.js'
-import { createOnlineRequest } from './online/online-request.js'
+import { attemptResumedBy, createOnlineRequest, takesUpStream } from './online/online-request.js'
 import { OnlineRun } from './online/online-run.js'
 import { MemberDirectory } from './peers/member-directory.js'
 import { Membership } from './peers/membership.js'
@@ -25,6 +25,9 @@
 import { SlotClient } from './permits/slot-client.js'
 import { QuarantineLog } from './quarantine/quarantine-log.js'
 import { QuarantineSharing } from './quarantine/quarantine-sharing.js'
+import { ServiceVersions } from './streams/service-versions.js'
+import { StreamOriginDirectory } from './streams/stream-origin-directory.js'
+import { VersionLog } from './streams/version-log.js'
 import { TargetConnections } from './targets/target-connections.js'
 import { TargetFreshness } from './targets/target-freshness.js'
 import { TargetRegistry } from './targets/target-registry.js'
@@ -63,6 +66,8 @@
 const tokensTopicName = 'tokens'
 /** Topic of the requests and prompt parts that are held back. */
 const quarantineTopicName = 'quarantine'
+/** Topic of the software versions of each service's targets. */
+const versionsTopicName = 'versions'
 /** Topic of the addresses of the fleet's processes. */
 const membersTopicName = 'members'
 /** Retry delay for clients whose request a process rejects because it has no configuration yet, or no service for the route. */
@@ -87,6 +92,8 @@
   readonly #jobRunner: JobRunner
   readonly #memberDirectory: MemberDirectory
   readonly #quarantineSharing: QuarantineSharing
+  readonly #serviceVersions: ServiceVersions
+  readonly #streamOrigins: StreamOriginDirectory
   #routes: RouteTable | null = null
   #targetsKnown = false
   #draining = false
@@ -95,7 +102,17 @@
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     const quarantine = new CrashQuarantine()
-    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine)
+    const history = new VersionHistory()
+    // Before the slots, whose owner decides by the history when the targets change.
+    this.#serviceVersions = new ServiceVersions({
+      targets: this.targets,
+      history,
+      log: new VersionLog(options.openTopic(versionsTopicName, 0, this.metrics), logger),
+      isNearOwner: service => this.slots.isNearOwner([service])
+    })
+    void this.#serviceVersions.load()
+    this.#streamOrigins = new StreamOriginDirectory({ versions: history, membership: this.membership, transport })
+    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history)
     const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
     this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, successors: () => this.slots.nearOwners, log: quarantineLog, metrics: this.metrics, logger })
     this.slots.onOwnerChange(address => { this.#quarantineSharing.tell(address) })
@@ -202,12 +219,16 @@
     if (body === null) {
       return
     }
-    const service = pickService(route.services, Math.random())
-    if (service === null) {
-      rejectRequest(response, Status.ServiceUnavailable, 'not run: the route has no service', unreadyRetryMilliseconds)
+    const { names } = this.options
+    const services = route.services.map(({ service }) => service)
+    const origin = takesUpStream(request, route) ? await this.#streamOrigins.find(attemptResumedBy(request, names), services) : null
+    const service = origin?.service ?? pickService(route.services, Math.random())
+    if (service === null || !services.includes(service)) {
+      const reason = service === null ? 'the route has no service' : `the route has no service ${service} any more, which began the stream`
+      rejectRequest(response, Status.ServiceUnavailable, `not run: ${reason}`, unreadyRetryMilliseconds)
       return
     }
-    const online = createOnlineRequest(request, body, route, service, this.options.names, this.#callerBudgets, arrivedAt)
+    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin)
     await new OnlineRun(this.#onlineDependencies(), online, response).run()
   }
 
@@ -232,6 +253,7 @@
     this.#jobPartitions.close()
     this.#memberDirectory.close()
     this.#quarantineSharing.close()
+    this.#serviceVersions.close()
     this.slots.close()
     this.membership.close()
     await this.jobForwarder.close()
@@ -240,7 +262,7 @@
 
   #onlineDependencies (): ConstructorParameters<typeof OnlineRun>[0] {
     const { names, logger } = this.options
-    return { slots: this.slots, connections: this.#connections, names, metrics: this.metrics, logger }
+    return { slots: this.slots, connections: this.#connections, origins: this.#streamOrigins, names, metrics: this.metrics, logger }
   }
 
   #updateState (): void {
--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -16,9 +16,12 @@
 export class ItemOutput {
   #eventData: string[] = []
   #lastId: number | null = null
+  #softwareVersion: string | null = null
   /** Length of the text, with a line feed after each event. */
   #textBytes = 0
   #splitter = new EventSplitter()
+  /** Software version of the target of the current stream. */
+  #streamVersion = ''
   /** Id of the event after which the current stream continues, or null. */
   #resumesAfter: number | null = null
   /** Id of the last event before the latest end that was unknown, or null. */
@@ -45,12 +48,18 @@
 
   /** The complete events so far, or null before the first. */
   get progress (): ItemProgress | null {
-    return this.#lastId === null ? null : { lastId: this.#lastId, text: this.text }
+    return this.#lastId === null || this.#softwareVersion === null ? null : { lastId: this.#lastId, softwareVersion: this.#softwareVersion, text: this.text }
+  }
+
+  /** Software version of the targets that wrote the events, or null before the first. */
+  get softwareVersion (): string | null {
+    return this.#softwareVersion
   }
 
   /** Restores the events that another process has received; the next stream continues after them. */
-  restore ({ lastId, text }: ItemProgress): void {
+  restore ({ lastId, softwareVersion, text }: ItemProgress): void {
     this.#lastId = lastId
+    this.#softwareVersion = softwareVersion
     this.#eventData = [text]
     this.#textBytes = bytesOf(text)
   }
@@ -71,18 +80,21 @@
         this.#textBytes += bytesOf(event.data)
         const id = Number.parseInt(event.id ?? '', 10)
         this.#lastId = Number.isNaN(id) ? this.#lastId : id
+        this.#softwareVersion = this.#streamVersion
       }
     })
     parser.feed(bytes.toString('utf8'))
     if (this.#textBytes > maximumTextBytes) {
-      this.#discard()
+      // Any of the streams may have sent events that are not of this output.
+      this.discard()
       throw new MalformedStreamError(`the output of an item has more than ${maximumTextBytes} bytes`)
     }
     return this.events > events
   }
 
-  /** Starts a new stream, which continues after the last complete event; discards an incomplete one. */
-  startStream (): void {
+  /** Starts a new stream of a target, which continues after the last complete event; discards an incomplete one. */
+  startStream (softwareVersion: string): void {
+    this.#streamVersion = softwareVersion
     this.#splitter = new EventSplitter()
     this.#resumesAfter = this.#lastId
   }
@@ -106,9 +118,10 @@
     return isConfirmed ? { end: CallOutcome.Complete, reason: '' } : { end: CallOutcome.EndUnknown, reason: 'the stream may go on' }
   }
 
-  // Any of the streams may have sent events that are not of this output, so none of them is kept.
-  #discard (): void {
+  /** Discards all events; the next stream begins at the first one. */
+  discard (): void {
     this.#lastId = null
+    this.#softwareVersion = null
     this.#unknownEndAfter = null
     this.#continuesAfter = null
     this.#eventData = []
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -5,6 +5,8 @@
 export interface ItemProgress {
   /** Id of the last event. */
   readonly lastId: number
+  /** Software version of the targets that wrote the events; only such a target can go on. */
+  readonly softwareVersion: string
   /** Data of all events, separated by line feeds. */
   readonly text: string
 }
@@ -19,24 +21,41 @@
 }
 
 const idBytes = 4
+/** Length of the length of the version. */
+const lengthBytes = 1
+const maximumVersionBytes = 255
+/**
+ * The second form of the key. Records with the first form, without the suffix, come from earlier builds and do not tell the version, so that an
+ * item cannot go on from them; earlier builds ignore the second form.
+ */
+const keyForm = /^(.+)\/(\d+)\/v$/
 
-/** Encodes an entry as a record: the event id as four bytes, big-endian, then the text. Null progress deletes the key. */
-export function progressRecord ({ job, index, progress }: ProgressEntry): NewRecord {
-  const key = `${job}/${index}`
+/**
+ * Encodes an entry as records: the event id as four bytes, big-endian, the length of the version as one byte, the version, then the text. Null progress deletes
+ * the key, in both of its forms.
+ */
+export function progressRecords ({ job, index, progress }: ProgressEntry): readonly NewRecord[] {
+  const key = `${job}/${index}/v`
   if (progress === null) {
-    return { key, value: null }
+    return [{ key, value: null }, { key: `${job}/${index}`, value: null }]
   }
-  const head = Buffer.alloc(idBytes)
+  const version = Buffer.from(progress.softwareVersion).subarray(0, maximumVersionBytes)
+  const head = Buffer.alloc(idBytes + lengthBytes)
   head.writeUInt32BE(progress.lastId)
-  return { key, value: Buffer.concat([head, Buffer.from(progress.text)]) }
+  head.writeUInt8(version.length, idBytes)
+  return [{ key, value: Buffer.concat([head, version, Buffer.from(progress.text)]) }]
 }
 
-/** Decodes a record; returns null if it holds no progress. */
+/** Decodes a record; returns null if it holds no progress that an item can go on from. */
 export function parseProgressRecord ({ key, value }: KeyedRecord): ProgressEntry | null {
-  const separator = key.lastIndexOf('/')
-  const index = Number(key.slice(separator + 1))
-  if (value === null || value.length < idBytes || separator < 0 || !Number.isInteger(index)) {
+  const [, job, index] = keyForm.exec(key) ?? []
+  if (job === undefined || value === null || value.length < idBytes + lengthBytes) {
     return null
   }
-  return { job: key.slice(0, separator), index, progress: { lastId: value.readUInt32BE(), text: value.toString('utf8', idBytes) } }
+  const textStart = idBytes + lengthBytes + value.readUInt8(idBytes)
+  if (value.length < textStart) {
+    return null
+  }
+  const softwareVersion = value.toString('utf8', idBytes + lengthBytes, textStart)
+  return { job, index: Number(index), progress: { lastId: value.readUInt32BE(), softwareVersion, text: value.toString('utf8', textStart) } }
 }
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -1,6 +1,6 @@
 /** Runs one batch item until it has a result: acquires a slot, dispatches to a target, and resumes the stream after each interruption. */
-import { promptPartDigest, SlotOutcome } from '@arbutusloft/policy'
-import type { Route } from '@arbutusloft/policy'
+import { promptPartDigest, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
+import type { Route, StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { HeaderNames } from '../online/header-names.js'
 import { sharedPromptParts } from '../online/online-request.js'
@@ -70,6 +70,10 @@
   readonly #output = new ItemOutput()
   /** Number of complete responses with which targets reported that the item failed. */
   #failedResponses = 0
+  /** Target that wrote the latest events; null before the first, and if they were restored from saved progress. */
+  #writer: Pick<TargetEndpoint, 'id' | 'born'> | null = null
+  /** Milliseconds for which the item has waited for a target of the version that wrote its events, since it last had one. */
+  #versionWaitMilliseconds = 0
   /** Targets that the next slot must not be on. */
   #excluded: string[] = []
   /** Head of the current attempt's response, or null before it. */
@@ -135,14 +139,41 @@
       await sleep(retryMilliseconds)
       return null
     }
+    const startedAt = Date.now()
     const result = await this.#acquire(route, service)
     if (!result.granted) {
+      this.#onSlotRejected(result.reason, Date.now() - startedAt)
       return null
     }
+    this.#versionWaitMilliseconds = 0
     this.#excluded = []
     return await this.#dispatch(route, result.slot)
   }
 
+  /**
+   * Begins the output anew if no target of the version that wrote its events is left, or none is free for so long that the output could have
+   * been written again meanwhile.
+   */
+  #onSlotRejected (reason: RefusalReason, waitedMilliseconds: number): void {
+    const { softwareVersion } = this.#output
+    if (softwareVersion === null || this.#stop.signal.aborted) {
+      return
+    }
+    this.#versionWaitMilliseconds += waitedMilliseconds
+    if (reason === RefusalReason.Busy && this.#versionWaitMilliseconds < Math.max(this.#ranMilliseconds, slotWaitMilliseconds)) {
+      return
+    }
+    this.dependencies.logger.info('item begins anew', { job: this.job.id, item: this.item.id, version: softwareVersion, after: this.#output.lastId, reason, waited: this.#versionWaitMilliseconds })
+    this.#output.discard()
+    this.#writer = null
+    this.#versionWaitMilliseconds = 0
+  }
+
+  get #origin (): StreamOrigin | null {
+    const { softwareVersion } = this.#output
+    return softwareVersion === null ? null : { softwareVersion, target: this.#writer?.id ?? '', born: this.#writer?.born ?? 0 }
+  }
+
   /** Waits for a slot, no longer than the item may wait before its route and retention are checked again. */
   async #acquire (route: Route, service: string): Promise<AcquireResult> {
     const untilRetention = this.job.acceptedAt + route.retentionMilliseconds - Date.now()
@@ -163,7 +194,7 @@
       prefix: this.#parts,
       digest: this.#digest,
       excluded: this.#excluded,
-      continues: null,
+      continues: this.#origin,
       // These apply to online requests only; batch items wait without a limit.
       patience: 0,
       spent: 0,
@@ -178,7 +209,7 @@
   async #dispatch (route: Route, slot: Slot): Promise<ItemOutcome | null> {
     const { target } = slot
     this.#head = null
-    this.#output.startStream()
+    this.#output.startStream(target.softwareVersion)
     const resumedAfter = this.#output.lastId
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
@@ -201,6 +232,7 @@
       onData: chunk => {
         firstDataAt ??= Date.now()
         if (this.#output.push(chunk)) {
+          this.#writer = target
           unresponsiveTimer.refresh()
         }
         readTimer ??= setTimeout(() => {
--- a/packages/gateway/src/jobs/progress-log.ts
+++ b/packages/gateway/src/jobs/progress-log.ts
@@ -7,7 +7,7 @@
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedTopic, NewRecord } from '../log/keyed-topic.js'
 import type { Logger } from '../util/logger.js'
-import { parseProgressRecord, progressRecord } from './item-progress.js'
+import { parseProgressRecord, progressRecords } from './item-progress.js'
 import type { ItemProgress, ProgressEntry } from './item-progress.js'
 
 /** Size of the text above which progress is not saved; the store accepts records of up to a quarter of a megabyte. */
@@ -28,7 +28,7 @@
     for (const entry of entries) {
       if (entry.progress === null || Buffer.byteLength(entry.progress.text) <= maximumTextBytes) {
         const partition = this.#partitionOf(entry.job)
-        byPartition.set(partition, [...byPartition.get(partition) ?? [], progressRecord(entry)])
+        byPartition.set(partition, [...byPartition.get(partition) ?? [], ...progressRecords(entry)])
       }
     }
     await Promise.all([...byPartition].flatMap(([partition, records]) => {
--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -1,7 +1,7 @@
 /** A client's online request, with its route and deadline. */
 import type { IncomingMessage } from 'node:http'
 import { RouteKind } from '@arbutusloft/policy'
-import type { Route } from '@arbutusloft/policy'
+import type { Route, StreamOrigin } from '@arbutusloft/policy'
 import type { CallerBudgets } from './caller-budgets.js'
 import { requestDigest } from '../quarantine/request-digest.js'
 import { forwardedHeaders } from './forwarded-headers.js'
@@ -26,8 +26,10 @@
   readonly prefix: readonly string[]
   /** Id of the event after which the client resumes a stream, or null. */
   readonly lastEventId: number | null
-  /** Id of the client's attempt that brought the first event of the stream which it resumes; empty if it named none. */
+  /** Id of the client's attempt that brought the first event of the stream which it takes up; empty if it named none. */
   readonly resumes: string
+  /** Origin of the stream that the client takes up, or null if it takes up none. */
+  readonly continues: StreamOrigin | null
   /** Time at which the client or the route times out, whichever is earlier, in milliseconds since the epoch. */
   readonly deadline: number
   /** Whether the client sent a timeout. */
@@ -37,8 +39,23 @@
 }
 
 const lastEventIdHeader = 'last-event-id'
+const unknownOrigin: StreamOrigin = { softwareVersion: '', target: '', born: 0 }
 
-/** Creates a request from the client's HTTP request. Malformed optional headers count as absent, since targets validate them. */
+/** Whether a client takes up a stream that was interrupted. */
+export function takesUpStream (request: IncomingMessage, route: Route): boolean {
+  return route.kind === RouteKind.Stream && route.resumable && nonNegativeNumberOf(request.headers[lastEventIdHeader]) !== null
+}
+
+/** Returns the id of the client's attempt that brought the first event of the stream which a request takes up; empty if it names none. */
+export function attemptResumedBy (request: IncomingMessage, names: HeaderNames): string {
+  return firstValueOf(request.headers[names.resumes])
+}
+
+/**
+ * Creates a request from the client's HTTP request. Malformed optional headers count as absent, since targets validate them.
+ *
+ * @param origin origin of the stream that the client takes up, or null if it is unknown or there is none
+ */
 export function createOnlineRequest (
   request: IncomingMessage,
   body: Buffer,
@@ -46,7 +63,8 @@
   service: string,
   names: HeaderNames,
   budgets: CallerBudgets,
-  arrivedAt: number
+  arrivedAt: number,
+  origin: StreamOrigin | null = null
 ): OnlineRequest {
   const timeout = nonNegativeNumberOf(request.headers[names.deadline])
   const budget = Math.min(timeout ?? Infinity, route.timeoutMilliseconds)
@@ -62,7 +80,8 @@
     route,
     service,
     prefix: sharedPromptParts(firstValueOf(request.headers[names.promptPrefix])),
-    resumes: firstValueOf(request.headers[names.resumes]),
+    resumes: attemptResumedBy(request, names),
+    continues: takesUpStream(request, route) ? origin ?? unknownOrigin : null,
     lastEventId: nonNegativeNumberOf(request.headers[lastEventIdHeader]),
     deadline: arrivedAt + budget,
     hasDeadline: timeout !== null,
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,11 +1,13 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
 import { promptPartDigest, RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import type { StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
 import type { Slot, AcquireResult } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
+import type { StreamOriginDirectory } from '../streams/stream-origin-directory.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import type { TargetConnections } from '../targets/target-connections.js'
@@ -20,6 +22,7 @@
 export interface OnlineRunDependencies {
   readonly slots: SlotClient
   readonly connections: TargetConnections
+  readonly origins: Pick<StreamOriginDirectory, 'record' | 'ask'>
   readonly names: HeaderNames
   readonly metrics: GatewayMetrics
   readonly logger: Logger
@@ -38,6 +41,13 @@
 
 const millisecondsPerSecond = 1_000
 
+const refusalTexts: Readonly<Record<RefusalReason, string>> = {
+  [RefusalReason.Busy]: 'all targets are busy',
+  [RefusalReason.Quarantined]: 'targets have crashed under it or a part of its prompt',
+  [RefusalReason.VersionGone]: 'no target of the software version that began the stream is left',
+  [RefusalReason.VersionUnknown]: 'it is not known which software version began the stream'
+}
+
 /** Handles one online request. */
 export class OnlineRun {
   readonly #abort = new AbortController()
@@ -49,6 +59,11 @@
   /** Number of failed attempts that no target ran. */
   #rejections = 0
   #clientDisconnected = false
+  /** Origin of the stream of which the client has events, or null if it has none. */
+  #origin: StreamOrigin | null
+  /** Whether this run has recorded the stream's origin for later attempts of the client. */
+  #isOriginRecorded = false
+  #hasAskedForOrigin = false
   /** Time from the arrival of the request to the first byte of the response that was relayed, or null before it. */
   #firstByteMilliseconds: number | null = null
 
@@ -58,6 +73,7 @@
     private readonly response: ServerResponse
   ) {
     this.#relay = new ResponseRelay(response, request.route.kind === RouteKind.Stream)
+    this.#origin = request.continues
   }
 
   /** Runs the request until the client has its final response or has disconnected. */
@@ -79,6 +95,9 @@
   async #runAttempts (): Promise<void> {
     for (;;) {
       const result = await this.#acquire()
+      if (!result.granted && result.reason === RefusalReason.VersionUnknown && await this.#askForOrigin()) {
+        continue
+      }
       if (!result.granted) {
         this.#onSlotRejected(result.reason, result.retryAfter)
         return
@@ -93,6 +112,37 @@
     }
   }
 
+  /** Asks other instances once for the origin of the stream that the client takes up; returns whether one knows it. */
+  async #askForOrigin (): Promise<boolean> {
+    const { request } = this
+    if (this.#hasAskedForOrigin || request.resumes === '' || this.#origin?.softwareVersion !== '') {
+      return false
+    }
+    this.#hasAskedForOrigin = true
+    const origin = await this.dependencies.origins.ask(request.resumes)
+    if (origin?.service !== request.service) {
+      return false
+    }
+    this.#origin = origin
+    return true
+  }
+
+  /** Records the origin of the stream when the client gets the first event of this attempt. */
+  #recordOrigin ({ softwareVersion, id, born }: TargetEndpoint): void {
+    const { request } = this
+    if (this.#isOriginRecorded || !request.route.resumable || this.#relay.lastId === null) {
+      return
+    }
+    this.#isOriginRecorded = true
+    if (this.#origin === null || this.#origin.softwareVersion === '') {
+      this.#origin = { softwareVersion, target: id, born }
+    }
+    const attempt = request.continues === null ? request.id : request.resumes
+    if (attempt !== '') {
+      this.dependencies.origins.record(attempt, request.service, this.#origin)
+    }
+  }
+
   async #acquire (): Promise<AcquireResult> {
     const { route, service, prefix, digest, spentMilliseconds } = this.request
     const maximumWait = Math.min(route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
@@ -103,7 +153,7 @@
       prefix,
       digest,
       excluded,
-      continues: null,
+      continues: this.#origin,
       patience: maximumWait,
       spent: spentMilliseconds,
       latestReturn: this.#latestReturnMilliseconds(),
@@ -159,6 +209,7 @@
         if (this.#relay.relayedBytes > relayedBytes) {
           unresponsiveTimer?.refresh()
           lastProgressAt = Date.now()
+          this.#recordOrigin(target)
         }
         if (this.#relay.hasBegun) {
           this.#observeFirstByte()
@@ -269,11 +320,9 @@
     }
     const waited = Date.now() - this.#startedAt
     this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
-    if (reason === RefusalReason.Quarantined) {
-      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: targets have crashed under it or a part of its prompt', retryAfter)
-    } else {
-      rejectRequest(this.response, Status.ServiceUnavailable, 'not run: all targets are busy', Math.min(retryAfter, this.#latestReturnMilliseconds()))
-    }
+    // A quarantine may last longer than the caller can wait, which then need not come back.
+    const callerRetryAfter = reason === RefusalReason.Quarantined ? retryAfter : Math.min(retryAfter, this.#latestReturnMilliseconds())
+    rejectRequest(this.response, Status.ServiceUnavailable, `not run: ${refusalTexts[reason]}`, callerRetryAfter)
     this.#count('refused')
   }
 
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, HeldSlot, QuarantineEntry, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, KnownOrigin, QuarantineEntry, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -20,7 +20,10 @@
   SlotRelease: 'r',
   SlotReport: 'p',
   Quarantine: 'z',
-  TargetLeaving: 'g'
+  TargetLeaving: 'g',
+  StreamOrigins: 'o',
+  OriginQuery: 'h',
+  OriginAnswer: 'm'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -96,6 +99,8 @@
   readonly born?: number
   /** Version of the target's software. */
   readonly softwareVersion?: string
+  /** Whether targets of several software versions serve, or have lately, according to the owner. */
+  readonly isMixed?: boolean
 }
 
 /** Rejects a request for a slot. */
@@ -151,6 +156,32 @@
   readonly born: number
 }
 
+/** Copies of the origins of streams. */
+export interface StreamOriginsMessage {
+  readonly type: typeof PeerMessageType.StreamOrigins
+  readonly entries: ReadonlyArray<{
+    /** Id of the client's attempt that brought the first event. */
+    readonly attempt: string
+    readonly origin: KnownOrigin
+    /** Milliseconds since the first event. */
+    readonly age: number
+  }>
+}
+
+/** Asks for the origin of an attempt's stream. */
+export interface OriginQueryMessage {
+  readonly type: typeof PeerMessageType.OriginQuery
+  readonly attempt: string
+}
+
+/** Response to a query. */
+export interface OriginAnswerMessage {
+  readonly type: typeof PeerMessageType.OriginAnswer
+  readonly attempt: string
+  /** Null if the sender does not know it. */
+  readonly origin: KnownOrigin | null
+}
+
 /** Messages about members; the first update in each describes its sender. */
 export type MemberMessage =
   | PingMessage
@@ -172,12 +203,19 @@
   | SlotReportMessage
   | TargetLeavingMessage
 
-export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage
+/** Messages about the origins of streams. */
+export type OriginMessage = StreamOriginsMessage | OriginQueryMessage | OriginAnswerMessage
+
+export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage | OriginMessage
 
 const types: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType))
 const memberTypes: ReadonlySet<unknown> = new Set([
   PeerMessageType.Ping, PeerMessageType.PingRequest, PeerMessageType.Ack, PeerMessageType.Nack, PeerMessageType.MemberUpdates, PeerMessageType.MemberSync
 ])
+const slotTypes: ReadonlySet<unknown> = new Set([
+  PeerMessageType.SlotRequest, PeerMessageType.SlotQueued, PeerMessageType.SlotGrant, PeerMessageType.SlotRejection, PeerMessageType.SlotRevocation,
+  PeerMessageType.SlotWithdrawal, PeerMessageType.SlotRelease, PeerMessageType.SlotReport, PeerMessageType.TargetLeaving
+])
 
 /** Checks that a decoded datagram has a message type that this version knows; only messages about members have their fields checked as well. */
 export function isPeerMessage (value: unknown): value is PeerMessage {
@@ -189,7 +227,7 @@
 
 /** Whether a message is about slots. */
 export function isSlotMessage (message: PeerMessage): message is SlotMessage {
-  return !isMemberMessage(message) && message.type !== PeerMessageType.Quarantine
+  return slotTypes.has(message.type)
 }
 
 /** Whether a message is about members. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -4,7 +4,7 @@
  * that were granted, reports them periodically and releases them.
  */
 import { DecisionKind, LeavingTargets, ownersOf, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -83,10 +83,11 @@
     private readonly transport: PeerTransport,
     private readonly targets: TargetRegistry,
     freshness: TargetFreshness,
-    private readonly quarantine: CrashQuarantine
+    private readonly quarantine: CrashQuarantine,
+    private readonly versions: VersionHistory
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, (service, decision) => { this.#deliverDecision(service, decision) })
+    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) })
     targets.onChange(changed => { this.#onTargetsChanged(changed) })
     transport.onMessage((message, sender) => {
       if (isSlotMessage(message)) {
@@ -98,7 +99,7 @@
 
   /**
    * Requests a slot and waits until it is granted or rejected. Batch requests are retried until they are granted or
-   * aborted. If the signal aborts, withdraws the request and resolves as rejected.
+   * aborted, unless they continue what no target can go on with. If the signal aborts, withdraws the request and resolves as rejected.
    */
   async acquire (demand: SlotDemand, signal: AbortSignal): Promise<AcquireResult> {
     if (signal.aborted) {
@@ -338,6 +339,9 @@
         this.#onQueued(message.permit)
         return
       case PeerMessageType.SlotGrant:
+        if (message.isMixed === true) {
+          this.versions.markMixed(message.service, Date.now())
+        }
         this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender)
         return
       case PeerMessageType.SlotRejection:
@@ -381,10 +385,9 @@
     }
   }
 
-  /** Gives a slot back whose target is known to leave, tells the owner so, and requests another one. */
+  /** Gives a slot back whose target cannot be used, and requests another one. */
   #giveBack (pending: PendingRequest, target: TargetEndpoint, owner: string): void {
     const { demand, permit } = pending
-    this.#sendLeaving(owner, target)
     this.#sendRelease(demand.service, owner, permit, SlotOutcome.Stopped, null)
     pending.demand = { ...demand, excluded: [...demand.excluded, target.id] }
     this.#restartRequest(pending, Date.now())
@@ -399,7 +402,7 @@
     }
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, ...this.#startOf(decision.target) })
+        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, ...this.#startOf(decision.target), ...this.#mixedMark(service) })
         return
       case DecisionKind.Refuse:
         this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, reason: decision.reason, retryAfter: decision.retryAfter })
@@ -433,6 +436,10 @@
     return { born, softwareVersion }
   }
 
+  #mixedMark (service: string): Pick<SlotGrantMessage, 'isMixed'> {
+    return this.versions.isMixed(service, Date.now()) ? { isMixed: true } : {}
+  }
+
   #onQueued (permit: string): void {
     const pending = this.#pending.get(permit)
     if (pending !== undefined) {
@@ -450,6 +457,13 @@
       return
     }
     if (this.#leaving.has(target.id, target.born)) {
+      this.#sendLeaving(owner, target)
+      this.#giveBack(pending, target, owner)
+      return
+    }
+    const continued = pending.demand.continues?.softwareVersion ?? ''
+    if (continued !== '' && continued !== target.softwareVersion) {
+      // An owner of an earlier build does not know of versions.
       this.#giveBack(pending, target, owner)
       return
     }
@@ -468,8 +482,8 @@
     if (pending === undefined) {
       return
     }
-    if (pending.demand.workClass === WorkClass.Batch) {
-      // Batch requests are never rejected for good: makes the next check after the delay send this one again.
+    if (pending.demand.workClass === WorkClass.Batch && !endsBatchRequest(reason)) {
+      // Makes the next check after the delay send this one again.
       pending.sentAt = Date.now() - queuedResendMilliseconds + batchRetryMilliseconds
       pending.queued = true
       this.#pendingAlarm.setBy(nextCheckOf(pending))
@@ -495,6 +509,11 @@
   }
 }
 
+/** Whether a batch request is rejected for good, so that its item has to begin anew. */
+function endsBatchRequest (reason: RefusalReason): boolean {
+  return reason === RefusalReason.VersionGone || reason === RefusalReason.VersionUnknown
+}
+
 /** Returns the time at which a pending request has to be checked, in milliseconds since the epoch. */
 function nextCheckOf ({ sentAt, queued, retransmitted }: PendingRequest): number {
   if (queued) {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -2,8 +2,8 @@
  * The owner side of slot allocation: runs admission control for every service for which other processes, the holders,
  * send slot requests to this one.
  */
-import { defaultFleetAdmissionOptions, FleetAdmission } from '@arbutusloft/policy'
-import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, SlotDecision, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason } from '@arbutusloft/policy'
+import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, SlotDecision, SlotOutcome, SlotRequest, VersionHistory } from '@arbutusloft/policy'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
@@ -45,6 +45,7 @@
     private readonly freshness: TargetFreshness,
     private readonly leaving: LeavingTargets,
     private readonly quarantine: CrashQuarantine,
+    private readonly versions: VersionHistory,
     private readonly listener: DecisionListener
   ) {
     targets.onChange(() => { this.#updateTargets() })
@@ -60,7 +61,13 @@
       return false
     }
     const now = Date.now()
-    const decisions = owned.admission.request(request, now)
+    const known = this.#withOrigin(service, request, now)
+    if (known === null) {
+      const { permit, holder, latestReturn } = request
+      this.#emit(service, [{ kind: DecisionKind.Refuse, permit, holder, reason: RefusalReason.VersionUnknown, retryAfter: Math.max(1, latestReturn) }])
+      return true
+    }
+    const decisions = owned.admission.request(known, now)
     this.#emit(service, decisions)
     if (owned.admission.hasWaiting) {
       this.#alarm.setBy(now + waitingCheckIntervalMilliseconds)
@@ -68,6 +75,18 @@
     return decisions.some(decision => decision.permit === request.permit)
   }
 
+  /**
+   * Fills in the version that began the stream which a request continues if its holder does not know that: it is certain where the service has
+   * had one version for long enough. Returns null if it is not.
+   */
+  #withOrigin (service: string, request: SlotRequest, now: number): SlotRequest | null {
+    if (request.continues === null || request.continues.softwareVersion !== '') {
+      return request
+    }
+    const softwareVersion = this.versions.soleVersion(service, now)
+    return softwareVersion === null ? null : { ...request, continues: { ...request.continues, softwareVersion } }
+  }
+
   /**
    * Frees the slot of a permit; the outcome tells admission control about the target's health.
    *
--- /dev/null
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -0,0 +1,172 @@
+/**
+ * Finds the origin of a stream that a client takes up at any process of the fleet. The process that sent the client the first event remembers it; while a service
+ * has targets of several software versions, some other processes, chosen by the attempt's id, keep copies.
+ */
+import { ownersOf, StreamOrigins } from '@arbutusloft/policy'
+import type { KnownOrigin, StreamOrigin, VersionHistory } from '@arbutusloft/policy'
+import type { Membership } from '../peers/membership.js'
+import { PeerMessageType } from '../peers/peer-messages.js'
+import type { OriginAnswerMessage, OriginQueryMessage, StreamOriginsMessage } from '../peers/peer-messages.js'
+import type { PeerTransport } from '../peers/peer-socket.js'
+
+/** Copies of an origin at other processes. Of three, one is left with 78% probability when six of ten processes are lost at once. */
+const copies = 3
+/** Processes that are asked: some of those that got the copies may have been replaced in the order by others that joined since. */
+const askedProcesses = 6
+/** Time after which those that have not answered are asked again: several round trips between availability zones. */
+const repeatMilliseconds = 40
+/** Time after which an origin that nobody has told counts as unknown; like the time after which the owner of a service is suspected. */
+const askMilliseconds = 120
+/** Origins in one datagram; each takes up to 100 bytes, and one packet carries 1,472. */
+const originsPerDatagram = 12
+
+/** Dependencies of {@link StreamOriginDirectory}. */
+export interface StreamOriginDirectoryDependencies {
+  readonly versions: VersionHistory
+  readonly membership: Pick<Membership, 'live' | 'ready' | 'self'>
+  readonly transport: PeerTransport
+}
+
+/** A question to other processes that is not answered yet. */
+interface PendingQuery {
+  readonly unanswered: Set<string>
+  readonly settle: (origin: KnownOrigin | null) => void
+}
+
+/** Records and finds origins. */
+export class StreamOriginDirectory {
+  /** Origins of streams that this process sent to clients. */
+  readonly #own = new StreamOrigins()
+  /** Copies of those of other processes. */
+  readonly #copies = new StreamOrigins()
+  /** Queries in flight, by attempt. */
+  readonly #queries = new Map<string, PendingQuery[]>()
+
+  constructor (private readonly dependencies: StreamOriginDirectoryDependencies) {
+    const { versions, transport } = dependencies
+    versions.onMixed(service => { this.#copyAll(service) })
+    transport.onMessage((message, sender) => {
+      switch (message.type) {
+        case PeerMessageType.StreamOrigins:
+          this.#onCopies(message)
+          return
+        case PeerMessageType.OriginQuery:
+          this.#onQuery(message, sender)
+          return
+        case PeerMessageType.OriginAnswer:
+          this.#onAnswer(message, sender)
+      }
+    })
+  }
+
+  /** Records that an attempt has brought a client the first event of a stream. */
+  record (attempt: string, service: string, { softwareVersion, target, born }: StreamOrigin): void {
+    const now = Date.now()
+    const origin = { service, softwareVersion, target, born }
+    this.#own.add(attempt, origin, now, now)
+    if (this.dependencies.versions.isMixed(service, now)) {
+      this.#copy([{ attempt, origin, age: 0 }])
+    }
+  }
+
+  /**
+   * Returns the origin of an attempt's stream. Resolves with null if nobody knows it, and also where nobody needs to be asked: the stream can only be
+   * one of the given service, which has had a single version for as long as streams last.
+   */
+  async find (attempt: string, services: readonly string[]): Promise<KnownOrigin | null> {
+    const now = Date.now()
+    const [service = ''] = services
+    const isSole = services.length === 1 && this.dependencies.versions.soleVersion(service, now) !== null
+    return this.#known(attempt) ?? (isSole ? null : await this.ask(attempt))
+  }
+
+  /** Asks other processes for the origin of an attempt's stream; resolves with null if none of them knows it. */
+  async ask (attempt: string): Promise<KnownOrigin | null> {
+    const known = this.#known(attempt)
+    const asked = this.#keepersOf(attempt, this.dependencies.membership.live(), askedProcesses)
+    if (known !== null || attempt === '' || asked.length === 0) {
+      return known
+    }
+    return await new Promise(resolve => {
+      const settle = (origin: KnownOrigin | null): void => {
+        clearTimeout(repeatTimer)
+        clearTimeout(endTimer)
+        this.#forget(attempt, query)
+        resolve(origin)
+      }
+      const query = { unanswered: new Set(asked), settle }
+      const repeatTimer = setTimeout(() => { this.#sendQuery(attempt, query) }, repeatMilliseconds)
+      const endTimer = setTimeout(() => { settle(null) }, askMilliseconds)
+      this.#queries.set(attempt, [...this.#queries.get(attempt) ?? [], query])
+      this.#sendQuery(attempt, query)
+    })
+  }
+
+  #known (attempt: string): KnownOrigin | null {
+    const now = Date.now()
+    return this.#own.get(attempt, now) ?? this.#copies.get(attempt, now)
+  }
+
+  #sendQuery (attempt: string, { unanswered }: PendingQuery): void {
+    for (const address of unanswered) {
+      this.dependencies.transport.send(address, { type: PeerMessageType.OriginQuery, attempt })
+    }
+  }
+
+  #forget (attempt: string, query: PendingQuery): void {
+    const others = (this.#queries.get(attempt) ?? []).filter(other => other !== query)
+    if (others.length === 0) {
+      this.#queries.delete(attempt)
+    } else {
+      this.#queries.set(attempt, others)
+    }
+  }
+
+  #copyAll (service: string): void {
+    this.#copy(this.#own.ofService(service, Date.now()))
+  }
+
+  #copy (entries: StreamOriginsMessage['entries']): void {
+    const byKeeper = new Map<string, Array<StreamOriginsMessage['entries'][number]>>()
+    const ready = this.dependencies.membership.ready()
+    for (const entry of entries) {
+      for (const address of this.#keepersOf(entry.attempt, ready, copies)) {
+        const kept = byKeeper.get(address) ?? []
+        byKeeper.set(address, kept)
+        kept.push(entry)
+      }
+    }
+    for (const [address, kept] of byKeeper) {
+      for (let start = 0; start < kept.length; start += originsPerDatagram) {
+        this.dependencies.transport.send(address, { type: PeerMessageType.StreamOrigins, entries: kept.slice(start, start + originsPerDatagram) })
+      }
+    }
+  }
+
+  /** Returns the addresses of the other processes that come first for an attempt. */
+  #keepersOf (attempt: string, members: ReadonlyArray<{ readonly address: string }>, count: number): readonly string[] {
+    const { address: own } = this.dependencies.membership.self
+    const others = members.filter(({ address }) => address !== own).map(({ address }) => ({ id: address }))
+    return ownersOf(attempt, others, count).map(({ id }) => id)
+  }
+
+  #onCopies ({ entries }: StreamOriginsMessage): void {
+    const now = Date.now()
+    for (const { attempt, origin, age } of entries) {
+      this.#copies.add(attempt, origin, now - age, now)
+    }
+  }
+
+  #onQuery ({ attempt }: OriginQueryMessage, sender: string): void {
+    this.dependencies.transport.send(sender, { type: PeerMessageType.OriginAnswer, attempt, origin: this.#known(attempt) })
+  }
+
+  #onAnswer ({ attempt, origin }: OriginAnswerMessage, sender: string): void {
+    for (const query of this.#queries.get(attempt) ?? []) {
+      query.unanswered.delete(sender)
+      if (origin !== null || query.unanswered.size === 0) {
+        query.settle(origin)
+      }
+    }
+  }
+}
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -1,7 +1,7 @@
 /** Tests what holders of slots do about targets that leave, over an in-memory network. */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { CrashQuarantine, SlotOutcome } from '@arbutusloft/policy'
+import { CrashQuarantine, SlotOutcome, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { Membership, MemberState, PeerMessageType, sleep, SlotClient, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { AcquireResult, PeerMessage, PeerTransport, Slot, SlotDemand, Target } from '../../src/index.js'
@@ -55,7 +55,7 @@
       const transport = new FilteringTransport(network.join(address))
       const membership = new Membership(transport, { zone: 'a', incarnation: 1, capacity: 1, seeds: ['10.0.0.1'] }, createTestLogger())
       const targets = new TargetRegistry()
-      return { transport, membership, targets, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), new CrashQuarantine()) }
+      return { transport, membership, targets, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), new CrashQuarantine(), new VersionHistory()) }
     })
     members.forEach(({ membership }) => { membership.setState(MemberState.Ready) })
     while (!members.every(({ membership }) => membership.ready().length === 2)) {
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -1,7 +1,7 @@
 /** Tests that an owner grants slots only from a list of targets that is recent. */
 import assert from 'node:assert/strict'
 import { afterEach, describe, it, mock } from 'node:test'
-import { DecisionKind, LeavingTargets, CrashQuarantine } from '@arbutusloft/policy'
+import { DecisionKind, LeavingTargets, CrashQuarantine, VersionHistory } from '@arbutusloft/policy'
 import type { SlotDecision, SlotRequest } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { SlotOwner, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
@@ -48,7 +48,7 @@
         granted.push(`${decision.permit} ${decision.target}`)
       }
     }
-    owner = new SlotOwner(targets, freshness, new LeavingTargets(), new CrashQuarantine(), record)
+    owner = new SlotOwner(targets, freshness, new LeavingTargets(), new CrashQuarantine(), new VersionHistory(), record)
     return { owner, targets, granted }
   }
 
--- /dev/null
+++ b/packages/gateway/tests/streams/stream-origin-directory.test.ts
@@ -0,0 +1,150 @@
+/** Tests that the origin of a stream is found from any process, also after processes were lost, and what that costs. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { VersionHistory } from '@arbutusloft/policy'
+import type { KnownOrigin } from '@arbutusloft/policy'
+import { MemberState } from '../../src/peers/member.js'
+import type { Member } from '../../src/peers/member.js'
+import { StreamOriginDirectory } from '../../src/streams/stream-origin-directory.js'
+import { sleep } from '../../src/util/sleep.js'
+import { LoopbackNetwork } from '../util/loopback-transport.js'
+
+const service = 's'
+const origin: KnownOrigin = { service, softwareVersion: 'v1.1', target: 'i-7f3a91c2', born: 1_765_000_000_000 }
+const deliveryMilliseconds = 20
+
+interface Process {
+  readonly self: Member
+  readonly history: VersionHistory
+  readonly directory: StreamOriginDirectory
+}
+
+/** Processes whose members a test can remove or replace. */
+class TestFleet {
+  readonly network = new LoopbackNetwork()
+  processes: Process[] = []
+
+  constructor (size: number, versions: readonly string[]) {
+    for (let index = 0; index < size; index += 1) {
+      this.add(index, versions)
+    }
+  }
+
+  add (index: number, versions: readonly string[]): Process {
+    const self = { address: `10.0.${index >>> 8}.${index % 256}`, zone: 'a', incarnation: 1, capacity: 1_000, state: MemberState.Ready }
+    const history = new VersionHistory()
+    history.restore(new Map(), 0)
+    history.observe(service, new Set(versions), Date.now())
+    const members = (): readonly Member[] => this.processes.map(process => process.self)
+    const directory = new StreamOriginDirectory({ versions: history, membership: { self, live: members, ready: members }, transport: this.network.join(self.address) })
+    const process = { self, history, directory }
+    this.processes.push(process)
+    return process
+  }
+
+  /** Loses processes; the others know it at once. */
+  lose (isLost: (index: number) => boolean): void {
+    const lost = this.processes.filter((_, index) => isLost(index))
+    this.processes = this.processes.filter((_, index) => !isLost(index))
+    lost.forEach(({ self }) => { this.network.isolate(self.address) })
+  }
+
+  at (index: number): Process {
+    const process = this.processes[index % this.processes.length]
+    assert.ok(process !== undefined)
+    return process
+  }
+
+  /** Returns how many of the attempts are known when each is asked for at some process. */
+  async countKnown (attempts: readonly string[]): Promise<number> {
+    const found = await Promise.all(attempts.map(async (attempt, index) => await this.at(index * 7).directory.find(attempt, [service])))
+    return found.filter(known => known !== null).length
+  }
+}
+
+const attempts = Array.from({ length: 60 }, (_, index) => `attempt-${index}`)
+
+describe('StreamOriginDirectory', () => {
+  for (const size of [2, 12, 76, 195]) {
+    it(`finds an origin from any of ${size} processes, with at most three copies and six questions of less than 200 bytes`, async () => {
+      const fleet = new TestFleet(size, ['v1', 'v1.1'])
+      attempts.forEach((attempt, index) => { fleet.at(index).directory.record(attempt, service, origin) })
+      assert.equal(fleet.network.sent, attempts.length * Math.min(3, size - 1))
+      await sleep(deliveryMilliseconds)
+      fleet.network.loss = 0
+      const before = fleet.network.sent
+      assert.equal(await fleet.countKnown(attempts), attempts.length)
+      assert.ok(fleet.network.sent - before <= attempts.length * 12, `${fleet.network.sent - before} messages`)
+      assert.ok(fleet.network.largestMessageBytes < 200, `a message has ${fleet.network.largestMessageBytes} bytes`)
+      assert.deepEqual(await fleet.at(1).directory.ask('attempt-0'), origin)
+    })
+  }
+
+  it('sends nothing, and asks nobody, while the service has a single version', async () => {
+    const fleet = new TestFleet(12, ['v1'])
+    fleet.at(0).directory.record('a', service, origin)
+    assert.deepEqual(await fleet.at(0).directory.find('a', [service]), origin)
+    assert.equal(await fleet.at(1).directory.find('a', [service]), null)
+    assert.equal(fleet.network.sent, 0)
+  })
+
+  it('sends the origins of streams that began before the service got a second version once it learns of that', async () => {
+    const fleet = new TestFleet(12, ['v1'])
+    attempts.forEach(attempt => { fleet.at(0).directory.record(attempt, service, origin) })
+    fleet.processes.forEach(({ history }) => { history.markMixed(service, Date.now()) })
+    assert.ok(fleet.network.largestMessageBytes <= 1_472, `a message has ${fleet.network.largestMessageBytes} bytes`)
+    await sleep(deliveryMilliseconds)
+    fleet.lose(index => index === 0)
+    assert.equal(await fleet.countKnown(attempts), attempts.length)
+  })
+
+  for (const size of [12, 76, 195]) {
+    it(`still finds half of the origins or more when six of ten of ${size} processes are lost at once, those included that began the streams`, async () => {
+      const fleet = new TestFleet(size, ['v1', 'v1.1'])
+      attempts.forEach((attempt, index) => { fleet.at(index % 2).directory.record(attempt, service, origin) })
+      await sleep(deliveryMilliseconds)
+      fleet.lose(index => index < size * 0.6)
+      const known = await fleet.countKnown(attempts)
+      assert.ok(known >= attempts.length / 2, `${known} of ${attempts.length} are known`)
+    })
+  }
+
+  it('finds origins after others have joined, and from processes that have joined', async () => {
+    const fleet = new TestFleet(12, ['v1', 'v1.1'])
+    attempts.forEach((attempt, index) => { fleet.at(index).directory.record(attempt, service, origin) })
+    await sleep(deliveryMilliseconds)
+    const joined = [20, 21, 22].map(index => fleet.add(index, ['v1', 'v1.1']))
+    for (const attempt of attempts) {
+      assert.deepEqual(await joined[0]?.directory.find(attempt, [service]), origin)
+    }
+  })
+
+  it('finds origins although a tenth of the messages is lost', async () => {
+    const fleet = new TestFleet(12, ['v1', 'v1.1'])
+    fleet.network.loss = 0.1
+    attempts.forEach((attempt, index) => { fleet.at(index).directory.record(attempt, service, origin) })
+    await sleep(deliveryMilliseconds)
+    const known = await fleet.countKnown(attempts)
+    assert.ok(known >= attempts.length * 0.95, `${known} of ${attempts.length} are known`)
+  })
+
+  it('gives up on an attempt that nobody knows, at once if all that are asked say so, and soon if they are silent', async () => {
+    const fleet = new TestFleet(12, ['v1', 'v1.1'])
+    const startedAt = Date.now()
+    assert.equal(await fleet.at(0).directory.ask('unknown'), null)
+    assert.ok(Date.now() - startedAt < 100, `took ${Date.now() - startedAt} ms`)
+    assert.equal(await fleet.at(0).directory.ask(''), null)
+    fleet.processes.slice(1).forEach(({ self }) => { fleet.network.isolate(self.address) })
+    const silentAt = Date.now()
+    assert.equal(await fleet.at(0).directory.ask('unknown'), null)
+    assert.ok(Date.now() - silentAt < 400, `took ${Date.now() - silentAt} ms`)
+  })
+
+  it('answers all of several questions for the same attempt', async () => {
+    const fleet = new TestFleet(12, ['v1', 'v1.1'])
+    fleet.at(0).directory.record('a', service, origin)
+    await sleep(deliveryMilliseconds)
+    const { directory } = fleet.at(7)
+    assert.deepEqual(await Promise.all([directory.ask('a'), directory.ask('a'), directory.ask('a')]), [origin, origin, origin])
+  })
+})
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -84,6 +84,7 @@
         await new OnlineRun({
           slots: harness.#slots(),
           connections: harness.#connections,
+          origins: { record: () => {}, ask: async () => null },
           names,
           metrics: new GatewayMetrics(),
           logger: createTestLogger(harness.logLines)
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -22,8 +22,9 @@
 
 /** What is known of the target that began a stream. Only targets of the same software version can go on with the stream. */
 export interface StreamOrigin {
+  /** Empty if it is unknown. */
   readonly softwareVersion: string
-  /** Id of the target; empty if only the version is known. */
+  /** Id of the target; empty if it is unknown. */
   readonly target: string
   /** As in {@link FleetTarget}. */
   readonly born: number
--- /dev/null
+++ b/packages/policy/src/streams/version-history.ts
@@ -0,0 +1,102 @@
+/**
+ * Which software versions the targets of each service have had lately. Where it was one version for longer than streams last, that version
+ * began every stream that may still be taken up.
+ */
+
+/** Time for which a stream may still be taken up after its beginning, in milliseconds: four attempts of five seconds, the longest timeout of routes. */
+export const streamMemoryMilliseconds = 20_000
+
+interface ServiceVersions {
+  present: ReadonlySet<string>
+  /** By version that is no longer present: the time until which it may have been, in milliseconds since the epoch. */
+  readonly lastSeen: Map<string, number>
+  /** Time from which all versions are known, in milliseconds since the epoch. */
+  knownSince: number
+  /** Time until which the service counts as mixed because another process said so, in milliseconds since the epoch. */
+  mixedUntil: number
+}
+
+/** Keeps the versions of each service. */
+export class VersionHistory {
+  readonly #services = new Map<string, ServiceVersions>()
+  readonly #listeners: Array<(service: string) => void> = []
+  /** Value of {@link ServiceVersions.knownSince} for a service that was not seen before; null if that is the time of its first list. */
+  #initiallyKnownSince: number | null = null
+
+  /** Calls the listener with each service that begins to have several versions, as far as streams are concerned that may still be taken up. */
+  onMixed (listener: (service: string) => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /** Records the versions that a service's targets have now. */
+  observe (service: string, versions: ReadonlySet<string>, now: number): void {
+    this.#change(service, now, known => {
+      const departed = [...known.present].filter(version => !versions.has(version))
+      departed.forEach(version => { known.lastSeen.set(version, now) })
+      versions.forEach(version => { known.lastSeen.delete(version) })
+      known.present = new Set(versions)
+    })
+  }
+
+  /**
+   * Takes over the records of earlier processes. Each holds the versions that a service last had, all of which may have served until now;
+   * a service without a record has had no others.
+   */
+  restore (records: ReadonlyMap<string, readonly string[]>, now: number): void {
+    this.#initiallyKnownSince = -Infinity
+    for (const known of this.#services.values()) {
+      known.knownSince = -Infinity
+    }
+    for (const [service, versions] of records) {
+      this.#change(service, now, known => {
+        versions.filter(version => !known.present.has(version)).forEach(version => { known.lastSeen.set(version, now) })
+      })
+    }
+  }
+
+  /** Records that another process, which follows the targets more closely, knows several versions. */
+  markMixed (service: string, now: number): void {
+    this.#change(service, now, known => { known.mixedUntil = now + streamMemoryMilliseconds })
+  }
+
+  /** Whether streams that may still be taken up may have been begun by different versions, as far as is known. */
+  isMixed (service: string, now: number): boolean {
+    const known = this.#services.get(service)
+    return known !== undefined && (known.mixedUntil > now || recentVersions(known, now).size > 1)
+  }
+
+  /** Returns the version that began every stream which may still be taken up, or null if that is not certain. */
+  soleVersion (service: string, now: number): string | null {
+    const known = this.#services.get(service)
+    if (known === undefined || known.knownSince > now - streamMemoryMilliseconds || this.isMixed(service, now)) {
+      return null
+    }
+    const [version = null] = recentVersions(known, now)
+    return version
+  }
+
+  /** Applies a change and tells the listeners if it makes the service mixed. */
+  #change (service: string, now: number, change: (known: ServiceVersions) => void): void {
+    const known = this.#services.get(service) ?? { present: new Set(), lastSeen: new Map<string, number>(), knownSince: this.#initiallyKnownSince ?? now, mixedUntil: 0 }
+    this.#services.set(service, known)
+    const wasMixed = this.isMixed(service, now)
+    change(known)
+    forgetOld(known, now)
+    if (!wasMixed && this.isMixed(service, now)) {
+      this.#listeners.forEach(listener => { listener(service) })
+    }
+  }
+}
+
+function recentVersions ({ present, lastSeen }: ServiceVersions, now: number): ReadonlySet<string> {
+  const departed = [...lastSeen].filter(([, at]) => at > now - streamMemoryMilliseconds).map(([version]) => version)
+  return new Set([...present, ...departed])
+}
+
+function forgetOld ({ lastSeen }: ServiceVersions, now: number): void {
+  for (const [version, at] of lastSeen) {
+    if (at <= now - streamMemoryMilliseconds) {
+      lastSeen.delete(version)
+    }
+  }
+}
