Keep the versions of a service in the log also when its process learns later that it is near to own it

A process has its first list of targets before it is a ready member, so that keyed.versions stayed empty until the versions changed. They are now saved when the members change as well.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -106,6 +106,7 @@
     // Before the slots, whose owner decides by the history when the targets change.
     this.#serviceVersions = new ServiceVersions({
       targets: this.targets,
+      membership: this.membership,
       history,
       log: new VersionLog(options.openTopic(versionsTopicName, 0, this.metrics), logger),
       isNearOwner: service => this.slots.isNearOwner([service])
--- a/packages/gateway/src/streams/service-versions.ts
+++ b/packages/gateway/src/streams/service-versions.ts
@@ -1,11 +1,13 @@
 /** Follows the software versions of each service's targets: from the list of targets, and from the log what there was before this process. */
 import type { VersionHistory } from '@arbutusloft/policy'
+import type { Membership } from '../peers/membership.js'
 import type { Target, TargetRegistry } from '../targets/target-registry.js'
 import type { VersionLog } from './version-log.js'
 
 /** Dependencies of {@link ServiceVersions}. */
 export interface ServiceVersionsDependencies {
   readonly targets: TargetRegistry
+  readonly membership: Pick<Membership, 'onChange'>
   readonly history: VersionHistory
   readonly log: VersionLog
   /** Whether this process owns the slots of a service, or would soon if their owner failed, and so follows its targets closely. */
@@ -14,10 +16,11 @@
 
 /** Keeps the history up to date, and the log for processes that start later. */
 export class ServiceVersions {
-  #services: ReadonlySet<string> = new Set()
+  #versions: ReadonlyMap<string, ReadonlySet<string>> = new Map()
 
   constructor (private readonly dependencies: ServiceVersionsDependencies) {
     dependencies.targets.onChange(targets => { this.#onTargets(targets) })
+    dependencies.membership.onChange(() => { this.#save() })
   }
 
   /** Reads what there was before this process; called once. */
@@ -33,16 +36,25 @@
   }
 
   #onTargets (targets: readonly Target[]): void {
-    const { history, log, isNearOwner } = this.dependencies
+    const versions = new Map<string, Set<string>>()
+    for (const { service, softwareVersion } of targets) {
+      versions.set(service, (versions.get(service) ?? new Set()).add(softwareVersion))
+    }
     const now = Date.now()
-    const services = new Set(targets.map(({ service }) => service))
-    for (const service of new Set([...services, ...this.#services])) {
-      const versions = new Set(targets.filter(target => target.service === service).map(({ softwareVersion }) => softwareVersion))
-      history.observe(service, versions, now)
-      if (versions.size > 0 && isNearOwner(service)) {
+    for (const service of new Set([...versions.keys(), ...this.#versions.keys()])) {
+      this.dependencies.history.observe(service, versions.get(service) ?? new Set(), now)
+    }
+    this.#versions = versions
+    this.#save()
+  }
+
+  /** Saves the versions of the services that this process is near to own. A service without targets keeps its last ones. */
+  #save (): void {
+    const { log, isNearOwner } = this.dependencies
+    for (const [service, versions] of this.#versions) {
+      if (isNearOwner(service)) {
         log.save(service, versions)
       }
     }
-    this.#services = services
   }
 }
