Do not take an unframed answer of a plain service for whole

The adapter of plain services passed 'half of' on as a whole answer after a reset: undici takes any reset of an answer with neither a length nor chunks for its end, also on an idle event loop, so that nothing of the connection tells. A new test fails before (both cases) and passes now.

--- a/packages/adapters/src/plain-service/http-plain-service.ts
+++ b/packages/adapters/src/plain-service/http-plain-service.ts
@@ -26,6 +26,7 @@
 }
 
 const dispatchHeader = 'x-dispatch-id'
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304])
 
 /** Creates the client for all plain services. */
 export function createHttpPlainService (options: HttpPlainServiceOptions = {}): PlainService {
@@ -56,6 +57,10 @@
         response.body.destroy()
         return Err(new TargetError(TargetErrorCode.DispatchMismatch, 'the answer bears another dispatch', true))
       }
+      if (!isFramed(response)) {
+        response.body.destroy()
+        return Err(new TargetError(TargetErrorCode.Interrupted, 'the answer has neither a length nor chunks, so it may have been broken off', true))
+      }
       return Ok({
         status: response.statusCode,
         contentType: String(response.headers['content-type'] ?? 'application/octet-stream'),
@@ -84,6 +89,12 @@
   }
 }
 
+/** Whether a response shows where its body ends. undici also takes a reset for the end of one that does not. */
+function isFramed ({ statusCode, headers }: Dispatcher.ResponseData): boolean {
+  const isChunked = String(headers['transfer-encoding'] ?? '').toLowerCase().endsWith('chunked')
+  return statusesWithoutBody.has(statusCode) || headers['content-length'] !== undefined || isChunked
+}
+
 function createHeaders (call: ServiceCall): Record<string, string> {
   const headers: Record<string, string> = { [dispatchHeader]: call.dispatch }
   if (call.contentType !== null) {
--- a/packages/integration-tests/tests/adapters.test.ts
+++ b/packages/integration-tests/tests/adapters.test.ts
@@ -1,4 +1,7 @@
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
 import {
   createHttpEngine,
@@ -101,6 +104,30 @@
     await service.close()
   })
 
+  void it('do not take an answer of a plain service for whole that has neither a length nor chunks', async context => {
+    for (const isReset of [false, true]) {
+      const server = createServer(socket => {
+        socket.on('error', () => {})
+        socket.once('data', () => {
+          socket.write('HTTP/1.1 200 OK\r\nX-Dispatch-Id: d\r\n\r\nhalf of', () => {
+            setTimeout(() => { isReset ? socket.resetAndDestroy() : socket.end() }, 15)
+          })
+        })
+      })
+      server.listen(0, '127.0.0.1')
+      await once(server, 'listening')
+      const adapter = createHttpPlainService()
+      context.after(async () => {
+        server.close()
+        await adapter.close()
+      })
+      const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+      const call = { dispatch: 'd', method: 'POST', path: '/p', contentType: null, idempotencyKey: null, body: Buffer.from('hello') }
+      const result = await adapter.call(address, call)
+      assert.ok(result.err && result.val.code === TargetErrorCode.Interrupted && result.val.mayHaveReachedTarget)
+    }
+  })
+
   void it('read the instance list and the weight store', async () => {
     const list = await startInstanceListStandIn()
     const member = { id: 't', kind: MemberKind.Target, address: unreachableAddress, zone: 'a', state: MemberState.Live }
