--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -19,6 +19,8 @@
  * the usual response, and little memory for each request.
  */
 const maximumHeldBytes = 65_536
+/** Number of parts from which they are joined, as each takes some hundred bytes beside its own. */
+const maximumHeldParts = 64
 
 /**
  * Relays the response of one target, or of several targets if a stream is resumed, to one client. Sends the head only
@@ -148,6 +150,9 @@
       this.#releaseHeld()
       return false
     }
+    if (this.#held.length >= maximumHeldParts) {
+      this.#held = [Buffer.concat(this.#held)]
+    }
     this.#held.push(bytes)
     this.#heldBytes += bytes.length
     return true
--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -1,7 +1,11 @@
 /** HTTP calls that buffer the whole response. */
 import type { Dispatcher } from 'undici'
 
-const okStatus = 200
+const firstSuccessStatus = 200
+const lastSuccessStatus = 299
+
+const noContentStatus = 204
+const unframedMessage = 'an answer with neither a length nor chunks, which may have been broken off'
 
 /** A complete response. */
 export interface BufferedResponse {
@@ -99,8 +103,8 @@
       return
     }
     if (mayBeBrokenOff(this.#head)) {
-      // undici takes a reset that arrives with the last bytes for the end.
-      this.reject(new UnansweredCallError('an answer with neither a length nor chunks, which may have been broken off', true))
+      // undici takes the reset of such an answer for its end.
+      this.reject(new UnansweredCallError(unframedMessage, true))
       return
     }
     this.resolve({ ...this.#head, body: Buffer.concat(this.#chunks) })
@@ -134,5 +138,7 @@
 
 /** Whether the body matters, as a failure's does not, and nothing but its connection shows where it ends. */
 function mayBeBrokenOff ({ status, headers }: Pick<BufferedResponse, 'status' | 'headers'>): boolean {
-  return status === okStatus && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+  const isSuccess = status >= firstSuccessStatus && status <= lastSuccessStatus
+  const isChunked = String(headers['transfer-encoding'] ?? '').toLowerCase().endsWith('chunked')
+  return isSuccess && status !== noContentStatus && headers['content-length'] === undefined && !isChunked
 }
--- a/packages/gateway/tests/online/answer-ends.test.ts
+++ b/packages/gateway/tests/online/answer-ends.test.ts
@@ -104,6 +104,7 @@
               const cell = `${place}, ${end}: status ${answer.status}, ${JSON.stringify(answer.body)}`
               assert.equal(answer.view, expectedView(truth, caller, isSized), cell)
               assert.equal(answer.status, truth === Truth.Nothing ? badGatewayStatus : 200, cell)
+              assert.ok(truth !== Truth.Nothing || !answer.body.includes('data'), cell)
               if (truth === Truth.Whole || truth === Truth.Unknown) {
                 assert.equal(answer.body, bodyUpTo[place], cell)
               }
@@ -131,7 +132,8 @@
       for (const route of [plainRoute, streamRoute]) {
         for (const end of [ConnectionEnd.Close, ConnectionEnd.Reset]) {
           const answer = await answerTo(caller, route, [{ bytes: encode(Framing.None, Place.InsideEvent, 'failed', 500), end }])
-          assert.deepEqual([answer.status, answer.view], end === ConnectionEnd.Reset ? [badGatewayStatus, CallerView.Complete] : [500, CallerView.Closed])
+          const isReset = end === ConnectionEnd.Reset
+          assert.deepEqual([answer.status, answer.view, answer.body.includes('failed')], isReset ? [badGatewayStatus, CallerView.Complete, false] : [500, CallerView.Closed, true])
         }
       }
     }
@@ -173,6 +175,7 @@
           for (const end of [ConnectionEnd.Close, ConnectionEnd.Reset]) {
             const answer = await answerTo(caller, streamRoute, [{ bytes: encode(framing, Place.AfterLast, body), end }])
             const hasEvents = body.includes(events[0].trimEnd()) || body.includes('\r\n\r\n')
+            assert.ok(!hasEvents || body.startsWith(answer.body), JSON.stringify(answer.body))
             assert.deepEqual([answer.status, answer.view], hasEvents ? [200, CallerView.Broken] : [badGatewayStatus, CallerView.Complete], `${caller}, ${framing}, ${end}`)
           }
         }
--- a/packages/gateway/tests/online/busy-resets.test.ts
+++ b/packages/gateway/tests/online/busy-resets.test.ts
@@ -45,7 +45,7 @@
 describe('an answer without framing that its target resets beside a busy event loop', () => {
   it('is not taken for complete: a plain answer that may run once', async context => {
     const answers = await answersOnBusyLoop(context, singleRunRoute, `${head}\r\nhalf`, [])
-    assert.deepEqual(answers.filter(({ view }) => view === CallerView.Closed), [])
+    assert.deepEqual(answers.map(({ status, view }) => [status, view]), new Array(rounds).fill([502, CallerView.Complete]))
   })
 
   it('is not taken for complete: a stream between two events', async context => {
--- a/packages/gateway/tests/targets/connection-end.test.ts
+++ b/packages/gateway/tests/targets/connection-end.test.ts
@@ -130,7 +130,7 @@
       sockets.forEach(socket => { socket.destroy() })
       server.close()
     })
-    const target = { id: 't', address: `${loopback}:${(server.address() as AddressInfo).port}`, born: 1 }
+    const target = { id: 't', address: `${loopback}:${(server.address() as AddressInfo).port}`, born: 1, softwareVersion: 'v1' }
     // Longer than the socket buffers of both sides, so that its rest is still to be written when the answer ends.
     const request = { id: 'id', method: 'POST', path: '/p', headers: [], body: Buffer.alloc(longRequestBytes), remainingMilliseconds: null }
     const call = callTarget(connections, target, request, names, { onLeaving: () => {}, onHead: () => {}, onData: () => true })
--- a/packages/gateway/tests/util/buffered-call.test.ts
+++ b/packages/gateway/tests/util/buffered-call.test.ts
@@ -55,21 +55,25 @@
     await assert.rejects(callServer(0, Array.from({ length: 20 }, () => 250), { ...transferLimits, totalMilliseconds: 2_500 }), UnansweredCallError)
   })
 
-  it('does not take an answer without framing, which may have been broken off, for a complete one', async () => {
-    for (const isReset of [false, true]) {
-      const server = createTcpServer(socket => {
-        socket.on('error', () => {})
-        socket.once('data', () => {
-          socket.write('HTTP/1.1 200 OK\r\n\r\n{"records":[]}', () => {
-            setTimeout(() => { isReset ? socket.resetAndDestroy() : socket.end() }, 10)
+  for (const [framing, head] of [['neither a length nor chunks', ''], ['a coding that does not show its end', 'Transfer-Encoding: gzip\r\n']] as const) {
+    for (const [status, ending] of [[200, 'closed'], [200, 'reset'], [202, 'closed']] as const) {
+      it(`does not take an answer for complete that has ${framing}, status ${status}, and is ${ending}`, async context => {
+        const server = createTcpServer(socket => {
+          socket.on('error', () => {})
+          socket.once('data', () => {
+            socket.write(`HTTP/1.1 ${status} S\r\n${head}\r\n{"records":[]}`, () => {
+              setTimeout(() => { ending === 'reset' ? socket.resetAndDestroy() : socket.end() }, 10)
+            })
           })
         })
+        await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+        const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+        context.after(async () => {
+          server.close()
+          await pool.destroy()
+        })
+        await assert.rejects(callBuffered(pool, { method: 'GET', path: '/', body: null, timeoutMilliseconds }), /neither a length nor chunks/)
       })
-      await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-      const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
-      await assert.rejects(callBuffered(pool, { method: 'GET', path: '/', body: null, timeoutMilliseconds }), UnansweredCallError)
-      await pool.destroy()
-      server.close()
     }
-  })
+  }
 })
