--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -15,6 +15,8 @@
 class FilteringTransport implements PeerTransport {
   readonly sent: PeerMessage[] = []
   dropped: PeerMessage['type'] | null = null
+  /** Whether requests for slots lose the stream that they continue, as at an owner that does not know of it. */
+  withoutContinued = false
   readonly address: string
 
   constructor (private readonly inner: PeerTransport) {
@@ -24,7 +26,8 @@
   send (address: string, message: PeerMessage): void {
     this.sent.push(message)
     if (message.type !== this.dropped) {
-      this.inner.send(address, message)
+      const isStripped = this.withoutContinued && message.type === PeerMessageType.SlotRequest
+      this.inner.send(address, isStripped ? { ...message, request: { ...message.request, continues: null } } : message)
     }
   }
 
@@ -41,6 +44,7 @@
   readonly transport: FilteringTransport
   readonly membership: Membership
   readonly targets: TargetRegistry
+  readonly versions: VersionHistory
   readonly slots: SlotClient
 }
 
@@ -55,7 +59,8 @@
       const transport = new FilteringTransport(network.join(address))
       const membership = new Membership(transport, { zone: 'a', incarnation: 1, capacity: 1, seeds: ['10.0.0.1'] }, createTestLogger())
       const targets = new TargetRegistry()
-      return { transport, membership, targets, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), new CrashQuarantine(), new VersionHistory()) }
+      const versions = new VersionHistory()
+      return { transport, membership, targets, versions, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), new CrashQuarantine(), versions) }
     })
     members.forEach(({ membership }) => { membership.setState(MemberState.Ready) })
     while (!members.every(({ membership }) => membership.ready().length === 2)) {
@@ -124,6 +129,25 @@
     assert.equal((await acquire(owner))?.target.id, 'two')
   })
 
+  it('gives a slot at another software version back than the one that began its stream, as an owner of an earlier build may grant it', async () => {
+    owner.targets.replace([{ ...target, softwareVersion: 'v2' }])
+    holder.transport.withoutContinued = true
+    const continues = { softwareVersion: 'v1', target: 'other', born: 1 }
+    const result = await holder.slots.acquire({ ...demand, continues }, AbortSignal.timeout(300))
+    assert.ok(!result.granted)
+    assert.equal(holder.slots.held, 0)
+    const slot = await acquire(holder)
+    assert.equal(slot?.target.softwareVersion, 'v2')
+  })
+
+  it('learns from grants that its service has targets of several software versions', async () => {
+    owner.targets.replace([target, { ...target, id: 'two', softwareVersion: 'v2' }])
+    owner.versions.observe('s', new Set(['v1', 'v2']), Date.now())
+    assert.equal(holder.versions.isMixed('s', Date.now()), false)
+    releaseOf(await holder.slots.acquire(demand, AbortSignal.timeout(300)))
+    assert.ok(holder.versions.isMixed('s', Date.now()))
+  })
+
   it('uses a target that has started again under the id of one that left', async () => {
     (await acquire(holder))?.markLeaving()
     await sleep(20)
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -1,7 +1,7 @@
 /** Tests that an owner grants slots only from a list of targets that is recent. */
 import assert from 'node:assert/strict'
 import { afterEach, describe, it, mock } from 'node:test'
-import { DecisionKind, LeavingTargets, CrashQuarantine, VersionHistory } from '@arbutusloft/policy'
+import { DecisionKind, LeavingTargets, CrashQuarantine, RefusalReason, VersionHistory } from '@arbutusloft/policy'
 import type { SlotDecision, SlotRequest } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { SlotOwner, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
@@ -54,6 +54,28 @@
 
   afterEach(() => { owner?.close() })
 
+  it('finds the version that began a stream by its history if the holder does not know it, and else refuses at once', () => {
+    const history = new VersionHistory()
+    history.restore(new Map(), 0)
+    history.observe('s', new Set(['v1']), Date.now())
+    const targets = new TargetRegistry()
+    targets.replace([target])
+    const decisions: SlotDecision[] = []
+    owner = new SlotOwner(targets, new TargetFreshness(), new LeavingTargets(), new CrashQuarantine(), history, (_service, decision) => { decisions.push(decision) })
+    const unknown = { softwareVersion: '', target: '', born: 0 }
+    assert.ok(owner.request('s', { ...request('a'), continues: unknown }))
+    history.observe('s', new Set(['v1', 'v2']), Date.now())
+    assert.ok(owner.request('s', { ...request('b'), continues: unknown }))
+    assert.ok(owner.request('s', { ...request('c', WorkClass.Batch), continues: unknown }))
+    assert.ok(owner.request('s', { ...request('d'), continues: { ...unknown, softwareVersion: 'v1' } }))
+    assert.deepEqual(decisions.map(decision => [decision.permit, decision.kind, decision.kind === DecisionKind.Refuse ? decision.reason : null]), [
+      ['a', DecisionKind.Grant, null],
+      ['b', DecisionKind.Refuse, RefusalReason.VersionUnknown],
+      ['c', DecisionKind.Refuse, RefusalReason.VersionUnknown],
+      ['d', DecisionKind.Grant, null]
+    ])
+  })
+
   it('that was paused grants slots only after it has read which targets left meanwhile', async () => {
     const source = new PreparedSource()
     const { owner, targets, granted } = createOwner(source)
