Pass on resets through the fault proxy

The proxy closed both sides in order when one of them reset its connection, so that behind it a reset of a target was always an orderly end, and no soak could play one. A reset now stays one: it is passed on behind the data before it, also when delayed, and a connection that one side has reset does not end in order if the proxy is told to cut it later.

--- a/packages/stand-ins/src/proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/proxy/fault-proxy.ts
@@ -10,7 +10,7 @@
   readonly target: string
 }
 
-/** A running fault proxy. */
+/** A running fault proxy. It passes on data, orderly ends and resets in their order. */
 export interface FaultProxy extends StandIn {
   /** Closes both sides of every open connection. */
   cut: () => void
@@ -51,6 +51,8 @@
   readonly target: Socket
   /** Whether nothing is forwarded any more. */
   isBlackholed: boolean
+  /** Whether either side has reset it. However it is closed then, it does not end in order. */
+  isReset: boolean
   /** Time at which either side last sent data, in milliseconds since the epoch. */
   lastActiveAt: number
 }
@@ -130,7 +132,7 @@
       port: Number(this.target.slice(colon + 1)),
       allowHalfOpen: true
     })
-    const connection: ProxiedConnection = { caller, target, isBlackholed: false, lastActiveAt: Date.now() }
+    const connection: ProxiedConnection = { caller, target, isBlackholed: false, isReset: false, lastActiveAt: Date.now() }
     this.#connections.add(connection)
     this.#forward(connection, caller, target)
     this.#forward(connection, target, caller)
@@ -161,7 +163,14 @@
         }
       })
     })
-    from.on('error', () => { this.#closeUnlessBlackholed(connection) })
+    from.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === 'ECONNRESET') {
+        // The event `close` follows; it is delayed like the data before it.
+        connection.isReset = true
+      } else {
+        this.#closeUnlessBlackholed(connection)
+      }
+    })
     from.on('close', () => { delay(() => { this.#closeUnlessBlackholed(connection) }) })
   }
 
@@ -195,7 +204,12 @@
 
   #closeConnection (connection: ProxiedConnection): void {
     this.#connections.delete(connection)
-    connection.caller.destroy()
-    connection.target.destroy()
+    for (const socket of [connection.caller, connection.target]) {
+      if (connection.isReset) {
+        socket.resetAndDestroy()
+      } else {
+        socket.destroy()
+      }
+    }
   }
 }
