--- a/packages/gateway/src/targets/response-parser.ts
+++ b/packages/gateway/src/targets/response-parser.ts
@@ -69,7 +69,8 @@
   #remainingExtensionBytes = maximumExtensionBytes
   #isPersistent = false
 
-  constructor (private readonly listener: ResponseListener) {}
+  /** @param hasBody false for the response to a HEAD request, whose length or chunks describe a body that is not sent */
+  constructor (private readonly listener: ResponseListener, private readonly hasBody = true) {}
 
   get isComplete (): boolean {
     return this.#state === ParserState.Complete
@@ -182,7 +183,7 @@
   #bodyStateOf ({ status, headers }: ResponseHead): ParserState {
     const encoding = headers['transfer-encoding']
     const length = headers['content-length']
-    if (status === noContentStatus || status === notModifiedStatus) {
+    if (!this.hasBody || status === noContentStatus || status === notModifiedStatus) {
       return ParserState.Complete
     }
     if (encoding !== undefined) {
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -85,7 +85,7 @@
 ): RunningCall {
   const connection = connections.acquire(target)
   const call = new TargetCall(connection, request.id, names, sink)
-  connection.send(encodeRequest(request, target, names), call)
+  connection.send(encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
 }
 
--- a/packages/gateway/src/targets/target-connection.ts
+++ b/packages/gateway/src/targets/target-connection.ts
@@ -66,8 +66,12 @@
     this.#connectTimer = setTimeout(() => { this.#close(`no connection within ${connectTimeoutMilliseconds} ms`) }, connectTimeoutMilliseconds)
   }
 
-  /** Sends a request; the connection must be new or idle. */
-  send (request: Buffer, exchange: Exchange): void {
+  /**
+   * Sends a request; the connection must be new or idle.
+   *
+   * @param hasBody see {@link ResponseParser}
+   */
+  send (request: Buffer, exchange: Exchange, hasBody: boolean): void {
     this.#exchange = exchange
     this.#request = request
     this.#parser = new ResponseParser({
@@ -78,7 +82,7 @@
           this.#isPaused = true
         }
       }
-    })
+    }, hasBody)
     if (this.#isConnected) {
       this.#write()
     }
--- a/packages/gateway/tests/targets/target-connections.test.ts
+++ b/packages/gateway/tests/targets/target-connections.test.ts
@@ -49,10 +49,10 @@
     return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready, born: 1, softwareVersion: 'v1' }
   }
 
-  function start (id: string, sink: Partial<ResponseSink> = {}): { readonly call: RunningCall, readonly body: () => string } {
+  function start (id: string, sink: Partial<ResponseSink> = {}, method = 'POST'): { readonly call: RunningCall, readonly body: () => string } {
     const chunks: Buffer[] = []
     const call = callTarget(connections, target(), {
-      id, method: 'POST', path: '/p', headers: ['Host', 'h', 'X-Request-Id', id], body: Buffer.from('body'), remainingMilliseconds: 1_000
+      id, method, path: '/p', headers: ['Host', 'h', 'X-Request-Id', id], body: method === 'HEAD' ? null : Buffer.from('body'), remainingMilliseconds: 1_000
     }, names, {
       onLeaving: () => {},
       onHead: () => {},
@@ -69,6 +69,18 @@
     return /x-request-id: (.*)\r/i.exec(request)?.[1] ?? ''
   }
 
+  it('do not wait for the body that the length of a response to HEAD describes, and use the connection again', async () => {
+    onRequest = (text, socket) => { socket.write(answer(idOf(text), 'fine').replace('fine', '')) }
+    for (const id of ['a', 'b']) {
+      const { call, body } = start(id, {}, 'HEAD')
+      const timer = setTimeout(() => { call.abort('no end within a second') }, 1_000)
+      assert.deepEqual(await call.ended, { end: CallOutcome.Complete, reason: '' })
+      clearTimeout(timer)
+      assert.equal(body(), '')
+    }
+    assert.equal(sockets.length, 1)
+  })
+
   it('send requests with their headers and body, and use a connection again', async () => {
     onRequest = (text, socket) => { socket.write(answer(idOf(text), 'fine')) }
     for (const id of ['a', 'b']) {
