Do not run a request whose client left while its stream's origin was looked for

A request whose client left before its run began was sent to a target all the same, as the run listens for the close of the response only from its beginning on; looking for the origin of a stream makes that time longer. Read, then shown by a new test in answer-ends.test.ts, which fails with the check taken out (1 of 33) and passes now.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -78,6 +78,11 @@
 
   /** Runs the request until the client has its final response or has disconnected. */
   async run (): Promise<void> {
+    if (this.response.destroyed) {
+      // The client left while the request was prepared.
+      this.#count('client_gone')
+      return
+    }
     const onClose = (): void => {
       this.#clientDisconnected = !this.response.writableFinished
       this.#abort.abort()
--- a/packages/gateway/tests/online/answer-ends.test.ts
+++ b/packages/gateway/tests/online/answer-ends.test.ts
@@ -4,6 +4,7 @@
 import { RouteKind } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { CallerKind, CallerView, ConnectionEnd, OnlineHarness } from '../util/online-harness.js'
+import { sleep } from '../../src/util/sleep.js'
 import type { CallerAnswer, ScriptedAnswer } from '../util/online-harness.js'
 
 const Framing = { Length: 'length', Chunks: 'chunks', None: 'none' } as const
@@ -158,6 +159,16 @@
   })
 })
 
+describe('a request whose client leaves before its run begins', () => {
+  it('is not sent to a target', async context => {
+    const harness = await OnlineHarness.start(plainRoute, [{ bytes: encode(Framing.Length, Place.AfterLast), end: ConnectionEnd.None }], { preparationMilliseconds: 100 })
+    context.after(() => { harness.close() })
+    await harness.callAndLeave(30)
+    await sleep(150)
+    assert.deepEqual(harness.arrivals, [])
+  })
+})
+
 describe('a stream that ends inside an event', () => {
   const cuts = {
     'in the first line of its first event': 'i',
--- a/packages/gateway/tests/online/busy-resets.test.ts
+++ b/packages/gateway/tests/online/busy-resets.test.ts
@@ -35,7 +35,7 @@
   })
   const received: CallerAnswer[] = []
   for (let round = 0; round < rounds; round += 1) {
-    const harness = await OnlineHarness.start(route, answers, [target.address])
+    const harness = await OnlineHarness.start(route, answers, { firstTargets: [target.address] })
     received.push(await harness.call(CallerKind.KeepAlive))
     harness.close()
   }
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -58,6 +58,14 @@
 } as const
 export type CallerKind = typeof CallerKind[keyof typeof CallerKind]
 
+/** Options of {@link OnlineHarness}; each one has a default. */
+export interface OnlineHarnessOptions {
+  /** `ip:port` of targets of the test that the first attempts go to, in order. */
+  readonly firstTargets?: readonly string[]
+  /** Time from the arrival of a request's body to the run of the request. */
+  readonly preparationMilliseconds?: number
+}
+
 /** Serves requests of one route from targets that answer by a script. */
 export class OnlineHarness {
   readonly outcomes: SlotOutcome[] = []
@@ -71,16 +79,14 @@
 
   private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[]) {}
 
-  /**
-   * @param answers one for each attempt, in order
-   * @param firstTargets `ip:port` of targets of the test that the first attempts go to, in order
-   */
-  static async start (route: Route, answers: readonly ScriptedAnswer[], firstTargets: readonly string[] = []): Promise<OnlineHarness> {
+  /** @param answers one for each attempt, in order */
+  static async start (route: Route, answers: readonly ScriptedAnswer[], { firstTargets = [], preparationMilliseconds = 0 }: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
     const harness = new OnlineHarness(route, [...answers], [...firstTargets])
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
         const online = createOnlineRequest(request, body, route, 's', names, new CallerBudgets(), Date.now())
+        await sleep(preparationMilliseconds)
         await new OnlineRun({
           slots: harness.#slots(),
           connections: harness.#connections,
@@ -119,6 +125,15 @@
     })
   }
 
+  /** Sends a request and disconnects before its run begins. */
+  async callAndLeave (stayMilliseconds: number): Promise<void> {
+    const { port } = this.#servers[1]?.address() as AddressInfo
+    const socket = connect(port, loopback)
+    socket.write(`POST ${this.route.prefix}x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id\r\nContent-Length: 2\r\n\r\nhi`)
+    await sleep(stayMilliseconds)
+    socket.destroy()
+  }
+
   close (): void {
     this.#connections.close()
     this.#sockets.forEach(socket => { socket.destroy() })
