Let a stream go on only at targets of the software version that began it

Cause: the admission of slots knew no versions; any target with a free slot, a batch slot to take, or on trial got the request.

Change, for requests that continue a stream (bound): - Slots only on targets of the version: free ones, cached prompts, targets of whose failures something is known or that are on trial, preemption, repeated requests. TargetIndex groups targets by version and zone; PreemptibleSlots keeps the batch slots of accepting targets by version too, also when a target is listed later or starts again with another version. DueSpans holds what PreemptibleSlots did before. - VersionUnknown and VersionGone are answered at once, to waiting requests when the list of targets changes, and to batch work; Retry-After is latestReturn. - A bound online request ends its wait only by the queue's expiry, comes before unbound ones, and keeps neither them nor batch work from slots: batch grants come after all online grants of a call, so a slot that is still free is of no use to a bound request. It displaces no newcomer. - Bound items come first among those in time and among the late ones. - An excluded target is tried again if every accepting target of the version is excluded; accepting targets are counted per version. - A release no longer scans the online queue for its permit, nor walks it if no version in demand has room. Requests without `continues` are decided as before.

--- a/packages/policy/src/fleet/batch-queue.ts
+++ b/packages/policy/src/fleet/batch-queue.ts
@@ -45,6 +45,15 @@
     }
   }
 
+  /** Removes the items that meet the condition and returns them. */
+  remove (condition: (request: SlotRequest) => boolean): readonly SlotRequest[] {
+    const removed = [...this.#waiting.values()].filter(condition)
+    for (const { permit } of removed) {
+      this.#waiting.delete(permit)
+    }
+    return removed
+  }
+
   /** Records how long a finished item has held slots, and the time from its first slot to its end, in milliseconds. */
   recordFinished (ran: number, sinceStart: number): void {
     this.#need ??= new MovingAverage(ran, sampleWeight)
@@ -63,17 +72,20 @@
     return now + this.remainingOf(item) * this.#stretch.value > item.due
   }
 
-  /** Returns the items in the order in which they are served: those that can be in time by deadline, then the others, the oldest first. */
+  /**
+   * Returns the items in the order in which they are served: those that can be in time by deadline, then the others, the oldest first.
+   * Among both, those that continue an output come first, since fewer targets can serve them.
+   */
   inOrder (now: number): readonly SlotRequest[] {
     const inTime: SlotRequest[] = []
     const lost: SlotRequest[] = []
     for (const request of this.#waiting.values()) {
       (this.isLost(request, now) ? lost : inTime).push(request)
     }
-    return [...inTime.sort(byDue), ...lost.sort(byDue)]
+    return [...inTime.sort(byVersionAndDue), ...lost.sort(byVersionAndDue)]
   }
 }
 
-function byDue (left: SlotRequest, right: SlotRequest): number {
-  return left.due - right.due || right.ran - left.ran
+function byVersionAndDue (left: SlotRequest, right: SlotRequest): number {
+  return Number(left.continues === null) - Number(right.continues === null) || left.due - right.due || right.ran - left.ran
 }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -12,6 +12,7 @@
 import { OnlineQueue } from './online-queue.js'
 import { OverloadForecast } from './overload-forecast.js'
 import { PrefixAffinity } from './prefix-affinity.js'
+import { isOfVersion, versionOf } from './software-version.js'
 import { TargetAvailability, TargetHealth } from './target-health.js'
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
@@ -84,17 +85,25 @@
     this.#begin(now)
     this.#health.retainTargets(new Set(targets.map(target => target.id)))
     this.#slots.setTargets(targets)
-    return this.#grantWaiting()
+    this.#sound.retainVersions(this.#slots.versions)
+    return [...this.#refuseWithoutVersion(), ...this.#grantWaiting()]
   }
 
   /**
    * Decides on a request. Returns no decision for it if it has to wait; a later call then returns the decision. A repeated
-   * request whose slot was granted before gets the same grant again while the target accepts work.
+   * request whose slot was granted before gets the same grant again while the target accepts work and can serve it.
    */
   request (request: SlotRequest, now: number): readonly SlotDecision[] {
     this.#begin(now)
+    const reason = this.#versionRefusalOf(request)
+    if (reason !== null) {
+      this.withdraw(request.permit)
+      this.#slots.release(request.permit)
+      return [refusalOf(request, reason, request.latestReturn)]
+    }
     const held = this.#slots.get(request.permit)
-    if (held !== undefined && this.#slots.target(held.target)?.accepting !== true) {
+    const target = this.#slots.target(held?.target ?? '')
+    if (held !== undefined && (target?.accepting !== true || !isOfVersion(target, request))) {
       // The holder may not have got the grant, and must not use it any more.
       this.#slots.release(request.permit)
     } else if (held !== undefined) {
@@ -117,7 +126,9 @@
 
   /** Removes a waiting request that its holder has given up. */
   withdraw (permit: string): void {
-    this.#online.remove(({ request }) => request.permit === permit)
+    if (this.#online.has(permit)) {
+      this.#online.remove(({ request }) => request.permit === permit)
+    }
     this.#batch.delete(permit)
   }
 
@@ -153,7 +164,10 @@
     this.#batchBlockedUntil = Math.max(this.#batchBlockedUntil, time)
   }
 
-  /** Rejects online requests that have waited too long (batch requests wait without a limit), and grants free slots. */
+  /**
+   * Rejects online requests that have waited too long (batch requests wait without a limit), and grants free slots. Requests without a
+   * target of their software version do not wait for this: {@link setTargets} rejects them.
+   */
   tick (now: number): readonly SlotDecision[] {
     this.#begin(now)
     const expired = this.#online.removeExpired(now)
@@ -211,6 +225,11 @@
       return []
     }
     const { patience, spent } = request
+    if (request.continues !== null) {
+      // However long it waits, its caller, who has a part of the answer, is served nowhere sooner.
+      this.#online.add(request, now)
+      return []
+    }
     // Newcomers have to let those pass who were told to come back meanwhile.
     const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience)
     if ((this.#online.countAhead(now - spent, now) + returns + 1) * this.#millisecondsPerRequest() > patience) {
@@ -231,7 +250,7 @@
   // The grant is returned together with the revocation, without waiting until the preempted batch work has stopped: the
   // target may queue one request for that moment, and the online request is spared a round trip.
   #grantOnline (request: SlotRequest): readonly SlotDecision[] {
-    if (!this.#admitsContent(request)) {
+    if (!this.#hasRoom(versionOf(request)) || !this.#admitsContent(request)) {
       return []
     }
     const free = this.#selectTarget(request, TargetAvailability.Available)
@@ -256,6 +275,7 @@
   #selectVictim (request: SlotRequest): GrantedSlot | null {
     const now = this.#now
     return this.#slots.preemptible.select(
+      versionOf(request),
       slot => this.#batch.isLost({ due: slot.due, ran: slot.ran + now - slot.grantedAt }, now),
       slot => {
         const target = this.#slots.target(slot.target)
@@ -282,7 +302,7 @@
 
   #grantWaiting (): readonly SlotDecision[] {
     const decisions: SlotDecision[] = []
-    if (this.#online.length > 0 && this.#hasRoom()) {
+    if (this.#online.versions.some(version => this.#hasRoom(version))) {
       this.#grantWaitingOnline(decisions)
     }
     if (!this.#isOnlineWaiting() && this.#batch.length > 0 && this.#now >= this.#batchBlockedUntil) {
@@ -291,9 +311,13 @@
     return decisions
   }
 
-  /** Whether an online request waits for a slot, and not for the end of another request with some of its content. */
+  /**
+   * Whether an online request waits for any slot, and not for the end of another request with some of its content. Those that continue
+   * a stream do not count: a slot that is free after {@link #grantWaitingOnline} is of no use to them.
+   */
   #isOnlineWaiting (): boolean {
-    return this.#online.length > 0 && (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => this.#admitsContent(request)))
+    return this.#online.versions.includes(null) &&
+      (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => request.continues === null && this.#admitsContent(request)))
   }
 
   /** Appends the grants to `decisions`. */
@@ -305,7 +329,7 @@
         granted.add(request.permit)
         decisions.push(...result)
       }
-      if (!this.#hasRoom()) {
+      if (!this.#hasRoom(null)) {
         break
       }
     }
@@ -320,7 +344,9 @@
       return
     }
     for (const request of this.#batch.inOrder(this.#now)) {
-      if (!this.#admitsContent(request)) {
+      const version = versionOf(request)
+      const mayFit = this.#sound.freeOf(version) > 0 || this.#hasUnsound(version)
+      if (!mayFit || !this.#admitsContent(request)) {
         continue
       }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
@@ -341,9 +367,18 @@
       [...this.#unsound].some(target => this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.OnTrial)
   }
 
-  /** Whether an online request might get a slot: one is free, or can be taken from batch work. */
-  #hasRoom (): boolean {
-    return this.#sound.free > 0 || this.#slots.preemptible.count > 0 || this.#unsound.size > 0
+  /** Whether an online request might get a slot on a target of the version, or on any for null: one is free, or can be taken from batch work. */
+  #hasRoom (version: string | null): boolean {
+    return this.#sound.freeOf(version) > 0 || this.#slots.preemptible.countOf(version) > 0 || this.#hasUnsound(version)
+  }
+
+  #hasUnsound (version: string | null): boolean {
+    for (const { softwareVersion } of this.#unsound) {
+      if (version === null || softwareVersion === version) {
+        return true
+      }
+    }
+    return false
   }
 
   /** Returns the best target with a free slot of those that are available in this way, or null if there is none. */
@@ -366,21 +401,39 @@
 
   /** Returns the sound targets that can be the best for a request: one that probably caches its prefix, and the least loaded ones. */
   #soundCandidates (request: SlotRequest): readonly TargetSlots[] {
-    const candidates = this.#sound.leastLoaded(request.zone, target => !this.#isExcluded(target, request))
+    const candidates = this.#sound.leastLoaded(request.zone, versionOf(request), target => !this.#isExcluded(target, request))
     const caching = this.#slots.target(this.#prefixAffinity.targetOf(request.prefix) ?? '')
-    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && !this.#isExcluded(caching, request)
+    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) &&
+      !this.#isExcluded(caching, request)
     return isUsable ? [caching, ...candidates] : candidates
   }
 
   #isUsable (target: TargetSlots, request: SlotRequest, availability: TargetAvailability): boolean {
-    return target.accepting && !this.#isExcluded(target, request) &&
+    return target.accepting && isOfVersion(target, request) && !this.#isExcluded(target, request) &&
       this.#health.availabilityFor(target.id, request.holder, this.#now) === availability
   }
 
   // A batch item waits without a time limit. If only excluded targets accept work, trying one of them again is better
-  // than never running the item.
-  #isExcluded ({ id }: TargetSlots, { excluded, workClass }: SlotRequest): boolean {
-    return excluded.includes(id) && (workClass === WorkClass.Online || this.#sound.size + this.#unsound.size > excluded.length)
+  // than never running the item; so it is for a stream that no other target can continue.
+  #isExcluded ({ id }: TargetSlots, request: SlotRequest): boolean {
+    const { excluded, continues, workClass } = request
+    if (!excluded.includes(id)) {
+      return false
+    }
+    if (continues !== null) {
+      return this.#slots.acceptingOf(continues.softwareVersion) > this.#countAcceptingExcluded(request)
+    }
+    return workClass === WorkClass.Online || this.#sound.size + this.#unsound.size > excluded.length
+  }
+
+  /** Returns the number of accepting targets that could serve a request, were they not excluded. */
+  #countAcceptingExcluded (request: SlotRequest): number {
+    let count = 0
+    for (const id of new Set(request.excluded)) {
+      const target = this.#slots.target(id)
+      count += target?.accepting === true && isOfVersion(target, request) ? 1 : 0
+    }
+    return count
   }
 
   /** Scores a target for a request; higher is better, and one busy slot lowers the score by one. */
@@ -419,6 +472,28 @@
     return refusalOf(request, RefusalReason.Busy, retryAfter)
   }
 
+  /** Returns why no target can continue the stream of a request, or null if one can, or may again, and for requests that continue none. */
+  #versionRefusalOf ({ continues }: SlotRequest): RefusalReason | null {
+    if (continues === null) {
+      return null
+    }
+    const beginner = this.#slots.target(continues.target)
+    if (beginner !== undefined && beginner.born !== continues.born && beginner.softwareVersion !== continues.softwareVersion) {
+      return RefusalReason.VersionUnknown
+    }
+    return this.#slots.stayingOf(continues.softwareVersion) === 0 ? RefusalReason.VersionGone : null
+  }
+
+  /** Rejects the waiting requests that no target can continue, batch work included, whose holders may begin anew. */
+  #refuseWithoutVersion (): readonly SlotDecision[] {
+    const online = this.#online.remove(({ request }) => this.#versionRefusalOf(request) !== null).map(({ request }) => request)
+    const batch = this.#batch.remove(request => this.#versionRefusalOf(request) !== null)
+    return [...online, ...batch].flatMap(request => {
+      const reason = this.#versionRefusalOf(request)
+      return reason === null ? [] : [refusalOf(request, reason, request.latestReturn)]
+    })
+  }
+
   #admitsContent (request: SlotRequest): boolean {
     return this.quarantine.decide(contentOf(request), this.#now).admission === QuarantineAdmission.Admitted
   }
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -33,6 +33,10 @@
   address: string
   zone: string
   slots: number
+  /** As in {@link FleetTarget}, and the following ones too. */
+  born: number
+  softwareVersion: string
+  leaving: boolean
   accepting: boolean
   /** Number of granted slots, without revoked ones. */
   granted: number
@@ -49,11 +53,19 @@
  */
 const grantTransitMilliseconds = 400
 
+/** Numbers of listed targets of a software version. */
+interface VersionCounts {
+  accepting: number
+  /** Targets that are not about to go for good, whether they accept work or not. */
+  staying: number
+}
+
 /** Keeps track of targets and granted slots; {@link FleetAdmission} makes the decisions. */
 export class FleetSlots {
   readonly #targets = new Map<string, TargetSlots>()
   readonly #granted = new Map<string, GrantedSlot>()
   readonly #permitsByHolder = new Map<string, Set<string>>()
+  readonly #versions = new Map<string, VersionCounts>()
   readonly preemptible = new PreemptibleSlots()
 
   constructor (private readonly listener: TargetListener) {}
@@ -61,23 +73,42 @@
   /** Replaces the list of targets. Slots of removed targets stay recorded until they are released. */
   setTargets (targets: readonly FleetTarget[]): void {
     const present = new Set(targets.map(target => target.id))
-    for (const { id, address, zone, slots, accepting } of targets) {
+    for (const listed of targets) {
+      const { id, address, zone, slots, born, softwareVersion, leaving, accepting } = listed
       const known = this.#targets.get(id)
-      const target = known ?? { id, address, zone, slots, accepting, granted: 0, online: 0 }
-      Object.assign(target, { address, zone, slots, accepting })
+      const target = known ?? { ...listed, granted: 0, online: 0 }
+      Object.assign(target, { address, zone, slots, born, softwareVersion, leaving, accepting })
       this.#targets.set(id, target)
       if (known === undefined) {
         this.#countGranted(target)
       }
+      this.preemptible.setVersion(id, accepting ? softwareVersion : null)
       this.listener(target)
     }
     for (const [id, target] of this.#targets) {
       if (!present.has(id)) {
         this.#targets.delete(id)
         target.accepting = false
+        this.preemptible.setVersion(id, null)
         this.listener(target)
       }
     }
+    this.#countVersions()
+  }
+
+  /** Software versions of the listed targets. */
+  get versions (): ReadonlySet<string> {
+    return new Set(this.#versions.keys())
+  }
+
+  /** Returns the number of accepting targets of a software version. */
+  acceptingOf (version: string): number {
+    return this.#versions.get(version)?.accepting ?? 0
+  }
+
+  /** Returns the number of listed targets of a software version that are not about to go for good. */
+  stayingOf (version: string): number {
+    return this.#versions.get(version)?.staying ?? 0
   }
 
   target (id: string): TargetSlots | undefined {
@@ -155,6 +186,16 @@
     return { online, batch, slots }
   }
 
+  #countVersions (): void {
+    this.#versions.clear()
+    for (const { softwareVersion, accepting, leaving } of this.#targets.values()) {
+      const counts = this.#versions.get(softwareVersion) ?? { accepting: 0, staying: 0 }
+      counts.accepting += accepting ? 1 : 0
+      counts.staying += leaving ? 0 : 1
+      this.#versions.set(softwareVersion, counts)
+    }
+  }
+
   #forgetHolder ({ holder, permit }: GrantedSlot): void {
     const permits = this.#permitsByHolder.get(holder)
     permits?.delete(permit)
--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -1,8 +1,10 @@
 /**
  * Online requests that wait for a slot, in the order in which they get one. Load: bursts beyond all slots, whose callers are
  * rejected and come back: who has been rejected before is served first, so that nobody is rejected twice while newcomers are served.
+ * Streams that go on at the few targets of their software version: they are served before all others.
  */
 import type { SlotRequest } from './fleet-messages.js'
+import { versionOf } from './software-version.js'
 
 /** A request that waits. */
 export interface WaitingRequest {
@@ -22,26 +24,39 @@
 /** Keeps requests by the time of their callers' first attempts. */
 export class OnlineQueue {
   #waiting: WaitingRequest[] = []
+  readonly #permits = new Set<string>()
+  /** Numbers of requests by what {@link versionOf} returns for them. */
+  readonly #counts = new Map<string | null, number>()
 
   get length (): number {
     return this.#waiting.length
   }
 
+  /** Software versions to which waiting requests are bound, and null if some are bound to none. */
+  get versions (): ReadonlyArray<string | null> {
+    return [...this.#counts.keys()]
+  }
+
   has (permit: string): boolean {
-    return this.#waiting.some(({ request }) => request.permit === permit)
+    return this.#permits.has(permit)
   }
 
   add (request: SlotRequest, now: number): void {
     const entry = { request, queuedAt: now }
     const index = this.#waiting.findLastIndex(other => firstAttemptOf(other) <= firstAttemptOf(entry))
     this.#waiting.splice(index + 1, 0, entry)
+    this.#count(entry, 1)
   }
 
   /** Removes the requests that meet the condition and returns them. */
   remove (condition: (entry: WaitingRequest) => boolean): readonly WaitingRequest[] {
     const removed = this.#waiting.filter(condition)
     if (removed.length > 0) {
-      this.#waiting = this.#waiting.filter(entry => !removed.includes(entry))
+      const gone = new Set(removed)
+      this.#waiting = this.#waiting.filter(entry => !gone.has(entry))
+      for (const entry of removed) {
+        this.#count(entry, -1)
+      }
     }
     return removed
   }
@@ -55,10 +70,13 @@
     return count
   }
 
-  /** Returns the requests in the order in which they are served: those in time, then the late ones. */
+  /**
+   * Returns the requests in the order in which they are served: those that continue a stream, then the others; of both, those in time,
+   * then the late ones.
+   */
   inOrder (now: number): readonly WaitingRequest[] {
-    const late = this.#waiting.filter(entry => isLate(entry, now))
-    return late.length === 0 ? [...this.#waiting] : [...this.#waiting.filter(entry => !isLate(entry, now)), ...late]
+    const bound = this.#waiting.filter(isBound)
+    return bound.length === 0 ? timelyFirst(this.#waiting, now) : [...timelyFirst(bound, now), ...timelyFirst(this.#waiting.filter(entry => !isBound(entry)), now)]
   }
 
   /** Removes the requests that have waited too long even for a late answer, and returns them. */
@@ -68,12 +86,13 @@
 
   /**
    * Removes and returns the last request in time if it would be late, now that another is ahead of it, and has not waited for long.
+   * Passes over requests that continue a stream: their callers have a part of the answer.
    *
    * @param millisecondsPerRequest time in which the queue advances by one request
    */
   removeDisplaced (now: number, millisecondsPerRequest: number): WaitingRequest | null {
     const timely = this.#waiting.filter(entry => !isLate(entry, now))
-    const last = timely.at(-1)
+    const last = timely.findLast(entry => !isBound(entry))
     if (last === undefined) {
       return null
     }
@@ -85,6 +104,32 @@
     this.remove(entry => entry === last)
     return last
   }
+
+  #count ({ request }: WaitingRequest, change: 1 | -1): void {
+    if (change > 0) {
+      this.#permits.add(request.permit)
+    } else {
+      this.#permits.delete(request.permit)
+    }
+    const version = versionOf(request)
+    const count = (this.#counts.get(version) ?? 0) + change
+    if (count === 0) {
+      this.#counts.delete(version)
+    } else {
+      this.#counts.set(version, count)
+    }
+  }
+}
+
+/** Returns the requests in time, then the late ones. */
+function timelyFirst (entries: readonly WaitingRequest[], now: number): readonly WaitingRequest[] {
+  const late = entries.filter(entry => isLate(entry, now))
+  return late.length === 0 ? [...entries] : [...entries.filter(entry => !isLate(entry, now)), ...late]
+}
+
+/** Whether only targets of one software version can serve the request. */
+function isBound ({ request }: WaitingRequest): boolean {
+  return request.continues !== null
 }
 
 /** Returns when the caller made its first attempt, as far as is known, in milliseconds since the epoch. */
--- a/packages/policy/src/fleet/preemptible-slots.ts
+++ b/packages/policy/src/fleet/preemptible-slots.ts
@@ -1,39 +1,64 @@
 /**
  * Batch slots in the order in which they may be preempted. Load: bursts of online requests that take all batch slots
- * several times before the items' deadlines.
+ * several times before the items' deadlines; streams that go on at the few targets that are left of their software version.
  */
+import { DueSpans } from './due-spans.js'
 import type { GrantedSlot } from './fleet-slots.js'
 
-/** Items whose deadlines fall into the same span are equally urgent: a tenth of the 20 s within which batch jobs are to complete. */
-const dueSpanMilliseconds = 2_000
-/** Number of slots among which the best is chosen, so that a choice takes about the same time in a fleet of any size. */
-const maximumExamined = 24
-
-/** Batch slots that have not been revoked, by the deadlines of their items. */
+/** Batch slots that have not been revoked, by the deadlines of their items, and those of accepting targets by software version too. */
 export class PreemptibleSlots {
-  readonly #spans = new Map<number, Set<GrantedSlot>>()
-  #count = 0
+  readonly #all = new DueSpans()
+  readonly #byVersion = new Map<string, DueSpans>()
+  readonly #byTarget = new Map<string, Set<GrantedSlot>>()
+  /** Software versions of accepting targets. */
+  readonly #versions = new Map<string, string>()
 
-  get count (): number {
-    return this.#count
+  /** Returns the number of slots, or of those on accepting targets of a software version. */
+  countOf (version: string | null): number {
+    return this.#spansOf(version)?.count ?? 0
   }
 
   add (slot: GrantedSlot): void {
-    const span = spanOf(slot)
-    const slots = this.#spans.get(span) ?? new Set()
-    this.#spans.set(span, slots)
-    this.#count += slots.has(slot) ? 0 : 1
-    slots.add(slot)
+    this.#all.add(slot)
+    this.#byTarget.set(slot.target, (this.#byTarget.get(slot.target) ?? new Set()).add(slot))
+    const version = this.#versions.get(slot.target)
+    if (version !== undefined) {
+      this.#addToVersion(slot, version)
+    }
   }
 
   delete (slot: GrantedSlot): void {
-    const span = spanOf(slot)
-    const slots = this.#spans.get(span)
-    if (slots?.delete(slot) === true) {
-      this.#count -= 1
-      if (slots.size === 0) {
-        this.#spans.delete(span)
+    this.#all.delete(slot)
+    const slots = this.#byTarget.get(slot.target)
+    slots?.delete(slot)
+    if (slots?.size === 0) {
+      this.#byTarget.delete(slot.target)
+    }
+    const version = this.#versions.get(slot.target)
+    if (version !== undefined) {
+      this.#deleteFromVersion(slot, version)
+    }
+  }
+
+  /** Records the software version of a target, whose slots may have been added before; null if the target does not accept work. */
+  setVersion (target: string, version: string | null): void {
+    const known = this.#versions.get(target)
+    if ((known ?? null) === version) {
+      return
+    }
+    const slots = this.#byTarget.get(target) ?? new Set()
+    for (const slot of slots) {
+      if (known !== undefined) {
+        this.#deleteFromVersion(slot, known)
       }
+      if (version !== null) {
+        this.#addToVersion(slot, version)
+      }
+    }
+    if (version === null) {
+      this.#versions.delete(target)
+    } else {
+      this.#versions.set(target, version)
     }
   }
 
@@ -41,45 +66,29 @@
    * Returns the slot that suits best: among those of items that cannot be in time any more if there are any, else among those with
    * the latest deadlines. Returns null if none may be preempted.
    *
+   * @param version software version of the targets whose slots are considered, or null for all slots
    * @param isLost whether an item cannot be in time any more
    * @param valueOf how well a slot suits; null if it must not be preempted
    */
-  select (isLost: (slot: GrantedSlot) => boolean, valueOf: (slot: GrantedSlot) => number | null): GrantedSlot | null {
-    const spans = [...this.#spans.keys()].sort((left, right) => left - right)
-    const earliest = this.#spans.get(spans[0] ?? 0) ?? new Set()
-    const lost = bestOf(earliest, slot => isLost(slot) ? valueOf(slot) : null)
-    if (lost !== null) {
-      return lost
-    }
-    for (const span of spans.reverse()) {
-      const best = bestOf(this.#spans.get(span) ?? new Set(), valueOf)
-      if (best !== null) {
-        return best
-      }
-    }
-    return null
+  select (version: string | null, isLost: (slot: GrantedSlot) => boolean, valueOf: (slot: GrantedSlot) => number | null): GrantedSlot | null {
+    return this.#spansOf(version)?.select(isLost, valueOf) ?? null
   }
-}
 
-function spanOf ({ due }: GrantedSlot): number {
-  return Math.floor(due / dueSpanMilliseconds)
-}
+  #spansOf (version: string | null): DueSpans | undefined {
+    return version === null ? this.#all : this.#byVersion.get(version)
+  }
 
-/** Returns the slot with the greatest value among the first ones, or the first slot with a value if none of these has one. */
-function bestOf (slots: ReadonlySet<GrantedSlot>, valueOf: (slot: GrantedSlot) => number | null): GrantedSlot | null {
-  let best: GrantedSlot | null = null
-  let bestValue = -Infinity
-  let examined = 0
-  for (const slot of slots) {
-    const value = valueOf(slot)
-    if (value !== null && value > bestValue) {
-      best = slot
-      bestValue = value
-    }
-    examined += 1
-    if (examined >= maximumExamined && best !== null) {
-      break
+  #addToVersion (slot: GrantedSlot, version: string): void {
+    const spans = this.#byVersion.get(version) ?? new DueSpans()
+    this.#byVersion.set(version, spans)
+    spans.add(slot)
+  }
+
+  #deleteFromVersion (slot: GrantedSlot, version: string): void {
+    const spans = this.#byVersion.get(version)
+    spans?.delete(slot)
+    if (spans?.count === 0) {
+      this.#byVersion.delete(version)
     }
   }
-  return best
 }
--- a/packages/policy/src/fleet/target-index.ts
+++ b/packages/policy/src/fleet/target-index.ts
@@ -1,10 +1,14 @@
-/** Accepting targets by availability zone and by the number of their granted slots, so that the best one is found without a scan of all. */
+/**
+ * Accepting targets by software version, availability zone and the number of their granted slots, so that the best one is found
+ * without a scan of all.
+ */
 import type { TargetSlots } from './fleet-slots.js'
 
-/** Accepting targets of one availability zone that have free slots: the set at index n holds those with n granted slots. */
+/** Accepting targets of one version and availability zone that have free slots: the set at index n holds those with n granted slots. */
 type ZoneBuckets = Array<Set<TargetSlots>>
 
 interface Position {
+  readonly version: string
   readonly zone: string
   readonly granted: number
   /** Slots that the target adds to the total, and free ones. */
@@ -12,9 +16,15 @@
   readonly free: number
 }
 
+interface VersionGroup {
+  readonly zones: Map<string, ZoneBuckets>
+  /** Number of free slots. */
+  free: number
+}
+
 /** Keeps targets in order of their load. */
 export class TargetIndex {
-  readonly #zones = new Map<string, ZoneBuckets>()
+  readonly #groups = new Map<string, VersionGroup>()
   readonly #positions = new Map<TargetSlots, Position>()
   #free = 0
   #slots = 0
@@ -38,15 +48,23 @@
     return this.#positions.has(target)
   }
 
-  /** Adds a target, or moves it after a change of its zone, slots or granted slots. */
+  /** Returns the number of free slots of the targets of a software version, or of all targets for null. */
+  freeOf (version: string | null): number {
+    return version === null ? this.#free : this.#groups.get(version)?.free ?? 0
+  }
+
+  /** Adds a target, or moves it after a change of its software version, zone, slots or granted slots. */
   place (target: TargetSlots): void {
     this.remove(target)
-    const position = { zone: target.zone, granted: target.granted, slots: target.slots, free: Math.max(0, target.slots - target.granted) }
+    const { softwareVersion: version, zone, granted, slots } = target
+    const position = { version, zone, granted, slots, free: Math.max(0, slots - granted) }
     this.#positions.set(target, position)
     this.#free += position.free
     this.#slots += position.slots
+    const group = this.#groupOf(version)
+    group.free += position.free
     if (position.free > 0) {
-      this.#bucketOf(position).add(target)
+      bucketOf(group, position).add(target)
     }
   }
 
@@ -56,33 +74,73 @@
       this.#positions.delete(target)
       this.#free -= position.free
       this.#slots -= position.slots
-      this.#bucketOf(position).delete(target)
+      const group = this.#groupOf(position.version)
+      group.free -= position.free
+      bucketOf(group, position).delete(target)
+    }
+  }
+
+  /** Drops the empty groups of software versions that are not in the set. */
+  retainVersions (versions: ReadonlySet<string>): void {
+    for (const version of this.#groups.keys()) {
+      if (!versions.has(version)) {
+        this.#groups.delete(version)
+      }
     }
   }
 
-  /** Returns the targets with a free slot that have the fewest granted ones: the best of the given zone, and the best of all others. */
-  leastLoaded (zone: string, condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
-    const best: TargetSlots[] = []
+  /**
+   * Returns the targets with a free slot that have the fewest granted ones: the best of the given zone, and the best of all others.
+   *
+   * @param version software version of the targets, or null for all
+   */
+  leastLoaded (zone: string, version: string | null, condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
+    let own: TargetSlots | null = null
     let other: TargetSlots | null = null
-    for (const [name, buckets] of this.#zones) {
-      const found = firstOf(buckets, condition)
-      if (found !== null && name === zone) {
-        best.push(found)
-      } else if (found !== null && (other === null || found.granted < other.granted)) {
-        other = found
+    for (const group of this.#groupsOf(version)) {
+      for (const [name, buckets] of group.zones) {
+        const found = firstOf(buckets, condition)
+        if (name === zone) {
+          own = lessLoaded(own, found)
+        } else {
+          other = lessLoaded(other, found)
+        }
       }
     }
-    return other === null ? best : [...best, other]
+    return [own, other].filter(target => target !== null)
   }
 
-  #bucketOf ({ zone, granted }: Position): Set<TargetSlots> {
-    const buckets = this.#zones.get(zone) ?? []
-    this.#zones.set(zone, buckets)
-    while (buckets.length <= granted) {
-      buckets.push(new Set())
+  #groupsOf (version: string | null): Iterable<VersionGroup> {
+    if (version === null) {
+      return this.#groups.values()
     }
-    return buckets[granted] as Set<TargetSlots>
+    const group = this.#groups.get(version)
+    return group === undefined ? [] : [group]
   }
+
+  #groupOf (version: string): VersionGroup {
+    const known = this.#groups.get(version)
+    if (known !== undefined) {
+      return known
+    }
+    const group = { zones: new Map<string, ZoneBuckets>(), free: 0 }
+    this.#groups.set(version, group)
+    return group
+  }
+}
+
+function bucketOf ({ zones }: VersionGroup, { zone, granted }: Position): Set<TargetSlots> {
+  const buckets = zones.get(zone) ?? []
+  zones.set(zone, buckets)
+  while (buckets.length <= granted) {
+    buckets.push(new Set())
+  }
+  return buckets[granted] as Set<TargetSlots>
+}
+
+/** Returns the target with fewer granted slots, the left one if both have as many. */
+function lessLoaded (left: TargetSlots | null, right: TargetSlots | null): TargetSlots | null {
+  return left === null || (right !== null && right.granted < left.granted) ? right : left
 }
 
 function firstOf (buckets: ZoneBuckets, condition: (target: TargetSlots) => boolean): TargetSlots | null {
