Keep the output of an item at its service as well as at its version

A route may name several services by weight, and an item chose one for each attempt: its output could go on at another service, whose version of the same name is other software. Read, not seen. An item now goes on at the service that began it, begins anew if the route has that no more, and its progress tells the service. A new test in item-run.test.ts plays both and the refusals for a version that is gone or unknown.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -4,7 +4,7 @@
 import { streamEndOf } from '../online/stream-end.js'
 import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
-import type { ItemProgress } from './item-progress.js'
+import type { ItemProgress, OutputOrigin } from './item-progress.js'
 
 /** Maximum length of the text, which leaves 4 KB for the state and the key in a record of the store, whose limit is 262,144 bytes. */
 const maximumTextBytes = 258_048
@@ -16,12 +16,12 @@
 export class ItemOutput {
   #eventData: string[] = []
   #lastId: number | null = null
-  #softwareVersion: string | null = null
+  #origin: OutputOrigin | null = null
   /** Length of the text, with a line feed after each event. */
   #textBytes = 0
   #splitter = new EventSplitter()
-  /** Software version of the target of the current stream. */
-  #streamVersion = ''
+  /** Origin of the current stream. */
+  #streamOrigin: OutputOrigin | null = null
   /** Id of the event after which the current stream continues, or null. */
   #resumesAfter: number | null = null
   /** Id of the last event before the latest end that was unknown, or null. */
@@ -48,18 +48,18 @@
 
   /** The complete events so far, or null before the first. */
   get progress (): ItemProgress | null {
-    return this.#lastId === null || this.#softwareVersion === null ? null : { lastId: this.#lastId, softwareVersion: this.#softwareVersion, text: this.text }
+    return this.#lastId === null || this.#origin === null ? null : { lastId: this.#lastId, origin: this.#origin, text: this.text }
   }
 
-  /** Software version of the targets that wrote the events, or null before the first. */
-  get softwareVersion (): string | null {
-    return this.#softwareVersion
+  /** Which targets wrote the events, or null before the first. */
+  get origin (): OutputOrigin | null {
+    return this.#origin
   }
 
   /** Restores the events that another process has received; the next stream continues after them. */
-  restore ({ lastId, softwareVersion, text }: ItemProgress): void {
+  restore ({ lastId, origin, text }: ItemProgress): void {
     this.#lastId = lastId
-    this.#softwareVersion = softwareVersion
+    this.#origin = origin
     this.#eventData = [text]
     this.#textBytes = bytesOf(text)
   }
@@ -80,7 +80,7 @@
         this.#textBytes += bytesOf(event.data)
         const id = Number.parseInt(event.id ?? '', 10)
         this.#lastId = Number.isNaN(id) ? this.#lastId : id
-        this.#softwareVersion = this.#streamVersion
+        this.#origin = this.#streamOrigin
       }
     })
     parser.feed(bytes.toString('utf8'))
@@ -93,8 +93,8 @@
   }
 
   /** Starts a new stream of a target, which continues after the last complete event; discards an incomplete one. */
-  startStream (softwareVersion: string): void {
-    this.#streamVersion = softwareVersion
+  startStream (origin: OutputOrigin): void {
+    this.#streamOrigin = origin
     this.#splitter = new EventSplitter()
     this.#resumesAfter = this.#lastId
   }
@@ -121,7 +121,7 @@
   /** Discards all events; the next stream begins at the first one. */
   discard (): void {
     this.#lastId = null
-    this.#softwareVersion = null
+    this.#origin = null
     this.#unknownEndAfter = null
     this.#continuesAfter = null
     this.#eventData = []
--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -1,12 +1,17 @@
 /** Progress of a batch item, from which another process can resume it, and its encoding as a record. */
 import type { KeyedRecord, NewRecord } from '../log/keyed-topic.js'
 
+/** Which targets wrote an output; only such a target can go on with it. */
+export interface OutputOrigin {
+  readonly service: string
+  readonly softwareVersion: string
+}
+
 /** Complete events of an item's output so far. */
 export interface ItemProgress {
   /** Id of the last event. */
   readonly lastId: number
-  /** Software version of the targets that wrote the events; only such a target can go on. */
-  readonly softwareVersion: string
+  readonly origin: OutputOrigin
   /** Data of all events, separated by line feeds. */
   readonly text: string
 }
@@ -21,9 +26,9 @@
 }
 
 const idBytes = 4
-/** Length of the length of the version. */
+/** Length of the length of a name. */
 const lengthBytes = 1
-const maximumVersionBytes = 255
+const maximumNameBytes = 255
 /**
  * The second form of the key. Records with the first form, without the suffix, come from earlier builds and do not tell the version, so that an
  * item cannot go on from them; earlier builds ignore the second form.
@@ -31,31 +36,41 @@
 const keyForm = /^(.+)\/(\d+)\/v$/
 
 /**
- * Encodes an entry as records: the event id as four bytes, big-endian, the length of the version as one byte, the version, then the text. Null progress deletes
- * the key, in both of its forms.
+ * Encodes an entry as records: the event id as four bytes, big-endian, the service and the software version, each after its length as one byte, then the
+ * text. Null progress deletes the key, in both of its forms.
  */
 export function progressRecords ({ job, index, progress }: ProgressEntry): readonly NewRecord[] {
   const key = `${job}/${index}/v`
   if (progress === null) {
     return [{ key, value: null }, { key: `${job}/${index}`, value: null }]
   }
-  const version = Buffer.from(progress.softwareVersion).subarray(0, maximumVersionBytes)
-  const head = Buffer.alloc(idBytes + lengthBytes)
-  head.writeUInt32BE(progress.lastId)
-  head.writeUInt8(version.length, idBytes)
-  return [{ key, value: Buffer.concat([head, version, Buffer.from(progress.text)]) }]
+  const { lastId, origin: { service, softwareVersion }, text } = progress
+  const id = Buffer.alloc(idBytes)
+  id.writeUInt32BE(lastId)
+  return [{ key, value: Buffer.concat([id, encodeName(service), encodeName(softwareVersion), Buffer.from(text)]) }]
 }
 
 /** Decodes a record; returns null if it holds no progress that an item can go on from. */
 export function parseProgressRecord ({ key, value }: KeyedRecord): ProgressEntry | null {
   const [, job, index] = keyForm.exec(key) ?? []
-  if (job === undefined || value === null || value.length < idBytes + lengthBytes) {
-    return null
-  }
-  const textStart = idBytes + lengthBytes + value.readUInt8(idBytes)
-  if (value.length < textStart) {
+  const service = value === null ? null : decodeName(value, idBytes)
+  const version = value === null || service === null ? null : decodeName(value, service.end)
+  if (job === undefined || value === null || service === null || version === null) {
     return null
   }
-  const softwareVersion = value.toString('utf8', idBytes + lengthBytes, textStart)
-  return { job, index: Number(index), progress: { lastId: value.readUInt32BE(), softwareVersion, text: value.toString('utf8', textStart) } }
+  const origin = { service: service.name, softwareVersion: version.name }
+  return { job, index: Number(index), progress: { lastId: value.readUInt32BE(), origin, text: value.toString('utf8', version.end) } }
+}
+
+/** Encodes a name after its length; one that is too long is cut, and then equals no other. */
+function encodeName (name: string): Buffer {
+  const bytes = Buffer.from(name).subarray(0, maximumNameBytes)
+  return Buffer.concat([Buffer.from([bytes.length]), bytes])
+}
+
+/** Returns the name at a position and the position after it, or null if the record is too short. */
+function decodeName (value: Buffer, position: number): { readonly name: string, readonly end: number } | null {
+  const start = position + lengthBytes
+  const end = start + (value[position] ?? 0)
+  return value.length < start || value.length < end ? null : { name: value.toString('utf8', start, end), end }
 }
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -134,7 +134,7 @@
 
   /** Makes one attempt; returns the result of the item, or null if it needs another attempt. */
   async #attempt (route: Route): Promise<ItemOutcome | null> {
-    const service = this.dependencies.serviceOf(route)
+    const service = this.#serviceOf(route)
     if (service === null) {
       await sleep(retryMilliseconds)
       return null
@@ -147,7 +147,20 @@
     }
     this.#versionWaitMilliseconds = 0
     this.#excluded = []
-    return await this.#dispatch(route, result.slot)
+    return await this.#dispatch(route, service, result.slot)
+  }
+
+  /** Returns the service for an attempt; an output that has begun goes on at its service, and begins anew if the route has that no more. */
+  #serviceOf (route: Route): string | null {
+    const begun = this.#output.origin?.service
+    if (begun === undefined) {
+      return this.dependencies.serviceOf(route)
+    }
+    if (!route.services.some(({ service }) => service === begun)) {
+      this.#beginAnew('the route has no such service any more')
+      return this.dependencies.serviceOf(route)
+    }
+    return begun
   }
 
   /**
@@ -155,23 +168,27 @@
    * been written again meanwhile.
    */
   #onSlotRejected (reason: RefusalReason, waitedMilliseconds: number): void {
-    const { softwareVersion } = this.#output
-    if (softwareVersion === null || this.#stop.signal.aborted) {
+    if (this.#output.origin === null || this.#stop.signal.aborted) {
       return
     }
     this.#versionWaitMilliseconds += waitedMilliseconds
     if (reason === RefusalReason.Busy && this.#versionWaitMilliseconds < Math.max(this.#ranMilliseconds, slotWaitMilliseconds)) {
       return
     }
-    this.dependencies.logger.info('item begins anew', { job: this.job.id, item: this.item.id, version: softwareVersion, after: this.#output.lastId, reason, waited: this.#versionWaitMilliseconds })
+    this.#beginAnew(reason)
+  }
+
+  #beginAnew (reason: string): void {
+    const { origin, lastId } = this.#output
+    this.dependencies.logger.info('item begins anew', { job: this.job.id, item: this.item.id, service: origin?.service, version: origin?.softwareVersion, after: lastId, reason, waited: this.#versionWaitMilliseconds })
     this.#output.discard()
     this.#writer = null
     this.#versionWaitMilliseconds = 0
   }
 
   get #origin (): StreamOrigin | null {
-    const { softwareVersion } = this.#output
-    return softwareVersion === null ? null : { softwareVersion, target: this.#writer?.id ?? '', born: this.#writer?.born ?? 0 }
+    const { origin } = this.#output
+    return origin === null ? null : { softwareVersion: origin.softwareVersion, target: this.#writer?.id ?? '', born: this.#writer?.born ?? 0 }
   }
 
   /** Waits for a slot, no longer than the item may wait before its route and retention are checked again. */
@@ -206,10 +223,10 @@
   }
 
   /** Sends the item to the target and releases the slot at the end; returns the result of the item, or null if it needs another attempt. */
-  async #dispatch (route: Route, slot: Slot): Promise<ItemOutcome | null> {
+  async #dispatch (route: Route, service: string, slot: Slot): Promise<ItemOutcome | null> {
     const { target } = slot
     this.#head = null
-    this.#output.startStream(target.softwareVersion)
+    this.#output.startStream({ service, softwareVersion: target.softwareVersion })
     const resumedAfter = this.#output.lastId
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
--- a/packages/gateway/tests/jobs/item-output.test.ts
+++ b/packages/gateway/tests/jobs/item-output.test.ts
@@ -3,6 +3,9 @@
 import { describe, it } from 'node:test'
 import { ItemOutput, MalformedStreamError } from '../../src/index.js'
 
+const first = { service: 's', softwareVersion: 'v1' }
+const second = { service: 's', softwareVersion: 'v2' }
+
 function event (id: number, data: string): Buffer {
   return Buffer.from(`id: ${id}\ndata: ${data}\n\n`)
 }
@@ -10,25 +13,25 @@
 describe('ItemOutput', () => {
   it('starts again from the first event when a stream sends more than a record can hold', () => {
     const output = new ItemOutput()
-    output.startStream('v1')
+    output.startStream(first)
     output.push(event(1, 'a'))
     output.push(event(2, 'b'))
-    output.startStream('v1')
+    output.startStream(first)
     assert.throws(() => {
       for (let id = 3; id < 40; id += 1) {
         output.push(event(id, 'x'.repeat(10_000)))
       }
     }, MalformedStreamError)
     assert.equal(output.progress, null)
-    output.startStream('v1')
+    output.startStream(first)
     output.push(event(1, 'c'))
-    assert.deepEqual(output.progress, { lastId: 1, softwareVersion: 'v1', text: 'c' })
+    assert.deepEqual(output.progress, { lastId: 1, origin: first, text: 'c' })
   })
 
   it('counts restored events and the bytes, not the characters, of a text', () => {
     const output = new ItemOutput()
-    output.restore({ lastId: 1, softwareVersion: 'v1', text: 'ö'.repeat(100_000) })
-    output.startStream('v1')
+    output.restore({ lastId: 1, origin: first, text: 'ö'.repeat(100_000) })
+    output.startStream(first)
     output.push(event(2, 'ö'.repeat(20_000)))
     assert.throws(() => { output.push(event(3, 'ö'.repeat(20_000))) }, MalformedStreamError)
     assert.equal(output.events, 0)
@@ -36,7 +39,7 @@
 
   it('holds an output that fits a record with its key', () => {
     const output = new ItemOutput()
-    output.startStream('v1')
+    output.startStream(first)
     for (let id = 1; id <= 25; id += 1) {
       output.push(event(id, 'x'.repeat(10_000)))
     }
@@ -45,22 +48,22 @@
 
   it('keeps a character that a break cut in two whole, in the part that follows', () => {
     const output = new ItemOutput()
-    output.startStream('v1')
-    const second = event(2, 'é')
-    output.push(Buffer.concat([event(1, 'a'), second.subarray(0, second.indexOf(0xc3) + 1)]))
-    output.startStream('v1')
-    output.push(second)
+    output.startStream(first)
+    const accented = event(2, 'é')
+    output.push(Buffer.concat([event(1, 'a'), accented.subarray(0, accented.indexOf(0xc3) + 1)]))
+    output.startStream(first)
+    output.push(accented)
     assert.equal(output.text, 'a\né')
   })
 
-  it('takes its version from the target that wrote its events, not from one that was only asked', () => {
+  it('takes its origin from the target that wrote its events, not from one that was only asked', () => {
     const output = new ItemOutput()
-    output.startStream('v1')
-    assert.equal(output.softwareVersion, null)
-    output.startStream('v2')
+    output.startStream(first)
+    assert.equal(output.origin, null)
+    output.startStream(second)
     output.push(event(1, 'a'))
-    assert.equal(output.softwareVersion, 'v2')
+    assert.equal(output.origin, second)
     output.discard()
-    assert.equal(output.softwareVersion, null)
+    assert.equal(output.origin, null)
   })
 })
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -9,13 +9,13 @@
 import { ItemRun } from '../../src/jobs/item-run.js'
 import { ItemState } from '../../src/jobs/job.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
-import type { AcquireResult } from '../../src/permits/slot.js'
+import type { AcquireResult, SlotDemand } from '../../src/permits/slot.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
 import { sleep } from '../../src/util/sleep.js'
 import { createTestLogger } from '../util/test-logger.js'
 
 const names = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', promptPrefix: 'x-prompt-prefix', resumes: 'x-resumes', wait: 'x-wait' }
-const route = { name: 'r', host: 'h', kind: RouteKind.Batch, maxAttempts: 3, completionMilliseconds: 10_000, retentionMilliseconds: 60_000 } as unknown as Route
+const route = { name: 'r', host: 'h', kind: RouteKind.Batch, maxAttempts: 3, completionMilliseconds: 10_000, retentionMilliseconds: 60_000, services: [{ service: 's', weight: 1 }] } as unknown as Route
 const item: JobItem = { id: 'i', path: '/p', headers: [], body: Buffer.from('b'), tokens: 1 }
 const job: Job = { id: 'j', route: 'r', items: [item], acceptedAt: Date.now(), acceptedBy: 'a', bodyParts: 1, results: [], finished: new Set(), ended: false }
 
@@ -137,4 +137,38 @@
     assert.deepEqual(await Promise.race([run.run(), sleep(3_000)]), { state: ItemState.Abandoned, text: '' })
     assert.deepEqual(outcomes, [SlotOutcome.Stopped])
   })
+
+  it('goes on at its service and software version, and begins anew if the version is gone or the route has the service no more', async () => {
+    const progress = { lastId: 7, origin: { service: 's', softwareVersion: 'v1' }, text: 'a' }
+    const moved = { ...route, services: [{ service: 'other', weight: 1 }] }
+    const both = { ...route, services: [{ service: 'other', weight: 1 }, { service: 's', weight: 1 }] }
+    const cases = [
+      [both, RefusalReason.Busy, [['s', 'v1'], ['s', 'v1']]],
+      [both, RefusalReason.VersionGone, [['s', 'v1'], ['other', null]]],
+      [both, RefusalReason.VersionUnknown, [['s', 'v1'], ['other', null]]],
+      [moved, RefusalReason.Busy, [['other', null], ['other', null]]]
+    ] as const
+    for (const [current, reason, expected] of cases) {
+      const asked: Array<readonly [string, string | null]> = []
+      const dependencies = {
+        slots: {
+          acquire: async (demand: SlotDemand): Promise<AcquireResult> => {
+            asked.push([demand.service, demand.continues?.softwareVersion ?? null])
+            if (asked.length === 2) {
+              run.stop()
+            }
+            return { granted: false, reason, retryAfter: 1 }
+          }
+        },
+        connections: new TargetConnections(),
+        names,
+        logger: createTestLogger(),
+        routeOf: () => current,
+        serviceOf: () => 'other'
+      }
+      const run: ItemRun = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(progress))
+      assert.equal(await run.run(), null)
+      assert.deepEqual(asked, expected)
+    }
+  })
 })
--- a/packages/gateway/tests/jobs/progress-log.test.ts
+++ b/packages/gateway/tests/jobs/progress-log.test.ts
@@ -40,6 +40,8 @@
   }
 }
 
+const origin = { service: 's', softwareVersion: 'v1' }
+
 describe('ProgressLog', () => {
   let partitions: MemoryPartition[]
   let log: ProgressLog
@@ -57,23 +59,23 @@
 
   it('loads the newest progress of each item of a job, and of no other job', async () => {
     await log.save([
-      { job: 'one', index: 0, progress: { lastId: 3, softwareVersion: 'v1', text: 'a\nb\nc' } },
-      { job: 'one', index: 1, progress: { lastId: 70_000, softwareVersion: 'v1', text: 'é' } },
-      { job: 'one/more', index: 0, progress: { lastId: 9, softwareVersion: 'v1', text: 'x' } }
+      { job: 'one', index: 0, progress: { lastId: 3, origin, text: 'a\nb\nc' } },
+      { job: 'one', index: 1, progress: { lastId: 70_000, origin, text: 'é' } },
+      { job: 'one/more', index: 0, progress: { lastId: 9, origin, text: 'x' } }
     ])
-    await log.save([{ job: 'one', index: 0, progress: { lastId: 4, softwareVersion: 'v1', text: 'a\nb\nc\nd' } }])
-    assert.deepEqual([...await loadJob('one')], [[0, { lastId: 4, softwareVersion: 'v1', text: 'a\nb\nc\nd' }], [1, { lastId: 70_000, softwareVersion: 'v1', text: 'é' }]])
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 4, origin, text: 'a\nb\nc\nd' } }])
+    assert.deepEqual([...await loadJob('one')], [[0, { lastId: 4, origin, text: 'a\nb\nc\nd' }], [1, { lastId: 70_000, origin, text: 'é' }]])
   })
 
   it('deletes the progress of an item when null is saved', async () => {
-    await log.save([{ job: 'one', index: 0, progress: { lastId: 3, softwareVersion: 'v1', text: 'a' } }])
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 3, origin, text: 'a' } }])
     await log.save([{ job: 'one', index: 0, progress: null }])
     assert.equal((await loadJob('one')).size, 0)
   })
 
   it('stores each job in one partition, and distributes jobs over all partitions', async () => {
     const jobs = Array.from({ length: 20 }, (_, number) => `job-${number}`)
-    await log.save(jobs.flatMap(job => [0, 1].map(index => ({ job, index, progress: { lastId: 1, softwareVersion: 'v1', text: 'a' } }))))
+    await log.save(jobs.flatMap(job => [0, 1].map(index => ({ job, index, progress: { lastId: 1, origin, text: 'a' } }))))
     const jobsByPartition = partitions.map(partition => new Set([...partition.values.keys()].map(key => key.split('/')[0])))
     assert.equal(jobsByPartition.reduce((sum, ids) => sum + ids.size, 0), jobs.length)
     assert.ok(jobsByPartition.every(ids => ids.size > 0))
@@ -84,7 +86,7 @@
   it('skips texts above the size limit of the store, measured in bytes, and splits large appends', async () => {
     const small = 'x'.repeat(190_000)
     const large = 'é'.repeat(150_000)
-    await log.save([...Array.from({ length: 10 }, (_, index) => ({ job: 'one', index, progress: { lastId: 1, softwareVersion: 'v1', text: small } })), { job: 'one', index: 10, progress: { lastId: 1, softwareVersion: 'v1', text: large } }])
+    await log.save([...Array.from({ length: 10 }, (_, index) => ({ job: 'one', index, progress: { lastId: 1, origin, text: small } })), { job: 'one', index: 10, progress: { lastId: 1, origin, text: large } }])
     const found = await loadJob('one')
     assert.equal(found.size, 10)
     const appends = partitions.flatMap(partition => partition.appends)
@@ -100,8 +102,8 @@
     const earlier = Buffer.concat([Buffer.from([0, 0, 0, 3]), Buffer.from('a\nb\nc')])
     partitions.forEach(each => { each.values.set('one/0', earlier) })
     assert.equal((await loadJob('one')).size, 0)
-    await log.save([{ job: 'one', index: 0, progress: { lastId: 4, softwareVersion: 'v1.1', text: 'd' } }])
-    assert.deepEqual([...await loadJob('one')], [[0, { lastId: 4, softwareVersion: 'v1.1', text: 'd' }]])
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 4, origin: { ...origin, softwareVersion: 'v1.1' }, text: 'd' } }])
+    assert.deepEqual([...await loadJob('one')], [[0, { lastId: 4, origin: { ...origin, softwareVersion: 'v1.1' }, text: 'd' }]])
     await log.save([{ job: 'one', index: 0, progress: null }])
     const home = partitions[hash32('one') % partitions.length]
     assert.deepEqual([...home?.values ?? []].filter(([, value]) => value !== null), [])
@@ -109,7 +111,7 @@
 
   it('treats progress as missing while the store is unreachable', async () => {
     partitions.forEach(partition => { partition.isUnreachable = true })
-    await log.save([{ job: 'one', index: 0, progress: { lastId: 3, softwareVersion: 'v1', text: 'a' } }])
+    await log.save([{ job: 'one', index: 0, progress: { lastId: 3, origin, text: 'a' } }])
     assert.equal((await loadJob('one')).size, 0)
   })
 })
