--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -16,7 +16,7 @@
   readonly all: Set<TargetConnection>
 }
 
-/** Keeps connections by target id, so that a new target at the address of a former one gets its own connections. */
+/** Keeps connections by target, so that one that starts at the address or under the id of a former one gets its own connections. */
 export class TargetConnections {
   readonly #pools = new Map<string, TargetPool>()
   readonly #alarm = new Alarm(now => this.#closeExpired(now))
@@ -32,7 +32,7 @@
     const connection: TargetConnection = new TargetConnection(
       target.address,
       () => { this.#onIdle(pool, connection) },
-      () => { this.#onClosed(target.id, pool, connection) }
+      () => { this.#onClosed(keyOf(target), pool, connection) }
     )
     pool.all.add(connection)
     return connection
@@ -46,12 +46,13 @@
   }
 
   #poolOf (target: TargetEndpoint): TargetPool {
-    const known = this.#pools.get(target.id)
+    const key = keyOf(target)
+    const known = this.#pools.get(key)
     if (known !== undefined) {
       return known
     }
     const pool = { idle: [], all: new Set<TargetConnection>() }
-    this.#pools.set(target.id, pool)
+    this.#pools.set(key, pool)
     return pool
   }
 
@@ -60,10 +61,10 @@
     this.#alarm.setBy(connection.idleSince + keepAliveMilliseconds)
   }
 
-  #onClosed (id: string, pool: TargetPool, connection: TargetConnection): void {
+  #onClosed (key: string, pool: TargetPool, connection: TargetConnection): void {
     pool.all.delete(connection)
-    if (pool.all.size === 0 && this.#pools.get(id) === pool) {
-      this.#pools.delete(id)
+    if (pool.all.size === 0 && this.#pools.get(key) === pool) {
+      this.#pools.delete(key)
     }
     const index = pool.idle.indexOf(connection)
     if (index >= 0) {
@@ -85,6 +86,10 @@
   }
 }
 
+function keyOf ({ id, address, born }: TargetEndpoint): string {
+  return `${id} ${address} ${born}`
+}
+
 function closeAll (connections: readonly TargetConnection[]): void {
   for (const connection of [...connections]) {
     connection.close('idle for too long')
--- a/packages/gateway/tests/targets/target-connections.test.ts
+++ b/packages/gateway/tests/targets/target-connections.test.ts
@@ -49,9 +49,9 @@
     return { id, service: 's', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'a', slots: 1, state: TargetState.Ready, born: 1, softwareVersion: 'v1' }
   }
 
-  function start (id: string, sink: Partial<ResponseSink> = {}, method = 'POST'): { readonly call: RunningCall, readonly body: () => string } {
+  function start (id: string, sink: Partial<ResponseSink> = {}, method = 'POST', endpoint = target()): { readonly call: RunningCall, readonly body: () => string } {
     const chunks: Buffer[] = []
-    const call = callTarget(connections, target(), {
+    const call = callTarget(connections, endpoint, {
       id, method, path: '/p', headers: ['Host', 'h', 'X-Request-Id', id], body: method === 'HEAD' ? null : Buffer.from('body'), remainingMilliseconds: 1_000
     }, names, {
       onLeaving: () => {},
@@ -81,6 +81,14 @@
     assert.equal(sockets.length, 1)
   })
 
+  it('are not used again for a target that has started again under its id', async () => {
+    onRequest = (text, socket) => { socket.write(answer(idOf(text), 'fine')) }
+    for (const [id, born, count] of [['a', 1, 1], ['b', 1, 1], ['c', 2, 2]] as const) {
+      await start(id, {}, 'POST', { ...target(), born }).call.ended
+      assert.equal(sockets.length, count)
+    }
+  })
+
   it('send requests with their headers and body, and use a connection again', async () => {
     onRequest = (text, socket) => { socket.write(answer(idOf(text), 'fine')) }
     for (const id of ['a', 'b']) {
