Choose the keepers of a stream's origin with hashes of addresses that are kept

A choice among 400 processes took 379 µs, 1.5% of a core at 40 streams a second while versions are mixed, since each address was hashed with each attempt.

--- a/packages/gateway/src/streams/stream-origin-directory.ts
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -2,7 +2,7 @@
  * Finds the origin of a stream that a client takes up at any process of the fleet. The process that sent the client the first event remembers it; while a service
  * has targets of several software versions, some other processes, chosen by the attempt's id, keep copies.
  */
-import { ownersOf, StreamOrigins } from '@arbutusloft/policy'
+import { StreamKeepers, StreamOrigins } from '@arbutusloft/policy'
 import type { KnownOrigin, StreamOrigin, VersionHistory } from '@arbutusloft/policy'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
@@ -39,6 +39,7 @@
   readonly #own = new StreamOrigins()
   /** Copies of those of other processes. */
   readonly #copies = new StreamOrigins()
+  readonly #keepers = new StreamKeepers()
   /** Queries in flight, by attempt. */
   readonly #queries = new Map<string, PendingQuery[]>()
 
@@ -147,8 +148,7 @@
   /** Returns the addresses of the other processes that come first for an attempt. */
   #keepersOf (attempt: string, members: ReadonlyArray<{ readonly address: string }>, count: number): readonly string[] {
     const { address: own } = this.dependencies.membership.self
-    const others = members.filter(({ address }) => address !== own).map(({ address }) => ({ id: address }))
-    return ownersOf(attempt, others, count).map(({ id }) => id)
+    return this.#keepers.of(attempt, members.map(({ address }) => address).filter(address => address !== own), count)
   }
 
   #onCopies ({ entries }: StreamOriginsMessage): void {
