--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -481,7 +481,9 @@
     if (beginner !== undefined && beginner.born !== continues.born && beginner.softwareVersion !== continues.softwareVersion) {
       return RefusalReason.VersionUnknown
     }
-    return this.#slots.stayingOf(continues.softwareVersion) === 0 ? RefusalReason.VersionGone : null
+    // Without any target, those of the version are as likely to come back as others.
+    const isGone = this.#slots.stayingOf(continues.softwareVersion) === 0 && this.#slots.stayingOf(null) > 0
+    return isGone ? RefusalReason.VersionGone : null
   }
 
   /** Rejects the waiting requests that no target can continue, batch work included, whose holders may begin anew. */
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -106,9 +106,12 @@
     return this.#versions.get(version)?.accepting ?? 0
   }
 
-  /** Returns the number of listed targets of a software version that are not about to go for good. */
-  stayingOf (version: string): number {
-    return this.#versions.get(version)?.staying ?? 0
+  /** Returns the number of listed targets of a software version that are not about to go for good; null for all targets. */
+  stayingOf (version: string | null): number {
+    if (version !== null) {
+      return this.#versions.get(version)?.staying ?? 0
+    }
+    return [...this.#versions.values()].reduce((sum, { staying }) => sum + staying, 0)
   }
 
   target (id: string): TargetSlots | undefined {
