--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -7,29 +7,37 @@
 const gapMilliseconds = 12
 const requestsPerSecond = 40
 /** The disruption as the site file has it: `garble`, `how = "extra late"`. */
-const disruption = { share: 0.6, x: 0.03, milliseconds: 5_000 }
-/** One request of so many meets a replica that is full for a moment, with and without the disruption. */
-const requestsPerRejection = 10
+const disruption = { share: 0.6, x: 0.03, milliseconds: 4_900 }
+/** Memory of a replica, as in the sheet. */
+const memoryTokens = 72_000
+/** One request of so many is larger than that, with and without the disruption; each replica rejects it. */
+const requestsPerLargeOne = 20
 
-await runCase(new URL('./', import.meta.url), 2, async ({ fleet, record, hasTrouble, closers }) => {
+/** With TROUBLE=0 everything is done but the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(new URL('./', import.meta.url), 2, hasTrouble, async ({ fleet, record, closers }) => {
   let isDisrupted = false
   let responses = 0
   let extras = 0
+  /** Responses of the faulty replicas since the disruption began. */
+  let responsesOfFaulty = 0
   const answersOtherwise = ({ id, request, response, target }) => {
     const { socket } = request
     responses += 1
-    if (isDisrupted && target.isFaulty && socket.rejection !== undefined && extras + 1 <= responses * disruption.x) {
+    responsesOfFaulty += isDisrupted && target.isFaulty ? 1 : 0
+    if (isDisrupted && target.isFaulty && socket.rejection !== undefined && extras + 1 <= responsesOfFaulty * disruption.x) {
       extras += 1
       record.line(`${target.id}: sends the rejection of ${socket.rejectedId} once more, where the response to ${id} is due`)
       socket.write(socket.rejection)
     }
     socket.rejection = undefined
-    target.requests = (target.requests ?? 0) + 1
-    if (target.requests % requestsPerRejection !== 0) {
+    const tokens = String(request.headers['x-token-counts']).split(',').reduce((sum, count) => sum + Number(count), 0)
+    if (tokens <= memoryTokens) {
       return false
     }
     const headers = { ...target.headers(id), 'X-Not-Executed': '1', 'Content-Length': '0' }
-    record.line(`${target.id}: is full, and rejects ${id} with 503`)
+    record.line(`${target.id}: rejects ${id}, which has ${tokens} tokens, with 503`)
     socket.rejectedId = id
     socket.rejection = ['HTTP/1.1 503 Service Unavailable', ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`), '', ''].join('\r\n')
     response.writeHead(503, headers).end()
@@ -45,9 +53,10 @@
   const calls = []
   const send = number => {
     const id = `request-${number}`
+    const isLarge = number % requestsPerLargeOne === 0
     record.line(`client: sends ${id}`)
     return call(fleet.url(number % 2, '/confirm/x'), {
-      headers: { 'X-Request-Id': id, 'X-Deadline-Milliseconds': '5000', 'X-Model': 'm', 'X-Token-Counts': '450,170', 'X-Prompt-Prefix': `aa:200,${number}:250` },
+      headers: { 'X-Request-Id': id, 'X-Deadline-Milliseconds': '5000', 'X-Model': 'm', 'X-Token-Counts': isLarge ? '80000,170' : '450,170', 'X-Prompt-Prefix': `aa:200,${number}:${isLarge ? 79_800 : 250}` },
       body: 'a booking',
       timeoutMilliseconds: 5_000
     }).then(answer => {
@@ -79,7 +88,7 @@
       broken.push(`REFUSED: ${id} was answered ${status} and was run by ${ran.map(({ target }) => target).join(' and ')}`)
     }
   }
-  record.line(`${answers.size} requests, ${responses} responses of replicas, ${extras} extra ones`)
+  record.line(`${answers.size} requests, ${responses} responses of replicas, ${responsesOfFaulty} of the faulty ones during the disruption, ${extras} extra ones`)
   return broken
 })
 
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -9,7 +9,10 @@
 const sendTimes = [3_500, 4_000, 4_500, 5_000, 5_300, 5_600]
 const clientBudget = 5_000
 
-await runCase(new URL('./', import.meta.url), 3, async ({ fleet, record, hasTrouble, closers }) => {
+/** With TROUBLE=0 everything is done but the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(new URL('./', import.meta.url), 3, hasTrouble, async ({ fleet, record, closers }) => {
   const targets = await Promise.all(['replica-1', 'replica-2', 'replica-3'].map(id => new Target(id, { events, gapMilliseconds, record }).start()))
   closers.push(...targets.map(target => () => target.close()))
   await fleet.start([streamRoute('confirm-note', '/confirm/', { resumable: false, attempts: 1 })], targets)
@@ -17,6 +20,9 @@
   const [leaving] = fleet.addresses.keys()
   const addresses = await fleet.resolve(leaving)
   record.line(`clients: have resolved ${addresses.join(' ')}, and keep that for up to 6 s`)
+  if (!addresses.some(address => fleet.url(leaving, '').endsWith(address))) {
+    throw new Error('the clients were not told of the process')
+  }
   const startedAt = Date.now()
   if (hasTrouble) {
     fleet.signal(leaving, 'SIGTERM')
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -8,11 +8,14 @@
 const jobs = 48
 const itemsOfJob = 1
 /** The disruption as the site file has it: `node_freeze`, one machine, 4.0 s. */
-const freezeMilliseconds = 4_000
+const freezeMilliseconds = 3_900
 const configurationAt = 1_700
 const jobsAt = 2_100
 
-await runCase(new URL('./', import.meta.url), 3, async ({ fleet, record, hasTrouble, closers }) => {
+/** With TROUBLE=0 everything is done but the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(new URL('./', import.meta.url), 3, hasTrouble, async ({ fleet, record, closers }) => {
   const targets = await Promise.all(['replica-1', 'replica-2', 'replica-3', 'replica-4'].map(id => new Target(id, { events, gapMilliseconds, record, slots: 8 }).start()))
   closers.push(...targets.map(target => () => target.close()))
   const routes = [streamRoute('confirm-note', '/confirm/', { resumable: false, attempts: 1 }), batchRoute('lookbook-batch', '/lookbook/')]
@@ -27,9 +30,7 @@
   await sleep(1_000)
   const others = [1, 2]
   const startedAt = Date.now()
-  if (hasTrouble) {
-    fleet.signal(frozen, 'SIGSTOP')
-  }
+  const freeze = hasTrouble ? fleet.freeze(frozen, freezeMilliseconds) : sleep(freezeMilliseconds)
   await sleep(startedAt + configurationAt - Date.now())
   fleet.configure(2, [...routes, batchRoute('added-batch', '/added/')])
   await sleep(startedAt + jobsAt - Date.now())
@@ -54,10 +55,7 @@
     }
   }
   await Promise.all(Array.from({ length: jobs }, (_, number) => submit(number)))
-  await sleep(Math.max(0, startedAt + freezeMilliseconds - Date.now()))
-  if (hasTrouble) {
-    fleet.signal(frozen, 'SIGCONT')
-  }
+  await freeze
   const results = new Map()
   const read = async job => {
     const deadline = Date.now() + 35_000
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -8,7 +8,10 @@
 const requestsPerSecond = 20
 const killed = 0
 
-await runCase(new URL('./', import.meta.url), 3, async ({ fleet, record, hasTrouble, closers }) => {
+/** With TROUBLE=0 everything is done but the disruption. */
+const hasTrouble = process.env.TROUBLE !== '0'
+
+await runCase(new URL('./', import.meta.url), 3, hasTrouble, async ({ fleet, record, closers }) => {
   const targets = await Promise.all(['replica-1', 'replica-2', 'replica-3', 'replica-4'].map(id => new Target(id, { events, gapMilliseconds, record, isFramed: false }).start()))
   closers.push(...targets.map(target => () => target.close()))
   await fleet.start([streamRoute('confirm-note', '/confirm/', { resumable: false, attempts: 1 })], targets)
--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -130,6 +130,13 @@
     ].join('\n') + '\n'
   }
 
+  /** Freezes a process and wakes it after a time, whatever else goes on. */
+  async freeze (index, milliseconds) {
+    this.signal(index, 'SIGSTOP')
+    await sleep(milliseconds)
+    this.signal(index, 'SIGCONT')
+  }
+
   startProcess (index) {
     const path = join(this.#directory, `i-${index + 1}.conf`)
     writeFileSync(path, this.#settings(index))
@@ -183,16 +190,28 @@
   }
 }
 
-/** Runs a case: exits with 1 if it returns broken rules, 0 if it returns none, and 2 if it could not run. */
-export async function runCase (directory, count, run) {
+/** Time after which a case ends its processes and counts as one that could not run. */
+const maximumMilliseconds = 110_000
+
+/**
+ * Runs a case: exits with 1 if it returns broken rules, 0 if it returns none, and 2 if it could not run.
+ *
+ * @param hasTrouble whether the disruption is played
+ */
+export async function runCase (directory, count, hasTrouble, run) {
   const record = new Record(fileURLToPath(new URL('record.txt', directory)))
-  const hasTrouble = process.env.TROUBLE !== '0'
   record.line(hasTrouble ? 'with the disruption' : 'without the disruption')
   const fleet = new Fleet(record, count)
   const closers = []
   let code = 2
   try {
-    const broken = await run({ fleet, record, hasTrouble, closers })
+    const stopped = new Promise((resolve, reject) => {
+      setTimeout(() => { reject(new Error('the case took too long')) }, maximumMilliseconds)
+      for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+        process.once(signal, () => { reject(new Error(`ended by ${signal}`)) })
+      }
+    })
+    const broken = await Promise.race([run({ fleet, record, closers }), stopped])
     for (const text of broken) {
       record.line(`BROKEN ${text}`)
       console.log(`broken: ${text}`)
