--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -1,6 +1,6 @@
 /** Starts the processes of a small deployment with the command of the deploy file, and ends them. */
 import { spawn } from 'node:child_process'
-import { createWriteStream, existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -45,18 +45,14 @@
 /** Writes lines of what was sent, answered and run, with the milliseconds since the start. */
 export class Record {
   #startedAt = Date.now()
-  #stream
+  #file
 
   constructor (path) {
-    this.#stream = createWriteStream(path)
+    this.#file = openSync(path, 'w')
   }
 
   line (text) {
-    this.#stream.write(`${String(Date.now() - this.#startedAt).padStart(7)} ${text}\n`)
-  }
-
-  async close () {
-    await new Promise(resolve => { this.#stream.end(resolve) })
+    writeSync(this.#file, `${String(Date.now() - this.#startedAt).padStart(7)} ${text}\n`)
   }
 }
 
@@ -224,7 +220,6 @@
     await fleet.close()
     await Promise.all(closers.map(close => close()))
     record.line(`exit code ${code}`)
-    await record.close()
   }
   process.exit(code)
 }
