Skip responses to other requests before anything is read from them

Cause: TargetCall.onHead compared the response's id in its last branch only. A 503, 429, 421 or 400 with the not-executed header, any 421, and the header of a leaving target were acted on whatever the id was.

Change: the id comes first. A response to another request is skipped and the own one is waited for; where its end is not certain the call is broken off with an unknown outcome. A connection does not carry an id twice, since the id could not tell such copies apart: a late copy of a 500 counted as another failed attempt of an item. The new log line tells these responses from real rejections.

--- a/packages/command-line/src/explain/outcome-classes.ts
+++ b/packages/command-line/src/explain/outcome-classes.ts
@@ -50,16 +50,21 @@
   return history.isItem && runsOf(history).at(-1)?.fields.end === 'complete' && runsOf(history).at(-1)?.fields.status === 200
 }
 
+/** Whether an online request went to several targets. */
+function hasSeveralAttempts ({ lines }: History): boolean {
+  return lines.filter(({ message }) => message === 'dispatch ended').length > 1
+}
+
 function wasRevoked ({ fields }: LogLine): boolean {
   return fields.reason === 'slot revoked'
 }
 
 /** All classes, the more specific ones first. */
 export const outcomeClasses: readonly OutcomeClass[] = [
-  { name: 'late after a failed attempt', meaning: 'served by another target; look at why the first one failed', matches: history => isLate(history) && history.lines.length > 1 },
+  { name: 'late after a failed attempt', meaning: 'served by another target; look at why the first one failed', matches: history => isLate(history) && hasSeveralAttempts(history) },
   { name: 'late, waited for a slot', meaning: 'all slots were taken; see what else ran, and whether targets were lost', matches: history => isLate(history) && waitedLong(history) },
   { name: 'late at its target', meaning: 'the target took long to the first event; see its other requests', matches: isLate },
-  { name: 'served after a failed attempt', meaning: 'in time all the same', matches: history => isServed(history) && history.lines.length > 1 },
+  { name: 'served after a failed attempt', meaning: 'in time all the same', matches: history => isServed(history) && hasSeveralAttempts(history) },
   { name: 'served', meaning: 'in time', matches: isServed },
   { name: 'refused, all slots taken', meaning: 'has not run; the caller was told when to come back', matches: history => isOnline(history, 'refused') && Number(lastLine(history)?.fields.refusals) === 0 },
   { name: 'refused by targets', meaning: 'has not run; targets were full or out of reach: look at their other lines', matches: history => isOnline(history, 'refused') },
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -240,6 +240,9 @@
       remainingMilliseconds: null
     }, this.dependencies.names, {
       onLeaving: () => { slot.markLeaving() },
+      onForeign: head => {
+        this.dependencies.logger.warn('response to another request skipped', { request: this.item.id, target: target.id, status: head.status, other: head.headers[this.dependencies.names.requestId] ?? null })
+      },
       onHead: head => {
         this.#head = head
         if (head.status !== okStatus) {
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -193,6 +193,9 @@
       remainingMilliseconds: request.hasDeadline ? this.#remainingMilliseconds() : null
     }, dependencies.names, {
       onLeaving: () => { slot.markLeaving() },
+      onForeign: head => {
+        dependencies.logger.warn('response to another request skipped', { request: request.id, target: target.id, status: head.status, other: head.headers[dependencies.names.requestId] ?? null })
+      },
       onHead: head => {
         status = head.status
         // A failed response is not relayed if another target can be tried.
--- a/packages/gateway/src/targets/response-parser.ts
+++ b/packages/gateway/src/targets/response-parser.ts
@@ -14,10 +14,15 @@
 
 /** Receives the parts of a response. */
 export interface ResponseListener {
-  /** Called once, with the final head; informational responses are skipped. */
-  onHead: (head: ResponseHead) => void
+  /**
+   * Called with each final head; informational responses are skipped. Returns whether the response answers the request. Another one
+   * is parsed to its end, and the next head follows.
+   */
+  onHead: (head: ResponseHead) => boolean
   /** Called with parts of the body, without chunk framing; the bytes are valid only during the call. */
   onData: (bytes: Buffer) => void
+  /** Called at the end of a response that does not answer the request. */
+  onSkipped: () => void
 }
 
 /** A response does not follow the protocol. */
@@ -38,7 +43,7 @@
 } as const
 type ParserState = typeof ParserState[keyof typeof ParserState]
 
-/** Maximum length of the heads of a response, informational ones included, and its trailers together. */
+/** Maximum length of the heads before and of a response, informational ones and those of skipped responses included, and of the trailers together. */
 const maximumHeadBytes = 32_768
 /** Maximum length of a line between the parts of a chunked body. */
 const maximumLineBytes = 256
@@ -56,7 +61,7 @@
 const noContentStatus = 204
 const notModifiedStatus = 304
 
-/** Parses the bytes of one response as they arrive. */
+/** Parses the bytes of the response to one request as they arrive, and of responses to other requests before it. */
 export class ResponseParser {
   #state: ParserState = ParserState.Head
   /** Bytes of a head or line whose rest has not arrived. */
@@ -68,17 +73,23 @@
   /** Bytes that the chunk extensions may still have. */
   #remainingExtensionBytes = maximumExtensionBytes
   #isPersistent = false
+  /** Whether the current response answers another request. */
+  #isSkipping = false
+  #hasSkipped = false
 
-  /** @param hasBody false for the response to a HEAD request, whose length or chunks describe a body that is not sent */
-  constructor (private readonly listener: ResponseListener, private readonly hasBody = true) {}
+  /**
+   * @param hasBody false for the response to a HEAD request, whose length or chunks describe a body that is not sent
+   * @param canSkip whether the framing of a response to another request is certain: none of them was a HEAD request
+   */
+  constructor (private readonly listener: ResponseListener, private readonly hasBody = true, private readonly canSkip = hasBody) {}
 
   get isComplete (): boolean {
     return this.#state === ParserState.Complete
   }
 
-  /** Whether the target lets the connection be used again, according to the head. */
+  /** Whether the connection can be used again: the target lets it, according to the head, and has sent nothing but the response. */
   get isPersistent (): boolean {
-    return this.#isPersistent
+    return this.#isPersistent && !this.#hasSkipped
   }
 
   /**
@@ -89,10 +100,19 @@
     let rest = bytes
     while (rest.length > 0 && this.#state !== ParserState.Complete) {
       rest = this.#parse(rest)
+      if (this.isComplete && this.#isSkipping) {
+        this.#startNextHead()
+      }
     }
     return rest.length === 0
   }
 
+  #startNextHead (): void {
+    this.#isSkipping = false
+    this.#state = ParserState.Head
+    this.listener.onSkipped()
+  }
+
   /** Handles the orderly end of the connection; returns whether the response may be complete, since it has neither a length nor chunks. */
   end (): boolean {
     if (this.#state === ParserState.OpenBody) {
@@ -176,7 +196,13 @@
     this.#state = this.#bodyStateOf(head)
     const connection = head.headers.connection?.toLowerCase() ?? ''
     this.#isPersistent = match[1] === '1' && !connection.split(',').some(option => option.trim() === 'close') && this.#state !== ParserState.OpenBody
-    this.listener.onHead(head)
+    if (!this.listener.onHead(head)) {
+      if (!this.canSkip || this.#state === ParserState.OpenBody) {
+        throw new MalformedResponseError(`a response to another request with status ${head.status} has no certain end`)
+      }
+      this.#isSkipping = true
+      this.#hasSkipped = true
+    }
   }
 
   /** Returns how the body is delimited: https://www.rfc-editor.org/rfc/rfc9112#section-6.3 */
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -8,7 +8,7 @@
 
 /** A request to a target. */
 export interface TargetRequest {
-  /** Request id; a response with another id is discarded. */
+  /** Request id, or empty; a response with another id is skipped. */
   readonly id: string
   readonly method: string
   /** Path with query. */
@@ -50,8 +50,10 @@
   onHead: (head: ResponseHead) => void
   /** Returns false to pause the response until {@link RunningCall.resume}; throws to break the call off for the error's message. */
   onData: (chunk: Buffer) => boolean
-  /** Called if the target says that it leaves, before {@link onHead}, and also for a response that is not passed on. */
+  /** Called if the target says that it leaves, before {@link onHead}, and also for a rejection, which is not passed on. */
   onLeaving: () => void
+  /** Called with the head of a response to another request, which is skipped. */
+  onForeign: (head: ResponseHead) => void
 }
 
 /** A call in flight. */
@@ -72,6 +74,9 @@
 const requestTimeoutStatus = 408
 const badRequestStatus = 400
 
+/** Length up to which the bodies of responses to other requests are skipped: far more than a late copy has. */
+const maximumForeignBytes = 1_048_576
+
 /** Methods whose requests have a body, if only an empty one. */
 const methodsWithBody: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH'])
 
@@ -83,9 +88,9 @@
   names: HeaderNames,
   sink: ResponseSink
 ): RunningCall {
-  const connection = connections.acquire(target)
+  const connection = connections.acquire(target, request.id)
   const call = new TargetCall(connection, request.id, names, sink)
-  connection.send(encodeRequest(request, target, names), call, request.method !== 'HEAD')
+  connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
 }
 
@@ -113,6 +118,9 @@
   #sent = false
   #rejection: { readonly end: CallOutcome, readonly reason: string } | null = null
   #unusedBody: UnusedBody | null = null
+  /** Whether the current response answers another request. */
+  #isForeign = false
+  #foreignBytes = 0
   #isAborted = false
   #isSettled = false
 
@@ -144,8 +152,17 @@
     this.#sent = true
   }
 
-  onHead (head: ResponseHead): void {
+  onHead (head: ResponseHead): boolean {
     const { status, headers } = head
+    if (this.#isSettled) {
+      return false
+    }
+    if ((headers[this.names.requestId] ?? '') !== this.id) {
+      // A late copy of the response to an earlier request, for example. It says nothing about this one, whose response may follow.
+      this.#isForeign = true
+      this.sink.onForeign(head)
+      return false
+    }
     if (headers[this.names.targetLeaving] !== undefined) {
       this.sink.onLeaving()
     }
@@ -157,19 +174,28 @@
       this.skipBody()
     } else if (impliesNotExecuted(status)) {
       this.abort(`status ${status} without the not-executed header: the request may have run`)
-    } else if (headers[this.names.requestId] !== this.id) {
-      // A late response to an earlier request may arrive on this connection.
-      this.abort('response to another request')
     } else {
       this.sink.onHead(head)
     }
+    return true
   }
 
   onData (bytes: Buffer): boolean {
+    if (this.#isForeign) {
+      this.#foreignBytes += bytes.length
+      if (this.#foreignBytes > maximumForeignBytes) {
+        this.abort(`responses to other requests have more than ${maximumForeignBytes} bytes`)
+      }
+      return true
+    }
     this.#unusedBody?.onData(bytes)
     return this.#unusedBody !== null || this.#isSettled || this.sink.onData(bytes)
   }
 
+  onSkipped (): void {
+    this.#isForeign = false
+  }
+
   onComplete (isEndKnown: boolean): void {
     const { end, reason } = this.#rejection ?? { end: isEndKnown ? CallOutcome.Complete : CallOutcome.EndUnknown, reason: '' }
     this.#finish(end, reason)
--- a/packages/gateway/src/targets/target-connection.ts
+++ b/packages/gateway/src/targets/target-connection.ts
@@ -10,9 +10,11 @@
 export interface Exchange {
   /** The request is about to be written. */
   onSent: () => void
-  onHead: (head: ResponseHead) => void
+  /** Returns whether the response answers the request; another one is skipped, with `onSkipped` at its end. */
+  onHead: (head: ResponseHead) => boolean
   /** Returns false to stop reading until {@link TargetConnection.resume}. */
   onData: (bytes: Buffer) => boolean
+  onSkipped: () => void
   /** @param isEndKnown whether a length or chunks, not the end of the connection, have ended the response */
   onComplete: (isEndKnown: boolean) => void
   /** @param isDisconnected whether the target, not this process, has closed the connection */
@@ -21,6 +23,8 @@
 
 /** Time to establish a connection: a hundred times the usual duration, but short enough to try another target within a latency objective. */
 const connectTimeoutMilliseconds = 120
+/** Number of requests whose ids are kept; a late copy of a response follows the response after a few others at most. */
+const maximumRecentIds = 32
 /** All connections read into this buffer, one after the other; what is kept of it is copied. */
 const readBuffer = Buffer.allocUnsafe(65_536)
 
@@ -35,6 +39,10 @@
   #parser: ResponseParser | null = null
   /** Whether the exchange has asked to stop reading. */
   #isPaused = false
+  /** Ids of the latest requests, the oldest first. */
+  readonly #recentIds = new Set<string>()
+  /** Whether a request had the method HEAD, so that the framing of a late copy of a response is not certain. */
+  #hadBodylessResponse = false
   /** Time of the end of the last exchange, in milliseconds since the epoch. */
   idleSince = 0
 
@@ -66,23 +74,31 @@
     this.#connectTimer = setTimeout(() => { this.#close(`no connection within ${connectTimeoutMilliseconds} ms`) }, connectTimeoutMilliseconds)
   }
 
+  /** Whether a response on this connection may answer an earlier request with this id. */
+  hasCarried (id: string): boolean {
+    return this.#recentIds.has(id)
+  }
+
   /**
    * Sends a request; the connection must be new or idle.
    *
    * @param hasBody see {@link ResponseParser}
    */
-  send (request: Buffer, exchange: Exchange, hasBody: boolean): void {
+  send (id: string, request: Buffer, exchange: Exchange, hasBody: boolean): void {
+    this.#remember(id)
+    this.#hadBodylessResponse ||= !hasBody
     this.#exchange = exchange
     this.#request = request
     this.#parser = new ResponseParser({
-      onHead: head => { exchange.onHead(head) },
+      onHead: head => exchange.onHead(head),
+      onSkipped: () => { exchange.onSkipped() },
       onData: bytes => {
         // The read buffer is used again for the next read.
         if (!exchange.onData(Buffer.from(bytes))) {
           this.#isPaused = true
         }
       }
-    }, hasBody)
+    }, hasBody, !this.#hadBodylessResponse)
     if (this.#isConnected) {
       this.#write()
     }
@@ -101,6 +117,14 @@
     this.#close(reason)
   }
 
+  #remember (id: string): void {
+    this.#recentIds.add(id)
+    const [oldest] = this.#recentIds
+    if (this.#recentIds.size > maximumRecentIds && oldest !== undefined) {
+      this.#recentIds.delete(oldest)
+    }
+  }
+
   #onConnected (): void {
     clearTimeout(this.#connectTimer)
     this.#isConnected = true
--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -21,12 +21,16 @@
   readonly #pools = new Map<string, TargetPool>()
   readonly #alarm = new Alarm(now => this.#closeExpired(now))
 
-  /** Returns an idle or new connection for a request to the target; the one that was used last, since it is the least likely to be closed. */
-  acquire (target: TargetEndpoint): TargetConnection {
+  /**
+   * Returns an idle or new connection for a request to the target; the one that was used last, since it is the least likely to be closed.
+   * A connection that has carried a request with the same id is not used: a late copy of its response would count as the response.
+   */
+  acquire (target: TargetEndpoint, id: string): TargetConnection {
     const pool = this.#poolOf(target)
-    const newest = pool.idle.at(-1)
+    const index = pool.idle.findLastIndex(connection => !connection.hasCarried(id))
+    const newest = pool.idle[index]
     if (newest !== undefined && Date.now() - newest.idleSince < keepAliveMilliseconds) {
-      pool.idle.pop()
+      pool.idle.splice(index, 1)
       return newest
     }
     const connection: TargetConnection = new TargetConnection(
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
 import { createServer } from 'node:http'
+import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
 import { RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
@@ -85,6 +86,35 @@
     assert.equal(await ended, null)
   })
 
+  it('does not count a late copy of a failed response as another failed attempt', async context => {
+    const responseOf = (status: number, body: string): string => `HTTP/1.1 ${status} S\r\nX-Request-Id: ${item.id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+    const failure = responseOf(500, 'failed')
+    const whole = responseOf(200, 'id: 1\ndata: a\n\n')
+    let requests = 0
+    const server = createTcpServer(socket => {
+      let carried = 0
+      socket.on('error', () => {})
+      socket.on('data', () => {
+        requests += 1
+        carried += 1
+        const late = carried > 1 ? failure : ''
+        socket.write(requests === 1 ? failure : late + whole)
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const connections = new TargetConnections()
+    context.after(() => {
+      connections.close()
+      server.close()
+    })
+    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, release: () => {} }
+    const dependencies = { slots: { acquire: async (): Promise<AcquireResult> => ({ granted: true, slot }) }, connections, names, logger: createTestLogger(), routeOf: () => ({ ...route, maxAttempts: 2 }), serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
+  })
+
   it('gives an item up at the end of its retention although it gets no slot', async () => {
     const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
