Serve after SIGTERM only what will have ended in time

Cause: Instance.drain accepted requests until 0.72 of the grace period and broke off at 0.95 of it, without regard to how long they may take.

Change: DrainAdmission serves a request if its deadline, its route's timeout or twice the longest of 30 or more recent requests of its route ends in time, and the others get 503 at once, before a target has them. Before the instance ends, what has not run gets 503 and what may have run 504; only streams that have begun are broken off. Their log lines name the reason.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 /** Composition of a gateway process from its parts. */
+import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, CrashQuarantine, RouteTable, VersionHistory } from '@arbutusloft/policy'
+import { pickService, CrashQuarantine, DrainAdmission, RouteTable, VersionHistory } from '@arbutusloft/policy'
 import type { Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -85,6 +86,9 @@
   readonly slots: SlotClient
   readonly jobs: JobApi
   readonly jobForwarder: JobForwarder
+  /** Observes requests, and decides which of them are served once this process stops. */
+  readonly drainAdmission = new DrainAdmission()
+  readonly #ending = new AbortController()
   readonly #connections = new TargetConnections()
   readonly #callerBudgets = new CallerBudgets()
   readonly #jobPartitions: JobPartitions
@@ -100,6 +104,8 @@
 
   constructor (private readonly options: GatewayOptions) {
     const { zone, incarnation, capacity, seeds, transport, logger } = options
+    // Each request in flight listens to it.
+    setMaxListeners(0, this.#ending.signal)
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     const quarantine = new CrashQuarantine()
     const history = new VersionHistory()
@@ -238,9 +244,15 @@
     return this.#jobPartitions.isOwn(this.#jobPartitions.numberOf(job))
   }
 
-  /** Removes this process from the addresses given to clients and hands its batch work over; requests that still arrive are served. */
-  drain (): void {
+  /**
+   * Removes this process from the addresses given to clients and hands its batch work over. Requests that still arrive are served if they
+   * will have ended in time.
+   *
+   * @param endAt time of {@link endRequests}, in milliseconds since the epoch
+   */
+  drain (endAt: number): void {
     this.#draining = true
+    this.drainAdmission.begin(endAt)
     const saved = this.#jobRunner.drain()
     // The other processes take the items over and read their progress as soon as they learn of the new state, so progress is saved first.
     void Promise.race([saved, sleep(progressSaveTimeoutMilliseconds)]).then(() => {
@@ -248,6 +260,11 @@
     })
   }
 
+  /** Ends the online requests in flight: those that have not run are refused, the others broken off. */
+  endRequests (): void {
+    this.#ending.abort()
+  }
+
   async close (): Promise<void> {
     this.#jobRunner.close()
     this.#tokenLedger.close()
@@ -263,7 +280,16 @@
 
   #onlineDependencies (): ConstructorParameters<typeof OnlineRun>[0] {
     const { names, logger } = this.options
-    return { slots: this.slots, connections: this.#connections, origins: this.#streamOrigins, names, metrics: this.metrics, logger }
+    return {
+      slots: this.slots,
+      connections: this.#connections,
+      origins: this.#streamOrigins,
+      drainAdmission: this.drainAdmission,
+      ending: this.#ending.signal,
+      names,
+      metrics: this.metrics,
+      logger
+    }
   }
 
   #updateState (): void {
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,7 +1,7 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
 import { promptPartDigest, RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
-import type { StreamOrigin } from '@arbutusloft/policy'
+import type { DrainAdmission, StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
@@ -23,6 +23,9 @@
   readonly slots: SlotClient
   readonly connections: TargetConnections
   readonly origins: Pick<StreamOriginDirectory, 'record' | 'ask'>
+  readonly drainAdmission: DrainAdmission
+  /** Aborted shortly before the instance ends, so that requests get a final response where that is possible. */
+  readonly ending: AbortSignal
   readonly names: HeaderNames
   readonly metrics: GatewayMetrics
   readonly logger: Logger
@@ -40,6 +43,7 @@
 const maximumRetryShare = 0.3
 
 const millisecondsPerSecond = 1_000
+const stoppingText = 'not run: this instance stops before the request could end'
 
 const refusalTexts: Readonly<Record<RefusalReason, string>> = {
   [RefusalReason.Busy]: 'all targets are busy',
@@ -89,14 +93,33 @@
     }
     this.response.once('close', onClose)
     const timer = setTimeout(() => { this.#abort.abort() }, this.#remainingMilliseconds())
+    const { ending } = this.dependencies
+    const onEnding = (): void => { this.#abort.abort() }
+    ending.addEventListener('abort', onEnding, { once: true })
     try {
+      if (ending.aborted || !this.#isAdmitted()) {
+        this.#refuseStopping()
+        return
+      }
       await this.#runAttempts()
     } finally {
       clearTimeout(timer)
+      ending.removeEventListener('abort', onEnding)
       this.response.off('close', onClose)
     }
   }
 
+  /** Whether the request will have ended when the instance ends, if that stops. */
+  #isAdmitted (): boolean {
+    return this.dependencies.drainAdmission.admits({ kind: this.request.route.name, limitMilliseconds: this.#remainingMilliseconds() }, Date.now())
+  }
+
+  #refuseStopping (): void {
+    this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited: Date.now() - this.#startedAt, reason: 'stopping', retryAfter: 0, refusals: this.#rejections })
+    rejectRequest(this.response, Status.ServiceUnavailable, stoppingText, 0)
+    this.#count('refused')
+  }
+
   async #runAttempts (): Promise<void> {
     for (;;) {
       const result = await this.#acquire()
@@ -107,6 +130,11 @@
         this.#onSlotRejected(result.reason, result.retryAfter)
         return
       }
+      if (this.#possibleExecutions === 0 && !this.#isAdmitted()) {
+        result.slot.release(SlotOutcome.Stopped)
+        this.#refuseStopping()
+        return
+      }
       if (await this.#dispatch(result.slot)) {
         return
       }
@@ -231,7 +259,7 @@
     if (this.#canRetry()) {
       unresponsiveTimer = setTimeout(() => { call.abort(unresponsiveReason) }, unresponsiveTimeoutMilliseconds)
     }
-    const onAbort = (): void => { call.abort(this.#clientDisconnected ? 'client gone' : 'deadline') }
+    const onAbort = (): void => { call.abort(this.#abortReason) }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
     const ended = await call.ended
     const { end: outcome, reason } = isDiscarded ? ended : this.#relay.endOf(ended, resumeAfter)
@@ -267,6 +295,13 @@
     return this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target)
   }
 
+  get #abortReason (): string {
+    if (this.#clientDisconnected) {
+      return 'client gone'
+    }
+    return this.dependencies.ending.aborted ? 'instance stops' : 'deadline'
+  }
+
   /** Records when the client gets the first bytes of its response, which is the end of one that was held. */
   #observeFirstByte (): void {
     if (this.#firstByteMilliseconds === null) {
@@ -344,7 +379,12 @@
 
   #count (outcome: string): void {
     const { route } = this.request
-    this.dependencies.metrics.requests.inc({ route: route.name, outcome })
-    this.dependencies.metrics.duration.observe({ outcome }, (Date.now() - this.#startedAt) / millisecondsPerSecond)
+    const { drainAdmission, metrics } = this.dependencies
+    const now = Date.now()
+    metrics.requests.inc({ route: route.name, outcome })
+    metrics.duration.observe({ outcome }, (now - this.#startedAt) / millisecondsPerSecond)
+    if (outcome !== 'refused' && outcome !== 'client_gone') {
+      drainAdmission.observe(route.name, now - this.#startedAt, now)
+    }
   }
 }
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -3,7 +3,7 @@
 import { createServer as createHttpServer } from 'node:http'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
-import { RefusalReason } from '@arbutusloft/policy'
+import { DrainAdmission, RefusalReason } from '@arbutusloft/policy'
 import type { Route, SlotOutcome } from '@arbutusloft/policy'
 import { OnlineRun } from '../../src/online/online-run.js'
 import { CallerBudgets } from '../../src/online/caller-budgets.js'
@@ -64,6 +64,8 @@
   readonly firstTargets?: readonly string[]
   /** Time from the arrival of a request's body to the run of the request. */
   readonly preparationMilliseconds?: number
+  /** Whether requests wait for a slot until they are ended. */
+  readonly hasNoSlots?: boolean
 }
 
 /** Serves requests of one route from targets that answer by a script. */
@@ -72,16 +74,19 @@
   /** Text of each request at a target. */
   readonly arrivals: string[] = []
   readonly logLines: string[] = []
+  readonly drainAdmission = new DrainAdmission()
+  /** Aborted to end all requests, as an instance does that stops. */
+  readonly ending = new AbortController()
   readonly #connections = new TargetConnections()
   readonly #sockets = new Set<Socket>()
   readonly #servers: Server[] = []
   #nextTarget = 0
 
-  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[]) {}
+  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[], private readonly hasNoSlots: boolean) {}
 
   /** @param answers one for each attempt, in order */
-  static async start (route: Route, answers: readonly ScriptedAnswer[], { firstTargets = [], preparationMilliseconds = 0 }: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
-    const harness = new OnlineHarness(route, [...answers], [...firstTargets])
+  static async start (route: Route, answers: readonly ScriptedAnswer[], { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false }: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
+    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots)
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
@@ -91,6 +96,8 @@
           slots: harness.#slots(),
           connections: harness.#connections,
           origins: { record: () => {}, ask: async () => null },
+          drainAdmission: harness.drainAdmission,
+          ending: harness.ending.signal,
           names,
           metrics: new GatewayMetrics(),
           logger: createTestLogger(harness.logLines)
@@ -171,7 +178,11 @@
   }
 
   #slots (): SlotClient {
-    const acquire: SlotClient['acquire'] = async () => {
+    const acquire: SlotClient['acquire'] = async (_demand, signal) => {
+      if (this.hasNoSlots) {
+        await once(signal, 'abort')
+        return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
+      }
       const address = this.firstTargets.shift() ?? this.#scriptedAddress()
       if (address === null) {
         return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
