Answer calls about jobs when an instance ends, and learn durations from few requests

Also: JobForwarder closed a destroyed pool when members changed after its close, an unhandled rejection that the new test of this commit met.

--- a/packages/gateway/src/jobs/job-forwarder.ts
+++ b/packages/gateway/src/jobs/job-forwarder.ts
@@ -66,7 +66,10 @@
   }
 
   async close (): Promise<void> {
-    await Promise.all([...this.#pools.values()].map(async pool => { await pool.destroy() }))
+    const pools = [...this.#pools.values()]
+    // Members may still change; a destroyed pool cannot be closed.
+    this.#pools.clear()
+    await Promise.all(pools.map(async pool => { await pool.destroy() }))
   }
 
   #poolOf (address: string): Pool {
--- a/packages/policy/src/drain/drain-admission.ts
+++ b/packages/policy/src/drain/drain-admission.ts
@@ -9,14 +9,12 @@
   readonly limitMilliseconds: number
 }
 
-/** Number of recent requests of a kind from which the longest of them tells how long another one may take. */
-const minimumRequests = 30
-/** Multiple of the longest recent duration that another request may take. */
-const durationFactor = 2
+/** Multiple of the longest recent duration that another request may take, by the least number of recent requests; the more there are, the less it varies. */
+const durationFactors = [{ requests: 30, factor: 2 }, { requests: 5, factor: 3 }] as const
 
 /**
  * Observes how long requests take. Once the instance stops, it admits a request only if that will have ended when the instance
- * must end: within its own limit, or going by the longest of many recent requests of its kind. Another instance can serve the others.
+ * must end: within its own limit, or going by the longest of the recent requests of its kind. Another instance can serve the others.
  */
 export class DrainAdmission {
   readonly #longest = new Map<string, LongestDuration>()
@@ -38,8 +36,12 @@
     if (this.#endAt === Infinity) {
       return true
     }
+    return now + Math.min(this.#expectedMilliseconds(kind, now), limitMilliseconds) <= this.#endAt
+  }
+
+  #expectedMilliseconds (kind: string, now: number): number {
     const recent = this.#longest.get(kind)?.recent(now)
-    const expected = recent === undefined || recent.count < minimumRequests ? Infinity : recent.longestMilliseconds * durationFactor
-    return now + Math.min(expected, limitMilliseconds) <= this.#endAt
+    const known = durationFactors.find(({ requests }) => recent !== undefined && recent.count >= requests)
+    return recent === undefined || known === undefined ? Infinity : recent.longestMilliseconds * known.factor
   }
 }
