Read the configuration before an item is given up

Cause: a process that wakes after a pause may read its partitions before the configuration, and gave up items whose route, retention or number of attempts it judged by the configuration from before the pause. The condition on the partition's end does not fence it, as it has just read that.

Change: one rule decides all three: an item is given up only if a read of the configuration that began after that was found, and was not itself outdated by a pause, still says so.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,6 +54,8 @@
   readonly internalAddressOf: (memberAddress: string) => string
   /** Opens a partition of a topic by name; the topic counts its calls to the store in the metrics. */
   readonly openTopic: (name: string, partition: number, metrics: GatewayMetrics) => KeyedTopic
+  /** Reads the configuration to its end and applies it; returns whether that succeeded. */
+  readonly refreshConfiguration: () => Promise<boolean>
   /** Number of partitions of each topic. */
   readonly partitions: number
   readonly logger: Logger
@@ -143,6 +145,7 @@
       ),
       retentionMilliseconds: options.jobRetentionMilliseconds,
       routeOf: name => this.#routes?.findByName(name) ?? null,
+      refreshRoutes: options.refreshConfiguration,
       serviceOf: route => pickService(route.services, Math.random())
     })
     const processName = (): string => processNameOf(this.membership.self)
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -29,6 +29,8 @@
   readonly logger: Logger
   /** Returns the current route of this name, or null if it was removed. */
   readonly routeOf: (name: string) => Route | null
+  /** Reads the configuration to its end; returns whether `routeOf` is then at least as new as the call. */
+  readonly refreshRoutes: () => Promise<boolean>
   /** Chooses one of the route's services for an attempt, or returns null if it has none. */
   readonly serviceOf: (route: Route) => string | null
 }
@@ -59,6 +61,11 @@
 /** Upper bound of that backoff, which keeps items that fail everywhere from occupying the targets. */
 const maximumRetryMilliseconds = 800
 
+/** Delay before a read of the configuration that failed is repeated. */
+const refreshRetryMilliseconds = 200
+/** Time after which a read of the configuration is too old to give an item up: the process was paused meanwhile. */
+const maximumRefreshMilliseconds = 1_000
+
 /** Time for which an item waits for a slot before its route and retention are checked again. */
 const slotWaitMilliseconds = 2_000
 
@@ -66,7 +73,8 @@
 export class ItemRun {
   readonly #stop = new AbortController()
   readonly #parts: readonly string[]
-  readonly #digest: string
+  /** Digest of the requests that run the item; empty before the first attempt. */
+  #digest = ''
   readonly #output = new ItemOutput()
   /** Number of complete responses with which targets reported that the item failed. */
   #failedResponses = 0
@@ -93,7 +101,6 @@
     private readonly item: JobItem,
     private readonly savedProgress: Promise<ItemProgress | null>
   ) {
-    this.#digest = requestDigest({ host: dependencies.routeOf(job.route)?.host ?? '', method: itemMethod, path: item.path, body: item.body })
     this.#parts = sharedPromptParts(headerOf(item, dependencies.names.promptPrefix))
   }
 
@@ -110,9 +117,12 @@
       this.dependencies.logger.info('item goes on', { job: this.job.id, item: this.item.id, after: progress.lastId })
     }
     while (!this.#stop.signal.aborted) {
-      const route = this.dependencies.routeOf(this.job.route)
-      if (route === null || Date.now() > this.job.acceptedAt + route.retentionMilliseconds) {
-        return { state: ItemState.Abandoned, text: '' }
+      const route = this.#currentRoute()
+      if (route === null) {
+        if (await this.#isGivenUp()) {
+          return { state: ItemState.Abandoned, text: '' }
+        }
+        continue
       }
       const outcome = await this.#attempt(route)
       if (outcome !== null) {
@@ -122,6 +132,26 @@
     return null
   }
 
+  /** Returns the item's route, or null if the item is to be given up by the configuration that this process knows. */
+  #currentRoute (): Route | null {
+    const route = this.dependencies.routeOf(this.job.route)
+    const isOver = route === null || Date.now() >= this.job.acceptedAt + route.retentionMilliseconds || this.#failedResponses >= route.maxAttempts
+    return isOver ? null : route
+  }
+
+  /**
+   * Whether the item is given up. A result is final, so the configuration is read first: this process may not know yet that a route was added or
+   * changed, for example after a pause.
+   */
+  async #isGivenUp (): Promise<boolean> {
+    const startedAt = Date.now()
+    if (!await this.dependencies.refreshRoutes()) {
+      await sleep(refreshRetryMilliseconds)
+      return false
+    }
+    return !this.#stop.signal.aborted && Date.now() - startedAt <= maximumRefreshMilliseconds && this.#currentRoute() === null
+  }
+
   /** Stops the run immediately; a target stops working on the item when the connection closes. */
   stop (): void {
     this.#stop.abort()
@@ -139,6 +169,9 @@
       await sleep(retryMilliseconds)
       return null
     }
+    if (this.#digest === '') {
+      this.#digest = requestDigest({ host: route.host, method: itemMethod, path: this.item.path, body: this.item.body })
+    }
     const startedAt = Date.now()
     const result = await this.#acquire(route, service)
     if (!result.granted) {
@@ -289,7 +322,7 @@
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
     slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf({ end: outcome, reason, status: this.#status, sentAt, firstDataAt, endedAt: Date.now() }))
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, version: target.softwareVersion, after: resumedAfter, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
-    return await this.#onCallEnd(route, outcome, target, stopped)
+    return await this.#onCallEnd(outcome, target, stopped)
   }
 
   #headers (route: Route): string[] {
@@ -301,7 +334,7 @@
     return headers
   }
 
-  async #onCallEnd (route: Route, outcome: CallOutcome, target: TargetEndpoint, stopped: boolean): Promise<ItemOutcome | null> {
+  async #onCallEnd (outcome: CallOutcome, target: TargetEndpoint, stopped: boolean): Promise<ItemOutcome | null> {
     if (outcome === CallOutcome.Complete && this.#status === okStatus) {
       return { state: ItemState.Completed, text: this.#output.text }
     }
@@ -310,9 +343,6 @@
     }
     if ((outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown) && this.#status === failedStatus) {
       this.#failedResponses += 1
-      if (this.#failedResponses >= route.maxAttempts) {
-        return { state: ItemState.Abandoned, text: '' }
-      }
     }
     if (!stopped) {
       this.#excluded = [target.id]
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -20,6 +20,11 @@
 const item: JobItem = { id: 'i', path: '/p', headers: [], body: Buffer.from('b'), tokens: 1 }
 const job: Job = { id: 'j', route: 'r', items: [item], acceptedAt: Date.now(), acceptedBy: 'a', bodyParts: 1, results: [], finished: new Set(), ended: false }
 
+/** The configuration does not change. */
+async function refreshRoutes (): Promise<boolean> {
+  return true
+}
+
 /** Waits for a slot in vain. */
 async function acquire (_demand: unknown, signal: AbortSignal): Promise<AcquireResult> {
   await once(signal, 'abort')
@@ -69,6 +74,7 @@
       names,
       logger: createTestLogger(),
       routeOf: () => route,
+      refreshRoutes,
       serviceOf: () => 's'
     }, job, item, Promise.resolve(null))
     const ended = run.run()
@@ -110,13 +116,13 @@
       server.close()
     })
     const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, release: () => {} }
-    const dependencies = { slots: { acquire: async (): Promise<AcquireResult> => ({ granted: true, slot }) }, connections, names, logger: createTestLogger(), routeOf: () => ({ ...route, maxAttempts: 2 }), serviceOf: () => 's' }
+    const dependencies = { slots: { acquire: async (): Promise<AcquireResult> => ({ granted: true, slot }) }, connections, names, logger: createTestLogger(), routeOf: () => ({ ...route, maxAttempts: 2 }), refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
     assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
   })
 
   it('gives an item up at the end of its retention although it gets no slot', async () => {
-    const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), serviceOf: () => 's' }
+    const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
     const outcome = await Promise.race([run.run(), sleep(3_000).then(() => 'still waiting')])
     run.stop()
@@ -125,7 +131,7 @@
 
   it('gives an item up soon after its route was removed although it gets no slot', async () => {
     let current: Route | null = route
-    const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => current, serviceOf: () => 's' }
+    const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => current, refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, job, item, Promise.resolve(null))
     const ended = run.run()
     await sleep(50)
@@ -156,6 +162,7 @@
       names,
       logger: createTestLogger(),
       routeOf: () => ({ ...route, retentionMilliseconds: 400 }),
+      refreshRoutes,
       serviceOf: () => 's'
     }, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
     context.after(() => {
@@ -194,6 +201,7 @@
         names,
         logger: createTestLogger(),
         routeOf: () => current,
+        refreshRoutes,
         serviceOf: () => 'other'
       }
       const run: ItemRun = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(progress))
@@ -201,4 +209,70 @@
       assert.deepEqual(asked, expected)
     }
   })
+
+  const known: ReadonlyArray<readonly [string, Route | null, Partial<Job>]> = [
+    ['a route that was added', null, {}],
+    ['a longer retention', { ...route, retentionMilliseconds: 1_000 }, { acceptedAt: Date.now() - 2_000 }],
+    ['a removed route that was added again', null, { acceptedAt: Date.now() - 2_000 }]
+  ]
+  for (const [change, before, changes] of known) {
+    it(`does not give an item up by an outdated configuration, which lacks ${change}, before the store has shown the newest one`, async () => {
+      let current = before
+      let reads = 0
+      const asked: string[] = []
+      const dependencies = {
+        slots: {
+          acquire: async ({ service }: SlotDemand): Promise<AcquireResult> => {
+            asked.push(service)
+            run.stop()
+            return { granted: false, reason: RefusalReason.Busy, retryAfter: 1 }
+          }
+        },
+        connections: new TargetConnections(),
+        names,
+        logger: createTestLogger(),
+        routeOf: () => current,
+        refreshRoutes: async () => {
+          reads += 1
+          if (reads < 3) {
+            // The store does not answer the woken process at once.
+            return false
+          }
+          current = route
+          return true
+        },
+        serviceOf: () => 's'
+      }
+      const run: ItemRun = new ItemRun(dependencies, { ...job, ...changes }, item, Promise.resolve(null))
+      assert.equal(await run.run(), null)
+      assert.deepEqual([reads, asked], [3, ['s']])
+    })
+  }
+
+  it('does not give an item up by a read of the configuration that a pause of the process has outdated', async context => {
+    context.mock.timers.enable({ apis: ['Date'], now: 1_000_000 })
+    let current: Route | null = null
+    let reads = 0
+    const dependencies = {
+      slots: { acquire },
+      connections: new TargetConnections(),
+      names,
+      logger: createTestLogger(),
+      routeOf: () => current,
+      refreshRoutes: async () => {
+        reads += 1
+        if (reads === 1) {
+          context.mock.timers.setTime(1_004_000)
+        } else {
+          current = route
+          run.stop()
+        }
+        return true
+      },
+      serviceOf: () => 's'
+    }
+    const run: ItemRun = new ItemRun(dependencies, { ...job, acceptedAt: 1_000_000 }, item, Promise.resolve(null))
+    assert.equal(await run.run(), null)
+    assert.equal(reads, 2)
+  })
 })
