Frame answers to clients whatever framing their target chose

Cause: such streams were passed on without framing, and the operating system closes the connections of a killed process in order.

Change: clients of HTTP/1.1 get streams in chunks, and plain answers that were held to their end with a length. The last chunk vouches for an end that only a close of the target told; so the target's address is connected to first, and an answer whose target has ended counts as cut.

--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -2,7 +2,6 @@
 import type { ServerResponse } from 'node:http'
 import { endsWithConnection } from '../targets/response-parser.js'
 import type { ResponseHead } from '../targets/response-parser.js'
-import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
 import { EventSplitter } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
@@ -40,6 +39,8 @@
   /** Id of the last event before the latest one that was broken off, or null. */
   #continuesAfter: number | null = null
   #relayedBytes = 0
+  /** Length of the whole body, which the target did not tell; null if it is not known when the head is sent. */
+  #knownLength: number | null = null
   /** Parts of a plain response without framing that wait for its end; null if the response is passed on as it arrives. */
   #held: Buffer[] | null = null
   #heldBytes = 0
@@ -97,19 +98,18 @@
   }
 
   /**
-   * Returns how the call of the latest response has really ended. An unknown end stays unknown only if the client can be left in the
-   * same doubt: a response that was begun in chunks cannot end without vouching for it.
+   * Returns how the call of the latest response has really ended.
    *
    * @param ended end of the call by its framing and connection
    * @param resumesAfter id of the event after which its request resumed the stream, or null if it did not
    */
   endOf (ended: CallEnd, resumesAfter: number | null): CallEnd {
-    const end = this.#splitter === null ? ended : streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter)
-    if (this.#splitter !== null && this.#splitter.rest.length > 0) {
-      this.#continuesAfter = this.#lastId
+    if (this.#splitter === null) {
+      return ended
     }
-    if (end.end === CallOutcome.EndUnknown && this.#hasBegun && !this.#endsWithConnection) {
-      return { end: CallOutcome.Broken, reason: 'the rest of the stream may be incomplete' }
+    const end = streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter)
+    if (this.#splitter.rest.length > 0) {
+      this.#continuesAfter = this.#lastId
     }
     return end
   }
@@ -119,8 +119,11 @@
     (this.response.socket ?? this.response).once('drain', listener)
   }
 
-  /** Ends a response that is complete, or that may be and ends with its connection. */
+  /** Ends a response that is complete. */
   end (): void {
+    if (this.#held !== null && this.response.req.method !== 'HEAD') {
+      this.#knownLength = this.#heldBytes
+    }
     this.#releaseHeld()
     this.#begin()
     this.response.end()
@@ -178,15 +181,18 @@
     // The first target's Content-Length would be wrong if another target resumes the stream and formats its events differently.
     const excludedHeaders = this.#splitter === null ? noExcludedHeaders : contentLengthHeader
     const headers = forwardedHeaders(this.#head.rawHeaders, excludedHeaders)
-    const isSized = this.#splitter === null && this.#head.headers['content-length'] !== undefined
-    const takesChunks = this.response.req.httpVersion === '1.1' && !endsWithConnection(this.#head)
+    const isSized = this.#splitter === null && (this.#head.headers['content-length'] !== undefined || this.#knownLength !== null)
+    // Without framing of its own, a part of the response would look complete if this process is killed.
+    const takesChunks = this.response.req.httpVersion === '1.1'
     this.#framesChunks = this.#splitter !== null && takesChunks
     this.#endsWithConnection = !isSized && !takesChunks
     if (this.#endsWithConnection) {
-      // A last chunk would say that the response is complete, which nobody knows if the target did not frame it.
       this.response.useChunkedEncodingByDefault = false
       this.response.shouldKeepAlive = false
     }
+    if (this.#knownLength !== null) {
+      headers.push('Content-Length', String(this.#knownLength))
+    }
     if (this.#framesChunks) {
       headers.push('Transfer-Encoding', 'chunked')
     }
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -1,5 +1,6 @@
 /** Sends one request to one target and reports whether the target may have run it. */
 import type { HeaderNames } from '../online/header-names.js'
+import { isListening } from './listening-check.js'
 import type { ResponseHead } from './response-parser.js'
 import type { Exchange, TargetConnection } from './target-connection.js'
 import type { TargetConnections } from './target-connections.js'
@@ -24,7 +25,10 @@
 export const CallOutcome = {
   /** The complete response arrived. */
   Complete: 'complete',
-  /** The target closed the connection in order after a response with neither a length nor chunks: the response may be complete. */
+  /**
+   * The target closed the connection in order after a response with neither a length nor chunks, and accepts connections: the response is
+   * complete as far as the protocol tells.
+   */
   EndUnknown: 'end-unknown',
   /** The target rejected the request, or the request was never sent: it did not run. */
   NotExecuted: 'not-executed',
@@ -89,7 +93,7 @@
   sink: ResponseSink
 ): RunningCall {
   const connection = connections.acquire(target, request.id)
-  const call = new TargetCall(connection, request.id, names, sink)
+  const call = new TargetCall(connection, target.address, request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
 }
@@ -126,6 +130,7 @@
 
   constructor (
     private readonly connection: TargetConnection,
+    private readonly address: string,
     private readonly id: string,
     private readonly names: HeaderNames,
     private readonly sink: ResponseSink
@@ -197,8 +202,13 @@
   }
 
   onComplete (isEndKnown: boolean): void {
-    const { end, reason } = this.#rejection ?? { end: isEndKnown ? CallOutcome.Complete : CallOutcome.EndUnknown, reason: '' }
-    this.#finish(end, reason)
+    if (this.#rejection !== null) {
+      this.#finish(this.#rejection.end, this.#rejection.reason)
+    } else if (isEndKnown) {
+      this.#finish(CallOutcome.Complete, '')
+    } else {
+      void this.#finishUnframed()
+    }
   }
 
   onFailure (reason: string, isDisconnected: boolean): void {
@@ -211,6 +221,15 @@
     }
   }
 
+  /** The operating system closes the connections of a target that crashes in order, as the target itself does at the end of a response. */
+  async #finishUnframed (): Promise<void> {
+    if (await isListening(this.address)) {
+      this.#finish(CallOutcome.EndUnknown, '')
+    } else {
+      this.#finish(CallOutcome.Disconnected, 'connection closed by a target that has ended')
+    }
+  }
+
   #finish (outcome: CallOutcome, reason: string): void {
     if (!this.#isSettled) {
       this.#isSettled = true
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -21,6 +21,8 @@
 export const ConnectionEnd = {
   Close: 'close',
   Reset: 'reset',
+  /** The target no longer accepts connections, and its connection is closed in order, as the operating system does for a killed process. */
+  Crash: 'crash',
   /** The connection stays open. */
   None: 'none'
 } as const
@@ -166,6 +168,10 @@
         socket.destroy()
         return
       }
+      if (answer.end === ConnectionEnd.Crash) {
+        this.#crash(socket, answer.bytes)
+        return
+      }
       if (answer.end === ConnectionEnd.Close) {
         socket.end(answer.bytes, 'latin1')
         return
@@ -177,6 +183,17 @@
     })
   }
 
+  /** Ends the target; the next attempt finds another one, which answers by the script. */
+  #crash (socket: Socket, bytes: string): void {
+    const [crashed] = this.#servers
+    const replacement = createServer(other => { this.#serveAsTarget(other) })
+    replacement.listen(0, loopback, () => {
+      this.#servers[0] = replacement
+      crashed?.close()
+      socket.end(bytes, 'latin1')
+    })
+  }
+
   #slots (): SlotClient {
     const acquire: SlotClient['acquire'] = async (_demand, signal) => {
       if (this.hasNoSlots) {
