Keep departed software versions in the record for as long as streams may be taken up

Cause: the record of a service's versions named the present ones only. Instances that start after the last target of the old version has left take the present version for the one that began every stream. A process that started also wrote its record before it had taken the older one over.

--- a/packages/gateway/src/streams/service-versions.ts
+++ b/packages/gateway/src/streams/service-versions.ts
@@ -17,6 +17,8 @@
 /** Keeps the history up to date, and the log for processes that start later. */
 export class ServiceVersions {
   #versions: ReadonlyMap<string, ReadonlySet<string>> = new Map()
+  /** Whether the history contains what there was before this process. */
+  #isRestored = false
 
   constructor (private readonly dependencies: ServiceVersionsDependencies) {
     dependencies.targets.onChange(targets => { this.#onTargets(targets) })
@@ -28,6 +30,8 @@
     const records = await this.dependencies.log.load()
     if (records !== null) {
       this.dependencies.history.restore(records, Date.now())
+      this.#isRestored = true
+      this.#save()
     }
   }
 
@@ -48,12 +52,15 @@
     this.#save()
   }
 
-  /** Saves the versions of the services that this process is near to own. A service without targets keeps its last ones. */
+  /** Saves the versions, present and lately departed, of the services that this process is near to own. A service without targets keeps its last ones. */
   #save (): void {
-    const { log, isNearOwner } = this.dependencies
-    for (const [service, versions] of this.#versions) {
+    const { log, history, isNearOwner } = this.dependencies
+    if (!this.#isRestored) {
+      return
+    }
+    for (const service of this.#versions.keys()) {
       if (isNearOwner(service)) {
-        log.save(service, versions)
+        log.save(service, history.recordOf(service, Date.now()))
       }
     }
   }
--- a/packages/policy/src/streams/version-history.ts
+++ b/packages/policy/src/streams/version-history.ts
@@ -3,8 +3,17 @@
  * began every stream that may still be taken up.
  */
 
+/** The versions of a service, as processes that start later need them. */
+export interface VersionRecord {
+  readonly present: readonly string[]
+  /** By version that left lately: the time until which it may have been present, in milliseconds since the epoch. */
+  readonly departed: Readonly<Record<string, number>>
+}
+
 /** Time for which a stream may still be taken up after its beginning, in milliseconds: four attempts of five seconds, the longest timeout of routes. */
 export const streamMemoryMilliseconds = 20_000
+/** Difference by which the clocks of two processes may differ. */
+const clockDifferenceMilliseconds = 2_000
 
 interface ServiceVersions {
   present: ReadonlySet<string>
@@ -39,21 +48,32 @@
   }
 
   /**
-   * Takes over the records of earlier processes. Each holds the versions that a service last had, all of which may have served until now;
-   * a service without a record has had no others.
+   * Takes over the records of earlier processes. What was present in a record may have served until now; a service without a record has had
+   * no other versions.
    */
-  restore (records: ReadonlyMap<string, readonly string[]>, now: number): void {
+  restore (records: ReadonlyMap<string, VersionRecord>, now: number): void {
     this.#initiallyKnownSince = -Infinity
     for (const known of this.#services.values()) {
       known.knownSince = -Infinity
     }
-    for (const [service, versions] of records) {
+    for (const [service, { present, departed }] of records) {
       this.#change(service, now, known => {
-        versions.filter(version => !known.present.has(version)).forEach(version => { known.lastSeen.set(version, now) })
+        const seen = [...Object.entries(departed).map(([version, at]) => [version, Math.min(now, at + clockDifferenceMilliseconds)] as const), ...present.map(version => [version, now] as const)]
+        for (const [version, at] of seen) {
+          if (!known.present.has(version)) {
+            known.lastSeen.set(version, Math.max(known.lastSeen.get(version) ?? -Infinity, at))
+          }
+        }
       })
     }
   }
 
+  /** Returns what processes that start later need to know of a service. */
+  recordOf (service: string, now: number): VersionRecord {
+    const { present = [], lastSeen = [] } = this.#services.get(service) ?? {}
+    return { present: [...present].sort(), departed: Object.fromEntries([...lastSeen].filter(([, at]) => at > now - streamMemoryMilliseconds)) }
+  }
+
   /** Records that another process, which follows the targets more closely, knows several versions. */
   markMixed (service: string, now: number): void {
     this.#change(service, now, known => { known.mixedUntil = now + streamMemoryMilliseconds })
@@ -100,3 +120,18 @@
     }
   }
 }
+
+/**
+ * Combines the record of a service with what a process knows, which may be less: it may have started later, or was paused. A version that the process does not know
+ * may have served until now.
+ */
+export function mergeVersionRecords (stored: VersionRecord, own: VersionRecord, now: number): VersionRecord {
+  const departed = new Map<string, number>()
+  const entries = [...Object.entries(stored.departed), ...stored.present.map(version => [version, own.departed[version] ?? now] as const), ...Object.entries(own.departed)]
+  for (const [version, at] of entries) {
+    if (!own.present.includes(version) && at > now - streamMemoryMilliseconds) {
+      departed.set(version, Math.max(departed.get(version) ?? -Infinity, at))
+    }
+  }
+  return { present: own.present, departed: Object.fromEntries(departed) }
+}
--- a/packages/policy/tests/streams/version-history.test.ts
+++ b/packages/policy/tests/streams/version-history.test.ts
@@ -2,14 +2,14 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { streamMemoryMilliseconds, VersionHistory } from '../../src/index.js'
+import { mergeVersionRecords, streamMemoryMilliseconds, VersionHistory } from '../../src/index.js'
 
 const start = 1_000_000
 const later = start + streamMemoryMilliseconds + 1
 
 function historyOf (records: Readonly<Record<string, readonly string[]>>, versions: readonly string[]): VersionHistory {
   const history = new VersionHistory()
-  history.restore(new Map(Object.entries(records)), start)
+  history.restore(new Map(Object.entries(records).map(([service, present]) => [service, { present, departed: {} }])), start)
   history.observe('s', new Set(versions), start)
   return history
 }
@@ -28,7 +28,7 @@
     assert.equal(history.soleVersion('s', start), null)
     assert.equal(history.isMixed('s', start), false)
     assert.equal(history.soleVersion('s', later), 'v1')
-    history.restore(new Map([['s', ['v1']]]), start)
+    history.restore(new Map([['s', { present: ['v1'], departed: {} }]]), start)
     assert.equal(history.soleVersion('s', start), 'v1')
   })
 
@@ -48,6 +48,31 @@
     assert.equal(history.soleVersion('s', later + 5_000 + streamMemoryMilliseconds), 'v1')
   })
 
+  it('is not certain while a version that the record names as departed may have begun streams that are taken up', () => {
+    const history = new VersionHistory()
+    history.restore(new Map([['s', { present: ['v2'], departed: { v1: start - 8_000 } }]]), start)
+    history.observe('s', new Set(['v2']), start)
+    // The clock of the process that wrote the record may have been behind.
+    const goneAt = start - 8_000 + 2_000 + streamMemoryMilliseconds
+    assert.equal(history.soleVersion('s', goneAt - 1), null)
+    assert.equal(history.soleVersion('s', goneAt), 'v2')
+  })
+
+  it('tells later processes which versions have departed, also those it knows from a record only', () => {
+    const history = new VersionHistory()
+    history.restore(new Map([['s', { present: ['v2', 'v1'], departed: { v0: start - 5_000 } }]]), start)
+    history.observe('s', new Set(['v2']), start)
+    assert.deepEqual(history.recordOf('s', start + 1_000), { present: ['v2'], departed: { v1: start, v0: start - 3_000 } })
+    assert.deepEqual(history.recordOf('s', later), { present: ['v2'], departed: {} })
+  })
+
+  it('keeps in a record what a process that was paused or started later does not know', () => {
+    const stored = { present: ['v2'], departed: { v1: start - 1_000, v0: start - streamMemoryMilliseconds } }
+    assert.deepEqual(mergeVersionRecords(stored, { present: ['v2'], departed: {} }, start), { present: ['v2'], departed: { v1: start - 1_000 } })
+    assert.deepEqual(mergeVersionRecords(stored, { present: ['v1'], departed: {} }, start), { present: ['v1'], departed: { v2: start } })
+    assert.deepEqual(mergeVersionRecords(stored, { present: ['v3'], departed: { v2: start - 500, v1: start - 1_500 } }, start), { present: ['v3'], departed: { v1: start - 1_000, v2: start - 500 } })
+  })
+
   it('takes the word of a process that knows of several versions', () => {
     const history = historyOf({}, ['v1'])
     history.markMixed('s', start)
