Pass on only events that follow the last one

It can happen here where the next target answers 200.

Cause: a response with status 200 was taken for the rest of the stream whatever it held: plain text with an empty line, all events from the first on, the last one once more. Towards callers of HTTP/1.0, the bytes before a reset were those of any response.

Change: each event needs a higher id than the one before, in a rest each event needs an id, and the rest needs the media type of the beginning. The same holds for the output of items. Only bytes that can begin an event go before a reset. Error statuses were never passed on.

Changed test: the target of item-run.test.ts "when its retention ends" numbers its events, which it all sent as the first one.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -66,7 +66,7 @@
 
   /**
    * Adds a chunk of the current stream; returns whether it completed an event. Throws a {@link MalformedStreamError} for an event
-   * without end, and for more events than a result can hold; then the output starts again from the first event.
+   * without end or out of order, and for more events than a result can hold; then the output starts again from the first event.
    */
   push (chunk: Buffer): boolean {
     const { events } = this
@@ -95,7 +95,7 @@
   /** Starts a new stream of a target, which continues after the last complete event; discards an incomplete one. */
   startStream (origin: OutputOrigin): void {
     this.#streamOrigin = origin
-    this.#splitter = new EventSplitter()
+    this.#splitter = new EventSplitter(this.#lastId)
     this.#resumesAfter = this.#lastId
   }
 
--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -8,7 +8,7 @@
   readonly lastId: number | null
 }
 
-/** The events of a stream exceed a limit; the target sends something else or without end. */
+/** The events of a stream exceed a limit, or are not those that follow; the target sends something else or without end. */
 export class MalformedStreamError extends Error {
   override readonly name = 'MalformedStreamError'
 }
@@ -18,13 +18,27 @@
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
 const emptyBuffer = Buffer.alloc(0)
+const idField = /^id: ?(\d+)/gm
+const eventEnd = /\r?\n\r?\n/
+/** An event with an id, or only comments. */
+const numberedEvent = /^id: ?\d|^(?:[\r\n]*:[^\n]*)+$/m
+const eventStart = 'id:'
 
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
   #rest: Buffer = emptyBuffer
   #hasEvents = false
+  #lastId: number | null
 
-  /** Adds a chunk and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end. */
+  /** @param after id of the event after which the stream continues, so that each of its events has a higher id; null if it begins */
+  constructor (private readonly after: number | null = null) {
+    this.#lastId = after
+  }
+
+  /**
+   * Adds a chunk and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end or does not
+   * follow the one before.
+   */
   push (chunk: Buffer): CompleteEvents {
     if (this.#rest.length > maximumEventBytes) {
       throw new MalformedStreamError(`an event of a stream has more than ${maximumEventBytes} bytes`)
@@ -33,8 +47,35 @@
     const end = endOfLastEvent(data)
     this.#rest = data.subarray(end)
     const bytes = data.subarray(0, end)
-    this.#hasEvents ||= end > 0
-    return { bytes, lastId: end === 0 ? null : lastIdOf(bytes) }
+    if (end === 0) {
+      return { bytes, lastId: null }
+    }
+    const lastId = this.#checkOrder(bytes.toString('latin1'))
+    this.#hasEvents = true
+    return { bytes, lastId }
+  }
+
+  /** Returns the id of the last event that has one, or null. */
+  #checkOrder (events: string): number | null {
+    let last: number | null = null
+    for (const [, text] of events.matchAll(idField)) {
+      const id = Number(text)
+      if (this.#lastId !== null && id <= this.#lastId) {
+        throw new MalformedStreamError(`event ${id} follows event ${this.#lastId} in a stream`)
+      }
+      this.#lastId = id
+      last = id
+    }
+    if (this.after !== null && events.split(eventEnd).some(event => event !== '' && !numberedEvent.test(event))) {
+      throw new MalformedStreamError(`an event without an id in the rest of a stream after event ${this.after}`)
+    }
+    return last
+  }
+
+  /** Whether the bytes after the last complete event can be the beginning of another one. */
+  get endsInsideEvent (): boolean {
+    const start = this.#rest.toString('latin1', 0, eventStart.length)
+    return start !== '' && eventStart.startsWith(start)
   }
 
   /** Bytes after the last complete event. */
@@ -57,13 +98,3 @@
   }
   return 0
 }
-
-function lastIdOf (events: Buffer): number | null {
-  const text = events.toString('latin1')
-  const start = text.startsWith('id:') && !text.includes('\nid:') ? 0 : text.lastIndexOf('\nid:') + 1
-  if (!text.startsWith('id:', start)) {
-    return null
-  }
-  const id = Number.parseInt(text.slice(start + 'id:'.length, text.indexOf('\n', start)), 10)
-  return Number.isNaN(id) ? null : id
-}
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -233,10 +233,10 @@
           return
         }
         if (!this.#relay.canContinueWith(head)) {
-          call.abort(`status ${head.status} instead of the rest of the stream`)
+          call.abort(`status ${head.status}, ${head.headers['content-type'] ?? 'no content type'} instead of the rest of the stream`)
           return
         }
-        this.#relay.onHead(head)
+        this.#relay.onHead(head, request.route.resumable ? resumeAfter : null)
       },
       onData: chunk => {
         firstDataAt ??= Date.now()
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -74,12 +74,16 @@
 
   /** Checks whether the response with this head can continue the one that was sent to the client. */
   canContinueWith (head: ResponseHead): boolean {
-    return !this.#hasBegun || (head.status === successStatus && this.#head?.status === successStatus)
+    return !this.#hasBegun || (head.status === successStatus && this.#head?.status === successStatus && mediaTypeOf(head) === mediaTypeOf(this.#head))
   }
 
-  /** Receives the head of a response; the client gets the first one whose body begins. */
-  onHead (head: ResponseHead): void {
-    this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter() : null
+  /**
+   * Receives the head of a response; the client gets the first one whose body begins.
+   *
+   * @param resumesAfter id of the event after which its request resumed the stream, or null if it did not
+   */
+  onHead (head: ResponseHead, resumesAfter: number | null): void {
+    this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter) : null
     if (!this.#hasBegun) {
       this.#head = head
       this.#held = this.#splitter === null && endsWithConnection(head) ? [] : null
@@ -87,7 +91,7 @@
     }
   }
 
-  /** Relays data to the client or holds it; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end. */
+  /** Relays data to the client or holds it; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end or out of order. */
   onData (chunk: Buffer): boolean {
     if (this.#splitter === null) {
       return this.#hold(chunk) || this.#write(chunk)
@@ -133,7 +137,7 @@
   abort (): void {
     const { socket } = this.response
     if (this.#endsWithConnection && socket !== null) {
-      if (this.#splitter !== null && this.#splitter.rest.length > 0) {
+      if (this.#splitter?.endsInsideEvent === true) {
         // The client may miss the reset, but not that the stream ends inside an event.
         this.response.write(this.#splitter.rest)
       }
@@ -209,6 +213,11 @@
   }
 }
 
+/** Returns the media type of a response's body without parameters; empty if it has none. */
+function mediaTypeOf ({ headers }: ResponseHead): string {
+  return (headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
+}
+
 /** Frames bytes as a chunk: https://www.rfc-editor.org/rfc/rfc9112#section-7.1 */
 function encodeChunk (bytes: Buffer): Buffer {
   const size = Buffer.from(`${bytes.length.toString(16)}\r\n`, 'latin1')
--- a/packages/gateway/tests/jobs/item-output.test.ts
+++ b/packages/gateway/tests/jobs/item-output.test.ts
@@ -28,6 +28,21 @@
     assert.deepEqual(output.progress, { lastId: 1, origin: first, text: 'c' })
   })
 
+  it('takes no event twice from a target that begins again in place of the rest, and nothing that is no event', () => {
+    const output = new ItemOutput()
+    output.startStream(first)
+    output.push(event(1, 'a'))
+    output.push(event(2, 'b'))
+    for (const wrong of [event(1, 'a'), event(2, 'b'), Buffer.from('the error\n\n')]) {
+      output.startStream(first)
+      assert.throws(() => { output.push(wrong) }, MalformedStreamError)
+      assert.deepEqual(output.progress, { lastId: 2, origin: first, text: 'a\nb' })
+    }
+    output.startStream(first)
+    output.push(event(3, 'c'))
+    assert.equal(output.text, 'a\nb\nc')
+  })
+
   it('counts restored events and the bytes, not the characters, of a text', () => {
     const output = new ItemOutput()
     output.restore({ lastId: 1, origin: first, text: 'ö'.repeat(100_000) })
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -144,7 +144,11 @@
   it('gives an item up when its retention ends, although a target still sends events', async context => {
     const server = createServer((request, response) => {
       response.writeHead(200, { 'x-request-id': String(request.headers['x-request-id']), 'content-type': 'text/event-stream' })
-      const timer = setInterval(() => { response.write('id: 1\ndata: a\n\n') }, 20)
+      let event = 0
+      const timer = setInterval(() => {
+        event += 1
+        response.write(`id: ${event}\ndata: a\n\n`)
+      }, 20)
       response.once('close', () => { clearInterval(timer) })
     })
     server.listen(0, '127.0.0.1')
--- a/packages/gateway/tests/online/response-relay.test.ts
+++ b/packages/gateway/tests/online/response-relay.test.ts
@@ -42,7 +42,7 @@
   for (const isStream of [false, true]) {
     it(`relays a response without length or chunks whole and with a framing of its own, ${isStream ? 'as a stream' : 'as a plain body'}`, async context => {
       const { message, body } = await receive(context, isStream, relay => {
-        relay.onHead(unframedHead)
+        relay.onHead(unframedHead, null)
         relay.onData(Buffer.from('id: 1\ndata: a\n'))
         relay.onData(Buffer.from('\nid: 2\ndata: b\n\n'))
         assert.deepEqual(relay.endOf(endUnknown, null), endUnknown)
@@ -62,7 +62,7 @@
       [{ ...unframedHead, status: 500 }, true, null]
     ] as const) {
       await receive(context, isStream, relay => {
-        relay.onHead(head)
+        relay.onHead(head, null)
         relay.onData(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))
         const ended = head === chunkedHead ? complete : endUnknown
         assert.deepEqual(relay.endOf(ended, null), expected === null ? ended : { end: head === chunkedHead ? CallOutcome.Broken : CallOutcome.Disconnected, reason: expected })
@@ -77,7 +77,7 @@
       [unframedHead, null, truncation], [unframedHead, 4, truncation], [chunkedHead, null, truncation], [chunkedHead, 4, null]
     ] as const) {
       await receive(context, true, relay => {
-        relay.onHead(head)
+        relay.onHead(head, null)
         const ended = head === chunkedHead ? complete : endUnknown
         assert.deepEqual(relay.endOf(ended, resumesAfter), expected === null ? ended : { end: head === chunkedHead ? CallOutcome.Broken : CallOutcome.Disconnected, reason: expected })
         relay.end()
