Append totals of waiting tokens only on what was just read

Cause: the woken process appended the totals that it had before the pause, without a condition, over those of the new owner, which had deleted the reservations that its totals contain. It also counted its own old view of a partition when it accepted jobs itself.

Change: a correction reads the ledger, then the partitions, and is appended on condition that the ledger has not changed since; a total of another process counts if it is greater.

Also: foreign-responses.test.ts prints requests and log lines where it fails.

--- a/packages/gateway/src/jobs/token-ledger.ts
+++ b/packages/gateway/src/jobs/token-ledger.ts
@@ -44,6 +44,9 @@
 /** Time for which a reservation counts unless it is replaced; an append that was not answered may still be carried out after seconds. */
 const reservationMilliseconds = 10_000
 
+/** Attempts to append totals, each of which fails if another process appends meanwhile. */
+const maximumCorrections = 5
+
 const totalPrefix = 'p/'
 const reservationPrefix = 'r/'
 const packr = new Packr({ useRecords: false })
@@ -62,6 +65,8 @@
 interface LedgerContent {
   /** Tokens by route, by partition. */
   readonly totals: Map<number, ReadonlyMap<string, number>>
+  /** The same, encoded as in the topic. */
+  readonly encodedTotals: ReadonlyMap<number, string>
   /** By key of the record. */
   readonly reservations: ReadonlyMap<string, Reservation>
   readonly end: number
@@ -146,10 +151,13 @@
   }
 
   /** Returns the tokens that wait on the route in all partitions, with reservations for other jobs. */
-  #waitingTokens ({ totals, reservations }: LedgerContent, route: string, job: string): number {
+  #waitingTokens ({ totals, encodedTotals, reservations }: LedgerContent, route: string, job: string): number {
     const active = new Map(this.#loadedPartitions().map(partition => [partition.number, partition]))
     for (const [number, partition] of active) {
-      totals.set(number, partition.fold.waitingTokensByRoute())
+      const known = partition.fold.waitingTokensByRoute()
+      // A total of another process shows that this one was taken for lost, and contains jobs that it may not know.
+      const isOnlyWriter = !encodedTotals.has(number) || encodedTotals.get(number) === this.#appended.get(number)
+      totals.set(number, isOnlyWriter ? known : greaterOf(known, totals.get(number) ?? known))
     }
     const counted = new Set([job])
     let waiting = [...totals.values()].reduce((sum, tokens) => sum + (tokens.get(route) ?? 0), 0)
@@ -172,15 +180,18 @@
       return null
     }
     const totals = new Map<number, ReadonlyMap<string, number>>()
+    const encodedTotals = new Map<number, string>()
     const reservations = new Map<string, Reservation>()
     for (const { key, value } of batch.records) {
       if (value !== null && key.startsWith(totalPrefix)) {
-        totals.set(Number(key.slice(totalPrefix.length)), new Map(packr.unpack(value) as ReadonlyArray<[string, number]>))
+        const number = Number(key.slice(totalPrefix.length))
+        totals.set(number, new Map(packr.unpack(value) as ReadonlyArray<[string, number]>))
+        encodedTotals.set(number, value.toString('latin1'))
       } else if (value !== null && key.startsWith(reservationPrefix)) {
         reservations.set(key, packr.unpack(value) as Reservation)
       }
     }
-    return { totals, reservations, end: batch.end }
+    return { totals, encodedTotals, reservations, end: batch.end }
   }
 
   #scheduleCorrection (now: number): number {
@@ -191,26 +202,39 @@
     return now + (now < this.#nearLimitUntil ? nearLimitCorrectionIntervalMilliseconds : correctionIntervalMilliseconds)
   }
 
-  /** Appends changed totals, and deletes the reservations that these contain. */
   async #correct (): Promise<void> {
+    for (let attempt = 0; attempt < maximumCorrections && !await this.#tryCorrect(); attempt += 1) {
+      await sleep(retryMilliseconds * (1 + Math.random()))
+    }
+  }
+
+  /**
+   * Appends changed totals, and deletes the reservations that these contain; returns false if another process has appended meanwhile. The
+   * partitions are read after the reservations, so that a total lacks no job whose reservation is gone, also after a pause of this process.
+   */
+  async #tryCorrect (): Promise<boolean> {
     const changed = this.#loadedPartitions().filter(partition => totalOf(partition).toString('latin1') !== this.#appended.get(partition.number))
     if (changed.length === 0) {
-      return
+      return true
     }
     const content = await this.#read()
     if (content === null) {
-      return
+      return true
+    }
+    const refreshed = await Promise.all(changed.map(async partition => await partition.refresh()))
+    const totals = changed.filter((_, index) => refreshed[index] === true).map(partition => ({ partition, value: totalOf(partition) }))
+    if (totals.length === 0) {
+      return true
     }
-    const totals = changed.map(partition => ({ partition, value: totalOf(partition) }))
     const replaced = [...content.reservations].filter(([, reservation]) => {
-      const partition = changed.find(({ number }) => number === reservation.partition)
+      const partition = totals.find(total => total.partition.number === reservation.partition)?.partition
       return partition !== undefined && (partition.fold.get(reservation.job) !== undefined || isExpired(reservation))
     })
     const records: NewRecord[] = [
       ...totals.map(({ partition, value }) => ({ key: `${totalPrefix}${partition.number}`, value })),
       ...replaced.map(([key]) => ({ key, value: null }))
     ]
-    const outcome = await this.topic.append(records, null)
+    const outcome = await this.topic.append(records, content.end)
     for (const { partition, value } of totals) {
       if (outcome === AppendOutcome.Done) {
         this.#appended.set(partition.number, value.toString('latin1'))
@@ -219,6 +243,7 @@
         this.#appended.delete(partition.number)
       }
     }
+    return outcome !== AppendOutcome.Conflict
   }
 
   #loadedPartitions (): readonly JobPartition[] {
@@ -235,6 +260,11 @@
   return packr.pack([...partition.fold.waitingTokensByRoute()])
 }
 
+/** Returns the greater number of tokens of each route. */
+function greaterOf (one: ReadonlyMap<string, number>, other: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
+  return new Map([...one.keys(), ...other.keys()].map(route => [route, Math.max(one.get(route) ?? 0, other.get(route) ?? 0)]))
+}
+
 function isExpired ({ at }: Reservation): boolean {
   return Date.now() - at > reservationMilliseconds
 }
--- /dev/null
+++ b/packages/gateway/tests/jobs/token-ledger.test.ts
@@ -0,0 +1,107 @@
+/** Guards against more waiting tokens than a route allows after a process wakes that others had taken for lost. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { ChangeOutcome } from '../../src/jobs/job-log.js'
+import { JobPartition } from '../../src/jobs/job-partition.js'
+import { TokenLedger } from '../../src/jobs/token-ledger.js'
+import { FaultyLog } from '../util/faulty-topic.js'
+import { createTestLogger } from '../util/test-logger.js'
+
+const limit = 100
+const route = 'r'
+const noFaults = { rejectedAppend: 0, lostResponse: 0, lateAppend: 0, failedRead: 0 }
+
+/** Name of the process that knows that it does not own the partition. */
+const otherName = 'other'
+
+/** A process that owns the partition, or believes so, or knows that it does not. */
+class Process {
+  readonly partition: JobPartition
+  readonly ledger: TokenLedger
+
+  constructor (readonly name: string, jobs: FaultyLog, tokens: FaultyLog) {
+    this.partition = new JobPartition(1, jobs.connect(), createTestLogger())
+    const owned = { active: () => name === otherName ? [] : [this.partition], onActiveChange: () => {} }
+    this.ledger = new TokenLedger(tokens.connect(), owned, () => name, createTestLogger())
+  }
+
+  /** Submits a job with one item; returns whether it was accepted. */
+  async submit (job: string, tokens: number): Promise<boolean> {
+    const deadline = Date.now() + 2_000
+    const request = { job, route, tokens, limit }
+    const reservation = await this.ledger.reserve(this.partition, request, deadline)
+    if (!reservation.granted) {
+      return false
+    }
+    const items = [{ id: `${job}-item`, path: '/', headers: [], body: Buffer.alloc(0), tokens }]
+    const outcome = await this.partition.log.submit({ id: job, route, items }, this.name, deadline)
+    this.ledger.settle(request, outcome)
+    return outcome === ChangeOutcome.Done
+  }
+
+  close (): void {
+    this.ledger.close()
+    this.partition.close()
+  }
+}
+
+function startProcesses (names: readonly string[]): readonly Process[] {
+  const jobs = new FaultyLog(() => 0.5)
+  const tokens = new FaultyLog(() => 0.5)
+  Object.assign(jobs.faults, noFaults)
+  Object.assign(tokens.faults, noFaults)
+  return names.map(name => new Process(name, jobs, tokens))
+}
+
+describe('TokenLedger of a process that wakes after a pause', () => {
+  it('does not write outdated totals over newer ones', async context => {
+    const [woken, owner, other] = startProcesses(['woken', 'owner', otherName])
+    assert.ok(woken !== undefined && owner !== undefined && other !== undefined)
+    context.after(() => { [woken, owner, other].forEach(each => { each.close() }) })
+    assert.ok(await woken.submit('first', 10))
+    await owner.partition.refresh()
+    assert.ok(await owner.submit('second', 80))
+    await owner.ledger.correct()
+    // The pause ends: the process knows the first job only.
+    await woken.ledger.correct()
+    await other.partition.refresh()
+    assert.equal(await other.submit('third', 20), false)
+    assert.equal(await other.submit('fourth', 10), true)
+  })
+
+  it('does not accept jobs by what it knew of its partitions before', async context => {
+    const [woken, owner] = startProcesses(['woken', 'owner'])
+    assert.ok(woken !== undefined && owner !== undefined)
+    context.after(() => { [woken, owner].forEach(each => { each.close() }) })
+    assert.ok(await woken.submit('first', 10))
+    await woken.ledger.correct()
+    await owner.partition.refresh()
+    assert.ok(await owner.submit('second', 80))
+    await owner.ledger.correct()
+    assert.equal(await woken.submit('third', 20), false)
+    assert.equal(await woken.submit('fourth', 10), true)
+  })
+
+  it('does not write totals that lack a job which is accepted meanwhile', async context => {
+    const [woken, owner, other] = startProcesses(['woken', 'owner', otherName])
+    assert.ok(woken !== undefined && owner !== undefined && other !== undefined)
+    context.after(() => { [woken, owner, other].forEach(each => { each.close() }) })
+    assert.ok(await woken.submit('first', 10))
+    await owner.partition.refresh()
+    // Pauses between its reads and its append, while the other owner accepts a job and replaces its reservation.
+    const refresh = woken.partition.refresh.bind(woken.partition)
+    let isFirst = true
+    woken.partition.refresh = async () => {
+      const isDone = await refresh()
+      if (isFirst) {
+        isFirst = false
+        assert.ok(await owner.submit('second', 80))
+        await owner.ledger.correct()
+      }
+      return isDone
+    }
+    await woken.ledger.correct()
+    await other.partition.refresh()
+    assert.equal(await other.submit('third', 20), false)
+  })
+})
--- a/packages/gateway/tests/online/foreign-responses.test.ts
+++ b/packages/gateway/tests/online/foreign-responses.test.ts
@@ -34,6 +34,10 @@
   }
 }
 
+function describeRun ({ arrivals, logLines }: OnlineHarness): string {
+  return [...arrivals, ...logLines].join('\n')
+}
+
 describe('a response to another request', () => {
   for (const status of [200, 204, 400, 408, 421, 422, 429, 500, 503]) {
     for (const extra of ['X-Not-Executed: 1\r\n', 'X-Leaving: 1\r\n', '']) {
@@ -44,11 +48,11 @@
             // The request runs, and its own response follows.
             const followed = await answerTo(route, [{ bytes: foreign + own, end: ConnectionEnd.None }, { bytes: own, end: ConnectionEnd.None }])
             assert.deepEqual(followed.answer, { status: okStatus, body: event, view: CallerView.Complete })
-            assert.equal(followed.harness.arrivals.length, 1)
+            assert.equal(followed.harness.arrivals.length, 1, describeRun(followed.harness))
             // The request may run, but its response never comes.
             const lone = await answerTo(route, [{ bytes: foreign, end: ConnectionEnd.Reset }, { bytes: own, end: ConnectionEnd.None }])
             assert.equal(lone.answer.status, badGatewayStatus)
-            assert.equal(lone.harness.arrivals.length, 1)
+            assert.equal(lone.harness.arrivals.length, 1, describeRun(lone.harness))
           }
         })
       }
@@ -60,7 +64,7 @@
     const chunked = `HTTP/1.1 ${head}Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n`
     for (const foreign of [chunked, responseOf(head, 'x'.repeat(1_000_000)), chunked + chunked]) {
       const { answer, harness } = await answerTo(singleRunRoute, [{ bytes: foreign + own, end: ConnectionEnd.None }])
-      assert.deepEqual(answer, { status: okStatus, body: event, view: CallerView.Complete })
+      assert.deepEqual(answer, { status: okStatus, body: event, view: CallerView.Complete }, describeRun(harness))
       assert.ok(harness.logLines.some(line => line.includes('response to another request skipped')))
     }
   })
