Let the test harness ignore calls of other tests at its ports

The trace of the last failure shows the second arrival: "GET /instances" of a process of another test, whose stand-in's port the operating system had given to the harness. No check has changed.

--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -162,6 +162,11 @@
 
   #serveAsTarget (socket: Socket): void {
     socket.on('data', data => {
+      if (!data.includes('X-Request-Id')) {
+        // A process of another test still calls the port of a server that has ended.
+        socket.destroy()
+        return
+      }
       this.arrivals.push(data.toString())
       const answer = this.answers.shift()
       if (answer === undefined) {
