--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -163,7 +163,7 @@
 
   /** Whether the process accepts requests. */
   get ready (): boolean {
-    return this.membership.state === MemberState.Ready
+    return !this.#draining && this.membership.state === MemberState.Ready
   }
 
   /** Applies a configuration; ignores it unless its version is newer than the current one. */
