--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -20,8 +20,8 @@
 const emptyBuffer = Buffer.alloc(0)
 const idField = /^id: ?(\d+)/gm
 const eventEnd = /\r?\n\r?\n/
-/** An event with an id, or only comments. */
-const numberedEvent = /^id: ?\d|^(?:[\r\n]*:[^\n]*)+$/m
+const numericId = /^id: ?\d/m
+const otherThanComment = /^[^:\r\n]/m
 const eventStart = 'id:'
 
 /** Buffers an incomplete event until the rest of it arrives. */
@@ -66,7 +66,7 @@
       this.#lastId = id
       last = id
     }
-    if (this.after !== null && events.split(eventEnd).some(event => event !== '' && !numberedEvent.test(event))) {
+    if (this.after !== null && events.split(eventEnd).some(event => otherThanComment.test(event) && !numericId.test(event))) {
       throw new MalformedStreamError(`an event without an id in the rest of a stream after event ${this.after}`)
     }
     return last
--- a/packages/gateway/src/streams/version-log.ts
+++ b/packages/gateway/src/streams/version-log.ts
@@ -27,7 +27,7 @@
 
 /** Saves and loads the versions. */
 export class VersionLog {
-  /** What this process last saved or found in the log, as text, by service. */
+  /** What this process last saved, as text, by service. */
   readonly #saved = new Map<string, string>()
   /** Records to be saved, by service. */
   readonly #unsaved = new Map<string, VersionRecord>()
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -24,6 +24,27 @@
     assert.equal(splitter.rest.toString(), 'id: 2\r\n')
   })
 
+  it('rejects events that do not follow the last one, and in a rest those without an id, but no comments', () => {
+    const cases: ReadonlyArray<readonly [number | null, string, boolean]> = [
+      [null, 'id: 1\ndata: a\n\nid: 3\ndata: c\n\n', true],
+      [null, 'data: a\n\n', true],
+      [null, 'id: 2\ndata: a\n\nid: 2\ndata: b\n\n', false],
+      [3, 'id: 4\r\ndata: d\r\n\r\n: comment\n:another\n\nx-weight-versions: 2\nid: 6\ndata: f\n\n', true],
+      [3, 'id: 3\ndata: c\n\n', false],
+      [3, 'data: d\n\n', false],
+      [3, 'data: d\n: comment\n\n', false],
+      [3, 'id: 4\ndata: d\n\nthe error\n\n', false]
+    ]
+    for (const [after, text, isAccepted] of cases) {
+      const push = (): unknown => new EventSplitter(after).push(Buffer.from(text))
+      if (isAccepted) {
+        assert.doesNotThrow(push, text)
+      } else {
+        assert.throws(push, MalformedStreamError, text)
+      }
+    }
+  })
+
   it('rejects an event without end, after returning the complete events before it', () => {
     const splitter = new EventSplitter()
     assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\n')).lastId, 1)
