Count a target as ended that closes a new connection at once

Cause: a target that ends closes its connections before its listening socket, so that the check found it listening for some milliseconds more.

Evidence: listening-check.test.ts; the case of a listener that closes 5 ms later is the fault.

--- /dev/null
+++ b/packages/gateway/tests/targets/listening-check.test.ts
@@ -0,0 +1,43 @@
+/** Guards against vouching for an answer whose target has ended: such a target refuses connections, or closes them at once. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import { describe, it } from 'node:test'
+import type { TestContext } from 'node:test'
+import { isListening } from '../../src/targets/listening-check.js'
+
+async function listen (context: TestContext, onConnection: (socket: Socket, server: Server) => void): Promise<string> {
+  const sockets = new Set<Socket>()
+  const server = createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    onConnection(socket, server)
+  })
+  context.after(() => {
+    sockets.forEach(socket => { socket.destroy() })
+    server.close()
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+describe('isListening', () => {
+  it('is true for a process that keeps connections open', async context => {
+    assert.equal(await isListening(await listen(context, () => {})), true)
+  })
+
+  it('is false for a process that closes or resets them at once, as a proxy of one that has ended does', async context => {
+    assert.equal(await isListening(await listen(context, socket => { socket.end() })), false)
+    assert.equal(await isListening(await listen(context, socket => { socket.resetAndDestroy() })), false)
+    assert.equal(await isListening(await listen(context, (socket, server) => {
+      server.close()
+      setTimeout(() => { socket.destroy() }, 5)
+    })), false)
+  })
+
+  it('is false where nobody listens', async () => {
+    assert.equal(await isListening('127.0.0.1:1'), false)
+  })
+})
