--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { SlotClient } from './permits/slot-client.js'
 import { QuarantineLog } from './quarantine/quarantine-log.js'
 import { QuarantineSharing } from './quarantine/quarantine-sharing.js'
+import { OriginLog } from './streams/origin-log.js'
 import { ServiceVersions } from './streams/service-versions.js'
 import { StreamOriginDirectory } from './streams/stream-origin-directory.js'
 import { VersionLog } from './streams/version-log.js'
@@ -71,6 +72,8 @@
 const quarantineTopicName = 'quarantine'
 /** Topic of the software versions of each service's targets. */
 const versionsTopicName = 'versions'
+/** Topic of the origins of streams that begin while a service has several software versions. */
+const originsTopicName = 'origins'
 /** Topic of the addresses of the fleet's processes. */
 const membersTopicName = 'members'
 /** Retry delay for clients whose request a process rejects because it has no configuration yet, or no service for the route. */
@@ -99,6 +102,7 @@
   readonly #memberDirectory: MemberDirectory
   readonly #quarantineSharing: QuarantineSharing
   readonly #serviceVersions: ServiceVersions
+  readonly #originLog: OriginLog
   readonly #streamOrigins: StreamOriginDirectory
   #routes: RouteTable | null = null
   #targetsKnown = false
@@ -120,7 +124,8 @@
       isNearOwner: service => this.slots.isNearOwner([service])
     })
     void this.#serviceVersions.load()
-    this.#streamOrigins = new StreamOriginDirectory({ versions: history, membership: this.membership, transport })
+    this.#originLog = new OriginLog(options.openTopic(originsTopicName, 0, this.metrics), transport.address, logger)
+    this.#streamOrigins = new StreamOriginDirectory({ versions: history, membership: this.membership, transport, log: this.#originLog })
     this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history)
     const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
     this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, successors: () => this.slots.nearOwners, log: quarantineLog, metrics: this.metrics, logger })
@@ -275,6 +280,7 @@
     this.#memberDirectory.close()
     this.#quarantineSharing.close()
     this.#serviceVersions.close()
+    this.#originLog.close()
     this.slots.close()
     this.membership.close()
     await this.jobForwarder.close()
--- a/packages/gateway/src/streams/stream-origin-directory.ts
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -1,6 +1,6 @@
 /**
  * Finds the origin of a stream that a client takes up at any process of the fleet. The process that sent the client the first event remembers it; while a service
- * has targets of several software versions, some other processes, chosen by the attempt's id, keep copies.
+ * has targets of several software versions, some other processes, chosen by the attempt's id, keep copies, and another one writes them to the log.
  */
 import { StreamKeepers, StreamOrigins } from '@arbutusloft/policy'
 import type { KnownOrigin, StreamOrigin, VersionHistory } from '@arbutusloft/policy'
@@ -8,6 +8,7 @@
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { OriginAnswerMessage, OriginQueryMessage, StreamOriginsMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
+import type { OriginLog } from './origin-log.js'
 
 /** Copies of an origin at other processes. Of three, one is left with 78% probability when six of ten processes are lost at once. */
 const copies = 3
@@ -17,14 +18,20 @@
 const repeatMilliseconds = 40
 /** Time after which an origin that nobody has told counts as unknown; like the time after which the owner of a service is suspected. */
 const askMilliseconds = 120
+/** Time after which the log is read again for an origin that nobody knows. */
+const rereadMilliseconds = 1_000
+/** Key by which the recorder is chosen. */
+const recorderKey = 'stream-origins'
 /** Origins in one datagram; each takes up to 100 bytes, and one packet carries 1,472. */
 const originsPerDatagram = 12
 
 /** Dependencies of {@link StreamOriginDirectory}. */
 export interface StreamOriginDirectoryDependencies {
   readonly versions: VersionHistory
-  readonly membership: Pick<Membership, 'live' | 'ready' | 'self'>
+  readonly membership: Pick<Membership, 'live' | 'ready' | 'self' | 'ownerCandidates'>
   readonly transport: PeerTransport
+  /** Where origins outlast the loss of all processes; null if nowhere. */
+  readonly log: Pick<OriginLog, 'add' | 'load'> | null
 }
 
 /** A question to other processes that is not answered yet. */
@@ -42,6 +49,10 @@
   readonly #keepers = new StreamKeepers()
   /** Queries in flight, by attempt. */
   readonly #queries = new Map<string, PendingQuery[]>()
+  /** The latest read of the log, which may be in flight. */
+  #restored: Promise<void> = Promise.resolve()
+  /** Time of that read, in milliseconds since the epoch. */
+  #restoredAt = -Infinity
 
   constructor (private readonly dependencies: StreamOriginDirectoryDependencies) {
     const { versions, transport } = dependencies
@@ -82,13 +93,25 @@
     return this.#known(attempt) ?? (isSole ? null : await this.ask(attempt))
   }
 
-  /** Asks other processes for the origin of an attempt's stream; resolves with null if none of them knows it. */
+  /** Asks other processes, and then the log, for the origin of an attempt's stream; resolves with null if none of them knows it. */
   async ask (attempt: string): Promise<KnownOrigin | null> {
     const known = this.#known(attempt)
-    const asked = this.#keepersOf(attempt, this.dependencies.membership.live(), askedProcesses)
-    if (known !== null || attempt === '' || asked.length === 0) {
+    if (known !== null || attempt === '') {
       return known
     }
+    const told = await this.#askProcesses(attempt)
+    if (told !== null) {
+      return told
+    }
+    await this.#restore()
+    return this.#known(attempt)
+  }
+
+  async #askProcesses (attempt: string): Promise<KnownOrigin | null> {
+    const asked = this.#keepersOf(attempt, this.dependencies.membership.live(), askedProcesses)
+    if (asked.length === 0) {
+      return null
+    }
     return await new Promise(resolve => {
       const settle = (origin: KnownOrigin | null): void => {
         clearTimeout(repeatTimer)
@@ -104,6 +127,21 @@
     })
   }
 
+  /** Reads the origins in the log, unless that was done a moment ago. */
+  async #restore (): Promise<void> {
+    const { log } = this.dependencies
+    const now = Date.now()
+    if (log !== null && now - this.#restoredAt >= rereadMilliseconds) {
+      this.#restoredAt = now
+      this.#restored = log.load().then(origins => {
+        for (const { attempt, origin, begunAt } of origins ?? []) {
+          this.#copies.add(attempt, origin, begunAt, now)
+        }
+      })
+    }
+    await this.#restored
+  }
+
   #known (attempt: string): KnownOrigin | null {
     const now = Date.now()
     return this.#own.get(attempt, now) ?? this.#copies.get(attempt, now)
@@ -131,8 +169,10 @@
   #copy (entries: StreamOriginsMessage['entries']): void {
     const byKeeper = new Map<string, Array<StreamOriginsMessage['entries'][number]>>()
     const ready = this.dependencies.membership.ready()
+    const recorder = this.#recorder
+    this.#log(entries)
     for (const entry of entries) {
-      for (const address of this.#keepersOf(entry.attempt, ready, copies)) {
+      for (const address of new Set([...this.#keepersOf(entry.attempt, ready, copies), ...recorder])) {
         const kept = byKeeper.get(address) ?? []
         byKeeper.set(address, kept)
         kept.push(entry)
@@ -145,6 +185,28 @@
     }
   }
 
+  /** Address of the process that writes the origins to the log, if that is another one. */
+  get #recorder (): readonly string[] {
+    return this.dependencies.log === null || this.#isRecorder ? [] : this.#recorders
+  }
+
+  get #isRecorder (): boolean {
+    return this.#recorders.includes(this.dependencies.membership.self.address)
+  }
+
+  get #recorders (): readonly string[] {
+    return this.#keepers.of(recorderKey, this.dependencies.membership.ownerCandidates().map(({ address }) => address), 1)
+  }
+
+  /** Writes origins to the log if this process is the recorder. */
+  #log (entries: StreamOriginsMessage['entries']): void {
+    const { log } = this.dependencies
+    if (log !== null && this.#isRecorder) {
+      const now = Date.now()
+      log.add(entries.map(({ attempt, origin, age }) => ({ attempt, origin, begunAt: now - age })))
+    }
+  }
+
   /** Returns the addresses of the other processes that come first for an attempt. */
   #keepersOf (attempt: string, members: ReadonlyArray<{ readonly address: string }>, count: number): readonly string[] {
     const { address: own } = this.dependencies.membership.self
@@ -156,6 +218,7 @@
     for (const { attempt, origin, age } of entries) {
       this.#copies.add(attempt, origin, now - age, now)
     }
+    this.#log(entries)
   }
 
   #onQuery ({ attempt }: OriginQueryMessage, sender: string): void {
