Log what an instance knows when a job cannot be read

A load that fails before the first one that succeeds was logged nowhere, and an answer 404 or 503 did not say how much of the partition was known.

--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -114,6 +114,7 @@
     }
     const isFresh = job.results.length > after || partition.isFreshSince(calledAt - maximumAgeMilliseconds)
     if (!isFresh && !await partition.refresh()) {
+      this.#logMiss('results of a job may be out of date', id, partition)
       return JobCallOutcome.Unavailable
     }
     return pageOf(partition.fold.get(id) ?? job, after)
@@ -134,16 +135,24 @@
       const partition = this.partitions.get(number)
       const known = partition.fold.get(id)
       if (known === undefined && !await partition.refresh()) {
+        this.#logMiss('partition of a job not read', id, partition)
         return JobCallOutcome.Unavailable
       }
       const job = known ?? partition.fold.get(id)
       if (job !== undefined) {
         return { job, partition }
       }
+      this.#logMiss('job not found', id, partition)
     }
     return JobCallOutcome.NotFound
   }
 
+  /** Logs why a job was not found, with how much of the partition is known. */
+  #logMiss (message: string, job: string, { number, position, ageMilliseconds }: JobPartition): void {
+    const age = Number.isFinite(ageMilliseconds) ? ageMilliseconds : null
+    this.logger.info(message, { job, partition: number, position, age, own: this.partitions.isOwn(number) })
+  }
+
   /** Waits until the job has a result after the position, up to `wait` milliseconds. */
   async #waitForResults ({ job, partition }: FoundJob, after: number, wait: number): Promise<void> {
     if (!this.#watchedPartitions.has(partition)) {
--- a/packages/gateway/src/jobs/job-forwarder.ts
+++ b/packages/gateway/src/jobs/job-forwarder.ts
@@ -33,6 +33,8 @@
 /** Connections to one process; a read of results occupies one while it waits. */
 const maximumConnections = 32
 
+const firstFailureStatus = 400
+
 /** Keeps connections to the owners of partitions. */
 export class JobForwarder {
   readonly #pools = new Map<string, Pool>()
@@ -56,7 +58,11 @@
     const { address } = this.partitions.ownerOf(number)
     const { method, path, headers, body, timeoutMilliseconds } = call
     try {
-      return { answered: true, response: await callBuffered(this.#poolOf(address), { method, path, headers, body, timeoutMilliseconds }) }
+      const response = await callBuffered(this.#poolOf(address), { method, path, headers, body, timeoutMilliseconds })
+      if (response.status >= firstFailureStatus) {
+        this.logger.info('job call not served by its owner', { job: call.job, peer: address, method, status: response.status })
+      }
+      return { answered: true, response }
     } catch (error) {
       const mayHaveArrived = !(error instanceof UnansweredCallError) || error.sent
       this.logger.info('job call not answered by its owner', { job: call.job, peer: address, method, mayHaveArrived, error: messageOf(error) })
--- a/packages/gateway/src/jobs/job-partition.ts
+++ b/packages/gateway/src/jobs/job-partition.ts
@@ -28,6 +28,11 @@
     return this.#follower.position
   }
 
+  /** Milliseconds since the time up to which the partition is known; `Infinity` if it was not read yet. */
+  get ageMilliseconds (): number {
+    return this.#follower.ageMilliseconds
+  }
+
   /** Whether everything that was appended before this time, in milliseconds since the epoch, is known. */
   isFreshSince (time: number): boolean {
     return this.#follower.isFreshSince(time)
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -229,7 +229,7 @@
 
   /** Loads the newest records; returns false if another load has ended meanwhile, which may have begun earlier and is kept. */
   async #loadNewest (): Promise<boolean> {
-    const { records, end } = await this.topic.newest()
+    const { records, end } = await this.#readNewest()
     if (this.#closed || this.#position !== null) {
       return this.#closed
     }
@@ -239,6 +239,21 @@
     return true
   }
 
+  /** Reads the newest records, and logs how long that took. */
+  async #readNewest (): Promise<RecordBatch> {
+    const startedAt = performance.now()
+    const topic = this.options.name
+    try {
+      const batch = await this.topic.newest()
+      const bytes = batch.records.reduce((sum, record) => sum + (record.value?.length ?? 0), 0)
+      this.logger.info('records loaded', { topic, milliseconds: Math.round(performance.now() - startedAt), records: batch.records.length, bytes, end: batch.end })
+      return batch
+    } catch (error) {
+      this.logger.warn('records not loaded', { topic, milliseconds: Math.round(performance.now() - startedAt), error: messageOf(error) })
+      throw error
+    }
+  }
+
   #apply ({ records, end }: RecordBatch): void {
     if (this.#closed || this.#position === null || end <= this.#position) {
       return
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { setImmediate } from 'node:timers/promises'
 import { describe, it, mock } from 'node:test'
-import { AppendOutcome, KeyedFollower } from '../../src/index.js'
+import { AppendOutcome, KeyedFollower, LogUnavailableError } from '../../src/index.js'
 import type { KeyedRecord, KeyedTopic, RecordBatch } from '../../src/index.js'
 import { createTestLogger } from '../util/test-logger.js'
 
@@ -90,4 +90,30 @@
     assert.ok(keys.has('later'))
     follower.close()
   })
+
+  it('logs each load with its size, and each load that fails, also before the first one that succeeds', async () => {
+    const lines: string[] = []
+    const records = [{ key: 'key', value: Buffer.from('value'), offset: 0 }]
+    let loads = 0
+    const topic: KeyedTopic = {
+      newest: async () => {
+        loads += 1
+        if (loads === 1) {
+          throw new LogUnavailableError('newest was not answered')
+        }
+        return { records, end: 1, isComplete: true }
+      },
+      read: async () => ({ records: [], end: 1, isComplete: true }),
+      append: async () => AppendOutcome.Refused
+    }
+    const follower = new KeyedFollower(topic, { name: 'topic', waitMilliseconds: 0, pauseMilliseconds: () => 0 }, () => {}, createTestLogger(lines))
+    assert.equal(await follower.refresh(), false)
+    assert.equal(await follower.refresh(), true)
+    follower.close()
+    const loadLines = lines.map(line => JSON.parse(line) as Record<string, unknown>).filter(line => String(line.message).startsWith('records '))
+    assert.deepEqual(loadLines.map(({ message, topic, error, bytes, end }) => ({ message, topic, error, bytes, end })), [
+      { message: 'records not loaded', topic: 'topic', error: 'newest was not answered', bytes: undefined, end: undefined },
+      { message: 'records loaded', topic: 'topic', error: undefined, bytes: 5, end: 1 }
+    ])
+  })
 })
