Answer 503 for a job whose record could not be applied

A record of the jobs that could not be applied was logged and skipped, and the position moved on. The instance then answered 404 for the job with confidence, for good, although the log had it; if it owned the partition, every instance did. A client that submitted it again made the job's records twice.

The fold now keeps the ids of jobs with such a record until they can be read or were deleted. The partition is loaded anew with the next read, at most every two seconds; until the job is readable, calls about it are answered 503, and a submission 504: the log may have the job, so that nothing is promised.

All pass now, with the tests of jobs, log, loads, schedules and the store (60 of 60). That a linearizable store ever shows a submission without its bodies was not found by reading or by the check of all schedules; other ways to such a record are a fault of a listener, or records of a later build.

--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -14,7 +14,7 @@
   NotFound: 'not-found',
   /** The job would exceed the route's limit of waiting tokens; it was not accepted and will not run. */
   OverLimit: 'over-limit',
-  /** The log is unreachable or did not append the change in time; nothing was changed. */
+  /** The log is unreachable, cannot be read, or did not append the change in time; nothing was changed. */
   Unavailable: 'unavailable',
   /** The change may have been made, or may still be made. */
   Unknown: 'unknown'
@@ -40,6 +40,9 @@
 /** Partition that holds the jobs accepted by builds that did not divide them. */
 const undividedPartition = 0
 
+/** What the calls need of {@link JobPartitions}. */
+export type ReadPartitions = Pick<JobPartitions, 'numberOf' | 'get' | 'isOwn'>
+
 /** A read of results that waits for a new one. */
 interface WaitingRead {
   readonly job: Job
@@ -59,8 +62,8 @@
   readonly #watchedPartitions = new WeakSet<JobPartition>()
 
   constructor (
-    private readonly partitions: JobPartitions,
-    private readonly ledger: TokenLedger,
+    private readonly partitions: ReadPartitions,
+    private readonly ledger: Pick<TokenLedger, 'reserve' | 'settle'>,
     private readonly processName: () => string,
     private readonly logger: Logger
   ) {}
@@ -71,12 +74,16 @@
       return JobCallOutcome.NotFound
     }
     const partition = this.partitions.get(this.partitions.numberOf(id))
-    if (!partition.isLoaded && !await partition.refresh()) {
+    if ((!partition.isLoaded || partition.fold.isUnreadable(id)) && !await partition.refresh()) {
       return JobCallOutcome.Unavailable
     }
     if (partition.fold.get(id) !== undefined) {
       return JobCallOutcome.Ok
     }
+    if (partition.fold.isUnreadable(id)) {
+      this.#logMiss('job not readable', id, partition)
+      return JobCallOutcome.Unknown
+    }
     const deadline = Date.now() + Math.min(route.timeoutMilliseconds, changeTimeoutMilliseconds)
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
     const request = { job: id, route: route.name, tokens, limit: route.waitingTokens }
@@ -142,6 +149,10 @@
       if (job !== undefined) {
         return { job, partition }
       }
+      if (partition.fold.isUnreadable(id)) {
+        this.#logMiss('job not readable', id, partition)
+        return JobCallOutcome.Unavailable
+      }
       this.#logMiss('job not found', id, partition)
     }
     return JobCallOutcome.NotFound
--- a/packages/gateway/src/jobs/job-log.ts
+++ b/packages/gateway/src/jobs/job-log.ts
@@ -23,7 +23,7 @@
   NotFound: 'not-found',
   /** The change was not appended before its deadline, and never will be. */
   NotDone: 'not-done',
-  /** The log did not respond: the change may have been appended, or may be appended later. */
+  /** The change may have been appended, or may be appended later: the log did not respond, or has a record that cannot be read. */
   Unknown: 'unknown'
 } as const
 export type ChangeOutcome = typeof ChangeOutcome[keyof typeof ChangeOutcome]
@@ -72,6 +72,9 @@
       if (this.fold.get(submission.id) !== undefined) {
         return ChangeOutcome.Done
       }
+      if (this.fold.isUnreadable(submission.id)) {
+        return ChangeOutcome.Unknown
+      }
       if (submitted.has(submission.id)) {
         return []
       }
--- a/packages/gateway/src/jobs/job-partition.ts
+++ b/packages/gateway/src/jobs/job-partition.ts
@@ -5,11 +5,16 @@
 import { JobLog } from './job-log.js'
 import { JobsFold } from './jobs-fold.js'
 
+/** Minimum time between two loads of a partition with a job that could not be read. */
+const reloadIntervalMilliseconds = 2_000
+
 /** The jobs of a partition, as far as they are known, and the way to change them. Nothing is read before the first {@link refresh}. */
 export class JobPartition {
   readonly fold: JobsFold
   readonly log: JobLog
   readonly #follower: KeyedFollower
+  /** Time of the latest load because of a job that could not be read, by the clock of `performance`. */
+  #reloadedAt = -Infinity
 
   constructor (readonly number: number, topic: KeyedTopic, logger: Logger) {
     this.fold = new JobsFold(logger)
@@ -38,8 +43,13 @@
     return this.#follower.isFreshSince(time)
   }
 
-  /** Reads what was appended; returns whether that succeeded. */
+  /** Reads what was appended, or all records if one could not be applied; returns whether that succeeded. */
   async refresh (): Promise<boolean> {
+    const now = performance.now()
+    if (this.fold.hasUnreadable && now >= this.#reloadedAt + reloadIntervalMilliseconds) {
+      this.#reloadedAt = now
+      this.#follower.forget()
+    }
     return await this.#follower.refresh()
   }
 
--- a/packages/gateway/src/jobs/jobs-fold.ts
+++ b/packages/gateway/src/jobs/jobs-fold.ts
@@ -24,6 +24,8 @@
   #jobs = new Map<string, Job>()
   readonly #unsettled = new Set<Job>()
   #bodies = new Map<string, Buffer[]>()
+  /** Ids of jobs with a record that could not be applied. */
+  readonly #unreadable = new Set<string>()
   readonly #listeners: JobsListener[] = []
 
   constructor (private readonly logger: Logger) {}
@@ -34,6 +36,7 @@
       this.#jobs = new Map()
       this.#unsettled.clear()
       this.#bodies = new Map()
+      this.#unreadable.clear()
     }
     const changed = new Set<Job>()
     for (const record of records) {
@@ -54,6 +57,16 @@
     return this.#jobs.get(id)
   }
 
+  /** Whether the log has a job of which this fold has not all records, because one could not be applied. */
+  isUnreadable (id: string): boolean {
+    return this.#unreadable.has(id)
+  }
+
+  /** Whether there is any such job. */
+  get hasUnreadable (): boolean {
+    return this.#unreadable.size > 0
+  }
+
   all (): Iterable<Job> {
     return this.#jobs.values()
   }
@@ -91,6 +104,10 @@
       const parsed = parseJobRecord(record)
       return parsed === null ? null : this.#applyJobRecord(parsed)
     } catch (error) {
+      const [, id] = record.key.split('/')
+      if (id !== undefined) {
+        this.#unreadable.add(id)
+      }
       this.logger.error('could not apply job record', { key: record.key, offset: record.offset, error: messageOf(error) })
       return null
     }
@@ -138,6 +155,7 @@
     })
     const job: Job = { id: record.job, route, acceptedAt, acceptedBy, items, bodyParts: record.parts, results: [], finished: new Set(), ended: false }
     this.#jobs.set(job.id, job)
+    this.#unreadable.delete(job.id)
     this.#unsettled.add(job)
     return job
   }
@@ -157,8 +175,12 @@
 
   #delete (key: string): void {
     const [kind, id] = key.split('/')
-    const job = id === undefined ? undefined : this.#jobs.get(id)
-    if (kind === JobRecordKind.Submission && job !== undefined) {
+    if (kind !== JobRecordKind.Submission || id === undefined) {
+      return
+    }
+    this.#unreadable.delete(id)
+    const job = this.#jobs.get(id)
+    if (job !== undefined) {
       this.#jobs.delete(job.id)
       this.#unsettled.delete(job)
     }
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -85,6 +85,11 @@
     return await this.#nextRefresh
   }
 
+  /** Makes the next read load the newest record of each key, which the listener gets in place of all records so far. */
+  forget (): void {
+    this.#position = null
+  }
+
   /**
    * Passes on records that this process itself has just appended at the current position, which shows that nobody else had
    * appended anything there.
