Go on behind the pages that a failed load has read

A load of a partition that failed at one page began again from its first page.

The follower keeps what a failed load has read, and the next one goes on behind its last key. Such a load is not complete: what was appended since its first page is read from the end offset of that page; if the store has forgotten it, a load begins anew.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -2,7 +2,7 @@
 import { messageOf } from '@arbutusloft/protocol'
 import type { Logger } from '../util/logger.js'
 import { sleep } from '../util/sleep.js'
-import { ExpiredOffsetError } from './keyed-topic.js'
+import { ExpiredOffsetError, PartialLoad } from './keyed-topic.js'
 import type { KeyedRecord, KeyedTopic, RecordBatch } from './keyed-topic.js'
 
 /** Options of {@link KeyedFollower}. */
@@ -34,6 +34,8 @@
   #confirmedAt = 0
   /** Time up to which the latest successful read has shown all records; unlike {@link #confirmedAt} it follows a clock that is set back. */
   #shownUntil = -Infinity
+  /** What a load that failed has read, or null. */
+  #partialLoad: PartialLoad | null = null
   #closed = false
   #reachable = false
   #refreshing: Promise<boolean> | null = null
@@ -88,6 +90,7 @@
   /** Makes the next read load the newest record of each key, which the listener gets in place of all records so far. */
   forget (): void {
     this.#position = null
+    this.#partialLoad = null
   }
 
   /**
@@ -232,29 +235,37 @@
     }
   }
 
-  /** Loads the newest records; returns false if another load has ended meanwhile, which may have begun earlier and is kept. */
+  /**
+   * Loads the newest records. Returns false if records may be missing that were appended before the call: the load goes on from a failed
+   * one, or another load has ended meanwhile, which may have begun earlier and is kept.
+   */
   async #loadNewest (): Promise<boolean> {
-    const { records, end } = await this.#readNewest()
+    const { records, end, isComplete } = await this.#readNewest()
     if (this.#closed || this.#position !== null) {
       return this.#closed
     }
     this.#onReadSucceeded()
     this.#position = end
     this.listener([...records].sort((left, right) => left.offset - right.offset), true)
-    return true
+    return isComplete
   }
 
-  /** Reads the newest records, and logs how long that took. */
+  /** Reads the newest records, and logs how long that took. What a read that fails has got is kept for the next one. */
   async #readNewest (): Promise<RecordBatch> {
     const startedAt = performance.now()
     const topic = this.options.name
+    const partial = this.#partialLoad ?? new PartialLoad()
+    this.#partialLoad = null
     try {
-      const batch = await this.topic.newest()
+      const batch = await this.topic.newest(partial)
       const bytes = batch.records.reduce((sum, record) => sum + (record.value?.length ?? 0), 0)
       this.logger.info('records loaded', { topic, milliseconds: Math.round(performance.now() - startedAt), records: batch.records.length, bytes, end: batch.end })
       return batch
     } catch (error) {
-      this.logger.warn('records not loaded', { topic, milliseconds: Math.round(performance.now() - startedAt), error: messageOf(error) })
+      if (partial.end !== null) {
+        this.#partialLoad = partial
+      }
+      this.logger.warn('records not loaded', { topic, milliseconds: Math.round(performance.now() - startedAt), kept: partial.records.length, error: messageOf(error) })
       throw error
     }
   }
--- a/packages/gateway/src/log/keyed-topic.ts
+++ b/packages/gateway/src/log/keyed-topic.ts
@@ -20,6 +20,15 @@
   readonly isComplete: boolean
 }
 
+/** What a load of newest records has read so far; a load that fails can go on from it. */
+export class PartialLoad {
+  readonly records: KeyedRecord[] = []
+  /** Offset from which later records are to be read, or null before the first part. */
+  end: number | null = null
+  /** Last key that was read, or null before the first part. */
+  lastKey: string | null = null
+}
+
 /** Outcome of an append. */
 export const AppendOutcome = {
   Done: 'done',
@@ -44,8 +53,13 @@
 
 /** One partition of a keyed topic. Reads reject with {@link LogUnavailableError} or {@link ExpiredOffsetError}. */
 export interface KeyedTopic {
-  /** Returns the newest record of each key, and the offset from which later records are to be read. */
-  newest: () => Promise<RecordBatch>
+  /**
+   * Returns the newest record of each key, and the offset from which later records are to be read.
+   *
+   * @param partial what an earlier call has read, from which this one may go on; gets what this one reads. A call that goes on returns a
+   * batch that is not complete, since records may have been appended since the earlier call
+   */
+  newest: (partial?: PartialLoad) => Promise<RecordBatch>
   /** Returns records from an offset on; waits up to `waitMilliseconds` for the first one. */
   read: (from: number, waitMilliseconds: number) => Promise<RecordBatch>
   /** Appends either all records or none. Unless `expectedEnd` is null, appends only if the topic ends at that offset. Never rejects. */
