End a call whose connection can't be opened as unreachable

connect throws for a port that is out of range. The error left callTarget between the grant of a slot and its release: callers got 500 although other targets were free, the slot stayed in the holder's reports for as long as the process lived, and the run of an item ended in an unhandled rejection, so that its item never ran again at that owner.

--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -1,4 +1,5 @@
 /** Sends one request to one target and reports whether the target may have run it. */
+import { messageOf } from '@arbutusloft/protocol'
 import type { HeaderNames } from '../online/header-names.js'
 import { isListening } from './listening-check.js'
 import type { ResponseHead } from './response-parser.js'
@@ -92,7 +93,13 @@
   names: HeaderNames,
   sink: ResponseSink
 ): RunningCall {
-  const connection = connections.acquire(target, request.id)
+  let connection: TargetConnection
+  try {
+    connection = connections.acquire(target, request.id)
+  } catch (error) {
+    // For example a port that is out of range, in the grant of an instance that does not check it.
+    return new EndedCall({ end: CallOutcome.Unreachable, reason: messageOf(error) })
+  }
   const call = new TargetCall(connection, target.address, request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
@@ -116,6 +123,21 @@
   return body === null ? head : Buffer.concat([head, body])
 }
 
+/** A call that has ended before anything was sent. */
+class EndedCall implements RunningCall {
+  readonly ended: RunningCall['ended']
+
+  constructor (end: CallEnd) {
+    this.ended = Promise.resolve(end)
+  }
+
+  resume (): void {}
+
+  skipBody (): void {}
+
+  abort (): void {}
+}
+
 class TargetCall implements RunningCall, Exchange {
   readonly ended: RunningCall['ended']
   #settle: (result: { end: CallOutcome, reason: string }) => void = () => {}
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -121,6 +121,27 @@
     assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
   })
 
+  it('runs an item elsewhere whose target has a port that no connection can be opened to', async context => {
+    const server = createServer((_request, response) => { response.writeHead(200, { 'x-request-id': item.id, 'content-type': 'text/event-stream' }).end('id: 1\ndata: a\n\n') })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const addresses = ['127.0.0.1:65536', `127.0.0.1:${(server.address() as AddressInfo).port}`]
+    const connections = new TargetConnections()
+    context.after(() => {
+      connections.close()
+      server.close()
+    })
+    const outcomes: SlotOutcome[] = []
+    const grant = async (): Promise<AcquireResult> => {
+      const target = { id: 't', address: addresses.shift() ?? '', born: 1, softwareVersion: 'v1' }
+      return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { outcomes.push(outcome) } } }
+    }
+    const dependencies = { slots: { acquire: grant }, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
+    assert.deepEqual(outcomes, [SlotOutcome.Unreachable, SlotOutcome.Finished])
+  })
+
   it('gives an item up at the end of its retention although it gets no slot', async () => {
     const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
