Give a slot back when its dispatch throws

Between the grant of a slot and its release, an error in a dispatch left the slot in the holder's reports until the process ended: one slot less for the fleet with each such error. The run of an item ended with it as an unhandled rejection; the item stayed among the running ones and never ran again at that owner.

The slot is now released as stopped, since the error says nothing of the target. A request ends with 500 as before. An item backs off and is tried again, with a log line that names job, item, target and error.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -1,7 +1,7 @@
 /** Runs one batch item until it has a result: acquires a slot, dispatches to a target, and resumes the stream after each interruption. */
 import { promptPartDigest, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
 import type { Route, StreamOrigin } from '@arbutusloft/policy'
-import { WorkClass } from '@arbutusloft/protocol'
+import { messageOf, WorkClass } from '@arbutusloft/protocol'
 import type { HeaderNames } from '../online/header-names.js'
 import { sharedPromptParts } from '../online/online-request.js'
 import { forwardedHeaders } from '../online/forwarded-headers.js'
@@ -180,7 +180,7 @@
     }
     this.#versionWaitMilliseconds = 0
     this.#excluded = []
-    return await this.#dispatch(route, service, result.slot)
+    return await this.#dispatchSafely(route, service, result.slot)
   }
 
   /** Returns the service for an attempt; an output that has begun goes on at its service, and begins anew if the route has that no more. */
@@ -255,6 +255,19 @@
     }
   }
 
+  /** Like {@link #dispatch}, but also gives the slot back if that throws; the item then needs another attempt. */
+  async #dispatchSafely (route: Route, service: string, slot: Slot): Promise<ItemOutcome | null> {
+    try {
+      return await this.#dispatch(route, service, slot)
+    } catch (error) {
+      this.dependencies.logger.error('item run failed', { job: this.job.id, item: this.item.id, target: slot.target.id, error: messageOf(error), stack: error instanceof Error ? error.stack : null })
+      slot.release(SlotOutcome.Stopped)
+      this.#excluded = [slot.target.id]
+      await this.#backOff()
+      return null
+    }
+  }
+
   /** Sends the item to the target and releases the slot at the end; returns the result of the item, or null if it needs another attempt. */
   async #dispatch (route: Route, service: string, slot: Slot): Promise<ItemOutcome | null> {
     const { target } = slot
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -135,7 +135,7 @@
         this.#refuseStopping()
         return
       }
-      if (await this.#dispatch(result.slot)) {
+      if (await this.#dispatchSafely(result.slot)) {
         return
       }
       if (this.#rejections > maximumRejections) {
@@ -197,6 +197,16 @@
     }, this.#abort.signal)
   }
 
+  /** Like {@link #dispatch}, but gives the slot back also if that throws. */
+  async #dispatchSafely (slot: Slot): Promise<boolean> {
+    try {
+      return await this.#dispatch(slot)
+    } catch (error) {
+      slot.release(SlotOutcome.Stopped)
+      throw error
+    }
+  }
+
   /** Sends the request to the target; returns true if the request is finished, and false if it needs another attempt. */
   async #dispatch (slot: Slot): Promise<boolean> {
     const { request, dependencies } = this
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -11,6 +11,7 @@
 import { ItemState } from '../../src/jobs/job.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
 import type { AcquireResult, SlotDemand } from '../../src/permits/slot.js'
+import { TargetConnection } from '../../src/targets/target-connection.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
 import { sleep } from '../../src/util/sleep.js'
 import { createTestLogger } from '../util/test-logger.js'
@@ -142,6 +143,31 @@
     assert.deepEqual(outcomes, [SlotOutcome.Unreachable, SlotOutcome.Finished])
   })
 
+  it('gives a slot back and runs an item again after an error while its request is sent', async context => {
+    const server = createServer((_request, response) => { response.writeHead(200, { 'x-request-id': item.id, 'content-type': 'text/event-stream' }).end('id: 1\ndata: a\n\n') })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const connections = new TargetConnections()
+    context.after(() => {
+      connections.close()
+      server.close()
+    })
+    context.mock.method(TargetConnection.prototype, 'send', () => { throw new Error('cannot send') }, { times: 1 })
+    const outcomes = new Map<string, SlotOutcome>()
+    let grants = 0
+    const grant = async (): Promise<AcquireResult> => {
+      grants += 1
+      const permit = `p${grants}`
+      const release = (outcome: SlotOutcome): void => { outcomes.set(permit, outcomes.get(permit) ?? outcome) }
+      return { granted: true, slot: { permit, target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, release } }
+    }
+    const dependencies = { slots: { acquire: grant }, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
+    assert.deepEqual([...outcomes.values()], [SlotOutcome.Stopped, SlotOutcome.Finished])
+  })
+
   it('gives an item up at the end of its retention although it gets no slot', async () => {
     const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
--- a/packages/gateway/tests/online/unreachable-targets.test.ts
+++ b/packages/gateway/tests/online/unreachable-targets.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test'
 import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
+import { TargetConnection } from '../../src/targets/target-connection.js'
 import { CallerKind, ConnectionEnd, OnlineHarness } from '../util/online-harness.js'
 
 const common = { name: 'r', host: 'h', prefix: '/p/', services: [], timeoutMilliseconds: 2_000, objectiveMilliseconds: 1_000, priority: 0, completionMilliseconds: 0, retentionMilliseconds: 0, waitingTokens: 0 }
@@ -21,3 +22,15 @@
     assert.deepEqual(harness.outcomes, [SlotOutcome.Unreachable, SlotOutcome.Finished])
   })
 })
+
+describe('a request whose sending fails with an error', () => {
+  it('gives its slot back', async context => {
+    context.mock.method(TargetConnection.prototype, 'send', () => { throw new Error('cannot send') })
+    const harness = await OnlineHarness.start(singleRunRoute, [answer])
+    const failure = new Promise<Error>(resolve => { harness.onError = resolve })
+    void harness.call(CallerKind.KeepAlive)
+    assert.equal((await failure).message, 'cannot send')
+    harness.close()
+    assert.deepEqual(harness.outcomes, [SlotOutcome.Stopped])
+  })
+})
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -79,6 +79,8 @@
   readonly drainAdmission = new DrainAdmission()
   /** Aborted to end all requests, as an instance does that stops. */
   readonly ending = new AbortController()
+  /** Called with the error that ends a run; if it is null, the error is not handled. */
+  onError: ((error: Error) => void) | null = null
   readonly #connections = new TargetConnections()
   readonly #sockets = new Set<Socket>()
   readonly #servers: Server[] = []
@@ -104,6 +106,11 @@
           metrics: new GatewayMetrics(),
           logger: createTestLogger(harness.logLines)
         }, online, response).run()
+      }).catch((error: unknown) => {
+        if (harness.onError === null || !(error instanceof Error)) {
+          throw error
+        }
+        harness.onError(error)
       })
     }))
     return harness
