Skip records of jobs whose fields are out of range

parseJobRecord took the content of a record as it was. Headers that are no list throw in the listener of the fold, which then starts no other item of the records it was given; a header with a line end adds headers to the request; tokens that are no number make the sum of a route's waiting tokens none, so that its limit holds nothing back; an acceptance in the far future never expires; and a record of bodies numbered makes Buffer.concat walk a list of that length.

Such a record is now skipped with the log line that others which can't be applied get, and names the field, its value and what is expected.

--- a/packages/gateway/src/jobs/job-records.ts
+++ b/packages/gateway/src/jobs/job-records.ts
@@ -1,6 +1,7 @@
 /** Encoding of batch jobs as records of the jobs topic. */
 import { Packr } from 'msgpackr'
 import type { KeyedRecord, NewRecord } from '../log/keyed-topic.js'
+import { decodePart, decodeSubmission } from './decode-submission.js'
 import { ItemState } from './job.js'
 import type { Job, JobItem, JobSubmission } from './job.js'
 
@@ -94,7 +95,7 @@
   return [...results, ...bodies, ...ends, `${JobRecordKind.Submission}/${job.id}`].map(key => ({ key, value: null }))
 }
 
-/** Decodes a record; returns null for a tombstone or an unknown kind. */
+/** Decodes a record; returns null for a tombstone or an unknown kind, and throws if it is not what {@link submissionRecords} and the others encode. */
 export function parseJobRecord ({ key, value }: KeyedRecord): JobRecord | null {
   const [kind, job, indexText] = key.split('/')
   if (value === null || job === undefined) {
@@ -102,9 +103,9 @@
   }
   switch (kind) {
     case JobRecordKind.Bodies:
-      return { kind, job, part: Number(indexText), bytes: value }
+      return { kind, job, part: decodePart(indexText), bytes: value }
     case JobRecordKind.Submission:
-      return { kind, job, ...packr.unpack(value) as Omit<SubmissionRecord, 'kind' | 'job'> }
+      return { kind, job, ...decodeSubmission(packr.unpack(value)) }
     case JobRecordKind.Result:
       return {
         kind,
