Save the progress of other items beside one with an event id out of range

A record of progress holds the id of the last event in four bytes. A target that sends a greater one made writeUInt32BE throw: the instance saved the progress of none of its items from then on, every two seconds, and when it was stopped the same error kept it from telling the others that it drains, so that they did not take its items over before it ended.

Such progress is not saved, as with a text that is too long: another instance begins the item anew.

--- a/packages/gateway/src/jobs/item-progress.ts
+++ b/packages/gateway/src/jobs/item-progress.ts
@@ -25,6 +25,9 @@
   readonly progress: ItemProgress | null
 }
 
+/** Greatest event id that a record can hold. */
+export const maximumEventId = 4_294_967_295
+
 const idBytes = 4
 /** Length of the length of a name. */
 const lengthBytes = 1
--- a/packages/gateway/src/jobs/progress-log.ts
+++ b/packages/gateway/src/jobs/progress-log.ts
@@ -7,7 +7,7 @@
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedTopic, NewRecord } from '../log/keyed-topic.js'
 import type { Logger } from '../util/logger.js'
-import { parseProgressRecord, progressRecords } from './item-progress.js'
+import { maximumEventId, parseProgressRecord, progressRecords } from './item-progress.js'
 import type { ItemProgress, ProgressEntry } from './item-progress.js'
 
 /** Size of the text above which progress is not saved; the store accepts records of up to a quarter of a megabyte. */
@@ -22,11 +22,11 @@
 export class ProgressLog {
   constructor (private readonly partitions: readonly KeyedTopic[], private readonly logger: Logger) {}
 
-  /** Saves entries; skips those whose text is too large, and logs appends that fail. */
+  /** Saves entries; skips those that a record cannot hold, and logs appends that fail. */
   async save (entries: readonly ProgressEntry[]): Promise<void> {
     const byPartition = new Map<KeyedTopic, NewRecord[]>()
     for (const entry of entries) {
-      if (entry.progress === null || Buffer.byteLength(entry.progress.text) <= maximumTextBytes) {
+      if (entry.progress === null || isStorable(entry.progress)) {
         const partition = this.#partitionOf(entry.job)
         byPartition.set(partition, [...byPartition.get(partition) ?? [], ...progressRecords(entry)])
       }
@@ -72,6 +72,11 @@
   }
 }
 
+/** Whether a record can hold progress. The id is that of a target's event, which may be any number. */
+function isStorable ({ lastId, text }: ItemProgress): boolean {
+  return lastId <= maximumEventId && Buffer.byteLength(text) <= maximumTextBytes
+}
+
 function splitByBytes (records: readonly NewRecord[]): ReadonlyArray<readonly NewRecord[]> {
   const parts: NewRecord[][] = []
   let bytes = Infinity
--- a/packages/gateway/tests/jobs/progress-log.test.ts
+++ b/packages/gateway/tests/jobs/progress-log.test.ts
@@ -114,4 +114,10 @@
     await log.save([{ job: 'one', index: 0, progress: { lastId: 3, origin, text: 'a' } }])
     assert.equal((await loadJob('one')).size, 0)
   })
+
+  it('saves the progress of other items beside one whose target sent an event id that a record cannot hold', async () => {
+    const largest = { lastId: 2 ** 32 - 1, origin, text: 'a' }
+    await log.save([{ job: 'j', index: 0, progress: { lastId: 2 ** 32, origin, text: 'a' } }, { job: 'j', index: 1, progress: largest }])
+    assert.deepEqual([...await loadJob('j')], [[1, largest]])
+  })
 })
