Skip records of waiting tokens that can't be read

One record of the tokens' topic that is no list, or holds a number that is none or negative, ended each reservation with an error: jobs on routes with a limit were answered 500 by all instances for as long as the record stood, or the sum of waiting tokens was no number and the limit held nothing back. A reservation from the far future never expired.

--- a/packages/gateway/src/jobs/token-ledger.ts
+++ b/packages/gateway/src/jobs/token-ledger.ts
@@ -7,6 +7,7 @@
 import { Packr } from 'msgpackr'
 import PQueue from 'p-queue'
 import { messageOf } from '@arbutusloft/protocol'
+import * as z from 'zod'
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedTopic, NewRecord, RecordBatch } from '../log/keyed-topic.js'
 import { Alarm } from '../util/alarm.js'
@@ -51,15 +52,12 @@
 const reservationPrefix = 'r/'
 const packr = new Packr({ useRecords: false })
 
-/** A reservation as it is recorded; its key is `r/JOB/PROCESS`. */
-interface Reservation {
-  readonly job: string
-  readonly partition: number
-  readonly route: string
-  readonly tokens: number
-  /** Time at which it was made, in milliseconds since the epoch. */
-  readonly at: number
-}
+const partitionSchema = z.number().int().nonnegative()
+/** Tokens by route. */
+const totalSchema = z.array(z.tuple([z.string(), z.number().nonnegative()]))
+/** A reservation as it is recorded; its key is `r/JOB/PROCESS`. It was made `at` this time, in milliseconds since the epoch. */
+const reservationSchema = z.object({ job: z.string(), partition: partitionSchema, route: z.string(), tokens: z.number().nonnegative(), at: z.number() })
+type Reservation = Readonly<z.infer<typeof reservationSchema>>
 
 /** Content of the topic. */
 interface LedgerContent {
@@ -182,13 +180,17 @@
     const totals = new Map<number, ReadonlyMap<string, number>>()
     const encodedTotals = new Map<number, string>()
     const reservations = new Map<string, Reservation>()
-    for (const { key, value } of batch.records) {
-      if (value !== null && key.startsWith(totalPrefix)) {
-        const number = Number(key.slice(totalPrefix.length))
-        totals.set(number, new Map(packr.unpack(value) as ReadonlyArray<[string, number]>))
-        encodedTotals.set(number, value.toString('latin1'))
-      } else if (value !== null && key.startsWith(reservationPrefix)) {
-        reservations.set(key, packr.unpack(value) as Reservation)
+    for (const { key, value, offset } of batch.records) {
+      try {
+        if (value !== null && key.startsWith(totalPrefix)) {
+          const number = partitionSchema.parse(Number(key.slice(totalPrefix.length)))
+          totals.set(number, new Map(totalSchema.parse(packr.unpack(value))))
+          encodedTotals.set(number, value.toString('latin1'))
+        } else if (value !== null && key.startsWith(reservationPrefix)) {
+          reservations.set(key, reservationSchema.parse(packr.unpack(value)))
+        }
+      } catch (error) {
+        this.logger.warn('waiting tokens not readable', { key, offset, error: messageOf(error) })
       }
     }
     return { totals, encodedTotals, reservations, end: batch.end }
@@ -266,5 +268,5 @@
 }
 
 function isExpired ({ at }: Reservation): boolean {
-  return Date.now() - at > reservationMilliseconds
+  return Math.abs(Date.now() - at) > reservationMilliseconds
 }
--- a/packages/gateway/tests/jobs/token-ledger.test.ts
+++ b/packages/gateway/tests/jobs/token-ledger.test.ts
@@ -1,12 +1,14 @@
 /** Guards against more waiting tokens than a route allows after a process wakes that others had taken for lost. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { Packr } from 'msgpackr'
 import { ChangeOutcome } from '../../src/jobs/job-log.js'
 import { JobPartition } from '../../src/jobs/job-partition.js'
 import { TokenLedger } from '../../src/jobs/token-ledger.js'
 import { FaultyLog } from '../util/faulty-topic.js'
 import { createTestLogger } from '../util/test-logger.js'
 
+const packr = new Packr({ useRecords: false })
 const limit = 100
 const route = 'r'
 const noFaults = { rejectedAppend: 0, lostResponse: 0, lateAppend: 0, failedRead: 0 }
@@ -45,9 +47,8 @@
   }
 }
 
-function startProcesses (names: readonly string[]): readonly Process[] {
+function startProcesses (names: readonly string[], tokens = new FaultyLog(() => 0.5)): readonly Process[] {
   const jobs = new FaultyLog(() => 0.5)
-  const tokens = new FaultyLog(() => 0.5)
   Object.assign(jobs.faults, noFaults)
   Object.assign(tokens.faults, noFaults)
   return names.map(name => new Process(name, jobs, tokens))
@@ -105,3 +106,21 @@
     assert.equal(await other.submit('third', 20), false)
   })
 })
+
+describe('TokenLedger beside records that no process of the fleet writes', () => {
+  const reservation = { job: 'j', partition: 1, route, tokens: 1, at: Date.now() }
+  for (const [key, value] of [
+    ['p/1', Buffer.from([0xc1])], ['p/1', packr.pack(7)], ['p/1', packr.pack([['r', NaN]])], ['p/1', packr.pack([['r', -50]])], ['p/x', packr.pack([['r', 50]])], ['r/j/a', packr.pack(null)],
+    ['r/j/a', packr.pack({ ...reservation, tokens: -50 })], ['r/j/a', packr.pack({ ...reservation, tokens: NaN })], ['r/j/a', packr.pack({ ...reservation, tokens: 90, at: Date.now() + 1e9 })]
+  ] as const) {
+    it(`holds the limit and accepts jobs: ${key} with ${value.toString('hex').slice(0, 60)}`, async context => {
+      const tokens = new FaultyLog(() => 0.5)
+      const [owner] = startProcesses(['owner'], tokens)
+      assert.ok(owner !== undefined)
+      context.after(() => { owner.close() })
+      await tokens.connect().append([{ key, value }], null)
+      assert.equal(await owner.submit('first', 60), true)
+      assert.equal(await owner.submit('second', 60), false)
+    })
+  }
+})
