Ignore messages about members with numbers out of range

A digest of members was believed if its numbers were numbers. A capacity that is none leaves no candidate for the owner of a service, so that each instance owns all; an infinite one makes its member the only candidate; an incarnation of 2^53 - 1 can be superseded by no later process at the address.

Each number is now checked against what it stands for, and the message ignored if one is out of range, as malformed messages are.

Before, on the old code, the new test failed at its first number (address -1).

--- a/packages/gateway/src/peers/member-digest.ts
+++ b/packages/gateway/src/peers/member-digest.ts
@@ -1,5 +1,6 @@
 /** Encodes member updates as plain numbers, so that several dozen of them fit into one datagram. */
-import type { MemberState, MemberUpdate } from './member.js'
+import { MemberState } from './member.js'
+import type { MemberUpdate } from './member.js'
 
 /** Encoded member updates; the first one describes the sender. */
 export interface MemberDigest {
@@ -19,6 +20,12 @@
 /** Added to the state of a suspected member. */
 const suspectedFlag = 4
 
+const maximumAddress = 0xffff_ffff
+const latestIncarnation = Date.UTC(2100, 0)
+/** Capacity in thousandths of a core. */
+const maximumCapacity = 100_000_000
+const maximumStatus = suspectedFlag + MemberState.Draining
+
 /** Encodes updates; the first one must be the sender's. */
 export function packMembers (updates: readonly MemberUpdate[]): MemberDigest {
   const zones: string[] = []
@@ -55,9 +62,26 @@
 export function isMemberDigest (value: unknown): value is MemberDigest {
   return typeof value === 'object' && value !== null &&
     'zones' in value && Array.isArray(value.zones) && value.zones.every(zone => typeof zone === 'string') &&
-    'incarnation' in value && typeof value.incarnation === 'number' &&
+    'incarnation' in value && isWhole(value.incarnation, latestIncarnation) &&
     'numbers' in value && Array.isArray(value.numbers) && value.numbers.length % numbersPerUpdate === 0 &&
-    value.numbers.every(number => typeof number === 'number')
+    areInRange(value.numbers, value.zones.length, value.incarnation)
+}
+
+/** Whether each number can be what it stands for; another capacity or incarnation would decide on the owners of all services. */
+function areInRange (numbers: readonly unknown[], zones: number, baseIncarnation: number): boolean {
+  for (let start = 0; start < numbers.length; start += numbersPerUpdate) {
+    const [address, zone, incarnationDifference, capacity, version, status] = numbers.slice(start, start + numbersPerUpdate)
+    const isInRange = isWhole(address, maximumAddress) && isWhole(zone, zones - 1) && isWhole(Number(incarnationDifference) + baseIncarnation, latestIncarnation) &&
+      isWhole(capacity, maximumCapacity) && isWhole(version, Number.MAX_SAFE_INTEGER) && isWhole(status, maximumStatus) && Number(status) % suspectedFlag <= MemberState.Draining
+    if (!isInRange) {
+      return false
+    }
+  }
+  return true
+}
+
+function isWhole (value: unknown, maximum: number): value is number {
+  return Number.isSafeInteger(value) && Number(value) >= 0 && Number(value) <= maximum
 }
 
 function addressToNumber (address: string): number {
