Take only IPv4 addresses for stored addresses of processes

Each key of the members' topic was a seed, and a seed is sent datagrams: an empty one goes to the process's own host, and another text to the resolver, which takes a thread and seconds. A process that knows no other contacts three seeds a round, so that odd keys also crowd out the others.

Before, on the old code: not ok - takes no key that is not an IPv4 address for the address of a process (seven seeds instead of one). After: 1 passed.

--- a/packages/gateway/src/peers/member-directory.ts
+++ b/packages/gateway/src/peers/member-directory.ts
@@ -1,4 +1,5 @@
 /** Stores the addresses of the fleet's processes in the log, so that a process can join when no seed address responds. */
+import { isIPv4 } from 'node:net'
 import type { KeyedTopic } from '../log/keyed-topic.js'
 import { messageOf } from '@arbutusloft/protocol'
 import type { Logger } from '../util/logger.js'
@@ -38,7 +39,7 @@
     let delay = searchIntervalMilliseconds
     try {
       const { records } = await this.topic.newest()
-      const addresses = records.filter(record => record.value !== null).map(record => record.key)
+      const addresses = records.filter(({ key, value }) => value !== null && isIPv4(key)).map(record => record.key)
       this.membership.addSeeds(addresses)
       const { address, zone } = this.membership.self
       if (!addresses.includes(address)) {
