Break no answer off for a silence when nothing else can go on with it

Callers saw: a plain answer, or a stream without ids, that had begun ended in the middle after its target had sent nothing for 700 ms, though no other target may go on with it and the target would have gone on. Cause: OnlineRun asked whether another target may be tried when it sent the request, and not again when the silence was over; by then the answer had begun. Fix: the question is asked when the silence is noticed; if the answer is no, the call goes on until its deadline.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -257,7 +257,11 @@
       }
     })
     if (this.#canRetry()) {
-      unresponsiveTimer = setTimeout(() => { call.abort(unresponsiveReason) }, unresponsiveTimeoutMilliseconds)
+      unresponsiveTimer = setTimeout(() => {
+        if (this.#canRetry()) {
+          call.abort(unresponsiveReason)
+        }
+      }, unresponsiveTimeoutMilliseconds)
     }
     const onAbort = (): void => { call.abort(this.#abortReason) }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -32,6 +32,8 @@
 export interface ScriptedAnswer {
   readonly bytes: string
   readonly end: ConnectionEnd
+  /** Bytes that follow after a pause; none by default. */
+  readonly later?: { readonly bytes: string, readonly afterMilliseconds: number }
 }
 
 /** What a caller can tell of its answer. */
@@ -177,14 +179,13 @@
         this.#crash(socket, answer.bytes)
         return
       }
-      if (answer.end === ConnectionEnd.Close) {
-        socket.end(answer.bytes, 'latin1')
+      if (answer.later === undefined) {
+        sendEnd(socket, answer.bytes, answer.end)
         return
       }
+      const { bytes, afterMilliseconds } = answer.later
       socket.write(answer.bytes, 'latin1')
-      if (answer.end === ConnectionEnd.Reset) {
-        void sleep(resetDelayMilliseconds).then(() => { socket.resetAndDestroy() })
-      }
+      void sleep(afterMilliseconds).then(() => { sendEnd(socket, bytes, answer.end) })
     })
   }
 
@@ -223,6 +224,17 @@
   }
 }
 
+function sendEnd (socket: Socket, bytes: string, end: ConnectionEnd): void {
+  if (end === ConnectionEnd.Close) {
+    socket.end(bytes, 'latin1')
+    return
+  }
+  socket.write(bytes, 'latin1')
+  if (end === ConnectionEnd.Reset) {
+    void sleep(resetDelayMilliseconds).then(() => { socket.resetAndDestroy() })
+  }
+}
+
 interface ParsedAnswer {
   readonly status: number
   readonly body: string
