Stay with a silent target until another one has a slot

Callers saw: after 700 ms without an event, a stream that may be resumed was broken off, or answered 502 if it had not begun, when no other target had a slot, though its target would have gone on a moment later. When all targets are silent for a second, or the others are full, that was each stream in flight. Cause: the call was aborted first, and a slot elsewhere requested after that. Fix: SilenceWatch requests a slot elsewhere while the silent call goes on, again every 200 ms. The call is aborted only when there is a slot, and an event in between withdraws the request. A slot that is granted too late is given back.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -17,6 +17,7 @@
 import type { HeaderNames } from './header-names.js'
 import { isRepeatable } from './online-request.js'
 import type { OnlineRequest } from './online-request.js'
+import { SilenceWatch } from './silence-watch.js'
 
 /** Dependencies of {@link OnlineRun}. */
 export interface OnlineRunDependencies {
@@ -35,7 +36,7 @@
 const slotWaitShare = 0.75
 /** Number of targets that may reject a request or be unreachable; one more ends the request. */
 const maximumRejections = 4
-/** Time without data or, in a stream, without a complete event after which a target counts as unresponsive and the request goes to another one; ten times a long interval between the events of an online response. */
+/** Time without data or, in a stream, without a complete event after which a target counts as unresponsive and the request goes to another one that has a slot; ten times a long interval between the events of an online response. */
 const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
@@ -60,6 +61,8 @@
   readonly #excluded: string[] = []
   /** Number of failed attempts that a target may have run. */
   #possibleExecutions = 0
+  /** Slot for the next attempt, which was granted while the last one was silent, or null. */
+  #nextSlot: Slot | null = null
   /** Number of failed attempts that no target ran. */
   #rejections = 0
   #clientDisconnected = false
@@ -103,6 +106,7 @@
       }
       await this.#runAttempts()
     } finally {
+      this.#takeNextSlot()?.release(SlotOutcome.Stopped)
       clearTimeout(timer)
       ending.removeEventListener('abort', onEnding)
       this.response.off('close', onClose)
@@ -122,7 +126,8 @@
 
   async #runAttempts (): Promise<void> {
     for (;;) {
-      const result = await this.#acquire()
+      const nextSlot = this.#takeNextSlot()
+      const result: AcquireResult = nextSlot === null ? await this.#acquire(this.#excluded, this.#abort.signal) : { granted: true, slot: nextSlot }
       if (!result.granted && result.reason === RefusalReason.VersionUnknown && await this.#askForOrigin()) {
         continue
       }
@@ -176,10 +181,15 @@
     }
   }
 
-  async #acquire (): Promise<AcquireResult> {
+  #takeNextSlot (): Slot | null {
+    const slot = this.#nextSlot
+    this.#nextSlot = null
+    return slot
+  }
+
+  async #acquire (excluded: readonly string[], signal: AbortSignal): Promise<AcquireResult> {
     const { route, service, prefix, digest, spentMilliseconds } = this.request
     const maximumWait = Math.min(route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
-    const excluded = this.#excluded
     return await this.dependencies.slots.acquire({
       service,
       workClass: WorkClass.Online,
@@ -194,7 +204,7 @@
       due: 0,
       ran: 0,
       sinceStart: 0
-    }, this.#abort.signal)
+    }, signal)
   }
 
   /** Sends the request to the target; returns true if the request is finished, and false if it needs another attempt. */
@@ -209,7 +219,7 @@
     const sentAt = Date.now()
     let firstDataAt: number | null = null
     let lastProgressAt = sentAt
-    let unresponsiveTimer: NodeJS.Timeout | null = null
+    let silenceWatch: SilenceWatch | null = null
     let status: number | null = null
     let isDiscarded = false
     const call = callTarget(dependencies.connections, target, {
@@ -243,7 +253,7 @@
         const { relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
         if (this.#relay.relayedBytes > relayedBytes) {
-          unresponsiveTimer?.refresh()
+          silenceWatch?.onProgress()
           lastProgressAt = Date.now()
           this.#recordOrigin(target)
         }
@@ -257,19 +267,21 @@
       }
     })
     if (this.#canRetry()) {
-      unresponsiveTimer = setTimeout(() => {
-        if (this.#canRetry()) {
+      silenceWatch = new SilenceWatch({
+        limitMilliseconds: unresponsiveTimeoutMilliseconds,
+        canMove: () => this.#canRetry(),
+        acquire: async signal => await this.#acquire([...this.#excluded, target.id], signal),
+        onFound: slot => {
+          this.#nextSlot = slot
           call.abort(unresponsiveReason)
         }
-      }, unresponsiveTimeoutMilliseconds)
+      })
     }
     const onAbort = (): void => { call.abort(this.#abortReason) }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
     const ended = await call.ended
     const { end: outcome, reason } = isDiscarded ? ended : this.#relay.endOf(ended, resumeAfter)
-    if (unresponsiveTimer !== null) {
-      clearTimeout(unresponsiveTimer)
-    }
+    silenceWatch?.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
     const wasUnresponsive = Date.now() - lastProgressAt > unresponsiveTimeoutMilliseconds
     const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
--- /dev/null
+++ b/packages/gateway/src/online/silence-watch.ts
@@ -0,0 +1,81 @@
+/** Finds another target for a call whose target sends nothing, while the call goes on. */
+import { SlotOutcome } from '@arbutusloft/policy'
+import type { AcquireResult, Slot } from '../permits/slot.js'
+
+/** Options of {@link SilenceWatch}. */
+export interface SilenceWatchOptions {
+  /** Time without progress after which another target is sought. */
+  readonly limitMilliseconds: number
+  /** Whether another target may go on with the request; asked each time before a slot is requested. */
+  readonly canMove: () => boolean
+  /** Requests a slot on another target; withdraws the request if the signal aborts. */
+  readonly acquire: (signal: AbortSignal) => Promise<AcquireResult>
+  /** Called once with a slot while the call is still silent; the receiver releases it. */
+  readonly onFound: (slot: Slot) => void
+}
+
+/** Time after which a slot is requested again if none was granted. */
+const repeatMilliseconds = 200
+
+/** Watches one call from its start until {@link SilenceWatch.close}. */
+export class SilenceWatch {
+  readonly #timer: NodeJS.Timeout
+  #search: AbortController | null = null
+
+  constructor (private readonly options: SilenceWatchOptions) {
+    this.#timer = setTimeout(() => { this.#startSearch() }, options.limitMilliseconds)
+  }
+
+  /** The call has made progress: no other target is needed. */
+  onProgress (): void {
+    this.#endSearch()
+    this.#timer.refresh()
+  }
+
+  close (): void {
+    this.#endSearch()
+    clearTimeout(this.#timer)
+  }
+
+  #startSearch (): void {
+    if (this.#search === null && this.options.canMove()) {
+      this.#search = new AbortController()
+      void this.#run(this.#search.signal)
+    }
+  }
+
+  #endSearch (): void {
+    this.#search?.abort()
+    this.#search = null
+  }
+
+  async #run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const result = await this.options.acquire(signal)
+      if (!result.granted) {
+        await pause(repeatMilliseconds, signal)
+      } else if (signal.aborted) {
+        result.slot.release(SlotOutcome.Stopped)
+      } else {
+        this.close()
+        this.options.onFound(result.slot)
+      }
+    }
+  }
+}
+
+/** Resolves after the given time, or when the signal aborts. */
+async function pause (milliseconds: number, signal: AbortSignal): Promise<void> {
+  if (signal.aborted) {
+    return
+  }
+  await new Promise<void>(resolve => {
+    const end = (): void => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', end)
+      resolve()
+    }
+    const timer = setTimeout(end, milliseconds)
+    signal.addEventListener('abort', end, { once: true })
+  })
+}
--- a/packages/gateway/tests/online/silent-targets.test.ts
+++ b/packages/gateway/tests/online/silent-targets.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test'
 import { RouteKind } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
+import { sleep } from '../../src/util/sleep.js'
 import { CallerKind, CallerView, ConnectionEnd, OnlineHarness } from '../util/online-harness.js'
 
 const common = { name: 'r', host: 'h', prefix: '/p/', services: [], timeoutMilliseconds: 4_000, objectiveMilliseconds: 300, priority: 0, completionMilliseconds: 0, retentionMilliseconds: 0, waitingTokens: 0 }
@@ -30,3 +31,35 @@
     })
   }
 })
+
+describe('a stream that may be resumed', () => {
+  const head = 'HTTP/1.1 200 S\r\nX-Request-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n'
+  const event = (id: number): string => `10\r\nid: ${id}\ndata: ab\n\n\r\n`
+  const end = '0\r\n\r\n'
+  const places = {
+    'before its head': ['', `${head}${event(1)}${event(2)}${end}`],
+    'before its first event': [head, `${event(1)}${event(2)}${end}`],
+    'between two events': [`${head}${event(1)}`, `${event(2)}${end}`]
+  } as const
+
+  for (const [place, [begin, rest]] of Object.entries(places)) {
+    it(`is not broken off or failed for its target's silence if no other target has a slot: ${place}`, async context => {
+      const harness = await OnlineHarness.start(resumableRoute, [{ bytes: begin, later: { bytes: rest, afterMilliseconds: silenceMilliseconds }, end: ConnectionEnd.None }])
+      context.after(() => { harness.close() })
+      const { status, view, body } = await harness.call(CallerKind.KeepAlive)
+      assert.deepEqual([status, view, body, harness.arrivals.length], [200, CallerView.Complete, 'id: 1\ndata: ab\n\nid: 2\ndata: ab\n\n', 1])
+    })
+  }
+
+  it('goes on at another target as soon as that has a slot, if its target stays silent', async context => {
+    const silent = { bytes: `${head}${event(1)}`, end: ConnectionEnd.None }
+    const harness = await OnlineHarness.start(resumableRoute, [silent])
+    context.after(() => { harness.close() })
+    const answer = harness.call(CallerKind.KeepAlive)
+    await sleep(1_000)
+    harness.addAnswer({ bytes: `${head}${event(2)}${end}`, end: ConnectionEnd.None })
+    const { status, view, body } = await answer
+    assert.deepEqual([status, view, body, harness.arrivals.length], [200, CallerView.Complete, 'id: 1\ndata: ab\n\nid: 2\ndata: ab\n\n', 2])
+    assert.match(harness.arrivals[1] ?? '', /Last-Event-Id: 1\r\n/)
+  })
+})
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -28,12 +28,20 @@
 } as const
 export type ConnectionEnd = typeof ConnectionEnd[keyof typeof ConnectionEnd]
 
+/** Bytes that a target sends after a pause. */
+export interface LaterBytes {
+  readonly bytes: string
+  readonly afterMilliseconds: number
+  /** Called as soon as the bytes were sent. */
+  readonly onSent?: () => void
+}
+
 /** Bytes that a target sends for a request, as Latin-1, and how its connection ends. */
 export interface ScriptedAnswer {
   readonly bytes: string
   readonly end: ConnectionEnd
   /** Bytes that follow after a pause; none by default. */
-  readonly later?: { readonly bytes: string, readonly afterMilliseconds: number }
+  readonly later?: LaterBytes
 }
 
 /** What a caller can tell of its answer. */
@@ -111,6 +119,11 @@
     return harness
   }
 
+  /** Adds the answer to one more attempt; there is a slot for it from now on. */
+  addAnswer (answer: ScriptedAnswer): void {
+    this.answers.push(answer)
+  }
+
   /** Sends a request as a caller of this kind and returns what it can tell of the answer when that or the connection has ended. */
   async call (kind: CallerKind): Promise<CallerAnswer> {
     const { port } = this.#servers[1]?.address() as AddressInfo
@@ -183,9 +196,12 @@
         sendEnd(socket, answer.bytes, answer.end)
         return
       }
-      const { bytes, afterMilliseconds } = answer.later
+      const { bytes, afterMilliseconds, onSent } = answer.later
       socket.write(answer.bytes, 'latin1')
-      void sleep(afterMilliseconds).then(() => { sendEnd(socket, bytes, answer.end) })
+      void sleep(afterMilliseconds).then(() => {
+        sendEnd(socket, bytes, answer.end)
+        onSent?.()
+      })
     })
   }
 
