Read what has arrived before a target counts as silent

Callers saw: after a pause of the process (a long turn of its event loop, a machine that stands still), streams in flight went to another target, or were broken off, though their targets had sent all the time. Items of jobs did the same, and each such target was reported as unreachable. Cause: the timers of silence run before the sockets are read, so the pause itself looked like silence. Fix: when the time is over, the sockets are read once more, and only then the target counts as silent. The same decision, instead of the clock alone, tells the outcome of a call that the client or the deadline ends.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -286,6 +286,7 @@
         firstDataAt ??= Date.now()
         if (this.#output.push(chunk)) {
           this.#writer = target
+          eventAt = Date.now()
           unresponsiveTimer.refresh()
         }
         readTimer ??= setTimeout(() => {
@@ -296,7 +297,17 @@
       }
     })
     let readTimer: NodeJS.Timeout | null = null
-    const unresponsiveTimer = setTimeout(() => { call.abort(unresponsiveReason) }, unresponsiveTimeoutMilliseconds)
+    let eventAt = sentAt
+    const unresponsiveTimer = setTimeout(() => {
+      const silentSince = eventAt
+      // After a pause of this process, the target's data may have arrived already.
+      call.resume()
+      afterNextRead(() => {
+        if (eventAt === silentSince) {
+          call.abort(unresponsiveReason)
+        }
+      })
+    }, unresponsiveTimeoutMilliseconds)
     const expiryMilliseconds = this.job.acceptedAt + route.retentionMilliseconds - Date.now() + 1
     const expiryTimer = setTimeout(() => { call.abort(expiredReason) }, Math.min(expiryMilliseconds, maximumDelayMilliseconds))
     const onRevoked = (): void => {
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -218,8 +218,6 @@
     }
     const sentAt = Date.now()
     let firstDataAt: number | null = null
-    let lastProgressAt = sentAt
-    let silenceWatch: SilenceWatch | null = null
     let status: number | null = null
     let isDiscarded = false
     const call = callTarget(dependencies.connections, target, {
@@ -253,8 +251,7 @@
         const { relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
         if (this.#relay.relayedBytes > relayedBytes) {
-          silenceWatch?.onProgress()
-          lastProgressAt = Date.now()
+          silenceWatch.onProgress()
           this.#recordOrigin(target)
         }
         if (this.#relay.hasBegun) {
@@ -266,25 +263,22 @@
         return isWritable
       }
     })
-    if (this.#canRetry()) {
-      silenceWatch = new SilenceWatch({
-        limitMilliseconds: unresponsiveTimeoutMilliseconds,
-        canMove: () => this.#canRetry(),
-        acquire: async signal => await this.#acquire([...this.#excluded, target.id], signal),
-        onFound: slot => {
-          this.#nextSlot = slot
-          call.abort(unresponsiveReason)
-        }
-      })
-    }
+    const silenceWatch = new SilenceWatch({
+      limitMilliseconds: unresponsiveTimeoutMilliseconds,
+      canMove: () => this.#canRetry(),
+      acquire: async signal => await this.#acquire([...this.#excluded, target.id], signal),
+      onFound: slot => {
+        this.#nextSlot = slot
+        call.abort(unresponsiveReason)
+      }
+    })
     const onAbort = (): void => { call.abort(this.#abortReason) }
     this.#abort.signal.addEventListener('abort', onAbort, { once: true })
     const ended = await call.ended
     const { end: outcome, reason } = isDiscarded ? ended : this.#relay.endOf(ended, resumeAfter)
-    silenceWatch?.close()
+    silenceWatch.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
-    const wasUnresponsive = Date.now() - lastProgressAt > unresponsiveTimeoutMilliseconds
-    const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
+    const stoppedOutcome = silenceWatch.isSilent ? SlotOutcome.Unreachable : SlotOutcome.Stopped
     slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt, firstDataAt, endedAt: Date.now() }))
     const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
     if (isAnswered && !isDiscarded) {
--- a/packages/gateway/src/online/silence-watch.ts
+++ b/packages/gateway/src/online/silence-watch.ts
@@ -1,6 +1,7 @@
 /** Finds another target for a call whose target sends nothing, while the call goes on. */
 import { SlotOutcome } from '@arbutusloft/policy'
 import type { AcquireResult, Slot } from '../permits/slot.js'
+import { afterNextRead } from '../util/after-next-read.js'
 
 /** Options of {@link SilenceWatch}. */
 export interface SilenceWatchOptions {
@@ -21,30 +22,48 @@
 export class SilenceWatch {
   readonly #timer: NodeJS.Timeout
   #search: AbortController | null = null
+  /** Number of silences that have ended. */
+  #endedSilences = 0
+  #isSilent = false
 
   constructor (private readonly options: SilenceWatchOptions) {
-    this.#timer = setTimeout(() => { this.#startSearch() }, options.limitMilliseconds)
+    this.#timer = setTimeout(() => { this.#onLimit() }, options.limitMilliseconds)
+  }
+
+  /** Whether the call has made no progress for the limit, or had made none when it was closed. */
+  get isSilent (): boolean {
+    return this.#isSilent
   }
 
   /** The call has made progress: no other target is needed. */
   onProgress (): void {
-    this.#endSearch()
+    this.#endSilence()
+    this.#isSilent = false
     this.#timer.refresh()
   }
 
   close (): void {
-    this.#endSearch()
+    this.#endSilence()
     clearTimeout(this.#timer)
   }
 
-  #startSearch (): void {
-    if (this.#search === null && this.options.canMove()) {
-      this.#search = new AbortController()
-      void this.#run(this.#search.signal)
-    }
+  #onLimit (): void {
+    const silence = this.#endedSilences
+    // After a pause of this process, the target's data may have arrived already.
+    afterNextRead(() => {
+      if (this.#endedSilences !== silence) {
+        return
+      }
+      this.#isSilent = true
+      if (this.options.canMove()) {
+        this.#search = new AbortController()
+        void this.#run(this.#search.signal)
+      }
+    })
   }
 
-  #endSearch (): void {
+  #endSilence (): void {
+    this.#endedSilences += 1
     this.#search?.abort()
     this.#search = null
   }
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -121,6 +121,40 @@
     assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
   })
 
+  it('does not go to another target for a pause of this process', async context => {
+    const pauseMilliseconds = 2_000
+    let requests = 0
+    const server = createTcpServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', () => {
+        requests += 1
+        socket.write(`HTTP/1.1 200 S\r\nX-Request-Id: ${item.id}\r\nContent-Length: 30\r\n\r\nid: 1\ndata: a\n\n`)
+        void sleep(300).then(() => {
+          // From here, timers that have expired run before sockets are read.
+          setImmediate(() => {
+            socket.write('id: 2\ndata: b\n\n')
+            const end = Date.now() + pauseMilliseconds
+            while (Date.now() < end);
+          })
+        })
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const connections = new TargetConnections()
+    context.after(() => {
+      connections.close()
+      server.close()
+    })
+    const outcomes: SlotOutcome[] = []
+    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, release: (outcome: SlotOutcome) => { outcomes.push(outcome) } }
+    const dependencies = { slots: { acquire: async (): Promise<AcquireResult> => ({ granted: true, slot }) }, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a\nb' })
+    assert.deepEqual([requests, outcomes], [1, [SlotOutcome.Finished]])
+  })
+
   it('gives an item up at the end of its retention although it gets no slot', async () => {
     const dependencies = { slots: { acquire }, connections: new TargetConnections(), names, logger: createTestLogger(), routeOf: () => ({ ...route, retentionMilliseconds: 100 }), refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
--- a/packages/gateway/tests/online/silent-targets.test.ts
+++ b/packages/gateway/tests/online/silent-targets.test.ts
@@ -1,7 +1,7 @@
 /** Tests what becomes of a request whose target sends nothing for a second and then goes on. */
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { RouteKind } from '@arbutusloft/policy'
+import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { sleep } from '../../src/util/sleep.js'
 import { CallerKind, CallerView, ConnectionEnd, OnlineHarness } from '../util/online-harness.js'
@@ -10,6 +10,8 @@
 const plainRoute: Route = { ...common, kind: RouteKind.Idempotent, maxAttempts: 2, resumable: false }
 const resumableRoute: Route = { ...common, kind: RouteKind.Stream, maxAttempts: 2, resumable: true }
 const silenceMilliseconds = 1_000
+/** Longer than the silence after which another target is tried. */
+const pauseMilliseconds = 1_500
 /** More bytes than are held for the end of an answer. */
 const long = 'x'.repeat(70_000)
 const answerOfOther = 'HTTP/1.1 200 S\r\nX-Request-Id: id\r\nContent-Length: 5\r\n\r\nother'
@@ -62,4 +64,17 @@
     assert.deepEqual([status, view, body, harness.arrivals.length], [200, CallerView.Complete, 'id: 1\ndata: ab\n\nid: 2\ndata: ab\n\n', 2])
     assert.match(harness.arrivals[1] ?? '', /Last-Event-Id: 1\r\n/)
   })
+
+  it('does not go to another target for a pause of this process', async context => {
+    const blockLoop = (): void => {
+      const end = Date.now() + pauseMilliseconds
+      while (Date.now() < end);
+    }
+    const first = { bytes: `${head}${event(1)}`, later: { bytes: `${event(2)}${end}`, afterMilliseconds: 100, onSent: blockLoop }, end: ConnectionEnd.None }
+    const harness = await OnlineHarness.start(resumableRoute, [first, { bytes: `${head}${event(2)}${end}`, end: ConnectionEnd.None }])
+    context.after(() => { harness.close() })
+    const { status, view, body } = await harness.call(CallerKind.KeepAlive)
+    assert.deepEqual([status, view, body, harness.arrivals.length], [200, CallerView.Complete, 'id: 1\ndata: ab\n\nid: 2\ndata: ab\n\n', 1])
+    assert.deepEqual(harness.outcomes, [SlotOutcome.Finished])
+  })
 })
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -199,8 +199,11 @@
       const { bytes, afterMilliseconds, onSent } = answer.later
       socket.write(answer.bytes, 'latin1')
       void sleep(afterMilliseconds).then(() => {
-        sendEnd(socket, bytes, answer.end)
-        onSent?.()
+        // From here, timers that have expired run before sockets are read.
+        setImmediate(() => {
+          sendEnd(socket, bytes, answer.end)
+          onSent?.()
+        })
       })
     })
   }
