--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -28,10 +28,20 @@
 } as const
 export type ConnectionEnd = typeof ConnectionEnd[keyof typeof ConnectionEnd]
 
+/** Bytes that a target sends after a pause. */
+export interface LaterBytes {
+  readonly bytes: string
+  readonly afterMilliseconds: number
+  /** Called as soon as the bytes were sent. */
+  readonly onSent?: () => void
+}
+
 /** Bytes that a target sends for a request, as Latin-1, and how its connection ends. */
 export interface ScriptedAnswer {
   readonly bytes: string
   readonly end: ConnectionEnd
+  /** Bytes that follow after a pause; none by default. */
+  readonly later?: LaterBytes
 }
 
 /** What a caller can tell of its answer. */
@@ -116,6 +126,11 @@
     return harness
   }
 
+  /** Adds the answer to one more attempt; there is a slot for it from now on. */
+  addAnswer (answer: ScriptedAnswer): void {
+    this.answers.push(answer)
+  }
+
   /** Sends a request as a caller of this kind and returns what it can tell of the answer when that or the connection has ended. */
   async call (kind: CallerKind): Promise<CallerAnswer> {
     const { port } = this.#servers[1]?.address() as AddressInfo
@@ -184,14 +199,19 @@
         this.#crash(socket, answer.bytes)
         return
       }
-      if (answer.end === ConnectionEnd.Close) {
-        socket.end(answer.bytes, 'latin1')
+      if (answer.later === undefined) {
+        sendEnd(socket, answer.bytes, answer.end)
         return
       }
+      const { bytes, afterMilliseconds, onSent } = answer.later
       socket.write(answer.bytes, 'latin1')
-      if (answer.end === ConnectionEnd.Reset) {
-        void sleep(resetDelayMilliseconds).then(() => { socket.resetAndDestroy() })
-      }
+      void sleep(afterMilliseconds).then(() => {
+        // From here, timers that have expired run before sockets are read.
+        setImmediate(() => {
+          sendEnd(socket, bytes, answer.end)
+          onSent?.()
+        })
+      })
     })
   }
 
@@ -230,6 +250,17 @@
   }
 }
 
+function sendEnd (socket: Socket, bytes: string, end: ConnectionEnd): void {
+  if (end === ConnectionEnd.Close) {
+    socket.end(bytes, 'latin1')
+    return
+  }
+  socket.write(bytes, 'latin1')
+  if (end === ConnectionEnd.Reset) {
+    void sleep(resetDelayMilliseconds).then(() => { socket.resetAndDestroy() })
+  }
+}
+
 interface ParsedAnswer {
   readonly status: number
   readonly body: string
