Load three partitions at a time

An instance that took many partitions loaded all of them at once. Over a link of 21 or 30 Mbit/s each page then took longer than the 5 s that a response may take, calls that waited for a connection failed after 450 ms, every load failed and was repeated with all others, and the loads never ended: calls about these jobs were answered 503 until other instances took the partitions over.

Loads of jobs and of progress now wait for each other, three at a time, which hides the time of an answer and leaves each a third of the link or more. Since a load may thus wait, a call waits 700 ms for it and is answered 503 then; the load goes on. Before, the peer that had forwarded the call gave up after 900 ms and suspected the owner, which moved the partition to one that had to load it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { ProgressLog } from './jobs/progress-log.js'
 import { TokenLedger } from './jobs/token-ledger.js'
 import type { KeyedTopic } from './log/keyed-topic.js'
+import { LoadLimit } from './log/load-limit.js'
 import { GatewayMetrics } from './metrics.js'
 import { CallerBudgets } from './online/caller-budgets.js'
 import type { HeaderNames } from './online/header-names.js'
@@ -73,6 +74,8 @@
 const versionsTopicName = 'versions'
 /** Topic of the addresses of the fleet's processes. */
 const membersTopicName = 'members'
+/** Number of partitions of jobs and of progress that are loaded at the same time. */
+const maximumLoads = 3
 /** Retry delay for clients whose request a process rejects because it has no configuration yet, or no service for the route. */
 const unreadyRetryMilliseconds = 50
 
@@ -130,9 +133,10 @@
       this.#targetsKnown = true
       this.#updateState()
     })
+    const loads = new LoadLimit(maximumLoads)
     this.#jobPartitions = new JobPartitions({
       count: options.partitions,
-      openTopic: partition => options.openTopic(jobsTopicName, partition, this.metrics),
+      openTopic: partition => loads.applyTo(options.openTopic(jobsTopicName, partition, this.metrics)),
       membership: this.membership,
       logger
     })
@@ -140,7 +144,7 @@
       ...this.#onlineDependencies(),
       partitions: this.#jobPartitions,
       progress: new ProgressLog(
-        Array.from({ length: options.partitions }, (_, partition) => options.openTopic(progressTopicName, partition, this.metrics)),
+        Array.from({ length: options.partitions }, (_, partition) => loads.applyTo(options.openTopic(progressTopicName, partition, this.metrics))),
         logger
       ),
       retentionMilliseconds: options.jobRetentionMilliseconds,
--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -2,6 +2,7 @@
 import { RouteKind } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import type { Logger } from '../util/logger.js'
+import { sleep } from '../util/sleep.js'
 import type { ItemResult, Job, JobItem } from './job.js'
 import { ChangeOutcome } from './job-log.js'
 import type { JobPartition } from './job-partition.js'
@@ -34,6 +35,8 @@
 const changeTimeoutMilliseconds = 1_200
 /** Maximum age of the fold for a page without new results; an older fold is refreshed from the log first. */
 const maximumAgeMilliseconds = 700
+/** Time for which a call waits until its partition is read: less than the time allowed for a forwarded read, so that its caller is told. */
+const maximumRefreshMilliseconds = 700
 /** Bytes of results in one page; the API contract allows one megabyte. */
 const maximumPageBytes = 900_000
 
@@ -74,7 +77,7 @@
       return JobCallOutcome.NotFound
     }
     const partition = this.partitions.get(this.partitions.numberOf(id))
-    if ((!partition.isLoaded || partition.fold.isUnreadable(id)) && !await partition.refresh()) {
+    if ((!partition.isLoaded || partition.fold.isUnreadable(id)) && !await this.#refresh(partition)) {
       return JobCallOutcome.Unavailable
     }
     if (partition.fold.get(id) !== undefined) {
@@ -120,7 +123,7 @@
       await this.#waitForResults(found, after, wait)
     }
     const isFresh = job.results.length > after || partition.isFreshSince(calledAt - maximumAgeMilliseconds)
-    if (!isFresh && !await partition.refresh()) {
+    if (!isFresh && !await this.#refresh(partition)) {
       this.#logMiss('results of a job may be out of date', id, partition)
       return JobCallOutcome.Unavailable
     }
@@ -141,7 +144,7 @@
     for (const number of new Set([this.partitions.numberOf(id), undividedPartition])) {
       const partition = this.partitions.get(number)
       const known = partition.fold.get(id)
-      if (known === undefined && !await partition.refresh()) {
+      if (known === undefined && !await this.#refresh(partition)) {
         this.#logMiss('partition of a job not read', id, partition)
         return JobCallOutcome.Unavailable
       }
@@ -158,6 +161,11 @@
     return JobCallOutcome.NotFound
   }
 
+  /** Reads a partition; returns false if that fails or takes long, and then goes on in the background. */
+  async #refresh (partition: JobPartition): Promise<boolean> {
+    return await Promise.race([partition.refresh(), sleep(maximumRefreshMilliseconds).then(() => false)])
+  }
+
   /** Logs why a job was not found, with how much of the partition is known. */
   #logMiss (message: string, job: string, { number, position, ageMilliseconds }: JobPartition): void {
     const age = Number.isFinite(ageMilliseconds) ? ageMilliseconds : null
