Load a partition for its owner only after it has failed for two seconds

An owner now tells its peers for how long it has been unable to read the partition, and another instance serves its calls from two seconds on, or if it has the partition in memory. An owner whose handler fails (500) is replaced at once, as before.

--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -139,6 +139,11 @@
     return found.job.items.find(candidate => candidate.id === item)?.body ?? JobCallOutcome.NotFound
   }
 
+  /** Milliseconds for which this process has been trying in vain to read the partition of a job. */
+  outageMilliseconds (id: string): number {
+    return this.partitions.get(this.partitions.numberOf(id)).outageMilliseconds
+  }
+
   /** Finds a job or returns why that failed. A job that the fold doesn't have may already be in the log, so refreshes the fold then. */
   async #find (id: string): Promise<FoundJob | JobCallOutcome> {
     for (const number of new Set([this.partitions.numberOf(id), undividedPartition])) {
--- a/packages/gateway/src/jobs/job-forwarder.ts
+++ b/packages/gateway/src/jobs/job-forwarder.ts
@@ -1,4 +1,5 @@
 /** Forwards calls about jobs to the process that owns the job's partition. */
+import { Status } from '../http/reply.js'
 import type { BufferedResponse } from '../util/buffered-call.js'
 import { callBuffered, UnansweredCallError } from '../util/buffered-call.js'
 import type { Logger } from '../util/logger.js'
@@ -23,7 +24,11 @@
 export type ForwardOutcome =
   /** The owner responded. */
   | { readonly answered: true, readonly response: BufferedResponse }
-  /** @property mayHaveArrived whether the owner may have received the call, and may still carry it out */
+  /**
+   * The owner did not respond, or has not been able to serve calls for a while, so that this process should serve the call.
+   *
+   * @property mayHaveArrived whether the owner may have received the call, and may still carry it out
+   */
   | { readonly answered: false, readonly mayHaveArrived: boolean }
 
 /** Time to establish a connection to another process. */
@@ -33,6 +38,13 @@
 /** Connections to one process; a read of results occupies one while it waits. */
 const maximumConnections = 32
 
+/** Header in which the owner of a partition tells for how many milliseconds it has not been able to read it. */
+export const outageHeader = 'x-arbutus-job-outage'
+/**
+ * Time in milliseconds for which an owner may be unable to read a partition until others serve its calls: they have to load the partition for
+ * it, while an owner that has just begun to load it serves sooner.
+ */
+const maximumOutageMilliseconds = 2_000
 const firstFailureStatus = 400
 
 /** Keeps connections to the owners of partitions. */
@@ -62,7 +74,7 @@
       if (response.status >= firstFailureStatus) {
         this.logger.info('job call not served by its owner', { job: call.job, peer: address, method, status: response.status })
       }
-      return { answered: true, response }
+      return this.#shouldServe(number, response) ? { answered: false, mayHaveArrived: response.status !== Status.ServiceUnavailable } : { answered: true, response }
     } catch (error) {
       const mayHaveArrived = !(error instanceof UnansweredCallError) || error.sent
       this.logger.info('job call not answered by its owner', { job: call.job, peer: address, method, mayHaveArrived, error: messageOf(error) })
@@ -78,6 +90,15 @@
     await Promise.all(pools.map(async pool => { await pool.destroy() }))
   }
 
+  /** Whether this process should serve a call that the owner of its partition could not serve: the owner may have lost the store, which this process may reach. */
+  #shouldServe (partition: number, { status, headers }: BufferedResponse): boolean {
+    if (status === Status.InternalServerError) {
+      return true
+    }
+    // Serving a partition that is loaded here costs little.
+    return status === Status.ServiceUnavailable && (Number(headers[outageHeader]) >= maximumOutageMilliseconds || this.partitions.isLoaded(partition))
+  }
+
   #poolOf (address: string): Pool {
     const known = this.#pools.get(address)
     if (known !== undefined) {
--- a/packages/gateway/src/jobs/job-partition.ts
+++ b/packages/gateway/src/jobs/job-partition.ts
@@ -38,6 +38,11 @@
     return this.#follower.ageMilliseconds
   }
 
+  /** Milliseconds for which this process has been trying in vain to read the partition; 0 if the latest read succeeded. */
+  get outageMilliseconds (): number {
+    return this.#follower.outageMilliseconds
+  }
+
   /** Whether everything that was appended before this time, in milliseconds since the epoch, is known. */
   isFreshSince (time: number): boolean {
     return this.#follower.isFreshSince(time)
--- a/packages/gateway/src/jobs/job-partitions.ts
+++ b/packages/gateway/src/jobs/job-partitions.ts
@@ -84,6 +84,11 @@
     return partition
   }
 
+  /** Whether a partition has been read and is kept in memory. */
+  isLoaded (number: number): boolean {
+    return this.#open.get(number)?.partition.isLoaded === true
+  }
+
   /** Returns the partitions whose items this process runs. */
   active (): readonly JobPartition[] {
     return [...this.#open.values()].filter(open => open.isActive).map(open => open.partition)
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -36,6 +36,8 @@
   #shownUntil = -Infinity
   /** What a load that failed has read, or null. */
   #partialLoad: PartialLoad | null = null
+  /** Start of the first read since the latest one that succeeded, by the clock of `performance`; null if no read has begun since. */
+  #unreadSince: number | null = null
   #closed = false
   #reachable = false
   #refreshing: Promise<boolean> | null = null
@@ -76,6 +78,11 @@
     return Date.now() - this.#shownUntil
   }
 
+  /** Milliseconds for which reads have been trying in vain; 0 if the latest one succeeded. */
+  get outageMilliseconds (): number {
+    return this.#unreadSince === null ? 0 : performance.now() - this.#unreadSince
+  }
+
   /** Reads to the end of the topic; returns true if the listener has then received everything that was appended before the call, and false once closed. */
   async refresh (): Promise<boolean> {
     if (this.#refreshing === null && this.#nextRefresh === null) {
@@ -195,6 +202,7 @@
 
   async #readOnce (waitMilliseconds: number): Promise<void> {
     const startedAt = Date.now()
+    this.#unreadSince ??= performance.now()
     const before = this.#position
     let isAtEnd = false
     // One read returns only a part if there is much to read.
@@ -202,6 +210,7 @@
       isAtEnd = this.#position === null ? await this.#loadNewest() : await this.#readOrLoad(this.#position, wait)
     }
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
+    this.#unreadSince = null
     // The store answers without records only when the wait is over.
     this.#shownUntil = this.#position === before && before !== null ? Math.min(Date.now(), startedAt + waitMilliseconds) : startedAt
   }
--- a/packages/gateway/tests/jobs/job-api.test.ts
+++ b/packages/gateway/tests/jobs/job-api.test.ts
@@ -23,5 +23,6 @@
     const outcomes = await Promise.all([api.results('job', 0, 0), api.body('job', 'item'), api.end('job')])
     assert.deepEqual(outcomes, [JobCallOutcome.Unavailable, JobCallOutcome.Unavailable, JobCallOutcome.Unavailable])
     assert.ok(performance.now() - startedAt < readMilliseconds)
+    assert.ok(api.outageMilliseconds('job') > 0)
   })
 })
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -116,4 +116,23 @@
       { message: 'records loaded', topic: 'topic', error: undefined, bytes: 5, end: 1 }
     ])
   })
+
+  it('tells for how long reads have failed, also before the first one that succeeds', async context => {
+    let now = 1_000
+    context.mock.method(performance, 'now', () => now)
+    const newest = context.mock.fn(async (): Promise<RecordBatch> => { throw new LogUnavailableError('newest was not answered') })
+    const topic: KeyedTopic = { newest, read: async () => ({ records: [], end: 0, isComplete: true }), append: async () => AppendOutcome.Refused }
+    const follower = new KeyedFollower(topic, { name: 'topic', waitMilliseconds: 0, pauseMilliseconds: () => 0 }, () => {}, createTestLogger())
+    assert.equal(follower.outageMilliseconds, 0)
+    await follower.refresh()
+    now += 300
+    await follower.refresh()
+    now += 200
+    assert.equal(follower.outageMilliseconds, 500)
+    newest.mock.mockImplementation(async () => ({ records: [], end: 0, isComplete: true }))
+    await follower.refresh()
+    now += 100
+    assert.equal(follower.outageMilliseconds, 0)
+    follower.close()
+  })
 })
