Tell all listeners of a change to the jobs although one fails

A listener of the jobs that threw kept the change from those after it: items that were not started or not stopped, reads that were not woken. The error left the fold as if the records could not be applied. Each listener is now told by itself, and its failure is logged.

jobs-fold.test.ts failed before:

not ok 1 - tells all listeners of a change although one of them fails error: 'planted fault'

--- a/packages/gateway/src/jobs/jobs-fold.ts
+++ b/packages/gateway/src/jobs/jobs-fold.ts
@@ -49,7 +49,7 @@
       }
     }
     for (const listener of this.#listeners) {
-      listener(changed)
+      this.#notify(listener, changed)
     }
   }
 
@@ -95,6 +95,15 @@
     this.#listeners.push(listener)
   }
 
+  /** Tells a listener of changes; its failure is not one of the fold, and must not keep the changes from other listeners. */
+  #notify (listener: JobsListener, changed: ReadonlySet<Job>): void {
+    try {
+      listener(changed)
+    } catch (error) {
+      this.logger.error('listener of jobs failed', { jobs: [...changed].map(({ id }) => id), error: messageOf(error), stack: error instanceof Error ? error.stack : null })
+    }
+  }
+
   #applyKeyedRecord (record: KeyedRecord): Job | null {
     if (record.value === null) {
       this.#delete(record.key)
