Pass all records again after a listener has failed on some

A follower moved its position before it passed records on. If the listener threw, the records were skipped for good, and the process went on as if it knew them: the general case of the skipped record of a job, for every topic that is followed (jobs, configuration, targets). If it threw on records that the process had appended itself, the changes that waited for the append were not settled until the next change.

The next read now loads the topic, and the listener gets its complete content; until then reads of the topic fail, so that calls about jobs are answered 503.

keyed-follower.test.ts failed before:

not ok 6 - passes all records again after the listener has failed on some that were read not ok 7 - passes all records again after the listener has failed on some that were appended error: 'planted fault'

46 of 46 tests of the log and of jobs pass.

--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -17,7 +17,10 @@
   readonly isUrgent?: () => boolean
 }
 
-/** Receives records in the order of their offsets. If `isReset`, they are the complete content of the topic and replace all earlier ones. */
+/**
+ * Receives records in the order of their offsets. If `isReset`, they are the complete content of the topic and replace all earlier ones. A
+ * listener that throws gets the complete content again.
+ */
 export type RecordListener = (records: readonly KeyedRecord[], isReset: boolean) => void
 
 /** Minimum delay before a failed read is retried; jitter adds up to the same amount. */
@@ -108,9 +111,14 @@
    */
   applyAppended (records: readonly KeyedRecord[], startedAt: number): void {
     const last = records.at(-1)
-    if (last !== undefined) {
+    if (last === undefined) {
+      return
+    }
+    try {
       this.#apply({ records, end: last.offset + 1, isComplete: true })
       this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
+    } catch {
+      // Logged by #pass; the next read loads the topic, which has the records.
     }
   }
 
@@ -255,7 +263,7 @@
     }
     this.#onReadSucceeded()
     this.#position = end
-    this.listener([...records].sort((left, right) => left.offset - right.offset), true)
+    this.#pass([...records].sort((left, right) => left.offset - right.offset), true)
     return isComplete
   }
 
@@ -287,7 +295,18 @@
     const newRecords = records.filter(record => record.offset >= from)
     this.#position = end
     if (newRecords.length > 0) {
-      this.listener(newRecords, false)
+      this.#pass(newRecords, false)
+    }
+  }
+
+  /** Passes records to the listener. If it throws, it may lack some of them for good, so the next read loads the topic. */
+  #pass (records: readonly KeyedRecord[], isReset: boolean): void {
+    try {
+      this.listener(records, isReset)
+    } catch (error) {
+      this.logger.error('records not applied, loading again', { topic: this.options.name, from: records[0]?.offset ?? null, records: records.length, error: messageOf(error) })
+      this.forget()
+      throw error
     }
   }
 
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -135,4 +135,35 @@
     assert.equal(follower.outageMilliseconds, 0)
     follower.close()
   })
+
+  for (const [name, pass] of [
+    ['read', async (follower: KeyedFollower) => { assert.equal(await follower.refresh(), false) }],
+    ['appended', async (follower: KeyedFollower, records: readonly KeyedRecord[]) => { follower.applyAppended(records, Date.now()) }]
+  ] as const) {
+    it(`passes all records again after the listener has failed on some that were ${name}`, async () => {
+      const records: KeyedRecord[] = [{ key: 'first', value: Buffer.from('value'), offset: 0 }]
+      const topic: KeyedTopic = {
+        newest: async () => ({ records, end: records.length, isComplete: true }),
+        read: async from => ({ records: records.slice(from), end: records.length, isComplete: true }),
+        append: async () => AppendOutcome.Refused
+      }
+      const received: Array<{ readonly keys: readonly string[], readonly isReset: boolean }> = []
+      let isFailing = false
+      const follower = new KeyedFollower(topic, { name: 'topic', waitMilliseconds: 0, pauseMilliseconds: () => 0 }, (batch, isReset) => {
+        if (isFailing) {
+          throw new Error('planted fault')
+        }
+        received.push({ keys: batch.map(({ key }) => key), isReset })
+      }, createTestLogger())
+      assert.equal(await follower.refresh(), true)
+      const second = { key: 'second', value: Buffer.from('value'), offset: 1 }
+      records.push(second)
+      isFailing = true
+      await pass(follower, [second])
+      isFailing = false
+      assert.equal(await follower.refresh(), true)
+      assert.deepEqual(received.at(-1), { keys: ['first', 'second'], isReset: true })
+      follower.close()
+    })
+  }
 })
