--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -118,7 +118,7 @@
       return found
     }
     const { job, partition } = found
-    const calledAt = Date.now()
+    const calledAt = performance.now()
     if (job.results.length <= after && wait > 0 && job.finished.size < job.items.length) {
       await this.#waitForResults(found, after, wait)
     }
--- a/packages/gateway/src/jobs/job-log.ts
+++ b/packages/gateway/src/jobs/job-log.ts
@@ -171,7 +171,7 @@
   }
 
   async #append (batch: readonly PendingChange[], records: readonly NewRecord[], expectedEnd: number): Promise<void> {
-    const startedAt = Date.now()
+    const startedAt = performance.now()
     const outcome = await this.topic.append(records, expectedEnd)
     switch (outcome) {
       case AppendOutcome.Done:
--- a/packages/gateway/src/jobs/job-partition.ts
+++ b/packages/gateway/src/jobs/job-partition.ts
@@ -43,7 +43,7 @@
     return this.#follower.outageMilliseconds
   }
 
-  /** Whether everything that was appended before this time, in milliseconds since the epoch, is known. */
+  /** Whether everything that was appended before this time, by the clock of `performance`, is known. */
   isFreshSince (time: number): boolean {
     return this.#follower.isFreshSince(time)
   }
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -193,7 +193,7 @@
   #readPartitions (now: number): number {
     for (const { partition } of this.#active.values()) {
       const isIdle = partition.fold.unsettled()[Symbol.iterator]().next().done === true
-      if (!partition.isFreshSince(now - (isIdle ? idleReadIntervalMilliseconds : readIntervalMilliseconds))) {
+      if (!partition.isFreshSince(performance.now() - (isIdle ? idleReadIntervalMilliseconds : readIntervalMilliseconds))) {
         void partition.refresh()
       }
     }
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -33,9 +33,9 @@
 /** Passes the records of a topic to a listener, and keeps track of its position and of when the topic was last read to the end. */
 export class KeyedFollower {
   #position: number | null = null
-  /** Start of the latest successful read; the listener has received everything that was appended before it. */
-  #confirmedAt = 0
-  /** Time up to which the latest successful read has shown all records; unlike {@link #confirmedAt} it follows a clock that is set back. */
+  /** Start of the latest successful read, by the clock of `performance`; the listener has received everything that was appended before it. */
+  #confirmedAt = -Infinity
+  /** Time up to which the latest successful read has shown all records, in milliseconds since the epoch. */
   #shownUntil = -Infinity
   /** What a load that failed has read, or null. */
   #partialLoad: PartialLoad | null = null
@@ -71,7 +71,7 @@
     return this.#reachable
   }
 
-  /** Whether the listener has received everything that was appended before this time, in milliseconds since the epoch. */
+  /** Whether the listener has received everything that was appended before this time, by the clock of `performance`, which is never set. */
   isFreshSince (time: number): boolean {
     return this.#position !== null && this.#confirmedAt >= time
   }
@@ -107,7 +107,7 @@
    * Passes on records that this process itself has just appended at the current position, which shows that nobody else had
    * appended anything there.
    *
-   * @param startedAt time at which the append was sent, in milliseconds since the epoch
+   * @param startedAt time at which the append was sent, by the clock of `performance`
    */
   applyAppended (records: readonly KeyedRecord[], startedAt: number): void {
     const last = records.at(-1)
@@ -210,14 +210,15 @@
 
   async #readOnce (waitMilliseconds: number): Promise<void> {
     const startedAt = Date.now()
-    this.#unreadSince ??= performance.now()
+    const startedAtSteady = performance.now()
+    this.#unreadSince ??= startedAtSteady
     const before = this.#position
     let isAtEnd = false
     // One read returns only a part if there is much to read.
     for (let wait = waitMilliseconds; !isAtEnd; wait = 0) {
       isAtEnd = this.#position === null ? await this.#loadNewest() : await this.#readOrLoad(this.#position, wait)
     }
-    this.#confirmedAt = Math.max(this.#confirmedAt, startedAt)
+    this.#confirmedAt = Math.max(this.#confirmedAt, startedAtSteady)
     this.#unreadSince = null
     // The store answers without records only when the wait is over.
     this.#shownUntil = this.#position === before && before !== null ? Math.min(Date.now(), startedAt + waitMilliseconds) : startedAt
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -138,7 +138,7 @@
 
   for (const [name, pass] of [
     ['read', async (follower: KeyedFollower) => { assert.equal(await follower.refresh(), false) }],
-    ['appended', async (follower: KeyedFollower, records: readonly KeyedRecord[]) => { follower.applyAppended(records, Date.now()) }]
+    ['appended', async (follower: KeyedFollower, records: readonly KeyedRecord[]) => { follower.applyAppended(records, performance.now()) }]
   ] as const) {
     it(`passes all records again after the listener has failed on some that were ${name}`, async () => {
       const records: KeyedRecord[] = [{ key: 'first', value: Buffer.from('value'), offset: 0 }]
