Measure pauses between calls to the store by a clock that is never set

An instance that the store had turned away, or whose peers had no access to it, waits up to 0.8 s and 1.6 s before it tries again, by the time of day.

These times are now taken from performance.now(). relaying-store-connection.test.ts, clock set back by a minute, failed before:

--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -56,10 +56,10 @@
 /** Calls the store directly unless direct calls have failed recently; relays a call through peers if the direct one isn't served. */
 export class RelayingStoreConnection implements StoreConnection {
   #isDirectAvailable = true
-  /** Time from which a direct call is tried while they are unavailable, in milliseconds since the epoch. */
+  /** Time from which a direct call is tried while they are unavailable, by the clock of `performance`. */
   #nextProbeAt = 0
   #probeDelay = initialProbeMilliseconds
-  /** Time until which no peer is asked, in milliseconds since the epoch. */
+  /** Time until which no peer is asked, by the clock of `performance`. */
   #relayPausedUntil = 0
   #relayPause = initialRelayPauseMilliseconds
   /** The same for urgent reads, which go on while other calls pause. */
@@ -69,7 +69,7 @@
   #provenPeer: string | null = null
   /** Direct calls in a row, each begun after the one before had failed, that were sent and not answered. */
   #unansweredCalls = 0
-  /** Time of the latest direct call without a response, in milliseconds since the epoch. */
+  /** Time of the latest direct call without a response, by the clock of `performance`. */
   #unansweredAt = 0
   /** Incremented whenever direct calls become available or unavailable. */
   #stateVersion = 0
@@ -117,7 +117,7 @@
    */
   async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isConclusive = true): Promise<StoreReply> {
     const stateVersion = this.#stateVersion
-    const startedAt = Date.now()
+    const startedAt = performance.now()
     const reply = await this.direct.call(method, path, body, timeoutMilliseconds)
     if (isLost(reply) && !isConclusive) {
       return reply
@@ -138,7 +138,7 @@
       this.#unansweredCalls = 0
     } else if (this.#unansweredCalls === 0 || startedAt > this.#unansweredAt) {
       this.#unansweredCalls += 1
-      this.#unansweredAt = Date.now()
+      this.#unansweredAt = performance.now()
     }
   }
 
@@ -146,7 +146,7 @@
     this.#stateVersion += 1
     this.#isDirectAvailable = isAvailable
     this.#probeDelay = initialProbeMilliseconds
-    this.#nextProbeAt = Date.now() + this.#probeDelay
+    this.#nextProbeAt = performance.now() + this.#probeDelay
     this.options.logger.info(isAvailable ? 'store serves this instance again' : 'store turns this instance away', { reply: describe(reply) })
   }
 
@@ -154,7 +154,7 @@
     if (this.#isDirectAvailable) {
       return true
     }
-    const now = Date.now()
+    const now = performance.now()
     if (now < this.#nextProbeAt) {
       return false
     }
@@ -168,7 +168,7 @@
    * when those asked before had no access to the store.
    */
   async #readUrgently (path: string, timeoutMilliseconds: number): Promise<StoreReply> {
-    const peers = Date.now() < this.#urgentPausedUntil ? [] : this.#peersToTry(maximumUrgentPeers)
+    const peers = performance.now() < this.#urgentPausedUntil ? [] : this.#peersToTry(maximumUrgentPeers)
     let failures = 0
     const ways = peers.map(peer => async () => {
       const reply = await callPeer(peer, 'GET', path, null, Math.min(timeoutMilliseconds, urgentTimeoutMilliseconds))
@@ -176,7 +176,7 @@
         this.#provenPeer = peer
         this.#urgentPause = initialRelayPauseMilliseconds
       } else if ((failures += 1) === peers.length) {
-        this.#urgentPausedUntil = Date.now() + this.#urgentPause
+        this.#urgentPausedUntil = performance.now() + this.#urgentPause
         this.#urgentPause = Math.min(this.#urgentPause * 2, maximumRelayPauseMilliseconds)
       }
       return reply
@@ -189,7 +189,7 @@
 
   async #relay (method: 'GET' | 'POST', path: string, body: Buffer | null, timeout: number, directReply?: StoreReply): Promise<StoreReply> {
     let last: StoreReply = directReply ?? { answered: false, sent: false, reason: 'no peer has access to the store' }
-    if (Date.now() < this.#relayPausedUntil) {
+    if (performance.now() < this.#relayPausedUntil) {
       return last
     }
     for (const peer of this.#peersToTry(maximumPeers)) {
@@ -205,7 +205,7 @@
       last = reply
     }
     this.#provenPeer = null
-    this.#relayPausedUntil = Date.now() + this.#relayPause
+    this.#relayPausedUntil = performance.now() + this.#relayPause
     this.#relayPause = Math.min(this.#relayPause * 2, maximumRelayPauseMilliseconds)
     return last
   }
--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -62,7 +62,7 @@
 class BufferingHandler implements Dispatcher.DispatchHandler {
   readonly #chunks: Buffer[] = []
   #timer: NodeJS.Timeout
-  /** Time at which a response that has begun is given up although it goes on, in milliseconds since the epoch. */
+  /** Time at which a response that has begun is given up although it goes on, by the clock of `performance`. */
   #transferDeadline = 0
   #controller: Dispatcher.DispatchController | null = null
   #head: Pick<BufferedResponse, 'status' | 'headers'> | null = null
@@ -87,7 +87,7 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: BufferedResponse['headers']): void {
     this.#head = { status, headers }
-    this.#transferDeadline = Date.now() + (this.transfer?.totalMilliseconds ?? 0)
+    this.#transferDeadline = performance.now() + (this.transfer?.totalMilliseconds ?? 0)
     this.#extend()
   }
 
@@ -121,7 +121,7 @@
       return
     }
     clearTimeout(this.#timer)
-    const remaining = Math.min(this.transfer.pauseMilliseconds, this.#transferDeadline - Date.now())
+    const remaining = Math.min(this.transfer.pauseMilliseconds, this.#transferDeadline - performance.now())
     this.#timer = setTimeout(() => { this.#onTimeout() }, Math.max(0, remaining))
   }
 
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -156,4 +156,18 @@
     }
     assert.ok(peerRequests >= 2 && peerRequests <= 3, `${peerRequests} of ${reads} reads asked the peer`)
   })
+
+  for (const [direction, step] of [['back', -60_000], ['ahead', 60_000]] as const) {
+    it(`calls the store directly again within a second after the clock was set ${direction}`, async context => {
+      peerCalls.replies = [refused]
+      const direct = new PreparedConnection([refused])
+      const connection = connectWith(direct)
+      await read(connection)
+      const { now } = Date
+      context.mock.method(Date, 'now', () => now() + step)
+      await sleep(1_000)
+      direct.replies = [served]
+      assert.equal(await read(connection), '200 direct')
+    })
+  }
 })
