Accept jobs although a record of the waiting tokens cannot be read

The records of waiting tokens were decoded without a check. One that could not be decoded, as a later build may write, made every submission on a route with a limit fail with 500, at all instances, for as long as the record stood.

Such a record is now logged and counts nothing: a total is appended anew by the owner of its partition, a reservation counts for 10 s at most anyway.

token-ledger.test.ts failed before:

not ok 1 - counts the tokens of the other records, and logs it error: 'object is not iterable (cannot read property Symbol(Symbol.iterator))'

--- a/packages/gateway/src/jobs/token-ledger.ts
+++ b/packages/gateway/src/jobs/token-ledger.ts
@@ -6,6 +6,7 @@
  */
 import { Packr } from 'msgpackr'
 import PQueue from 'p-queue'
+import * as z from 'zod'
 import { messageOf } from '@arbutusloft/protocol'
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedTopic, NewRecord, RecordBatch } from '../log/keyed-topic.js'
@@ -51,15 +52,16 @@
 const reservationPrefix = 'r/'
 const packr = new Packr({ useRecords: false })
 
-/** A reservation as it is recorded; its key is `r/JOB/PROCESS`. */
-interface Reservation {
-  readonly job: string
-  readonly partition: number
-  readonly route: string
-  readonly tokens: number
-  /** Time at which it was made, in milliseconds since the epoch. */
-  readonly at: number
-}
+/** Content of a record with the total of a partition: tokens by route. */
+const totalSchema = z.array(z.tuple([z.string(), z.number()]))
+
+/**
+ * A reservation as it is recorded; its key is `r/JOB/PROCESS`.
+ *
+ * @property at time at which it was made, in milliseconds since the epoch
+ */
+const reservationSchema = z.object({ job: z.string(), partition: z.number(), route: z.string(), tokens: z.number(), at: z.number() })
+type Reservation = z.infer<typeof reservationSchema>
 
 /** Content of the topic. */
 interface LedgerContent {
@@ -182,13 +184,18 @@
     const totals = new Map<number, ReadonlyMap<string, number>>()
     const encodedTotals = new Map<number, string>()
     const reservations = new Map<string, Reservation>()
-    for (const { key, value } of batch.records) {
-      if (value !== null && key.startsWith(totalPrefix)) {
-        const number = Number(key.slice(totalPrefix.length))
-        totals.set(number, new Map(packr.unpack(value) as ReadonlyArray<[string, number]>))
-        encodedTotals.set(number, value.toString('latin1'))
-      } else if (value !== null && key.startsWith(reservationPrefix)) {
-        reservations.set(key, packr.unpack(value) as Reservation)
+    for (const { key, value, offset } of batch.records) {
+      try {
+        if (value !== null && key.startsWith(totalPrefix)) {
+          const number = Number(key.slice(totalPrefix.length))
+          totals.set(number, new Map(totalSchema.parse(packr.unpack(value))))
+          encodedTotals.set(number, value.toString('latin1'))
+        } else if (value !== null && key.startsWith(reservationPrefix)) {
+          reservations.set(key, reservationSchema.parse(packr.unpack(value)))
+        }
+      } catch (error) {
+        // Counts nothing: the owner of the partition appends its total anew, and a reservation is soon replaced by one.
+        this.logger.error('waiting tokens not readable', { key, offset, error: messageOf(error) })
       }
     }
     return { totals, encodedTotals, reservations, end: batch.end }
--- a/packages/gateway/tests/jobs/token-ledger.test.ts
+++ b/packages/gateway/tests/jobs/token-ledger.test.ts
@@ -19,10 +19,10 @@
   readonly partition: JobPartition
   readonly ledger: TokenLedger
 
-  constructor (readonly name: string, jobs: FaultyLog, tokens: FaultyLog) {
+  constructor (readonly name: string, jobs: FaultyLog, tokens: FaultyLog, lines: string[] = []) {
     this.partition = new JobPartition(1, jobs.connect(), createTestLogger())
     const owned = { active: () => name === otherName ? [] : [this.partition], onActiveChange: () => {} }
-    this.ledger = new TokenLedger(tokens.connect(), owned, () => name, createTestLogger())
+    this.ledger = new TokenLedger(tokens.connect(), owned, () => name, createTestLogger(lines))
   }
 
   /** Submits a job with one item; returns whether it was accepted. */
@@ -105,3 +105,22 @@
     assert.equal(await other.submit('third', 20), false)
   })
 })
+
+describe('TokenLedger with a record that cannot be read', () => {
+  it('counts the tokens of the other records, and logs it', async context => {
+    const jobs = new FaultyLog(() => 0.5)
+    const tokens = new FaultyLog(() => 0.5)
+    Object.assign(jobs.faults, noFaults)
+    Object.assign(tokens.faults, noFaults)
+    const lines: string[] = []
+    const process = new Process('process', jobs, tokens, lines)
+    context.after(() => { process.close() })
+    assert.ok(await process.submit('first', 10))
+    // A byte that begins no value.
+    const unreadable = Buffer.from([0xc1])
+    await tokens.connect().append([{ key: 'p/7', value: unreadable }, { key: 'r/odd/process', value: unreadable }], null)
+    assert.equal(await process.submit('second', 95), false)
+    assert.equal(await process.submit('third', 80), true)
+    assert.ok(lines.some(line => line.includes('waiting tokens not readable') && line.includes('r/odd/process')))
+  })
+})
