Rely on the only version that was seen only once that is confirmed

Callers saw a stream that began at v2 go on at v1 (ORDER), when they took it up at an instance that was out of step for a second: cut off from the other instances, from the store, from both, or stopped by a signal. Targets of v2 had joined meanwhile, and other instances had begun streams there.

The owner of the slots decides on the version of a stream whose origin its holder does not know: if its own list has shown one version for 20 s, that began every stream. An owner that is out of step, or an instance that is cut off and so owns all services itself, has an old list, which the age up to which slots are granted (1.5 s) lets pass.

What began a stream is in the past when the request arrives. So the owner now reads the list to its end after that, and asks up to six others, those first that follow the targets closely, for the versions that they have seen. It relies on its history if the list was read, or else if others answer and know no other version; if neither the store nor anybody answers within 150 ms, the request is refused as not run with version-unknown, and the holder asks for the origin as it does while a service is mixed.

--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -23,7 +23,9 @@
   TargetLeaving: 'g',
   StreamOrigins: 'o',
   OriginQuery: 'h',
-  OriginAnswer: 'm'
+  OriginAnswer: 'm',
+  VersionQuery: 'b',
+  VersionAnswer: 'd'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -182,6 +184,21 @@
   readonly origin: KnownOrigin | null
 }
 
+/** Asks for the software versions that a service's targets have lately had. */
+export interface VersionQueryMessage {
+  readonly type: typeof PeerMessageType.VersionQuery
+  readonly service: string
+}
+
+/** Response to a query, as far as the sender knows. */
+export interface VersionAnswerMessage {
+  readonly type: typeof PeerMessageType.VersionAnswer
+  readonly service: string
+  readonly versions: readonly string[]
+  /** As in {@link VersionHistory.isMixed}. */
+  readonly isMixed: boolean
+}
+
 /** Messages about members; the first update in each describes its sender. */
 export type MemberMessage =
   | PingMessage
@@ -206,7 +223,10 @@
 /** Messages about the origins of streams. */
 export type OriginMessage = StreamOriginsMessage | OriginQueryMessage | OriginAnswerMessage
 
-export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage | OriginMessage
+/** Messages about the software versions of targets. */
+export type VersionMessage = VersionQueryMessage | VersionAnswerMessage
+
+export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage | OriginMessage | VersionMessage
 
 const types: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType))
 const memberTypes: ReadonlySet<unknown> = new Set([
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -10,6 +10,7 @@
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
 import type { SlotGrantMessage, SlotMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
+import { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import { TargetState } from '../targets/target-registry.js'
 import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
@@ -87,7 +88,8 @@
     private readonly versions: VersionHistory
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) })
+    const confirmation = new VersionConfirmation({ versions, freshness, membership, transport, nearOwners: service => this.#ownersOf(service) })
+    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) }, confirmation)
     targets.onChange(changed => { this.#onTargetsChanged(changed) })
     transport.onMessage((message, sender) => {
       if (isSlotMessage(message)) {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -4,6 +4,7 @@
  */
 import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason } from '@arbutusloft/policy'
 import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, SlotDecision, SlotOutcome, SlotRequest, VersionHistory } from '@arbutusloft/policy'
+import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
 import { TargetState } from '../targets/target-registry.js'
@@ -37,6 +38,8 @@
   readonly #alarm = new Alarm(now => this.#check(now))
   /** Requests, by permit, that arrived while the list of targets was out of date. */
   readonly #deferred = new Map<string, { readonly service: string, readonly request: SlotRequest }>()
+  /** Holders of requests, by permit, for which the history of versions is being confirmed. */
+  readonly #unconfirmed = new Map<string, string>()
   /** Whether slots are granted, which the list of targets may be too old for. */
   #isGranting = true
 
@@ -46,7 +49,8 @@
     private readonly leaving: LeavingTargets,
     private readonly quarantine: CrashQuarantine,
     private readonly versions: VersionHistory,
-    private readonly listener: DecisionListener
+    private readonly listener: DecisionListener,
+    private readonly confirmation: Pick<VersionConfirmation, 'confirm'> | null = null
   ) {
     targets.onChange(() => { this.#updateTargets() })
     freshness.onRefreshed(() => { this.#updateGranting() })
@@ -60,11 +64,18 @@
       this.#deferred.set(request.permit, { service, request })
       return false
     }
+    if (this.confirmation !== null && this.#dependsOnHistory(service, request)) {
+      void this.#confirm(service, request, this.confirmation)
+      return false
+    }
+    return this.#decide(service, owned, request)
+  }
+
+  #decide (service: string, owned: OwnedService, request: SlotRequest): boolean {
     const now = Date.now()
     const known = this.#withOrigin(service, request, now)
     if (known === null) {
-      const { permit, holder, latestReturn } = request
-      this.#emit(service, [{ kind: DecisionKind.Refuse, permit, holder, reason: RefusalReason.VersionUnknown, retryAfter: Math.max(1, latestReturn) }])
+      this.#refuseUnknown(service, request)
       return true
     }
     const decisions = owned.admission.request(known, now)
@@ -75,6 +86,36 @@
     return decisions.some(decision => decision.permit === request.permit)
   }
 
+  /** Whether a request continues a stream that only the history of the service's versions can tell the version of. */
+  #dependsOnHistory (service: string, { continues }: SlotRequest): boolean {
+    return continues?.softwareVersion === '' && this.versions.soleVersion(service, Date.now()) !== null
+  }
+
+  /** Decides on a request once the history of the service's versions is known to be complete, and rejects it if that cannot be known. */
+  async #confirm (service: string, request: SlotRequest, confirmation: Pick<VersionConfirmation, 'confirm'>): Promise<void> {
+    const { permit } = request
+    if (this.#unconfirmed.has(permit)) {
+      return
+    }
+    this.#unconfirmed.set(permit, request.holder)
+    const isConfirmed = await confirmation.confirm(service)
+    if (!this.#unconfirmed.delete(permit)) {
+      return
+    }
+    this.#updateGranting()
+    if (!isConfirmed) {
+      this.#refuseUnknown(service, request)
+    } else if (this.#isGranting) {
+      this.#decide(service, this.#ensureService(service), request)
+    } else {
+      this.#deferred.set(permit, { service, request })
+    }
+  }
+
+  #refuseUnknown (service: string, { permit, holder, latestReturn }: SlotRequest): void {
+    this.#emit(service, [{ kind: DecisionKind.Refuse, permit, holder, reason: RefusalReason.VersionUnknown, retryAfter: Math.max(1, latestReturn) }])
+  }
+
   /**
    * Fills in the version that began the stream which a request continues if its holder does not know that: it is certain where the service has
    * had one version for long enough. Returns null if it is not.
@@ -96,14 +137,14 @@
     if (crash !== null) {
       this.quarantine.onCrashed(permit, crash, Date.now())
     }
-    this.#deferred.delete(permit)
+    this.#forgetRequest(permit)
     this.#updateGranting()
     this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now()))
   }
 
   /** Removes a waiting request. */
   withdraw (service: string, permit: string): void {
-    this.#deferred.delete(permit)
+    this.#forgetRequest(permit)
     this.#ensureService(service).admission.withdraw(permit)
   }
 
@@ -190,7 +231,7 @@
       for (const [holder, lastMessageAt] of holders) {
         if (now - lastMessageAt > holderTimeoutMilliseconds) {
           holders.delete(holder)
-          this.#forgetDeferred(holder)
+          this.#forgetHolder(holder)
           this.#emit(service, admission.removeHolder(holder, now))
         }
       }
@@ -205,11 +246,16 @@
     return next
   }
 
-  #forgetDeferred (holder: string): void {
-    for (const [permit, { request }] of this.#deferred) {
-      if (request.holder === holder) {
-        this.#deferred.delete(permit)
-      }
+  #forgetRequest (permit: string): void {
+    this.#deferred.delete(permit)
+    this.#unconfirmed.delete(permit)
+  }
+
+  #forgetHolder (holder: string): void {
+    const deferred = [...this.#deferred].filter(([, { request }]) => request.holder === holder)
+    const unconfirmed = [...this.#unconfirmed].filter(([, other]) => other === holder)
+    for (const [permit] of [...deferred, ...unconfirmed]) {
+      this.#forgetRequest(permit)
     }
   }
 
--- a/packages/gateway/src/targets/target-freshness.ts
+++ b/packages/gateway/src/targets/target-freshness.ts
@@ -22,6 +22,9 @@
 /** Longer than a refresh takes unless the process is paused. */
 const pausedMilliseconds = 2_000
 
+/** Time within which {@link TargetFreshness.confirm} reads the list: several round trips to the store, and the way through a peer. */
+const confirmMilliseconds = 150
+
 /** Reads the list again when it is asked for and too old. */
 export class TargetFreshness {
   #options: TargetFreshnessOptions | null = null
@@ -60,6 +63,20 @@
     return this.#isUnconfirmable
   }
 
+  /** Reads the list; resolves with whether it then shows all changes from before the call, and with false if that takes too long. */
+  async confirm (): Promise<boolean> {
+    if (this.#options === null) {
+      return true
+    }
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => { resolve(false) }, confirmMilliseconds)
+      void this.#options?.source.refresh().then(isRead => {
+        clearTimeout(timer)
+        resolve(isRead)
+      })
+    })
+  }
+
   async #refresh ({ source, logger }: TargetFreshnessOptions): Promise<void> {
     this.#isRefreshing = true
     logger.info('targets out of date, slots wait', { age: source.ageMilliseconds })
--- a/packages/gateway/tests/permits/slot-owner.test.ts
+++ b/packages/gateway/tests/permits/slot-owner.test.ts
@@ -76,6 +76,56 @@
     ])
   })
 
+  /** Creates an owner that has seen one version, and whose confirmations the test ends. */
+  function createConfirmingOwner (): { readonly owner: SlotOwner, readonly decisions: string[], readonly confirmations: Array<(isConfirmed: boolean) => void>, readonly history: VersionHistory } {
+    const history = new VersionHistory()
+    history.restore(new Map(), 0)
+    history.observe('s', new Set(['v1']), Date.now())
+    const targets = new TargetRegistry()
+    targets.replace([target])
+    const decisions: string[] = []
+    const confirmations: Array<(isConfirmed: boolean) => void> = []
+    const confirmation = { confirm: async () => await new Promise<boolean>(resolve => { confirmations.push(resolve) }) }
+    const record = (_service: string, decision: SlotDecision): void => { decisions.push(`${decision.permit} ${decision.kind === DecisionKind.Refuse ? decision.reason : decision.kind}`) }
+    owner = new SlotOwner(targets, new TargetFreshness(), new LeavingTargets(), new CrashQuarantine(), history, record, confirmation)
+    return { owner, decisions, confirmations, history }
+  }
+
+  const unknownOrigin = { softwareVersion: '', target: '', born: 0 }
+
+  it('relies on the versions that it has seen only once they are confirmed, and decides once on a repeated request', async () => {
+    const { owner, decisions, confirmations, history } = createConfirmingOwner()
+    for (const permit of ['a', 'b', 'c', 'a']) {
+      assert.equal(owner.request('s', { ...request(permit), continues: unknownOrigin }), false)
+    }
+    assert.deepEqual([decisions, confirmations.length], [[], 3])
+    confirmations[0]?.(true)
+    confirmations[1]?.(false)
+    await sleep(0)
+    history.observe('s', new Set(['v1', 'v2']), Date.now())
+    confirmations[2]?.(true)
+    await sleep(0)
+    assert.deepEqual(decisions, [`a ${DecisionKind.Grant}`, `b ${RefusalReason.VersionUnknown}`, `c ${RefusalReason.VersionUnknown}`])
+  })
+
+  it('does not decide on a request that was withdrawn or released while the versions were being confirmed', async () => {
+    const { owner, decisions, confirmations } = createConfirmingOwner()
+    owner.request('s', { ...request('a'), continues: unknownOrigin })
+    owner.request('s', { ...request('b'), continues: unknownOrigin })
+    owner.withdraw('s', 'a')
+    owner.release('s', 'b', 'stopped', null)
+    confirmations.forEach(settle => { settle(true) })
+    await sleep(0)
+    assert.deepEqual(decisions, [])
+  })
+
+  it('needs no confirmation for requests that continue no stream, or one whose version is known', () => {
+    const { owner, confirmations } = createConfirmingOwner()
+    assert.ok(owner.request('s', request('a')))
+    assert.ok(owner.request('s', { ...request('b'), continues: { ...unknownOrigin, softwareVersion: 'v1' } }))
+    assert.equal(confirmations.length, 0)
+  })
+
   it('that was paused grants slots only after it has read which targets left meanwhile', async () => {
     const source = new PreparedSource()
     const { owner, targets, granted } = createOwner(source)
--- a/packages/policy/src/streams/version-history.ts
+++ b/packages/policy/src/streams/version-history.ts
@@ -85,6 +85,12 @@
     return known !== undefined && (known.mixedUntil > now || recentVersions(known, now).size > 1)
   }
 
+  /** Returns the versions that began streams which may still be taken up, as far as this process has seen them. */
+  recentVersions (service: string, now: number): readonly string[] {
+    const known = this.#services.get(service)
+    return known === undefined ? [] : [...recentVersions(known, now)]
+  }
+
   /** Returns the version that began every stream which may still be taken up, or null if that is not certain. */
   soleVersion (service: string, now: number): string | null {
     const known = this.#services.get(service)
