Read the list of targets before a stream goes on at one of its version

A stream of v1 went on at v2 (ORDER) when its instance resumed it: a target of v1 had started again under its id and at its address with v2, and the owner's list, up to 1.5 s old, still said v1.

The owner knows the version of such a stream, so no confirmation was needed, but whether a target has that version is as old as its list. Items are left out: they go on after each revoked slot, and a read each time is too much load.

Before, on the old code, three runs of three: not ok - goes on at no target that has started again under its id with another version while the instance had an old list (v1 and v2 in one answer). After: 130 passed, 1 failed (slot client and owner, streams, stream-versions, draining, online, store-silence, streams-out-of-step, killed-process). The one is of code that this does not touch: stream-origin-directory.test, "finds an origin from any of 195 processes", 55 of 60 found, once, at a load of 14 on 8 cores; three runs of that file alone passed after it.

--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -4,6 +4,7 @@
  */
 import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason } from '@arbutusloft/policy'
 import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, SlotDecision, SlotOutcome, SlotRequest, VersionHistory } from '@arbutusloft/policy'
+import { WorkClass } from '@arbutusloft/protocol'
 import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
@@ -38,7 +39,7 @@
   readonly #alarm = new Alarm(now => this.#check(now))
   /** Requests, by permit, that arrived while the list of targets was out of date. */
   readonly #deferred = new Map<string, { readonly service: string, readonly request: SlotRequest }>()
-  /** Holders of requests, by permit, for which the history of versions is being confirmed. */
+  /** Holders of requests, by permit, that wait for {@link SlotOwner.#confirmationOf}. */
   readonly #unconfirmed = new Map<string, string>()
   /** Whether slots are granted, which the list of targets may be too old for. */
   #isGranting = true
@@ -64,8 +65,9 @@
       this.#deferred.set(request.permit, { service, request })
       return false
     }
-    if (this.confirmation !== null && this.#dependsOnHistory(service, request)) {
-      void this.#confirm(service, request, this.confirmation)
+    const confirmation = this.#confirmationOf(service, request)
+    if (confirmation !== null) {
+      void this.#decideOnceConfirmed(service, request, confirmation)
       return false
     }
     return this.#decide(service, owned, request)
@@ -86,19 +88,33 @@
     return decisions.some(decision => decision.permit === request.permit)
   }
 
-  /** Whether a request continues a stream that only the history of the service's versions can tell the version of. */
-  #dependsOnHistory (service: string, { continues }: SlotRequest): boolean {
-    return continues?.softwareVersion === '' && this.versions.soleVersion(service, Date.now()) !== null
+  /**
+   * Returns what has to be awaited before a request that continues a stream is decided on, and whether it can be then; null if nothing has to be. The version
+   * of a stream that only the history tells has to be confirmed. If it is known, the list is read if possible, since a target may have started again
+   * under its id with another version; items are not worth a read each time that they go on.
+   */
+  #confirmationOf (service: string, { continues, workClass }: SlotRequest): (() => Promise<boolean>) | null {
+    const { confirmation, freshness } = this
+    if (confirmation === null || continues === null || workClass !== WorkClass.Online) {
+      return null
+    }
+    if (continues.softwareVersion !== '') {
+      return async () => {
+        await freshness.confirm()
+        return true
+      }
+    }
+    return this.versions.soleVersion(service, Date.now()) === null ? null : async () => await confirmation.confirm(service)
   }
 
-  /** Decides on a request once the history of the service's versions is known to be complete, and rejects it if that cannot be known. */
-  async #confirm (service: string, request: SlotRequest, confirmation: Pick<VersionConfirmation, 'confirm'>): Promise<void> {
+  /** Decides on a request once it is confirmed, and rejects it if it cannot be. */
+  async #decideOnceConfirmed (service: string, request: SlotRequest, confirm: () => Promise<boolean>): Promise<void> {
     const { permit } = request
     if (this.#unconfirmed.has(permit)) {
       return
     }
     this.#unconfirmed.set(permit, request.holder)
-    const isConfirmed = await confirmation.confirm(service)
+    const isConfirmed = await confirm()
     if (!this.#unconfirmed.delete(permit)) {
       return
     }
