--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -70,6 +70,13 @@
 } as const
 export type CallerKind = typeof CallerKind[keyof typeof CallerKind]
 
+/** A caller's request; each option has a default. */
+export interface CallOptions {
+  readonly method?: string
+  /** Value of the request id header. */
+  readonly id?: string
+}
+
 /** Options of {@link OnlineHarness}; each one has a default. */
 export interface OnlineHarnessOptions {
   /** `ip:port` of targets of the test that the first attempts go to, in order. */
@@ -78,6 +85,8 @@
   readonly preparationMilliseconds?: number
   /** Whether requests wait for a slot until they are ended. */
   readonly hasNoSlots?: boolean
+  /** Whether all attempts go to the same target, and so may use the same connections. */
+  readonly hasOneTarget?: boolean
 }
 
 /** Serves requests of one route from targets that answer by a script. */
@@ -92,13 +101,14 @@
   readonly #connections = new TargetConnections()
   readonly #sockets = new Set<Socket>()
   readonly #servers: Server[] = []
+  #connectionsToTargets = 0
   #nextTarget = 0
 
-  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[], private readonly hasNoSlots: boolean) {}
+  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[], private readonly hasNoSlots: boolean, private readonly hasOneTarget: boolean) {}
 
   /** @param answers one for each attempt, in order */
-  static async start (route: Route, answers: readonly ScriptedAnswer[], { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false }: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
-    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots)
+  static async start (route: Route, answers: readonly ScriptedAnswer[], { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, hasOneTarget = false }: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
+    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, hasOneTarget)
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
@@ -119,16 +129,21 @@
     return harness
   }
 
+  /** Number of connections that carried a request to a target. */
+  get connections (): number {
+    return this.#connectionsToTargets
+  }
+
   /** Adds the answer to one more attempt; there is a slot for it from now on. */
   addAnswer (answer: ScriptedAnswer): void {
     this.answers.push(answer)
   }
 
   /** Sends a request as a caller of this kind and returns what it can tell of the answer when that or the connection has ended. */
-  async call (kind: CallerKind): Promise<CallerAnswer> {
+  async call (kind: CallerKind, { method = 'POST', id = 'id' }: CallOptions = {}): Promise<CallerAnswer> {
     const { port } = this.#servers[1]?.address() as AddressInfo
     const socket = connect(port, loopback)
-    socket.write(`POST ${this.route.prefix}x ${kind}\r\nHost: h\r\nX-Request-Id: id\r\nX-Deadline: 2000\r\nContent-Length: 2\r\n\r\nhi`)
+    socket.write(`${method} ${this.route.prefix}x ${kind}\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Deadline: 2000\r\nContent-Length: 2\r\n\r\nhi`)
     let text = ''
     let isReset = false
     socket.on('error', () => { isReset = true })
@@ -136,16 +151,16 @@
     return await new Promise(resolve => {
       const settle = (view: CallerView): void => {
         socket.destroy()
-        const { status, body } = parseAnswer(text)
+        const { status, body } = parseAnswer(text, method)
         resolve({ status, body, view })
       }
       socket.on('data', (data: string) => {
         text += data
-        if (parseAnswer(text).isComplete) {
+        if (parseAnswer(text, method).isComplete) {
           settle(CallerView.Complete)
         }
       })
-      socket.on('close', () => { settle(parseAnswer(text).isFramed || isReset ? CallerView.Broken : CallerView.Closed) })
+      socket.on('close', () => { settle(parseAnswer(text, method).isFramed || isReset ? CallerView.Broken : CallerView.Closed) })
     })
   }
 
@@ -176,12 +191,15 @@
   }
 
   #serveAsTarget (socket: Socket): void {
+    let isUsed = false
     socket.on('data', data => {
       if (!data.includes('X-Request-Id')) {
         // A process of another test still calls the port of a server that has ended.
         socket.destroy()
         return
       }
+      this.#connectionsToTargets += isUsed ? 0 : 1
+      isUsed = true
       this.arrivals.push(data.toString())
       const answer = this.answers.shift()
       if (answer === undefined) {
@@ -230,7 +248,7 @@
         return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
       }
       this.#nextTarget += 1
-      const target = { id: `t${this.#nextTarget}`, address, born: 1, softwareVersion: 'v1' }
+      const target = { id: this.hasOneTarget ? 't' : `t${this.#nextTarget}`, address, born: 1, softwareVersion: 'v1' }
       return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, release: outcome => { this.outcomes.push(outcome) } } }
     }
     return { acquire } as unknown as SlotClient
@@ -262,7 +280,7 @@
   readonly isComplete: boolean
 }
 
-function parseAnswer (text: string): ParsedAnswer {
+function parseAnswer (text: string, method: string): ParsedAnswer {
   const headEnd = text.indexOf('\r\n\r\n')
   if (headEnd < 0) {
     return { status: 0, body: '', isFramed: true, isComplete: false }
@@ -270,6 +288,9 @@
   const head = text.slice(0, headEnd)
   const rest = text.slice(headEnd + '\r\n\r\n'.length)
   const status = Number(head.split(' ')[1])
+  if (method === 'HEAD') {
+    return { status, body: rest, isFramed: true, isComplete: true }
+  }
   const length = /\r\ncontent-length: (\d+)/i.exec(head)?.[1]
   if (length !== undefined) {
     return { status, body: rest, isFramed: true, isComplete: rest.length >= Number(length) }
--- a/packages/integration-tests/tests/adapters.test.ts
+++ b/packages/integration-tests/tests/adapters.test.ts
@@ -128,6 +128,48 @@
     }
   })
 
+  void it('do not take an answer that is cut inside its head for one, at any byte, on a new connection or one used before', async context => {
+    const framings = ['Content-Length: 4', 'Transfer-Encoding: chunked', 'X-Other: y', 'Connection: close\r\nContent-Length: 4']
+    const interims = ['', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n']
+    let cut = ''
+    let isReset = false
+    const server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', data => {
+        if (data.includes('/whole')) {
+          socket.write('HTTP/1.1 200 OK\r\nX-Dispatch-Id: d\r\nContent-Length: 4\r\n\r\nearl')
+          return
+        }
+        socket.write(cut, () => { isReset ? socket.resetAndDestroy() : socket.end() })
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const service = createHttpPlainService()
+    const engine = createHttpEngine()
+    context.after(async () => {
+      server.close()
+      await service.close()
+      await engine.close()
+    })
+    const call = { dispatch: 'd', method: 'POST', path: '/p', contentType: null, idempotencyKey: null, body: Buffer.from('hello') }
+    for (const head of framings.flatMap(framing => interims.map(interim => `${interim}HTTP/1.1 200 OK\r\nX-Dispatch-Id: d\r\n${framing}\r\n\r\n`))) {
+      for (let length = 0; length < head.length; length += 1) {
+        cut = head.slice(0, length)
+        isReset = length % 2 === 1
+        assert.ok((await service.call(address, { ...call, path: '/whole' })).ok)
+        for (const method of ['POST', 'HEAD']) {
+          const result = await service.call(address, { ...call, method, body: method === 'HEAD' ? Buffer.alloc(0) : call.body })
+          assert.ok(result.err && result.val.mayHaveReachedTarget, `${method} ${JSON.stringify(cut)}`)
+        }
+        const tokens: GeneratedToken[] = []
+        const generated = await engine.generate(address, { dispatch: 'd', path: GenerationPath.Completion, body }, { onToken: token => { tokens.push(token) } })
+        assert.ok(generated.err && generated.val.mayHaveReachedTarget && tokens.length === 0, JSON.stringify(cut))
+      }
+    }
+  })
+
   void it('read the instance list and the weight store', async () => {
     const list = await startInstanceListStandIn()
     const member = { id: 't', kind: MemberKind.Target, address: unreachableAddress, zone: 'a', state: MemberState.Live }
