Tell holders that are cut off from targets from targets that fail

Cause: TargetHealth suspended a target for all holders once two holders had failed at it, or after three broken answers, whoever had them, with suspensions that double and trials that went to any holder. Contact of one holder also erased what another could not reach.

Now failures are attributed. What a holder fails at tells of itself if, without an answer from any target since, these were most targets, or two or more for over a second, or one that has answered another holder since. Such failures do not count against targets; whether a target is suspended for all follows from the reports that count, so a retraction lifts it at once. The holder's next contact within a second makes them count again (targets that crashed together), a later one drops them. Trials go to holders in touch with targets, unless none makes one for two seconds. A holder keeps its own suspensions while others reach the target; while it reaches nothing they stay at the shortest length.

It now gets two slots a second while half of all are in use, until it holds one for as long as only an answer takes; what it cannot use is refused at once, and batch work does not wait for its requests.

Holders that were cut off are refused for up to 1.7 s after the end of a cut in which connections were busy, until their first answer is complete.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -51,6 +51,17 @@
  */
 const failureRateWeight = 10
 
+/**
+ * Slots that a holder which probably reaches no target gets within {@link cutOffGrantMilliseconds} while half of all are in use, and
+ * requests of it that may wait: enough to find that it reaches one again.
+ */
+const maximumCutOffGrants = 2
+const cutOffGrantMilliseconds = 1_000
+/** Time after which a slot is held because its target answers: longer than it takes to give up a silent one. */
+const answeringMilliseconds = 1_500
+/** Share of free slots above which a holder that probably reaches no target gets as many as it asks for. */
+const plentyShare = 0.5
+
 /** Outcomes that say that the request has not run. */
 const outcomesWithoutRun: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced, SlotOutcome.Full])
 
@@ -152,6 +163,7 @@
     this.#online.remove(({ request }) => request.holder === holder)
     this.#batch.deleteHolder(holder)
     this.#slots.synchronize(holder, [], now, true)
+    this.#health.forgetHolder(holder, now)
     return this.#grantWaiting()
   }
 
@@ -224,12 +236,15 @@
     if (this.#online.has(request.permit)) {
       return []
     }
-    const { patience, spent } = request
+    const { patience, spent, latestReturn } = request
     if (request.continues !== null) {
       // However long it waits, its caller, who has a part of the answer, is served nowhere sooner.
       this.#online.add(request, now)
       return []
     }
+    if (this.#isHeldBack(request) && this.#online.countOf(request.holder) >= maximumCutOffGrants) {
+      return [refusalOf(request, RefusalReason.Busy, Math.min(cutOffGrantMilliseconds, latestReturn))]
+    }
     // Newcomers have to let those pass who were told to come back meanwhile.
     const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience)
     if ((this.#online.countAhead(now - spent, now) + returns + 1) * this.#millisecondsPerRequest() > patience) {
@@ -250,7 +265,7 @@
   // The grant is returned together with the revocation, without waiting until the preempted batch work has stopped: the
   // target may queue one request for that moment, and the online request is spared a round trip.
   #grantOnline (request: SlotRequest): readonly SlotDecision[] {
-    if (!this.#hasRoom(versionOf(request)) || !this.#admitsContent(request)) {
+    if (!this.#hasRoom(versionOf(request)) || !this.#admitsContent(request) || this.#isHeldBack(request)) {
       return []
     }
     const free = this.#selectTarget(request, TargetAvailability.Available)
@@ -312,12 +327,26 @@
   }
 
   /**
-   * Whether an online request waits for any slot, and not for the end of another request with some of its content. Those that continue
-   * a stream do not count: a slot that is free after {@link #grantWaitingOnline} is of no use to them.
+   * Whether an online request waits for any slot, and not for the end of another request with some of its content or for its holder to
+   * reach targets. Those that continue a stream do not count: a slot that is free after {@link #grantWaitingOnline} is of no use to them.
    */
   #isOnlineWaiting (): boolean {
-    return this.#online.versions.includes(null) &&
-      (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => request.continues === null && this.#admitsContent(request)))
+    if (!this.#online.versions.includes(null) || (!this.quarantine.isActive && !this.#health.hasCutOffHolders)) {
+      return this.#online.versions.includes(null)
+    }
+    return this.#online.inOrder(this.#now).some(({ request }) => {
+      return request.continues === null && !this.#health.isCutOff(request.holder, this.#now) && this.#admitsContent(request)
+    })
+  }
+
+  /** Whether a request has to leave the free slots to holders that reach targets, since its own probably reaches none. */
+  #isHeldBack ({ holder }: SlotRequest): boolean {
+    const now = this.#now
+    if (!this.#health.isCutOff(holder, now) || this.#slots.countGranted(holder, now - cutOffGrantMilliseconds, now) < maximumCutOffGrants) {
+      return false
+    }
+    const failingSince = this.#health.failingSince(holder) ?? now
+    return this.#slots.countGranted(holder, failingSince, now - answeringMilliseconds) === 0 && this.#freeSlots() <= this.#usableSlots() * plentyShare
   }
 
   /** Appends the grants to `decisions`. */
@@ -346,7 +375,7 @@
     for (const request of this.#batch.inOrder(this.#now)) {
       const version = versionOf(request)
       const mayFit = this.#sound.freeOf(version) > 0 || this.#hasUnsound(version)
-      if (!mayFit || !this.#admitsContent(request)) {
+      if (!mayFit || !this.#admitsContent(request) || this.#isHeldBack(request)) {
         continue
       }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
@@ -401,10 +430,10 @@
 
   /** Returns the sound targets that can be the best for a request: one that probably caches its prefix, and the least loaded ones. */
   #soundCandidates (request: SlotRequest): readonly TargetSlots[] {
-    const candidates = this.#sound.leastLoaded(request.zone, versionOf(request), target => !this.#isExcluded(target, request))
+    const isCandidate = (target: TargetSlots): boolean => !this.#isExcluded(target, request) && !this.#health.isSuspendedFor(target.id, request.holder, this.#now)
+    const candidates = this.#sound.leastLoaded(request.zone, versionOf(request), isCandidate)
     const caching = this.#slots.target(this.#prefixAffinity.targetOf(request.prefix) ?? '')
-    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) &&
-      !this.#isExcluded(caching, request)
+    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) && isCandidate(caching)
     return isUsable ? [caching, ...candidates] : candidates
   }
 
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -123,6 +123,16 @@
     return this.#granted.get(permit)
   }
 
+  /** Returns the number of slots that a holder was granted between two times, in milliseconds since the epoch, and still has. */
+  countGranted (holder: string, from: number, to: number): number {
+    let count = 0
+    for (const permit of this.#permitsByHolder.get(holder) ?? []) {
+      const slot = this.#granted.get(permit)
+      count += slot !== undefined && !slot.revoked && slot.grantedAt >= from && slot.grantedAt <= to ? 1 : 0
+    }
+    return count
+  }
+
   /** Records a granted slot; its target may have been removed from the list. */
   recordGrant (slot: GrantedSlot): void {
     this.#granted.set(slot.permit, slot)
--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -61,6 +61,11 @@
     return removed
   }
 
+  /** Returns the number of requests of a holder. */
+  countOf (holder: string): number {
+    return this.#waiting.filter(({ request }) => request.holder === holder).length
+  }
+
   /** Returns the number of requests in time that are served before one of a caller whose first attempt was at the given time. */
   countAhead (firstAttemptAt: number, now: number): number {
     let count = 0
--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -1,9 +1,12 @@
 /**
  * Which targets to avoid, from the outcomes of requests. Load: targets that crash, hang or cannot be reached from some instances,
- * and targets that fail part of their requests while their health checks pass.
+ * targets that fail part of their requests while their health checks pass, and holders that are cut off from targets.
  */
 import { FailureRates } from './failure-rates.js'
 import { SlotOutcome } from './fleet-messages.js'
+import { HolderReachability } from './holder-reachability.js'
+import type { SettledFailures } from './holder-reachability.js'
+import { HolderSuspensions } from './holder-suspensions.js'
 
 /** Lengths of suspensions, in milliseconds. */
 export interface SuspensionOptions {
@@ -21,14 +24,24 @@
 } as const
 export type TargetAvailability = typeof TargetAvailability[keyof typeof TargetAvailability]
 
+/** Failures of a holder at a target since the target last answered any holder. */
+interface FailureReport {
+  isUnreachable: boolean
+  brokenAnswers: number
+  /** Whether the holder has reached another target since, so that the failures tell of this one. */
+  isConfirmed: boolean
+}
+
 /** Failures of a target since it last answered a request. */
 interface TargetFailures {
-  /** By holder: consecutive failures to reach the target, and the end of the resulting suspension in milliseconds since the epoch. */
-  readonly unreachableByHolder: Map<string, { readonly count: number, readonly until: number }>
-  consecutiveBrokenAnswers: number
+  readonly reports: Map<string, FailureReport>
+  /** Holders whose requests the target has rejected as full since it last ran one. */
+  readonly fullFor: Set<string>
+  /** Whether another target responded at its address. */
+  isReplaced: boolean
   /** Time until which no holder uses the target, in milliseconds since the epoch. */
   suspendedUntil: number
-  /** Number of suspensions for all holders, which determines the length of the next one. */
+  /** Number of consecutive suspensions for all holders, which determines the length of the next one; 0 while it is not suspended for all. */
   suspensionCount: number
   /** Time until which no further request tries the target after a suspension, in milliseconds since the epoch. */
   triedUntil: number
@@ -43,32 +56,58 @@
 /** Failure rate that is attributed to chance and not penalised: one failure among several answers. */
 const toleratedFailureRate = 0.25
 
-/** Suspends targets, and puts a penalty on those that fail often. */
+/**
+ * Suspends targets, and puts a penalty on those that fail often. Failures of holders that are cut off from targets do not count against
+ * targets: whether a target is suspended for all holders follows from what the other holders report.
+ */
 export class TargetHealth {
   readonly #failures = new Map<string, TargetFailures>()
   readonly #rates = new FailureRates()
+  readonly #holders = new HolderReachability()
+  readonly #ownSuspensions = new HolderSuspensions()
 
   constructor (private readonly options: SuspensionOptions) {}
 
-  /** Whether anything is known against the target; otherwise it is available to all holders, without a penalty. */
+  /** Whether nothing is known against the target that concerns all holders; see {@link isSuspendedFor} for single ones. */
   isSound (target: string, now: number): boolean {
     return !this.#failures.has(target) && this.penaltyOf(target, now) === 0
   }
 
-  /** Returns whether a target may get a request of a holder; null ignores suspensions that apply only to single holders. */
+  /** Whether a holder probably reaches no target. */
+  isCutOff (holder: string, now: number): boolean {
+    return this.#holders.isCutOff(holder, now)
+  }
+
+  /** Returns the time of a holder's first failure since it last reached a target, in milliseconds since the epoch; null if there was none. */
+  failingSince (holder: string): number | null {
+    return this.#holders.failingSince(holder)
+  }
+
+  /** Whether any holder may be cut off. */
+  get hasCutOffHolders (): boolean {
+    return this.#holders.hasCutOff
+  }
+
+  /** Whether a target is suspended for a holder alone. */
+  isSuspendedFor (target: string, holder: string, now: number): boolean {
+    return this.#ownSuspensions.isSuspended(holder, target, now)
+  }
+
+  /** Returns whether a target may get a request of a holder; null ignores what applies only to single holders. */
   availabilityFor (target: string, holder: string | null, now: number): TargetAvailability {
+    if (holder !== null && this.isSuspendedFor(target, holder, now)) {
+      return TargetAvailability.Suspended
+    }
     const failures = this.#failures.get(target)
-    if (failures === undefined) {
+    if (failures === undefined || failures.suspensionCount === 0) {
       return TargetAvailability.Available
     }
-    const own = holder === null ? undefined : failures.unreachableByHolder.get(holder)
-    if (failures.suspendedUntil > now || (own !== undefined && own.until > now)) {
+    if (failures.suspendedUntil > now || failures.triedUntil > now) {
       return TargetAvailability.Suspended
     }
-    if (failures.suspensionCount === 0) {
-      return TargetAvailability.Available
-    }
-    return failures.triedUntil <= now ? TargetAvailability.OnTrial : TargetAvailability.Suspended
+    // A holder that is cut off learns nothing of the target. It tries it all the same if no other holder does.
+    const isLeftToOthers = now - failures.suspendedUntil < this.options.maximumSuspensionMilliseconds
+    return holder !== null && isLeftToOthers && this.#holders.isCutOff(holder, now) ? TargetAvailability.Suspended : TargetAvailability.OnTrial
   }
 
   /** Returns the share by which the target's recent failures exceed what is attributed to chance, from 0 to 1. */
@@ -94,28 +133,35 @@
       case SlotOutcome.Unsuccessful:
       case SlotOutcome.Failed:
         this.#rates.recordOutcome(target, outcome === SlotOutcome.Failed, now)
+        this.#onAnswered(target, holder, now)
         this.#failures.delete(target)
+        this.#ownSuspensions.end(holder, target)
         return
       case SlotOutcome.Full:
-        // The target is full of requests that this owner does not know. After one suspension they have ended or
-        // were reported, so the suspension does not grow.
-        this.#onUnreachable(target, holder, now, this.options.initialSuspensionMilliseconds)
+        this.#onAnswered(target, holder, now)
+        this.#onFull(target, holder, now)
         return
       case SlotOutcome.Unreachable:
-        this.#onUnreachable(target, holder, now, this.options.maximumSuspensionMilliseconds)
+        this.#onUnreachable(target, holder, now)
         return
-      case SlotOutcome.Replaced:
-        this.#suspend(this.#failuresOf(target), now, this.options.maximumSuspensionMilliseconds)
+      case SlotOutcome.Replaced: {
+        this.#settle(holder, this.#holders.recordContact(holder, now), now)
+        const failures = this.#failuresOf(target)
+        failures.isReplaced = true
+        this.#suspend(failures, now, this.options.maximumSuspensionMilliseconds)
         return
+      }
       case SlotOutcome.Broken:
       case SlotOutcome.Crashed:
-        this.#onBroken(target, now)
+        this.#onBroken(target, holder, now)
     }
   }
 
   /** Drops what is known of targets that are not in the set. */
   retainTargets (targets: ReadonlySet<string>): void {
     this.#rates.retainTargets(targets)
+    this.#ownSuspensions.retainTargets(targets)
+    this.#holders.setTargetCount(targets.size)
     for (const target of this.#failures.keys()) {
       if (!targets.has(target)) {
         this.#failures.delete(target)
@@ -123,28 +169,150 @@
     }
   }
 
-  #onUnreachable (target: string, holder: string, now: number, maximumMilliseconds: number): void {
+  /** Forgets what applies only to a holder that is gone. */
+  forgetHolder (holder: string, now: number): void {
+    this.#ownSuspensions.endAll(holder)
+    this.#settle(holder, this.#holders.forget(holder, now, 0), now)
+  }
+
+  /** Records that a target has answered a holder: the others that failed at it before were at fault themselves. */
+  #onAnswered (target: string, holder: string, now: number): void {
+    this.#settle(holder, this.#holders.recordContact(holder, now), now)
+    const failures = this.#failures.get(target)
+    if (failures === undefined) {
+      return
+    }
+    const reports = [...failures.reports]
+    failures.reports.clear()
+    this.#reconsider(target, failures, now)
+    for (const [other, { isUnreachable, isConfirmed }] of reports) {
+      if (other !== holder && isUnreachable && !isConfirmed && this.#holders.recordRefuted(other, target, now)) {
+        this.#retract(other, now)
+      }
+    }
+  }
+
+  /** Applies what has turned out about a holder's failures to their targets. */
+  #settle (holder: string, settled: SettledFailures | null, now: number): void {
+    if (settled === null) {
+      return
+    }
+    const { targets, isHolderAtFault } = settled
+    if (isHolderAtFault) {
+      this.#ownSuspensions.endAll(holder)
+    }
+    for (const target of targets) {
+      const failures = this.#failures.get(target)
+      const report = failures?.reports.get(holder)
+      if (failures === undefined || report === undefined) {
+        continue
+      }
+      if (isHolderAtFault && !report.isConfirmed) {
+        failures.reports.delete(holder)
+      } else {
+        report.isConfirmed = true
+      }
+      this.#reconsider(target, failures, now)
+    }
+  }
+
+  /** Lifts the suspensions for all holders that followed from failures of a holder that is cut off. */
+  #retract (holder: string, now: number): void {
+    for (const target of this.#holders.failedTargets(holder)) {
+      const failures = this.#failures.get(target)
+      if (failures !== undefined) {
+        this.#reconsider(target, failures, now)
+      }
+    }
+  }
+
+  // The target is full of requests that this owner does not know. After one suspension they have ended or were reported, so the
+  // suspension does not grow.
+  #onFull (target: string, holder: string, now: number): void {
+    if (this.isSuspendedFor(target, holder, now)) {
+      return
+    }
+    const { initialSuspensionMilliseconds } = this.options
+    this.#ownSuspensions.suspend(holder, target, now, () => initialSuspensionMilliseconds)
     const failures = this.#failuresOf(target)
-    const known = failures.unreachableByHolder.get(holder)
+    failures.fullFor.add(holder)
+    if (this.#isDue(failures)) {
+      this.#suspend(failures, now, initialSuspensionMilliseconds)
+    }
+  }
+
+  #onUnreachable (target: string, holder: string, now: number): void {
+    const isRepeated = this.isSuspendedFor(target, holder, now)
+    this.#recordFailure(target, holder, now)
     // Failures during the suspension belong to requests that were sent before the first failure was known, and don't count again.
-    if (known !== undefined && known.until > now) {
+    if (isRepeated) {
       return
     }
-    const count = (known?.count ?? 0) + 1
-    failures.unreachableByHolder.set(holder, { count, until: now + this.#suspensionAfter(count - 1, maximumMilliseconds) })
-    if (failures.unreachableByHolder.size >= minimumUnreachableHolders) {
-      this.#suspend(failures, now, maximumMilliseconds)
-    }
+    // The failures of a holder that reaches no target say nothing of the time after which it reaches this one.
+    const maximum = this.#holders.isAtFault(holder, now) ? this.options.initialSuspensionMilliseconds : this.options.maximumSuspensionMilliseconds
+    this.#ownSuspensions.suspend(holder, target, now, count => this.#suspensionAfter(count, maximum))
+    const failures = this.#failuresOf(target)
+    const report = reportOf(failures, holder)
+    report.isUnreachable = true
+    this.#onReported(failures, holder, report, now)
   }
 
-  #onBroken (target: string, now: number): void {
+  #onBroken (target: string, holder: string, now: number): void {
+    this.#recordFailure(target, holder, now)
     const failures = this.#failuresOf(target)
-    failures.consecutiveBrokenAnswers += 1
-    if (failures.consecutiveBrokenAnswers >= minimumBrokenAnswers) {
+    const report = reportOf(failures, holder)
+    report.brokenAnswers += 1
+    this.#onReported(failures, holder, report, now)
+  }
+
+  #recordFailure (target: string, holder: string, now: number): void {
+    this.#settle(holder, this.#holders.forget(holder, now), now)
+    if (this.#holders.recordFailure(holder, target, now)) {
+      this.#retract(holder, now)
+    }
+  }
+
+  /** Suspends a target for all holders if that is due and the holder that failed at it is to be believed. */
+  #onReported (failures: TargetFailures, holder: string, report: FailureReport, now: number): void {
+    if (this.#counts(holder, report) && this.#isDue(failures)) {
       this.#suspend(failures, now, this.options.maximumSuspensionMilliseconds)
     }
   }
 
+  #counts (holder: string, { isConfirmed }: FailureReport): boolean {
+    return isConfirmed || this.#holders.isTrusted(holder)
+  }
+
+  /** Whether the target is to be suspended for all holders, by the reports that count. */
+  #isDue ({ reports, fullFor, isReplaced }: TargetFailures): boolean {
+    if (isReplaced || fullFor.size >= minimumUnreachableHolders) {
+      return true
+    }
+    let unreachableHolders = 0
+    let brokenAnswers = 0
+    for (const [holder, report] of reports) {
+      if (this.#counts(holder, report)) {
+        unreachableHolders += report.isUnreachable ? 1 : 0
+        brokenAnswers += report.brokenAnswers
+      }
+    }
+    return unreachableHolders >= minimumUnreachableHolders || brokenAnswers >= minimumBrokenAnswers
+  }
+
+  /** Begins or lifts the suspension of a target for all holders after its reports, or what is known of their holders, have changed. */
+  #reconsider (target: string, failures: TargetFailures, now: number): void {
+    if (this.#isDue(failures)) {
+      if (failures.suspensionCount === 0) {
+        this.#suspend(failures, now, this.options.maximumSuspensionMilliseconds)
+      }
+      return
+    }
+    Object.assign(failures, { suspendedUntil: 0, suspensionCount: 0, triedUntil: 0 })
+    if (failures.reports.size === 0 && failures.fullFor.size === 0) {
+      this.#failures.delete(target)
+    }
+  }
+
   #suspend (failures: TargetFailures, now: number, maximumMilliseconds: number): void {
     if (failures.suspendedUntil <= now) {
       failures.suspendedUntil = now + this.#suspensionAfter(failures.suspensionCount, maximumMilliseconds)
@@ -161,8 +329,18 @@
     if (known !== undefined) {
       return known
     }
-    const failures = { unreachableByHolder: new Map(), consecutiveBrokenAnswers: 0, suspendedUntil: 0, suspensionCount: 0, triedUntil: 0 }
+    const failures = { reports: new Map(), fullFor: new Set<string>(), isReplaced: false, suspendedUntil: 0, suspensionCount: 0, triedUntil: 0 }
     this.#failures.set(target, failures)
     return failures
   }
 }
+
+function reportOf ({ reports }: TargetFailures, holder: string): FailureReport {
+  const known = reports.get(holder)
+  if (known !== undefined) {
+    return known
+  }
+  const report = { isUnreachable: false, brokenAnswers: 0, isConfirmed: false }
+  reports.set(holder, report)
+  return report
+}
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -389,4 +389,37 @@
     assert.deepEqual(describeDecisions(fleet.request(request('b1', { ...batch, due: 1 }), 30)), ['grant b1'])
     assert.deepEqual(describeDecisions(fleet.release('p1', SlotOutcome.Finished, 100)), ['grant p2'])
   })
+
+  // Load: instances that are cut off from all targets while others reach them.
+  it('keeps slots for holders that reach targets from those that reach none, and refuses what these cannot use at once', () => {
+    const fleet = createFleet()
+    const cut = { holder: 'cut', patience: 1_000 }
+    for (const [index, { id }] of targets.entries()) {
+      fleet.request(request(`failed-${id}`, { ...cut, excluded: targets.filter(other => other.id !== id).map(other => other.id) }), index)
+      fleet.release(`failed-${id}`, SlotOutcome.Unreachable, 10)
+    }
+    assert.deepEqual(['c1', 'c2', 'c3'].map(permit => targetOf(fleet.request(request(permit, cut), 400))), ['one', 'one', null])
+    assert.deepEqual(fleet.request(request('c4', cut), 400), [])
+    const [refusal] = fleet.request(request('c5', cut), 400)
+    assert.ok(refusal?.kind === DecisionKind.Refuse && refusal.retryAfter <= 1_000)
+    // Batch work does not wait for requests that cannot be served.
+    assert.deepEqual(describeDecisions(fleet.request(request('b1', batch), 410)), ['grant b1'])
+    assert.equal(targetOf(fleet.request(request('p1'), 420)), 'two')
+    // The first answer shows that the holder reaches a target again.
+    fleet.release('p1', SlotOutcome.Finished, 430)
+    assert.deepEqual(describeDecisions(fleet.release('c1', SlotOutcome.Finished, 440)).filter(decision => decision.startsWith('grant')), ['grant c3', 'grant c4'])
+  })
+
+  it('limits a holder no longer that fails at new targets but holds a slot for as long as only an answer takes', () => {
+    const fleet = createFleet()
+    const cut = { holder: 'cut', patience: 1_000 }
+    for (const [index, { id }] of targets.entries()) {
+      fleet.request(request(`failed-${id}`, { ...cut, excluded: targets.filter(other => other.id !== id).map(other => other.id) }), index)
+      fleet.release(`failed-${id}`, SlotOutcome.Unreachable, 10)
+    }
+    fleet.request(request('answering', cut), 400)
+    fleet.request(request('c1', cut), 1_950)
+    fleet.request(request('c2', cut), 1_950)
+    assert.equal(targetOf(fleet.request(request('c3', cut), 1_950)), 'two')
+  })
 })
