Do not take broken connections of cut-off holders for crashes

Seen in a test of the owner: connections of a holder that are reset under its requests count as crashes, so a request that such a holder tries three times is refused in the whole fleet, and a part that its requests share passes one at a time or is held back, although no target has crashed.

Cause: the owner passed each crash report to the quarantine, whoever sent it and whatever else was known of the target.

Now CrashAttribution stands between both. The quarantine remembers which requests reported a crash, so a withdrawn report does not undo that of another.

Not covered: connections of all holders that break at once under a part that was never answered; a holder that stood still between grant and dispatch while its target crashed and started again.

--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -93,12 +93,9 @@
    * @param crash the request that the target crashed under, or null if it has not crashed
    */
   release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null): void {
-    if (crash !== null) {
-      this.quarantine.onCrashed(permit, crash, Date.now())
-    }
     this.#deferred.delete(permit)
     this.#updateGranting()
-    this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now()))
+    this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now(), crash))
   }
 
   /** Removes a waiting request. */
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -87,6 +87,8 @@
   readonly target: string
   /** Time in milliseconds since the epoch. */
   readonly at: number
+  /** Permits of the interrupted requests. */
+  readonly permits: Set<string>
 }
 
 /** What is known against a request or a part. */
@@ -225,12 +227,35 @@
       }
       if (!isExplained) {
         const suspicion = known ?? this.#suspect(digest, digest === report.digest, now)
-        this.#countCrash(digest, suspicion, report.target, now)
+        this.#countCrash(digest, suspicion, permit, report.target, now)
         isExplained = suspicion.periods > 0
       }
     }
   }
 
+  /** Records that a target has not crashed under a request after all. What is in quarantine only because of that no longer is. */
+  onWithdrawn (permit: string, report: CrashReport, now: number): void {
+    for (const digest of this.#digestsOf(report)) {
+      const suspicion = this.#suspicions.get(digest)
+      const crash = suspicion?.counted.find(({ target, permits }) => target === report.target && permits.has(permit))
+      if (suspicion === undefined || crash === undefined) {
+        continue
+      }
+      crash.permits.delete(permit)
+      if (crash.permits.size === 0) {
+        suspicion.counted.splice(suspicion.counted.indexOf(crash), 1)
+        suspicion.crashes -= 1
+        this.#onFewerCrashes(digest, suspicion, now)
+      }
+    }
+  }
+
+  /** Returns the digests of a request and of those of its parts that no complete answer is remembered with. */
+  unprovenDigestsOf (content: RequestContent): readonly string[] {
+    const parts = this.#partsOf(content).filter(digest => !this.#provenParts.has(digest))
+    return content.digest === '' ? parts : [content.digest, ...parts]
+  }
+
   /** Returns all entries, for another process. */
   entries (now: number): readonly QuarantineEntry[] {
     return [...this.#suspicions].filter(([, { periods, isRequest }]) => periods > 0 || isRequest).map(([digest, suspicion]) => entryOf(digest, suspicion, now))
@@ -310,12 +335,14 @@
     }
   }
 
-  #countCrash (digest: string, suspicion: Suspicion, target: string, now: number): void {
-    if (suspicion.counted.some(crash => isSameCrash(crash, target, now))) {
+  #countCrash (digest: string, suspicion: Suspicion, permit: string, target: string, now: number): void {
+    const same = suspicion.counted.find(crash => isSameCrash(crash, target, now))
+    if (same !== undefined) {
+      same.permits.add(permit)
       return
     }
     suspicion.crashes += 1
-    suspicion.counted.push({ target, at: now })
+    suspicion.counted.push({ target, at: now, permits: new Set([permit]) })
     if (suspicion.counted.length > maximumCountedCrashes) {
       suspicion.counted.shift()
     }
@@ -331,6 +358,21 @@
     }
   }
 
+  #onFewerCrashes (digest: string, suspicion: Suspicion, now: number): void {
+    const { crashes, periods, isRequest } = suspicion
+    if (crashes <= 0 || (periods > 0 && crashes < this.#requiredCrashes(suspicion))) {
+      this.#suspicions.delete(digest)
+      this.#onCleared(digest, suspicion)
+    } else if (periods === 0 && isRequest) {
+      suspicion.version += 1
+      this.#notify(entryOf(digest, suspicion, now), false)
+    }
+  }
+
+  #requiredCrashes ({ isRequest, isProven }: Suspicion): number {
+    return isProven && !isRequest ? provenCrashesToQuarantine : crashesToQuarantine
+  }
+
   /** Begins the quarantine of a request that was answered before, once that was long enough ago. */
   #quarantineIfDue ({ digest }: RequestContent, now: number): void {
     const suspicion = this.#suspicions.get(digest)
@@ -340,10 +382,9 @@
   }
 
   #isQuarantineDue (digest: string, suspicion: Suspicion, now: number): boolean {
-    const { isRequest, isProven, crashes, firstCrashAt } = suspicion
-    const requiredCrashes = isProven && !isRequest ? provenCrashesToQuarantine : crashesToQuarantine
+    const { isProven, crashes, firstCrashAt } = suspicion
     const isSilentLongEnough = !isProven || now - firstCrashAt >= provenSilenceMilliseconds
-    return crashes >= requiredCrashes && isSilentLongEnough && !this.#isExplained(digest, suspicion)
+    return crashes >= this.#requiredCrashes(suspicion) && isSilentLongEnough && !this.#isExplained(digest, suspicion)
   }
 
   /**
@@ -403,7 +444,7 @@
   }
 }
 
-function isSameCrash (crash: CountedCrash, target: string, at: number): boolean {
+function isSameCrash (crash: Pick<CountedCrash, 'target' | 'at'>, target: string, at: number): boolean {
   return crash.target === target && Math.abs(at - crash.at) < sameCrashMilliseconds
 }
 
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -3,8 +3,9 @@
 import { DecisionKind } from '../admission/decision.js'
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
+import { CrashAttribution } from './crash-attribution.js'
 import { CrashQuarantine, QuarantineAdmission } from './crash-quarantine.js'
-import type { RequestContent } from './crash-quarantine.js'
+import type { CrashReport, RequestContent } from './crash-quarantine.js'
 import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
@@ -65,6 +66,9 @@
 /** Outcomes that say that the request has not run. */
 const outcomesWithoutRun: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced, SlotOutcome.Full])
 
+/** Outcomes that say that the target has answered. */
+const answerOutcomes: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Failed])
+
 /**
  * Grants slots of a service's targets to the processes (holders) that send requests to them.
  *
@@ -73,6 +77,7 @@
 export class FleetAdmission {
   readonly #slots = new FleetSlots(target => { this.#onTargetChanged(target) })
   readonly #health: TargetHealth
+  readonly #crashes: CrashAttribution
   /** Accepting targets of which nothing bad is known. */
   readonly #sound = new TargetIndex()
   /** The other accepting targets; each decision examines all of these. */
@@ -89,12 +94,15 @@
   /** @param quarantine what is held back; services may share it */
   constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new CrashQuarantine()) {
     this.#health = new TargetHealth(options)
+    this.#crashes = new CrashAttribution(quarantine)
   }
 
   /** Replaces the list of targets and returns the resulting decisions. */
   setTargets (targets: readonly FleetTarget[], now: number): readonly SlotDecision[] {
     this.#begin(now)
-    this.#health.retainTargets(new Set(targets.map(target => target.id)))
+    const ids = new Set(targets.map(target => target.id))
+    this.#health.retainTargets(ids)
+    this.#crashes.retainTargets(ids)
     this.#slots.setTargets(targets)
     this.#sound.retainVersions(this.#slots.versions)
     return [...this.#refuseWithoutVersion(), ...this.#grantWaiting()]
@@ -123,15 +131,25 @@
     return request.workClass === WorkClass.Online ? this.#requestOnline(request) : this.#requestBatch(request)
   }
 
-  /** Releases a slot and returns the resulting decisions. Ignores unknown permits, since they were released before. */
-  release (permit: string, outcome: SlotOutcome, now: number): readonly SlotDecision[] {
+  /**
+   * Releases a slot and returns the resulting decisions. Ignores unknown permits but for crashes, since they were released before.
+   *
+   * @param crash the request that the target crashed under, or null if it has not crashed
+   */
+  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null): readonly SlotDecision[] {
     this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
     if (held === undefined) {
+      if (crash !== null) {
+        this.quarantine.onCrashed(permit, crash, now)
+      }
       return []
     }
     this.#recordOutcome(held, outcome)
+    if (crash !== null) {
+      this.#crashes.onCrashed(permit, held.holder, crash, this.#health.isTrusted(held.holder), now)
+    }
     return this.#grantWaiting()
   }
 
@@ -480,6 +498,9 @@
       this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome))
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
+    if (answerOutcomes.has(outcome)) {
+      this.#onAnswered(held)
+    }
     if (outcome === SlotOutcome.Finished && held.workClass === WorkClass.Online) {
       this.#holdTime.add(Math.max(0, now - held.grantedAt))
     } else if (outcome === SlotOutcome.Finished) {
@@ -493,6 +514,13 @@
     }
   }
 
+  #onAnswered ({ target, holder, grantedAt }: GrantedSlot): void {
+    this.#crashes.onContact(holder)
+    for (const other of this.#crashes.onAnswered(target, holder, grantedAt, this.#now)) {
+      this.#health.onRefuted(target, other, this.#now)
+    }
+  }
+
   #refuse (request: SlotRequest): SlotDecision {
     if (!this.#admitsContent(request)) {
       return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(contentOf(request), this.#now).retryAfter)
--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -83,6 +83,18 @@
     return this.#holders.failingSince(holder)
   }
 
+  /** Whether a holder's failures since it last reached a target tell of targets, as far as is known, and not of itself. */
+  isTrusted (holder: string): boolean {
+    return this.#holders.isTrusted(holder)
+  }
+
+  /** Records that a target was sound when a holder's request failed there. */
+  onRefuted (target: string, holder: string, now: number): void {
+    if (this.#holders.recordRefuted(holder, target, now)) {
+      this.#retract(holder, now)
+    }
+  }
+
   /** Whether any holder may be cut off. */
   get hasCutOffHolders (): boolean {
     return this.#holders.hasCutOff
@@ -186,8 +198,8 @@
     failures.reports.clear()
     this.#reconsider(target, failures, now)
     for (const [other, { isUnreachable, isConfirmed }] of reports) {
-      if (other !== holder && isUnreachable && !isConfirmed && this.#holders.recordRefuted(other, target, now)) {
-        this.#retract(other, now)
+      if (other !== holder && isUnreachable && !isConfirmed) {
+        this.onRefuted(target, other, now)
       }
     }
   }
--- a/packages/policy/tests/fleet/crash-quarantine.test.ts
+++ b/packages/policy/tests/fleet/crash-quarantine.test.ts
@@ -201,6 +201,44 @@
   })
 })
 
+describe('CrashQuarantine whose crash reports are withdrawn', () => {
+  const request: RequestContent = { parts: [first, 'subject'], digest: 'request' }
+
+  it('ends what is only due to them, and tells others', () => {
+    const [owner, other] = [new CrashQuarantine(), new CrashQuarantine()]
+    owner.onChange(entry => { other.merge(entry, 300) })
+    let now = 0
+    for (const number of [1, 2, 3]) {
+      now = crash(owner, number, now, request)
+    }
+    assert.equal(admissionOf(other, now, request), QuarantineAdmission.Quarantined)
+    owner.onWithdrawn('p2', { target: 't2', ...request }, now)
+    assert.equal(admissionOf(owner, now, request), QuarantineAdmission.Admitted)
+    assert.equal(admissionOf(other, now, request), QuarantineAdmission.Admitted)
+  })
+
+  it('keeps a crash that another request reported as well, and ignores reports that it does not know', () => {
+    const quarantine = new CrashQuarantine()
+    for (const number of [1, 2, 3]) {
+      for (const holder of ['h', 'i']) {
+        quarantine.onCrashed(`${holder}${number}`, { target: `t${number}`, ...request }, number * 100)
+      }
+    }
+    for (const number of [1, 2, 3, 4]) {
+      quarantine.onWithdrawn(`h${number}`, { target: `t${number}`, ...request }, 400)
+      quarantine.onWithdrawn(`h${number}`, { target: `t${number}`, ...request }, 400)
+    }
+    assert.equal(admissionOf(quarantine, 400, request), QuarantineAdmission.Quarantined)
+  })
+
+  it('knows nothing against a request once all are withdrawn', () => {
+    const quarantine = new CrashQuarantine()
+    crash(quarantine, 1, 0, request)
+    quarantine.onWithdrawn('p1', { target: 't1', ...request }, 100)
+    assert.ok(!quarantine.isActive)
+  })
+})
+
 describe('CrashQuarantine of whole requests', () => {
   const request: RequestContent = { parts: [first, 'subject'], digest: 'crashing-request' }
   const sound: RequestContent = { parts: [first, 'subject'], digest: 'sound-request' }
