--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -3,8 +3,9 @@
 import { DecisionKind } from '../admission/decision.js'
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
+import { CrashAttribution } from './crash-attribution.js'
 import { CrashQuarantine, QuarantineAdmission } from './crash-quarantine.js'
-import type { RequestContent } from './crash-quarantine.js'
+import type { CrashReport, RequestContent } from './crash-quarantine.js'
 import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
@@ -51,9 +52,23 @@
  */
 const failureRateWeight = 10
 
+/**
+ * Slots that a holder which probably reaches no target gets within {@link cutOffGrantMilliseconds} while half of all are in use, and
+ * requests of it that may wait: enough to find that it reaches one again.
+ */
+const maximumCutOffGrants = 2
+const cutOffGrantMilliseconds = 1_000
+/** Time after which a slot is held because its target answers: longer than it takes to give up a silent one. */
+const answeringMilliseconds = 1_500
+/** Share of free slots above which a holder that probably reaches no target gets as many as it asks for. */
+const plentyShare = 0.5
+
 /** Outcomes that say that the request has not run. */
 const outcomesWithoutRun: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced, SlotOutcome.Full])
 
+/** Outcomes that say that the target has answered. */
+const answerOutcomes: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Failed])
+
 /**
  * Grants slots of a service's targets to the processes (holders) that send requests to them.
  *
@@ -62,6 +77,7 @@
 export class FleetAdmission {
   readonly #slots = new FleetSlots(target => { this.#onTargetChanged(target) })
   readonly #health: TargetHealth
+  readonly #crashes: CrashAttribution
   /** Accepting targets of which nothing bad is known. */
   readonly #sound = new TargetIndex()
   /** The other accepting targets; each decision examines all of these. */
@@ -78,12 +94,15 @@
   /** @param quarantine what is held back; services may share it */
   constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new CrashQuarantine()) {
     this.#health = new TargetHealth(options)
+    this.#crashes = new CrashAttribution(quarantine)
   }
 
   /** Replaces the list of targets and returns the resulting decisions. */
   setTargets (targets: readonly FleetTarget[], now: number): readonly SlotDecision[] {
     this.#begin(now)
-    this.#health.retainTargets(new Set(targets.map(target => target.id)))
+    const ids = new Set(targets.map(target => target.id))
+    this.#health.retainTargets(ids)
+    this.#crashes.retainTargets(ids)
     this.#slots.setTargets(targets)
     this.#sound.retainVersions(this.#slots.versions)
     return [...this.#refuseWithoutVersion(), ...this.#grantWaiting()]
@@ -112,15 +131,25 @@
     return request.workClass === WorkClass.Online ? this.#requestOnline(request) : this.#requestBatch(request)
   }
 
-  /** Releases a slot and returns the resulting decisions. Ignores unknown permits, since they were released before. */
-  release (permit: string, outcome: SlotOutcome, now: number): readonly SlotDecision[] {
+  /**
+   * Releases a slot and returns the resulting decisions. Ignores unknown permits but for crashes, since they were released before.
+   *
+   * @param crash the request that the target crashed under, or null if it has not crashed
+   */
+  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null): readonly SlotDecision[] {
     this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
     if (held === undefined) {
+      if (crash !== null) {
+        this.quarantine.onCrashed(permit, crash, now)
+      }
       return []
     }
     this.#recordOutcome(held, outcome)
+    if (crash !== null) {
+      this.#crashes.onCrashed(permit, held.holder, crash, this.#health.isTrusted(held.holder), now)
+    }
     return this.#grantWaiting()
   }
 
@@ -152,6 +181,7 @@
     this.#online.remove(({ request }) => request.holder === holder)
     this.#batch.deleteHolder(holder)
     this.#slots.synchronize(holder, [], now, true)
+    this.#health.forgetHolder(holder, now)
     return this.#grantWaiting()
   }
 
@@ -224,12 +254,15 @@
     if (this.#online.has(request.permit)) {
       return []
     }
-    const { patience, spent } = request
+    const { patience, spent, latestReturn } = request
     if (request.continues !== null) {
       // However long it waits, its caller, who has a part of the answer, is served nowhere sooner.
       this.#online.add(request, now)
       return []
     }
+    if (this.#isHeldBack(request) && this.#online.countOf(request.holder) >= maximumCutOffGrants) {
+      return [refusalOf(request, RefusalReason.Busy, Math.min(cutOffGrantMilliseconds, latestReturn))]
+    }
     // Newcomers have to let those pass who were told to come back meanwhile.
     const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience)
     if ((this.#online.countAhead(now - spent, now) + returns + 1) * this.#millisecondsPerRequest() > patience) {
@@ -250,7 +283,7 @@
   // The grant is returned together with the revocation, without waiting until the preempted batch work has stopped: the
   // target may queue one request for that moment, and the online request is spared a round trip.
   #grantOnline (request: SlotRequest): readonly SlotDecision[] {
-    if (!this.#hasRoom(versionOf(request)) || !this.#admitsContent(request)) {
+    if (!this.#hasRoom(versionOf(request)) || !this.#admitsContent(request) || this.#isHeldBack(request)) {
       return []
     }
     const free = this.#selectTarget(request, TargetAvailability.Available)
@@ -312,12 +345,26 @@
   }
 
   /**
-   * Whether an online request waits for any slot, and not for the end of another request with some of its content. Those that continue
-   * a stream do not count: a slot that is free after {@link #grantWaitingOnline} is of no use to them.
+   * Whether an online request waits for any slot, and not for the end of another request with some of its content or for its holder to
+   * reach targets. Those that continue a stream do not count: a slot that is free after {@link #grantWaitingOnline} is of no use to them.
    */
   #isOnlineWaiting (): boolean {
-    return this.#online.versions.includes(null) &&
-      (!this.quarantine.isActive || this.#online.inOrder(this.#now).some(({ request }) => request.continues === null && this.#admitsContent(request)))
+    if (!this.#online.versions.includes(null) || (!this.quarantine.isActive && !this.#health.hasCutOffHolders)) {
+      return this.#online.versions.includes(null)
+    }
+    return this.#online.inOrder(this.#now).some(({ request }) => {
+      return request.continues === null && !this.#health.isCutOff(request.holder, this.#now) && this.#admitsContent(request)
+    })
+  }
+
+  /** Whether a request has to leave the free slots to holders that reach targets, since its own probably reaches none. */
+  #isHeldBack ({ holder }: SlotRequest): boolean {
+    const now = this.#now
+    if (!this.#health.isCutOff(holder, now) || this.#slots.countGranted(holder, now - cutOffGrantMilliseconds, now) < maximumCutOffGrants) {
+      return false
+    }
+    const failingSince = this.#health.failingSince(holder) ?? now
+    return this.#slots.countGranted(holder, failingSince, now - answeringMilliseconds) === 0 && this.#freeSlots() <= this.#usableSlots() * plentyShare
   }
 
   /** Appends the grants to `decisions`. */
@@ -346,7 +393,7 @@
     for (const request of this.#batch.inOrder(this.#now)) {
       const version = versionOf(request)
       const mayFit = this.#sound.freeOf(version) > 0 || this.#hasUnsound(version)
-      if (!mayFit || !this.#admitsContent(request)) {
+      if (!mayFit || !this.#admitsContent(request) || this.#isHeldBack(request)) {
         continue
       }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
@@ -401,10 +448,10 @@
 
   /** Returns the sound targets that can be the best for a request: one that probably caches its prefix, and the least loaded ones. */
   #soundCandidates (request: SlotRequest): readonly TargetSlots[] {
-    const candidates = this.#sound.leastLoaded(request.zone, versionOf(request), target => !this.#isExcluded(target, request))
+    const isCandidate = (target: TargetSlots): boolean => !this.#isExcluded(target, request) && !this.#health.isSuspendedFor(target.id, request.holder, this.#now)
+    const candidates = this.#sound.leastLoaded(request.zone, versionOf(request), isCandidate)
     const caching = this.#slots.target(this.#prefixAffinity.targetOf(request.prefix) ?? '')
-    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) &&
-      !this.#isExcluded(caching, request)
+    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) && isCandidate(caching)
     return isUsable ? [caching, ...candidates] : candidates
   }
 
@@ -451,6 +498,9 @@
       this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome))
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
+    if (answerOutcomes.has(outcome)) {
+      this.#onAnswered(held)
+    }
     if (outcome === SlotOutcome.Finished && held.workClass === WorkClass.Online) {
       this.#holdTime.add(Math.max(0, now - held.grantedAt))
     } else if (outcome === SlotOutcome.Finished) {
@@ -464,6 +514,13 @@
     }
   }
 
+  #onAnswered ({ target, holder, grantedAt }: GrantedSlot): void {
+    this.#crashes.onContact(holder)
+    for (const other of this.#crashes.onAnswered(target, holder, grantedAt, this.#now)) {
+      this.#health.onRefuted(target, other, this.#now)
+    }
+  }
+
   #refuse (request: SlotRequest): SlotDecision {
     if (!this.#admitsContent(request)) {
       return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(contentOf(request), this.#now).retryAfter)
