--- /dev/null
+++ b/packages/policy/tests/paths/relay-choice.test.ts
@@ -0,0 +1,42 @@
+/** Tests which peers are asked to relay a connection. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { RelayChoice } from '../../src/index.js'
+import type { RelayPeer } from '../../src/index.js'
+
+const near: readonly RelayPeer[] = ['a', 'b', 'c', 'd'].map(address => ({ address, isNear: true }))
+const far: readonly RelayPeer[] = ['x', 'y', 'z'].map(address => ({ address, isNear: false }))
+
+describe('RelayChoice', () => {
+  it('takes a near peer first, and a distant one second', () => {
+    const choice = new RelayChoice()
+    assert.deepEqual(choice.choose([...near, ...far], 0), ['a', 'x', 'b'])
+    assert.deepEqual(choice.choose(near, 0), ['a', 'b', 'c'])
+    assert.deepEqual(choice.choose(far, 0), ['x', 'y', 'z'])
+    assert.deepEqual(choice.choose([...near.slice(0, 1), ...far], 0), ['a', 'x', 'y'])
+    assert.deepEqual(choice.choose(near.slice(0, 1), 0), ['a'])
+    assert.deepEqual(choice.choose([], 0), [])
+  })
+
+  it('does not take peers that could not relay, for two seconds', () => {
+    const choice = new RelayChoice()
+    choice.avoid('a', 0)
+    choice.avoid('x', 0)
+    assert.deepEqual(choice.choose([...near, ...far], 1_999), ['b', 'y', 'c'])
+    assert.deepEqual(choice.choose([...near, ...far], 2_000), ['a', 'x', 'b'])
+  })
+
+  it('takes the one that was avoided first if all are to be avoided', () => {
+    const choice = new RelayChoice()
+    choice.avoid('b', 0)
+    choice.avoid('a', 1)
+    choice.avoid('b', 2)
+    assert.deepEqual(choice.choose(near.slice(0, 2), 3), ['a'])
+  })
+
+  it('does not avoid a peer for longer because the clock was set back', () => {
+    const choice = new RelayChoice()
+    choice.avoid('a', 10_000)
+    assert.deepEqual(choice.choose(near.slice(0, 2), 1_000), ['a', 'b'])
+  })
+})
