--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -289,7 +289,7 @@
     silenceWatch.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
     const stoppedOutcome = silenceWatch.isSilent ? SlotOutcome.Unreachable : SlotOutcome.Stopped
-    slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt, firstDataAt, endedAt: Date.now() }))
+    slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }))
     const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
     if (isAnswered && !isDiscarded) {
       this.#observeFirstByte()
@@ -300,6 +300,7 @@
       route: request.route.name,
       target: target.id,
       version: target.softwareVersion,
+      via: call.via,
       after: resumeAfter,
       resumes: request.resumes,
       end: outcome,
@@ -340,6 +341,7 @@
       case CallOutcome.NotExecuted:
       case CallOutcome.Misdirected:
       case CallOutcome.Unreachable:
+      case CallOutcome.NoPath:
         this.#rejections += 1
         this.#excluded.push(target.id)
         return this.#abort.signal.aborted && this.#finishIncomplete()
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -87,6 +87,8 @@
   readonly hasNoSlots?: boolean
   /** Whether all attempts go to the same target, and so may use the same connections. */
   readonly hasOneTarget?: boolean
+  /** Connections to the targets; they are closed with the harness. */
+  readonly connections?: TargetConnections
 }
 
 /** Serves requests of one route from targets that answer by a script. */
@@ -100,17 +102,24 @@
   readonly ending = new AbortController()
   /** Called with the error that ends a run; if it is null, the error is not handled. */
   onError: ((error: Error) => void) | null = null
-  readonly #connections = new TargetConnections()
   readonly #sockets = new Set<Socket>()
   readonly #servers: Server[] = []
   #connectionsToTargets = 0
   #nextTarget = 0
 
-  private constructor (private readonly route: Route, private readonly answers: ScriptedAnswer[], private readonly firstTargets: string[], private readonly hasNoSlots: boolean, private readonly hasOneTarget: boolean) {}
+  private constructor (
+    private readonly route: Route,
+    private readonly answers: ScriptedAnswer[],
+    private readonly firstTargets: string[],
+    private readonly hasNoSlots: boolean,
+    private readonly hasOneTarget: boolean,
+    private readonly targetConnections: TargetConnections
+  ) {}
 
   /** @param answers one for each attempt, in order */
-  static async start (route: Route, answers: readonly ScriptedAnswer[], { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, hasOneTarget = false }: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
-    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, hasOneTarget)
+  static async start (route: Route, answers: readonly ScriptedAnswer[], options: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
+    const { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, hasOneTarget = false, connections = new TargetConnections() } = options
+    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, hasOneTarget, connections)
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
@@ -118,7 +127,7 @@
         await sleep(preparationMilliseconds)
         await new OnlineRun({
           slots: harness.#slots(),
-          connections: harness.#connections,
+          connections: harness.targetConnections,
           origins: { record: () => {}, ask: async () => null },
           drainAdmission: harness.drainAdmission,
           ending: harness.ending.signal,
@@ -181,7 +190,7 @@
   }
 
   close (): void {
-    this.#connections.close()
+    this.targetConnections.close()
     this.#sockets.forEach(socket => { socket.destroy() })
     this.#servers.forEach(server => { server.close() })
   }
