Let a member say that it is cut off from targets

Clients are sent to instances that cannot reach any target as often as to others, also by those that can: nothing tells members apart in this.

MemberState.Detached (3) is a ready member that is cut off from targets. It stays an owner, runs jobs and accepts requests as before (isReadyState replaces the comparison with Ready in Membership, JobPartitions and Gateway), and no listener is told of a change of ready members. Membership.setDetached decides it, so that a new configuration, which sets Ready again, does not end it, and a draining member stays draining. relaysByDistance returns the other ready members that reach targets. The digest holds states up to 3 as it is; earlier versions take such a member for not ready.

setDetached has no caller yet: the decision on paths is to call it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 import { OnlineRun } from './online/online-run.js'
 import { MemberDirectory } from './peers/member-directory.js'
 import { Membership } from './peers/membership.js'
-import { MemberState } from './peers/member.js'
+import { isReadyState, MemberState } from './peers/member.js'
 import type { Member } from './peers/member.js'
 import type { PeerTransport } from './peers/peer-socket.js'
 import { SlotClient } from './permits/slot-client.js'
@@ -163,7 +163,7 @@
 
   /** Whether the process accepts requests. */
   get ready (): boolean {
-    return !this.#draining && this.membership.state === MemberState.Ready
+    return !this.#draining && isReadyState(this.membership.state)
   }
 
   /** Applies a configuration; ignores it unless its version is newer than the current one. */
--- a/packages/gateway/src/jobs/job-partitions.ts
+++ b/packages/gateway/src/jobs/job-partitions.ts
@@ -5,7 +5,7 @@
  */
 import { hash32, partitionOwners } from '@arbutusloft/policy'
 import type { KeyedTopic } from '../log/keyed-topic.js'
-import { MemberState } from '../peers/member.js'
+import { isReadyState } from '../peers/member.js'
 import type { Member } from '../peers/member.js'
 import type { Membership } from '../peers/membership.js'
 import { Alarm } from '../util/alarm.js'
@@ -104,7 +104,7 @@
     const { membership, count } = this.dependencies
     const now = Date.now()
     this.#owners = null
-    const isReady = membership.state === MemberState.Ready
+    const isReady = isReadyState(membership.state)
     this.#readySince = isReady ? this.#readySince ?? now : null
     for (let number = 0; number < count; number += 1) {
       if (isReady && this.isOwn(number)) {
--- a/packages/gateway/src/peers/member.ts
+++ b/packages/gateway/src/peers/member.ts
@@ -1,13 +1,20 @@
 /** A process of the fleet, and what members tell each other of it. */
 
-/** States of a member, which it sets itself. Only ready members may own services and run batch jobs. */
+/** States of a member, which it sets itself. Only ready members, detached ones included, may own services and run batch jobs. */
 export const MemberState = {
   Starting: 0,
   Ready: 1,
-  Draining: 2
+  Draining: 2,
+  /** Ready, but cut off from targets. Earlier versions take it for not ready. */
+  Detached: 3
 } as const
 export type MemberState = typeof MemberState[keyof typeof MemberState]
 
+/** Whether a member in this state serves requests and has duties, whether it reaches targets itself or not. */
+export function isReadyState (state: MemberState): boolean {
+  return state === MemberState.Ready || state === MemberState.Detached
+}
+
 /** A process of the fleet. */
 export interface Member {
   /** IPv4 address; all processes use the same ports. */
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -8,7 +8,7 @@
 import { LocalHealth } from './local-health.js'
 import { maximumUpdatesPerDatagram, packMembers, unpackMembers } from './member-digest.js'
 import { hashOf, MemberTable } from './member-table.js'
-import { MemberState, supersedes } from './member.js'
+import { isReadyState, MemberState, supersedes } from './member.js'
 import type { Member, MemberUpdate } from './member.js'
 import { isMemberMessage, PeerMessageType } from './peer-messages.js'
 import type { MemberMessage } from './peer-messages.js'
@@ -82,6 +82,8 @@
   #lastMessageAt = Date.now()
   #mismatches = 0
   #lastSyncAt = 0
+  /** Whether this process is cut off from targets. */
+  #isDetached = false
   /** Whether the set of ready members has changed since the listeners were last called. */
   #readyChanged = false
 
@@ -125,15 +127,32 @@
     return this.#self.state
   }
 
-  /** Sets the state of this process and tells the other members. */
-  setState (state: MemberState): void {
-    if (this.#self.state !== state) {
-      this.#updateSelf({ state })
+  /** Sets the state of this process and tells the other members. {@link setDetached} decides whether a ready process is detached. */
+  setState (state: Exclude<MemberState, typeof MemberState.Detached>): void {
+    const wasReady = isReadyState(this.#self.state)
+    const next = state === MemberState.Ready && this.#isDetached ? MemberState.Detached : state
+    if (this.#self.state === next) {
+      return
+    }
+    this.#updateSelf({ state: next })
+    if (!wasReady || !isReadyState(next)) {
       this.#readyChanged = true
       this.#notifyIfChanged()
     }
   }
 
+  /** Sets whether this process is cut off from targets, and tells the other members once it is ready. It stays ready in all other ways. */
+  setDetached (isDetached: boolean): void {
+    if (this.#isDetached === isDetached) {
+      return
+    }
+    this.#isDetached = isDetached
+    this.logger.info('access to targets changed', { detached: isDetached })
+    if (isReadyState(this.#self.state)) {
+      this.setState(MemberState.Ready)
+    }
+  }
+
   /** Calls the listener when the set of ready members has changed. */
   onChange (listener: () => void): void {
     this.#listeners.push(listener)
@@ -149,7 +168,7 @@
     return this.#derive().live
   }
 
-  /** Returns the live members that are ready, this process first if it is ready. */
+  /** Returns the live members that are ready, detached ones included, this process first if it is ready. */
   ready (): readonly Member[] {
     return this.#derive().ready
   }
@@ -170,6 +189,11 @@
     return [...shuffle(nearby), ...shuffle(distant)]
   }
 
+  /** Returns the other members that are ready and reach targets, in the same order as {@link peersByDistance}. */
+  relaysByDistance (): readonly Member[] {
+    return this.peersByDistance().filter(member => member.state === MemberState.Ready)
+  }
+
   /**
    * Marks a member that did not respond as suspected by this process, which excludes it from {@link ready}, and probes it.
    * Its response ends the suspicion; without one, the other members are told.
@@ -478,7 +502,7 @@
 
   #isReady (address: string): boolean {
     const known = this.#table.get(address)
-    return known?.state === MemberState.Ready && !known.suspected && !this.#locallySuspected.has(address)
+    return known !== undefined && isReadyState(known.state) && !known.suspected && !this.#locallySuspected.has(address)
   }
 
   #derive (): DerivedMembers {
@@ -489,7 +513,7 @@
   #computeDerived (): DerivedMembers {
     const others = this.#table.alive().filter(member => !member.suspected && !this.#locallySuspected.has(member.address))
     const live = [this.#self, ...others]
-    const ready = live.filter(member => member.state === MemberState.Ready)
+    const ready = live.filter(member => isReadyState(member.state))
     const greatestCapacity = ready.reduce((greatest, member) => Math.max(greatest, member.capacity), 0)
     return { live, ready, ownerCandidates: ready.filter(member => member.capacity >= greatestCapacity * minimumOwnerCapacityShare) }
   }
--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -4,6 +4,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { Membership, MemberState } from '../../src/index.js'
+import type { Member } from '../../src/index.js'
 import { LoopbackNetwork } from '../util/loopback-transport.js'
 import { createTestLogger } from '../util/test-logger.js'
 
@@ -94,6 +95,81 @@
     assert.deepEqual(all[0]?.ownerCandidates().map(member => member.address).sort(), ['10.0.0.2', '10.0.0.3'])
   })
 
+  describe('that is cut off from targets', () => {
+    let detached: Membership
+    let others: readonly Membership[]
+
+    beforeEach(() => {
+      const all = [1, 2, 3].map(number => join(`10.0.0.${number}`))
+      const [first, ...rest] = all
+      assert.ok(first !== undefined)
+      detached = first
+      others = rest
+      advance(1_500)
+      for (const member of all) {
+        member.setState(MemberState.Ready)
+      }
+      advance(100)
+    })
+
+    function addresses (members: readonly Member[]): readonly string[] {
+      return members.map(({ address }) => address).sort()
+    }
+
+    it('is ready and an owner as before, but relays for nobody', () => {
+      let changes = 0
+      others.forEach(member => { member.onChange(() => { changes += 1 }) })
+      detached.onChange(() => { changes += 1 })
+      detached.setDetached(true)
+      advance(100)
+      for (const member of others) {
+        assert.equal(member.live().find(({ address }) => address === '10.0.0.1')?.state, MemberState.Detached)
+        assert.equal(member.ready().length, 3)
+        assert.equal(member.ownerCandidates().length, 3)
+        assert.ok(!addresses(member.relaysByDistance()).includes('10.0.0.1'))
+      }
+      assert.equal(detached.ready().length, 3)
+      assert.deepEqual(addresses(detached.relaysByDistance()), ['10.0.0.2', '10.0.0.3'])
+      assert.equal(changes, 0)
+    })
+
+    it('stays detached when its configuration is set again, until it reaches targets', () => {
+      detached.setDetached(true)
+      detached.setState(MemberState.Ready)
+      assert.equal(detached.state, MemberState.Detached)
+      detached.setDetached(false)
+      advance(100)
+      assert.equal(detached.state, MemberState.Ready)
+      assert.ok(others.every(member => addresses(member.relaysByDistance()).includes('10.0.0.1')))
+    })
+
+    it('stays draining', () => {
+      detached.setState(MemberState.Draining)
+      detached.setDetached(true)
+      detached.setDetached(false)
+      assert.equal(detached.state, MemberState.Draining)
+      detached.setDetached(true)
+      advance(100)
+      assert.ok(others.every(member => addresses(member.ready()).join() === '10.0.0.2,10.0.0.3'))
+    })
+
+    it('drains at once', () => {
+      detached.setDetached(true)
+      advance(100)
+      detached.setState(MemberState.Draining)
+      advance(100)
+      assert.ok(others.every(member => member.ready().length === 2))
+    })
+
+    it('is detached once it becomes ready', () => {
+      const starting = join('10.0.0.4')
+      starting.setDetached(true)
+      assert.equal(starting.state, MemberState.Starting)
+      starting.setState(MemberState.Ready)
+      assert.equal(starting.state, MemberState.Detached)
+    })
+  })
+
   it('does not clear a suspicion because of gossip that is older than the suspicion', () => {
     const all = [1, 2, 3, 4, 5, 6].map(number => join(`10.0.0.${number}`))
     advance(3_000)
--- a/packages/policy/tests/fleet/entry-members.test.ts
+++ b/packages/policy/tests/fleet/entry-members.test.ts
@@ -37,6 +37,21 @@
     assert.equal(selectEntryMembers(fleet, 'a').length, 12)
   })
 
+  it('leaves out members that are cut off from targets', () => {
+    const fleet = members('a', 6, 0).map((member, index) => ({ ...member, kind: String(index), isDetached: index < 4 }))
+    assert.deepEqual(selected([...fleet, ...members('b', 6, 0)], 'a'), new Set(['4', '5']))
+  })
+
+  it('returns members of other availability zones for one that is cut off from targets', () => {
+    const fleet = [...members('a', 6, 20).map(member => ({ ...member, isDetached: true })), ...members('b', 6, 0)]
+    assert.deepEqual(selected(fleet, 'a'), new Set(['b-strong']))
+  })
+
+  it('returns the members of a fleet that is cut off from targets as a whole', () => {
+    const fleet = [...members('a', 6, 20), ...members('b', 6, 20)].map(member => ({ ...member, isDetached: true }))
+    assert.deepEqual(selected(fleet, 'a'), new Set(['a-strong']))
+  })
+
   it('returns members of all availability zones for one that has too few', () => {
     const fleet = [...members('a', 1, 0), ...members('b', 6, 20)]
     assert.equal(selectEntryMembers(fleet, 'a').length, 27)
