Count slots that a cut-off holder has given back as well

Instances whose connections are refused at once, or not accepted within 120 ms, took batch slots for one failing request after the other.

Cause: of a holder that reaches no target, only the slots were counted that it still held, and it gave them back within milliseconds.

Now the grants are counted, two in a second, whatever becomes of them.

Test: "revokes batch slots twice a second at most for a holder that reaches no target, however soon its requests fail".

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -87,6 +87,8 @@
   readonly #forecast = new OverloadForecast()
   readonly #online = new OnlineQueue()
   readonly #batch = new BatchQueue()
+  /** Times of the last grants to holders that probably reach no target, in milliseconds since the epoch. */
+  readonly #cutOffGrants = new Map<string, readonly number[]>()
   #batchBlockedUntil = 0
   /** Time of the present call, in milliseconds since the epoch. */
   #now = 0
@@ -182,6 +184,7 @@
     this.#batch.deleteHolder(holder)
     this.#slots.synchronize(holder, [], now, true)
     this.#health.forgetHolder(holder, now)
+    this.#cutOffGrants.delete(holder)
     return this.#grantWaiting()
   }
 
@@ -328,11 +331,20 @@
     const now = this.#now
     this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
+    this.#countCutOffGrant(holder)
     this.#prefixAffinity.recordGrant(prefix, target)
     this.quarantine.onDispatched(permit, contentOf(request), now)
     return { kind: DecisionKind.Grant, permit, holder, target, address }
   }
 
+  #countCutOffGrant (holder: string): void {
+    if (this.#health.isCutOff(holder, this.#now)) {
+      this.#cutOffGrants.set(holder, [...this.#cutOffGrants.get(holder) ?? [], this.#now].slice(-maximumCutOffGrants))
+    } else {
+      this.#cutOffGrants.delete(holder)
+    }
+  }
+
   #grantWaiting (): readonly SlotDecision[] {
     const decisions: SlotDecision[] = []
     if (this.#online.versions.some(version => this.#hasRoom(version))) {
@@ -360,7 +372,9 @@
   /** Whether a request has to leave the free slots to holders that reach targets, since its own probably reaches none. */
   #isHeldBack ({ holder }: SlotRequest): boolean {
     const now = this.#now
-    if (!this.#health.isCutOff(holder, now) || this.#slots.countGranted(holder, now - cutOffGrantMilliseconds, now) < maximumCutOffGrants) {
+    const [earliest = -Infinity, ...later] = this.#cutOffGrants.get(holder) ?? []
+    const hasSpentGrants = later.length + 1 >= maximumCutOffGrants && now - earliest < cutOffGrantMilliseconds
+    if (!hasSpentGrants || !this.#health.isCutOff(holder, now)) {
       return false
     }
     const failingSince = this.#health.failingSince(holder) ?? now
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -422,4 +422,35 @@
     fleet.request(request('c2', cut), 1_950)
     assert.equal(targetOf(fleet.request(request('c3', cut), 1_950)), 'two')
   })
+
+  // Load: connections of a cut-off instance are refused at once, while batch work fills the fleet.
+  it('revokes batch slots twice a second at most for a holder that reaches no target, however soon its requests fail', () => {
+    const fleet = createFleet()
+    const cut = { holder: 'cut', patience: 1_000 }
+    for (const { id } of targets) {
+      fleet.request(request(`failed-${id}`, { ...cut, excluded: targets.filter(other => other.id !== id).map(other => other.id) }), 0)
+      fleet.release(`failed-${id}`, SlotOutcome.Unreachable, 1)
+    }
+    for (const permit of ['b1', 'b2', 'b3', 'b4']) {
+      fleet.request(request(permit, { ...batch, due: 10_000 }), 10)
+    }
+    const revokedBetween = (from: number, to: number): number => {
+      let revoked = 0
+      for (let now = from; now < to; now += 20) {
+        const decisions = fleet.request(request(`c${now}`, cut), now)
+        for (const { kind, permit } of decisions) {
+          if (kind === DecisionKind.Revoke) {
+            revoked += 1
+            fleet.release(permit, SlotOutcome.Stopped, now)
+            fleet.request(request(`again-${permit}`, { ...batch, due: 10_000 }), now)
+          }
+        }
+        fleet.release(`c${now}`, SlotOutcome.Unreachable, now + 2)
+      }
+      return revoked
+    }
+    const revoked = revokedBetween(400, 1_400)
+    assert.ok(revoked <= 2, `${revoked} revocations in a second`)
+    assert.ok(revokedBetween(1_400, 2_400) >= 1)
+  })
 })
