--- a/packages/stand-ins/src/proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/proxy/fault-proxy.ts
@@ -6,6 +6,8 @@
 /** Options of {@link startFaultProxy}. */
 export interface FaultProxyOptions {
   readonly port?: number
+  /** Address that the proxy listens at; 127.0.0.1 by default. */
+  readonly host?: string
   /** Address that connections are forwarded to, as `ip:port`. */
   readonly target: string
 }
@@ -14,8 +16,10 @@
 export interface FaultProxy extends StandIn {
   /** Closes both sides of every open connection. */
   cut: () => void
-  /** Stops forwarding over the open connections without closing them; new connections work. */
-  blackhole: () => void
+  /** Resets both sides of the open connections from a caller's IP address. */
+  reset: (caller: string) => void
+  /** Stops forwarding over the open connections, or those from a caller's IP address, without closing them; new connections work. */
+  blackhole: (caller?: string) => void
   /**
    * Ends the stream from the proxy to the target on every open connection, as if the caller had finished sending. Data
    * from the target is still forwarded to the caller.
@@ -40,7 +44,7 @@
 
 /** Starts a fault proxy. */
 export async function startFaultProxy (options: FaultProxyOptions): Promise<FaultProxy> {
-  const proxy = new FaultProxyServer(options.target)
+  const proxy = new FaultProxyServer(options.target, options.host ?? loopback)
   await proxy.start(options.port ?? 0)
   return proxy
 }
@@ -66,7 +70,7 @@
   #isRefusing = false
   address = ''
 
-  constructor (private readonly target: string) {
+  constructor (private readonly target: string, private readonly host: string) {
     this.#server = createServer({ allowHalfOpen: true }, socket => { this.#accept(socket) })
   }
 
@@ -81,9 +85,9 @@
   async start (port: number): Promise<void> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, loopback, resolve)
+      this.#server.listen(port, this.host, resolve)
     })
-    this.address = `${loopback}:${(this.#server.address() as AddressInfo).port}`
+    this.address = `${this.host}:${(this.#server.address() as AddressInfo).port}`
   }
 
   cut (): void {
@@ -92,8 +96,15 @@
     }
   }
 
-  blackhole (): void {
-    for (const connection of this.#connections) {
+  reset (caller: string): void {
+    for (const connection of [...this.#connections].filter(isFrom(caller))) {
+      connection.isReset = true
+      this.#closeConnection(connection)
+    }
+  }
+
+  blackhole (caller?: string): void {
+    for (const connection of [...this.#connections].filter(isFrom(caller))) {
       connection.isBlackholed = true
     }
   }
@@ -213,3 +224,8 @@
     }
   }
 }
+
+/** Returns a filter for the connections from an IP address, or for all connections. */
+function isFrom (caller: string | undefined): (connection: ProxiedConnection) => boolean {
+  return connection => caller === undefined || connection.caller.remoteAddress === caller
+}
