Tell members and clients of instances that are cut off from targets

Callers: those of an instance that is cut off from all targets are served through its peers, each byte twice, though others could serve them directly. Change: what the connections find out (TargetPaths) sets the member's state, so that clients are told other addresses and peers that are cut off are not asked to relay. An instance without requests would never find that the cut has ended: it tries a target directly every half second while it is cut off (DirectProbe).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -32,6 +32,7 @@
 import { StreamOriginDirectory } from './streams/stream-origin-directory.js'
 import { VersionLog } from './streams/version-log.js'
 import { DialWays } from './targets/dial-ways.js'
+import { DirectProbe } from './targets/direct-probe.js'
 import { TargetConnections } from './targets/target-connections.js'
 import { TargetDialer } from './targets/target-dialer.js'
 import { TargetFreshness } from './targets/target-freshness.js'
@@ -105,6 +106,7 @@
   readonly drainAdmission = new DrainAdmission()
   readonly #ending = new AbortController()
   readonly #connections: TargetConnections
+  readonly #directProbe: DirectProbe
   readonly #callerBudgets = new CallerBudgets()
   readonly #jobPartitions: JobPartitions
   readonly #tokenLedger: TokenLedger
@@ -133,6 +135,8 @@
       metrics: this.metrics,
       logger
     })))
+    this.#directProbe = new DirectProbe(this.targetPaths, this.targets)
+    this.targetPaths.onChange(() => { this.membership.setDetached(this.targetPaths.isCutOff) })
     this.targetRelay = new TargetRelay({ paths: this.targetPaths, targets: this.targets, isReady: () => this.ready, metrics: this.metrics })
     const quarantine = new CrashQuarantine()
     const history = new VersionHistory()
@@ -320,6 +324,7 @@
     this.slots.close()
     this.membership.close()
     await this.jobForwarder.close()
+    this.#directProbe.close()
     this.#connections.close()
   }
 
@@ -340,7 +345,7 @@
   /** Returns the peers that may relay connections to targets, nearest first. */
   #relayPeers (): readonly RelayPeer[] {
     const { zone } = this.options
-    return this.membership.peersByDistance().filter(({ state }) => state === MemberState.Ready).map(member => ({ address: member.address, isNear: member.zone === zone }))
+    return this.membership.relaysByDistance().map(member => ({ address: member.address, isNear: member.zone === zone }))
   }
 
   #updateState (): void {
--- a/packages/gateway/src/peers/member-digest.ts
+++ b/packages/gateway/src/peers/member-digest.ts
@@ -24,7 +24,7 @@
 const latestIncarnation = Date.UTC(2100, 0)
 /** Capacity in thousandths of a core. */
 const maximumCapacity = 100_000_000
-const maximumStatus = suspectedFlag + MemberState.Draining
+const maximumStatus = suspectedFlag + MemberState.Detached
 
 /** Encodes updates; the first one must be the sender's. */
 export function packMembers (updates: readonly MemberUpdate[]): MemberDigest {
@@ -72,7 +72,7 @@
   for (let start = 0; start < numbers.length; start += numbersPerUpdate) {
     const [address, zone, incarnationDifference, capacity, version, status] = numbers.slice(start, start + numbersPerUpdate)
     const isInRange = isWhole(address, maximumAddress) && isWhole(zone, zones - 1) && isWhole(Number(incarnationDifference) + baseIncarnation, latestIncarnation) &&
-      isWhole(capacity, maximumCapacity) && isWhole(version, Number.MAX_SAFE_INTEGER) && isWhole(status, maximumStatus) && Number(status) % suspectedFlag <= MemberState.Draining
+      isWhole(capacity, maximumCapacity) && isWhole(version, Number.MAX_SAFE_INTEGER) && isWhole(status, maximumStatus)
     if (!isInRange) {
       return false
     }
