Report no crash of a target whose connection was lost by a cut of the way to it

A connection that a cut resets looks like a crash of its target. Instances reported one for each request in flight, and three of them put a prompt into quarantine in the whole fleet, or three interrupted answers suspend a target for all.

Before a slot is released with such an outcome, the target is connected to again by the way that the connection had, and by another one if that fails. If only the other way leads to it, or a relay was lost, the slot is released as stopped, which says nothing of the target. If the target can be reached again, or a peer that can tell can't reach it either, the outcome is as before. A further attempt does not wait for this.

Evidence: cut-off.test.ts with the outcome passed on unchecked: 'crashed' instead of 'stopped' after a reset by a cut and after a lost relay of a stream, 'broken' for a lost relay of a plain request; now 'stopped', and a target that ends is still reported as crashed.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -8,8 +8,9 @@
 import type { AcquireResult, Slot, SlotDemand } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
 import { requestDigest } from '../quarantine/request-digest.js'
-import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
+import { failedStatus, unresponsiveReason } from '../targets/call-outcome.js'
 import type { ResponseHead } from '../targets/response-parser.js'
+import { releaseSlot } from '../targets/slot-release.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { TargetEndpoint } from '../targets/target-registry.js'
@@ -320,7 +321,11 @@
     this.#stop.signal.removeEventListener('abort', onStop)
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
-    slot.release(stopped ? SlotOutcome.Stopped : slotOutcomeOf({ end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }))
+    if (stopped) {
+      slot.release(SlotOutcome.Stopped)
+    } else {
+      void releaseSlot(slot, call, { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, this.dependencies.connections)
+    }
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, version: target.softwareVersion, via: call.via, after: resumedAfter, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
     return await this.#onCallEnd(outcome, target, stopped)
   }
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -9,10 +9,12 @@
 import type { SlotClient } from '../permits/slot-client.js'
 import type { StreamOriginDirectory } from '../streams/stream-origin-directory.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
-import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
+import { failedStatus, unresponsiveReason } from '../targets/call-outcome.js'
+import { releaseSlot } from '../targets/slot-release.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { TargetEndpoint } from '../targets/target-registry.js'
 import type { Logger } from '../util/logger.js'
+import { sleep } from '../util/sleep.js'
 import { ResponseRelay } from './response-relay.js'
 import type { HeaderNames } from './header-names.js'
 import { isRepeatable } from './online-request.js'
@@ -39,6 +41,8 @@
 const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
+/** Time for which a final answer waits until the crash of its target is reported; the report takes a few round trips between members. */
+const maximumReleaseWaitMilliseconds = 50
 /** Share of a client's remaining time up to which it follows `Retry-After`; it then has most of its time left for the answer. */
 const maximumRetryShare = 0.3
 
@@ -268,8 +272,12 @@
     }
     this.#abort.signal.removeEventListener('abort', onAbort)
     const wasUnresponsive = Date.now() - lastProgressAt > unresponsiveTimeoutMilliseconds
-    const stoppedOutcome = wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped
-    slot.release(this.#abort.signal.aborted ? stoppedOutcome : slotOutcomeOf({ end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }))
+    let released = Promise.resolve()
+    if (this.#abort.signal.aborted) {
+      slot.release(wasUnresponsive ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
+    } else {
+      released = releaseSlot(slot, call, { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, dependencies.connections)
+    }
     const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
     if (isAnswered && !isDiscarded) {
       this.#observeFirstByte()
@@ -292,6 +300,10 @@
       status,
       ...(outcome === CallOutcome.Disconnected ? { digest: request.digest, parts: request.prefix.map(promptPartDigest) } : {})
     })
+    if (outcome === CallOutcome.Disconnected && !this.#canRetry()) {
+      // A caller that comes again should find a crash counted.
+      await Promise.race([released, sleep(maximumReleaseWaitMilliseconds)])
+    }
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
     return this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target)
   }
--- a/packages/gateway/src/targets/target-dialer.ts
+++ b/packages/gateway/src/targets/target-dialer.ts
@@ -2,13 +2,17 @@
 import type { DialWays } from './dial-ways.js'
 import { connectDirectly } from './direct-transport.js'
 import { isListening } from './listening-check.js'
+import { connectThroughPeer } from './relayed-transport.js'
 import { TargetDial } from './target-dial.js'
 import type { TargetEndpoint } from './target-registry.js'
 import { ConnectionFailure } from './transport.js'
 import type { ConnectAttempt, ConnectListener } from './transport.js'
 
-/** Connects to targets. */
+/** Connects to targets, and finds out why connections to them have ended. */
 export class TargetDialer {
+  /** Checks that run, by target and way. */
+  readonly #checks = new Map<string, Promise<boolean>>()
+
   /** @param ways null if all connections are made directly */
   constructor (private readonly ways: DialWays | null = null) {}
 
@@ -32,4 +36,76 @@
   async isListening (target: TargetEndpoint): Promise<boolean> {
     return await isListening(listener => this.dial(target, listener))
   }
+
+  /** Whether {@link wasEndedByTarget} finds out anything. */
+  get canCheck (): boolean {
+    return this.ways?.hasPeers === true
+  }
+
+  /**
+   * Whether a connection that was closed or reset was ended by the target. Otherwise the way that it had is cut: only another way reaches the
+   * target now.
+   *
+   * @param via the peer that relayed the connection, or null
+   */
+  async wasEndedByTarget (target: TargetEndpoint, via: string | null): Promise<boolean> {
+    const { ways } = this
+    if (ways === null) {
+      return true
+    }
+    // Connections that are lost together are checked together.
+    const key = `${target.id} ${target.born} ${via}`
+    const check = this.#checks.get(key) ?? checkTarget(ways, target, via)
+    this.#checks.set(key, check)
+    const result = await check
+    this.#checks.delete(key)
+    return result
+  }
+}
+
+async function checkTarget (ways: DialWays, target: TargetEndpoint, via: string | null): Promise<boolean> {
+  const failure = via === null ? await tryDirectly(ways, target) : await tryPeer(ways, target, via)
+  if (failure === null || (via !== null && failure === ConnectionFailure.Unreachable)) {
+    return true
+  }
+  for (const address of ways.choosePeers(via)) {
+    const peerFailure = await tryPeer(ways, target, address)
+    if (peerFailure !== ConnectionFailure.NoPath) {
+      return peerFailure === ConnectionFailure.Unreachable
+    }
+  }
+  return !ways.isCutOff
+}
+
+async function tryDirectly (ways: DialWays, target: TargetEndpoint): Promise<ConnectionFailure | null> {
+  const failure = await tryToConnect(listener => connectDirectly(target.address, listener))
+  if (failure === null) {
+    ways.onDirectSuccess(target)
+  } else {
+    ways.onDirectFailure(target, false)
+  }
+  return failure
+}
+
+async function tryPeer (ways: DialWays, target: TargetEndpoint, address: string): Promise<ConnectionFailure | null> {
+  const failure = await tryToConnect(listener => connectThroughPeer(ways.relayAt(address), target, listener))
+  if (failure === null) {
+    ways.onRelaySuccess(target)
+  } else {
+    ways.onRelayFailure(address, failure)
+  }
+  return failure
+}
+
+/** Connects and closes the connection; returns why it could not be made, or null. */
+async function tryToConnect (connect: (listener: ConnectListener) => ConnectAttempt): Promise<ConnectionFailure | null> {
+  return await new Promise(resolve => {
+    connect({
+      onConnected: transport => {
+        transport.destroy()
+        resolve(null)
+      },
+      onFailed: (_reason, failure) => { resolve(failure) }
+    })
+  })
 }
--- a/packages/gateway/tests/online/cut-off.test.ts
+++ b/packages/gateway/tests/online/cut-off.test.ts
@@ -19,6 +19,8 @@
 const targets = 3
 /** Longer than the time after which a target that closes its connection counts as crashed. */
 const runMilliseconds = 40
+/** Time for the checks after which a slot is released. */
+const releaseMilliseconds = 400
 
 interface Started {
   readonly online: OnlineHarness
@@ -62,6 +64,19 @@
     })
   }
 
+  it('resumes a stream through a peer whose connection the cut has reset, and reports nothing against the target', async context => {
+    const { online, relay } = await start(context, resumableRoute, { serve: socket => { serveEvents(socket, runMilliseconds) } })
+    const answer = online.call(CallerKind.KeepAlive)
+    while (relay.accepted.length === 0) {
+      await sleep(1)
+    }
+    await sleep(runMilliseconds / 2)
+    await relay.cut(Cut.Reset)
+    assert.deepEqual(await answer, { status: 200, body: events.join(''), view: CallerView.Complete })
+    await sleep(releaseMilliseconds)
+    assert.deepEqual(online.outcomes.toSorted(), [SlotOutcome.Finished, SlotOutcome.Stopped])
+  })
+
   it('does not run a request again whose relay was lost, and does not say that it has not run', async context => {
     const { online, relay } = await start(context, singleRunRoute, {
       serve: socket => {
@@ -76,6 +91,7 @@
     const { status } = await online.call(CallerKind.KeepAlive)
     assert.equal(status, 502)
     assert.equal(relay.accepted.length, 1)
+    assert.deepEqual(online.outcomes, [SlotOutcome.Stopped])
   })
 
   it('resumes a stream through another peer after its relay was lost', async context => {
@@ -88,6 +104,7 @@
     await sleep(runMilliseconds / 2)
     relay.peers.find(({ calls }) => calls > 0)?.kill()
     assert.deepEqual(await answer, { status: 200, body: events.join(''), view: CallerView.Complete })
+    assert.deepEqual(online.outcomes, [SlotOutcome.Stopped, SlotOutcome.Finished])
   })
 
   it('refuses a request as not run, and reports nothing against targets, if its peers are cut off as well', async context => {
@@ -102,3 +119,22 @@
     assert.deepEqual(online.outcomes, new Array(targets).fill(SlotOutcome.Stopped))
   })
 })
+
+describe('an instance that reaches its targets', () => {
+  it('reports a crash of a target that only closes its connections as before, while the request goes on at another target', async context => {
+    const { online, relay } = await start(context, resumableRoute, {
+      serve: socket => {
+        if (relay.accepted.length === 1) {
+          socket.once('data', () => {
+            setTimeout(() => { void relay.endTarget(1) }, runMilliseconds)
+          })
+        } else {
+          serveEvents(socket, 1)
+        }
+      }
+    })
+    assert.deepEqual(await online.call(CallerKind.KeepAlive), { status: 200, body: events.join(''), view: CallerView.Complete })
+    await sleep(releaseMilliseconds)
+    assert.deepEqual(online.outcomes.toSorted(), [SlotOutcome.Crashed, SlotOutcome.Finished])
+  })
+})
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -301,6 +301,34 @@
   })
 })
 
+describe('wasEndedByTarget', () => {
+  it('is true for a target that has ended, and for one that goes on and has closed a connection', async context => {
+    const harness = await start(context, { serve: () => {} })
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), true)
+    await harness.endTarget(1)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), true)
+  })
+
+  it('is false if only a peer reaches the target now', async context => {
+    for (const how of [Cut.Reset, Cut.Hang]) {
+      const harness = await start(context, { serve: () => {} })
+      await harness.cut(how)
+      assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), false)
+    }
+  })
+
+  it('is true for a relayed connection if its peer still reaches the target, and false if only another one does', async context => {
+    const harness = await start(context, { serve: () => {}, peers: [true, true] })
+    await harness.cut(Cut.Reset)
+    const [first] = harness.peers
+    assert.ok(first !== undefined)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address), true)
+    first.paths.recordDirectFailure('another', 2, Date.now())
+    first.isCut = true
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address), false)
+  })
+})
+
 /** Lets the first peers know that they are cut off from targets. */
 async function makeCutOff (harness: RelayHarness, count: number): Promise<void> {
   for (const peer of harness.peers.slice(0, count)) {
