Read all that has arrived on a relayed connection at once

A batch item that was relayed got one event each 150 ms: items read their answer from time to time, and a relayed connection gave one chunk for each read, where a socket gives all that has arrived.

--- a/packages/gateway/src/targets/relayed-transport.ts
+++ b/packages/gateway/src/targets/relayed-transport.ts
@@ -71,6 +71,7 @@
 
 class RelayedTransport implements TargetTransport {
   #listener: TransportListener | null = null
+  #isPaused = false
   #isEnded = false
 
   constructor (readonly via: string, private readonly request: ClientRequest, private readonly response: IncomingMessage) {
@@ -82,11 +83,7 @@
 
   start (listener: TransportListener): void {
     this.#listener = listener
-    this.response.on('data', (bytes: Buffer) => {
-      if (!this.#isEnded && !listener.onData(bytes)) {
-        this.response.pause()
-      }
-    })
+    this.response.on('readable', () => { this.#read() })
   }
 
   write (bytes: Buffer): void {
@@ -94,7 +91,10 @@
   }
 
   resume (): void {
-    this.response.resume()
+    if (this.#isPaused) {
+      this.#isPaused = false
+      this.#read()
+    }
   }
 
   checkEnd (onChecked: (reset: Error | null) => void): void {
@@ -107,6 +107,17 @@
     this.request.destroy()
   }
 
+  /** Passes on all that has arrived at once, like a read of a socket: a listener that reads from time to time would else get one chunk each time. */
+  #read (): void {
+    while (!this.#isPaused && !this.#isEnded) {
+      const bytes = this.response.read() as Buffer | null
+      if (bytes === null) {
+        return
+      }
+      this.#isPaused = this.#listener?.onData(bytes) === false
+    }
+  }
+
   #onEnd (): void {
     const end = this.response.trailers[relayedEndTrailer]
     if (this.#isEnded) {
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -178,6 +178,37 @@
     assert.equal(received, size)
   })
 
+  it('gets all that has arrived with its next read, if it reads from time to time like a batch item', async context => {
+    const parts = 40
+    const readMilliseconds = 150
+    const harness = await start(context, {
+      serve: socket => {
+        socket.once('data', () => {
+          socket.write(`${head}Content-Length: ${parts}\r\n\r\n`)
+          let sent = 0
+          const timer = setInterval(() => {
+            socket.write('x')
+            sent += 1
+            if (sent === parts) {
+              clearInterval(timer)
+            }
+          }, 5)
+        })
+      }
+    })
+    await harness.cut(Cut.Refuse)
+    let reads = 0
+    const { call } = send(harness, 1, {
+      onData: () => {
+        reads += 1
+        setTimeout(() => { call.resume() }, readMilliseconds)
+        return false
+      }
+    })
+    assert.equal((await call.ended).end, CallOutcome.Complete)
+    assert.ok(reads < parts / 2, `${reads} reads for ${parts} parts`)
+  })
+
   it('buffers little of a request that its target does not read, and goes on later', async context => {
     const size = 60_000_000
     let read = 0
