Cut the links of the relay tests at addresses that no other process takes

A link that was cut listened again, or a thread listened in its place, at a port that another process could take meanwhile: 'listen EADDRINUSE' in 6 of 32 runs of the test "if its connections hang", four at a time.

--- a/packages/gateway/tests/util/hanging-address.ts
+++ b/packages/gateway/tests/util/hanging-address.ts
@@ -1,23 +1,22 @@
 /** An address at which connections hang: a thread listens and accepts none, and the queue of the operating system is full. */
 import { once } from 'node:events'
 import { connect, createServer } from 'node:net'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { isMainThread, parentPort, Worker, workerData } from 'node:worker_threads'
 import { sleep } from '../../src/index.js'
 import { afterNextRead } from '../../src/util/after-next-read.js'
 
-const loopback = '127.0.0.1'
-/** Time within which a connection that does not hang is established, and for the thread to stop after it has told its port. */
+/** Time within which a connection that does not hang is established, and for the thread to stop after it has told that it listens. */
 const establishedMilliseconds = 50
 
-/** Listens on a port, or any port if it is 0; returns the `ip:port` and a function that frees it. */
-export async function startHangingAddress (port = 0): Promise<{ readonly address: string, readonly close: () => Promise<void> }> {
-  const worker = new Worker(new URL(import.meta.url), { workerData: port })
-  const [actualPort] = await once(worker, 'message') as [number]
+/** Listens on a free address; returns a function that frees it. */
+export async function startHangingAddress (host: string, port: number): Promise<{ readonly close: () => Promise<void> }> {
+  const worker = new Worker(new URL(import.meta.url), { workerData: { host, port } satisfies Listened })
+  await once(worker, 'message')
   await sleep(establishedMilliseconds)
   const sockets: Socket[] = []
   for (let isFull = false; !isFull;) {
-    const socket = connect(actualPort, loopback)
+    const socket = connect(port, host)
     socket.on('error', () => {})
     sockets.push(socket)
     await Promise.race([once(socket, 'connect'), sleep(establishedMilliseconds)])
@@ -26,7 +25,6 @@
     isFull = socket.connecting
   }
   return {
-    address: `${loopback}:${actualPort}`,
     close: async () => {
       sockets.forEach(socket => { socket.destroy() })
       await worker.terminate()
@@ -34,15 +32,19 @@
   }
 }
 
-function listen (port: number): void {
-  const server = createServer()
-  server.listen({ port, host: loopback, backlog: 1 }, () => {
-    parentPort?.postMessage((server.address() as AddressInfo).port)
+interface Listened {
+  readonly host: string
+  readonly port: number
+}
+
+function listen ({ host, port }: Listened): void {
+  createServer().listen({ port, host, backlog: 1 }, () => {
+    parentPort?.postMessage('listening')
     // The message is sent before the thread stops.
     setImmediate(() => { Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0) })
   })
 }
 
 if (!isMainThread) {
-  listen(Number(workerData))
+  listen(workerData as Listened)
 }
--- a/packages/gateway/tests/util/relay-harness.ts
+++ b/packages/gateway/tests/util/relay-harness.ts
@@ -1,4 +1,5 @@
 /** Targets behind links of one instance that can be cut, and peers that still reach the targets. */
+import { randomBytes } from 'node:crypto'
 import { once } from 'node:events'
 import { createServer as createHttpServer } from 'node:http'
 import type { IncomingMessage, Server as HttpServer } from 'node:http'
@@ -185,28 +186,29 @@
   #server: Server
   #hanging: { readonly close: () => Promise<void> } | null = null
 
-  private constructor (readonly targetPort: number, readonly port: number, server: Server) {
+  private constructor (readonly targetPort: number, readonly host: string, readonly port: number, server: Server) {
     this.#server = server
   }
 
   static async start (targetPort: number): Promise<CuttableLink> {
+    const host = randomLoopback()
     const server = createServer({ allowHalfOpen: true })
-    server.listen(0, loopback)
+    server.listen(0, host)
     await once(server, 'listening')
-    const link = new CuttableLink(targetPort, (server.address() as AddressInfo).port, server)
+    const link = new CuttableLink(targetPort, host, (server.address() as AddressInfo).port, server)
     server.on('connection', (socket: Socket) => { link.#passOn(socket) })
     return link
   }
 
   get address (): string {
-    return `${loopback}:${this.port}`
+    return `${this.host}:${this.port}`
   }
 
   async cut (how: Cut): Promise<void> {
     this.#server.close()
     if (how === Cut.Hang) {
       this.#sockets.forEach(socket => { socket.unpipe().pause() })
-      this.#hanging = await startHangingAddress(this.port)
+      this.#hanging = await startHangingAddress(this.host, this.port)
     } else if (how === Cut.Reset) {
       this.#sockets.forEach(socket => { socket.resetAndDestroy() })
     }
@@ -216,7 +218,7 @@
     await this.#hanging?.close()
     this.#hanging = null
     this.#server = createServer({ allowHalfOpen: true }, socket => { this.#passOn(socket) })
-    this.#server.listen(this.port, loopback)
+    this.#server.listen(this.port, this.host)
     await once(this.#server, 'listening')
   }
 
@@ -239,3 +241,9 @@
     }
   }
 }
+
+/** Returns an address of this machine that no other process uses: it must stay free while nobody listens there. */
+function randomLoopback (): string {
+  const [second, third, fourth] = randomBytes(3)
+  return `127.${second ?? 0}.${third ?? 0}.${Math.max(1, Math.min(254, fourth ?? 0))}`
+}
