--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -178,6 +178,37 @@
     assert.equal(received, size)
   })
 
+  it('gets all that has arrived with its next read, if it reads from time to time like a batch item', async context => {
+    const parts = 40
+    const readMilliseconds = 150
+    const harness = await start(context, {
+      serve: socket => {
+        socket.once('data', () => {
+          socket.write(`${head}Content-Length: ${parts}\r\n\r\n`)
+          let sent = 0
+          const timer = setInterval(() => {
+            socket.write('x')
+            sent += 1
+            if (sent === parts) {
+              clearInterval(timer)
+            }
+          }, 5)
+        })
+      }
+    })
+    await harness.cut(Cut.Refuse)
+    let reads = 0
+    const { call } = send(harness, 1, {
+      onData: () => {
+        reads += 1
+        setTimeout(() => { call.resume() }, readMilliseconds)
+        return false
+      }
+    })
+    assert.equal((await call.ended).end, CallOutcome.Complete)
+    assert.ok(reads < parts / 2, `${reads} reads for ${parts} parts`)
+  })
+
   it('buffers little of a request that its target does not read, and goes on later', async context => {
     const size = 60_000_000
     let read = 0
@@ -301,6 +332,34 @@
   })
 })
 
+describe('wasEndedByTarget', () => {
+  it('is true for a target that has ended, and for one that goes on and has closed a connection', async context => {
+    const harness = await start(context, { serve: () => {} })
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), true)
+    await harness.endTarget(1)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), true)
+  })
+
+  it('is false if only a peer reaches the target now', async context => {
+    for (const how of [Cut.Reset, Cut.Hang]) {
+      const harness = await start(context, { serve: () => {} })
+      await harness.cut(how)
+      assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), false)
+    }
+  })
+
+  it('is true for a relayed connection if its peer still reaches the target, and false if only another one does', async context => {
+    const harness = await start(context, { serve: () => {}, peers: [true, true] })
+    await harness.cut(Cut.Reset)
+    const [first] = harness.peers
+    assert.ok(first !== undefined)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address), true)
+    first.paths.recordDirectFailure('another', 2, Date.now())
+    first.isCut = true
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address), false)
+  })
+})
+
 /** Lets the first peers know that they are cut off from targets. */
 async function makeCutOff (harness: RelayHarness, count: number): Promise<void> {
   for (const peer of harness.peers.slice(0, count)) {
