Examine each cut-off holder once when batch slots are granted

While most instances are cut off, hundreds of their items wait, and each grant, release and tick asked for every one of them whether its holder is held back, which sums up slots and targets.

A holder that is held back stays so for the rest of the pass: grants only use up slots.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -404,10 +404,16 @@
     if (!this.#hasRoomForBatch()) {
       return
     }
+    const heldBack = new Set<string>()
     for (const request of this.#batch.inOrder(this.#now)) {
+      // A holder that is held back stays so until all items have been examined.
+      if (heldBack.has(request.holder) || this.#isHeldBack(request)) {
+        heldBack.add(request.holder)
+        continue
+      }
       const version = versionOf(request)
       const mayFit = this.#sound.freeOf(version) > 0 || this.#hasUnsound(version)
-      if (!mayFit || !this.#admitsContent(request) || this.#isHeldBack(request)) {
+      if (!mayFit || !this.#admitsContent(request)) {
         continue
       }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
