Let the fleet model cut instances off from targets

The load cut-instances cuts 60 % off for 12 s (connections hang) and 34 % for 12 s (refused), beside more batch work than slots. The outcome counts the requests that arrive at the other instances meanwhile, and those of them in time.

A request that was given up while its connection failed is no longer sent again by the model.

--- a/packages/fleet-model/src/bin/arbutus-fleet-model.ts
+++ b/packages/fleet-model/src/bin/arbutus-fleet-model.ts
@@ -20,6 +20,7 @@
   ['late', outcome => percent * outcome.online.late / outcome.onlineRequests],
   ['refused', outcome => percent * outcome.online.refused / outcome.onlineRequests],
   ['given up', outcome => percent * outcome.online.givenUp / outcome.onlineRequests],
+  ['beside cuts', outcome => percent * outcome.inTimeBesideCuts / Math.max(1, outcome.requestsBesideCuts)],
   ['items in time', outcome => percent * outcome.itemsInTime / outcome.items],
   ['items late', outcome => percent * outcome.itemsLate / outcome.items],
   ['revocations', outcome => outcome.revocations / outcome.items],
--- a/packages/fleet-model/src/fleet-load.ts
+++ b/packages/fleet-model/src/fleet-load.ts
@@ -1,4 +1,4 @@
-/** A load on a fleet: its targets, the online requests and batch jobs that arrive, and what is lost on the way. */
+/** A load on a fleet: its targets, the online requests and batch jobs that arrive, and what is lost or cut off on the way. */
 
 /** A kind of online request. */
 export interface OnlineKind {
@@ -46,6 +46,17 @@
   readonly isAnnounced: boolean
 }
 
+/** Instances of the gateway that are cut off from all targets: what runs for them breaks off. */
+export interface InstanceCut {
+  /** Milliseconds from the start. */
+  readonly at: number
+  readonly forMilliseconds: number
+  /** Share of the instances. */
+  readonly share: number
+  /** Whether new connections hang until they are given up, instead of being refused. */
+  readonly isHanging: boolean
+}
+
 /** A load. */
 export interface FleetLoad {
   readonly name: string
@@ -59,4 +70,5 @@
   readonly online: readonly OnlineKind[]
   readonly batch: BatchKind
   readonly losses: readonly TargetLoss[]
+  readonly cuts: readonly InstanceCut[]
 }
--- a/packages/fleet-model/src/fleet-outcome.ts
+++ b/packages/fleet-model/src/fleet-outcome.ts
@@ -21,6 +21,9 @@
   /** Online requests by result. */
   readonly online: Readonly<Record<OnlineResult, number>>
   readonly onlineRequests: number
+  /** Requests that arrived at instances in touch with all targets while others were cut off, and those of them that were answered in time. */
+  readonly requestsBesideCuts: number
+  readonly inTimeBesideCuts: number
   readonly items: number
   readonly itemsInTime: number
   readonly itemsLate: number
--- a/packages/fleet-model/src/index.ts
+++ b/packages/fleet-model/src/index.ts
@@ -2,7 +2,7 @@
 export type { AdmissionPolicy } from './admission-policy.js'
 export { estimate, playSeeds } from './compare-policies.js'
 export type { Estimate, NamedPolicy } from './compare-policies.js'
-export type { BatchKind, FleetLoad, OnlineKind, TargetLoss } from './fleet-load.js'
+export type { BatchKind, FleetLoad, InstanceCut, OnlineKind, TargetLoss } from './fleet-load.js'
 export { OnlineResult } from './fleet-outcome.js'
 export type { FleetOutcome } from './fleet-outcome.js'
 export { fleetLoads } from './loads.js'
--- a/packages/fleet-model/src/loads.ts
+++ b/packages/fleet-model/src/loads.ts
@@ -16,7 +16,8 @@
 const base = {
   slotsOfTarget: 7,
   milliseconds: seconds * millisecondsPerSecond,
-  steps: burstsUntil(seconds)
+  steps: burstsUntil(seconds),
+  cuts: []
 } as const
 
 const question: OnlineKind = {
@@ -79,5 +80,15 @@
     online: [question, check],
     batch: { ...notes, itemsPerSecond: 45 },
     losses: []
+  },
+  {
+    ...base,
+    name: 'cut-instances',
+    description: 'most instances are cut off from all targets, then a third: connections hang, then are refused; there is more batch work than slots',
+    targets: 47,
+    online: [question, check],
+    batch: { ...notes, itemsPerSecond: 45 },
+    losses: [],
+    cuts: [{ at: 8_000, forMilliseconds: 12_000, share: 0.6, isHanging: true }, { at: 28_000, forMilliseconds: 12_000, share: 0.34, isHanging: false }]
   }
 ]
--- a/packages/fleet-model/src/simulation/batch-item.ts
+++ b/packages/fleet-model/src/simulation/batch-item.ts
@@ -10,8 +10,6 @@
 
 /** Milliseconds in which a target reads the prompt and the output so far again, after an item lost its slot. */
 const resumeMilliseconds = 20
-/** Milliseconds until a connection to a lost target is refused. */
-const refusedConnectionMilliseconds = 2
 /** Milliseconds before an item asks again after a failure. */
 const retryMilliseconds = 50
 
@@ -67,15 +65,13 @@
   }
 
   onGranted (target: string): void {
-    if (this.desk.isLost(target)) {
-      this.clock.after(refusedConnectionMilliseconds, () => {
-        this.desk.release(this.#permit, SlotOutcome.Unreachable)
-        this.clock.after(retryMilliseconds, () => { this.request() })
-      })
-      return
-    }
     this.#run += 1
     const run = this.#run
+    const failsAfter = this.desk.connectionFailsAfter(this.instance.id, target)
+    if (failsAfter !== null) {
+      this.clock.after(failsAfter, () => { this.#onUnreachable(run) })
+      return
+    }
     this.#startedAt = this.clock.now
     this.#firstStartedAt ??= this.clock.now
     this.clock.after(this.#remaining, () => { this.#onEnd(run) })
@@ -95,6 +91,13 @@
     this.clock.after(retryMilliseconds, () => { this.request() })
   }
 
+  #onUnreachable (run: number): void {
+    if (run === this.#run) {
+      this.desk.release(this.#permit, SlotOutcome.Unreachable)
+      this.clock.after(retryMilliseconds, () => { this.request() })
+    }
+  }
+
   #interrupt (outcome: SlotOutcome): void {
     this.#run += 1
     const ran = this.clock.now - (this.#startedAt ?? this.clock.now)
--- a/packages/fleet-model/src/simulation/online-caller.ts
+++ b/packages/fleet-model/src/simulation/online-caller.ts
@@ -19,12 +19,11 @@
 const roundTripMilliseconds = 6
 /** Milliseconds without a first event after which a caller gives up. */
 const patienceMilliseconds = 2_000
-/** Milliseconds until a connection to a lost target is refused. */
-const refusedConnectionMilliseconds = 2
 
 /** Sends a request until it is answered, broken off, or refused for the last time. */
 export class OnlineCaller implements SlotHolder {
   readonly #arrivedAt: number
+  readonly #isBesideCut: boolean
   #attempts = 0
   #attemptAt = 0
   #permit = ''
@@ -33,6 +32,7 @@
   #remaining: number
   #startedAt: number | null = null
   #hasFirstEvent = false
+  #isGivenUp = false
   /** Incremented with each grant, so that events of an earlier one are ignored. */
   #run = 0
 
@@ -46,6 +46,7 @@
   ) {
     this.#remaining = holdMilliseconds
     this.#arrivedAt = clock.now
+    this.#isBesideCut = desk.isBesideCut(instance.id)
   }
 
   /** Makes an attempt. */
@@ -59,16 +60,14 @@
   }
 
   onGranted (target: string): void {
-    if (this.desk.isLost(target)) {
+    this.#run += 1
+    const run = this.#run
+    const failsAfter = this.desk.connectionFailsAfter(this.instance.id, target)
+    if (failsAfter !== null) {
       this.#excluded.push(target)
-      this.clock.after(refusedConnectionMilliseconds, () => {
-        this.desk.release(this.#permit, SlotOutcome.Unreachable)
-        this.#request()
-      })
+      this.clock.after(failsAfter, () => { this.#onUnreachable(run) })
       return
     }
-    this.#run += 1
-    const run = this.#run
     this.#startedAt = this.clock.now
     this.clock.after(this.kind.firstEventMilliseconds, () => { this.#onFirstEvent(run) })
     this.clock.after(this.#remaining, () => { this.#onEnd(run) })
@@ -122,6 +121,16 @@
     }, this)
   }
 
+  #onUnreachable (run: number): void {
+    if (run !== this.#run) {
+      return
+    }
+    this.desk.release(this.#permit, SlotOutcome.Unreachable)
+    if (!this.#isGivenUp) {
+      this.#request()
+    }
+  }
+
   #onFirstEvent (run: number): void {
     if (run !== this.#run || this.#hasFirstEvent) {
       return
@@ -145,10 +154,11 @@
       this.desk.withdraw(this.#permit)
       this.#end(OnlineResult.GivenUp, null)
       this.#hasFirstEvent = true
+      this.#isGivenUp = true
     }
   }
 
   #end (result: OnlineResult, firstEventAfter: number | null): void {
-    this.tally.addOnline(this.kind, result, this.#arrivedAt, firstEventAfter)
+    this.tally.addOnline(this.kind, result, this.#arrivedAt, firstEventAfter, this.#isBesideCut)
   }
 }
--- a/packages/fleet-model/src/simulation/simulate-fleet.ts
+++ b/packages/fleet-model/src/simulation/simulate-fleet.ts
@@ -57,6 +57,11 @@
     for (const [index, loss] of load.losses.entries()) {
       this.#clock.after(loss.at, () => { this.#lose(loss, index) })
     }
+    for (const { at, forMilliseconds, share, isHanging } of load.cuts) {
+      const cut = this.#instances.slice(0, Math.round(share * this.#instances.length)).map(({ id }) => id)
+      this.#clock.after(at, () => { this.#desk.cut(cut, isHanging) })
+      this.#clock.after(at + forMilliseconds, () => { this.#desk.cut([], false) })
+    }
     this.#clock.runUntil(load.milliseconds + finishingMilliseconds)
     for (const item of this.#items.filter(({ isFinished }) => !isFinished)) {
       this.#tally.addItem(item.arrivedAt, null)
--- a/packages/fleet-model/src/simulation/tally.ts
+++ b/packages/fleet-model/src/simulation/tally.ts
@@ -21,6 +21,8 @@
   readonly #batchWorth: WorthSum = { earned: 0, possible: 0 }
   readonly #windows = new Map<number, WorthSum>()
   readonly #firstEvents: number[] = []
+  #requestsBesideCuts = 0
+  #inTimeBesideCuts = 0
   #items = 0
   #itemsInTime = 0
   #itemsLate = 0
@@ -34,9 +36,12 @@
    *
    * @param arrivedAt time of the first attempt
    * @param firstEventAfter milliseconds from the first attempt to the first event, or null if none came
+   * @param isBesideCut whether its instance was in touch with all targets while others were cut off
    */
-  addOnline (kind: OnlineKind, result: OnlineResult, arrivedAt: number, firstEventAfter: number | null): void {
+  addOnline (kind: OnlineKind, result: OnlineResult, arrivedAt: number, firstEventAfter: number | null, isBesideCut: boolean): void {
     this.#online[result] += 1
+    this.#requestsBesideCuts += isBesideCut ? 1 : 0
+    this.#inTimeBesideCuts += isBesideCut && result === OnlineResult.InTime ? 1 : 0
     const earned = worthOf(kind, result)
     this.#add(this.#onlineWorth, arrivedAt, earned, kind.worth)
     if (firstEventAfter !== null) {
@@ -59,6 +64,8 @@
     return {
       online: this.#online,
       onlineRequests: Object.values(this.#online).reduce((sum, count) => sum + count, 0),
+      requestsBesideCuts: this.#requestsBesideCuts,
+      inTimeBesideCuts: this.#inTimeBesideCuts,
       items: this.#items,
       itemsInTime: this.#itemsInTime,
       itemsLate: this.#itemsLate,
--- a/packages/fleet-model/tests/fleet-model.test.ts
+++ b/packages/fleet-model/tests/fleet-model.test.ts
@@ -56,6 +56,12 @@
     assert.ok(estimate(outcomes, outcome => outcome.itemsInTime / outcome.items).mean > 0.85)
   })
 
+  it('get their answers in time, 99 of 100, from instances in touch with targets while most are cut off', () => {
+    const outcomes = play('cut-instances')
+    const inTime = estimate(outcomes, ({ inTimeBesideCuts, requestsBesideCuts }) => inTimeBesideCuts / requestsBesideCuts)
+    assert.ok(inTime.mean > 0.99, `${inTime.mean}`)
+  })
+
   it('get more than from one queue or from a fixed share of targets, under every load', () => {
     for (const { name } of fleetLoads) {
       const worth = (policy: string): number => estimate(play(name, policy), outcome => outcome.worth).mean
