--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,6 +1,6 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
-import { promptPartDigest, RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import { promptPartDigest, RefusalReason, RouteKind, silenceLimits, SlotOutcome } from '@arbutusloft/policy'
 import type { DrainAdmission, StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
@@ -36,8 +36,6 @@
 const slotWaitShare = 0.75
 /** Number of targets that may reject a request or be unreachable; one more ends the request. */
 const maximumRejections = 4
-/** Time without data or, in a stream, without a complete event after which a target counts as unresponsive and the request goes to another one that has a slot; ten times a long interval between the events of an online response. */
-const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
 /** Share of a client's remaining time up to which it follows `Retry-After`; it then has most of its time left for the answer. */
@@ -59,6 +57,8 @@
   readonly #relay: ResponseRelay
   readonly #startedAt = Date.now()
   readonly #excluded: string[] = []
+  /** Time of the latest data that was relayed or, before it, of the request's arrival. */
+  #lastProgressAt = this.#startedAt
   /** Number of failed attempts that a target may have run. */
   #possibleExecutions = 0
   /** Slot for the next attempt, which was granted while the last one was silent, or null. */
@@ -252,7 +252,10 @@
         const isWritable = this.#relay.onData(chunk)
         if (this.#relay.relayedBytes > relayedBytes) {
           silenceWatch.onProgress()
+          this.#lastProgressAt = Date.now()
           this.#recordOrigin(target)
+        } else {
+          silenceWatch.onIncompleteData()
         }
         if (this.#relay.hasBegun) {
           this.#observeFirstByte()
@@ -264,7 +267,11 @@
       }
     })
     const silenceWatch = new SilenceWatch({
-      limitMilliseconds: unresponsiveTimeoutMilliseconds,
+      limits: silenceLimits({
+        objectiveMilliseconds: request.route.objectiveMilliseconds,
+        waitedMilliseconds: sentAt - this.#lastProgressAt,
+        remainingMilliseconds: this.#remainingMilliseconds()
+      }),
       canMove: () => this.#canRetry(),
       acquire: async signal => await this.#acquire([...this.#excluded, target.id], signal),
       onFound: slot => {
--- a/packages/gateway/src/online/silence-watch.ts
+++ b/packages/gateway/src/online/silence-watch.ts
@@ -1,12 +1,13 @@
 /** Finds another target for a call whose target sends nothing, while the call goes on. */
 import { SlotOutcome } from '@arbutusloft/policy'
+import type { SilenceLimits } from '@arbutusloft/policy'
 import type { AcquireResult, Slot } from '../permits/slot.js'
 import { afterNextRead } from '../util/after-next-read.js'
 
 /** Options of {@link SilenceWatch}. */
 export interface SilenceWatchOptions {
-  /** Time without progress after which another target is sought. */
-  readonly limitMilliseconds: number
+  /** Times without progress after which another target is sought. */
+  readonly limits: SilenceLimits
   /** Whether another target may go on with the request; asked each time before a slot is requested. */
   readonly canMove: () => boolean
   /** Requests a slot on another target; withdraws the request if the signal aborts. */
@@ -20,17 +21,20 @@
 
 /** Watches one call from its start until {@link SilenceWatch.close}. */
 export class SilenceWatch {
-  readonly #timer: NodeJS.Timeout
+  #timer: NodeJS.Timeout
+  #hasProgressed = false
+  /** Time of the latest progress or, before it, of the start, in milliseconds since the epoch. */
+  #progressAt = Date.now()
   #search: AbortController | null = null
   /** Number of silences that have ended. */
   #endedSilences = 0
   #isSilent = false
 
   constructor (private readonly options: SilenceWatchOptions) {
-    this.#timer = setTimeout(() => { this.#onLimit() }, options.limitMilliseconds)
+    this.#timer = setTimeout(() => { this.#onLimit() }, options.limits.first)
   }
 
-  /** Whether the call has made no progress for the limit, or had made none when it was closed. */
+  /** Whether the call's present silence has reached its limit. */
   get isSilent (): boolean {
     return this.#isSilent
   }
@@ -39,7 +43,21 @@
   onProgress (): void {
     this.#endSilence()
     this.#isSilent = false
-    this.#timer.refresh()
+    this.#progressAt = Date.now()
+    if (this.#hasProgressed) {
+      this.#timer.refresh()
+      return
+    }
+    this.#hasProgressed = true
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => { this.#onLimit() }, this.options.limits.next)
+  }
+
+  /** Data has arrived that was no progress. */
+  onIncompleteData (): void {
+    if (Date.now() - this.#progressAt >= this.options.limits.incomplete) {
+      this.#onLimit()
+    }
   }
 
   close (): void {
@@ -51,7 +69,7 @@
     const silence = this.#endedSilences
     // After a pause of this process, the target's data may have arrived already.
     afterNextRead(() => {
-      if (this.#endedSilences !== silence) {
+      if (this.#endedSilences !== silence || this.#search !== null) {
         return
       }
       this.#isSilent = true
