--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,6 +1,6 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
-import { promptPartDigest, RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import { promptPartDigest, RefusalReason, RouteKind, silenceLimits, SlotOutcome } from '@arbutusloft/policy'
 import type { DrainAdmission, StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
@@ -38,8 +38,6 @@
 const slotWaitShare = 0.75
 /** Number of targets that may reject a request or be unreachable; one more ends the request. */
 const maximumRejections = 4
-/** Time without data or, in a stream, without a complete event after which a target counts as unresponsive and the request goes to another one that has a slot; ten times a long interval between the events of an online response. */
-const unresponsiveTimeoutMilliseconds = 700
 /** Time until the deadline below which no further attempt is made. */
 const minimumRemainingMilliseconds = 50
 /** Time for which a final answer waits until the crash of its target is reported; the report takes a few round trips between members. */
@@ -63,6 +61,8 @@
   readonly #relay: ResponseRelay
   readonly #startedAt = Date.now()
   readonly #excluded: string[] = []
+  /** Time of the latest data that was relayed or, before it, of the request's arrival. */
+  #lastProgressAt = this.#startedAt
   /** Number of failed attempts that a target may have run. */
   #possibleExecutions = 0
   /** Slot for the next attempt, which was granted while the last one was silent, or null. */
@@ -266,7 +266,10 @@
         const isWritable = this.#relay.onData(chunk)
         if (this.#relay.relayedBytes > relayedBytes) {
           silenceWatch.onProgress()
+          this.#lastProgressAt = Date.now()
           this.#recordOrigin(target)
+        } else {
+          silenceWatch.onIncompleteData()
         }
         if (this.#relay.hasBegun) {
           this.#observeFirstByte()
@@ -278,7 +281,11 @@
       }
     })
     const silenceWatch = new SilenceWatch({
-      limitMilliseconds: unresponsiveTimeoutMilliseconds,
+      limits: silenceLimits({
+        objectiveMilliseconds: request.route.objectiveMilliseconds,
+        waitedMilliseconds: sentAt - this.#lastProgressAt,
+        remainingMilliseconds: this.#remainingMilliseconds()
+      }),
       canMove: () => this.#canRetry(),
       acquire: async signal => await this.#acquire([...this.#excluded, target.id], signal),
       onFound: slot => {
