Pass relayed reads on as they arrive

A peer that made a read for an instance which the store turned away sent the response once it had all of it, and the whole had to arrive within 600 ms.

The peer now sends head and parts as they arrive, and the caller allows what it allows a direct read: 600 ms until it begins, 450 ms between parts, 5 s in all. A response that the store breaks off is broken off, in chunks, so that it does not look complete.

relaying-store-connection.test.ts, a response of 1.6 s in parts, failed before:

not ok 12 - relays a read whose response goes on for longer than a call may take reason: 'no answer in time'

The case of a response that is broken off held before and after.

--- a/packages/gateway/src/store/direct-store-connection.ts
+++ b/packages/gateway/src/store/direct-store-connection.ts
@@ -1,15 +1,15 @@
 /** Direct HTTP calls to the platform's store. */
 import { messageOf } from '@arbutusloft/protocol'
 import { callBuffered, UnansweredCallError } from '../util/buffered-call.js'
+import type { ResponseObserver } from '../util/buffered-call.js'
 import { Pool } from '../util/undici-pool.js'
+import { readTransfer } from './store-connection.js'
 import type { StoreConnection, StoreReply } from './store-connection.js'
 
 /** Enough for long polls of three topics, an append, a refresh, and as many connections for relayed calls. */
 const maximumConnections = 16
 /** Time to establish a connection. */
 const connectTimeoutMilliseconds = 400
-/** Limits of the response to a read, once it has begun: a page of a megabyte may share a slow link with other responses. */
-const transfer = { totalMilliseconds: 5_000, pauseMilliseconds: 450 }
 /** Time after which an idle connection is closed, so that unresponsive connections don't accumulate. */
 const keepAliveMilliseconds = 4_000
 
@@ -24,10 +24,17 @@
     this.#pool = this.#createPool()
   }
 
-  async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
+  async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, _isUrgent?: boolean, observer?: ResponseObserver): Promise<StoreReply> {
     const pool = this.#pool
     try {
-      const response = await callBuffered(pool, { method, path, body, timeoutMilliseconds, ...(method === 'GET' ? { transfer } : {}) })
+      const response = await callBuffered(pool, {
+        method,
+        path,
+        body,
+        timeoutMilliseconds,
+        ...(method === 'GET' ? { transfer: readTransfer } : {}),
+        ...(observer === undefined ? {} : { observer })
+      })
       return { answered: true, status: response.status, body: response.body }
     } catch (error) {
       this.#retire(pool)
--- a/packages/gateway/src/store/relay-handler.ts
+++ b/packages/gateway/src/store/relay-handler.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { readBody } from '../http/read-body.js'
 import { reply, Status } from '../http/reply.js'
+import type { ResponseObserver } from '../util/buffered-call.js'
 import { storeReplyHeader, relayedPathHeader, relayedTimeoutHeader } from './relaying-store-connection.js'
 import type { RelayingStoreConnection } from './relaying-store-connection.js'
 
@@ -18,13 +19,32 @@
   }
   const method = request.method === 'POST' ? 'POST' : 'GET'
   const body = method === 'POST' ? await readBody(request, maximumBytes) : null
-  const result = await connection.callForPeer(method, path, body, timeout)
+  // A read is passed on as it arrives: its caller limits the time until it begins.
+  const result = await connection.callForPeer(method, path, body, timeout, method === 'GET' ? passOn(response) : undefined)
   if (!result.answered) {
     reply(response, result.sent ? Status.GatewayTimeout : Status.ServiceUnavailable, { error: result.reason })
+    if (method === 'GET' && !response.writableEnded) {
+      // Without its last chunk, the response does not look complete.
+      response.destroy()
+    }
     return
   }
-  response.writeHead(result.status, { [storeReplyHeader]: '1', 'content-length': result.body.length })
-  response.end(result.body)
+  if (!response.headersSent) {
+    response.writeHead(result.status, { [storeReplyHeader]: '1', 'content-length': result.body.length })
+    response.write(result.body)
+  }
+  response.end()
+}
+
+/** Returns an observer that sends the parts of a response to a peer. */
+function passOn (response: ServerResponse): ResponseObserver {
+  return {
+    onHead: status => {
+      response.writeHead(status, { [storeReplyHeader]: '1' })
+      response.flushHeaders()
+    },
+    onData: chunk => { response.write(chunk) }
+  }
 }
 
 function textOf (value: string | string[] | undefined): string {
--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -5,7 +5,9 @@
 import { messageOf } from '@arbutusloft/protocol'
 import { callBuffered, UnansweredCallError } from '../util/buffered-call.js'
 import type { Logger } from '../util/logger.js'
+import type { ResponseObserver } from '../util/buffered-call.js'
 import { Pool } from '../util/undici-pool.js'
+import { readTransfer } from './store-connection.js'
 import type { StoreConnection, StoreReply } from './store-connection.js'
 
 /** Path for relayed calls at the peers' internal addresses. */
@@ -98,12 +100,16 @@
     return mayRelay ? await this.#relay(method, path, body, timeoutMilliseconds, reply) : reply
   }
 
-  /** Makes a call on behalf of a peer: directly, or not at all while direct calls of this instance fail. */
-  async callForPeer (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number): Promise<StoreReply> {
+  /**
+   * Makes a call on behalf of a peer: directly, or not at all while direct calls of this instance fail.
+   *
+   * @param observer follows the response
+   */
+  async callForPeer (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, observer?: ResponseObserver): Promise<StoreReply> {
     if (!this.#isDirectAvailable) {
       return { answered: false, sent: false, reason: 'the store turns this instance away, too' }
     }
-    return await this.callDirectly(method, path, body, timeoutMilliseconds, timeoutMilliseconds >= conclusiveMilliseconds)
+    return await this.callDirectly(method, path, body, timeoutMilliseconds, timeoutMilliseconds >= conclusiveMilliseconds, observer)
   }
 
   async close (): Promise<void> {
@@ -114,11 +120,12 @@
    * Makes a direct call and records whether the store serves this instance.
    *
    * @param isConclusive whether a call that was not answered in its time may show that it does not
+   * @param observer follows the response
    */
-  async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isConclusive = true): Promise<StoreReply> {
+  async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isConclusive = true, observer?: ResponseObserver): Promise<StoreReply> {
     const stateVersion = this.#stateVersion
     const startedAt = performance.now()
-    const reply = await this.direct.call(method, path, body, timeoutMilliseconds)
+    const reply = await this.direct.call(method, path, body, timeoutMilliseconds, false, observer)
     if (isLost(reply) && !isConclusive) {
       return reply
     }
@@ -226,7 +233,8 @@
       path: relayPath,
       headers: { [relayedPathHeader]: path, [relayedTimeoutHeader]: String(timeout) },
       body,
-      timeoutMilliseconds: timeout + relayOverheadMilliseconds
+      timeoutMilliseconds: timeout + relayOverheadMilliseconds,
+      ...(method === 'GET' ? { transfer: readTransfer } : {})
     })
     if (response.headers[storeReplyHeader] === undefined) {
       return { answered: false, sent: response.status !== serviceUnavailableStatus, reason: `peer ${peer} responded with status ${response.status}` }
--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -24,6 +24,14 @@
   readonly timeoutMilliseconds: number
   /** Limits of a response that has begun within the timeout; by default it must also be complete within the timeout. */
   readonly transfer?: TransferLimits
+  /** Gets the response in parts, as they arrive, besides the caller who gets it as a whole. */
+  readonly observer?: ResponseObserver
+}
+
+/** Follows a response that may still be broken off. */
+export interface ResponseObserver {
+  readonly onHead: (status: number) => void
+  readonly onData: (chunk: Buffer) => void
 }
 
 /** Limits of a response that has begun. */
@@ -47,7 +55,7 @@
 /** Makes a call and returns its response; rejects with {@link UnansweredCallError} if there is no complete one in time. */
 export async function callBuffered (dispatcher: Dispatcher, call: BufferedCall): Promise<BufferedResponse> {
   return await new Promise((resolve, reject) => {
-    const handler = new BufferingHandler(call.timeoutMilliseconds, call.transfer ?? null, resolve, reject)
+    const handler = new BufferingHandler(call.timeoutMilliseconds, call.transfer ?? null, call.observer ?? null, resolve, reject)
     dispatcher.dispatch({
       method: call.method,
       path: call.path,
@@ -71,6 +79,7 @@
   constructor (
     timeoutMilliseconds: number,
     private readonly transfer: TransferLimits | null,
+    private readonly observer: ResponseObserver | null,
     private readonly resolve: (response: BufferedResponse) => void,
     private readonly reject: (error: UnansweredCallError) => void
   ) {
@@ -87,12 +96,14 @@
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: BufferedResponse['headers']): void {
     this.#head = { status, headers }
+    this.observer?.onHead(status)
     this.#transferDeadline = performance.now() + (this.transfer?.totalMilliseconds ?? 0)
     this.#extend()
   }
 
   onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#chunks.push(chunk)
+    this.observer?.onData(chunk)
     this.#extend()
   }
 
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -5,7 +5,7 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { relayStoreCall, RelayingStoreConnection, sleep } from '../../src/index.js'
+import { DirectStoreConnection, relayStoreCall, RelayingStoreConnection, sleep } from '../../src/index.js'
 import type { StoreConnection, StoreReply } from '../../src/index.js'
 import { createTestLogger } from '../util/test-logger.js'
 
@@ -170,4 +170,41 @@
       assert.equal(await read(connection), '200 direct')
     })
   }
+
+  for (const [name, isWhole] of [['relays a read whose response goes on for longer than a call may take', true], ['does not take a relayed read for complete that the store breaks off', false]] as const) {
+    it(name, async context => {
+      const parts = Array.from({ length: 8 }, (_, index) => `part ${index};`)
+      const store = createServer((_request, response) => {
+        void (async () => {
+          for (const part of parts) {
+            response.write(part)
+            await sleep(200)
+          }
+          isWhole ? response.end() : response.destroy()
+        })()
+      })
+      store.listen(0, '127.0.0.1')
+      await once(store, 'listening')
+      const direct = new DirectStoreConnection(`127.0.0.1:${(store.address() as AddressInfo).port}`)
+      const peerConnection = new RelayingStoreConnection(direct, { peers: () => [], logger: createTestLogger() })
+      const slowPeer = createServer((request, response) => { void relayStoreCall(peerConnection, request, response) })
+      slowPeer.listen(0, '127.0.0.1')
+      await once(slowPeer, 'listening')
+      context.after(async () => {
+        await direct.close()
+        for (const server of [store, slowPeer]) {
+          server.closeAllConnections()
+          server.close()
+        }
+      })
+      const address = `127.0.0.1:${(slowPeer.address() as AddressInfo).port}`
+      const connection = new RelayingStoreConnection(new PreparedConnection([refused]), { peers: () => [address], logger: createTestLogger() })
+      const reply = await connection.call('GET', '/log-newest', null, 450)
+      if (isWhole) {
+        assert.deepEqual(reply, { answered: true, status: 200, body: Buffer.from(parts.join('')) })
+      } else {
+        assert.equal(reply.answered, false)
+      }
+    })
+  }
 })
