Count a call that is repeated at once as one without an answer

Two lost answers in a row, the second of a repetition, then counted as two, and the instance took the store for one that turns it away; before, both fell into the same millisecond.

Calls within a millisecond after a call without an answer count with it. relaying-store-connection.test.ts failed on:

not ok 3 - goes on with direct calls after a lost answer and a repetition that is lost too expected: '200 direct', actual: '200 relayed'

--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -25,6 +25,8 @@
 const maximumProbeMilliseconds = 800
 /** Calls in a row without a response after which direct calls count as unavailable; a single response may just have been lost. */
 const maximumUnansweredCalls = 2
+/** Time after a call without a response within which another one repeats it. */
+const repetitionMilliseconds = 1
 /** Peers that are tried for one call. */
 const maximumPeers = 4
 /**
@@ -139,11 +141,11 @@
     return reply
   }
 
-  /** Counts calls without a response. Calls that fail together, as when all connections are reset, count as one. */
+  /** Counts calls without a response. Calls that fail together, as when all connections are reset, count as one, with those that repeat them at once. */
   #countUnanswered (reply: StoreReply, startedAt: number): void {
     if (!isLost(reply)) {
       this.#unansweredCalls = 0
-    } else if (this.#unansweredCalls === 0 || startedAt > this.#unansweredAt) {
+    } else if (this.#unansweredCalls === 0 || startedAt >= this.#unansweredAt + repetitionMilliseconds) {
       this.#unansweredCalls += 1
       this.#unansweredAt = performance.now()
     }
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -75,6 +75,12 @@
     assert.equal(await read(connection), '200 relayed')
   })
 
+  it('goes on with direct calls after a lost answer and a repetition that is lost too', async () => {
+    const connection = connect([lost, lost, served])
+    assert.equal(await read(connection), '200 relayed')
+    assert.equal(await read(connection), '200 direct')
+  })
+
   it('goes on with direct calls after all connections were reset at once', async () => {
     const connection = connect([lost, lost, lost, served])
     assert.deepEqual(await Promise.all([read(connection), read(connection), read(connection)]), Array.from({ length: 3 }, () => '200 direct'))
