Prefer targets whose answers are complete to those that interrupt them

Cause: four of six targets had crashed, so both holders counted as cut off, their reports counted no more, and the trial went to a crashed target, the least busy one. Change: targets with interrupted answers since the last complete one are used only if the others are busy, whosever fault it was.

--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -122,9 +122,14 @@
     return holder !== null && isLeftToOthers && this.#holders.isCutOff(holder, now) ? TargetAvailability.Suspended : TargetAvailability.OnTrial
   }
 
-  /** Returns the share by which the target's recent failures exceed what is attributed to chance, from 0 to 1. */
+  /**
+   * Returns the share by which the target's recent failures exceed what is attributed to chance, from 0 to 1; 1 if answers of it to any
+   * holder were interrupted since the last complete one, whosever fault that was.
+   */
   penaltyOf (target: string, now: number): number {
-    return Math.max(0, this.#rates.rateOf(target, now) - toleratedFailureRate)
+    const reports = this.#failures.get(target)?.reports
+    const isInterrupted = reports !== undefined && [...reports.values()].some(({ brokenAnswers }) => brokenAnswers > 0)
+    return isInterrupted ? 1 : Math.max(0, this.#rates.rateOf(target, now) - toleratedFailureRate)
   }
 
   /** Records that a request was granted a slot on the target; it tries the target if that was suspended. */
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -83,6 +83,25 @@
     assert.equal(decision?.kind, DecisionKind.Refuse)
   })
 
+  it('prefers targets whose answers are complete to those that interrupt them, also after most targets have crashed under both holders', () => {
+    const fleet = createFleet()
+    const crashed = ['1', '2', '3', '4']
+    fleet.setTargets([...crashed, '5', '6'].map(id => ({ id, address: `1:${id}`, zone: 'a', slots: 8, born: 1, softwareVersion: 'v1', leaving: false, accepting: true })), 0)
+    // The targets that live are busier than the others.
+    for (const permit of ['p1', 'p2', 'p3', 'p4']) {
+      fleet.request(request(permit, { excluded: crashed }), 0)
+    }
+    for (const [index, id] of crashed.entries()) {
+      for (const holder of ['h', 'i']) {
+        const permit = `${holder}${id}`
+        const others = [...crashed, '5', '6'].filter(other => other !== id)
+        assert.equal(targetOf(fleet.request(request(permit, { holder, excluded: others }), 10 + index)), id)
+        fleet.release(permit, SlotOutcome.Broken, 11 + index)
+      }
+    }
+    assert.deepEqual(['n1', 'n2'].map(permit => targetOf(fleet.request(request(permit), 20)) ?? '').sort(), ['5', '6'])
+  })
+
   it('grants a free slot to requests in time before late ones, and to late ones if there are no others', () => {
     const fleet = createFleet()
     for (const permit of ['p1', 'p2', 'p3', 'p4']) {
