--- a/packages/gateway/src/streams/origin-log.ts
+++ b/packages/gateway/src/streams/origin-log.ts
@@ -25,8 +25,10 @@
 const recordsPerGroup = 1.25 * streamMemoryMilliseconds / collectMilliseconds
 /** Groups of recorders, by address. Two that write at the same time, as after a change of members, mostly don't overwrite each other's records. */
 const groups = 4
-/** Origins in one record, each of about 100 bytes; the store accepts records of 262,144 bytes. */
+/** Origins that wait to be saved, each of about 100 bytes. */
 const maximumOrigins = 1_500
+/** Maximum length of a record; the store accepts 262,144 bytes. Ids of attempts may be long. */
+const maximumRecordBytes = 250_000
 
 const recordSchema = z.array(z.tuple([z.string(), z.string(), z.string(), z.string(), z.number(), z.number()]))
 const packr = new Packr({ useRecords: false })
@@ -37,7 +39,7 @@
   #timer: NodeJS.Timeout | null = null
   #isSaving = false
   #closed = false
-  #sequence = Math.floor(Date.now() / collectMilliseconds)
+  #sequence = 0
   readonly #group: number
 
   /** @param address address of this process */
@@ -86,14 +88,15 @@
     const origins = this.#collected
     this.#collected = []
     this.#isSaving = true
-    this.#sequence += 1
+    // Follows the time, so that a recorder goes on behind the records of the one before.
+    this.#sequence = Math.max(this.#sequence + 1, Math.floor(Date.now() / collectMilliseconds))
     const key = `${this.#group}/${this.#sequence % recordsPerGroup}`
-    const value = packr.pack(origins.map(({ attempt, origin: { service, softwareVersion, target, born }, begunAt }) => [attempt, service, softwareVersion, target, born, begunAt]))
+    const { saved, value } = packNewest(origins)
     const outcome = await this.topic.append([{ key, value }], null)
     this.#isSaving = false
     if (outcome !== AppendOutcome.Done) {
       this.logger.info('origins of streams not kept', { streams: origins.length, end: outcome })
-      this.#collected = [...origins, ...this.#collected].slice(-maximumOrigins)
+      this.#collected = [...saved, ...this.#collected].slice(-maximumOrigins)
     }
     this.#schedule()
   }
@@ -110,3 +113,13 @@
     }
   }
 }
+
+/** Packs origins into a record, the oldest ones left out if they are too long together. */
+function packNewest (origins: readonly LoggedOrigin[]): { readonly saved: readonly LoggedOrigin[], readonly value: Buffer } {
+  const value = packr.pack(origins.map(({ attempt, origin: { service, softwareVersion, target, born }, begunAt }) => [attempt, service, softwareVersion, target, born, begunAt]))
+  if (value.length <= maximumRecordBytes) {
+    return { saved: origins, value }
+  }
+  const kept = Math.min(origins.length - 1, Math.floor(origins.length * maximumRecordBytes / value.length))
+  return packNewest(origins.slice(origins.length - kept))
+}
--- a/packages/gateway/src/streams/stream-origin-directory.ts
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -131,7 +131,7 @@
   async #restore (): Promise<void> {
     const { log } = this.dependencies
     const now = Date.now()
-    if (log !== null && now - this.#restoredAt >= rereadMilliseconds) {
+    if (log !== null && Math.abs(now - this.#restoredAt) >= rereadMilliseconds) {
       this.#restoredAt = now
       this.#restored = log.load().then(origins => {
         for (const { attempt, origin, begunAt } of origins ?? []) {
--- a/packages/gateway/tests/streams/origin-log.test.ts
+++ b/packages/gateway/tests/streams/origin-log.test.ts
@@ -50,6 +50,31 @@
     assert.deepEqual(await writer.load(), origins)
   })
 
+  it('goes on behind the records of another recorder that began at the same time', async () => {
+    const log = new FaultyLog(() => 0.5)
+    const writers = ['10.0.0.1', '10.0.0.1'].map(address => new OriginLog(log.connect(), address, createTestLogger()))
+    const origins = Array.from({ length: 6 }, (_, index) => originAt(index, Date.now()))
+    for (const [index, origin] of origins.entries()) {
+      writers[index < 3 ? 0 : 1]?.add([origin])
+      await sleep(savedMilliseconds / 2)
+    }
+    await sleep(savedMilliseconds)
+    const loaded = await writers[0]?.load() ?? []
+    assert.deepEqual(loaded.map(({ attempt }) => attempt).sort(), origins.map(({ attempt }) => attempt))
+  })
+
+  it('leaves the oldest out if the ids of attempts are too long for a record', async () => {
+    const log = new FaultyLog(() => 0.5)
+    const connection = log.connect()
+    const topic: KeyedTopic = { ...connection, append: async (records, end) => records.some(({ value }) => (value?.length ?? 0) > 262_000) ? AppendOutcome.Refused : await connection.append(records, end) }
+    const writer = new OriginLog(topic, '10.0.0.1', createTestLogger())
+    writer.add(Array.from({ length: 1_500 }, (_, index) => ({ ...originAt(index, Date.now()), attempt: `${index}-${'x'.repeat(300)}` })))
+    await sleep(savedMilliseconds)
+    const loaded = await writer.load() ?? []
+    assert.ok(loaded.length >= 500, `${loaded.length} origins`)
+    assert.ok(loaded.some(({ attempt }) => attempt.startsWith('1499-')))
+  })
+
   it('uses a bounded number of keys', async () => {
     const log = new FaultyLog(() => 0.5)
     for (let process = 0; process < 400; process += 1) {
