Load a partition with an unreadable record ever more rarely

Change: the time between two such loads doubles up to 64 s, and only a loaded partition is loaded anew. Measured: unreadable-jobs.test.ts passes as before; that the share of failed reads falls with the interval was not measured.

--- a/packages/gateway/src/jobs/job-partition.ts
+++ b/packages/gateway/src/jobs/job-partition.ts
@@ -5,16 +5,18 @@
 import { JobLog } from './job-log.js'
 import { JobsFold } from './jobs-fold.js'
 
-/** Minimum time between two loads of a partition with a job that could not be read. */
-const reloadIntervalMilliseconds = 2_000
+/** Time until a partition with a job that could not be read is loaded anew; doubles each time that this does not help. */
+const initialReloadMilliseconds = 2_000
+const maximumReloadMilliseconds = 64_000
 
 /** The jobs of a partition, as far as they are known, and the way to change them. Nothing is read before the first {@link refresh}. */
 export class JobPartition {
   readonly fold: JobsFold
   readonly log: JobLog
   readonly #follower: KeyedFollower
-  /** Time of the latest load because of a job that could not be read, by the clock of `performance`. */
-  #reloadedAt = -Infinity
+  /** Time from which the partition is loaded anew because of a job that could not be read, by the clock of `performance`. */
+  #reloadAt = -Infinity
+  #reloadMilliseconds = initialReloadMilliseconds
 
   constructor (readonly number: number, topic: KeyedTopic, logger: Logger) {
     this.fold = new JobsFold(logger)
@@ -51,8 +53,11 @@
   /** Reads what was appended, or all records if one could not be applied; returns whether that succeeded. */
   async refresh (): Promise<boolean> {
     const now = performance.now()
-    if (this.fold.hasUnreadable && now >= this.#reloadedAt + reloadIntervalMilliseconds) {
-      this.#reloadedAt = now
+    if (!this.fold.hasUnreadable && this.isLoaded) {
+      this.#reloadMilliseconds = initialReloadMilliseconds
+    } else if (this.isLoaded && now >= this.#reloadAt) {
+      this.#reloadAt = now + this.#reloadMilliseconds
+      this.#reloadMilliseconds = Math.min(maximumReloadMilliseconds, 2 * this.#reloadMilliseconds)
       this.#follower.forget()
     }
     return await this.#follower.refresh()
