End an attempt to connect that cannot begin like one that fails

Cause: connect throws in the middle of an attempt, or in a timer. Change: attempts never throw; one that cannot begin fails soon. The older cases no longer abort the call, which would end it as not executed like any other call.

--- a/packages/gateway/src/targets/direct-transport.ts
+++ b/packages/gateway/src/targets/direct-transport.ts
@@ -4,20 +4,24 @@
 import { messageOf } from '@arbutusloft/protocol'
 import { afterNextRead } from '../util/after-next-read.js'
 import { checkEnd } from './connection-end.js'
-import { ConnectionFailure, connectTimeoutMilliseconds } from './transport.js'
+import { ConnectionFailure, connectTimeoutMilliseconds, failSoon } from './transport.js'
 import type { ConnectAttempt, ConnectListener, TargetTransport, TransportListener } from './transport.js'
 
 /** All connections read into this buffer, one after the other; what is kept of it is copied. */
 const readBuffer = Buffer.allocUnsafe(65_536)
 
 /**
- * Connects to a target.
+ * Connects to a target; never throws.
  *
- * @param address `ip:port`
+ * @param address `ip:port`; the attempt fails if it is of another form, as in the grant of an instance that does not check it
  */
 export function connectDirectly (address: string, listener: ConnectListener): ConnectAttempt {
-  const transport = new DirectTransport(address, listener)
-  return { cancel: () => { transport.destroy() } }
+  try {
+    const transport = new DirectTransport(address, listener)
+    return { cancel: () => { transport.destroy() } }
+  } catch (error) {
+    return failSoon(listener, error, ConnectionFailure.Unreachable)
+  }
 }
 
 class DirectTransport implements TargetTransport {
--- a/packages/gateway/src/targets/relayed-transport.ts
+++ b/packages/gateway/src/targets/relayed-transport.ts
@@ -5,7 +5,7 @@
 import { Status } from '../http/reply.js'
 import { afterNextRead } from '../util/after-next-read.js'
 import { RelayedEnd, relayedAddressHeader, relayedEndTrailer, relayedTargetHeader, targetRelayPath } from './relay-protocol.js'
-import { ConnectionFailure, connectTimeoutMilliseconds } from './transport.js'
+import { ConnectionFailure, connectTimeoutMilliseconds, failSoon } from './transport.js'
 import type { ConnectAttempt, ConnectListener, TargetTransport, TransportListener } from './transport.js'
 import type { TargetEndpoint } from './target-registry.js'
 
@@ -20,8 +20,17 @@
 /** Time for the peer to answer: to connect to the target, and for the way to the peer and back. */
 const answerTimeoutMilliseconds = connectTimeoutMilliseconds + 50
 
-/** Connects to a target through a peer. */
+/** Connects to a target through a peer; never throws. */
 export function connectThroughPeer (relay: Relay, target: TargetEndpoint, listener: ConnectListener): ConnectAttempt {
+  try {
+    return askPeer(relay, target, listener)
+  } catch (error) {
+    // For example an id that no header can carry.
+    return failSoon(listener, error, ConnectionFailure.NoPath)
+  }
+}
+
+function askPeer (relay: Relay, target: TargetEndpoint, listener: ConnectListener): ConnectAttempt {
   const [host, port] = relay.internalAddress.split(':')
   const request = startRequest({
     host,
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -1,5 +1,4 @@
 /** Sends one request to one target and reports whether the target may have run it. */
-import { messageOf } from '@arbutusloft/protocol'
 import type { HeaderNames } from '../online/header-names.js'
 import type { ResponseHead } from './response-parser.js'
 import type { Exchange, TargetConnection } from './target-connection.js'
@@ -101,13 +100,7 @@
   names: HeaderNames,
   sink: ResponseSink
 ): RunningCall {
-  let connection: TargetConnection
-  try {
-    connection = connections.acquire(target, request.id)
-  } catch (error) {
-    // For example a port that is out of range, in the grant of an instance that does not check it.
-    return new EndedCall({ end: CallOutcome.Unreachable, reason: messageOf(error) })
-  }
+  const connection = connections.acquire(target, request.id)
   const call = new TargetCall(connection, async () => await connections.dialer.isListening(target), request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
@@ -131,24 +124,6 @@
   return body === null ? head : Buffer.concat([head, body])
 }
 
-/** A call that has ended before anything was sent. */
-class EndedCall implements RunningCall {
-  readonly ended: RunningCall['ended']
-  readonly via = null
-  readonly sentAt = null
-  readonly failure = null
-
-  constructor (end: CallEnd) {
-    this.ended = Promise.resolve(end)
-  }
-
-  resume (): void {}
-
-  skipBody (): void {}
-
-  abort (): void {}
-}
-
 class TargetCall implements RunningCall, Exchange {
   readonly ended: RunningCall['ended']
   #settle: (result: { end: CallOutcome, reason: string }) => void = () => {}
--- a/packages/gateway/src/targets/transport.ts
+++ b/packages/gateway/src/targets/transport.ts
@@ -1,4 +1,5 @@
 /** Byte connections to targets, made directly or through a peer. */
+import { messageOf } from '@arbutusloft/protocol'
 
 /** Why a connection ended or could not be made. */
 export const ConnectionFailure = {
@@ -53,5 +54,11 @@
   cancel: () => void
 }
 
+/** Returns an attempt that fails soon, for one that could not even begin. */
+export function failSoon (listener: ConnectListener, error: unknown, failure: typeof ConnectionFailure.Unreachable | typeof ConnectionFailure.NoPath): ConnectAttempt {
+  const immediate = setImmediate(() => { listener.onFailed(messageOf(error), failure) })
+  return { cancel: () => { clearImmediate(immediate) } }
+}
+
 /** Time to establish a connection: a hundred times the usual duration, but short enough to try another target within a latency objective. */
 export const connectTimeoutMilliseconds = 120
