--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -305,7 +305,7 @@
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
     if (this.#abort.signal.aborted) {
-      slot.release(silenceWatch.isSilent ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
+      slot.release(silenceWatch.isSilent && call.via === null ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
     } else {
       released = releaseSlot(slot, call, { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, dependencies.connections)
     }
--- a/packages/gateway/src/targets/slot-release.ts
+++ b/packages/gateway/src/targets/slot-release.ts
@@ -19,5 +19,7 @@
   const isInterrupted = interruptions.has(outcome)
   const isPathLost = isInterrupted && (call.failure === ConnectionFailure.RelayLost ||
     (call.failure === ConnectionFailure.Disconnected && dialer.canCheck && !await dialer.wasEndedByTarget(slot.target, call.via)))
-  slot.release(isPathLost ? SlotOutcome.Stopped : outcome)
+  // The silence of a relayed connection may be that of the peer.
+  const isPeerSilent = outcome === SlotOutcome.Unreachable && call.via !== null
+  slot.release(isPathLost || isPeerSilent ? SlotOutcome.Stopped : outcome)
 }
