Read what has arrived before a connection counts as kept open

Cause: whether a target has ended is told by whether a new connection stays open for 20 ms. Change: sockets are read once more before the connection counts as kept open. Test: 'is false for a process that closes them while this one stands still' failed 3 of 3 before ('actual: true') and passes 3 of 3.

--- a/packages/gateway/src/targets/listening-check.ts
+++ b/packages/gateway/src/targets/listening-check.ts
@@ -1,4 +1,5 @@
 /** Tells a target that ended a response by closing its connection from one that crashed, whose connections the operating system closes alike. */
+import { afterNextRead } from '../util/after-next-read.js'
 import type { ConnectAttempt, ConnectListener } from './transport.js'
 
 /** Time for which the connection has to stay open: a process that ends closes its connections and its listening socket one after the other. */
@@ -19,7 +20,10 @@
           transport.destroy()
           resolve(isOpen)
         }
-        const timer = setTimeout(() => { settle(true) }, openMilliseconds)
+        const timer = setTimeout(() => {
+          // After a pause of this process, the end of the connection may have arrived already.
+          afterNextRead(() => { settle(true) })
+        }, openMilliseconds)
         transport.start({
           onData: () => true,
           onEnd: () => { settle(false) },
