Avoid interrupted targets only while several are, and for a while

Cause: avoided a target with one interrupted answer until it completed one, so that it got no request at all while others had room. Change: only if another target was interrupted lately as well, when the holders' reports may not tell whose fault that is, and for a second and a half.

--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -28,6 +28,8 @@
 interface FailureReport {
   isUnreachable: boolean
   brokenAnswers: number
+  /** Time of the last interrupted answer, in milliseconds since the epoch. */
+  interruptedAt: number
   /** Whether the holder has reached another target since, so that the failures tell of this one. */
   isConfirmed: boolean
 }
@@ -53,6 +55,10 @@
 const trialMilliseconds = 400
 /** Consecutive broken answers after which a target is suspended for all holders. */
 const minimumBrokenAnswers = 3
+/** Time from an interrupted answer for which a target is used only if others are busy, unless it completes one before. */
+const interruptionMilliseconds = 1_500
+/** Targets with interrupted answers from which it may be unknown whose fault that is. */
+const minimumInterruptedTargets = 2
 /** Failure rate that is attributed to chance and not penalised: one failure among several answers. */
 const toleratedFailureRate = 0.25
 
@@ -123,15 +129,18 @@
   }
 
   /**
-   * Returns the share by which the target's recent failures exceed what is attributed to chance, from 0 to 1; 1 if answers of it to any
-   * holder were interrupted since the last complete one, whosever fault that was.
+   * Returns the share by which the target's recent failures exceed what is attributed to chance, from 0 to 1; 1 if answers of it and of another
+   * target were interrupted lately and none has been complete since, whosever fault that was.
    */
   penaltyOf (target: string, now: number): number {
-    const reports = this.#failures.get(target)?.reports
-    const isInterrupted = reports !== undefined && [...reports.values()].some(({ brokenAnswers }) => brokenAnswers > 0)
+    const isInterrupted = this.#isInterrupted(this.#failures.get(target), now) && [...this.#failures.values()].filter(failures => this.#isInterrupted(failures, now)).length >= minimumInterruptedTargets
     return isInterrupted ? 1 : Math.max(0, this.#rates.rateOf(target, now) - toleratedFailureRate)
   }
 
+  #isInterrupted (failures: TargetFailures | undefined, now: number): boolean {
+    return failures !== undefined && [...failures.reports.values()].some(({ interruptedAt }) => Math.abs(now - interruptedAt) < interruptionMilliseconds)
+  }
+
   /** Records that a request was granted a slot on the target; it tries the target if that was suspended. */
   onGranted (target: string, now: number): void {
     const failures = this.#failures.get(target)
@@ -279,6 +288,7 @@
     const failures = this.#failuresOf(target)
     const report = reportOf(failures, holder)
     report.brokenAnswers += 1
+    report.interruptedAt = now
     this.#onReported(failures, holder, report, now)
   }
 
@@ -357,7 +367,7 @@
   if (known !== undefined) {
     return known
   }
-  const report = { isUnreachable: false, brokenAnswers: 0, isConfirmed: false }
+  const report = { isUnreachable: false, brokenAnswers: 0, interruptedAt: -Infinity, isConfirmed: false }
   reports.set(holder, report)
   return report
 }
--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -100,6 +100,8 @@
       }
     }
     assert.deepEqual(['n1', 'n2'].map(permit => targetOf(fleet.request(request(permit), 20)) ?? '').sort(), ['5', '6'])
+    // They are tried again after some time, also if the others have room.
+    assert.equal(crashed.includes(targetOf(fleet.request(request('n3'), 2_000)) ?? ''), true)
   })
 
   it('grants a free slot to requests in time before late ones, and to late ones if there are no others', () => {
