Take no rest of a stream that leaves events out

What callers saw: in place of the rest after event 3 a target sent events 5 and 6; they were passed on, and the answer ended as complete without event 4 (ORDER). The text of a batch item lost the event in the same way.

Cause: the ids of a rest only had to be higher than the one before. The protocol says more: a target that is asked with Last-Event-Id n resumes at n + 1, and ids count events.

Change: the first event of a rest must have the next id; otherwise nothing of it is passed on, and another target is tried or the answer is broken off. Ids that jump inside the answer of one target still pass: that is the target's own answer, and the pages only say that they increase.

The test 'goes on behind a gap in the ids, which only have to increase' stated the opposite for the join. It is replaced by one that expects no event behind the gap, in each framing and for each kind of caller, and by one that keeps gaps inside an answer.

Not shown by any run: that a target of the users' platform leaves such a gap.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -30,7 +30,7 @@
   #hasEvents = false
   #lastId: number | null
 
-  /** @param after id of the event after which the stream continues, so that each of its events has a higher id; null if it begins */
+  /** @param after id of the event after which the stream continues, so that its first event has the next id; null if it begins */
   constructor (private readonly after: number | null = null) {
     this.#lastId = after
   }
@@ -63,6 +63,9 @@
       if (this.#lastId !== null && id <= this.#lastId) {
         throw new MalformedStreamError(`event ${id} follows event ${this.#lastId} in a stream`)
       }
+      if (this.after !== null && this.#lastId === this.after && id !== this.after + 1) {
+        throw new MalformedStreamError(`the rest of a stream after event ${this.after} begins with event ${id}`)
+      }
       this.#lastId = id
       last = id
     }
--- a/packages/gateway/tests/jobs/item-output.test.ts
+++ b/packages/gateway/tests/jobs/item-output.test.ts
@@ -28,12 +28,12 @@
     assert.deepEqual(output.progress, { lastId: 1, origin: first, text: 'c' })
   })
 
-  it('takes no event twice from a target that begins again in place of the rest, and nothing that is no event', () => {
+  it('takes no event twice from a target that begins again in place of the rest, none from one that leaves a gap, and nothing that is no event', () => {
     const output = new ItemOutput()
     output.startStream(first)
     output.push(event(1, 'a'))
     output.push(event(2, 'b'))
-    for (const wrong of [event(1, 'a'), event(2, 'b'), Buffer.from('the error\n\n')]) {
+    for (const wrong of [event(1, 'a'), event(2, 'b'), event(4, 'd'), Buffer.concat([event(4, 'd'), event(5, 'e')]), Buffer.from('the error\n\n')]) {
       output.startStream(first)
       assert.throws(() => { output.push(wrong) }, MalformedStreamError)
       assert.deepEqual(output.progress, { lastId: 2, origin: first, text: 'a\nb' })
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -31,6 +31,9 @@
       [null, 'id: 2\ndata: a\n\nid: 2\ndata: b\n\n', false],
       [3, 'id: 4\r\ndata: d\r\n\r\n: comment\n:another\n\nx-weight-versions: 2\nid: 6\ndata: f\n\n', true],
       [3, 'id: 3\ndata: c\n\n', false],
+      [3, 'id: 5\ndata: e\n\n', false],
+      [0, 'id: 1\ndata: a\n\n', true],
+      [0, 'id: 2\ndata: b\n\n', false],
       [3, 'data: d\n\n', false],
       [3, 'data: d\n: comment\n\n', false],
       [3, 'id: 4\ndata: d\n\nthe error\n\n', false]
--- a/packages/gateway/tests/online/stream-errors.test.ts
+++ b/packages/gateway/tests/online/stream-errors.test.ts
@@ -103,8 +103,22 @@
     }
   })
 
-  it('goes on behind a gap in the ids, which only have to increase', async () => {
-    const answer = await answerTo(CallerKind.KeepAlive, [cut('chunks'), { bytes: answerOf({ body: events.slice(4).join(''), framing: 'chunks' }), end: ConnectionEnd.None }])
-    assert.deepEqual([answer.body, answer.view], [begun + events.slice(4).join(''), CallerView.Complete])
+  it('takes no rest that leaves events out, and none of its events', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      for (const framing of framings) {
+        const gap = { bytes: answerOf({ body: events.slice(4).join(''), framing }), end: ConnectionEnd.Close }
+        const rest = { bytes: answerOf({ body: events.slice(3).join(''), framing: 'chunks' }), end: ConnectionEnd.None }
+        const resumed = await answerTo(caller, [cut('chunks'), gap, rest])
+        assert.deepEqual([resumed.body, resumed.view], [whole, caller === CallerKind.Old ? CallerView.Closed : CallerView.Complete], `${caller}, ${framing}`)
+        const broken = await answerTo(caller, [cut('chunks'), gap, gap])
+        assert.deepEqual([broken.body.replace(/i?d?:?$/, ''), broken.view], [begun, CallerView.Broken], `${caller}, ${framing}`)
+      }
+    }
+  })
+
+  it('goes on with ids that jump, as only the first of a rest follows from the one before', async () => {
+    const jumps = [events[3], events[5]].join('')
+    const answer = await answerTo(CallerKind.KeepAlive, [cut('chunks'), { bytes: answerOf({ body: jumps, framing: 'chunks' }), end: ConnectionEnd.None }])
+    assert.deepEqual([answer.body, answer.view], [begun + jumps, CallerView.Complete])
   })
 })
