--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -192,6 +192,23 @@
     }
   })
 
+  it('is a member again after a restart with a clock that was set back, under an incarnation later than its former one', () => {
+    const first = join('10.0.0.1')
+    const former = join('10.0.0.3', 1_000, 500)
+    advance(700)
+    first.setState(MemberState.Ready)
+    former.setState(MemberState.Ready)
+    advance(300)
+    assert.ok(first.ready().some(({ address, incarnation }) => address === '10.0.0.3' && incarnation === 500))
+    former.close()
+    const restarted = join('10.0.0.3', 1_000, 20)
+    advance(700)
+    restarted.setState(MemberState.Ready)
+    advance(2_000)
+    assert.ok(restarted.self.incarnation > 500)
+    assert.ok(first.ready().some(({ address, incarnation }) => address === '10.0.0.3' && incarnation === restarted.self.incarnation))
+  })
+
   it('excludes a suspected member from the ready members until it is heard from again', () => {
     const [first, second] = [join('10.0.0.1'), join('10.0.0.2')]
     advance(700)
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net'
 import { describe, it } from 'node:test'
 import type { TestContext } from 'node:test'
-import { callTarget, CallOutcome, sleep } from '../../src/index.js'
+import { callTarget, CallOutcome, EventSplitter, sleep } from '../../src/index.js'
 import type { CallEnd, ResponseSink, RunningCall } from '../../src/index.js'
 import { ConnectionFailure } from '../../src/targets/transport.js'
 import { Cut, RelayHarness } from '../util/relay-harness.js'
@@ -178,6 +178,34 @@
     assert.equal(received, size)
   })
 
+  for (const ending of ['whole', 'relay killed', 'target reset'] as const) {
+    it(`loses, repeats and joins no bytes of events while its receiver reads slowly: ${ending}`, async context => {
+      const events = Array.from({ length: 40_000 }, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(index % 300)}\n\n`)
+      const body = events.join('')
+      const harness = await start(context, { serve: answering(`${head}Content-Length: ${body.length}\r\n\r\n${body}`) })
+      await harness.cut(Cut.Refuse)
+      const splitter = new EventSplitter()
+      const passed: Buffer[] = []
+      const { call } = send(harness, 1, {
+        onData: chunk => {
+          passed.push(splitter.push(chunk).bytes)
+          setTimeout(() => { call.resume() }, 1)
+          return false
+        }
+      })
+      await sleep(40)
+      if (ending === 'relay killed') {
+        harness.peers.forEach(peer => { peer.kill() })
+      } else if (ending === 'target reset') {
+        harness.accepted[0]?.resetAndDestroy()
+      }
+      const { end } = await call.ended
+      const text = Buffer.concat(passed).toString()
+      assert.ok(text.length > 0 && body.startsWith(text), `${text.length} bytes that are not the first ones`)
+      assert.deepEqual([end, text === body], ending === 'whole' ? [CallOutcome.Complete, true] : [CallOutcome.Disconnected, false])
+    })
+  }
+
   it('gets all that has arrived with its next read, if it reads from time to time like a batch item', async context => {
     const parts = 40
     const readMilliseconds = 150
