Do not compare ids of events that are not exact as numbers

What callers would see: a stream whose ids have 16 digits or more is broken off at the second event, as both ids are the same number; an id such as '4th' counted as 4.

Cause: digits at the beginning of an id were read as a double. Now an id counts as a number if it is nothing but up to 15 digits; a stream with others is passed on unchecked and nothing continues it, and a rest with others is none.

Before, event-splitter.test.ts: not ok 4 - 'event follows event in a stream'; after it 6 of 6.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -18,9 +18,10 @@
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
 const emptyBuffer = Buffer.alloc(0)
-const idField = /^id: ?(\d+)/gm
+/** Ids that are exact as numbers; a stream with others is not checked, and nothing continues it. */
+const idField = /^id: ?(\d{1,15})$/gm
 const eventEnd = /\r?\n\r?\n/
-const numericId = /^id: ?\d/m
+const numericId = /^id: ?\d{1,15}$/m
 const otherThanComment = /^[^:\r\n]/m
 const eventStart = 'id:'
 
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -28,6 +28,8 @@
     const cases: ReadonlyArray<readonly [number | null, string, boolean]> = [
       [null, 'id: 1\ndata: a\n\nid: 3\ndata: c\n\n', true],
       [null, 'data: a\n\n', true],
+      [null, 'id: 9007199254740992\ndata: a\n\nid: 9007199254740993\ndata: b\n\n', true],
+      [3, 'id: 4th\ndata: d\n\n', false],
       [null, 'id: 2\ndata: a\n\nid: 2\ndata: b\n\n', false],
       [3, 'id: 4\r\ndata: d\r\n\r\n: comment\n:another\n\nx-weight-versions: 2\nid: 6\ndata: f\n\n', true],
       [3, 'id: 3\ndata: c\n\n', false],
