Pass a client's Last-Event-Id on as it is

Cause: the header was taken from the request and replaced by what Number made of it; if that was nothing, no header reached the target. The protocol lets all headers through that concern more than one connection.

Change: up to 15 digits are a number of an event, which later events of the response replace; anything else reaches the target unchanged, until the client has got an event with a number. Such a request also counts as one that takes a stream up, so that it goes on only at a target of the version that began the stream, or where there is no other version.

--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -24,8 +24,10 @@
   readonly digest: string
   /** Ids of the prompt parts that other requests may share, in order; used for prefix-cache affinity. */
   readonly prefix: readonly string[]
-  /** Id of the event after which the client resumes a stream, or null. */
+  /** Id of the event after which the client resumes a stream; null if it resumes none or names no number of an event. */
   readonly lastEventId: number | null
+  /** What the client names in place of such a number, which only targets can judge; empty if nothing. */
+  readonly otherEventId: string
   /** Id of the client's attempt that brought the first event of the stream which it takes up; empty if it named none. */
   readonly resumes: string
   /** Origin of the stream that the client takes up, or null if it takes up none. */
@@ -39,11 +41,13 @@
 }
 
 const lastEventIdHeader = 'last-event-id'
+/** A number of an event, few enough digits for it to be exact. */
+const eventNumber = /^\d{1,15}$/
 const unknownOrigin: StreamOrigin = { softwareVersion: '', target: '', born: 0 }
 
 /** Whether a client takes up a stream that was interrupted. */
 export function takesUpStream (request: IncomingMessage, route: Route): boolean {
-  return route.kind === RouteKind.Stream && route.resumable && nonNegativeNumberOf(request.headers[lastEventIdHeader]) !== null
+  return route.kind === RouteKind.Stream && route.resumable && firstValueOf(request.headers[lastEventIdHeader]) !== ''
 }
 
 /** Returns the id of the client's attempt that brought the first event of the stream which a request takes up; empty if it names none. */
@@ -52,7 +56,7 @@
 }
 
 /**
- * Creates a request from the client's HTTP request. Malformed optional headers count as absent, since targets validate them.
+ * Creates a request from the client's HTTP request. A malformed deadline counts as absent.
  *
  * @param origin origin of the stream that the client takes up, or null if it is unknown or there is none
  */
@@ -70,6 +74,8 @@
   const budget = Math.min(timeout ?? Infinity, route.timeoutMilliseconds)
   const method = request.method ?? 'GET'
   const path = request.url ?? '/'
+  const eventId = firstValueOf(request.headers[lastEventIdHeader])
+  const isEventNumber = eventNumber.test(eventId)
   return {
     id: firstValueOf(request.headers[names.requestId]),
     method,
@@ -82,7 +88,8 @@
     prefix: sharedPromptParts(firstValueOf(request.headers[names.promptPrefix])),
     resumes: attemptResumedBy(request, names),
     continues: takesUpStream(request, route) ? origin ?? unknownOrigin : null,
-    lastEventId: nonNegativeNumberOf(request.headers[lastEventIdHeader]),
+    lastEventId: isEventNumber ? Number(eventId) : null,
+    otherEventId: isEventNumber ? '' : eventId,
     deadline: arrivedAt + budget,
     hasDeadline: timeout !== null,
     spentMilliseconds: timeout === null ? 0 : budgets.spentOf(route.name, budget, arrivedAt)
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -231,8 +231,9 @@
     const { target } = slot
     const headers = [...request.headers]
     const resumeAfter = this.#relay.lastId ?? request.lastEventId
-    if (resumeAfter !== null) {
-      headers.push('Last-Event-Id', String(resumeAfter))
+    const eventId = resumeAfter === null ? request.otherEventId : String(resumeAfter)
+    if (eventId !== '') {
+      headers.push('Last-Event-Id', eventId)
     }
     const sentAt = Date.now()
     let firstDataAt: number | null = null
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -77,6 +77,8 @@
   readonly id?: string
   /** Time for which the caller says that it waits. */
   readonly deadlineMilliseconds?: number
+  /** Value of the header with the id of the event that the caller has; none by default. */
+  readonly lastEventId?: string
 }
 
 /** Options of {@link OnlineHarness}; each one has a default. */
@@ -158,10 +160,10 @@
   }
 
   /** Sends a request as a caller of this kind and returns what it can tell of the answer when that or the connection has ended. */
-  async call (kind: CallerKind, { method = 'POST', id = 'id', deadlineMilliseconds = 2_000 }: CallOptions = {}): Promise<CallerAnswer> {
+  async call (kind: CallerKind, { method = 'POST', id = 'id', deadlineMilliseconds = 2_000, lastEventId }: CallOptions = {}): Promise<CallerAnswer> {
     const { port } = this.#servers[1]?.address() as AddressInfo
     const socket = connect(port, loopback)
-    socket.write(`${method} ${this.route.prefix}x ${kind}\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Deadline: ${deadlineMilliseconds}\r\nContent-Length: 2\r\n\r\nhi`)
+    socket.write(`${method} ${this.route.prefix}x ${kind}\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Deadline: ${deadlineMilliseconds}\r\n${lastEventId === undefined ? '' : `Last-Event-Id: ${lastEventId}\r\n`}Content-Length: 2\r\n\r\nhi`)
     let text = ''
     let isReset = false
     socket.on('error', () => { isReset = true })
