Count each request within a rate limit once, when it is granted

Cause: the count hung on answers, and knowledge of a target on nothing that ends with the target.

Change: an owner tells the others of each request that it grants within a limit, its former ones for 10 s too; each permit counts once. The answer is passed on only if it differs from the limit in the grant. Gauge, log and what new owners are told follow the list of targets; an answer of a later start ends the limit of the earlier one. A target without a free slot has no room. A limit on a 429, 408 or 503 without the not-executed header is read, too.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -156,12 +156,11 @@
     this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history)
     this.slots.onRateLimitChange(({ service, target, previous, current, holder, age, recentGrants }) => {
       logger.info('rate limit of target changed', { service, target, previous, limit: current, holder, age, recentGrants })
-      if (current === null) {
-        this.metrics.targetRateLimit.remove(target)
-      } else {
-        this.metrics.targetRateLimit.set({ target }, current)
-      }
     })
+    this.metrics.onCollectRateLimits(() => this.targets.all().flatMap(target => {
+      const limit = this.slots.rateLimitOf(target)
+      return limit === null ? [] : [[target.id, limit] as const]
+    }))
     const quarantineLog = new QuarantineLog(options.openTopic(quarantineTopicName, 0, this.metrics), logger)
     this.#quarantineSharing = new QuarantineSharing({ quarantine, membership: this.membership, transport, successors: () => this.slots.nearOwners, log: quarantineLog, metrics: this.metrics, logger })
     this.slots.onOwnerChange(address => { this.#quarantineSharing.tell(address) })
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -77,12 +77,18 @@
     registers: [this.registry]
   })
 
-  /** Rate limits in force, in requests a second, of targets whose slots this process grants or has granted; no value for targets without one. */
-  readonly targetRateLimit = new Gauge({
+  #rateLimits: () => ReadonlyArray<readonly [string, number]> = () => []
+
+  /** Rate limits in force of listed targets, in requests a second, as far as this process knows them; no value for targets without one. */
+  readonly targetRateLimit: Gauge<'target'> = new Gauge({
     name: 'arbutus_gateway_target_rate_limit',
     help: 'Requests a second that a target takes from all instances together, as it says',
     labelNames: ['target'],
-    registers: [this.registry]
+    registers: [this.registry],
+    collect: () => {
+      this.targetRateLimit.reset()
+      this.#rateLimits().forEach(([target, limit]) => { this.targetRateLimit.set({ target }, limit) })
+    }
   })
 
   /** Version of the current configuration. */
@@ -91,4 +97,9 @@
     help: 'Version of the routes in force',
     registers: [this.registry]
   })
+
+  /** Asks for the limits, in pairs of a target's id and its requests a second, when metrics are read. */
+  onCollectRateLimits (rateLimits: () => ReadonlyArray<readonly [string, number]>): void {
+    this.#rateLimits = rateLimits
+  }
 }
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -104,8 +104,8 @@
   readonly softwareVersion?: string
   /** Whether targets of several software versions serve, or have lately, according to the owner. */
   readonly isMixed?: boolean
-  /** Whether the owner knows a rate limit of the target. */
-  readonly isLimited?: boolean
+  /** Rate limit of the target that the owner knows, in requests a second; left out if it knows none. */
+  readonly rateLimit?: number
 }
 
 /** Rejects a request for a slot. */
@@ -161,11 +161,11 @@
   readonly born: number
 }
 
-/** Tells a member that may grant slots on targets what the heads of their answers said about rate limits. */
+/** Tells a member that may grant slots on targets what the heads of their answers said about rate limits, or what was granted within one. */
 export interface RateLimitsMessage {
   readonly type: typeof PeerMessageType.RateLimits
   readonly reports: readonly RateLimitReport[]
-  /** Permit of the answer's request; left out if the sender passes on what it knows. */
+  /** Permit of a request that the target got or gets; left out if the sender only passes on what it knows. */
   readonly permit?: string
 }
 
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -62,6 +62,8 @@
 const queuedResendMilliseconds = 600
 /** Number of members, in the order in which they succeed each other as owner of a service, that keep themselves ready for it. */
 const successorCount = 3
+/** Time for which members may differ on who owns a service after a change of owners. */
+const formerOwnerMilliseconds = 10_000
 /** Delay before a batch request that was rejected is sent again. */
 const batchRetryMilliseconds = 100
 
@@ -77,6 +79,8 @@
   readonly #reportAlarm = new Alarm(now => this.#reportAll(now))
   /** Addresses of the owner of each service and of its successors, until the members change. */
   readonly #owners = new Map<string, readonly string[]>()
+  /** Processes that were owners of a service until lately, with the times until which others may still take them for such. */
+  readonly #formerOwners = new Map<string, Map<string, number>>()
   #ownersChangedAt = 0
   readonly #permitPrefix: string
   readonly #servicesWithReportedSlots = new Set<string>()
@@ -94,7 +98,7 @@
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
     const confirmation = new VersionConfirmation({ versions, freshness, membership, transport, nearOwners: service => this.#ownersOf(service) })
     this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) }, confirmation, this.#limits)
-    this.#rateLimitSharing = new RateLimitSharing(this.#limits, transport, this.#owner)
+    this.#rateLimitSharing = new RateLimitSharing(this.#limits, targets, transport, this.#owner)
     targets.onChange(changed => { this.#onTargetsChanged(changed) })
     transport.onMessage((message, sender) => {
       if (isSlotMessage(message)) {
@@ -161,6 +165,11 @@
     this.#ownerListeners.push(listener)
   }
 
+  /** Returns the rate limit that the target which started at this time has named, in requests a second, or null if it has none. */
+  rateLimitOf ({ id, born }: Pick<Target, 'id' | 'born'>): number | null {
+    return this.#limits.limitOf(id, born)
+  }
+
   /** Calls the listener when the rate limit of a target changes whose slots this process grants, or has granted. */
   onRateLimitChange (listener: (change: ObservedRateLimitChange) => void): void {
     this.#owner.onRateLimitChange(listener)
@@ -242,7 +251,9 @@
     const owners = new Map([...this.#owners].map(([service, [owner]]) => [service, owner]))
     this.#owners.clear()
     for (const [service, former] of formerOwners) {
-      this.#rateLimitSharing.tell(service, this.#ownersOf(service).filter(address => !former.includes(address)))
+      const current = this.#ownersOf(service)
+      this.#rateLimitSharing.tell(service, current.filter(address => !former.includes(address)))
+      this.#addFormerOwners(service, former.filter(address => !current.includes(address)), now)
     }
     if ([...owners].every(([service, owner]) => owner === this.#ownerOf(service))) {
       return
@@ -263,6 +274,24 @@
     this.#reportAlarm.setBy(this.#reportAll(now))
   }
 
+  #addFormerOwners (service: string, addresses: readonly string[], now: number): void {
+    const known = this.#formerOwners.get(service) ?? new Map<string, number>()
+    this.#formerOwners.set(service, known)
+    addresses.forEach(address => known.set(address, now + formerOwnerMilliseconds))
+  }
+
+  /** Returns the processes that may grant slots of a service at present: its owners, and those that others may still take for such. */
+  #grantersOf (service: string): readonly string[] {
+    const now = Date.now()
+    const former = this.#formerOwners.get(service)
+    for (const [address, until] of former ?? []) {
+      if (until < now) {
+        former?.delete(address)
+      }
+    }
+    return [...this.#ownersOf(service), ...former?.keys() ?? []]
+  }
+
   #notifyOwner (address: string): void {
     if (address === this.transport.address) {
       return
@@ -358,7 +387,7 @@
         if (message.isMixed === true) {
           this.versions.markMixed(message.service, Date.now())
         }
-        this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender, message.isLimited === true)
+        this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender, message.rateLimit ?? null)
         return
       case PeerMessageType.SlotRejection:
         this.#onRejection(message.permit, message.reason, message.retryAfter)
@@ -415,13 +444,16 @@
   /** Delivers a decision that this process made as an owner to the holder that it concerns. */
   #deliverDecision (service: string, decision: SlotDecision): void {
     const { holder, permit } = decision
+    if (decision.kind === DecisionKind.Grant) {
+      this.#rateLimitSharing.onGranted({ id: decision.target, ...this.#startOf(decision.target) }, permit, this.#grantersOf(service))
+    }
     if (holder === this.transport.address) {
       this.#applyDecision(service, decision)
       return
     }
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, ...this.#startOf(decision.target), ...this.#mixedMark(service), ...this.#limitedMark(decision.target) })
+        this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, ...this.#startOf(decision.target), ...this.#mixedMark(service), ...this.#limitMark(decision.target) })
         return
       case DecisionKind.Refuse:
         this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, reason: decision.reason, retryAfter: decision.retryAfter })
@@ -434,7 +466,7 @@
   #applyDecision (service: string, decision: SlotDecision): void {
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.#onGrant(service, decision.permit, this.#endpointOf(decision), this.transport.address)
+        this.#onGrant(service, decision.permit, this.#endpointOf(decision), this.transport.address, this.#limitMark(decision.target).rateLimit ?? null)
         return
       case DecisionKind.Refuse:
         this.#onRejection(decision.permit, decision.reason, decision.retryAfter)
@@ -459,8 +491,9 @@
     return this.versions.isMixed(service, Date.now()) ? { isMixed: true } : {}
   }
 
-  #limitedMark (target: string): Pick<SlotGrantMessage, 'isLimited'> {
-    return this.#limits.limitOf(target, this.#startOf(target).born) === null ? {} : { isLimited: true }
+  #limitMark (target: string): Pick<SlotGrantMessage, 'rateLimit'> {
+    const rateLimit = this.#limits.limitOf(target, this.#startOf(target).born)
+    return rateLimit === null ? {} : { rateLimit }
   }
 
   #onQueued (permit: string): void {
@@ -470,7 +503,7 @@
     }
   }
 
-  #onGrant (service: string, permit: string, target: TargetEndpoint, owner: string, isLimited = false): void {
+  #onGrant (service: string, permit: string, target: TargetEndpoint, owner: string, grantedLimit: number | null): void {
     const pending = this.#pending.get(permit)
     if (pending === undefined) {
       // The request was withdrawn, or two owners granted it: releases the slot unless it is in use.
@@ -499,7 +532,7 @@
     const release = (outcome: SlotOutcome): void => { this.#release(held, outcome) }
     const recordRateLimit = (requestsPerSecond: number | null, sentAt: number): void => {
       const report = { service, target: target.id, born: target.born, requestsPerSecond, sentAgo: Math.max(0, Date.now() - sentAt), heardAgo: 0 }
-      this.#rateLimitSharing.onAnswer(report, permit, isLimited, [...this.#ownersOf(service), owner])
+      this.#rateLimitSharing.onAnswer(report, permit, grantedLimit, [...this.#grantersOf(service), owner])
     }
     pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving: () => { this.#markLeaving(service, target) }, recordRateLimit, release } })
   }
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -17,9 +17,9 @@
 /** A change of a target's rate limit, for logs and metrics. */
 export interface ObservedRateLimitChange extends RateLimitChange {
   readonly service: string
-  /** Process to whose request the target answered. */
+  /** Process that told the change: the one to whose request the target answered, or one that passes it on. */
   readonly holder: string
-  /** Milliseconds since the answer's head arrived there. */
+  /** Milliseconds since the answer's head arrived. */
   readonly age: number
   /** Requests that this process has granted on the target in the last 4 s. */
   readonly recentGrants: number
@@ -197,9 +197,9 @@
   }
 
   /**
-   * Takes note of what an answer said about the rate limit of its target.
+   * Takes note of what an answer said about the rate limit of its target, or of a request that another owner has granted within it.
    *
-   * @param holder process to whose request the target answered
+   * @param holder process that tells it
    * @param permit as in {@link FleetAdmission.onRateLimit}
    */
   onRateLimit (report: RateLimitReport, holder: string, permit: string | null): void {
@@ -210,7 +210,7 @@
     if (admission === undefined || (change === null && permit === null)) {
       return
     }
-    if (change !== null) {
+    if (change !== null && this.targets.get(target)?.born === report.born) {
       const observed = { ...change, service, holder, age: heardAgo, recentGrants: admission.recentGrants(target, now) }
       this.#rateLimitListeners.forEach(listener => { listener(observed) })
     }
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -200,28 +200,33 @@
     }
     if (canBeRejection(status) && headers[this.names.notExecuted] !== undefined) {
       this.#rejection = { end: status === misdirectedRequestStatus ? CallOutcome.Misdirected : CallOutcome.NotExecuted, reason: `status ${status}` }
-      this.#readRateLimit(head)
+      this.#readRateLimit(head, false)
       this.skipBody()
     } else if (status === misdirectedRequestStatus) {
       this.#rejection = { end: CallOutcome.Misdirected, reason: 'the address belongs to another target' }
       this.skipBody()
     } else if (impliesNotExecuted(status)) {
+      this.#readRateLimit(head, false)
       this.abort(`status ${status} without the not-executed header: the request may have run`)
     } else {
-      this.#readRateLimit(head)
+      this.#readRateLimit(head, true)
       this.sink.onHead(head)
     }
     return true
   }
 
-  /** Another target at the address says nothing about this one, and a rejection without a limit does not tell that there is none. */
-  #readRateLimit ({ status, headers }: ResponseHead): void {
+  /**
+   * Another target at the address says nothing about this one.
+   *
+   * @param tellsNone whether a head without a limit tells that there is none
+   */
+  #readRateLimit ({ status, headers }: ResponseHead, tellsNone: boolean): void {
     if (status === misdirectedRequestStatus) {
       return
     }
     const value = headers[this.names.rateLimit]
     const limit = value === undefined ? null : parseRateLimit(value)
-    if (limit !== null || (value === undefined && this.#rejection === null)) {
+    if (limit !== null || (value === undefined && tellsNone)) {
       this.sink.onRateLimit(limit)
     }
   }
--- a/packages/gateway/tests/permits/rate-limits.test.ts
+++ b/packages/gateway/tests/permits/rate-limits.test.ts
@@ -143,6 +143,50 @@
     assert.equal((await owner.acquireMany()).length, 0)
   })
 
+  it('is kept by all owners together: each tells the others of every request that it grants within a limit, and of no other', async () => {
+    await start(4)
+    const { owner, holders } = ownerAndHolders()
+    const successors = holders.filter(({ slots }) => slots.isNearOwner(['s'])).map(({ transport }) => transport.address)
+    const told: string[] = []
+    const send = owner.transport.send.bind(owner.transport)
+    owner.transport.send = (address, message) => {
+      if (message.type === PeerMessageType.RateLimits && message.permit !== undefined) {
+        told.push(address)
+      }
+      send(address, message)
+    }
+    const [holder] = holders
+    const slot = await holder?.acquire()
+    assert.deepEqual(told, [])
+    slot?.recordRateLimit(100, Date.now())
+    await sleep(100)
+    const granted = await holder?.acquireMany() ?? []
+    assert.ok(granted.length > 0)
+    assert.deepEqual(told.sort(), granted.flatMap(() => successors).sort())
+  })
+
+  it('is told by an answer only if the owner did not know it when it granted the slot', async () => {
+    await start(2)
+    const { owner, holders: [holder] } = ownerAndHolders()
+    assert.ok(holder !== undefined)
+    let told = 0
+    const send = holder.transport.send.bind(holder.transport)
+    holder.transport.send = (address, message) => {
+      told += message.type === PeerMessageType.RateLimits ? 1 : 0
+      send(address, message)
+    }
+    const first = await holder.acquire()
+    first?.recordRateLimit(100, Date.now())
+    await sleep(100)
+    const second = await holder.acquire()
+    second?.recordRateLimit(100, Date.now())
+    assert.equal(told, 1)
+    second?.recordRateLimit(50, Date.now())
+    assert.equal(told, 2)
+    await sleep(20)
+    assert.deepEqual(owner.changes.map(({ current }) => current), [100, 50])
+  })
+
   it('is not taken from messages that are no reports', async () => {
     await start(2)
     const { owner, holders: [holder] } = ownerAndHolders()
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -169,9 +169,9 @@
   }
 
   /**
-   * Takes note that an answer told of the rate limit of its target, which may have changed, and returns the resulting decisions.
+   * Takes note that the rate limit of a target may have changed, and returns the resulting decisions.
    *
-   * @param permit permit of the answer's request, which counts towards the limit also if another owner granted it; null if the limit was passed on
+   * @param permit permit of a request that the target got or gets, which counts towards the limit also if another owner granted it; null for none
    */
   onRateLimit (id: string, permit: string | null, now: number): readonly SlotDecision[] {
     this.#begin(now)
@@ -179,13 +179,18 @@
     if (target === undefined) {
       return []
     }
-    if (permit !== null && this.#slots.get(permit) === undefined) {
-      this.#pacing.onGranted(target, now)
+    if (permit !== null && !this.#hasGranted(permit)) {
+      this.#pacing.onGrantedElsewhere(target, permit, now)
     }
     this.#onTargetChanged(target)
     return this.#grantWaiting()
   }
 
+  /** Whether the slot of a permit was granted here; the address of one that its holder has reported is unknown. */
+  #hasGranted (permit: string): boolean {
+    return (this.#slots.get(permit)?.address ?? '') !== ''
+  }
+
   /** Returns the number of requests that a target was granted in the last 4 s. */
   recentGrants (target: string, now: number): number {
     return this.#pacing.recentGrants(target, now)
@@ -373,7 +378,7 @@
     const now = this.#now
     this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
-    this.#pacing.onGranted(granted, now)
+    this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
     this.#prefixAffinity.recordGrant(prefix, target)
     this.quarantine.onDispatched(permit, contentOf(request), now)
@@ -484,7 +489,7 @@
 
   #hasUnsound (version: string | null): boolean {
     for (const target of this.#unsound) {
-      if ((version === null || target.softwareVersion === version) && this.#hasAllowance(target)) {
+      if ((version === null || target.softwareVersion === version) && target.granted < target.slots && this.#hasAllowance(target)) {
         return true
       }
     }
--- a/packages/policy/src/fleet/target-pacing.ts
+++ b/packages/policy/src/fleet/target-pacing.ts
@@ -12,17 +12,21 @@
   readonly pacer: RequestPacer
 }
 
+const millisecondsPerSecond = 1_000
 /** Requests a second that a target gets however low its limit is: only an answer tells that the limit is over. */
 const minimumRequestsPerSecond = 0.25
-const millisecondsPerSecond = 1_000
 /** Time for which grants are counted, for logs. */
 const countedMilliseconds = 4_000
+/** Number of permits that are remembered as counted; more than are in flight at all targets with limits. */
+const maximumPermits = 10_000
 
 /** Paces the grants of one owner. */
 export class TargetPacing {
   readonly #paces = new Map<string, Pace>()
   /** Times of the latest grants by target, in milliseconds since the epoch. */
-  readonly #grants = new Map<string, readonly number[]>()
+  readonly #grants = new Map<string, number[]>()
+  /** Permits that count towards a limit already, the oldest first. */
+  readonly #countedPermits = new Set<string>()
 
   constructor (private readonly limits: TargetRateLimits) {}
 
@@ -42,15 +46,44 @@
     return this.#paceOf(target, now)?.pacer.allowance(now) ?? Infinity
   }
 
-  /** Counts a request that was granted here, or that an answer tells another owner has granted. */
-  onGranted (target: PacedTarget, now: number): void {
-    this.#paceOf(target, now)?.pacer.take(now)
-    this.#grants.set(target.id, [...this.#recentGrants(target.id, now), now])
+  /** Returns the greatest number of requests that the target may ever get at once; Infinity without a limit. */
+  greatestAllowanceOf (target: PacedTarget, now: number): number {
+    return this.#paceOf(target, now)?.pacer.greatestAllowance ?? Infinity
+  }
+
+  /** Returns the milliseconds until the target may get a request; 0 without a limit. */
+  waitFor (target: PacedTarget, now: number): number {
+    return this.#paceOf(target, now)?.pacer.waitFor(now) ?? 0
+  }
+
+  /** Counts a request that was granted here. */
+  onGranted (target: PacedTarget, permit: string, now: number): void {
+    const grants = this.#grants.get(target.id) ?? []
+    this.#grants.set(target.id, grants)
+    grants.push(now)
+    while ((grants[0] ?? now) <= now - countedMilliseconds) {
+      grants.shift()
+    }
+    this.onGrantedElsewhere(target, permit, now)
+  }
+
+  /** Counts a request that another owner has granted, once for each permit. */
+  onGrantedElsewhere (target: PacedTarget, permit: string, now: number): void {
+    const pace = this.#paceOf(target, now)
+    if (pace === null || this.#countedPermits.has(permit)) {
+      return
+    }
+    pace.pacer.take(now)
+    this.#countedPermits.add(permit)
+    const [oldest] = this.#countedPermits
+    if (this.#countedPermits.size > maximumPermits && oldest !== undefined) {
+      this.#countedPermits.delete(oldest)
+    }
   }
 
   /** Returns the number of grants on a target in the last 4 s. */
   recentGrants (target: string, now: number): number {
-    return this.#recentGrants(target, now).length
+    return (this.#grants.get(target) ?? []).filter(at => at > now - countedMilliseconds).length
   }
 
   /** Forgets the targets that are not in the set. */
@@ -63,10 +96,6 @@
     }
   }
 
-  #recentGrants (target: string, now: number): readonly number[] {
-    return (this.#grants.get(target) ?? []).filter(at => at > now - countedMilliseconds && at <= now)
-  }
-
   /** Returns the pace of a target with a limit, or null. */
   #paceOf ({ id, born }: PacedTarget, now: number): Pace | null {
     const limit = this.limits.limitOf(id, born)
--- a/packages/policy/src/limits/request-pacer.ts
+++ b/packages/policy/src/limits/request-pacer.ts
@@ -34,6 +34,17 @@
     return spare < 0 ? 0 : Math.floor(spare) + 1
   }
 
+  /** The greatest number of requests that may ever be sent at once. */
+  get greatestAllowance (): number {
+    return Math.floor(this.#tolerance / this.#intervalMilliseconds) + 1
+  }
+
+  /** Returns the milliseconds until a request may be sent. */
+  waitFor (now: number): number {
+    this.#limitDebt(now)
+    return Math.max(0, this.#dueAt - this.#tolerance - now)
+  }
+
   /** Counts a request, whether the rate allowed it or not. */
   take (now: number): void {
     this.#limitDebt(now)
--- a/packages/policy/src/limits/target-rate-limits.ts
+++ b/packages/policy/src/limits/target-rate-limits.ts
@@ -31,6 +31,8 @@
 
 /** Number of targets that are remembered; the ones heard of first are forgotten. */
 const maximumTargets = 1_000
+/** Time by which a target may have started later than now by the clock of this instance. */
+const maximumClockDifferenceMilliseconds = 86_400_000
 
 /**
  * Remembers the newest limit of each target, by id and by the time of its start: a successor under the id has none. A limit holds until an answer
@@ -39,22 +41,17 @@
 export class TargetRateLimits {
   readonly #known = new Map<string, KnownLimit>()
 
-  /** Number of limits in force. */
-  get size (): number {
-    return [...this.#known.values()].filter(({ requestsPerSecond }) => requestsPerSecond !== null).length
-  }
-
   /** Applies a report unless a newer one is known; returns the change that it makes, or null if it makes none. */
   observe (report: RateLimitReport, now: number): RateLimitChange | null {
     const { target, born, requestsPerSecond, sentAgo, heardAgo } = report
     const known = this.#knownOf(target, now)
-    if (known !== null && known.born > born) {
+    if ((known !== null && known.born > born) || born > now + maximumClockDifferenceMilliseconds) {
       return null
     }
     const same = known?.born === born ? known : null
-    const previous = same?.requestsPerSecond ?? null
+    const previous = known?.requestsPerSecond ?? null
     const heardAt = now - heardAgo
-    if (requestsPerSecond === null && (previous === null || now - sentAgo <= (same?.heardAt ?? 0))) {
+    if (requestsPerSecond === null && (previous === null || now - sentAgo <= (same?.heardAt ?? -Infinity))) {
       return null
     }
     if (heardAt < (same?.heardAt ?? -Infinity)) {
@@ -70,12 +67,14 @@
     return known?.born === born ? known.requestsPerSecond : null
   }
 
-  /** Returns the limits in force of a service's targets, for an instance that may not know them. */
-  reportsOf (service: string, now: number): readonly RateLimitReport[] {
-    return [...this.#known].filter(([, known]) => known.service === service && known.requestsPerSecond !== null).map(([target, known]) => {
-      const ago = Math.max(0, now - known.heardAt)
-      return { service, target, born: known.born, requestsPerSecond: known.requestsPerSecond, sentAgo: ago, heardAgo: ago }
-    })
+  /** Returns the limit in force of the target that started at this time, for an instance that may not know it; null if it has none. */
+  reportOf (target: string, born: number, now: number): RateLimitReport | null {
+    const known = this.#known.get(target)
+    if (known?.born !== born || known.requestsPerSecond === null) {
+      return null
+    }
+    const ago = Math.max(0, now - known.heardAt)
+    return { service: known.service, target, born, requestsPerSecond: known.requestsPerSecond, sentAgo: ago, heardAgo: ago }
   }
 
   #set ({ service, target, born, requestsPerSecond }: RateLimitReport, heardAt: number): void {
--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -1,6 +1,6 @@
 /** Tests that fleet admission keeps targets within their rate limits, and what callers get meanwhile. */
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { describe, it, mock } from 'node:test'
 import { WorkClass } from '@arbutusloft/protocol'
 import { CrashQuarantine, DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, SlotOutcome, TargetRateLimits } from '../../src/index.js'
 import type { FleetTarget, SlotDecision, SlotRequest } from '../../src/index.js'
@@ -122,6 +122,25 @@
     assert.equal(play.grantsOf('limited', 0, 9_901), 0)
   })
 
+  it('counts a request of another owner once, though both its grant and its answer tell of it', () => {
+    const play = new LimitedFleet('limited')
+    play.name('limited', 2, 0)
+    play.name('limited', 2, 2_000, 'of-another')
+    play.name('limited', 2, 2_100, 'of-another')
+    play.ask(2_100)
+    assert.equal(play.grantsOf('limited', 0, 2_101), 1)
+  })
+
+  it('counts the answers of requests that a holder has reported and another owner has granted', () => {
+    const play = new LimitedFleet('limited')
+    play.name('limited', 1, 0)
+    const permits = Array.from({ length: 6 }, (_, index) => `reported-${index}`)
+    play.apply(play.fleet.synchronize('other', permits.map(permit => ({ permit, target: 'limited', workClass: WorkClass.Online, due: 0, ran: 0 })), 5_000), 5_000)
+    permits.forEach(permit => { play.name('limited', 1, 5_000, permit) })
+    play.ask(6_000)
+    assert.equal(play.grantsOf('limited', 0, 6_001), 0)
+  })
+
   it('does not count the answers of its own requests twice', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 2, 0)
@@ -175,6 +194,23 @@
 })
 
 describe('a fleet whose targets all name rate limits', () => {
+  it('decides as cheaply with a long queue as with a short one while all slots are in use', () => {
+    const lookups = [100, 400].map(waiting => {
+      const play = new LimitedFleet('one', 'two', 'three')
+      for (const target of ['one', 'two', 'three']) {
+        play.name(target, 1_000, 0)
+      }
+      for (let number = 0; number < 24 + waiting; number += 1) {
+        play.ask(1_000, { patience: 1_000_000 })
+      }
+      assert.equal(play.fleet.load().waiting, waiting)
+      const { calls } = mock.method(play.limits, 'limitOf').mock
+      play.apply(play.fleet.tick(1_025), 1_025)
+      return calls.length
+    })
+    assert.ok((lookups[1] ?? 0) <= (lookups[0] ?? 0) + 10, lookups.join(', '))
+  })
+
   it('serves the sum of the limits, and refuses at once what would wait too long', () => {
     const play = new LimitedFleet('one', 'two', 'three')
     for (const target of ['one', 'two', 'three']) {
--- a/packages/policy/tests/limits/target-rate-limits.test.ts
+++ b/packages/policy/tests/limits/target-rate-limits.test.ts
@@ -32,9 +32,9 @@
     const limits = new TargetRateLimits()
     limits.observe(report(), 1_000)
     limits.observe(report({ requestsPerSecond: null, sentAgo: 100 }), 2_000)
-    for (const passedOn of former.reportsOf('s', 3_000)) {
-      assert.equal(limits.observe(passedOn, 3_000), null)
-    }
+    const passedOn = former.reportOf('t', 5, 3_000)
+    assert.ok(passedOn !== null)
+    assert.equal(limits.observe(passedOn, 3_000), null)
     assert.equal(limits.limitOf('t', 5), null)
   })
 
@@ -47,13 +47,26 @@
     assert.deepEqual([limits.limitOf('t', 5), limits.limitOf('t', 6)], [null, 8])
   })
 
-  it('passes on the limits in force of one service, with their ages', () => {
+  it('passes on the limits in force, with their ages', () => {
     const limits = new TargetRateLimits()
     limits.observe(report(), 1_000)
-    limits.observe(report({ target: 'u', service: 'other' }), 1_000)
     limits.observe(report({ target: 'v' }), 1_000)
     limits.observe(report({ target: 'v', requestsPerSecond: null }), 1_100)
-    assert.deepEqual(limits.reportsOf('s', 1_700), [report({ sentAgo: 700, heardAgo: 700 })])
+    assert.deepEqual(limits.reportOf('t', 5, 1_700), report({ sentAgo: 700, heardAgo: 700 }))
+    assert.deepEqual([limits.reportOf('t', 6, 1_700), limits.reportOf('v', 5, 1_700), limits.reportOf('w', 5, 1_700)], [null, null, null])
+  })
+
+  it('ends the limit of an earlier start by the first answer of a later one', () => {
+    const limits = new TargetRateLimits()
+    limits.observe(report(), 1_000)
+    assert.deepEqual(limits.observe(report({ born: 6, requestsPerSecond: null }), 2_000), { target: 't', previous: 3, current: null })
+    assert.equal(limits.reportOf('t', 5, 3_000), null)
+  })
+
+  it('takes no report of a target that starts in a far future, which would hide all later ones', () => {
+    const limits = new TargetRateLimits()
+    assert.equal(limits.observe(report({ born: 1e15 }), 1_000), null)
+    assert.notEqual(limits.observe(report(), 1_000), null)
   })
 
   it('ends and changes limits also after the clock was set back', () => {
