Let batch work use rate limits when nothing else needs them, and wait for an allowance that is due in time

Cause: headroom, queue and preemption still counted slots as if they could be taken back and became free at a mean interval.

Change: the headroom is less than what limits ever allow at once; batch work takes nothing of a limit within half a second after an online request had to wait or was rejected; the expected wait counts from the next allowance that is due; items on targets without a limit are preempted first.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -40,6 +40,8 @@
 const fruitlessMilliseconds = 250
 /** Makes such an item the last choice for preemption; in milliseconds of remaining work, more than any item has. */
 const fruitlessPenalty = 1_000_000
+/** Makes an item on a target with a rate limit the choice after those on others. */
+const limitedPenalty = 500_000
 const millisecondsPerSecond = 1_000
 /** Milliseconds of remaining work that the requester's availability zone outweighs when an item is preempted. */
 const sameZoneMilliseconds = 500
@@ -65,6 +67,8 @@
  */
 const maximumCutOffGrants = 2
 const cutOffGrantMilliseconds = 1_000
+/** Time after an online request had to wait or was rejected in which batch work takes no slots of targets with rate limits. */
+const onlinePressureMilliseconds = 500
 /** Time after which a slot is held because its target answers: longer than it takes to give up a silent one. */
 const answeringMilliseconds = 1_500
 /** Share of free slots above which a holder that probably reaches no target gets as many as it asks for. */
@@ -98,6 +102,8 @@
   /** Times of the last grants to holders that probably reach no target, in milliseconds since the epoch. */
   readonly #cutOffGrants = new Map<string, readonly number[]>()
   #batchBlockedUntil = 0
+  /** Time at which an online request last had to wait or was rejected, in milliseconds since the epoch. */
+  #onlinePressureAt = -Infinity
   /** Time of the present call, in milliseconds since the epoch. */
   #now = 0
 
@@ -313,9 +319,10 @@
     }
     // Newcomers have to let those pass who were told to come back meanwhile.
     const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience)
-    if ((this.#online.countAhead(now - spent, now) + returns + 1) * this.#millisecondsPerRequest() > patience) {
+    if (this.#expectedWait(this.#online.countAhead(now - spent, now) + returns + 1) > patience) {
       return [this.#refuse(request)]
     }
+    this.#onlinePressureAt = now
     this.#online.add(request, now)
     const displaced = spent > 0 ? this.#online.removeDisplaced(now, this.#millisecondsPerRequest()) : null
     return displaced === null ? [] : [this.#refuse(displaced.request)]
@@ -367,7 +374,9 @@
         const held = now - slot.grantedAt
         const penalty = held < fruitlessMilliseconds ? fruitlessPenalty : 0
         const zone = target.zone === request.zone ? sameZoneMilliseconds : 0
-        return this.#batch.remainingOf({ ran: slot.ran + held }) + zone - penalty - held / millisecondsPerSecond
+        // An item that loses its slot needs another allowance to go on.
+        const limitPenalty = this.#pacing.isLimited(target, now) ? limitedPenalty : 0
+        return this.#batch.remainingOf({ ran: slot.ran + held }) + zone - penalty - limitPenalty - held / millisecondsPerSecond
       }
     )
   }
@@ -466,7 +475,7 @@
       }
       // A target on trial is no use to online requests, so batch work tries it whatever the headroom.
       const target = this.#selectTarget(request, TargetAvailability.OnTrial) ??
-        (this.#freeSlots() > this.options.headroom ? this.#selectTarget(request, TargetAvailability.Available) : null)
+        (this.#freeSlots() > this.#headroom() ? this.#selectTarget(request, TargetAvailability.Available) : null)
       if (target !== null) {
         this.#batch.delete(request.permit)
         decisions.push(this.#grant(request, target))
@@ -478,10 +487,20 @@
   }
 
   #hasRoomForBatch (): boolean {
-    return this.#freeSlots() > this.options.headroom ||
+    return this.#freeSlots() > this.#headroom() ||
       [...this.#unsound].some(target => this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.OnTrial && this.#hasAllowance(target))
   }
 
+  /** Slots that batch work leaves free: fewer than rate limits ever allow at once, so that it runs when nothing else does. */
+  #headroom (): number {
+    const { headroom } = this.options
+    if (this.#sound.slots > headroom) {
+      return headroom
+    }
+    const greatest = this.#sound.slots + this.#sumOfUnsound(target => Math.min(target.slots, this.#pacing.greatestAllowanceOf(target, this.#now)))
+    return Math.min(headroom, Math.max(0, greatest - 1))
+  }
+
   /** Whether an online request might get a slot on a target of the version, or on any for null: one is free, or can be taken from batch work. */
   #hasRoom (version: string | null): boolean {
     return this.#sound.freeOf(version) > 0 || this.#hasUnsound(version) || this.#preemptibleOf(version) > 0
@@ -506,6 +525,15 @@
     return count
   }
 
+  /**
+   * Whether the rate limit of a target, if it names one, allows a request at present. What batch work takes cannot be taken back, so that it leaves it
+   * to online requests while some have lately had to wait.
+   */
+  #allows (target: TargetSlots, { workClass }: SlotRequest): boolean {
+    const isLeftToOnline = workClass === WorkClass.Batch && this.#now - this.#onlinePressureAt < onlinePressureMilliseconds
+    return this.#hasAllowance(target) && !(isLeftToOnline && this.#pacing.isLimited(target, this.#now))
+  }
+
   /** Whether the rate limit of a target, if it names one, allows a request at present. */
   #hasAllowance (target: TargetSlots): boolean {
     return this.#pacing.allowanceOf(target, this.#now) > 0
@@ -539,7 +567,7 @@
   }
 
   #isUsable (target: TargetSlots, request: SlotRequest, availability: TargetAvailability): boolean {
-    return target.accepting && isOfVersion(target, request) && !this.#isExcluded(target, request) && this.#hasAllowance(target) &&
+    return target.accepting && isOfVersion(target, request) && !this.#isExcluded(target, request) && this.#allows(target, request) &&
       this.#health.availabilityFor(target.id, request.holder, this.#now) === availability
   }
 
@@ -606,6 +634,7 @@
   }
 
   #refuse (request: SlotRequest): SlotDecision {
+    this.#onlinePressureAt = this.#now
     if (!this.#admitsContent(request)) {
       return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(contentOf(request), this.#now).retryAfter)
     }
@@ -658,6 +687,22 @@
     return rate > 0 ? 1 / rate : this.#holdTime.value
   }
 
+  /** Returns the milliseconds in which a request can start that is at this position of the queue, counted from 1. */
+  #expectedWait (position: number): number {
+    const perRequest = this.#millisecondsPerRequest()
+    return Math.min(position * perRequest, this.#nextAllowance() + (position - 1) * perRequest)
+  }
+
+  /** Milliseconds until a rate limit allows a request on a target with a free slot; Infinity if no target names one. */
+  #nextAllowance (): number {
+    let next = Infinity
+    for (const target of this.#unsound) {
+      const isCandidate = target.granted < target.slots && this.#pacing.isLimited(target, this.#now)
+      next = isCandidate ? Math.min(next, this.#pacing.waitFor(target, this.#now)) : next
+    }
+    return next
+  }
+
   /** Requests a millisecond that can start: as slots become free, and no more than rate limits allow. */
   #requestsPerMillisecond (): number {
     return this.#sound.slots / this.#holdTime.value + this.#sumOfUnsound(target => Math.min(target.slots / this.#holdTime.value, this.#pacing.rateOf(target)))
--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -183,6 +183,52 @@
     assert.deepEqual([play.fleet.load().batch, play.fleet.load().online], [4, 4])
   })
 
+  it('runs batch items by default headroom when nothing else runs, however low its limit is', () => {
+    for (const limit of [0, 1, 3.9, 8]) {
+      const play = new LimitedFleet('limited')
+      const fleet = new FleetAdmission(defaultFleetAdmissionOptions, new CrashQuarantine(), play.limits)
+      fleet.setTargets(targetsOf('limited'), 0)
+      play.limits.observe({ service: 's', target: 'limited', born: 1, requestsPerSecond: limit, sentAgo: 0, heardAgo: 0 }, 0)
+      fleet.onRateLimit('limited', null, 0)
+      const granted: SlotDecision[] = [...fleet.request(request('b1', { ...batch, due: 60_000 }), 100)]
+      for (let now = 200; now < 20_000; now += tickMilliseconds) {
+        granted.push(...fleet.tick(now))
+      }
+      assert.equal(granted.length, 1, `at ${limit} a second`)
+    }
+  })
+
+  it('queues a request for an allowance that is due within its patience, also if the mean interval is longer', () => {
+    const play = new LimitedFleet('limited')
+    play.name('limited', 0.5, 0)
+    play.ask(1_700, { patience: 400 })
+    play.apply(play.fleet.tick(2_000), 2_000)
+    assert.deepEqual([play.refusals, play.grantsOf('limited', 0, 2_001)], [[], 1])
+  })
+
+  it('gets no batch item within half a second after online requests were rejected', () => {
+    const play = new LimitedFleet('limited')
+    play.name('limited', 2, 0)
+    play.ask(400, { patience: 10 })
+    assert.equal(play.refusals.length, 1)
+    play.ask(400, { ...batch, due: 60_000 })
+    play.apply(play.fleet.tick(800), 800)
+    assert.equal(play.grantsOf('limited', 0, 801), 0)
+    play.apply(play.fleet.tick(900), 900)
+    assert.equal(play.grantsOf('limited', 0, 901), 1)
+  })
+
+  it('loses batch items to online requests only if no target without a limit runs some', () => {
+    const play = new LimitedFleet('limited', 'other')
+    for (let item = 0; item < 16; item += 1) {
+      play.ask(0, { ...batch, due: 60_000 + item })
+    }
+    play.name('limited', 8, 0)
+    play.ask(1_000)
+    play.ask(1_000)
+    assert.deepEqual([play.grantsOf('limited', 1, 2_000), play.grantsOf('other', 1, 2_000)], [0, 2])
+  })
+
   it('is not excluded for its limit: no request is refused while it has an allowance', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 4, 0)
