Keep the pace of limited targets while the owner's clock is set back

What callers see: when the wall clock of the owner of a service is set back, all of its targets that name rate limits get nothing for up to 3.5 s (the debt of 4 s that a pacer remembers, less an interval and a quarter of a second).

Cause: the pacer takes the time by which the clock went back for requests that were sent beyond the rate.

Change: what is due moves back with the clock; the time that passed unseen counts as none, so the bound of 2 + r (t + 0.25) holds across a step.

--- a/packages/policy/src/limits/request-pacer.ts
+++ b/packages/policy/src/limits/request-pacer.ts
@@ -14,11 +14,14 @@
   #intervalMilliseconds: number
   /** Time at which the next request is due at the rate, in milliseconds since the epoch. */
   #dueAt: number
+  /** Latest time that a call has named. */
+  #latest: number
 
   /** @param requestsPerSecond greater than 0 */
   constructor (requestsPerSecond: number, now: number) {
     this.#intervalMilliseconds = millisecondsPerSecond / requestsPerSecond
     this.#dueAt = now + this.#intervalMilliseconds + this.#tolerance
+    this.#latest = now
   }
 
   /** Changes the rate; what may be sent at once, or was sent beyond the rate, stays the same number of requests. */
@@ -36,13 +39,13 @@
 
   /** Counts a request, whether the rate allowed it or not. */
   take (now: number): void {
-    this.#limitDebt(now)
+    this.#advance(now)
     this.#dueAt = Math.max(this.#dueAt, now) + this.#intervalMilliseconds
   }
 
   /** Returns the number of requests that may be sent beside the next one; negative if that one has to wait. */
   #spare (now: number): number {
-    this.#limitDebt(now)
+    this.#advance(now)
     return (now + this.#tolerance - Math.max(this.#dueAt, now)) / this.#intervalMilliseconds
   }
 
@@ -50,8 +53,10 @@
     return this.#intervalMilliseconds + toleranceMilliseconds
   }
 
-  /** The wall clock may be set back; the next request is then due no later than the debt allows. */
-  #limitDebt (now: number): void {
+  /** Follows the wall clock: one that is set back must not defer the next request, nor must any number of requests that others have sent. */
+  #advance (now: number): void {
+    this.#dueAt -= Math.max(0, this.#latest - now)
+    this.#latest = now
     this.#dueAt = Math.min(this.#dueAt, now + Math.max(this.#intervalMilliseconds + this.#tolerance, maximumDebtMilliseconds))
   }
 }
--- a/packages/policy/tests/limits/request-pacer.test.ts
+++ b/packages/policy/tests/limits/request-pacer.test.ts
@@ -50,6 +50,16 @@
     assert.ok(sendAll(pacer, 9_000, 10_000, 25).length >= 8)
   })
 
+  it('keeps the rate while the clock is set back, and forward', () => {
+    for (const step of [-3_600_000, -7_000, -300, 5_000]) {
+      const pacer = new RequestPacer(3, 0)
+      const before = sendAll(pacer, 0, 10_000, 25)
+      const after = sendAll(pacer, 10_000 + step, 14_000 + step, 25).length
+      assert.ok(before.length >= 28, `${before.length} sent before`)
+      assert.ok(after >= 11 && after <= 4.25 * 3 + 2, `${after} sent in 4 s after a step of ${step} ms`)
+    }
+  })
+
   it('sends again soon after the clock was set back by an hour', () => {
     const pacer = new RequestPacer(2, 3_600_000)
     pacer.take(3_600_000)
