Examine waiting requests only if a limited target has a free slot

What callers see: nothing at small loads; with many targets that name rate limits, all of whose slots are taken, and hundreds of waiting requests, the owner examines each limited target for each waiting request at each decision.

Cause: all limited targets are among those that each decision examines, and whether one of them has room was answered by its allowance alone.

Change: a target that has no free slot, or is suspended for all, has no room; neither can be selected.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -482,9 +482,11 @@
     return this.#sound.freeOf(version) > 0 || this.#hasUnsound(version) || this.#preemptibleOf(version) > 0
   }
 
+  /** Whether an unsound target has a slot for some holder, so that waiting requests are worth examining. */
   #hasUnsound (version: string | null): boolean {
     for (const target of this.#unsound) {
-      if ((version === null || target.softwareVersion === version) && this.#hasAllowance(target)) {
+      const isFree = target.granted < target.slots && this.#hasAllowance(target)
+      if (isFree && (version === null || target.softwareVersion === version) && this.#health.availabilityFor(target.id, null, this.#now) !== TargetAvailability.Suspended) {
         return true
       }
     }
