--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -445,7 +445,7 @@
   #deliverDecision (service: string, decision: SlotDecision): void {
     const { holder, permit } = decision
     if (decision.kind === DecisionKind.Grant) {
-      this.#rateLimitSharing.onGranted({ id: decision.target, ...this.#startOf(decision.target) }, permit, this.#grantersOf(service))
+      this.#rateLimitSharing.onGranted({ id: decision.target, ...this.#startOf(decision.target) }, permit, this.#ownersOf(service))
     }
     if (holder === this.transport.address) {
       this.#applyDecision(service, decision)
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -1,6 +1,6 @@
 /** Sends one request to one target and reports whether the target may have run it. */
 import type { HeaderNames } from '../online/header-names.js'
-import { parseRateLimit } from './rate-limit-header.js'
+import { findRateLimit } from './rate-limit-header.js'
 import type { ResponseHead } from './response-parser.js'
 import type { Exchange, TargetConnection } from './target-connection.js'
 import type { TargetConnections } from './target-connections.js'
@@ -220,13 +220,12 @@
    *
    * @param tellsNone whether a head without a limit tells that there is none
    */
-  #readRateLimit ({ status, headers }: ResponseHead, tellsNone: boolean): void {
+  #readRateLimit ({ status, headers, rawHeaders }: ResponseHead, tellsNone: boolean): void {
     if (status === misdirectedRequestStatus) {
       return
     }
-    const value = headers[this.names.rateLimit]
-    const limit = value === undefined ? null : parseRateLimit(value)
-    if (limit !== null || (value === undefined && tellsNone)) {
+    const limit = findRateLimit(rawHeaders, this.names.rateLimit)
+    if (limit !== null || (headers[this.names.rateLimit] === undefined && tellsNone)) {
       this.sink.onRateLimit(limit)
     }
   }
