--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -1,6 +1,6 @@
 /** Sends one request to one target and reports whether the target may have run it. */
 import type { HeaderNames } from '../online/header-names.js'
-import { parseRateLimit } from './rate-limit-header.js'
+import { findRateLimit } from './rate-limit-header.js'
 import type { ResponseHead } from './response-parser.js'
 import type { Exchange, TargetConnection } from './target-connection.js'
 import type { TargetConnections } from './target-connections.js'
@@ -200,28 +200,32 @@
     }
     if (canBeRejection(status) && headers[this.names.notExecuted] !== undefined) {
       this.#rejection = { end: status === misdirectedRequestStatus ? CallOutcome.Misdirected : CallOutcome.NotExecuted, reason: `status ${status}` }
-      this.#readRateLimit(head)
+      this.#readRateLimit(head, false)
       this.skipBody()
     } else if (status === misdirectedRequestStatus) {
       this.#rejection = { end: CallOutcome.Misdirected, reason: 'the address belongs to another target' }
       this.skipBody()
     } else if (impliesNotExecuted(status)) {
+      this.#readRateLimit(head, false)
       this.abort(`status ${status} without the not-executed header: the request may have run`)
     } else {
-      this.#readRateLimit(head)
+      this.#readRateLimit(head, true)
       this.sink.onHead(head)
     }
     return true
   }
 
-  /** Another target at the address says nothing about this one, and a rejection without a limit does not tell that there is none. */
-  #readRateLimit ({ status, headers }: ResponseHead): void {
+  /**
+   * Another target at the address says nothing about this one.
+   *
+   * @param tellsNone whether a head without a limit tells that there is none
+   */
+  #readRateLimit ({ status, headers, rawHeaders }: ResponseHead, tellsNone: boolean): void {
     if (status === misdirectedRequestStatus) {
       return
     }
-    const value = headers[this.names.rateLimit]
-    const limit = value === undefined ? null : parseRateLimit(value)
-    if (limit !== null || (value === undefined && this.#rejection === null)) {
+    const limit = findRateLimit(rawHeaders, this.names.rateLimit)
+    if (limit !== null || (headers[this.names.rateLimit] === undefined && tellsNone)) {
       this.sink.onRateLimit(limit)
     }
   }
--- a/packages/gateway/tests/online/rate-limits.test.ts
+++ b/packages/gateway/tests/online/rate-limits.test.ts
@@ -41,6 +41,11 @@
     assert.deepEqual(await rateLimitsOf(responseOf('200 OK', 'X-Rate-Limit: 2\r\n', 'other') + responseOf('200 OK', 'X-Rate-Limit: 3\r\n')), [3])
   })
 
+  it('is not told by two headers that differ, and is by two that do not', async () => {
+    assert.deepEqual(await rateLimitsOf(responseOf('200 OK', 'X-Rate-Limit: 2\r\nx-rate-limit: 3\r\n')), [])
+    assert.deepEqual(await rateLimitsOf(responseOf('200 OK', 'X-Rate-Limit: 2\r\nx-rate-limit: 2\r\n')), [2])
+  })
+
   for (const odd of ['', '-1', '+1', '1e400', '9'.repeat(400), '1,5', '0x10', 'none', '1.', '.5', 'NaN', 'Infinity']) {
     it(`is not told by ${JSON.stringify(odd.slice(0, 20))}, which neither begins nor ends one`, async () => {
       assert.deepEqual(await rateLimitsOf(responseOf('200 OK', `X-Rate-Limit: ${odd}\r\n`)), [])
