--- a/packages/fleet-model/src/rate-limits/simulate-rate-limits.ts
+++ b/packages/fleet-model/src/rate-limits/simulate-rate-limits.ts
@@ -230,8 +230,11 @@
   #tellGrant (owner: number, { permit, target }: SlotGrant): void {
     const process = this.#process(owner)
     const report = process.limits.reportOf(target, 1, process.now)
-    for (const other of report === null ? [] : this.#ownersOf(owner)) {
-      this.#pass(owner, other, report as RateLimitReport, permit)
+    if (report === null) {
+      return
+    }
+    for (const other of this.#ownersOf(owner)) {
+      this.#pass(owner, other, report, permit)
     }
   }
 
