Ask a limited target for an answer while the others take the whole load

Cause: a rate limit counts as four busy slots against a target for online requests. At a low load the other targets never have four slots more in use, so that the limited target gets no request, none of its answers tells that the limit is over, and it stands idle until the load rises. Whether all three targets come back depended on which of them batch items reached.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -601,7 +601,8 @@
     const prefix = this.#prefixAffinity.targetOf(request.prefix) === target.id ? prefixAffinityWeight : 0
     const zone = target.zone === request.zone ? sameZoneWeight : 0
     const limit = this.#pacing.isLimited(target, this.#now) ? rateLimitWeight : 0
-    return prefix + zone + (request.workClass === WorkClass.Batch ? limit : -limit) - this.#health.penaltyOf(target.id, this.#now) * failureRateWeight - target.granted
+    const isPreferred = request.workClass === WorkClass.Batch || this.#pacing.isProbeDue(target, this.#now)
+    return prefix + zone + (isPreferred ? limit : -limit) - this.#health.penaltyOf(target.id, this.#now) * failureRateWeight - target.granted
   }
 
   #recordOutcome (held: GrantedSlot, outcome: SlotOutcome): void {
--- a/packages/policy/src/fleet/target-pacing.ts
+++ b/packages/policy/src/fleet/target-pacing.ts
@@ -9,12 +9,16 @@
 interface Pace {
   readonly born: number
   limit: number
+  /** Time at which the target was last granted a request, or named a limit for the first time, in milliseconds since the epoch. */
+  grantedAt: number
   readonly pacer: RequestPacer
 }
 
 const millisecondsPerSecond = 1_000
 /** Requests a second that a target gets however low its limit is: only an answer tells that the limit is over. */
 const minimumRequestsPerSecond = 0.25
+/** Time after the last request to a target from which the next answer is due that tells whether the limit still holds. */
+const probeMilliseconds = 1_500
 /** Time for which grants are counted, for logs. */
 const countedMilliseconds = 4_000
 /** Number of permits that are remembered as counted; more than are in flight at all targets with limits. */
@@ -56,6 +60,15 @@
     return this.#paceOf(target, now)?.pacer.waitFor(now) ?? 0
   }
 
+  /**
+   * Whether a target with a limit has been granted no request for so long that its limit may be over: while other targets take all requests, none of its
+   * answers tells.
+   */
+  isProbeDue (target: PacedTarget, now: number): boolean {
+    const pace = this.#paceOf(target, now)
+    return pace !== null && now - pace.grantedAt >= probeMilliseconds
+  }
+
   /** Counts a request that was granted here. */
   onGranted (target: PacedTarget, permit: string, now: number): void {
     const grants = this.#grants.get(target.id) ?? []
@@ -74,6 +87,7 @@
       return
     }
     pace.pacer.take(now)
+    pace.grantedAt = now
     this.#countedPermits.add(permit)
     const [oldest] = this.#countedPermits
     if (this.#countedPermits.size > maximumPermits && oldest !== undefined) {
@@ -105,7 +119,7 @@
     }
     const known = this.#paces.get(id)
     if (known?.born !== born) {
-      const pace = { born, limit, pacer: new RequestPacer(pacedRate(limit), now) }
+      const pace = { born, limit, grantedAt: now, pacer: new RequestPacer(pacedRate(limit), now) }
       this.#paces.set(id, pace)
       return pace
     }
--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -105,6 +105,14 @@
     assert.ok(play.grantsOf('limited', 0, 8_000) <= 9)
   })
 
+  it('gets a request every 2 s while the others take the whole load, so that an answer can tell that its limit is over', () => {
+    const play = new LimitedFleet('limited', 'other')
+    play.name('limited', 3, 0)
+    play.load(0, 20_000, 5, 100)
+    const inEach2Seconds = Array.from({ length: 10 }, (_, index) => play.grantsOf('limited', index * 2_000, (index + 1) * 2_000))
+    assert.ok(inEach2Seconds.every(count => count === 1 || count === 2), inEach2Seconds.join(', '))
+  })
+
   it('gets a request every 4 s however low its limit is, so that an answer can tell that it is over', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 0, 0)
