Count a request within a rate limit on the target that gets it

A limited target could get requests that no owner counted.

Cause: a request counted once for each permit, whatever the target. A permit is granted again on another target if its holder gives the slot back (the target leaves, or has another version), if the target stops accepting, or if the next owner decides on a request whose first grant its holder never got. The second target's limit was not charged. In the same way an owner that had granted a permit on one target ignored that another owner had granted it on a second one.

Why the fix works: what was counted is remembered by permit and target, and a grant here stands only for its own target.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -185,16 +185,17 @@
     if (target === undefined) {
       return []
     }
-    if (permit !== null && !this.#hasGranted(permit)) {
+    if (permit !== null && !this.#hasGranted(permit, id)) {
       this.#pacing.onGrantedElsewhere(target, permit, now)
     }
     this.#onTargetChanged(target)
     return this.#grantWaiting()
   }
 
-  /** Whether the slot of a permit was granted here; the address of one that its holder has reported is unknown. */
-  #hasGranted (permit: string): boolean {
-    return (this.#slots.get(permit)?.address ?? '') !== ''
+  /** Whether the slot of a permit was granted here on this target; the address of one that its holder has reported is unknown. */
+  #hasGranted (permit: string, target: string): boolean {
+    const slot = this.#slots.get(permit)
+    return slot !== undefined && slot.target === target && slot.address !== ''
   }
 
   /** Returns the number of requests that a target was granted in the last 4 s. */
--- a/packages/policy/src/fleet/target-pacing.ts
+++ b/packages/policy/src/fleet/target-pacing.ts
@@ -21,16 +21,16 @@
 const probeMilliseconds = 1_500
 /** Time for which grants are counted, for logs. */
 const countedMilliseconds = 4_000
-/** Number of permits that are remembered as counted; more than are in flight at all targets with limits. */
-const maximumPermits = 10_000
+/** Number of requests that are remembered as counted; more than are in flight at all targets with limits. */
+const maximumCounted = 10_000
 
 /** Paces the grants of one owner. */
 export class TargetPacing {
   readonly #paces = new Map<string, Pace>()
   /** Times of the latest grants by target, in milliseconds since the epoch. */
   readonly #grants = new Map<string, number[]>()
-  /** Permits that count towards a limit already, the oldest first. */
-  readonly #countedPermits = new Set<string>()
+  /** Requests that count towards a limit already, by permit and target, the oldest first: a permit may be granted again on another target. */
+  readonly #counted = new Set<string>()
 
   constructor (private readonly limits: TargetRateLimits) {}
 
@@ -80,18 +80,22 @@
     this.onGrantedElsewhere(target, permit, now)
   }
 
-  /** Counts a request that another owner has granted, once for each permit. */
+  /** Counts a request that another owner has granted, once for each permit and target. */
   onGrantedElsewhere (target: PacedTarget, permit: string, now: number): void {
     const pace = this.#paceOf(target, now)
-    if (pace === null || this.#countedPermits.has(permit)) {
+    if (pace === null) {
+      return
+    }
+    const key = JSON.stringify([permit, target.id])
+    if (this.#counted.has(key)) {
       return
     }
     pace.pacer.take(now)
     pace.grantedAt = now
-    this.#countedPermits.add(permit)
-    const [oldest] = this.#countedPermits
-    if (this.#countedPermits.size > maximumPermits && oldest !== undefined) {
-      this.#countedPermits.delete(oldest)
+    this.#counted.add(key)
+    const [oldest] = this.#counted
+    if (this.#counted.size > maximumCounted && oldest !== undefined) {
+      this.#counted.delete(oldest)
     }
   }
 
--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -130,6 +130,30 @@
     assert.equal(play.grantsOf('limited', 0, 9_901), 0)
   })
 
+  it('counts a request that is granted again on another target, also if its first grant was counted', () => {
+    const play = new LimitedFleet('first', 'second')
+    play.name('first', 2, 0)
+    play.name('second', 2, 0)
+    for (let count = 0; count < 100; count += 1) {
+      const now = 1_000 + count * 100
+      play.name('first', 2, now, `of-another-${count}`)
+      play.apply(play.fleet.request(request(`of-another-${count}`, { excluded: ['first'], patience: 0 }), now), now)
+      play.apply(play.fleet.release(`of-another-${count}`, SlotOutcome.Finished, now), now)
+    }
+    assert.ok(play.mostIn4Seconds('second') <= 10, `${play.mostIn4Seconds('second')} in 4 s`)
+  })
+
+  it('counts a request of another owner on this target, also if it was granted here on another one', () => {
+    const play = new LimitedFleet('first', 'second')
+    play.name('second', 2, 0)
+    for (let now = 500; now < 10_000; now += 500) {
+      play.apply(play.fleet.request(request(`twice-${now}`, { excluded: ['second'] }), now), now)
+      play.name('second', 2, now, `twice-${now}`)
+    }
+    play.ask(9_900, { excluded: ['first'] })
+    assert.equal(play.grantsOf('second', 0, 9_901), 0)
+  })
+
   it('counts a request of another owner once, though both its grant and its answer tell of it', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 2, 0)
