Run batch work on limited targets also after the clock was set back

If online requests had waited or been refused before the owner's clock was set back, batch work got no slot of targets with rate limits until the clock had caught up.

Cause: the time at which an online request last had to wait lay in the future.

Evidence, on the code before with the new test: "0 of about 20" items in 10 s at a limit of 2 a second, after the clock was set back by an hour.

Why the fix works: a time in the future counts as now.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -270,6 +270,8 @@
 
   #begin (now: number): void {
     this.#now = now
+    // The wall clock may have been set back.
+    this.#onlinePressureAt = Math.min(this.#onlinePressureAt, now)
     for (const target of this.#unsound) {
       if (this.#isSound(target)) {
         this.#unsound.delete(target)
--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -122,6 +122,15 @@
     assert.ok(play.grantsOf('limited', 0, 10_000) >= 4, `${play.grantsOf('limited', 0, 10_000)} in 10 s`)
   })
 
+  it('runs batch work also after the clock was set back while online requests waited', () => {
+    const play = new LimitedFleet('limited')
+    const hour = 3_600_000
+    play.name('limited', 2, hour)
+    play.load(hour, hour + 5_000, 10, 100)
+    play.load(0, 10_000, 5, 100, batch)
+    assert.ok(play.grantsOf('limited', 0, 10_000) >= 15, `${play.grantsOf('limited', 0, 10_000)} of about 20`)
+  })
+
   it('gets a request every 4 s however low its limit is, so that an answer can tell that it is over', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 0, 0)
