--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -113,6 +113,24 @@
     assert.ok(inEach2Seconds.every(count => count === 1 || count === 2), inEach2Seconds.join(', '))
   })
 
+  it('is asked for an answer also after the clock was set back', () => {
+    const play = new LimitedFleet('limited', 'other')
+    const hour = 3_600_000
+    play.name('limited', 3, hour)
+    play.load(hour, hour + 10_000, 5, 100)
+    play.load(0, 10_000, 5, 100)
+    assert.ok(play.grantsOf('limited', 0, 10_000) >= 4, `${play.grantsOf('limited', 0, 10_000)} in 10 s`)
+  })
+
+  it('runs batch work also after the clock was set back while online requests waited', () => {
+    const play = new LimitedFleet('limited')
+    const hour = 3_600_000
+    play.name('limited', 2, hour)
+    play.load(hour, hour + 5_000, 10, 100)
+    play.load(0, 10_000, 5, 100, batch)
+    assert.ok(play.grantsOf('limited', 0, 10_000) >= 15, `${play.grantsOf('limited', 0, 10_000)} of about 20`)
+  })
+
   it('gets a request every 4 s however low its limit is, so that an answer can tell that it is over', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 0, 0)
@@ -130,6 +148,30 @@
     assert.equal(play.grantsOf('limited', 0, 9_901), 0)
   })
 
+  it('counts a request that is granted again on another target, also if its first grant was counted', () => {
+    const play = new LimitedFleet('first', 'second')
+    play.name('first', 2, 0)
+    play.name('second', 2, 0)
+    for (let count = 0; count < 100; count += 1) {
+      const now = 1_000 + count * 100
+      play.name('first', 2, now, `of-another-${count}`)
+      play.apply(play.fleet.request(request(`of-another-${count}`, { excluded: ['first'], patience: 0 }), now), now)
+      play.apply(play.fleet.release(`of-another-${count}`, SlotOutcome.Finished, now), now)
+    }
+    assert.ok(play.mostIn4Seconds('second') <= 10, `${play.mostIn4Seconds('second')} in 4 s`)
+  })
+
+  it('counts a request of another owner on this target, also if it was granted here on another one', () => {
+    const play = new LimitedFleet('first', 'second')
+    play.name('second', 2, 0)
+    for (let now = 500; now < 10_000; now += 500) {
+      play.apply(play.fleet.request(request(`twice-${now}`, { excluded: ['second'] }), now), now)
+      play.name('second', 2, now, `twice-${now}`)
+    }
+    play.ask(9_900, { excluded: ['first'] })
+    assert.equal(play.grantsOf('second', 0, 9_901), 0)
+  })
+
   it('counts a request of another owner once, though both its grant and its answer tell of it', () => {
     const play = new LimitedFleet('limited')
     play.name('limited', 2, 0)
