Remember answered prompt parts where the slots may be owned next

Cause, of the begin: which parts were answered is known to the owner of the slots alone. No loss of all instances is needed.

Fix: each process remembers the parts and requests that its own requests were answered with, and tells a new owner of the last 24 parts, in one datagram of entries without a version. Earlier builds ignore these (version 0 is never newer); without them an owner decides as before.

Evidence: with the merge of such entries taken out, "counts as answered before at a new owner that another process tells of it" and "tells a new owner which parts were answered, ..." fail; without the holder's memory, "remembers which parts its own requests were answered with, ..." fails.

--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -556,6 +556,9 @@
     if (this.#held.delete(held.permit)) {
       const { service, ownerAddress, permit, target, prefix, digest } = held
       const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest } : null
+      if (outcome === SlotOutcome.Finished) {
+        this.quarantine.rememberAnswered({ parts: prefix, digest })
+      }
       this.#sendRelease(service, ownerAddress, permit, outcome, crash)
     }
   }
--- a/packages/gateway/src/quarantine/quarantine-sharing.ts
+++ b/packages/gateway/src/quarantine/quarantine-sharing.ts
@@ -45,7 +45,7 @@
   /** Tells a process that has become the owner of a service's slots what is known here. */
   tell (address: string): void {
     const { quarantine } = this.dependencies
-    const entries = [...quarantine.entries(Date.now()), ...quarantine.cleared()]
+    const entries = [...quarantine.entries(Date.now()), ...quarantine.cleared(), ...quarantine.answered()]
     for (let start = 0; start < entries.length; start += entriesPerDatagram) {
       this.#send(address, entries.slice(start, start + entriesPerDatagram))
     }
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -1,7 +1,7 @@
 /** Tests what holders of slots do about targets that leave, over an in-memory network. */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { CrashQuarantine, SlotOutcome, VersionHistory } from '@arbutusloft/policy'
+import { CrashQuarantine, promptPartDigest, SlotOutcome, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { Membership, MemberState, PeerMessageType, sleep, SlotClient, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { AcquireResult, PeerMessage, PeerTransport, Slot, SlotDemand, Target } from '../../src/index.js'
@@ -45,6 +45,7 @@
   readonly membership: Membership
   readonly targets: TargetRegistry
   readonly versions: VersionHistory
+  readonly quarantine: CrashQuarantine
   readonly slots: SlotClient
 }
 
@@ -60,7 +61,8 @@
       const membership = new Membership(transport, { zone: 'a', incarnation: 1, capacity: 1, seeds: ['10.0.0.1'] }, createTestLogger())
       const targets = new TargetRegistry()
       const versions = new VersionHistory()
-      return { transport, membership, targets, versions, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), new CrashQuarantine(), versions) }
+      const quarantine = new CrashQuarantine()
+      return { transport, membership, targets, versions, quarantine, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), quarantine, versions) }
     })
     members.forEach(({ membership }) => { membership.setState(MemberState.Ready) })
     while (!members.every(({ membership }) => membership.ready().length === 2)) {
@@ -105,6 +107,16 @@
     assert.equal(holder.transport.count(PeerMessageType.TargetLeaving), 1)
   })
 
+  it('remembers which parts its own requests were answered with, for the time at which it owns the slots', async () => {
+    const outcomes = [['crashed', SlotOutcome.Crashed], ['failed', SlotOutcome.Failed], ['answered', SlotOutcome.Finished]] as const
+    for (const [part, outcome] of outcomes) {
+      const result = await holder.slots.acquire({ ...demand, prefix: [part] }, AbortSignal.timeout(1_000))
+      assert.ok(result.granted, part)
+      result.slot.release(outcome)
+    }
+    assert.deepEqual(holder.quarantine.answered().map(({ digest }) => digest), [promptPartDigest('answered')])
+  })
+
   it('never uses a target that it heard is leaving, also while the owner does not know', async () => {
     holder.transport.dropped = PeerMessageType.TargetLeaving
     const slot = await acquire(holder)
--- a/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
+++ b/packages/gateway/tests/quarantine/quarantine-sharing.test.ts
@@ -124,6 +124,18 @@
     assert.ok(!isHeldBack(newOwner))
   })
 
+  it('tells a new owner which parts were answered, so that it does not take connections which break for crashes under them', async () => {
+    const network = new LoopbackNetwork()
+    const [known, newOwner] = createProcesses(2, network)
+    assert.ok(known !== undefined && newOwner !== undefined)
+    known.quarantine.rememberAnswered({ parts: [part], digest: '' })
+    known.sharing.tell(newOwner.address)
+    await sleep(deliveryMilliseconds)
+    assert.ok(!newOwner.quarantine.isActive)
+    crashThrice(newOwner.quarantine)
+    assert.ok(!isHeldBack(newOwner))
+  })
+
   it('restores the quarantine from the log after all processes are lost, and a part that was cleared stays cleared', async () => {
     const log = createLog()
     const [before] = createProcesses(1, new LoopbackNetwork(), log)
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -77,6 +77,8 @@
 const maximumSuspicions = 1_024
 /** Maximum number of remembered parts, and of remembered requests, with complete answers, which bounds memory to about two megabytes. */
 const maximumProven = 8_192
+/** Number of parts with complete answers of which a new owner is told: as many as fit one datagram. */
+const maximumToldAnswered = 24
 /** Number of cleared entries of which a new owner is told: as many as fit one datagram. */
 const maximumToldCleared = 24
 /** Maximum number of remembered crashes of a suspicion. */
@@ -200,14 +202,19 @@
     }
   }
 
-  /** Records that a request was answered completely. */
-  onCompleted (content: RequestContent): void {
+  /** Remembers that a request was answered completely, for the time at which this process decides; the process that does so now clears the request. */
+  rememberAnswered (content: RequestContent): void {
     for (const digest of this.#partsOf(content)) {
       remember(this.#provenParts, digest)
     }
     if (content.digest !== '') {
       remember(this.#provenRequests, content.digest)
     }
+  }
+
+  /** Records that a request was answered completely. */
+  onCompleted (content: RequestContent): void {
+    this.rememberAnswered(content)
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
@@ -266,8 +273,17 @@
     return [...this.#clearedVersions].slice(-maximumToldCleared).map(([digest, version]) => ({ digest, version, periods: 0, remaining: 0 }))
   }
 
+  /** Returns entries without a version for the parts that were answered last, for another process; a bounded number. Builds that know no such entries ignore them. */
+  answered (): readonly QuarantineEntry[] {
+    return [...this.#provenParts].slice(-maximumToldAnswered).map(digest => ({ digest, version: 0, periods: 0, remaining: 0 }))
+  }
+
   /** Adopts an entry of another process or of the log unless a newer one is known. */
   merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
+    if (version === 0 && periods === 0 && crashes === 0) {
+      remember(this.#provenParts, digest)
+      return
+    }
     const known = this.#suspicions.get(digest)
     if (version <= Math.max(known?.version ?? 0, this.#clearedVersions.get(digest) ?? 0)) {
       return
