Release a prompt part once late reports show the request that crashed the targets

Cause: an instance reports a broken connection once it knows whether the way to the target is cut. One report in transit was allowed for, not two.

Fix: after each report, the first period of a part ends whose crashes a request explains by now, by the same rule that keeps it from beginning. Only if all its crashes are known to this process, and before its first trial. The crashes stay counted, so that further ones that no request explains hold it back again.

Evidence: with the call taken out, "is no longer held back once late reports show the request that crashed the targets" fails; the tests of the quarantine pass unchanged.

--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -238,6 +238,7 @@
         isExplained = suspicion.periods > 0
       }
     }
+    this.#endExplained()
   }
 
   /** Records that a target has not crashed under a request after all. What is in quarantine only because of that no longer is. */
@@ -374,6 +375,19 @@
     }
   }
 
+  /** Ends the first quarantine period of parts whose crashes a request explains by now: its reports may come after those of the requests that it interrupted. */
+  #endExplained (): void {
+    for (const [digest, suspicion] of this.#suspicions) {
+      const { isRequest, periods, crashes, counted } = suspicion
+      const isAllKnown = counted.length >= Math.min(crashes, maximumCountedCrashes)
+      if (!isRequest && periods === 1 && isAllKnown && this.#isExplained(digest, suspicion)) {
+        Object.assign(suspicion, { periods: 0, until: 0, version: suspicion.version + 1 })
+        this.#rememberCleared(digest, suspicion.version)
+        this.#notify({ digest, version: suspicion.version, periods: 0, remaining: 0 }, true)
+      }
+    }
+  }
+
   #onFewerCrashes (digest: string, suspicion: Suspicion, now: number): void {
     const { crashes, periods, isRequest } = suspicion
     if (crashes <= 0 || (periods > 0 && crashes < this.#requiredCrashes(suspicion))) {
--- a/packages/policy/tests/fleet/shared-parts.test.ts
+++ b/packages/policy/tests/fleet/shared-parts.test.ts
@@ -20,6 +20,53 @@
 }
 
 describe('a part that all requests share', () => {
+  it('is no longer held back once late reports show the request that crashed the targets', () => {
+    const quarantine = new CrashQuarantine()
+    const ends: number[] = []
+    const other = new CrashQuarantine()
+    const late = new CrashQuarantine()
+    quarantine.onChange((entry, isQuarantine) => {
+      if (isQuarantine) {
+        ends.push(entry.periods)
+        other.merge(entry, 0)
+      }
+    })
+    const deadly = { parts: [], digest: 'deadly' }
+    crash(quarantine, contentOf('first'), 't0', 0)
+    crash(quarantine, contentOf('second'), 't1', 100)
+    crash(quarantine, contentOf('third'), 't2', 200)
+    assert.ok(isHeldBack(quarantine, 200))
+    crash(quarantine, deadly, 't1', 300)
+    assert.ok(isHeldBack(quarantine, 300), 'a request that one of three crashes has interrupted explains them')
+    crash(quarantine, deadly, 't2', 320)
+    assert.ok(!isHeldBack(quarantine, 320))
+    assert.deepEqual(ends, [1, 0])
+    quarantine.cleared().forEach(entry => { late.merge(entry, 320) })
+    assert.ok(!other.isActive && !late.isActive)
+    crash(quarantine, deadly, 't3', 900)
+    assert.equal(quarantine.decide(deadly, 900).admission, QuarantineAdmission.Quarantined)
+  })
+
+  it('stays held back if only single ones of its requests come again', () => {
+    const quarantine = new CrashQuarantine()
+    for (const [index, digest] of ['first', 'second', 'third', 'third'].entries()) {
+      crash(quarantine, contentOf(digest), `t${index}`, index * 100)
+    }
+    assert.ok(isHeldBack(quarantine, 300))
+  })
+
+  it('stays held back at a successor that knows too few of the crashes to tell', () => {
+    const quarantine = new CrashQuarantine()
+    const successor = new CrashQuarantine()
+    quarantine.onChange(entry => { successor.merge(entry, 200) })
+    for (const [index, digest] of ['first', 'second', 'third'].entries()) {
+      crash(quarantine, contentOf(digest), `t${index}`, index * 100)
+    }
+    crash(successor, contentOf('fourth'), 't3', 300)
+    crash(successor, { parts: [], digest: 'bystander' }, 't3', 310)
+    assert.ok(isHeldBack(successor, 310))
+  })
+
   it('counts as answered before at a process that had its own requests answered, once that owns the slots', () => {
     const quarantine = new CrashQuarantine()
     quarantine.rememberAnswered(contentOf('earlier'))
