Let trials of a prompt part fail only by crashes, and leave them to instances that reach targets

Cause: each trial that does not end with a complete answer made the next period eight times as long, whatever its end told. Where all requests share the part, no other answer can end the quarantine meanwhile.

Fix: if the end of a part's trial tells of no crash (its caller left, its way was lost, its answer is no success), the next one follows after 1 s, then 8 s and 8 s. Each still counts as a period. For a second a trial is left to instances that have not failed since they last reached a target.

Why the users' bound holds: trials are due at 1 s, at 2 s at the earliest, 10 s and 18 s, and the next one an hour later; with crashes among them later. Trials of whole requests are as before.

--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -71,6 +71,11 @@
 const trialRetryMilliseconds = 1_000
 /** Trials of a quarantine that are repeated so. */
 const maximumTrialRetries = 3
+/**
+ * Time after which the first trials of a part are followed by the next if their ends tell of no crash, in their order. Each counts as a period, so that no
+ * more of them reach targets in ten minutes than of trials that crash targets.
+ */
+const stoppedTrialMilliseconds = [1_000, 8_000, 8_000] as const
 /** Time after which a request under observation no longer blocks others: a target that crashes under its prompt does so earlier. */
 const observationMilliseconds = 500
 /** Maximum number of requests and parts with crashes; invented ones replace each other, not what is in quarantine. */
@@ -151,6 +156,13 @@
     return Math.max(0, ...quarantined.map(({ until }) => until - now))
   }
 
+  /** Returns the milliseconds for which the next trial of a request's quarantined content has been due; null if the request would be none. */
+  trialDueFor (content: RequestContent, now: number): number | null {
+    const quarantined = this.#suspicionsOf(content).filter(({ periods }) => periods > 0)
+    const due = now - Math.max(...quarantined.map(({ until }) => until))
+    return quarantined.length > 0 && due >= 0 ? due : null
+  }
+
   /** Decides whether a request with this content may be dispatched. */
   decide (content: RequestContent, now: number): QuarantineDecision {
     if (this.#suspicions.size === 0) {
@@ -187,8 +199,9 @@
    * Records that a request ended without a complete answer, for another reason than a crash.
    *
    * @param mayHaveRun whether it may have reached its target
+   * @param isInterrupted whether its target broke the answer off, as far as is known
    */
-  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean): void {
+  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean, isInterrupted = true): void {
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion?.observed?.permit === permit) {
@@ -197,6 +210,8 @@
         if (isTrial && suspicion.periods > 1 && !mayHaveRun && suspicion.trialRetries < maximumTrialRetries) {
           suspicion.trialRetries += 1
           this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
+        } else if (isTrial && mayHaveRun && !isInterrupted && digest !== content.digest) {
+          this.#shortenPeriod(digest, suspicion, now)
         }
       }
     }
@@ -375,6 +390,16 @@
     }
   }
 
+  /** Brings the next trial of a part forward after one whose end tells of no crash. */
+  #shortenPeriod (digest: string, suspicion: Suspicion, now: number): void {
+    const { periods, until } = suspicion
+    // The period that began with the first trial is the second one.
+    const milliseconds = stoppedTrialMilliseconds[periods - 2] ?? Infinity
+    if (now + milliseconds < until) {
+      this.#setPeriod(digest, suspicion, periods, now, milliseconds)
+    }
+  }
+
   /** Ends the first quarantine period of parts whose crashes a request explains by now: its reports may come after those of the requests that it interrupted. */
   #endExplained (): void {
     for (const [digest, suspicion] of this.#suspicions) {
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -74,9 +74,15 @@
 /** Share of free slots above which a holder that probably reaches no target gets as many as it asks for. */
 const plentyShare = 0.5
 
+/** Time for which the trial of what is in quarantine is left to holders that have not failed since they last reached a target. */
+const trialLeftMilliseconds = 1_000
+
 /** Outcomes that say that the request has not run. */
 const outcomesWithoutRun: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced, SlotOutcome.Full])
 
+/** Outcomes that say that the answer was broken off. */
+const interruptions: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Broken, SlotOutcome.Crashed])
+
 /** Outcomes that say that the target has answered. */
 const answerOutcomes: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Failed])
 
@@ -610,7 +616,7 @@
     if (outcome === SlotOutcome.Finished) {
       this.quarantine.onCompleted(contentOf(held))
     } else {
-      this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome))
+      this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome), interruptions.has(outcome))
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
     if (answerOutcomes.has(outcome)) {
@@ -639,7 +645,7 @@
   #refuse (request: SlotRequest): SlotDecision {
     this.#onlinePressureAt = this.#now
     if (!this.#admitsContent(request)) {
-      return refusalOf(request, RefusalReason.Quarantined, this.quarantine.decide(contentOf(request), this.#now).retryAfter)
+      return refusalOf(request, RefusalReason.Quarantined, this.#quarantinedFor(request))
     }
     const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#requestsPerMillisecond(), request.latestReturn))
     return refusalOf(request, RefusalReason.Busy, retryAfter)
@@ -670,7 +676,20 @@
   }
 
   #admitsContent (request: SlotRequest): boolean {
-    return this.quarantine.decide(contentOf(request), this.#now).admission === QuarantineAdmission.Admitted
+    return this.quarantine.decide(contentOf(request), this.#now).admission === QuarantineAdmission.Admitted && this.#trialLeftFor(request) === 0
+  }
+
+  /**
+   * Returns the milliseconds for which a request is held back because it would be a trial of what is in quarantine and its holder may be cut
+   * off: a trial that fails for that extends the quarantine.
+   */
+  #trialLeftFor (request: SlotRequest): number {
+    const due = this.#health.failingSince(request.holder) === null ? null : this.quarantine.trialDueFor(contentOf(request), this.#now)
+    return due === null ? 0 : Math.max(0, trialLeftMilliseconds - due)
+  }
+
+  #quarantinedFor (request: SlotRequest): number {
+    return Math.max(this.quarantine.decide(contentOf(request), this.#now).retryAfter, this.#trialLeftFor(request))
   }
 
   /** Rejects the waiting online requests that have been quarantined since they were queued. */
