--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -71,12 +71,19 @@
 const trialRetryMilliseconds = 1_000
 /** Trials of a quarantine that are repeated so. */
 const maximumTrialRetries = 3
+/**
+ * Time after which the first trials of a part are followed by the next if their ends tell of no crash, in their order. Each counts as a period, so that no
+ * more of them reach targets in ten minutes than of trials that crash targets.
+ */
+const stoppedTrialMilliseconds = [1_000, 8_000, 8_000] as const
 /** Time after which a request under observation no longer blocks others: a target that crashes under its prompt does so earlier. */
 const observationMilliseconds = 500
 /** Maximum number of requests and parts with crashes; invented ones replace each other, not what is in quarantine. */
 const maximumSuspicions = 1_024
 /** Maximum number of remembered parts, and of remembered requests, with complete answers, which bounds memory to about two megabytes. */
 const maximumProven = 8_192
+/** Number of parts with complete answers of which a new owner is told: as many as fit one datagram. */
+const maximumToldAnswered = 24
 /** Number of cleared entries of which a new owner is told: as many as fit one datagram. */
 const maximumToldCleared = 24
 /** Maximum number of remembered crashes of a suspicion. */
@@ -149,6 +156,13 @@
     return Math.max(0, ...quarantined.map(({ until }) => until - now))
   }
 
+  /** Returns the milliseconds for which the next trial of a request's quarantined content has been due; null if the request would be none. */
+  trialDueFor (content: RequestContent, now: number): number | null {
+    const quarantined = this.#suspicionsOf(content).filter(({ periods }) => periods > 0)
+    const due = now - Math.max(...quarantined.map(({ until }) => until))
+    return quarantined.length > 0 && due >= 0 ? due : null
+  }
+
   /** Decides whether a request with this content may be dispatched. */
   decide (content: RequestContent, now: number): QuarantineDecision {
     if (this.#suspicions.size === 0) {
@@ -185,8 +199,9 @@
    * Records that a request ended without a complete answer, for another reason than a crash.
    *
    * @param mayHaveRun whether it may have reached its target
+   * @param isInterrupted whether its target broke the answer off, as far as is known
    */
-  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean): void {
+  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean, isInterrupted = true): void {
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion?.observed?.permit === permit) {
@@ -195,19 +210,26 @@
         if (isTrial && suspicion.periods > 1 && !mayHaveRun && suspicion.trialRetries < maximumTrialRetries) {
           suspicion.trialRetries += 1
           this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
+        } else if (isTrial && mayHaveRun && !isInterrupted && digest !== content.digest) {
+          this.#shortenPeriod(digest, suspicion, now)
         }
       }
     }
   }
 
-  /** Records that a request was answered completely. */
-  onCompleted (content: RequestContent): void {
+  /** Remembers that a request was answered completely, for the time at which this process decides; the process that does so now clears the request. */
+  rememberAnswered (content: RequestContent): void {
     for (const digest of this.#partsOf(content)) {
       remember(this.#provenParts, digest)
     }
     if (content.digest !== '') {
       remember(this.#provenRequests, content.digest)
     }
+  }
+
+  /** Records that a request was answered completely. */
+  onCompleted (content: RequestContent): void {
+    this.rememberAnswered(content)
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
@@ -231,6 +253,7 @@
         isExplained = suspicion.periods > 0
       }
     }
+    this.#endExplained()
   }
 
   /** Records that a target has not crashed under a request after all. What is in quarantine only because of that no longer is. */
@@ -266,8 +289,17 @@
     return [...this.#clearedVersions].slice(-maximumToldCleared).map(([digest, version]) => ({ digest, version, periods: 0, remaining: 0 }))
   }
 
+  /** Returns entries without a version for the parts that were answered last, for another process; a bounded number. Builds that know no such entries ignore them. */
+  answered (): readonly QuarantineEntry[] {
+    return [...this.#provenParts].slice(-maximumToldAnswered).map(digest => ({ digest, version: 0, periods: 0, remaining: 0 }))
+  }
+
   /** Adopts an entry of another process or of the log unless a newer one is known. */
   merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
+    if (version === 0 && periods === 0 && crashes === 0) {
+      remember(this.#provenParts, digest)
+      return
+    }
     const known = this.#suspicions.get(digest)
     if (version <= Math.max(known?.version ?? 0, this.#clearedVersions.get(digest) ?? 0)) {
       return
@@ -358,6 +390,29 @@
     }
   }
 
+  /** Brings the next trial of a part forward after one whose end tells of no crash. */
+  #shortenPeriod (digest: string, suspicion: Suspicion, now: number): void {
+    const { periods, until } = suspicion
+    // The period that began with the first trial is the second one.
+    const milliseconds = stoppedTrialMilliseconds[periods - 2] ?? Infinity
+    if (now + milliseconds < until) {
+      this.#setPeriod(digest, suspicion, periods, now, milliseconds)
+    }
+  }
+
+  /** Ends the first quarantine period of parts whose crashes a request explains by now: its reports may come after those of the requests that it interrupted. */
+  #endExplained (): void {
+    for (const [digest, suspicion] of this.#suspicions) {
+      const { isRequest, periods, crashes, counted } = suspicion
+      const isAllKnown = counted.length >= Math.min(crashes, maximumCountedCrashes)
+      if (!isRequest && periods === 1 && isAllKnown && this.#isExplained(digest, suspicion)) {
+        Object.assign(suspicion, { periods: 0, until: 0, version: suspicion.version + 1 })
+        this.#rememberCleared(digest, suspicion.version)
+        this.#notify({ digest, version: suspicion.version, periods: 0, remaining: 0 }, true)
+      }
+    }
+  }
+
   #onFewerCrashes (digest: string, suspicion: Suspicion, now: number): void {
     const { crashes, periods, isRequest } = suspicion
     if (crashes <= 0 || (periods > 0 && crashes < this.#requiredCrashes(suspicion))) {
