Ask for the rest of a stream without framing that its target closed in order

Callers got a part of a stream as complete: an answer without framing whose link is closed in order between two events, by a target that lives, ended with the last chunk.

Cause: nothing on the connection tells such an end from that of a whole answer, and the gateway took it for one. The protocol has no event that ends a stream. Ruled out: a reset that is taken for a close (the check for that passes the close on), a target that has ended (the target accepts connections).

A resumable stream that ends so is asked for what follows its last event, as one more of its route's attempts, within 100 ms for a slot and the objective (500 ms at most) in all. Events that follow are passed on; an empty rest says that it is whole, also one that ends in order without framing at the same event; the beginning of an event, or a question that is lost with its connection, breaks the stream off. It works since a target that has more to send says so when it is asked. Where nothing is told (no slot, no target, another status, no time) the stream ends as before, which is logged. Requests that run once, streams that may not be resumed or have no ids, routes with one attempt and requests that had to wait for a slot are not asked for. No message between instances changes.

A rest that begins behind a gap now also shows that events follow, so that an empty rest after it is not whole.

OnlineHarness records demands.

--- a/packages/command-line/src/explain/history.ts
+++ b/packages/command-line/src/explain/history.ts
@@ -2,7 +2,7 @@
 import type { LogLine } from './log-line.js'
 
 /** Messages that concern one online request, or one item. */
-const requestMessages: ReadonlySet<string> = new Set(['dispatch ended', 'refused', 'no route'])
+const requestMessages: ReadonlySet<string> = new Set(['dispatch ended', 'end of stream not confirmed', 'refused', 'no route'])
 const itemMessages: ReadonlySet<string> = new Set(['item run ended', 'item goes on', 'item finished'])
 
 /** All lines of a request or item, the oldest first. */
--- a/packages/command-line/src/explain/outcome-classes.ts
+++ b/packages/command-line/src/explain/outcome-classes.ts
@@ -50,9 +50,9 @@
   return history.isItem && runsOf(history).at(-1)?.fields.end === 'complete' && runsOf(history).at(-1)?.fields.status === 200
 }
 
-/** Whether an online request went to several targets. */
-function hasSeveralAttempts ({ lines }: History): boolean {
-  return lines.filter(({ message }) => message === 'dispatch ended').length > 1
+/** Whether an online request was sent again after an attempt that failed; a question for the rest of a stream whose end is unknown follows none. */
+function hasFailedAttempt ({ lines }: History): boolean {
+  return lines.slice(0, -1).some(({ message, fields }) => message === 'dispatch ended' && fields.end !== 'end-unknown')
 }
 
 function wasRevoked ({ fields }: LogLine): boolean {
@@ -61,11 +61,12 @@
 
 /** All classes, the more specific ones first. */
 export const outcomeClasses: readonly OutcomeClass[] = [
-  { name: 'late after a failed attempt', meaning: 'served by another target; look at why the first one failed', matches: history => isLate(history) && hasSeveralAttempts(history) },
+  { name: 'late after a failed attempt', meaning: 'served by another target; look at why the first one failed', matches: history => isLate(history) && hasFailedAttempt(history) },
   { name: 'late, waited for a slot', meaning: 'all slots were taken; see what else ran, and whether targets were lost', matches: history => isLate(history) && waitedLong(history) },
   { name: 'late at its target', meaning: 'the target took long to the first event; see its other requests', matches: isLate },
-  { name: 'served after a failed attempt', meaning: 'in time all the same', matches: history => isServed(history) && hasSeveralAttempts(history) },
+  { name: 'served after a failed attempt', meaning: 'in time all the same', matches: history => isServed(history) && hasFailedAttempt(history) },
   { name: 'served', meaning: 'in time', matches: isServed },
+  { name: 'served, end not confirmed', meaning: 'the target ended the stream in order without framing, and nothing told in time whether events follow', matches: history => isOnline(history, 'end of stream not confirmed') },
   { name: 'refused, all slots taken', meaning: 'has not run; the caller was told when to come back', matches: history => isOnline(history, 'refused') && Number(lastLine(history)?.fields.refusals) === 0 },
   { name: 'refused by targets', meaning: 'has not run; targets were full or out of reach: look at their other lines', matches: history => isOnline(history, 'refused') },
   { name: 'no route', meaning: 'the configuration of that version has no route for the path', matches: history => isOnline(history, 'no route') },
--- a/packages/command-line/tests/explain/explain-command.test.ts
+++ b/packages/command-line/tests/explain/explain-command.test.ts
@@ -25,6 +25,11 @@
   line(6, 'one', 'dispatch ended', { ...call, request: 'broken', end: 'broken', reason: 'read ECONNRESET' }),
   line(6, 'one', 'dispatch ended', { ...call, request: 'lost', end: 'disconnected', reason: 'connection closed before the end of the response' }),
   line(8, 'one', 'dispatch ended', { ...call, request: 'open', end: 'end-unknown' }),
+  line(1, 'one', 'dispatch ended', { ...call, request: 'confirmed', end: 'end-unknown' }),
+  line(2, 'one', 'dispatch ended', { ...call, request: 'confirmed', after: 34, end: 'complete' }),
+  line(1, 'one', 'dispatch ended', { ...call, request: 'unconfirmed', end: 'end-unknown' }),
+  line(2, 'one', 'dispatch ended', { ...call, request: 'unconfirmed', after: 34, end: 'unreachable', status: null }),
+  line(3, 'one', 'end of stream not confirmed', { request: 'unconfirmed', route: 'r', after: 34 }),
   line(7, 'one', 'item run ended', { job: 'j', item: 'i', target: 't1', end: 'broken', reason: 'slot revoked', status: 200, events: 4, took: 300 }),
   '{"time":"half of a line'
 ]
@@ -65,7 +70,8 @@
     assert.deepEqual(Object.fromEntries(classes.map(entry => [entry.class, entry.examples])), {
       'late after a failed attempt': ['moved'],
       'late, waited for a slot': ['slow'],
-      served: ['served', 'open'],
+      served: ['served', 'open', 'confirmed'],
+      'served, end not confirmed': ['unconfirmed'],
       'refused, all slots taken': ['refused'],
       'broken off by its target': ['broken', 'lost'],
       'item finished after losing its slot': ['j/i']
--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -29,6 +29,7 @@
 export class EventSplitter {
   #rest: Buffer = emptyBuffer
   #hasEvents = false
+  #hasLaterId = false
   #lastId: number | null
 
   /** @param after id of the event after which the stream continues, so that its first event has the next id; null if it begins */
@@ -61,6 +62,7 @@
     let last: number | null = null
     for (const [, text] of events.matchAll(idField)) {
       const id = Number(text)
+      this.#hasLaterId ||= this.after !== null && id > this.after
       if (this.#lastId !== null && id <= this.#lastId) {
         throw new MalformedStreamError(`event ${id} follows event ${this.#lastId} in a stream`)
       }
@@ -82,6 +84,11 @@
     return start !== '' && eventStart.startsWith(start)
   }
 
+  /** Whether the bytes show that the stream has more than its complete events: the beginning of one, or, in a rest, the id of a later one that was not accepted. */
+  get showsMore (): boolean {
+    return this.#rest.length > 0 || (this.#hasLaterId && !this.#hasEvents)
+  }
+
   /** Bytes after the last complete event. */
   get rest (): Buffer {
     return this.#rest
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,7 +1,7 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
-import { promptPartDigest, RefusalReason, RouteKind, silenceLimits, SlotOutcome } from '@arbutusloft/policy'
-import type { DrainAdmission, StreamOrigin } from '@arbutusloft/policy'
+import { promptPartDigest, questionAfterEnd, RefusalReason, RouteKind, silenceLimits, SlotOutcome } from '@arbutusloft/policy'
+import type { DrainAdmission, EndQuestion, StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
@@ -48,6 +48,8 @@
 const maximumRetryShare = 0.3
 
 const millisecondsPerSecond = 1_000
+/** Abort reason of a question for the rest of a stream. */
+const unansweredReason = 'nothing told in time whether the stream goes on'
 const stoppingText = 'not run: this instance stops before the request could end'
 
 const refusalTexts: Readonly<Record<RefusalReason, string>> = {
@@ -65,6 +67,8 @@
   readonly #excluded: string[] = []
   /** Time of the latest data that was relayed or, before it, of the request's arrival. */
   #lastProgressAt = this.#startedAt
+  /** Time from the arrival of the request until it was sent for the first time; null before. */
+  #waitedMilliseconds: number | null = null
   /** Number of failed attempts that a target may have run. */
   #possibleExecutions = 0
   /** Slot for the next attempt, which was granted while the last one was silent, or null. */
@@ -74,6 +78,13 @@
   /** Number of these that no path led to their targets for. */
   #pathlessAttempts = 0
   #clientDisconnected = false
+  /** Question for the rest of a stream whose end is unknown, or null while there is none. */
+  #question: EndQuestion | null = null
+  /** Time at which the question ends, in milliseconds since the epoch. */
+  #questionEndsAt = 0
+  #questionTimer: NodeJS.Timeout | null = null
+  /** Whether a target closed or reset the connection in place of an answer to the question: the close before may have been a cut as well. */
+  #isQuestionLost = false
   /** Origin of the stream of which the client has events, or null if it has none. */
   #origin: StreamOrigin | null
   /** Whether this run has recorded the stream's origin for later attempts of the client. */
@@ -115,6 +126,7 @@
       await this.#runAttempts()
     } finally {
       this.#takeNextSlot()?.release(SlotOutcome.Stopped)
+      this.#endQuestion()
       clearTimeout(timer)
       ending.removeEventListener('abort', onEnding)
       this.response.off('close', onClose)
@@ -143,6 +155,11 @@
         this.#onSlotRejected(result.reason, result.retryAfter)
         return
       }
+      if (this.#question !== null && this.#abort.signal.aborted) {
+        result.slot.release(SlotOutcome.Stopped)
+        this.#finishIncomplete()
+        return
+      }
       if (this.#possibleExecutions === 0 && !this.#isAdmitted()) {
         result.slot.release(SlotOutcome.Stopped)
         this.#refuseStopping()
@@ -197,7 +214,7 @@
 
   async #acquire (excluded: readonly string[], signal: AbortSignal): Promise<AcquireResult> {
     const { route, service, prefix, digest, spentMilliseconds } = this.request
-    const maximumWait = Math.min(route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
+    const maximumWait = Math.min(this.#question?.patience ?? route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
     return await this.dependencies.slots.acquire({
       service,
       workClass: WorkClass.Online,
@@ -229,6 +246,9 @@
   async #dispatch (slot: Slot): Promise<boolean> {
     const { request, dependencies } = this
     const { target } = slot
+    if (this.#question !== null) {
+      this.#limitQuestion(this.#questionEndsAt - Date.now())
+    }
     const headers = [...request.headers]
     const resumeAfter = this.#relay.lastId ?? request.lastEventId
     const eventId = resumeAfter === null ? request.otherEventId : String(resumeAfter)
@@ -236,6 +256,7 @@
       headers.push('Last-Event-Id', eventId)
     }
     const sentAt = Date.now()
+    this.#waitedMilliseconds ??= sentAt - this.#startedAt
     let firstDataAt: number | null = null
     let status: number | null = null
     let isDiscarded = false
@@ -273,6 +294,7 @@
         if (this.#relay.relayedBytes > relayedBytes) {
           silenceWatch.onProgress()
           this.#lastProgressAt = Date.now()
+          this.#endQuestion()
           this.#recordOrigin(target)
         } else {
           silenceWatch.onIncompleteData()
@@ -345,7 +367,10 @@
     if (this.#clientDisconnected) {
       return 'client gone'
     }
-    return this.dependencies.ending.aborted ? 'instance stops' : 'deadline'
+    if (this.dependencies.ending.aborted) {
+      return 'instance stops'
+    }
+    return this.#question === null ? 'deadline' : unansweredReason
   }
 
   /** Records when the client gets the first bytes of its response, which is the end of one that was held. */
@@ -358,11 +383,10 @@
 
   #onCallEnd (outcome: CallOutcome, target: TargetEndpoint): boolean {
     switch (outcome) {
-      case CallOutcome.Complete:
       case CallOutcome.EndUnknown:
-        this.#relay.end()
-        this.#count('served')
-        return true
+        return this.#beginQuestion() ? false : this.#finishServed()
+      case CallOutcome.Complete:
+        return this.#finishServed()
       case CallOutcome.NotExecuted:
       case CallOutcome.Misdirected:
       case CallOutcome.Unreachable:
@@ -377,6 +401,7 @@
       case CallOutcome.Broken:
       case CallOutcome.Disconnected: {
         const canRetry = this.#canRetry()
+        this.#isQuestionLost ||= this.#question !== null && outcome === CallOutcome.Disconnected
         this.#possibleExecutions += 1
         this.#excluded.push(target.id)
         return (this.#abort.signal.aborted || !canRetry || this.#remainingMilliseconds() < minimumRemainingMilliseconds) && this.#finishIncomplete()
@@ -390,10 +415,48 @@
     return isRepeatable(route) && this.#relay.canContinue && this.#possibleExecutions + 1 < route.maxAttempts
   }
 
+  /** Begins to ask for the rest of a stream that has ended without anybody saying that it is whole; returns whether an attempt for that is to be made. */
+  #beginQuestion (): boolean {
+    const question = questionAfterEnd({
+      unknownEnds: this.#relay.unknownEnds,
+      waitedMilliseconds: this.#waitedMilliseconds ?? 0,
+      objectiveMilliseconds: this.request.route.objectiveMilliseconds,
+      remainingMilliseconds: this.#remainingMilliseconds()
+    })
+    if (question === null || this.#abort.signal.aborted || !this.#canRetry()) {
+      return false
+    }
+    this.#possibleExecutions += 1
+    this.#question = question
+    this.#questionEndsAt = Date.now() + question.limit
+    this.#limitQuestion(question.patience)
+    return true
+  }
+
+  #limitQuestion (milliseconds: number): void {
+    clearTimeout(this.#questionTimer ?? undefined)
+    this.#questionTimer = setTimeout(() => { this.#abort.abort() }, milliseconds)
+  }
+
+  #endQuestion (): void {
+    this.#question = null
+    clearTimeout(this.#questionTimer ?? undefined)
+  }
+
+  #finishServed (): boolean {
+    this.#relay.end()
+    this.#count('served')
+    return true
+  }
+
   /** Finishes the request without a complete response; returns true, which means that no further attempt is needed. */
   #finishIncomplete (): boolean {
     if (this.#clientDisconnected) {
       this.#count('client_gone')
+    } else if (this.#relay.unknownEnds > 0 && !this.#isQuestionLost) {
+      // The target has ended the stream in order: https://www.rfc-editor.org/rfc/rfc9112#section-6.3
+      this.dependencies.logger.info('end of stream not confirmed', { request: this.request.id, route: this.request.route.name, after: this.#relay.lastId })
+      return this.#finishServed()
     } else if (this.#relay.hasBegun) {
       this.#relay.abort()
       this.#count('broken_off')
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http'
 import { endsWithConnection } from '../targets/response-parser.js'
 import type { ResponseHead } from '../targets/response-parser.js'
+import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
 import { EventSplitter } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
@@ -38,6 +39,10 @@
   #lastId: number | null = null
   /** Id of the last event before the latest one that was broken off, or null. */
   #continuesAfter: number | null = null
+  /** Id of the last event before the latest end that was unknown, or null. */
+  #unknownEndAfter: number | null = null
+  /** Number of unknown ends in a row after that event. */
+  #unknownEnds = 0
   #relayedBytes = 0
   /** Length of the whole body, which the target did not tell; null if it is not known when the head is sent. */
   #knownLength: number | null = null
@@ -62,6 +67,12 @@
     return this.#lastId
   }
 
+  /** Number of responses in a row that have ended in order, without framing, after the last event that was sent; 0 if one has shown that another event follows. */
+  get unknownEnds (): number {
+    const isLast = this.#lastId !== null && this.#lastId === this.#unknownEndAfter && this.#lastId !== this.#continuesAfter
+    return isLast ? this.#unknownEnds : 0
+  }
+
   /** Bytes of the body that were sent to the client or are held for it; the bytes of an event count once it is complete. */
   get relayedBytes (): number {
     return this.#relayedBytes + this.#heldBytes
@@ -111,10 +122,14 @@
     if (this.#splitter === null) {
       return ended
     }
-    const end = streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter)
-    if (this.#splitter.rest.length > 0) {
+    const end = streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter, this.unknownEnds > 0)
+    if (this.#splitter.showsMore) {
       this.#continuesAfter = this.#lastId
     }
+    if (end.end === CallOutcome.EndUnknown) {
+      this.#unknownEnds = this.unknownEnds + 1
+      this.#unknownEndAfter = this.#lastId
+    }
     return end
   }
 
--- a/packages/gateway/src/online/stream-end.ts
+++ b/packages/gateway/src/online/stream-end.ts
@@ -9,8 +9,9 @@
  * @param ended end of the call by its framing and connection
  * @param splitter has received the whole body
  * @param mayBeEmpty whether the request resumed the stream and no earlier response has shown that another event follows
+ * @param hasEndedHere whether an earlier response has ended in order after the event behind which the request resumed the stream
  */
-export function streamEndOf (ended: CallEnd, splitter: EventSplitter, mayBeEmpty: boolean): CallEnd {
+export function streamEndOf (ended: CallEnd, splitter: EventSplitter, mayBeEmpty: boolean, hasEndedHere = false): CallEnd {
   const { end } = ended
   if (end !== CallOutcome.Complete && end !== CallOutcome.EndUnknown) {
     return ended
@@ -19,7 +20,7 @@
   if (splitter.rest.length > 0) {
     return { end: brokenOff, reason: 'the stream ended inside an event' }
   }
-  // If the body ends with its connection, it may have been cut before the next event.
-  const isWholeIfEmpty = mayBeEmpty && end === CallOutcome.Complete
+  // If the body ends with its connection, it may have been cut before the next event, but hardly twice.
+  const isWholeIfEmpty = mayBeEmpty && (end === CallOutcome.Complete || hasEndedHere)
   return splitter.hasEvents || isWholeIfEmpty ? ended : { end: brokenOff, reason: 'the stream ended before its first event' }
 }
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -9,6 +9,7 @@
 import { CallerBudgets } from '../../src/online/caller-budgets.js'
 import { createOnlineRequest, GatewayMetrics, readBody, sleep, TargetConnections } from '../../src/index.js'
 import type { HeaderNames, SlotClient } from '../../src/index.js'
+import type { SlotDemand } from '../../src/permits/slot.js'
 import { createTestLogger } from './test-logger.js'
 
 const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', rateLimit: 'x-rate-limit', promptPrefix: 'x-prefix', resumes: 'x-resumes', wait: 'x-wait' }
@@ -91,6 +92,8 @@
   readonly hasNoSlots?: boolean
   /** Time for which requests wait for each slot; none by default. */
   readonly slotWaitMilliseconds?: number
+  /** Times for which the first requests for a slot wait, in order, in place of that; none by default. */
+  readonly slotWaitsMilliseconds?: readonly number[]
   /** Whether all attempts go to the same target, and so may use the same connections. */
   readonly hasOneTarget?: boolean
   /** Connections to the targets; they are closed with the harness. */
@@ -102,6 +105,8 @@
   readonly outcomes: SlotOutcome[] = []
   /** What each answer of a target said about its rate limit, as far as that was told. */
   readonly rateLimits: Array<number | null> = []
+  /** What was asked for in each request for a slot. */
+  readonly demands: SlotDemand[] = []
   /** Text of each request at a target. */
   readonly arrivals: string[] = []
   readonly logLines: string[] = []
@@ -121,14 +126,15 @@
     private readonly firstTargets: string[],
     private readonly hasNoSlots: boolean,
     private readonly slotWaitMilliseconds: number,
+    private readonly slotWaitsMilliseconds: number[],
     private readonly hasOneTarget: boolean,
     private readonly targetConnections: TargetConnections
   ) {}
 
   /** @param answers one for each attempt, in order */
   static async start (route: Route, answers: readonly ScriptedAnswer[], options: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
-    const { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, slotWaitMilliseconds = 0, hasOneTarget = false, connections = new TargetConnections() } = options
-    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, slotWaitMilliseconds, hasOneTarget, connections)
+    const { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, slotWaitMilliseconds = 0, slotWaitsMilliseconds = [], hasOneTarget = false, connections = new TargetConnections() } = options
+    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, slotWaitMilliseconds, [...slotWaitsMilliseconds], hasOneTarget, connections)
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
@@ -263,13 +269,15 @@
   }
 
   #slots (): SlotClient {
-    const acquire: SlotClient['acquire'] = async (_demand, signal) => {
+    const acquire: SlotClient['acquire'] = async (demand, signal) => {
+      this.demands.push(demand)
       if (this.hasNoSlots) {
         await once(signal, 'abort')
         return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
       }
-      if (this.slotWaitMilliseconds > 0) {
-        await sleep(this.slotWaitMilliseconds)
+      const wait = this.slotWaitsMilliseconds.shift() ?? this.slotWaitMilliseconds
+      if (wait > 0) {
+        await sleep(wait)
       }
       const address = this.firstTargets.shift() ?? this.#scriptedAddress()
       if (address === null) {
