Continue an item only after ids that are exact, and discard what cannot be continued

Readers of a job got events of an item twice: a target whose events have no ids, or ids that are no exact numbers, was asked again after a break, from the first event on as the splitter takes no such id for a place to continue, and its events were added to those that were there. An id like "4th" was sent as Last-Event-Id 4.

Cause: item-output.ts read ids with parseInt, while the splitter of streams takes plain numbers of up to 15 digits only, and a new stream kept the events before it also where it begins at the first one.

Evidence, the new test before: 'a\na\nb' and 3 events in place of 'a\nb' and 2.

Now the id is the one that the splitter has checked, and a stream that has nothing to continue after discards what was collected, so that no event stands twice. Such an item begins anew after each break.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -70,7 +70,7 @@
    */
   push (chunk: Buffer): boolean {
     const { events } = this
-    const { bytes } = this.#splitter.push(chunk)
+    const { bytes, lastId } = this.#splitter.push(chunk)
     if (bytes.length === 0) {
       return false
     }
@@ -78,12 +78,11 @@
       onEvent: event => {
         this.#eventData.push(event.data)
         this.#textBytes += bytesOf(event.data)
-        const id = Number.parseInt(event.id ?? '', 10)
-        this.#lastId = Number.isNaN(id) ? this.#lastId : id
         this.#origin = this.#streamOrigin
       }
     })
     parser.feed(bytes.toString('utf8'))
+    this.#lastId = lastId ?? this.#lastId
     if (this.#textBytes > maximumTextBytes) {
       // Any of the streams may have sent events that are not of this output.
       this.discard()
@@ -92,8 +91,14 @@
     return this.events > events
   }
 
-  /** Starts a new stream of a target, which continues after the last complete event; discards an incomplete one. */
+  /**
+   * Starts a new stream of a target, which continues after the last complete event; discards an incomplete one. Without an id to continue
+   * after, it begins at the first event, and what was collected is discarded.
+   */
   startStream (origin: OutputOrigin): void {
+    if (this.#lastId === null) {
+      this.discard()
+    }
     this.#streamOrigin = origin
     this.#splitter = new EventSplitter(this.#lastId)
     this.#resumesAfter = this.#lastId
--- a/packages/gateway/tests/jobs/item-output.test.ts
+++ b/packages/gateway/tests/jobs/item-output.test.ts
@@ -43,6 +43,18 @@
     assert.equal(output.text, 'a\nb\nc')
   })
 
+  it('takes no event twice after a break if the events have no ids, or ids that are no exact numbers, and so cannot be resumed', () => {
+    for (const id of ['', 'id: 4th\n', 'id: 0x1\n', 'id: 1234567890123456\n']) {
+      const output = new ItemOutput()
+      output.startStream(first)
+      output.push(Buffer.from(`${id}data: a\n\n`))
+      assert.deepEqual([output.lastId, output.progress], [null, null], id)
+      output.startStream(second)
+      output.push(Buffer.from(`${id}data: a\n\n${id}data: b\n\n`))
+      assert.deepEqual([output.text, output.events, output.origin], ['a\nb', 2, second], id)
+    }
+  })
+
   it('counts restored events and the bytes, not the characters, of a text', () => {
     const output = new ItemOutput()
     output.restore({ lastId: 1, origin: first, text: 'ö'.repeat(100_000) })
