Keep a new holder's share of a limit beside an owner of an earlier build

Cause: only owners pace, and an earlier owner ignores what it is told. Its new holders knew the limit from their own answers and used every grant.

What changed: HolderPacing in policy. A holder that told the owner of a limit, and half a second later gets a grant on the target that carries no rateLimit, keeps an even share: limit / ready instances. Other slots of the target are given back as Stopped, and the request excludes the target until the share allows it; if the owner grants it all the same, the request is sent again after 0.1 to 0.6 s, so that nothing loops. Patience counts on from the first request. Grants now carry rateLimit null if the owner has heard that the limit is over, so that a holder with an older word of it does not hold back; earlier builds read null as none. One grant that names a limit of any target ends the restraint.

--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -104,8 +104,11 @@
   readonly softwareVersion?: string
   /** Whether targets of several software versions serve, or have lately, according to the owner. */
   readonly isMixed?: boolean
-  /** Rate limit of the target that the owner knows, in requests a second; left out if it knows none. */
-  readonly rateLimit?: number
+  /**
+   * Rate limit of the target that the owner knows, in requests a second; null if it has heard that there is none any more, which earlier builds leave out.
+   * Left out if it has heard of none.
+   */
+  readonly rateLimit?: number | null
 }
 
 /** Rejects a request for a slot. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,7 +3,7 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits } from '@arbutusloft/policy'
+import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits } from '@arbutusloft/policy'
 import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
@@ -27,6 +27,10 @@
   readonly settle: (result: AcquireResult) => void
   /** Address of the member that the request was sent to. */
   ownerAddress: string
+  /** Targets that were excluded when the request was last sent. */
+  excluded: readonly string[]
+  /** Time from which the demand's patience counts, in milliseconds since the epoch. */
+  waitsSince: number
   /** Time at which the request was sent, retransmissions not counted, in milliseconds since the epoch. */
   sentAt: number
   /** Whether the owner has confirmed that the request is queued. */
@@ -74,6 +78,7 @@
   readonly #owner: SlotOwner
   readonly #leaving = new LeavingTargets()
   readonly #limits = new TargetRateLimits()
+  readonly #holderPacing = new HolderPacing(this.#limits)
   readonly #rateLimitSharing: RateLimitSharing
   readonly #pendingAlarm = new Alarm(now => this.#checkPending(now))
   readonly #reportAlarm = new Alarm(now => this.#reportAll(now))
@@ -135,7 +140,7 @@
         resolve(result)
       }
       const ownerAddress = this.#ownerOf(demand.service)
-      const pending = { permit, demand, settle, ownerAddress, sentAt: Date.now(), queued: false, retransmitted: false }
+      const pending = { permit, demand, settle, ownerAddress, excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false }
       signal.addEventListener('abort', abort, { once: true })
       this.#pending.set(permit, pending)
       this.#sendRequest(pending)
@@ -202,9 +207,11 @@
   }
 
   #sendRequest (pending: PendingRequest): void {
-    const { service, ...request } = pending.demand
+    const { service, ...demand } = pending.demand
     const { zone } = this.membership.self
     const { permit } = pending
+    pending.excluded = [...demand.excluded, ...this.#holderPacing.exhausted(pending.ownerAddress, this.#memberCount, Date.now())]
+    const request = { ...demand, excluded: pending.excluded }
     if (pending.ownerAddress === this.transport.address) {
       pending.queued = true
       this.#owner.request(service, { ...request, permit, zone, holder: this.transport.address })
@@ -387,7 +394,7 @@
         if (message.isMixed === true) {
           this.versions.markMixed(message.service, Date.now())
         }
-        this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender, message.rateLimit ?? null)
+        this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender, message.rateLimit)
         return
       case PeerMessageType.SlotRejection:
         this.#onRejection(message.permit, message.reason, message.retryAfter)
@@ -441,6 +448,28 @@
     this.#restartRequest(pending, Date.now())
   }
 
+  /** Gives a slot back that an owner granted without knowing the rate limit of its target, of which this process has used its share, and requests another one. */
+  #giveBackUnpaced (pending: PendingRequest, target: TargetEndpoint, owner: string, now: number): void {
+    const { demand, permit, waitsSince } = pending
+    this.#sendRelease(demand.service, owner, permit, SlotOutcome.Stopped, null)
+    if (!pending.excluded.includes(target.id)) {
+      pending.demand = { ...demand, patience: Math.max(0, demand.patience - (now - waitsSince)) }
+      pending.waitsSince = now
+      this.#restartRequest(pending, now)
+      return
+    }
+    // The owner has no other target for it: sends it again when the share may allow a request, or the limit may be over.
+    const wait = Math.max(batchRetryMilliseconds, this.#holderPacing.waitFor(target.id, target.born, this.#memberCount, now))
+    pending.sentAt = now - Math.max(0, queuedResendMilliseconds - wait)
+    pending.queued = true
+    this.#pendingAlarm.setBy(nextCheckOf(pending))
+  }
+
+  /** Number of instances that share the rate limits of targets. */
+  get #memberCount (): number {
+    return Math.max(1, this.membership.ready().length)
+  }
+
   /** Delivers a decision that this process made as an owner to the holder that it concerns. */
   #deliverDecision (service: string, decision: SlotDecision): void {
     const { holder, permit } = decision
@@ -466,7 +495,7 @@
   #applyDecision (service: string, decision: SlotDecision): void {
     switch (decision.kind) {
       case DecisionKind.Grant:
-        this.#onGrant(service, decision.permit, this.#endpointOf(decision), this.transport.address, this.#limitMark(decision.target).rateLimit ?? null)
+        this.#onGrant(service, decision.permit, this.#endpointOf(decision), this.transport.address, this.#limitMark(decision.target).rateLimit)
         return
       case DecisionKind.Refuse:
         this.#onRejection(decision.permit, decision.reason, decision.retryAfter)
@@ -492,8 +521,8 @@
   }
 
   #limitMark (target: string): Pick<SlotGrantMessage, 'rateLimit'> {
-    const rateLimit = this.#limits.limitOf(target, this.#startOf(target).born)
-    return rateLimit === null ? {} : { rateLimit }
+    const { born } = this.#startOf(target)
+    return this.#limits.isKnown(target, born) ? { rateLimit: this.#limits.limitOf(target, born) } : {}
   }
 
   #onQueued (permit: string): void {
@@ -503,7 +532,7 @@
     }
   }
 
-  #onGrant (service: string, permit: string, target: TargetEndpoint, owner: string, grantedLimit: number | null): void {
+  #onGrant (service: string, permit: string, target: TargetEndpoint, owner: string, grantedLimit: SlotGrantMessage['rateLimit']): void {
     const pending = this.#pending.get(permit)
     if (pending === undefined) {
       // The request was withdrawn, or two owners granted it: releases the slot unless it is in use.
@@ -523,16 +552,23 @@
       this.#giveBack(pending, target, owner)
       return
     }
+    const now = Date.now()
+    if (!this.#holderPacing.admits(owner, target.id, target.born, grantedLimit, this.#memberCount, now)) {
+      this.#giveBackUnpaced(pending, target, owner, now)
+      return
+    }
     const { workClass, prefix, digest, due, ran } = pending.demand
     const revoke = new AbortController()
     const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
-    const now = Date.now()
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
     const release = (outcome: SlotOutcome): void => { this.#release(held, outcome) }
     const recordRateLimit = (requestsPerSecond: number | null, sentAt: number): void => {
       const report = { service, target: target.id, born: target.born, requestsPerSecond, sentAgo: Math.max(0, Date.now() - sentAt), heardAgo: 0 }
-      this.#rateLimitSharing.onAnswer(report, permit, grantedLimit, [...this.#grantersOf(service), owner])
+      this.#rateLimitSharing.onAnswer(report, permit, grantedLimit ?? null, [...this.#grantersOf(service), owner])
+      if (requestsPerSecond !== null && grantedLimit === undefined) {
+        this.#holderPacing.onTold(owner, target.id, target.born, Date.now())
+      }
     }
     pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving: () => { this.#markLeaving(service, target) }, recordRateLimit, release } })
   }
--- a/packages/gateway/tests/permits/rate-limits.test.ts
+++ b/packages/gateway/tests/permits/rate-limits.test.ts
@@ -165,6 +165,89 @@
     assert.deepEqual(told.sort(), granted.flatMap(() => successors).sort())
   })
 
+  /** Makes a member one of a build before the limits: it neither hears of them nor names them in grants. */
+  function age ({ transport }: TestMember): void {
+    const [send, receive] = [transport.send.bind(transport), transport.receive.bind(transport)]
+    transport.send = (address, message) => {
+      if (message.type === PeerMessageType.SlotGrant) {
+        const { rateLimit: _rateLimit, ...rest } = message
+        send(address, rest)
+      } else if (message.type !== PeerMessageType.RateLimits) {
+        send(address, message)
+      }
+    }
+    transport.receive = (message, sender) => {
+      if (message.type !== PeerMessageType.RateLimits) {
+        receive(message, sender)
+      }
+    }
+  }
+
+  /** Uses slots for a time, one after the other; all answers of the first target name a limit. Returns the slots used of each target. */
+  async function use (holder: TestMember, milliseconds: number, limit: number): Promise<ReadonlyMap<string, number>> {
+    const used = new Map<string, number>()
+    for (const until = Date.now() + milliseconds; Date.now() < until;) {
+      const slot = await holder.acquire()
+      const id = slot?.target.id ?? 'none'
+      used.set(id, (used.get(id) ?? 0) + 1)
+      slot?.recordRateLimit(id === 'one' ? limit : null, Date.now())
+      slot?.release(SlotOutcome.Finished)
+      await sleep(5)
+    }
+    return used
+  }
+
+  it('is kept in its share by a holder whose owner knows none, and other targets take the load', async () => {
+    await start(5)
+    const { holders: [holder] } = ownerAndHolders()
+    assert.ok(holder !== undefined)
+    members.filter(member => member !== holder).forEach(age)
+    members.forEach(({ targets }) => { targets.replace([target, { ...target, id: 'two', address: '2:2', zone: 'b' }]) })
+    await use(holder, 600, 5)
+    const used = await use(holder, 2_500, 5)
+    assert.ok((used.get('one') ?? 0) >= 1 && (used.get('one') ?? 0) <= 3, `${used.get('one')} used`)
+    assert.ok((used.get('two') ?? 0) > 50, `${used.get('two')} used`)
+    assert.equal(used.get('none'), undefined)
+  })
+
+  it('is kept in its share by a holder of batch work whose owner has no other target, with few messages', async () => {
+    await start(5)
+    const { holders: [holder] } = ownerAndHolders()
+    assert.ok(holder !== undefined)
+    members.filter(member => member !== holder).forEach(age)
+    await use(holder, 600, 5)
+    let requests = 0
+    const send = holder.transport.send.bind(holder.transport)
+    holder.transport.send = (address, message) => {
+      requests += message.type === PeerMessageType.SlotRequest ? 1 : 0
+      send(address, message)
+    }
+    const used: number[] = []
+    const stop = AbortSignal.timeout(3_000)
+    while (!stop.aborted) {
+      const result = await holder.slots.acquire({ ...demand, workClass: WorkClass.Batch, due: Date.now() + 60_000 }, stop)
+      if (result.granted) {
+        used.push(Date.now())
+        result.slot.recordRateLimit(5, Date.now())
+        result.slot.release(SlotOutcome.Finished)
+      }
+    }
+    assert.ok(used.length >= 2 && used.length <= 4, `${used.length} used`)
+    assert.ok(requests <= 15, `${requests} requests`)
+  })
+
+  it('does not hold a holder back whose owner has heard from another one that it is over', async () => {
+    await start(3)
+    const { holders: [first, second] } = ownerAndHolders()
+    const [early, late] = [await first?.acquire(), await second?.acquire()]
+    early?.recordRateLimit(1, Date.now())
+    await sleep(50)
+    late?.recordRateLimit(null, Date.now())
+    await sleep(600)
+    assert.equal((await first?.acquireMany())?.length, attempts)
+    assert.equal((await first?.acquireMany())?.length, attempts)
+  })
+
   it('is told by an answer only if the owner did not know it when it granted the slot', async () => {
     await start(2)
     const { owner, holders: [holder] } = ownerAndHolders()
--- a/packages/policy/src/limits/target-rate-limits.ts
+++ b/packages/policy/src/limits/target-rate-limits.ts
@@ -67,6 +67,11 @@
     return known?.born === born ? known.requestsPerSecond : null
   }
 
+  /** Whether anything was heard of the limits of the target that started at this time, be it that one is over. */
+  isKnown (target: string, born: number): boolean {
+    return this.#known.get(target)?.born === born
+  }
+
   /** Returns the limit in force of the target that started at this time, for an instance that may not know it; null if it has none. */
   reportOf (target: string, born: number, now: number): RateLimitReport | null {
     const known = this.#known.get(target)
