Relay what ends in time while an instance stops

Cause: peers asked ready members only (Membership.relaysByDistance), and an instance that stops refused all new relayed connections (TargetRelay, isReady), as it did not know how long they would last.

The call for a relayed connection now says in how many milliseconds its request ends by its own limit. An instance that stops admits it by the decision for requests of its own, DrainAdmission: only if that is before it breaks requests off, so that the stop cuts none of them. A connection through it serves one request, since the next may last longer; batch items have no such limit and do not use it. The refusal of a peer that stops tells nothing of the target, as if there were no peer, so that nothing is reported otherwise than before. A relay that is lost is handled as before: RelayLost, no second run of what may run once, another peer for what may be resumed.

An older holder names no limit and is refused as before. An older relay that does not stop ignores the header.

Requests whose limit ends after the stop (4 s of 6 s there) still have no path from 1.6 s after SIGTERM on, so that the entry's check may still fail.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,7 +139,12 @@
     })))
     this.#directProbe = new DirectProbe(this.targetPaths, this.targets)
     this.#detachment = new Detachment(this.targetPaths, this.membership)
-    this.targetRelay = new TargetRelay({ paths: this.targetPaths, targets: this.targets, isReady: () => this.ready, metrics: this.metrics })
+    this.targetRelay = new TargetRelay({
+      paths: this.targetPaths,
+      targets: this.targets,
+      admits: endsAt => this.ready || (this.#draining && this.drainAdmission.admits(endsAt)),
+      metrics: this.metrics
+    })
     const quarantine = new CrashQuarantine()
     const history = new VersionHistory()
     // Before the slots, whose owner decides by the history when the targets change.
@@ -352,10 +357,10 @@
     }
   }
 
-  /** Returns the peers that may relay connections to targets, nearest first. */
+  /** Returns the peers that may relay connections to targets, nearest first, those that stop included. */
   #relayPeers (): readonly RelayPeer[] {
     const { zone } = this.options
-    return this.membership.relaysByDistance().map(member => ({ address: member.address, isNear: member.zone === zone }))
+    return this.membership.relaysByDistance().map(member => ({ address: member.address, isNear: member.zone === zone, isStopping: member.state === MemberState.Draining }))
   }
 
   #updateState (): void {
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -245,7 +245,8 @@
       path: request.path,
       headers,
       body: request.body,
-      remainingMilliseconds: request.hasDeadline ? this.#remainingMilliseconds() : null
+      remainingMilliseconds: request.hasDeadline ? this.#remainingMilliseconds() : null,
+      endsAt: request.deadline
     }, dependencies.names, {
       onLeaving: () => { slot.markLeaving() },
       onRateLimit: requestsPerSecond => { slot.recordRateLimit(requestsPerSecond, call.sentAt ?? sentAt) },
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -189,9 +189,9 @@
     return [...shuffle(nearby), ...shuffle(distant)]
   }
 
-  /** Returns the other members that are ready and reach targets, in the same order as {@link peersByDistance}. */
+  /** Returns the other members that reach targets as far as is known, those that drain included, in the same order as {@link peersByDistance}. */
   relaysByDistance (): readonly Member[] {
-    return this.peersByDistance().filter(member => member.state === MemberState.Ready)
+    return this.peersByDistance().filter(({ state }) => state === MemberState.Ready || state === MemberState.Draining)
   }
 
   /**
--- a/packages/gateway/src/targets/dial-ways.ts
+++ b/packages/gateway/src/targets/dial-ways.ts
@@ -10,7 +10,7 @@
 /** Options of {@link DialWays}. */
 export interface DialWaysOptions {
   readonly paths: TargetPaths
-  /** Returns the peers that may relay, in order of distance, in random order otherwise. */
+  /** Returns the peers that may relay, those that stop included, in order of distance, in random order otherwise. */
   readonly peers: () => readonly RelayPeer[]
   /** Returns the `ip:port` at which a peer serves calls of its peers. */
   readonly internalAddressOf: (address: string) => string
@@ -56,19 +56,31 @@
     return this.options.paths.choose(target.id, Date.now())
   }
 
-  /** Returns the addresses of the peers to ask, in order. */
-  choosePeers (excluded: string | null = null): readonly string[] {
-    return this.#relayChoice.choose(this.options.peers().filter(({ address }) => address !== excluded), Date.now())
+  /**
+   * Returns the addresses of the peers to ask, in order. One that stops is asked only for a connection that is closed by a known time.
+   *
+   * @param endsAt time by which the connection is closed, in milliseconds since the epoch; Infinity if there is none
+   */
+  choosePeers (endsAt: number, excluded: string | null = null): readonly string[] {
+    const peers = this.options.peers().filter(({ address, isStopping }) => address !== excluded && !(isStopping && endsAt === Infinity))
+    return this.#relayChoice.choose(peers, Date.now())
+  }
+
+  isStopping (address: string): boolean {
+    return this.options.peers().some(peer => peer.address === address && peer.isStopping)
   }
 
   relayAt (address: string): Relay {
     return { address, internalAddress: this.options.internalAddressOf(address) }
   }
 
-  /** Whether a relayed connection may be used for another request: the peer still relays, and the target is not connected to directly again. */
+  /**
+   * Whether a relayed connection may be used for another request: the peer still relays whatever comes, and the target is not connected to
+   * directly again. One that stops has agreed to the first request only.
+   */
   isUsable (target: TargetEndpoint, via: string): boolean {
     const { paths, peers } = this.options
-    return paths.isRelayed(target.id) && peers().some(({ address }) => address === via)
+    return paths.isRelayed(target.id) && peers().some(({ address, isStopping }) => address === via && !isStopping)
   }
 
   onDirectSuccess ({ id }: TargetEndpoint): void {
--- a/packages/gateway/src/targets/relayed-transport.ts
+++ b/packages/gateway/src/targets/relayed-transport.ts
@@ -4,7 +4,7 @@
 import { messageOf } from '@arbutusloft/protocol'
 import { Status } from '../http/reply.js'
 import { afterNextRead } from '../util/after-next-read.js'
-import { RelayedEnd, relayedAddressHeader, relayedEndTrailer, relayedTargetHeader, targetRelayPath } from './relay-protocol.js'
+import { RelayedEnd, relayedAddressHeader, relayedEndTrailer, relayedRemainingHeader, relayedTargetHeader, targetRelayPath } from './relay-protocol.js'
 import { ConnectionFailure, connectTimeoutMilliseconds, failSoon } from './transport.js'
 import type { ConnectAttempt, ConnectListener, TargetTransport, TransportListener } from './transport.js'
 import type { TargetEndpoint } from './target-registry.js'
@@ -20,17 +20,21 @@
 /** Time for the peer to answer: to connect to the target, and for the way to the peer and back. */
 const answerTimeoutMilliseconds = connectTimeoutMilliseconds + 50
 
-/** Connects to a target through a peer; never throws. */
-export function connectThroughPeer (relay: Relay, target: TargetEndpoint, listener: ConnectListener): ConnectAttempt {
+/**
+ * Connects to a target through a peer; never throws.
+ *
+ * @param endsAt time by which the caller closes the connection, in milliseconds since the epoch; Infinity if there is none
+ */
+export function connectThroughPeer (relay: Relay, target: TargetEndpoint, endsAt: number, listener: ConnectListener): ConnectAttempt {
   try {
-    return askPeer(relay, target, listener)
+    return askPeer(relay, target, endsAt, listener)
   } catch (error) {
     // For example an id that no header can carry.
     return failSoon(listener, error, ConnectionFailure.NoPath)
   }
 }
 
-function askPeer (relay: Relay, target: TargetEndpoint, listener: ConnectListener): ConnectAttempt {
+function askPeer (relay: Relay, target: TargetEndpoint, endsAt: number, listener: ConnectListener): ConnectAttempt {
   const [host, port] = relay.internalAddress.split(':')
   const request = startRequest({
     host,
@@ -39,7 +43,12 @@
     path: targetRelayPath,
     // A connection of its own, so that none waits for another.
     agent: false,
-    headers: { [relayedAddressHeader]: target.address, [relayedTargetHeader]: encodeURIComponent(target.id), 'transfer-encoding': 'chunked' }
+    headers: {
+      [relayedAddressHeader]: target.address,
+      [relayedTargetHeader]: encodeURIComponent(target.id),
+      ...(endsAt === Infinity ? {} : { [relayedRemainingHeader]: Math.max(0, Math.ceil(endsAt - Date.now())) }),
+      'transfer-encoding': 'chunked'
+    }
   })
   let isSettled = false
   const settle = (): boolean => {
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -20,6 +20,8 @@
   readonly body: Buffer | null
   /** Milliseconds until the deadline, or null if the request has none. */
   readonly remainingMilliseconds: number | null
+  /** Time by which the caller ends the call in any case, in milliseconds since the epoch; it may last as long as its target takes if this is missing. */
+  readonly endsAt?: number
 }
 
 /** How a call ended. */
@@ -106,7 +108,7 @@
   names: HeaderNames,
   sink: ResponseSink
 ): RunningCall {
-  const connection = connections.acquire(target, request.id)
+  const connection = connections.acquire(target, request.id, request.endsAt ?? Infinity)
   const call = new TargetCall(connection, async () => await connections.dialer.isListening(target), request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -28,8 +28,10 @@
   /**
    * Returns an idle or new connection for a request to the target; the one that was used last, since it is the least likely to be closed.
    * A connection that has carried a request with the same id is not used: a late copy of its response would count as the response.
+   *
+   * @param endsAt time by which the request ends in any case, in milliseconds since the epoch; Infinity if there is none
    */
-  acquire (target: TargetEndpoint, id: string): TargetConnection {
+  acquire (target: TargetEndpoint, id: string, endsAt: number): TargetConnection {
     const pool = this.#poolOf(target)
     const index = pool.idle.findLastIndex(connection => !connection.hasCarried(id) && this.#isUsable(connection, target))
     const newest = pool.idle[index]
@@ -38,7 +40,7 @@
       return newest
     }
     const connection: TargetConnection = new TargetConnection(
-      listener => this.dialer.dial(target, listener),
+      listener => this.dialer.dial(target, endsAt, listener),
       () => { this.#onIdle(pool, connection) },
       failure => { this.#onClosed(keyOf(target), pool, connection, failure) }
     )
--- a/packages/gateway/src/targets/target-dial.ts
+++ b/packages/gateway/src/targets/target-dial.ts
@@ -35,6 +35,7 @@
   readonly #peerAttempts = new Set<ConnectAttempt>()
   /** Peers still to be asked; null before the first one. */
   #peers: string[] | null = null
+  /** Peers that have been asked and do not stop; the refusal of one that stops says no more than if there were no peer. */
   #askedPeers = 0
   #peerReason = ''
   /** Whether a peer has made a connection. */
@@ -43,7 +44,14 @@
   #isDenied = false
   #isSettled = false
 
-  constructor (private readonly target: TargetEndpoint, private readonly ways: DialWays, path: TargetPath, private readonly listener: ConnectListener) {
+  /** @param endsAt time by which the connection is closed, in milliseconds since the epoch; Infinity if there is none */
+  constructor (
+    private readonly target: TargetEndpoint,
+    private readonly endsAt: number,
+    private readonly ways: DialWays,
+    path: TargetPath,
+    private readonly listener: ConnectListener
+  ) {
     this.#timer = setTimeout(() => {
       // After a freeze of the process a connection may be established already.
       afterNextRead(() => { this.#fail() })
@@ -98,14 +106,14 @@
 
   #askNextPeer (): void {
     clearTimeout(this.#peerTimer)
-    this.#peers ??= [...this.ways.choosePeers()]
+    this.#peers ??= [...this.ways.choosePeers(this.endsAt)]
     const address = this.#peers.shift()
     if (address === undefined) {
       this.#goOn()
       return
     }
-    this.#askedPeers += 1
-    const attempt = connectThroughPeer(this.ways.relayAt(address), this.target, {
+    this.#askedPeers += this.ways.isStopping(address) ? 0 : 1
+    const attempt = connectThroughPeer(this.ways.relayAt(address), this.target, this.endsAt, {
       onConnected: transport => {
         this.#peerAttempts.delete(attempt)
         this.#isReachable = true
--- a/packages/gateway/src/targets/target-dialer.ts
+++ b/packages/gateway/src/targets/target-dialer.ts
@@ -8,6 +8,9 @@
 import { ConnectionFailure } from './transport.js'
 import type { ConnectAttempt, ConnectListener } from './transport.js'
 
+/** Longer than a connection that is made only to find out whether the target is there. */
+const checkMilliseconds = 500
+
 /** Connects to targets, and finds out why connections to them have ended. */
 export class TargetDialer {
   /** Checks that run, by target and way. */
@@ -16,10 +19,14 @@
   /** @param ways null if all connections are made directly */
   constructor (private readonly ways: DialWays | null = null) {}
 
-  /** Connects to a target. */
-  dial (target: TargetEndpoint, listener: ConnectListener): ConnectAttempt {
+  /**
+   * Connects to a target.
+   *
+   * @param endsAt time by which the connection's first request ends in any case, in milliseconds since the epoch; Infinity if there is none
+   */
+  dial (target: TargetEndpoint, endsAt: number, listener: ConnectListener): ConnectAttempt {
     const { ways } = this
-    return ways === null ? connectDirectly(target.address, listener) : new TargetDial(target, ways, ways.choosePath(target), listener)
+    return ways === null ? connectDirectly(target.address, listener) : new TargetDial(target, endsAt, ways, ways.choosePath(target), listener)
   }
 
   /** Whether a relayed connection may be used for another request. */
@@ -34,7 +41,7 @@
 
   /** Whether a process accepts connections at the target's address and keeps them open. */
   async isListening (target: TargetEndpoint): Promise<boolean> {
-    return await isListening(listener => this.dial(target, listener))
+    return await isListening(listener => this.dial(target, Date.now() + checkMilliseconds, listener))
   }
 
   /** Whether {@link wasEndedByTarget} finds out anything. */
@@ -68,7 +75,7 @@
   if (failure === null || (via !== null && failure === ConnectionFailure.Unreachable)) {
     return true
   }
-  for (const address of ways.choosePeers(via)) {
+  for (const address of ways.choosePeers(Date.now() + checkMilliseconds, via)) {
     const peerFailure = await tryPeer(ways, target, address)
     if (peerFailure !== ConnectionFailure.NoPath) {
       return peerFailure === ConnectionFailure.Unreachable
@@ -88,7 +95,7 @@
 }
 
 async function tryPeer (ways: DialWays, target: TargetEndpoint, address: string): Promise<ConnectionFailure | null> {
-  const failure = await tryToConnect(listener => connectThroughPeer(ways.relayAt(address), target, listener))
+  const failure = await tryToConnect(listener => connectThroughPeer(ways.relayAt(address), target, Date.now() + checkMilliseconds, listener))
   if (failure === null) {
     ways.onRelaySuccess(target)
   } else {
--- a/packages/gateway/src/targets/target-relay.ts
+++ b/packages/gateway/src/targets/target-relay.ts
@@ -8,7 +8,7 @@
 import type { GatewayMetrics } from '../metrics.js'
 import { afterNextRead } from '../util/after-next-read.js'
 import { checkEnd } from './connection-end.js'
-import { RelayedEnd, relayedAddressHeader, relayedEndTrailer, relayedTargetHeader } from './relay-protocol.js'
+import { RelayedEnd, relayedAddressHeader, relayedEndTrailer, relayedRemainingHeader, relayedTargetHeader } from './relay-protocol.js'
 import type { TargetRegistry } from './target-registry.js'
 import { connectTimeoutMilliseconds } from './transport.js'
 
@@ -16,8 +16,11 @@
 export interface TargetRelayOptions {
   readonly paths: TargetPaths
   readonly targets: TargetRegistry
-  /** Whether this process relays new connections; it goes on with those that it has. */
-  readonly isReady: () => boolean
+  /**
+   * Whether this process relays a new connection that its peer closes by a time in milliseconds since the epoch, which is Infinity if the peer
+   * names none; it goes on with those that it has.
+   */
+  readonly admits: (endsAt: number) => boolean
   readonly metrics: Pick<GatewayMetrics, 'relayedConnections'>
 }
 
@@ -40,7 +43,7 @@
       refuse(response, Status.BadRequest, `a relayed connection needs POST and ip:port of a target, not ${request.method} and ${request.headers[relayedAddressHeader]}`)
       return
     }
-    const reason = this.#reasonToRefuse()
+    const reason = this.#reasonToRefuse(endOf(request))
     if (reason !== null) {
       this.#count('refused')
       refuse(response, Status.ServiceUnavailable, reason)
@@ -53,10 +56,10 @@
     this.#connect(address, decodeURIComponent(String(request.headers[relayedTargetHeader] ?? '')), request, response)
   }
 
-  #reasonToRefuse (): string | null {
-    const { isReady, paths } = this.options
-    if (!isReady()) {
-      return 'this process is not ready or stops'
+  #reasonToRefuse (endsAt: number): string | null {
+    const { admits, paths } = this.options
+    if (!admits(endsAt)) {
+      return 'this process is not ready, or stops before the connection has to end'
     }
     if (this.#connections >= maximumConnections) {
       return `${maximumConnections} connections are relayed already`
@@ -133,6 +136,12 @@
   reply(response, status, { error: reason }, { connection: 'close' })
 }
 
+/** Returns the time by which the peer closes the connection, in milliseconds since the epoch; Infinity if it names none, as earlier versions do. */
+function endOf ({ headers }: IncomingMessage): number {
+  const remaining = String(headers[relayedRemainingHeader] ?? '')
+  return /^\d+$/.test(remaining) ? Date.now() + Number(remaining) : Infinity
+}
+
 function parseAddress (text: string): { readonly host: string, readonly port: number } | null {
   const [host = '', port = ''] = text.split(':')
   const isValid = isIPv4(host) && /^\d+$/.test(port) && Number(port) > 0 && Number(port) <= maximumPort
--- a/packages/gateway/tests/online/cut-off.test.ts
+++ b/packages/gateway/tests/online/cut-off.test.ts
@@ -77,6 +77,52 @@
     assert.deepEqual(online.outcomes.toSorted(), [SlotOutcome.Finished, SlotOutcome.Stopped])
   })
 
+  it('serves a request that may run once through its only peer, which stops, and runs it once', async context => {
+    const { online, relay } = await start(context, singleRunRoute, { serve: socket => { socket.on('data', () => { socket.write(whole) }) } })
+    await relay.cut(Cut.Refuse)
+    relay.peers[0]?.stop(singleRunRoute.timeoutMilliseconds + 500)
+    assert.deepEqual(await online.call(CallerKind.KeepAlive), { status: 200, body: 'whole', view: CallerView.Complete })
+    assert.deepEqual([online.outcomes, relay.accepted.length], [[SlotOutcome.Finished], 1])
+  })
+
+  it('refuses a request as not run that its only peer, which stops, might not end', async context => {
+    const { online, relay } = await start(context, singleRunRoute, { serve: () => {} })
+    await relay.cut(Cut.Refuse)
+    relay.peers[0]?.stop(singleRunRoute.timeoutMilliseconds - 100)
+    const { status } = await online.call(CallerKind.KeepAlive)
+    assert.deepEqual([status, relay.accepted.length], [503, 0])
+  })
+
+  it('does not run a request again whose relay, which stops, was lost, and does not say that it has not run', async context => {
+    const { online, relay } = await start(context, singleRunRoute, {
+      serve: socket => {
+        socket.once('data', () => {
+          socket.write(head)
+          relay.peers.forEach(peer => { peer.kill() })
+        })
+      },
+      peers: [true, false]
+    })
+    await relay.cut(Cut.Refuse)
+    relay.peers.forEach(peer => { peer.stop(singleRunRoute.timeoutMilliseconds + 500) })
+    const { status } = await online.call(CallerKind.KeepAlive)
+    assert.deepEqual([status, relay.accepted.length, online.outcomes], [502, 1, [SlotOutcome.Stopped]])
+  })
+
+  it('resumes a stream through another peer that stops after its relay, which stops, was lost', async context => {
+    const { online, relay } = await start(context, resumableRoute, { serve: socket => { serveEvents(socket, runMilliseconds) }, peers: [true, true] })
+    await relay.cut(Cut.Refuse)
+    relay.peers.forEach(peer => { peer.stop(resumableRoute.timeoutMilliseconds + 500) })
+    const answer = online.call(CallerKind.KeepAlive)
+    while (relay.accepted.length === 0) {
+      await sleep(1)
+    }
+    await sleep(runMilliseconds / 2)
+    relay.peers.find(({ calls }) => calls > 0)?.kill()
+    assert.deepEqual(await answer, { status: 200, body: events.join(''), view: CallerView.Complete })
+    assert.deepEqual(online.outcomes, [SlotOutcome.Stopped, SlotOutcome.Finished])
+  })
+
   it('does not run a request again whose relay was lost, and does not say that it has not run', async context => {
     const { online, relay } = await start(context, singleRunRoute, {
       serve: socket => {
--- a/packages/gateway/tests/peers/membership.test.ts
+++ b/packages/gateway/tests/peers/membership.test.ts
@@ -143,6 +143,14 @@
       assert.ok(others.every(member => addresses(member.relaysByDistance()).includes('10.0.0.1')))
     })
 
+    it('may still relay while it drains', () => {
+      detached.setState(MemberState.Draining)
+      advance(100)
+      for (const member of others) {
+        assert.equal(member.relaysByDistance().find(({ address }) => address === '10.0.0.1')?.state, MemberState.Draining)
+      }
+    })
+
     it('stays draining', () => {
       detached.setState(MemberState.Draining)
       detached.setDetached(true)
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -30,10 +30,10 @@
   readonly body: () => string
 }
 
-function send (harness: RelayHarness, number = 1, sink: Partial<ResponseSink> = {}, body = 'body'): StartedCall {
+function send (harness: RelayHarness, number = 1, sink: Partial<ResponseSink> = {}, body = 'body', lastsMilliseconds = Infinity): StartedCall {
   const chunks: Buffer[] = []
   const call = callTarget(harness.connections, harness.target(number), {
-    id: 'id', method: 'POST', path: '/p', headers: ['X-Request-Id', 'id'], body: Buffer.from(body), remainingMilliseconds: null
+    id: 'id', method: 'POST', path: '/p', headers: ['X-Request-Id', 'id'], body: Buffer.from(body), remainingMilliseconds: null, endsAt: Date.now() + lastsMilliseconds
   }, names, {
     onLeaving: () => {},
     onRateLimit: () => {},
@@ -277,7 +277,78 @@
   })
 })
 
+describe('a call to a target that only a peer reaches that stops', () => {
+  for (const how of Object.values(Cut)) {
+    it(`gets its whole answer if it ends in time, and leaves the connection to no other call (${how})`, async context => {
+      const harness = await start(context, { serve: answering(whole) })
+      const [peer] = harness.peers
+      await harness.cut(how)
+      peer?.stop(1_000)
+      for (const calls of [1, 2]) {
+        const { call, body } = send(harness, 1, {}, 'body', 500)
+        assert.deepEqual(await call.ended, { end: CallOutcome.Complete, reason: '' })
+        assert.deepEqual([body(), call.via, peer?.calls, harness.accepted.length], ['fine', peer?.address, calls, calls])
+      }
+    })
+  }
+
+  it('ends without a path, and has not run, if it may last longer than the peer', async context => {
+    const harness = await start(context, { serve: answering(whole) })
+    await harness.cut(Cut.Refuse)
+    await send(harness).call.ended
+    await send(harness, 2).call.ended
+    assert.equal(harness.paths.isCutOff, true)
+    harness.peers[0]?.stop(1_000)
+    const before = harness.accepted.length
+    for (const milliseconds of [1_500, Infinity]) {
+      assert.equal((await send(harness, 1, {}, 'body', milliseconds).call.ended).end, CallOutcome.NoPath)
+    }
+    assert.equal(harness.accepted.length, before)
+    assert.equal((await send(harness, 1, {}, 'body', 500).call.ended).end, CallOutcome.Complete)
+  })
+
+  it('knows an orderly end behind an answer without framing as one', async context => {
+    const harness = await start(context, { serve: answering(`${head}\r\nfine`, socket => { socket.end() }) })
+    await harness.cut(Cut.Refuse)
+    harness.peers[0]?.stop(2_000)
+    assert.equal((await send(harness, 1, {}, 'body', 500).call.ended).end, CallOutcome.EndUnknown)
+  })
+
+  it('goes through another peer if that relays, and through the one that stops if that cannot', async context => {
+    const harness = await start(context, { serve: answering(whole), peers: [true, true] })
+    const [stopping, other] = harness.peers
+    assert.ok(stopping !== undefined && other !== undefined)
+    await harness.cut(Cut.Refuse)
+    stopping.stop(2_000)
+    assert.equal(await endVia(harness), other.address)
+    assert.equal(stopping.calls, 0)
+    other.kill()
+    assert.equal(await endVia(harness), stopping.address)
+  })
+
+  it('goes through another peer, also if that could not relay lately, if the one that stops refuses, like those of earlier versions', async context => {
+    const harness = await start(context, { serve: answering(whole), peers: [true, true] })
+    const [stopping, other] = harness.peers
+    assert.ok(stopping !== undefined && other !== undefined)
+    await harness.cut(Cut.Refuse)
+    stopping.stop(0)
+    other.isReady = false
+    assert.equal(await endVia(harness), null)
+    other.isReady = true
+    for (const _ of [1, 2, 3]) {
+      assert.equal(await endVia(harness), other.address)
+    }
+  })
+})
+
 describe('a call to a target that cannot be reached directly', () => {
+  it('ends as unreachable if the only peer stops and refuses', async context => {
+    const harness = await start(context, { serve: () => {} })
+    harness.peers[0]?.stop(0)
+    await harness.cut(Cut.Refuse)
+    assert.equal((await send(harness, 1, {}, 'body', 500).call.ended).end, CallOutcome.Unreachable)
+  })
+
   it('ends as unreachable soon if the target is gone for the peer as well', async context => {
     const harness = await start(context, { serve: () => {}, peers: [true, false] })
     await harness.endTarget(1)
@@ -415,6 +486,13 @@
   await sleep(0)
 }
 
+/** Calls the first target, alone on its connection, and returns the peer that relayed it, or null if none did. */
+async function endVia (harness: RelayHarness): Promise<string | null> {
+  const { call } = send(harness, 1, {}, 'body', 500)
+  const { end } = await call.ended
+  return end === CallOutcome.Complete ? call.via : null
+}
+
 /** Sends another request and returns the peer that relays it. */
 async function viaOfNext (harness: RelayHarness): Promise<string | null> {
   const call = callTarget(harness.connections, harness.target(1), { id: 'next', method: 'POST', path: '/p', headers: [], body: null, remainingMilliseconds: null }, names, { onLeaving: () => {}, onRateLimit: () => {}, onForeign: () => {}, onHead: () => {}, onData: () => true })
--- a/packages/gateway/tests/util/relay-harness.ts
+++ b/packages/gateway/tests/util/relay-harness.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, Server as HttpServer } from 'node:http'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
-import { TargetPaths } from '@arbutusloft/policy'
+import { DrainAdmission, TargetPaths } from '@arbutusloft/policy'
 import { TargetRelay } from '../../src/targets/target-relay.js'
 import { DialWays, GatewayMetrics, relayedAddressHeader, TargetConnections, TargetDialer, TargetRegistry, TargetState } from '../../src/index.js'
 import type { Target } from '../../src/index.js'
@@ -55,7 +55,7 @@
   private constructor (areNear: readonly boolean[]) {
     this.connections = new TargetConnections(new TargetDialer(new DialWays({
       paths: this.paths,
-      peers: () => this.peers.flatMap(({ address, isGone }, index) => isGone ? [] : [{ address, isNear: areNear[index] ?? true }]),
+      peers: () => this.peers.flatMap(({ address, isGone, isStopping }, index) => isGone ? [] : [{ address, isNear: areNear[index] ?? true, isStopping }]),
       internalAddressOf: address => address,
       targets: this.registry,
       metrics: this.metrics,
@@ -141,14 +141,17 @@
   /** Whether it is cut off from targets itself. */
   isCut = false
   isReady = true
+  /** Whether the members know that it stops. */
+  isStopping = false
   /** Whether it does not answer. */
   isSilent = false
   /** Whether the members know that it is gone. */
   isGone = false
+  readonly #drainAdmission = new DrainAdmission()
   readonly #relay: TargetRelay
 
   private constructor (private readonly server: HttpServer, registry: TargetRegistry, private readonly addressOf: (address: string) => string) {
-    this.#relay = new TargetRelay({ paths: this.paths, targets: registry, isReady: () => this.isReady, metrics: this.metrics })
+    this.#relay = new TargetRelay({ paths: this.paths, targets: registry, admits: endsAt => this.isReady || (this.isStopping && this.#drainAdmission.admits(endsAt)), metrics: this.metrics })
     server.on('request', (request, response) => {
       this.calls += 1
       if (!this.isSilent) {
@@ -169,6 +172,13 @@
     return `${loopback}:${(this.server.address() as AddressInfo | null)?.port ?? 1}`
   }
 
+  /** Lets it stop: it breaks off what is still in flight after a time. Without any, it refuses everything, like peers of earlier versions. */
+  stop (milliseconds: number): void {
+    this.isReady = false
+    this.isStopping = true
+    this.#drainAdmission.begin(Date.now() + milliseconds)
+  }
+
   /** Ends all connections and accepts no more, as the operating system does for a killed process. */
   kill (): void {
     this.server.close()
