Let raw clients of tests see a reset that arrives with unread bytes

Cause, as far as shown: the tests' clients. Node.js reports a connection as ended in order if the reset arrives while the bytes before it are still unread; only a write then shows the reset. The client of platform/tests/harness/client.ts has written for this reason, the raw clients of the two tests have not. The product resets 100 ms after the last bytes, so that a client which gets no processor for that long sees no reset. The former failures themselves were not traced, so that another cause of them is not ruled out.

--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -9,6 +9,7 @@
 import { CallerBudgets } from '../../src/online/caller-budgets.js'
 import { createOnlineRequest, GatewayMetrics, readBody, sleep, TargetConnections } from '../../src/index.js'
 import type { HeaderNames, SlotClient } from '../../src/index.js'
+import { watchReset } from './reset-watch.js'
 import { createTestLogger } from './test-logger.js'
 
 const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', rateLimit: 'x-rate-limit', promptPrefix: 'x-prefix', resumes: 'x-resumes', wait: 'x-wait' }
@@ -171,7 +172,7 @@
     socket.write(`${method} ${this.route.prefix}x ${kind}\r\nHost: h\r\nX-Request-Id: ${id}\r\nX-Deadline: ${deadlineMilliseconds}\r\n${lastEventId === undefined ? '' : `Last-Event-Id: ${lastEventId}\r\n`}Content-Length: 2\r\n\r\nhi`)
     let text = ''
     let isReset = false
-    socket.on('error', () => { isReset = true })
+    watchReset(socket, () => { isReset = true })
     socket.setEncoding('latin1')
     return await new Promise(resolve => {
       const settle = (view: CallerView): void => {
