Try a prompt part again within ten minutes however many trials callers give up

Trials that are given up came at 1, 2, 10 and 18 s, and the fourth held the part back for an hour. An outage of 20 s was enough, where the schedule before tried again after 73 s.

Change: the next trials follow after 1 s, 8 s, 64 s and then every ten minutes, still at most three in the ten minutes after the bound.

--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -72,10 +72,10 @@
 /** Trials of a quarantine that are repeated so. */
 const maximumTrialRetries = 3
 /**
- * Time after which the first trials of a part are followed by the next if their ends tell of no crash, in their order. Each counts as a period, so that no
- * more of them reach targets in ten minutes than of trials that crash targets.
+ * Time after which the trials of a part are followed by the next if their ends tell of no crash, in their order; the last one holds for all that follow.
+ * Each counts as a period, so that no more of them reach targets in ten minutes than of trials that crash targets.
  */
-const stoppedTrialMilliseconds = [1_000, 8_000, 8_000] as const
+const stoppedTrialMilliseconds = [1_000, 8_000, 64_000, 600_000] as const
 /** Time after which a request under observation no longer blocks others: a target that crashes under its prompt does so earlier. */
 const observationMilliseconds = 500
 /** Maximum number of requests and parts with crashes; invented ones replace each other, not what is in quarantine. */
@@ -394,7 +394,7 @@
   #shortenPeriod (digest: string, suspicion: Suspicion, now: number): void {
     const { periods, until } = suspicion
     // The period that began with the first trial is the second one.
-    const milliseconds = stoppedTrialMilliseconds[periods - 2] ?? Infinity
+    const milliseconds = stoppedTrialMilliseconds[periods - 2] ?? stoppedTrialMilliseconds[3]
     if (now + milliseconds < until) {
       this.#setPeriod(digest, suspicion, periods, now, milliseconds)
     }
