Check behind a stopping relay only as long as the request lasts

An answer without framing that ended in order in the last half second of the relay was taken for one cut by a crash: 502, or a stream broken off.

Cause: the check whether the target still listens asked for a connection that may last half a second, which a relay that stops earlier refuses, and a refusal counted as a target that has ended.

Change: the check asks until the end of its request at most, which the relay has agreed to.

Evidence: "knows such an end also in the last half second of the peer that stops" fails on the code before and passes now.

--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -108,8 +108,9 @@
   names: HeaderNames,
   sink: ResponseSink
 ): RunningCall {
-  const connection = connections.acquire(target, request.id, request.endsAt ?? Infinity)
-  const call = new TargetCall(connection, async () => await connections.dialer.isListening(target), request.id, names, sink)
+  const endsAt = request.endsAt ?? Infinity
+  const connection = connections.acquire(target, request.id, endsAt)
+  const call = new TargetCall(connection, async () => await connections.dialer.isListening(target, endsAt), request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
 }
--- a/packages/gateway/src/targets/target-dialer.ts
+++ b/packages/gateway/src/targets/target-dialer.ts
@@ -39,9 +39,13 @@
     this.ways?.onRelayFailure(via, ConnectionFailure.RelayLost)
   }
 
-  /** Whether a process accepts connections at the target's address and keeps them open. */
-  async isListening (target: TargetEndpoint): Promise<boolean> {
-    return await isListening(listener => this.dial(target, Date.now() + checkMilliseconds, listener))
+  /**
+   * Whether a process accepts connections at the target's address and keeps them open.
+   *
+   * @param endsAt time by which the request ends that asks for it, which a peer that stops has agreed to, in milliseconds since the epoch
+   */
+  async isListening (target: TargetEndpoint, endsAt: number): Promise<boolean> {
+    return await isListening(listener => this.dial(target, Math.min(endsAt, Date.now() + checkMilliseconds), listener))
   }
 
   /** Whether {@link wasEndedByTarget} finds out anything. */
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -314,6 +314,13 @@
     assert.equal((await send(harness, 1, {}, 'body', 500).call.ended).end, CallOutcome.EndUnknown)
   })
 
+  it('knows such an end also in the last half second of the peer that stops', async context => {
+    const harness = await start(context, { serve: answering(`${head}\r\nfine`, socket => { setTimeout(() => { socket.end() }, 250) }) })
+    await harness.cut(Cut.Refuse)
+    harness.peers[0]?.stop(600)
+    assert.equal((await send(harness, 1, {}, 'body', 500).call.ended).end, CallOutcome.EndUnknown)
+  })
+
   it('goes through another peer if that relays, and through the one that stops if that cannot', async context => {
     const harness = await start(context, { serve: answering(whole), peers: [true, true] })
     const [stopping, other] = harness.peers
