Bound the question for the rest of a stream, whatever its target sends

- A target that sends the stream from its beginning made a whole stream look broken off if a chunk ended inside an event.
- A question that was lost once broke a stream off later on, though events had followed, and the loss of a relay counted as one.
- A target that did not answer a question shortly before the deadline was suspended for its silence.

Change: only an event ends the question; what follows an event that is not of the stream tells nothing; a new question begins without the loss of the one before, and a lost relay is none; an unanswered question does not tell against its target.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -47,12 +47,14 @@
     }
     const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
     const end = endOfLastEvent(data)
-    this.#rest = data.subarray(end)
     const bytes = data.subarray(0, end)
+    // What follows an event that does not belong to the stream tells nothing of it.
+    this.#rest = emptyBuffer
+    const lastId = end === 0 ? null : this.#checkOrder(bytes.toString('latin1'))
+    this.#rest = data.subarray(end)
     if (end === 0) {
-      return { bytes, lastId: null }
+      return { bytes, lastId }
     }
-    const lastId = this.#checkOrder(bytes.toString('latin1'))
     this.#hasEvents = true
     return { bytes, lastId }
   }
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -13,6 +13,7 @@
 import { releaseSlot } from '../targets/slot-release.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { TargetEndpoint } from '../targets/target-registry.js'
+import { ConnectionFailure } from '../targets/transport.js'
 import type { Logger } from '../util/logger.js'
 import { sleep } from '../util/sleep.js'
 import { ResponseRelay } from './response-relay.js'
@@ -295,7 +296,9 @@
         if (this.#relay.relayedBytes > relayedBytes) {
           silenceWatch.onProgress()
           this.#lastProgressAt = Date.now()
-          this.#endQuestion()
+          if (this.#relay.lastId !== resumeAfter) {
+            this.#endQuestion()
+          }
           this.#recordOrigin(target)
         } else {
           silenceWatch.onIncompleteData()
@@ -315,7 +318,7 @@
         waitedMilliseconds: sentAt - this.#lastProgressAt,
         remainingMilliseconds: this.#remainingMilliseconds()
       }),
-      canMove: () => this.#canRetry(),
+      canMove: () => this.#question === null && this.#canRetry(),
       acquire: async signal => await this.#acquire([...this.#excluded, target.id], signal),
       onFound: slot => {
         this.#nextSlot = slot
@@ -330,7 +333,7 @@
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
     if (this.#abort.signal.aborted) {
-      slot.release(silenceWatch.isSilent && call.via === null ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
+      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
     } else {
       released = releaseSlot(slot, call, { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, dependencies.connections)
     }
@@ -361,7 +364,7 @@
       await Promise.race([released, sleep(maximumReleaseWaitMilliseconds)])
     }
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
-    return this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target)
+    return this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target, call.failure)
   }
 
   get #abortReason (): string {
@@ -382,7 +385,7 @@
     }
   }
 
-  #onCallEnd (outcome: CallOutcome, target: TargetEndpoint): boolean {
+  #onCallEnd (outcome: CallOutcome, target: TargetEndpoint, failure: ConnectionFailure | null): boolean {
     switch (outcome) {
       case CallOutcome.EndUnknown:
         return this.#beginQuestion() ? false : this.#finishServed()
@@ -402,7 +405,7 @@
       case CallOutcome.Broken:
       case CallOutcome.Disconnected: {
         const canRetry = this.#canRetry()
-        this.#isQuestionLost ||= this.#question !== null && outcome === CallOutcome.Disconnected
+        this.#isQuestionLost ||= this.#question !== null && outcome === CallOutcome.Disconnected && failure !== ConnectionFailure.RelayLost
         this.#possibleExecutions += 1
         this.#excluded.push(target.id)
         return (this.#abort.signal.aborted || !canRetry || this.#remainingMilliseconds() < minimumRemainingMilliseconds) && this.#finishIncomplete()
@@ -429,6 +432,7 @@
     }
     this.#possibleExecutions += 1
     this.#question = question
+    this.#isQuestionLost = false
     this.#questionEndsAt = Date.now() + question.limit
     this.#limitQuestion(question.patience)
     return true
--- a/packages/gateway/tests/online/end-questions.test.ts
+++ b/packages/gateway/tests/online/end-questions.test.ts
@@ -127,6 +127,29 @@
     assert.deepEqual(harness.outcomes.length, 2)
   })
 
+  it('ends in time also at a target that sends comments only', async () => {
+    const { body, view, milliseconds } = await answerTo([unframed(whole), { bytes: `${head(200)}\r\n:\n\n`, end: ConnectionEnd.None }])
+    assert.ok(body.startsWith(whole))
+    assert.equal(view, CallerView.Complete)
+    assert.ok(milliseconds < 900, `${milliseconds} ms`)
+  })
+
+  it('is whole at a target that sends it from the beginning, also if its bytes end inside an event', async () => {
+    const { body, view } = await answerTo([unframed(whole), framed(`${begun}id: 3\nda`)])
+    assert.deepEqual([body, view], [whole, CallerView.Complete])
+  })
+
+  it('is whole if a question is not answered after events have followed a lost one', async () => {
+    const lost = { bytes: '', end: ConnectionEnd.Reset }
+    const { body, view } = await answerTo([unframed(events[0] ?? ''), lost, unframed(events.slice(1).join('')), silent], { route: { ...resumable, maxAttempts: 6 } })
+    assert.deepEqual([body, view], [whole, CallerView.Complete])
+  })
+
+  it('does not tell against a target that says nothing shortly before the deadline', async () => {
+    const { view, harness } = await answerTo([unframed(whole), silent, silent], { deadlineMilliseconds: 400 })
+    assert.deepEqual([view, harness.arrivals.length, harness.outcomes], [CallerView.Complete, 2, [SlotOutcome.Finished, SlotOutcome.Stopped]])
+  })
+
   it('is not asked for where requests wait for slots, and waits for one only shortly', async () => {
     for (const [waits, outcomes] of [[[250, 0], [SlotOutcome.Finished]], [[0, 250], [SlotOutcome.Finished, SlotOutcome.Stopped]]] as const) {
       const harness = await OnlineHarness.start(resumable, [unframed(whole), framed('')], { slotWaitsMilliseconds: waits })
