--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -210,7 +210,7 @@
     const { service, ...demand } = pending.demand
     const { zone } = this.membership.self
     const { permit } = pending
-    pending.excluded = [...demand.excluded, ...this.#holderPacing.exhausted(pending.ownerAddress, this.#memberCount, Date.now())]
+    pending.excluded = [...new Set([...demand.excluded, ...this.#holderPacing.exhausted(pending.ownerAddress, this.#memberCount, Date.now())])]
     const request = { ...demand, excluded: pending.excluded }
     if (pending.ownerAddress === this.transport.address) {
       pending.queued = true
