Know at which service a stream began when its path leads to another one

What callers saw: a client that takes its stream up at another instance after its route has moved to another service gets the events of that service behind those of the first one. The design says that it is refused as not run.

Cause: whether an instance has to know the origin of a stream was decided by the versions of the service alone. A service with one version for 20 s asked nobody and copied no origins, so that the new service took the stream for its own. The same holds for streams of a route with several services where more instances serve than are asked (read, not shown: with two instances the one that began it is asked).

Change: ServiceHistory keeps the former services of paths for the 20 s in which streams may be taken up. Where a path leads, or led, to several services, streams that begin are copied to other instances, a take-up asks for the origin, and one whose origin nobody knows is refused as not run. When a change takes a path from a service, each instance copies the origins of its streams of that service. The messages are as before.

What remains stands in docs/design/stream-versions.md: instances that have not applied a move, or started after it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 /** Composition of a gateway process from its parts. */
 import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, CrashQuarantine, DrainAdmission, RouteTable, TargetPaths, VersionHistory } from '@arbutusloft/policy'
+import { pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
 import type { RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -117,6 +117,7 @@
   readonly #quarantineSharing: QuarantineSharing
   readonly #serviceVersions: ServiceVersions
   readonly #originLog: OriginLog
+  readonly #serviceHistory = new ServiceHistory()
   readonly #streamOrigins: StreamOriginDirectory
   #routes: RouteTable | null = null
   /** Whether the newest configuration was read, with all of its routes. */
@@ -221,7 +222,9 @@
     if (configuration.version <= current) {
       return
     }
+    const left = this.#routes === null ? [] : this.#serviceHistory.replace(this.#routes.configuration, configuration, Date.now())
     this.#routes = new RouteTable(configuration)
+    left.forEach(service => { this.#streamOrigins.copyAll(service) })
     this.#areRoutesComplete = isComplete
     this.metrics.routesVersion.set(configuration.version)
     this.options.logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length })
@@ -253,8 +256,8 @@
       rejectRequest(response, Status.ServiceUnavailable, 'not run: no configuration yet', unreadyRetryMilliseconds)
       return null
     }
-    const path = request.url ?? '/'
-    const route = this.#routes.find(request.headers.host ?? '', path.split('?', 1)[0] ?? path)
+    const path = pathOf(request)
+    const route = this.#routes.find(request.headers.host ?? '', path)
     if (route === null) {
       const { version } = this.#routes.configuration
       this.options.logger.info('no route', { request: request.headers[this.options.names.requestId] ?? null, host: request.headers.host, path, version, complete: this.#areRoutesComplete })
@@ -289,15 +292,17 @@
       return
     }
     const { names } = this.options
-    const services = new Set(route.services.map(({ service }) => service))
-    const origin = takesUpStream(request, route) ? await this.#streamOrigins.find(attemptResumedBy(request, names), services) : null
-    const service = origin?.service ?? pickService(route.services, Math.random())
-    if (service === null || !services.has(service)) {
-      const reason = service === null ? 'the route has no service' : `the route has no service ${service} any more, which began the stream`
+    const services = this.#serviceHistory.servicesOf(route, pathOf(request), arrivedAt)
+    const takesUp = takesUpStream(request, route)
+    const origin = takesUp ? await this.#streamOrigins.find(attemptResumedBy(request, names), services) : null
+    const service = origin?.service ?? (takesUp && services.size > 1 ? null : pickService(route.services, Math.random()))
+    if (service === null || !route.services.some(weighted => weighted.service === service)) {
+      const reason = service === null ? noServiceReason(services) : `the route has no service ${service} any more, which began the stream`
+      this.options.logger.info('refused', { request: request.headers[names.requestId] ?? null, route: route.name, reason, services: [...services] })
       rejectRequest(response, Status.ServiceUnavailable, `not run: ${reason}`, unreadyRetryMilliseconds)
       return
     }
-    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin)
+    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin, services.size === 1)
     await new OnlineRun(this.#onlineDependencies(), online, response).run()
   }
 
@@ -374,3 +379,13 @@
 function processNameOf (member: Member): string {
   return `${member.address}/${member.incarnation}`
 }
+
+/** Returns the path of a request without its query. */
+function pathOf ({ url = '/' }: IncomingMessage): string {
+  return url.split('?', 1)[0] ?? url
+}
+
+/** Returns why no service is chosen for a request that may have begun at the given ones. */
+function noServiceReason (services: ReadonlySet<string>): string {
+  return services.size > 1 ? 'it is not known which service began the stream' : 'the route has no service'
+}
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -203,7 +203,7 @@
     }
     const attempt = request.continues === null ? request.id : request.resumes
     if (attempt !== '') {
-      this.dependencies.origins.record(attempt, request.service, this.#origin)
+      this.dependencies.origins.record(attempt, request.service, this.#origin, request.isSoleService)
     }
   }
 
--- a/packages/gateway/src/streams/stream-origin-directory.ts
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -1,6 +1,7 @@
 /**
  * Finds the origin of a stream that a client takes up at any process of the fleet. The process that sent the client the first event remembers it; while a service
- * has targets of several software versions, some other processes, chosen by the attempt's id, keep copies, and another one writes them to the log.
+ * has targets of several software versions, or its paths lead to another service as well or did lately, some other processes, chosen by the attempt's id, keep
+ * copies, and another one writes them to the log.
  */
 import { StreamKeepers, StreamOrigins } from '@arbutusloft/policy'
 import type { KnownOrigin, StreamOrigin, VersionHistory } from '@arbutusloft/policy'
@@ -56,7 +57,7 @@
 
   constructor (private readonly dependencies: StreamOriginDirectoryDependencies) {
     const { versions, transport } = dependencies
-    versions.onMixed(service => { this.#copyAll(service) })
+    versions.onMixed(service => { this.copyAll(service) })
     transport.onMessage((message, sender) => {
       switch (message.type) {
         case PeerMessageType.StreamOrigins:
@@ -71,12 +72,16 @@
     })
   }
 
-  /** Records that an attempt has brought a client the first event of a stream. */
-  record (attempt: string, service: string, { softwareVersion, target, born }: StreamOrigin): void {
+  /**
+   * Records that an attempt has brought a client the first event of a stream.
+   *
+   * @param isSoleService whether a client that takes the stream up can only get to this service
+   */
+  record (attempt: string, service: string, { softwareVersion, target, born }: StreamOrigin, isSoleService = true): void {
     const now = Date.now()
     const origin = { service, softwareVersion, target, born }
     this.#own.add(attempt, origin, now, now)
-    if (this.dependencies.versions.isMixed(service, now)) {
+    if (!isSoleService || this.dependencies.versions.isMixed(service, now)) {
       this.#copy([{ attempt, origin, age: 0 }])
     }
   }
@@ -85,7 +90,7 @@
    * Returns the origin of an attempt's stream. Resolves with null if nobody knows it, and also where nobody needs to be asked: the stream can only be
    * one of a single service, which has had a single version for as long as streams last.
    *
-   * @param services services of the route
+   * @param services services at which the stream can have begun
    */
   async find (attempt: string, services: ReadonlySet<string>): Promise<KnownOrigin | null> {
     const [service = ''] = services
@@ -107,6 +112,11 @@
     return this.#known(attempt)
   }
 
+  /** Tells other processes where all streams of a service come from that began here and may be taken up. */
+  copyAll (service: string): void {
+    this.#copy(this.#own.ofService(service, Date.now()))
+  }
+
   async #askProcesses (attempt: string): Promise<KnownOrigin | null> {
     const asked = this.#keepersOf(attempt, this.dependencies.membership.live(), askedProcesses)
     if (asked.length === 0) {
@@ -162,10 +172,6 @@
     }
   }
 
-  #copyAll (service: string): void {
-    this.#copy(this.#own.ofService(service, Date.now()))
-  }
-
   #copy (entries: StreamOriginsMessage['entries']): void {
     const byKeeper = new Map<string, Array<StreamOriginsMessage['entries'][number]>>()
     const ready = this.dependencies.membership.ready()
