Call the partitions of the store that serve while others are away

What callers saw: while the store had lost 6 of 16 partitions, 21 of 24 jobs were refused, though 13 belonged to partitions that were served. Calls for the lists of targets and configurations failed for up to 0.8 s at a time, too.

Cause: one refused call of any partition counted as the store's refusal of the instance: all calls went through peers, which had concluded the same ("no peer has access to the store"), until a probe happened to be of a partition that was served.

Change: StoreAccess judges partitions by themselves. The store counts as away as a whole when two partitions refuse calls with none served meanwhile, or when it is silent; calls that began before a refusal prove nothing. Once one is served, those that refused are tried at once.

--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../util/logger.js'
 import type { ResponseObserver } from '../util/buffered-call.js'
 import { Pool } from '../util/undici-pool.js'
+import { StoreAccess } from './store-access.js'
 import { readTransfer } from './store-connection.js'
 import type { StoreConnection, StoreReply } from './store-connection.js'
 
@@ -19,10 +20,6 @@
 /** Header that is present on a response that comes from the store and not from the peer. */
 export const storeReplyHeader = 'x-arbutus-from-store'
 
-/** Delay of the first direct call after direct calls have failed; it doubles with each further one. */
-const initialProbeMilliseconds = 100
-/** Upper bound of that delay: the store may be away for seconds, and each call to it has a cost. */
-const maximumProbeMilliseconds = 800
 /** Calls in a row without a response after which direct calls count as unavailable; a single response may just have been lost. */
 const maximumUnansweredCalls = 2
 /** Time after a call without a response within which another one repeats it. */
@@ -55,14 +52,13 @@
   /** Returns the peers' internal addresses as `ip:port`, nearest first. */
   readonly peers: () => readonly string[]
   readonly logger: Logger
+  /** Returns the name of the partition that a call concerns, by its path; by default, all calls concern one. */
+  readonly partitionOf?: (path: string) => string
 }
 
 /** Calls the store directly unless direct calls have failed recently; relays a call through peers if the direct one isn't served. */
 export class RelayingStoreConnection implements StoreConnection {
-  #isDirectAvailable = true
-  /** Time from which a direct call is tried while they are unavailable, by the clock of `performance`. */
-  #nextProbeAt = 0
-  #probeDelay = initialProbeMilliseconds
+  readonly #access = new StoreAccess()
   /** Time until which no peer is asked, by the clock of `performance`. */
   #relayPausedUntil = 0
   #relayPause = initialRelayPauseMilliseconds
@@ -75,25 +71,19 @@
   #unansweredCalls = 0
   /** Time of the latest direct call without a response, by the clock of `performance`. */
   #unansweredAt = 0
-  /** Incremented whenever direct calls become available or unavailable. */
-  #stateVersion = 0
 
   constructor (private readonly direct: StoreConnection, private readonly options: RelayingOptions) {}
 
-  /** Whether the store serves direct calls, according to the latest one. */
-  get isDirectAvailable (): boolean {
-    return this.#isDirectAvailable
-  }
-
   async call (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isUrgent = false): Promise<StoreReply> {
     if (isUrgent && method === 'GET') {
       return await this.#readUrgently(path, timeoutMilliseconds)
     }
-    if (!this.#shouldCallDirectly() && this.options.peers().length > 0) {
+    const partition = this.#partitionOf(path)
+    if (!this.#access.shouldCall(partition, performance.now()) && this.options.peers().length > 0) {
       return await this.#relay(method, path, body, timeoutMilliseconds)
     }
     let reply = await this.callDirectly(method, path, body, timeoutMilliseconds)
-    if (isLost(reply) && method === 'GET' && this.#isDirectAvailable) {
+    if (isLost(reply) && method === 'GET' && !this.#access.isRefused(partition)) {
       // The connection may just have been stale; the next call uses a new one.
       reply = await this.callDirectly(method, path, body, timeoutMilliseconds)
     }
@@ -108,7 +98,7 @@
    * @param observer follows the response
    */
   async callForPeer (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, observer?: ResponseObserver): Promise<StoreReply> {
-    if (!this.#isDirectAvailable) {
+    if (this.#access.isRefused(this.#partitionOf(path))) {
       return { answered: false, sent: false, reason: 'the store turns this instance away, too' }
     }
     return await this.callDirectly(method, path, body, timeoutMilliseconds, timeoutMilliseconds >= conclusiveMilliseconds, observer)
@@ -125,18 +115,17 @@
    * @param observer follows the response
    */
   async callDirectly (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, isConclusive = true, observer?: ResponseObserver): Promise<StoreReply> {
-    const stateVersion = this.#stateVersion
+    const partition = this.#partitionOf(path)
+    const mark = this.#access.mark(partition)
     const startedAt = performance.now()
     const reply = await this.direct.call(method, path, body, timeoutMilliseconds, false, observer)
     if (isLost(reply) && !isConclusive) {
       return reply
     }
     this.#countUnanswered(reply, startedAt)
-    const served = isServed(reply)
     const isUndecided = isLost(reply) && this.#unansweredCalls < maximumUnansweredCalls
-    // The outcome of a call that began before the last change of state is out of date.
-    if (served !== this.#isDirectAvailable && !isUndecided && stateVersion === this.#stateVersion) {
-      this.#setAvailable(served, reply)
+    if (!isUndecided && this.#access.note(partition, isServed(reply), !reply.answered, mark, performance.now())) {
+      this.options.logger.info(isServed(reply) ? 'store serves this instance again' : 'store turns this instance away', { reply: describe(reply), partition, isAway: this.#access.isAway })
     }
     return reply
   }
@@ -151,25 +140,8 @@
     }
   }
 
-  #setAvailable (isAvailable: boolean, reply: StoreReply): void {
-    this.#stateVersion += 1
-    this.#isDirectAvailable = isAvailable
-    this.#probeDelay = initialProbeMilliseconds
-    this.#nextProbeAt = performance.now() + this.#probeDelay
-    this.options.logger.info(isAvailable ? 'store serves this instance again' : 'store turns this instance away', { reply: describe(reply) })
-  }
-
-  #shouldCallDirectly (): boolean {
-    if (this.#isDirectAvailable) {
-      return true
-    }
-    const now = performance.now()
-    if (now < this.#nextProbeAt) {
-      return false
-    }
-    this.#probeDelay = Math.min(this.#probeDelay * 2, maximumProbeMilliseconds)
-    this.#nextProbeAt = now + this.#probeDelay * (1 + Math.random()) / 2
-    return true
+  #partitionOf (path: string): string {
+    return this.options.partitionOf?.(path) ?? ''
   }
 
   /**
@@ -192,7 +164,7 @@
     })
     const direct = async (): Promise<StoreReply> => await this.callDirectly('GET', path, null, timeoutMilliseconds)
     // A peer is asked first while the store turns this instance away; the direct call finds out whether it still does.
-    const ordered = this.#isDirectAvailable ? [direct, ...ways] : [...ways.slice(0, 1), direct, ...ways.slice(1)]
+    const ordered = !this.#access.isRefused(this.#partitionOf(path)) ? [direct, ...ways] : [...ways.slice(0, 1), direct, ...ways.slice(1)]
     return await firstServed(ordered, urgentDelayMilliseconds)
   }
 
