Check behind a stopping relay who ended a connection only as long as its request lasts

What callers saw: nothing directly; found by a review. In the last half second of a relay that stops, a connection that a cut had reset counted as a crash of the target at an instance whose only peer stops, and a target that reset a relayed connection was excused by the path.

Cause: the check of who ended a connection asked peers for a connection that may last half a second. A peer that stops earlier refuses that, and the refusal counted as a peer that can't tell.

Change: a call tells until when its request lasts, and the check asks peers for no longer.

Existing calls of the tests name no end of the request.

--- a/packages/gateway/src/targets/slot-release.ts
+++ b/packages/gateway/src/targets/slot-release.ts
@@ -18,7 +18,7 @@
   const outcome = slotOutcomeOf(ended)
   const isInterrupted = interruptions.has(outcome)
   const isPathLost = isInterrupted && (call.failure === ConnectionFailure.RelayLost ||
-    (call.failure === ConnectionFailure.Disconnected && dialer.canCheck && !await dialer.wasEndedByTarget(slot.target, call.via)))
+    (call.failure === ConnectionFailure.Disconnected && dialer.canCheck && !await dialer.wasEndedByTarget(slot.target, call.via, call.endsAt)))
   // The silence of a relayed connection may be that of the peer.
   const isPeerSilent = outcome === SlotOutcome.Unreachable && call.via !== null
   slot.release(isPathLost || isPeerSilent ? SlotOutcome.Stopped : outcome)
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -74,6 +74,8 @@
 export interface RunningCall {
   /** Address of the peer that relays the connection, or null if none does. */
   readonly via: string | null
+  /** Time by which the caller ends the call in any case, in milliseconds since the epoch; Infinity if there is none. */
+  readonly endsAt: number
   /** Time at which the request was sent, in milliseconds since the epoch, or null if it was not. */
   readonly sentAt: number | null
   /** Why the connection ended before the response did, or null. */
@@ -110,7 +112,7 @@
 ): RunningCall {
   const endsAt = request.endsAt ?? Infinity
   const connection = connections.acquire(target, request.id, endsAt)
-  const call = new TargetCall(connection, async () => await connections.dialer.isListening(target, endsAt), request.id, names, sink)
+  const call = new TargetCall(connection, endsAt, async () => await connections.dialer.isListening(target, endsAt), request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
   return call
 }
@@ -148,6 +150,7 @@
 
   constructor (
     private readonly connection: TargetConnection,
+    readonly endsAt: number,
     private readonly isListening: () => Promise<boolean>,
     private readonly id: string,
     private readonly names: HeaderNames,
--- a/packages/gateway/src/targets/target-dialer.ts
+++ b/packages/gateway/src/targets/target-dialer.ts
@@ -58,15 +58,16 @@
    * target now.
    *
    * @param via the peer that relayed the connection, or null
+   * @param endsAt time by which the connection's request ends, in milliseconds since the epoch: a peer that stops then still answers
    */
-  async wasEndedByTarget (target: TargetEndpoint, via: string | null): Promise<boolean> {
+  async wasEndedByTarget (target: TargetEndpoint, via: string | null, endsAt: number): Promise<boolean> {
     const { ways } = this
     if (ways === null) {
       return true
     }
     // Connections that are lost together are checked together.
     const key = `${target.id} ${target.born} ${via}`
-    const check = this.#checks.get(key) ?? checkTarget(ways, target, via)
+    const check = this.#checks.get(key) ?? checkTarget(ways, target, via, Math.min(endsAt, Date.now() + checkMilliseconds))
     this.#checks.set(key, check)
     const result = await check
     this.#checks.delete(key)
@@ -74,13 +75,13 @@
   }
 }
 
-async function checkTarget (ways: DialWays, target: TargetEndpoint, via: string | null): Promise<boolean> {
-  const failure = via === null ? await tryDirectly(ways, target) : await tryPeer(ways, target, via)
+async function checkTarget (ways: DialWays, target: TargetEndpoint, via: string | null, endsAt: number): Promise<boolean> {
+  const failure = via === null ? await tryDirectly(ways, target) : await tryPeer(ways, target, via, endsAt)
   if (failure === null || (via !== null && failure === ConnectionFailure.Unreachable)) {
     return true
   }
-  for (const address of ways.choosePeers(Date.now() + checkMilliseconds, via)) {
-    const peerFailure = await tryPeer(ways, target, address)
+  for (const address of ways.choosePeers(endsAt, via)) {
+    const peerFailure = await tryPeer(ways, target, address, endsAt)
     if (peerFailure !== ConnectionFailure.NoPath) {
       return peerFailure === ConnectionFailure.Unreachable
     }
@@ -98,8 +99,8 @@
   return failure
 }
 
-async function tryPeer (ways: DialWays, target: TargetEndpoint, address: string): Promise<ConnectionFailure | null> {
-  const failure = await tryToConnect(listener => connectThroughPeer(ways.relayAt(address), target, Date.now() + checkMilliseconds, listener))
+async function tryPeer (ways: DialWays, target: TargetEndpoint, address: string, endsAt: number): Promise<ConnectionFailure | null> {
+  const failure = await tryToConnect(listener => connectThroughPeer(ways.relayAt(address), target, endsAt, listener))
   if (failure === null) {
     ways.onRelaySuccess(target)
   } else {
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -445,16 +445,16 @@
 describe('wasEndedByTarget', () => {
   it('is true for a target that has ended, and for one that goes on and has closed a connection', async context => {
     const harness = await start(context, { serve: () => {} })
-    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), true)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null, Infinity), true)
     await harness.endTarget(1)
-    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), true)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null, Infinity), true)
   })
 
   it('is false if only a peer reaches the target now', async context => {
     for (const how of [Cut.Reset, Cut.Hang]) {
       const harness = await start(context, { serve: () => {} })
       await harness.cut(how)
-      assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null), false)
+      assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null, Infinity), false)
     }
   })
 
@@ -463,10 +463,29 @@
     await harness.cut(Cut.Reset)
     const [first] = harness.peers
     assert.ok(first !== undefined)
-    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address), true)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address, Infinity), true)
     first.paths.recordDirectFailure('another', 2, Date.now())
     first.isCut = true
-    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address), false)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), first.address, Infinity), false)
+  })
+
+  it('asks the only peer, which stops, only as long as the request lasts: a cut is not put down to the target', async context => {
+    const harness = await start(context, { serve: () => {} })
+    await harness.cut(Cut.Refuse)
+    harness.peers[0]?.stop(400)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), null, Date.now() + 350), false)
+  })
+
+  it('asks the peer that relayed the connection, which stops, only as long as the request lasts: the target is not excused by the path', async context => {
+    const harness = await start(context, { serve: answering(whole) })
+    await harness.cut(Cut.Refuse)
+    for (const number of [1, 2]) {
+      await send(harness, number).call.ended
+    }
+    const [peer] = harness.peers
+    assert.ok(peer !== undefined && harness.paths.isCutOff)
+    peer.stop(400)
+    assert.equal(await harness.connections.dialer.wasEndedByTarget(harness.target(1), peer.address, Date.now() + 350), true)
   })
 })
 
