Keep alarms silent once they are closed

Cause: an alarm could be set after `close`, and a handler that closed its alarm had it set again by the time that it returned. Messages of members are handled until the peer socket is closed, after the store's connections. A change of members in between made JobPartitions claim partitions and set its alarm; 300 ms later the closed instance took them, and JobRunner then read partitions without end: each read fails once the store's connections are closed and is repeated after 200 ms, and where it succeeds the alarms of reads and expiry repeat. TokenLedger likewise corrects totals for good if a reservation in flight sets its alarm after close.

Change: `Alarm.close` is final; setting a closed alarm does nothing.

--- a/packages/gateway/src/util/alarm.ts
+++ b/packages/gateway/src/util/alarm.ts
@@ -5,22 +5,28 @@
   #timer: NodeJS.Timeout | null = null
   /** Time for which the timer is set, in milliseconds since the epoch. */
   #setFor = Infinity
+  #isClosed = false
 
   /** @param handler returns the time at which to run it again, in milliseconds since the epoch; `Infinity` for not at all */
   constructor (private readonly handler: (now: number) => number) {}
 
-  /** Makes the handler run no later than the given time, in milliseconds since the epoch. */
+  /** Makes the handler run no later than the given time, in milliseconds since the epoch; does nothing once the alarm is closed. */
   setBy (time: number): void {
-    if (time >= this.#setFor) {
+    if (this.#isClosed || time >= this.#setFor) {
       return
     }
-    this.close()
+    this.#cancel()
     this.#setFor = time
     this.#timer = setTimeout(() => { this.#run() }, Math.max(0, time - Date.now()))
   }
 
-  /** Cancels the timer; the alarm can be set again. */
+  /** Cancels the timer for good: calls that are still in flight may set the alarm later. */
   close (): void {
+    this.#isClosed = true
+    this.#cancel()
+  }
+
+  #cancel (): void {
     if (this.#timer !== null) {
       clearTimeout(this.#timer)
     }
