Cancel the repeated timer of a probe that has ended

A process that was held up took members for unresponsive whose responses it had read, and told the others.

Cause: a timer of the failure detector that fires more than 75 ms late sets a second one in its place, and the probe keeps the first. A response that is read next ends the probe, and the second timer still fires: the member is pinged again under a number that nobody knows, and is reported as unresponsive 250 ms later. This also removes a later probe of the same member, and timers outlive `close`.

Evidence: failing runs of draining.test at load averages of 29 to 51 show "member unresponsive" for members that run, several each time, each followed by "members changed" within 100 ms. That all of these have this cause is not shown.

Change: the probe keeps the timer that is set, and its end cancels that.

--- a/packages/gateway/src/peers/failure-detector.ts
+++ b/packages/gateway/src/peers/failure-detector.ts
@@ -32,7 +32,7 @@
   readonly address: string
   readonly sequence: number
   readonly startedAt: number
-  timer: NodeJS.Timeout
+  timer: NodeJS.Timeout | null
   /** Whether a helper has responded, so that the path from this process to others works. */
   helperResponded: boolean
 }
@@ -56,9 +56,10 @@
       return
     }
     this.#sequence += 1
-    const probe = { address, sequence: this.#sequence, startedAt: Date.now(), helperResponded: false, timer: this.#setTimer(() => { this.#onOverdue(probe) }, directTimeoutMilliseconds) }
+    const probe: Probe = { address, sequence: this.#sequence, startedAt: Date.now(), helperResponded: false, timer: null }
     this.#probes.set(address, probe)
     this.#addresses.set(probe.sequence, address)
+    this.#setTimer(probe, () => { this.#onOverdue(probe) }, directTimeoutMilliseconds)
     this.dependencies.sendPing(address, probe.sequence)
   }
 
@@ -91,7 +92,9 @@
   }
 
   #end (probe: Probe): void {
-    clearTimeout(probe.timer)
+    if (probe.timer !== null) {
+      clearTimeout(probe.timer)
+    }
     this.#probes.delete(probe.address)
     this.#addresses.delete(probe.sequence)
   }
@@ -102,7 +105,7 @@
     }
     // The first ping or its response may just have been lost.
     this.dependencies.sendPing(probe.address, probe.sequence)
-    probe.timer = this.#setTimer(() => { this.#onUnresponsive(probe) }, indirectTimeoutMilliseconds)
+    this.#setTimer(probe, () => { this.#onUnresponsive(probe) }, indirectTimeoutMilliseconds)
     this.dependencies.onOverdue()
   }
 
@@ -114,17 +117,16 @@
     this.dependencies.onUnresponsive(probe.address, probe.startedAt)
   }
 
-  /** Calls the handler after the timeout, or after the timeout once more if the process itself was held up meanwhile. */
-  #setTimer (handler: () => void, timeoutMilliseconds: number): NodeJS.Timeout {
+  /** Calls the handler after the timeout, or after the timeout once more if the process itself was held up meanwhile, unless the probe has ended by then. */
+  #setTimer (probe: Probe, handler: () => void, timeoutMilliseconds: number): void {
     const timeout = timeoutMilliseconds * this.dependencies.health.timeoutFactor
     const dueAt = Date.now() + timeout
-    const timer = setTimeout(() => {
+    probe.timer = setTimeout(() => {
       if (Date.now() - dueAt > toleratedLatenessMilliseconds) {
-        setTimeout(handler, timeout)
+        probe.timer = setTimeout(handler, timeout)
         return
       }
       handler()
     }, timeout)
-    return timer
   }
 }
