Read what has arrived before a call is given up

Instances that were held up for longer than the rest of a call's time gave calls to the store and to peers up though the answer had arrived, and took the store for lost ("no answer in time") or peers for cut off from it.

Cause: after a pause of the process, timers run before sockets are read. The timeout of callBuffered then aborts the call, whatever the socket holds.

Change: a timeout lets the loop read twice before it counts, as timeouts of items do (`afterNextRead`).

--- a/packages/gateway/src/util/buffered-call.ts
+++ b/packages/gateway/src/util/buffered-call.ts
@@ -1,5 +1,6 @@
 /** HTTP calls that buffer the whole response. */
 import type { Dispatcher } from 'undici'
+import { afterNextRead } from './after-next-read.js'
 
 const firstSuccessStatus = 200
 const lastSuccessStatus = 299
@@ -75,6 +76,7 @@
   #controller: Dispatcher.DispatchController | null = null
   #head: Pick<BufferedResponse, 'status' | 'headers'> | null = null
   #timedOut = false
+  #hasEnded = false
 
   constructor (
     timeoutMilliseconds: number,
@@ -108,7 +110,7 @@
   }
 
   onResponseEnd (): void {
-    clearTimeout(this.#timer)
+    this.#end()
     if (this.#head === null) {
       this.reject(new UnansweredCallError('an answer without a head', true))
       return
@@ -122,7 +124,7 @@
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    clearTimeout(this.#timer)
+    this.#end()
     this.reject(new UnansweredCallError(error.message, this.#controller !== null))
   }
 
@@ -136,7 +138,22 @@
     this.#timer = setTimeout(() => { this.#onTimeout() }, Math.max(0, remaining))
   }
 
+  #end (): void {
+    this.#hasEnded = true
+    clearTimeout(this.#timer)
+  }
+
+  /** Ends the call, unless data has arrived that this process, which may have been held up, has not read yet. */
   #onTimeout (): void {
+    const timer = this.#timer
+    afterNextRead(() => {
+      if (!this.#hasEnded && this.#timer === timer) {
+        this.#giveUp()
+      }
+    })
+  }
+
+  #giveUp (): void {
     this.#timedOut = true
     if (this.#controller !== null) {
       this.#controller.abort(new Error('no answer in time'))
--- a/packages/gateway/tests/util/buffered-call.test.ts
+++ b/packages/gateway/tests/util/buffered-call.test.ts
@@ -10,8 +10,16 @@
 import { Pool } from '../../src/util/undici-pool.js'
 
 const timeoutMilliseconds = 1_000
+/** Time within which a server in this process answers, also beside load. */
+const heldUpTimeoutMilliseconds = 1_000
 const transferLimits = { totalMilliseconds: 10_000, pauseMilliseconds: 1_000 }
 
+/** Keeps the process from handling anything for the given time. */
+function holdUp (milliseconds: number): void {
+  const until = Date.now() + milliseconds
+  while (Date.now() < until) { /* busy */ }
+}
+
 /** Makes a call to a server that waits before its response begins, and pauses before each of its parts. */
 async function callServer (delayMilliseconds: number, pausesMilliseconds: readonly number[], transfer?: TransferLimits): Promise<BufferedResponse> {
   const server = createServer((_request, response) => {
@@ -55,6 +63,20 @@
     await assert.rejects(callServer(0, Array.from({ length: 20 }, () => 250), { ...transferLimits, totalMilliseconds: 2_500 }), UnansweredCallError)
   })
 
+  it('takes a response that has arrived in time though the process was held up until after the timeout', async context => {
+    const server = createServer((_request, response) => {
+      response.end('whole', () => { holdUp(2 * heldUpTimeoutMilliseconds) })
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const pool = new Pool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+    context.after(async () => {
+      await pool.destroy()
+      server.close()
+    })
+    const { body } = await callBuffered(pool, { method: 'GET', path: '/', body: null, timeoutMilliseconds: heldUpTimeoutMilliseconds })
+    assert.equal(body.toString(), 'whole')
+  })
+
   for (const [framing, head] of [['neither a length nor chunks', ''], ['a coding that does not show its end', 'Transfer-Encoding: gzip\r\n']] as const) {
     for (const [status, ending] of [[200, 'closed'], [200, 'reset'], [202, 'closed']] as const) {
       it(`does not take an answer for complete that has ${framing}, status ${status}, and is ${ending}`, async context => {
