Run the test of silent topics by mocked timers

Cause: the age is compared with the length of a wait plus 20 ms of real time, and the waits of the topic are timers of the same loop; a timer that fires late adds to the age.

Change: `Date` and `setTimeout` are mocked and pass by the millisecond, with all that each one causes. Checks and bounds are as before.

With the delay of overdue reads set to 800 ms in the code, "reads without waiting while the answer to a read is overdue" fails.

--- a/packages/gateway/tests/log/keyed-follower-silence.test.ts
+++ b/packages/gateway/tests/log/keyed-follower-silence.test.ts
@@ -1,6 +1,7 @@
-/** Tests how a follower keeps up while reads of its topic are not answered. */
+/** Tests how a follower keeps up while reads of its topic are not answered, with mocked timers. */
 import assert from 'node:assert/strict'
-import { afterEach, beforeEach, describe, it } from 'node:test'
+import { afterEach, beforeEach, describe, it, mock } from 'node:test'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { AppendOutcome, KeyedFollower, LogUnavailableError, sleep } from '../../src/index.js'
 import type { KeyedRecord, KeyedTopic, RecordBatch } from '../../src/index.js'
 import { createTestLogger } from '../util/test-logger.js'
@@ -36,6 +37,14 @@
   }
 }
 
+/** Lets time pass, with what reads cause in each millisecond. */
+async function advance (milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 1) {
+    mock.timers.tick(1)
+    await nextTurn()
+  }
+}
+
 describe('KeyedFollower', () => {
   let topic: SilentTopic
   let received: string[]
@@ -43,6 +52,7 @@
   let follower: KeyedFollower
 
   beforeEach(async () => {
+    mock.timers.enable({ apis: ['Date', 'setTimeout'], now: 1_000_000 })
     topic = new SilentTopic()
     received = []
     isUrgent = true
@@ -50,10 +60,13 @@
     follower = new KeyedFollower(topic, options, records => { received.push(...records.map(({ key }) => key)) }, createTestLogger())
     assert.equal(follower.ageMilliseconds, Infinity)
     follower.start()
-    await sleep(20)
+    await advance(20)
   })
 
-  afterEach(() => { follower.close() })
+  afterEach(() => {
+    follower.close()
+    mock.timers.reset()
+  })
 
   function append (key: string): void {
     topic.records.push({ key, value: Buffer.from('value'), offset: topic.records.length })
@@ -61,33 +74,33 @@
 
   it('reads without waiting while the answer to a read is overdue', async () => {
     topic.isSilent = true
-    await sleep(waitMilliseconds)
+    await advance(waitMilliseconds)
     append('late')
-    await sleep(200)
+    await advance(200)
     assert.deepEqual(received, ['late'])
     assert.ok(follower.ageMilliseconds < 300, `the topic is ${follower.ageMilliseconds} ms old`)
   })
 
   it('makes only waiting reads while these are answered', async () => {
-    await sleep(400)
+    await advance(400)
     append('new')
-    await sleep(100)
+    await advance(100)
     assert.deepEqual([received, topic.immediateReads], [['new'], 0])
   })
 
   it('makes only waiting reads if the topic is not urgent', async () => {
     isUrgent = false
     topic.isSilent = true
-    await sleep(500)
+    await advance(500)
     assert.equal(topic.immediateReads, 0)
   })
 
   it('knows its age from the end of a wait without records, and grows older while reads are not answered', async () => {
     isUrgent = false
-    await sleep(200)
+    await advance(200)
     assert.ok(follower.ageMilliseconds <= waitMilliseconds + 20, `the topic is ${follower.ageMilliseconds} ms old`)
     topic.isSilent = true
-    await sleep(300)
+    await advance(300)
     assert.ok(follower.ageMilliseconds >= 200, `the topic is ${follower.ageMilliseconds} ms old`)
   })
 })
