Read the answers that have arrived before a question is given up

An instance that was held up for over 120 ms took the origin of a stream for unknown, or the versions of its service for unconfirmed, though the answers of other instances had arrived; the caller who took the stream up was refused.

Change: both limits let the loop read twice before they count.

Tests: "takes an answer that has arrived in time though the process was held up until after the time for answers" (stream-origin-directory) and "takes answers that ..." (version-confirmation) failed before (null; false) and pass.

--- a/packages/gateway/src/streams/stream-origin-directory.ts
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -8,6 +8,7 @@
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { OriginAnswerMessage, OriginQueryMessage, StreamOriginsMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
+import { afterNextRead } from '../util/after-next-read.js'
 import type { OriginLog } from './origin-log.js'
 
 /** Copies of an origin at other processes. Of three, one is left with 78% probability when six of ten processes are lost at once. */
@@ -121,7 +122,7 @@
       }
       const query = { unanswered: new Set(asked), settle }
       const repeatTimer = setTimeout(() => { this.#sendQuery(attempt, query) }, repeatMilliseconds)
-      const endTimer = setTimeout(() => { settle(null) }, askMilliseconds)
+      const endTimer = setTimeout(() => { afterNextRead(() => { settle(null) }) }, askMilliseconds)
       this.#queries.set(attempt, [...this.#queries.get(attempt) ?? [], query])
       this.#sendQuery(attempt, query)
     })
--- a/packages/gateway/src/streams/version-confirmation.ts
+++ b/packages/gateway/src/streams/version-confirmation.ts
@@ -8,6 +8,7 @@
 import type { VersionAnswerMessage, VersionQueryMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
+import { afterNextRead } from '../util/after-next-read.js'
 import { sample } from '../util/sample.js'
 
 /** Processes that are asked. */
@@ -75,7 +76,7 @@
       }
       const query: PendingQuery = { unanswered: new Set(asked), isConfirmed: false, settle }
       const repeatTimer = setTimeout(() => { this.#sendQuery(service, query) }, repeatMilliseconds)
-      const endTimer = setTimeout(() => { settle(query.isConfirmed) }, askMilliseconds)
+      const endTimer = setTimeout(() => { afterNextRead(() => { settle(query.isConfirmed) }) }, askMilliseconds)
       this.#queries.set(service, [...this.#queries.get(service) ?? [], query])
       this.#sendQuery(service, query)
     })
--- a/packages/gateway/tests/streams/stream-origin-directory.test.ts
+++ b/packages/gateway/tests/streams/stream-origin-directory.test.ts
@@ -170,6 +170,20 @@
     assert.ok(Date.now() - silentAt < 400, `took ${Date.now() - silentAt} ms`)
   })
 
+  it('takes an answer that has arrived in time though the process was held up until after the time for answers', async () => {
+    const fleet = new TestFleet(12, ['v1', 'v1.1'])
+    fleet.at(0).directory.record('a', service, origin)
+    await advance(deliveryMilliseconds)
+    for (const { self, directory } of fleet.processes) {
+      const asked = directory.ask('a')
+      fleet.network.pause(self.address)
+      mock.timers.tick(1_000)
+      fleet.network.unpause(self.address)
+      mock.timers.tick(1)
+      assert.deepEqual(await untilSettled(asked), origin)
+    }
+  })
+
   it('answers all of several questions for the same attempt', async () => {
     const fleet = new TestFleet(12, ['v1', 'v1.1'])
     fleet.at(0).directory.record('a', service, origin)
--- a/packages/gateway/tests/streams/version-confirmation.test.ts
+++ b/packages/gateway/tests/streams/version-confirmation.test.ts
@@ -1,6 +1,6 @@
 /** Tests when a process may rely on the software versions that it has seen, over an in-memory network. */
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { describe, it, mock } from 'node:test'
 import { VersionHistory } from '@arbutusloft/policy'
 import { MemberState } from '../../src/peers/member.js'
 import type { Member } from '../../src/peers/member.js'
@@ -63,6 +63,21 @@
     assert.equal(await alone?.confirmation.confirm(service), false)
   })
 
+  it('takes answers that have arrived in time though the process was held up until after the time for answers', async context => {
+    mock.timers.enable({ apis: ['Date', 'setTimeout'], now: 1_000_000 })
+    context.after(() => { mock.timers.reset() })
+    const network = new LoopbackNetwork()
+    const [process] = startProcesses(network, [['v1'], ['v1'], ['v1']])
+    assert.ok(process !== undefined)
+    const confirmed = process.confirmation.confirm(service)
+    network.pause(process.address)
+    await Promise.resolve()
+    mock.timers.tick(1_000)
+    network.unpause(process.address)
+    mock.timers.tick(1)
+    assert.equal(await confirmed, true)
+  })
+
   it('confirms by the answers that come when others are lost, and asks six processes at most', async () => {
     const network = new LoopbackNetwork()
     const processes = startProcesses(network, Array.from({ length: 40 }, () => ['v1']))
