Ask for the rest of a stream on the slot that it holds, also where requests wait

Cause: the question for the rest needed a new slot, which it would have got before the requests that wait, as it continues a stream. So it was not put where requests waited, and elsewhere it was given up if no slot came within 100 ms.

Change: the question is sent on the slot that the stream still holds, to the same target, before the slot is released, whatever the request had waited for. No waiting request is passed over, and no item is preempted. Another slot is taken, as before, if the target leaves, is not listed or names a rate limit, if the list is out of date, or if the target rejects the question. The owner of the slot is told one outcome of both calls, in the messages that all builds know. The slot is held for 500 ms more at most.

Tests: "is not asked for where requests wait for slots" and "does not ask where requests wait for slots" stated the old design; in their place it is asserted that the question is put after waits of 0, 150 and 400 ms, and that no further slot is asked for. Tests that count the outcomes of two slots now do so for both cases, one slot and two.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -5,11 +5,12 @@
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
+import { slotForSecondCall } from '../permits/shared-slot.js'
 import type { Slot, AcquireResult } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
 import type { StreamOriginDirectory } from '../streams/stream-origin-directory.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
-import { failedStatus, unresponsiveReason } from '../targets/call-outcome.js'
+import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import { releaseSlot } from '../targets/slot-release.js'
 import type { TargetConnections } from '../targets/target-connections.js'
 import type { TargetEndpoint } from '../targets/target-registry.js'
@@ -68,11 +69,9 @@
   readonly #excluded: string[] = []
   /** Time of the latest data that was relayed or, before it, of the request's arrival. */
   #lastProgressAt = this.#startedAt
-  /** Time from the arrival of the request until it was sent for the first time; null before. */
-  #waitedMilliseconds: number | null = null
   /** Number of failed attempts that a target may have run. */
   #possibleExecutions = 0
-  /** Slot for the next attempt, which was granted while the last one was silent, or null. */
+  /** Slot for the next attempt, which was granted while the last one was silent, or which the last one leaves to a question; or null. */
   #nextSlot: Slot | null = null
   /** Number of failed attempts that no target ran. */
   #rejections = 0
@@ -257,7 +256,6 @@
       headers.push('Last-Event-Id', eventId)
     }
     const sentAt = Date.now()
-    this.#waitedMilliseconds ??= sentAt - this.#startedAt
     let firstDataAt: number | null = null
     let status: number | null = null
     let isDiscarded = false
@@ -332,10 +330,15 @@
     silenceWatch.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
-    if (this.#abort.signal.aborted) {
+    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }
+    const hasQuestion = outcome === CallOutcome.EndUnknown && !isDiscarded && this.#beginQuestion()
+    if (hasQuestion && this.#nextSlot === null && dependencies.slots.canRunAgain(slot)) {
+      // A new slot would be taken from the requests that wait for one.
+      this.#nextSlot = slotForSecondCall(slot, slotOutcomeOf(endedCall))
+    } else if (this.#abort.signal.aborted) {
       slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
     } else {
-      released = releaseSlot(slot, call, { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, dependencies.connections)
+      released = releaseSlot(slot, call, endedCall, dependencies.connections)
     }
     const isAnswered = outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown
     if (isAnswered && !isDiscarded) {
@@ -364,7 +367,7 @@
       await Promise.race([released, sleep(maximumReleaseWaitMilliseconds)])
     }
     // A failed response that was not relayed is handled like an interrupted one: the target ran the request, and the client got nothing.
-    return this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target, call.failure)
+    return !hasQuestion && this.#onCallEnd(isDiscarded && isAnswered ? CallOutcome.Broken : outcome, target, call.failure)
   }
 
   get #abortReason (): string {
@@ -388,7 +391,6 @@
   #onCallEnd (outcome: CallOutcome, target: TargetEndpoint, failure: ConnectionFailure | null): boolean {
     switch (outcome) {
       case CallOutcome.EndUnknown:
-        return this.#beginQuestion() ? false : this.#finishServed()
       case CallOutcome.Complete:
         return this.#finishServed()
       case CallOutcome.NotExecuted:
@@ -423,7 +425,6 @@
   #beginQuestion (): boolean {
     const question = questionAfterEnd({
       unknownEnds: this.#relay.unknownEnds,
-      waitedMilliseconds: this.#waitedMilliseconds ?? 0,
       objectiveMilliseconds: this.request.route.objectiveMilliseconds,
       remainingMilliseconds: this.#remainingMilliseconds()
     })
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -16,7 +16,7 @@
 import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import { RateLimitSharing } from './rate-limit-sharing.js'
-import type { AcquireResult, SlotDemand } from './slot.js'
+import type { AcquireResult, Slot, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 import type { ObservedRateLimitChange } from './slot-owner.js'
 
@@ -96,7 +96,7 @@
     private readonly membership: Membership,
     private readonly transport: PeerTransport,
     private readonly targets: TargetRegistry,
-    freshness: TargetFreshness,
+    private readonly freshness: TargetFreshness,
     private readonly quarantine: CrashQuarantine,
     private readonly versions: VersionHistory
   ) {
@@ -148,6 +148,16 @@
     })
   }
 
+  /**
+   * Whether a further request may be sent to the target of a slot that this process holds, instead of releasing the slot: the target would also be
+   * granted a new one, and names no rate limit, which only new slots keep within.
+   */
+  canRunAgain ({ permit, target: { id, born } }: Slot): boolean {
+    const target = this.targets.get(id)
+    return this.#held.has(permit) && target?.state === TargetState.Ready && target.born === born && !this.#leaving.has(id, born) &&
+      this.#limits.limitOf(id, born) === null && this.freshness.check()
+  }
+
   /** Returns the service's slots in use and its waiting requests, or null if this process is not the owner. */
   serviceLoad (service: string): ReturnType<SlotOwner['serviceLoad']> {
     return this.#ownerOf(service) === this.transport.address ? this.#owner.serviceLoad(service) : null
--- a/packages/gateway/tests/online/end-questions.test.ts
+++ b/packages/gateway/tests/online/end-questions.test.ts
@@ -4,7 +4,7 @@
 import { RouteKind, SlotOutcome } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { CallerKind, CallerView, ConnectionEnd, OnlineHarness } from '../util/online-harness.js'
-import type { CallerAnswer, CallOptions, ScriptedAnswer } from '../util/online-harness.js'
+import type { CallerAnswer, CallOptions, OnlineHarnessOptions, ScriptedAnswer } from '../util/online-harness.js'
 import { sleep } from '../../src/util/sleep.js'
 
 const common = { name: 'r', host: 'h', prefix: '/p/', services: [], timeoutMilliseconds: 4_000, objectiveMilliseconds: 300, priority: 0, completionMilliseconds: 0, retentionMilliseconds: 0, waitingTokens: 0 }
@@ -31,8 +31,13 @@
   readonly milliseconds: number
 }
 
-async function answerTo (answers: readonly ScriptedAnswer[], { route = resumable, caller = CallerKind.KeepAlive, ...options }: CallOptions & { readonly route?: Route, readonly caller?: CallerKind } = {}): Promise<Outcome> {
-  const harness = await OnlineHarness.start(route, answers)
+interface AnswerOptions extends CallOptions, Pick<OnlineHarnessOptions, 'canRunAgain'> {
+  readonly route?: Route
+  readonly caller?: CallerKind
+}
+
+async function answerTo (answers: readonly ScriptedAnswer[], { route = resumable, caller = CallerKind.KeepAlive, canRunAgain = true, ...options }: AnswerOptions = {}): Promise<Outcome> {
+  const harness = await OnlineHarness.start(route, answers, { canRunAgain })
   const startedAt = Date.now()
   try {
     return { ...await harness.call(caller, options), harness, milliseconds: Date.now() - startedAt }
@@ -66,9 +71,11 @@
   it('is whole after one question if the rest is empty, in each framing, and no target counts as crashed', async () => {
     for (const caller of Object.values(CallerKind)) {
       for (const empty of [framed(''), unframed(''), { bytes: `${head(200)}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n`, end: ConnectionEnd.None }]) {
-        const { body, view, harness } = await answerTo([unframed(whole), empty, framed(rest)], { caller })
-        assert.deepEqual([body, view, resumptions(harness)], [whole, wholeView(caller), [null, '4']], `${caller}, ${empty.bytes}`)
-        assert.deepEqual(harness.outcomes, [SlotOutcome.Finished, SlotOutcome.Unsuccessful])
+        for (const [canRunAgain, outcomes] of [[true, [SlotOutcome.Finished]], [false, [SlotOutcome.Finished, SlotOutcome.Unsuccessful]]] as const) {
+          const { body, view, harness } = await answerTo([unframed(whole), empty, framed(rest)], { caller, canRunAgain })
+          assert.deepEqual([body, view, resumptions(harness)], [whole, wholeView(caller), [null, '4']], `${caller}, ${empty.bytes}`)
+          assert.deepEqual(harness.outcomes, outcomes)
+        }
       }
     }
   })
@@ -124,7 +131,7 @@
     const { body, view, milliseconds, harness } = await answerTo([unframed(whole), silent])
     assert.deepEqual([body, view], [whole, CallerView.Complete])
     assert.ok(milliseconds < 900, `${milliseconds} ms`)
-    assert.deepEqual(harness.outcomes.length, 2)
+    assert.deepEqual([harness.arrivals.length, harness.outcomes], [2, [SlotOutcome.Finished]])
   })
 
   it('ends in time also at a target that sends comments only', async () => {
@@ -146,16 +153,42 @@
   })
 
   it('does not tell against a target that says nothing shortly before the deadline', async () => {
-    const { view, harness } = await answerTo([unframed(whole), silent, silent], { deadlineMilliseconds: 400 })
-    assert.deepEqual([view, harness.arrivals.length, harness.outcomes], [CallerView.Complete, 2, [SlotOutcome.Finished, SlotOutcome.Stopped]])
+    for (const [canRunAgain, outcomes] of [[true, [SlotOutcome.Finished]], [false, [SlotOutcome.Finished, SlotOutcome.Stopped]]] as const) {
+      const { view, harness } = await answerTo([unframed(whole), silent, silent], { deadlineMilliseconds: 400, canRunAgain })
+      assert.deepEqual([view, harness.arrivals.length, harness.outcomes], [CallerView.Complete, 2, outcomes])
+    }
   })
 
-  it('is not asked for where requests wait for slots, and waits for one only shortly', async () => {
-    for (const [waits, outcomes] of [[[250, 0], [SlotOutcome.Finished]], [[0, 250], [SlotOutcome.Finished, SlotOutcome.Stopped]]] as const) {
-      const harness = await OnlineHarness.start(resumable, [unframed(whole), framed('')], { slotWaitsMilliseconds: waits })
+  it('goes on where requests wait for slots, on the slot that it has, so that no waiting request is passed over', async () => {
+    for (const wait of [0, 150, 400]) {
+      const harness = await OnlineHarness.start(resumable, [unframed(begun), framed(rest)], { slotWaitsMilliseconds: [wait, 5_000] })
       const { body, view } = await harness.call(CallerKind.KeepAlive)
       harness.close()
-      assert.deepEqual([body, view, harness.arrivals.length, harness.outcomes], [whole, CallerView.Complete, 1, outcomes])
+      assert.deepEqual([body, view, resumptions(harness)], [whole, CallerView.Complete, [null, '2']], `${wait} ms`)
+      assert.deepEqual([harness.demands.length, harness.outcomes], [1, [SlotOutcome.Finished]], `${wait} ms`)
+    }
+  })
+
+  it('goes on where requests wait for slots, and its target takes no further request', async () => {
+    const harness = await OnlineHarness.start(resumable, [unframed(begun), framed(rest)], { slotWaitsMilliseconds: [250, 0], canRunAgain: false })
+    const { body, view } = await harness.call(CallerKind.KeepAlive)
+    harness.close()
+    assert.deepEqual([body, view, resumptions(harness), harness.outcomes], [whole, CallerView.Complete, [null, '2'], [SlotOutcome.Finished, SlotOutcome.Finished]])
+  })
+
+  it('waits only shortly for another slot', async () => {
+    const harness = await OnlineHarness.start(resumable, [unframed(whole), framed('')], { slotWaitsMilliseconds: [0, 250], canRunAgain: false })
+    const { body, view } = await harness.call(CallerKind.KeepAlive)
+    harness.close()
+    assert.deepEqual([body, view, harness.arrivals.length, harness.outcomes], [whole, CallerView.Complete, 1, [SlotOutcome.Finished, SlotOutcome.Stopped]])
+  })
+
+  it('goes on at another target if its own is gone or full', async () => {
+    for (const [lost, outcome] of [[framed('full', 503, 'X-Not-Executed: 1\r\n'), SlotOutcome.Finished], [framed('other', 421), SlotOutcome.Replaced]] as const) {
+      const { body, view, harness } = await answerTo([unframed(begun), lost, framed(rest)])
+      assert.deepEqual([body, view, resumptions(harness)], [whole, CallerView.Complete, [null, '2', '2']])
+      assert.deepEqual([harness.demands.length, harness.outcomes], [2, [outcome, SlotOutcome.Finished]])
+      assert.deepEqual(harness.demands[1]?.excluded, ['t1'])
     }
   })
 
@@ -166,7 +199,7 @@
   })
 
   it('is asked for by messages that builds before know', async () => {
-    const { harness } = await answerTo([unframed(begun), framed(rest)])
+    const { harness } = await answerTo([unframed(begun), framed(rest)], { canRunAgain: false })
     const [first, question] = harness.demands
     assert.deepEqual(Object.keys(question ?? {}), Object.keys(first ?? {}))
     assert.equal(question?.workClass, first?.workClass)
--- /dev/null
+++ b/packages/gateway/tests/permits/shared-slot.test.ts
@@ -0,0 +1,41 @@
+/** Tests which outcome an owner is told of two calls on one slot. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { SlotOutcome } from '@arbutusloft/policy'
+import { slotForSecondCall } from '../../src/permits/shared-slot.js'
+
+function reported (...outcomes: readonly SlotOutcome[]): readonly SlotOutcome[] {
+  const released: SlotOutcome[] = []
+  const target = { id: 't', address: '1:1', born: 1, softwareVersion: 'v1' }
+  const first = { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: (outcome: SlotOutcome) => { released.push(outcome) } }
+  const slot = outcomes.slice(0, -1).reduce(slotForSecondCall, first)
+  slot.release(outcomes.at(-1) ?? assert.fail())
+  return released
+}
+
+describe('slotForSecondCall', () => {
+  it('reports a finished answer, however the other call has ended', () => {
+    for (const other of [SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Stopped, SlotOutcome.Broken, SlotOutcome.Crashed, SlotOutcome.Failed, SlotOutcome.Full]) {
+      assert.deepEqual(reported(SlotOutcome.Finished, other), [SlotOutcome.Finished], other)
+    }
+    assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Finished), [SlotOutcome.Finished])
+  })
+
+  it('reports a target that is no longer there', () => {
+    for (const first of [SlotOutcome.Finished, SlotOutcome.Unsuccessful]) {
+      for (const absence of [SlotOutcome.Unreachable, SlotOutcome.Replaced]) {
+        assert.deepEqual(reported(first, absence), [absence])
+      }
+    }
+  })
+
+  it('reports a crash if no answer was finished', () => {
+    assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Crashed), [SlotOutcome.Crashed])
+    assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Stopped), [SlotOutcome.Unsuccessful])
+    assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Full), [SlotOutcome.Unsuccessful])
+  })
+
+  it('reports one outcome of more than two calls', () => {
+    assert.deepEqual(reported(SlotOutcome.Finished, SlotOutcome.Finished, SlotOutcome.Crashed), [SlotOutcome.Finished])
+  })
+})
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -46,6 +46,7 @@
   readonly targets: TargetRegistry
   readonly versions: VersionHistory
   readonly quarantine: CrashQuarantine
+  readonly freshness: TargetFreshness
   readonly slots: SlotClient
 }
 
@@ -62,7 +63,8 @@
       const targets = new TargetRegistry()
       const versions = new VersionHistory()
       const quarantine = new CrashQuarantine()
-      return { transport, membership, targets, versions, quarantine, slots: new SlotClient(membership, transport, targets, new TargetFreshness(), quarantine, versions) }
+      const freshness = new TargetFreshness()
+      return { transport, membership, targets, versions, quarantine, freshness, slots: new SlotClient(membership, transport, targets, freshness, quarantine, versions) }
     })
     members.forEach(({ membership }) => { membership.setState(MemberState.Ready) })
     while (!members.every(({ membership }) => membership.ready().length === 2)) {
@@ -117,6 +119,27 @@
     assert.deepEqual(holder.quarantine.answered().map(({ digest }) => digest), [promptPartDigest('answered')])
   })
 
+  it('runs a further request on its slot only while its target could be granted, names no rate limit, and the slot is held', async () => {
+    const lost: Array<(slot: Slot) => void> = [
+      slot => { slot.markLeaving() },
+      slot => { slot.release(SlotOutcome.Finished) },
+      slot => { slot.recordRateLimit(2, Date.now()) },
+      () => { holder.targets.replace([]) },
+      () => { holder.targets.replace([{ ...target, state: TargetState.Draining }]) },
+      () => { holder.targets.replace([{ ...target, born: target.born + 1 }]) },
+      () => { holder.freshness.follow({ source: { ageMilliseconds: 1_000, refresh: async () => await new Promise(() => {}) }, maximumAgeMilliseconds: 100, logger: createTestLogger() }) }
+    ]
+    for (const [index, lose] of lost.entries()) {
+      const current = { ...target, born: target.born + 10 * index }
+      members.forEach(({ targets }) => { targets.replace([current]) })
+      const slot = await acquire(holder) ?? assert.fail(`no slot ${index}`)
+      assert.ok(holder.slots.canRunAgain(slot), String(index))
+      lose(slot)
+      assert.ok(!holder.slots.canRunAgain(slot), String(index))
+      slot.release(SlotOutcome.Finished)
+    }
+  })
+
   it('never uses a target that it heard is leaving, also while the owner does not know', async () => {
     holder.transport.dropped = PeerMessageType.TargetLeaving
     const slot = await acquire(holder)
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -97,6 +97,8 @@
   readonly slotWaitsMilliseconds?: readonly number[]
   /** Whether all attempts go to the same target, and so may use the same connections. */
   readonly hasOneTarget?: boolean
+  /** Whether a slot may be used for a further request while an answer to that is left; true by default. */
+  readonly canRunAgain?: boolean
   /** Connections to the targets; they are closed with the harness. */
   readonly connections?: TargetConnections
 }
@@ -129,13 +131,14 @@
     private readonly slotWaitMilliseconds: number,
     private readonly slotWaitsMilliseconds: number[],
     private readonly hasOneTarget: boolean,
+    private readonly canRunAgain: boolean,
     private readonly targetConnections: TargetConnections
   ) {}
 
   /** @param answers one for each attempt, in order */
   static async start (route: Route, answers: readonly ScriptedAnswer[], options: OnlineHarnessOptions = {}): Promise<OnlineHarness> {
-    const { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, slotWaitMilliseconds = 0, slotWaitsMilliseconds = [], hasOneTarget = false, connections = new TargetConnections() } = options
-    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, slotWaitMilliseconds, [...slotWaitsMilliseconds], hasOneTarget, connections)
+    const { firstTargets = [], preparationMilliseconds = 0, hasNoSlots = false, slotWaitMilliseconds = 0, slotWaitsMilliseconds = [], hasOneTarget = false, canRunAgain = true, connections = new TargetConnections() } = options
+    const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, slotWaitMilliseconds, [...slotWaitsMilliseconds], hasOneTarget, canRunAgain, connections)
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
       void readBody(request, maximumBodyBytes).then(async body => {
@@ -288,7 +291,8 @@
       const target = { id: this.hasOneTarget ? 't' : `t${this.#nextTarget}`, address, born: 1, softwareVersion: 'v1' }
       return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: requestsPerSecond => { this.rateLimits.push(requestsPerSecond) }, release: outcome => { this.outcomes.push(outcome) } } }
     }
-    return { acquire } as unknown as SlotClient
+    const canRunAgain: SlotClient['canRunAgain'] = () => this.canRunAgain && this.answers.length > 0
+    return { acquire, canRunAgain } as unknown as SlotClient
   }
 
   /** Returns the address of the target that answers by the script, or null if no answer is left. */
--- a/packages/policy/src/retries/end-question.ts
+++ b/packages/policy/src/retries/end-question.ts
@@ -7,8 +7,6 @@
 export interface UnknownStreamEnd {
   /** Number of answers in a row that ended so after the same event; 0 if another event follows, or if events have no ids. */
   readonly unknownEnds: number
-  /** Time from the arrival of the request until it was sent for the first time. */
-  readonly waitedMilliseconds: number
   /** Time within which an answer of the route should begin. */
   readonly objectiveMilliseconds: number
   /** Time until the deadline of the request. */
@@ -17,24 +15,22 @@
 
 /** Limits of the question, in milliseconds. */
 export interface EndQuestion {
-  /** Time for which it may wait for a slot: some round trips, so that it takes a free slot and is no burden where requests wait. */
+  /** Time for which it may wait for another slot, if it cannot use that of the stream: some round trips. */
   readonly patience: number
   /** Time until an event or the end has to arrive, the wait included. */
   readonly limit: number
 }
 
 const patienceMilliseconds = 100
-/** Wait of a request above which others wait for slots as well; the question would get one before them. */
-const maximumWaitMilliseconds = 100
 /** A quarter of the time after which a client leaves a stream without events, so that the rest has time to follow. */
 const maximumLimitMilliseconds = 500
 /** Time that is left for what follows. */
 const minimumRestMilliseconds = 50
 
 /** Returns the limits of a question for the rest of the stream, or null if none is to be sent. */
-export function questionAfterEnd ({ unknownEnds, waitedMilliseconds, objectiveMilliseconds, remainingMilliseconds }: UnknownStreamEnd): EndQuestion | null {
+export function questionAfterEnd ({ unknownEnds, objectiveMilliseconds, remainingMilliseconds }: UnknownStreamEnd): EndQuestion | null {
   // Two closes at the same event are not to be expected unless it is the last one.
-  if (unknownEnds !== 1 || waitedMilliseconds > maximumWaitMilliseconds) {
+  if (unknownEnds !== 1) {
     return null
   }
   const limit = Math.min(maximumLimitMilliseconds, objectiveMilliseconds, remainingMilliseconds - minimumRestMilliseconds)
