Remember the event that a stream was broken off in also behind a take-up

A client that took a stream up after event n got an empty answer with status 200 that looks complete, though event n + 1 had been seen to begin: its first target broke off inside that event, and the rest of the next target was empty, framed or not (ORDER).

Cause: an empty rest counts as whole unless an event was begun behind the client's last one. That was remembered by the id of the last event of this answer, which is null as long as the client has none from it, and not by the id that it came with.

Items are not affected: their output keeps its last id over all runs.

--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -37,6 +37,8 @@
   /** Whether the response to the client has neither a length nor chunks and so ends with its connection. */
   #endsWithConnection = false
   #lastId: number | null = null
+  /** Id of the event after which the client takes the stream up, or null. */
+  #takenUpAfter: number | null = null
   /** Id of the last event before the latest one that was broken off, or null. */
   #continuesAfter: number | null = null
   /** Id of the last event before the latest end that was unknown, or null. */
@@ -94,6 +96,9 @@
    * @param resumesAfter id of the event after which its request resumed the stream, or null if it did not
    */
   onHead (head: ResponseHead, resumesAfter: number | null): void {
+    if (this.#lastId === null) {
+      this.#takenUpAfter = resumesAfter
+    }
     this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter) : null
     if (!this.#hasBegun) {
       this.#head = head
@@ -124,7 +129,7 @@
     }
     const end = streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter, this.unknownEnds > 0)
     if (this.#splitter.showsMore) {
-      this.#continuesAfter = this.#lastId
+      this.#continuesAfter = this.#clientLastId
     }
     if (end.end === CallOutcome.EndUnknown) {
       this.#unknownEnds = this.unknownEnds + 1
@@ -138,6 +143,11 @@
     (this.response.socket ?? this.response).once('drain', listener)
   }
 
+  /** Id of the last event that the client has, or null if it has none. */
+  get #clientLastId (): number | null {
+    return this.#lastId ?? this.#takenUpAfter
+  }
+
   /** Ends a response that is complete. */
   end (): void {
     if (this.#held !== null && this.response.req.method !== 'HEAD') {
--- a/packages/gateway/tests/online/end-questions.test.ts
+++ b/packages/gateway/tests/online/end-questions.test.ts
@@ -211,6 +211,15 @@
     assert.deepEqual([body, view, resumptions(harness)], [rest, CallerView.Complete, ['2', '4']])
   })
 
+  it('does not look whole to a client that took it up, if the beginning of a further event was seen and the rest is then empty', async () => {
+    for (const begun of [unframed('id: 3\nda'), { bytes: `${head(200)}Content-Length: 99\r\n\r\nid: 3\nda`, end: ConnectionEnd.Close }]) {
+      for (const empty of [framed(''), unframed('')]) {
+        const { status } = await answerTo([begun, empty, empty], { lastEventId: '2' })
+        assert.equal(status, 502)
+      }
+    }
+  })
+
   it('is complete as before if its instance ends meanwhile', async () => {
     const harness = await OnlineHarness.start({ ...resumable, objectiveMilliseconds: 2_000 }, [unframed(whole), silent])
     const answer = harness.call(CallerKind.KeepAlive)
