Let a whole stream without framing be taken up behind its last event

A caller that took a whole stream up behind its last event, at a service that frames nothing, got 502, or a broken stream if an earlier target had been lost in the same answer. The route's attempts were used up, and each target was reported as crashed under the prompt.

Cause: an empty answer without framing counted as a crash before the first event unless an answer of this run had ended behind the same event before. The relay knew only the events that it had sent itself, and not the one that the client came with.

Change: such an answer ends as end-unknown, which tells nothing against its target, and the rest is asked for once more, as behind other ends without framing. Two ends in a row, or one empty answer with framing, confirm that the stream is whole. If nothing confirms it, the caller gets 502 or 504, or its stream is broken off, as one empty answer may have been cut before the next event. `arbutus explain` counts these as broken off.

--- a/packages/command-line/src/explain/outcome-classes.ts
+++ b/packages/command-line/src/explain/outcome-classes.ts
@@ -30,7 +30,8 @@
 }
 
 function isServed (history: History): boolean {
-  return endsWith(history, ['complete', 'end-unknown']) && lastLine(history)?.fields.status !== failedStatus
+  const { status, reason } = lastLine(history)?.fields ?? {}
+  return endsWith(history, ['complete', 'end-unknown']) && status !== failedStatus && reason === ''
 }
 
 function isLate (history: History): boolean {
@@ -72,9 +73,9 @@
   { name: 'no route', meaning: 'the configuration of that version has no route for the path', matches: history => isOnline(history, 'no route') },
   { name: 'client gone', meaning: 'the client disconnected before the end', matches: history => endsWith(history, ['broken', 'not-executed'], 'client gone') },
   { name: 'deadline', meaning: 'the time of the request was over; long silence of its target, or a late start', matches: history => endsWith(history, ['broken', 'not-executed'], 'deadline') },
-  { name: 'failed by its target', meaning: 'the target ran the request and answered 500', matches: history => endsWith(history, ['complete', 'end-unknown']) },
+  { name: 'failed by its target', meaning: 'the target ran the request and answered 500', matches: history => endsWith(history, ['complete', 'end-unknown']) && lastLine(history)?.fields.status === failedStatus },
   { name: 'target silent', meaning: 'no data for too long; the request may have run', matches: history => endsWith(history, ['broken'], 'target silent') },
-  { name: 'broken off by its target', meaning: 'it may have run, and may not be repeated or was tried often enough', matches: history => endsWith(history, ['broken', 'disconnected']) },
+  { name: 'broken off by its target', meaning: 'it may have run, and may not be repeated or was tried often enough', matches: history => endsWith(history, ['broken', 'disconnected', 'end-unknown']) },
   { name: 'not taken by a target', meaning: 'has not run; the targets were out of reach or another stood at the address', matches: history => isOnline(history, 'dispatch ended') },
   { name: 'item finished in one run', meaning: '', matches: history => isFinishedItem(history) && runsOf(history).length === 1 },
   { name: 'item finished after losing its slot', meaning: 'preempted by online requests and resumed', matches: history => isFinishedItem(history) && runsOf(history).slice(0, -1).every(wasRevoked) },
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -391,6 +391,11 @@
   #onCallEnd (outcome: CallOutcome, target: TargetEndpoint, failure: ConnectionFailure | null): boolean {
     switch (outcome) {
       case CallOutcome.EndUnknown:
+        if (this.#relay.isEndDoubtful) {
+          this.#possibleExecutions += 1
+          return this.#finishIncomplete()
+        }
+        return this.#finishServed()
       case CallOutcome.Complete:
         return this.#finishServed()
       case CallOutcome.NotExecuted:
@@ -459,7 +464,7 @@
   #finishIncomplete (): boolean {
     if (this.#clientDisconnected) {
       this.#count('client_gone')
-    } else if (this.#relay.unknownEnds > 0 && !this.#isQuestionLost) {
+    } else if (this.#relay.unknownEnds > 0 && !this.#relay.isEndDoubtful && !this.#isQuestionLost) {
       // The target has ended the stream in order: https://www.rfc-editor.org/rfc/rfc9112#section-6.3
       this.dependencies.logger.info('end of stream not confirmed', { request: this.request.id, route: this.request.route.name, after: this.#relay.lastId })
       return this.#finishServed()
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -6,7 +6,7 @@
 import type { CallEnd } from '../targets/target-call.js'
 import { EventSplitter } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
-import { streamEndOf } from './stream-end.js'
+import { emptyStreamReason, streamEndOf } from './stream-end.js'
 
 const noExcludedHeaders: ReadonlySet<string> = new Set()
 const contentLengthHeader: ReadonlySet<string> = new Set(['content-length'])
@@ -45,6 +45,8 @@
   #unknownEndAfter: number | null = null
   /** Number of unknown ends in a row after that event. */
   #unknownEnds = 0
+  /** Whether the first of them was the end of a response without events. */
+  #isUnknownEndEmpty = false
   #relayedBytes = 0
   /** Length of the whole body, which the target did not tell; null if it is not known when the head is sent. */
   #knownLength: number | null = null
@@ -69,12 +71,18 @@
     return this.#lastId
   }
 
-  /** Number of responses in a row that have ended in order, without framing, after the last event that was sent; 0 if one has shown that another event follows. */
+  /** Number of responses in a row that have ended in order, without framing, after the last event that the client has; 0 if one has shown that another event follows. */
   get unknownEnds (): number {
-    const isLast = this.#lastId !== null && this.#lastId === this.#unknownEndAfter && this.#lastId !== this.#continuesAfter
+    const lastId = this.#clientLastId
+    const isLast = this.#splitter !== null && lastId !== null && lastId === this.#unknownEndAfter && lastId !== this.#continuesAfter
     return isLast ? this.#unknownEnds : 0
   }
 
+  /** Whether the only such response held no event: it may have been cut before the next one, which is unlikely to happen twice. */
+  get isEndDoubtful (): boolean {
+    return this.unknownEnds === 1 && this.#isUnknownEndEmpty
+  }
+
   /** Bytes of the body that were sent to the client or are held for it; the bytes of an event count once it is complete. */
   get relayedBytes (): number {
     return this.#relayedBytes + this.#heldBytes
@@ -127,15 +135,18 @@
     if (this.#splitter === null) {
       return ended
     }
-    const end = streamEndOf(ended, this.#splitter, resumesAfter !== null && resumesAfter !== this.#continuesAfter, this.unknownEnds > 0)
+    const mayBeEmpty = resumesAfter !== null && resumesAfter !== this.#continuesAfter && (ended.end === CallOutcome.Complete || this.#clientLastId !== null)
+    const end = streamEndOf(ended, this.#splitter, mayBeEmpty)
     if (this.#splitter.showsMore) {
       this.#continuesAfter = this.#clientLastId
     }
     if (end.end === CallOutcome.EndUnknown) {
-      this.#unknownEnds = this.unknownEnds + 1
-      this.#unknownEndAfter = this.#lastId
+      const unknownEnds = this.unknownEnds
+      this.#isUnknownEndEmpty = unknownEnds === 0 ? !this.#splitter.hasEvents : this.#isUnknownEndEmpty
+      this.#unknownEnds = unknownEnds + 1
+      this.#unknownEndAfter = this.#clientLastId
     }
-    return end
+    return end.end === CallOutcome.EndUnknown && this.isEndDoubtful ? { ...end, reason: emptyStreamReason } : end
   }
 
   /** Calls the listener once when the connection can take more data. */
--- a/packages/gateway/src/online/stream-end.ts
+++ b/packages/gateway/src/online/stream-end.ts
@@ -3,15 +3,18 @@
 import type { CallEnd } from '../targets/target-call.js'
 import type { EventSplitter } from './event-splitter.js'
 
+/** Reason of the end of a stream without events. */
+export const emptyStreamReason = 'the stream ended before its first event'
+
 /**
  * Returns the end of a call whose response with status 200 is a stream.
  *
  * @param ended end of the call by its framing and connection
  * @param splitter has received the whole body
- * @param mayBeEmpty whether the request resumed the stream and no earlier response has shown that another event follows
- * @param hasEndedHere whether an earlier response has ended in order after the event behind which the request resumed the stream
+ * @param mayBeEmpty whether the request resumed the stream and no earlier response has shown that another event follows; the caller judges an end
+ * that is then unknown
  */
-export function streamEndOf (ended: CallEnd, splitter: EventSplitter, mayBeEmpty: boolean, hasEndedHere = false): CallEnd {
+export function streamEndOf (ended: CallEnd, splitter: EventSplitter, mayBeEmpty: boolean): CallEnd {
   const { end } = ended
   if (end !== CallOutcome.Complete && end !== CallOutcome.EndUnknown) {
     return ended
@@ -20,7 +23,5 @@
   if (splitter.rest.length > 0) {
     return { end: brokenOff, reason: 'the stream ended inside an event' }
   }
-  // If the body ends with its connection, it may have been cut before the next event, but hardly twice.
-  const isWholeIfEmpty = mayBeEmpty && (end === CallOutcome.Complete || hasEndedHere)
-  return splitter.hasEvents || isWholeIfEmpty ? ended : { end: brokenOff, reason: 'the stream ended before its first event' }
+  return splitter.hasEvents || mayBeEmpty ? ended : { end: brokenOff, reason: emptyStreamReason }
 }
--- a/packages/gateway/tests/online/end-questions.test.ts
+++ b/packages/gateway/tests/online/end-questions.test.ts
@@ -246,6 +246,58 @@
   })
 })
 
+describe('a whole stream without framing that is taken up behind its last event', () => {
+  const last = '4'
+
+  it('is whole once two answers are empty, or one is by its framing, and no target counts as crashed', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      for (const empty of [unframed(''), framed('')]) {
+        for (const [canRunAgain, outcomes] of [[true, [SlotOutcome.Unsuccessful]], [false, [SlotOutcome.Unsuccessful, SlotOutcome.Unsuccessful]]] as const) {
+          const { status, body, view, harness } = await answerTo([unframed(''), empty, framed(rest)], { caller, canRunAgain, lastEventId: last })
+          assert.deepEqual([status, body, view, resumptions(harness)], [200, '', wholeView(caller), [last, last]], `${caller}, ${empty.bytes}`)
+          assert.deepEqual(harness.outcomes, outcomes)
+        }
+      }
+    }
+  })
+
+  it('is whole if an earlier target was lost behind the last event', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      const { status, body, view, harness } = await answerTo([unframed(whole, ConnectionEnd.Reset), unframed(''), unframed('')], { caller })
+      assert.deepEqual([status, body, view, resumptions(harness)], [200, whole, wholeView(caller), [null, last, last]], caller)
+      assert.deepEqual(harness.outcomes.slice(1), [SlotOutcome.Unsuccessful])
+    }
+  })
+
+  it('goes on if the empty answer was cut off before an event', async () => {
+    for (const caller of Object.values(CallerKind)) {
+      const { status, body, view, harness } = await answerTo([unframed(''), framed(rest)], { caller, lastEventId: '2' })
+      assert.deepEqual([status, body, view, resumptions(harness)], [200, rest, wholeView(caller), ['2', '2']], caller)
+      assert.deepEqual(harness.outcomes, [SlotOutcome.Finished])
+    }
+  })
+
+  it('does not look whole after one empty answer that nothing confirms', async () => {
+    for (const unconfirmed of [[], [silent], [framed('full', 503)], [{ bytes: '', end: ConnectionEnd.Close }]]) {
+      for (const route of [resumable, { ...resumable, maxAttempts: 1 }]) {
+        const { status, harness } = await answerTo([unframed(''), ...unconfirmed], { route, lastEventId: '2', canRunAgain: false })
+        assert.ok([502, 503, 504].includes(status), `${status}`)
+        assert.equal(harness.outcomes[0], SlotOutcome.Unsuccessful)
+      }
+    }
+  })
+
+  it('is no stream to go on with where streams may not be resumed', async () => {
+    const { status } = await answerTo([unframed('')], { route: { ...resumable, maxAttempts: 1, resumable: false }, lastEventId: last })
+    assert.equal(status, 502)
+  })
+
+  it('gives the answer of another kind that follows, and asks for that once', async () => {
+    const { status, body, harness } = await answerTo([unframed(''), { bytes: `${head(404)}\r\nmissing`, end: ConnectionEnd.Close }, framed(rest)], { lastEventId: last })
+    assert.deepEqual([status, body, harness.arrivals.length], [404, 'missing', 2])
+  })
+})
+
 describe('an answer without framing that may not be asked for', () => {
   for (const route of otherRoutes) {
     it(`is sent to one target, once: ${route.kind}, resumable ${route.resumable}, ${route.maxAttempts} attempts`, async () => {
