Begin an item anew whose rests are refused three times in a row

Items that were interrupted at a service that never sends a rest that can follow (ids that jump, an answer from the first event on, text, an empty answer behind an event that was begun, a status of 400 to 499) were tried again until their retention ended, and then given up.

Cause: the events of an item are kept until a rest follows them, and nothing counted the rests that cannot.

Change: three such rests in a row, with no event between them, discard the events, and the item begins at its first one, as after an output that exceeds a record. Connections that are lost, silence, rejections and 5xx do not count.

Evidence: item-output.test.ts, "begins anew after three rests in a row" and "begins anew if an event was begun and three rests are empty" fail on the code before; item-run.test.ts, "begins an item anew whose rests all its targets refuse", does not end there within 30 s, and ends after five requests with the change.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -1,7 +1,8 @@
 /** Output of a batch item, collected from event streams. */
 import { createParser } from 'eventsource-parser'
 import { EventSplitter, MalformedStreamError } from '../online/event-splitter.js'
-import { streamEndOf } from '../online/stream-end.js'
+import type { CompleteEvents } from '../online/event-splitter.js'
+import { emptyStreamReason, streamEndOf } from '../online/stream-end.js'
 import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
 import type { ItemProgress, OutputOrigin } from './item-progress.js'
@@ -11,6 +12,8 @@
 
 /** Number of streams that end after the same event, with neither a length nor chunks, until the output counts as complete: a cut at one event is rare, three in a row are not to be expected. */
 const unknownEndsToConfirm = 3
+/** Number of rests in a row that cannot follow the events until the item begins anew: several targets in a row are unlikely to fail so by chance. */
+const maximumRefusedRests = 3
 
 /** Collects the events of an item's output, which may arrive in several streams that continue each other. */
 export class ItemOutput {
@@ -30,6 +33,10 @@
   #unknownEnds = 0
   /** Id of the last event before the latest one that broke off, or null. */
   #continuesAfter: number | null = null
+  /** Whether the current stream is a rest that cannot follow the events. */
+  #isRestRefused = false
+  /** Number of such rests since the latest event. */
+  #refusedRests = 0
 
   /** Id of the last complete event, or null before the first. */
   get lastId (): number | null {
@@ -70,7 +77,7 @@
    */
   push (chunk: Buffer): boolean {
     const { events } = this
-    const { bytes, lastId } = this.#splitter.push(chunk)
+    const { bytes, lastId } = this.#split(chunk)
     if (bytes.length === 0) {
       return false
     }
@@ -88,9 +95,27 @@
       this.discard()
       throw new MalformedStreamError(`the output of an item has more than ${maximumTextBytes} bytes`)
     }
+    this.#refusedRests = 0
     return this.events > events
   }
 
+  #split (chunk: Buffer): CompleteEvents {
+    try {
+      return this.#splitter.push(chunk)
+    } catch (error) {
+      this.#isRestRefused = this.#resumesAfter !== null && !this.#splitter.hasEvents
+      throw error
+    }
+  }
+
+  /** Records that a target has not sent the rest that it was asked for; after several times in a row, the output starts again from the first event. */
+  recordRefusedRest (): void {
+    this.#refusedRests += 1
+    if (this.#refusedRests >= maximumRefusedRests) {
+      this.discard()
+    }
+  }
+
   /**
    * Starts a new stream of a target, which continues after the last complete event; discards an incomplete one. Without an id to continue
    * after, it begins at the first event, and what was collected is discarded.
@@ -102,15 +127,24 @@
     this.#streamOrigin = origin
     this.#splitter = new EventSplitter(this.#lastId)
     this.#resumesAfter = this.#lastId
+    this.#isRestRefused = false
   }
 
   /**
    * Returns how the call of the current stream has really ended. An end that is unknown stays so until several streams in a row have ended
-   * after the same event, unless one has shown that another event follows.
+   * after the same event, unless one has shown that another event follows. A rest that cannot follow counts as refused.
    *
    * @param ended end of the call by its framing and connection
    */
   endOf (ended: CallEnd): CallEnd {
+    const end = this.#endOf(ended)
+    if (this.#isRestRefused || (this.#resumesAfter !== null && end.end === CallOutcome.Broken && end.reason === emptyStreamReason)) {
+      this.recordRefusedRest()
+    }
+    return end
+  }
+
+  #endOf (ended: CallEnd): CallEnd {
     if (this.#splitter.rest.length > 0) {
       this.#continuesAfter = this.#lastId
     }
@@ -129,6 +163,7 @@
     this.#origin = null
     this.#unknownEndAfter = null
     this.#continuesAfter = null
+    this.#refusedRests = 0
     this.#eventData = []
     this.#textBytes = 0
   }
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -50,6 +50,8 @@
 const maximumDelayMilliseconds = 2_147_483_647
 const okStatus = 200
 const unprocessableStatus = 422
+const firstClientErrorStatus = 400
+const firstServerErrorStatus = 500
 /** Time without a complete event after which a target counts as unresponsive and the item resumes on another one; ten times a long interval between the events of a batch item. */
 const unresponsiveTimeoutMilliseconds = 1_500
 /**
@@ -352,7 +354,7 @@
       void releaseSlot(slot, call, { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, this.dependencies.connections)
     }
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, version: target.softwareVersion, via: call.via, after: resumedAfter, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
-    return await this.#onCallEnd(outcome, target, stopped)
+    return await this.#onCallEnd(outcome, target, stopped, resumedAfter)
   }
 
   #headers (route: Route): string[] {
@@ -364,7 +366,7 @@
     return headers
   }
 
-  async #onCallEnd (outcome: CallOutcome, target: TargetEndpoint, stopped: boolean): Promise<ItemOutcome | null> {
+  async #onCallEnd (outcome: CallOutcome, target: TargetEndpoint, stopped: boolean, resumedAfter: number | null): Promise<ItemOutcome | null> {
     if (outcome === CallOutcome.Complete && this.#status === okStatus) {
       return { state: ItemState.Completed, text: this.#output.text }
     }
@@ -373,6 +375,8 @@
     }
     if ((outcome === CallOutcome.Complete || outcome === CallOutcome.EndUnknown) && this.#status === failedStatus) {
       this.#failedResponses += 1
+    } else if (outcome === CallOutcome.Complete && resumedAfter !== null && isClientError(this.#status)) {
+      this.#output.recordRefusedRest()
     }
     if (!stopped) {
       this.#excluded = [target.id]
@@ -390,6 +394,11 @@
   }
 }
 
+/** Whether the status says that the target does not accept the request: https://www.rfc-editor.org/rfc/rfc9110#section-15.5 */
+function isClientError (status: number | null): boolean {
+  return status !== null && status >= firstClientErrorStatus && status < firstServerErrorStatus
+}
+
 function headerOf (item: JobItem, name: string): string {
   const index = item.headers.findIndex((header, position) => position % 2 === 0 && header.toLowerCase() === name)
   return item.headers[index + 1] ?? ''
--- a/packages/gateway/tests/jobs/item-output.test.ts
+++ b/packages/gateway/tests/jobs/item-output.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ItemOutput, MalformedStreamError } from '../../src/index.js'
+import { CallOutcome } from '../../src/targets/target-call.js'
 
 const first = { service: 's', softwareVersion: 'v1' }
 const second = { service: 's', softwareVersion: 'v2' }
@@ -55,6 +56,63 @@
     }
   })
 
+  it('begins anew after three rests in a row that cannot follow, in place of being tried until its retention ends', () => {
+    const complete = { end: CallOutcome.Complete, reason: '' }
+    const refused: ReadonlyArray<(output: ItemOutput) => void> = [
+      output => {
+        // Ids that jump, as in all answers of the service.
+        assert.throws(() => { output.push(event(20, 'b')) }, MalformedStreamError)
+        assert.equal(output.endOf({ end: CallOutcome.Broken, reason: 'malformed' }).end, CallOutcome.Broken)
+      },
+      output => { output.recordRefusedRest() }
+    ]
+    for (const refuse of refused) {
+      const output = new ItemOutput()
+      output.startStream(first)
+      output.push(event(10, 'a'))
+      output.endOf({ end: CallOutcome.Disconnected, reason: 'reset' })
+      for (const lastId of [10, 10, null]) {
+        output.startStream(first)
+        refuse(output)
+        assert.equal(output.lastId, lastId)
+      }
+      output.startStream(second)
+      output.push(Buffer.concat([event(10, 'a'), event(20, 'b')]))
+      assert.deepEqual([output.endOf(complete), output.text, output.origin], [complete, 'a\nb', second])
+    }
+  })
+
+  it('begins anew if an event was begun and three rests are empty', () => {
+    const output = new ItemOutput()
+    output.startStream(first)
+    output.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))
+    output.endOf({ end: CallOutcome.Disconnected, reason: 'reset' })
+    for (const lastId of [1, 1, null]) {
+      output.startStream(first)
+      assert.equal(output.endOf({ end: CallOutcome.Complete, reason: '' }).end, CallOutcome.Broken)
+      assert.equal(output.lastId, lastId)
+    }
+  })
+
+  it('keeps its events if rests are refused that do not follow each other, or that are lost with their connections', () => {
+    const output = new ItemOutput()
+    output.startStream(first)
+    output.push(event(1, 'a'))
+    for (let id = 2; id < 10; id += 1) {
+      for (let refusal = 0; refusal < 2; refusal += 1) {
+        output.startStream(first)
+        assert.throws(() => { output.push(event(1, 'a')) }, MalformedStreamError)
+        output.endOf({ end: CallOutcome.Broken, reason: 'malformed' })
+        output.startStream(first)
+        output.endOf({ end: CallOutcome.Disconnected, reason: 'reset' })
+      }
+      output.startStream(first)
+      output.push(event(id, 'b'))
+      output.endOf({ end: CallOutcome.Disconnected, reason: 'reset' })
+      assert.equal(output.lastId, id)
+    }
+  })
+
   it('counts restored events and the bytes, not the characters, of a text', () => {
     const output = new ItemOutput()
     output.restore({ lastId: 1, origin: first, text: 'ö'.repeat(100_000) })
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -143,6 +143,44 @@
     assert.deepEqual(outcomes, [SlotOutcome.Unreachable, SlotOutcome.Finished])
   })
 
+  it('begins an item anew whose rests all its targets refuse, in place of trying until its retention ends', async context => {
+    const rests: Array<string | null> = []
+    const server = createServer((request, response) => {
+      const after = request.headers['last-event-id']
+      rests.push(typeof after === 'string' ? after : null)
+      const head = { 'x-request-id': String(request.headers['x-request-id']), 'content-type': 'text/event-stream' }
+      if (after !== undefined) {
+        response.writeHead(404, head).end('no rest')
+        return
+      }
+      response.writeHead(200, head)
+      response.write('id: 1\ndata: a\n\n')
+      setTimeout(() => { rests.length === 1 ? response.destroy() : response.end('id: 2\ndata: b\n\n') }, 200)
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const connections = new TargetConnections()
+    context.after(() => {
+      connections.close()
+      server.closeAllConnections()
+      server.close()
+    })
+    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: () => {} }
+    const run = new ItemRun({
+      slots: { acquire: async () => ({ granted: true, slot }) },
+      connections,
+      names,
+      logger: createTestLogger(),
+      routeOf: () => route,
+      refreshRoutes,
+      serviceOf: () => 's'
+    }, job, item, Promise.resolve(null))
+    context.after(() => { run.stop() })
+    assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a\nb' })
+    assert.deepEqual(rests, [null, '1', '1', '1', null])
+  })
+
   it('gives a slot back and runs an item again after an error while its request is sent', async context => {
     const server = createServer((_request, response) => { response.writeHead(200, { 'x-request-id': item.id, 'content-type': 'text/event-stream' }).end('id: 1\ndata: a\n\n') })
     server.listen(0, '127.0.0.1')
