Count a refused rest of an item also behind a comment

Items whose rests begin with a comment before what cannot follow were still tried until their retention ended, as the comment counted as progress.

Cause: a rest counted as refused only if nothing complete had come before. Whether an event was accepted decides instead.

--- a/packages/gateway/src/jobs/item-output.ts
+++ b/packages/gateway/src/jobs/item-output.ts
@@ -95,7 +95,9 @@
       this.discard()
       throw new MalformedStreamError(`the output of an item has more than ${maximumTextBytes} bytes`)
     }
-    this.#refusedRests = 0
+    if (this.events > events) {
+      this.#refusedRests = 0
+    }
     return this.events > events
   }
 
@@ -103,7 +105,7 @@
     try {
       return this.#splitter.push(chunk)
     } catch (error) {
-      this.#isRestRefused = this.#resumesAfter !== null && !this.#splitter.hasEvents
+      this.#isRestRefused = this.#resumesAfter !== null && this.#lastId === this.#resumesAfter
       throw error
     }
   }
--- a/packages/gateway/tests/jobs/item-output.test.ts
+++ b/packages/gateway/tests/jobs/item-output.test.ts
@@ -64,6 +64,11 @@
         assert.throws(() => { output.push(event(20, 'b')) }, MalformedStreamError)
         assert.equal(output.endOf({ end: CallOutcome.Broken, reason: 'malformed' }).end, CallOutcome.Broken)
       },
+      output => {
+        output.push(Buffer.from(': comment\n\n'))
+        assert.throws(() => { output.push(event(20, 'b')) }, MalformedStreamError)
+        output.endOf({ end: CallOutcome.Broken, reason: 'malformed' })
+      },
       output => { output.recordRefusedRest() }
     ]
     for (const refuse of refused) {
