Take a rest of comments for an empty one

Taken up behind its last event, a stream without framing that began with a comment was not asked for once more, but ended as complete, where one without the comment is asked for.

Cause: a comment counted as an event of the rest, and nothing could follow an answer of which only comments had been sent.

Change: a rest holds events only if it brought an id; a rest may follow comments if the client came with an id.

Found while the refused rests of items were tested; no soak has shown it, as its targets send no comments.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -55,7 +55,8 @@
     if (end === 0) {
       return { bytes, lastId }
     }
-    this.#hasEvents = true
+    // A comment is no event; all events of a rest have ids.
+    this.#hasEvents ||= this.after === null || lastId !== null
     return { bytes, lastId }
   }
 
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -88,9 +88,9 @@
     return this.#relayedBytes + this.#heldBytes
   }
 
-  /** Whether the response of another target may follow: nothing was sent to the client yet, or only events with ids. */
+  /** Whether the response of another target may follow: nothing was sent to the client yet, or only comments and events with ids. */
   get canContinue (): boolean {
-    return !this.#hasBegun || this.#lastId !== null
+    return !this.#hasBegun || this.#clientLastId !== null
   }
 
   /** Checks whether the response with this head can continue the one that was sent to the client. */
--- a/packages/gateway/tests/online/end-questions.test.ts
+++ b/packages/gateway/tests/online/end-questions.test.ts
@@ -217,6 +217,11 @@
         const { status } = await answerTo([begun, empty, empty], { lastEventId: '2' })
         assert.equal(status, 502)
       }
+      const comments = [framed(':\n\n'), unframed(': comment\n\n')]
+      for (const comment of comments) {
+        const { body, view } = await answerTo([begun, comment, comment], { lastEventId: '2' })
+        assert.equal(view, CallerView.Broken, body)
+      }
     }
   })
 
@@ -261,6 +266,16 @@
     }
   })
 
+  it('is whole once two answers hold comments only', async () => {
+    const { status, body, view, harness } = await answerTo([unframed(':\n\n'), unframed(':\n\n')], { lastEventId: last })
+    assert.deepEqual([status, body, view, resumptions(harness)], [200, ':\n\n:\n\n', CallerView.Complete, [last, last]])
+  })
+
+  it('goes on behind a comment', async () => {
+    const { body, view, harness } = await answerTo([unframed(':\n\n'), framed(rest)], { lastEventId: '2' })
+    assert.deepEqual([body, view, resumptions(harness)], [`:\n\n${rest}`, CallerView.Complete, ['2', '2']])
+  })
+
   it('is whole if an earlier target was lost behind the last event', async () => {
     for (const caller of Object.values(CallerKind)) {
       const { status, body, view, harness } = await answerTo([unframed(whole, ConnectionEnd.Reset), unframed(''), unframed('')], { caller })
