Parse the sizes of chunks without strings

Most of an instance's work is reading the events of streams: about 21 a request, each a chunk of its own.

Cause: a profile of the online phase (perf, 8 instances, 4.5 requests a second each) has 48% of the samples below reads of connections, 21% of them before an event reaches the sink. The parser made two strings, two matches of regular expressions or comparisons of strings, two closures and four views of the buffer for each chunk.

Change: the parser goes through the buffer by position. A size of plain digits and its line end that arrive whole are read from the bytes; everything else (extensions, parts, what is malformed) goes the way it went before.

The new test of strings fails before (200 calls) and passes after; the others of the parser hold before and after. The tests of the parser and eight other files of targets and online (303 tests) pass on this change at a load average of 25.

--- a/packages/gateway/src/targets/response-parser.ts
+++ b/packages/gateway/src/targets/response-parser.ts
@@ -57,6 +57,10 @@
 const chunkSizeLine = /^([0-9A-Fa-f]{1,8})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?$/
 const decimalDigits = /^[0-9]{1,15}$/
 const hexadecimal = 16
+/** Maximum number of digits of a chunk's size. */
+const maximumSizeDigits = 8
+const carriageReturn = 0x0d
+const lineFeed = 0x0a
 const firstFinalStatus = 200
 const noContentStatus = 204
 const notModifiedStatus = 304
@@ -97,14 +101,14 @@
    * belong to no request.
    */
   push (bytes: Buffer): boolean {
-    let rest = bytes
-    while (rest.length > 0 && this.#state !== ParserState.Complete) {
-      rest = this.#parse(rest)
+    let position = 0
+    while (position < bytes.length && this.#state !== ParserState.Complete) {
+      position = this.#parse(bytes, position)
       if (this.isComplete && this.#isSkipping) {
         this.#startNextHead()
       }
     }
-    return rest.length === 0
+    return position === bytes.length
   }
 
   #startNextHead (): void {
@@ -121,66 +125,98 @@
     return this.isComplete
   }
 
-  /** Parses the next part and returns the bytes after it. */
-  #parse (bytes: Buffer): Buffer {
+  /** Parses the part that begins at a position, and returns the position after it. */
+  #parse (bytes: Buffer, start: number): number {
     switch (this.#state) {
       case ParserState.Head:
-        return this.#parseHeadPart(headEnd, bytes, text => { this.#onHeadText(text) })
+        return this.#parseHeadPart(headEnd, bytes, start)
       case ParserState.ChunkSize:
-        return this.#parseUntil(lineEnd, bytes, maximumLineBytes, text => { this.#onChunkSize(text) })
+        return this.#parseChunkSize(bytes, start)
       case ParserState.ChunkEnd:
-        return this.#parseUntil(lineEnd, bytes, maximumLineBytes, text => {
-          if (text !== '') {
-            throw new MalformedResponseError(`a chunk is followed by ${JSON.stringify(text)} instead of a line end`)
-          }
-          this.#state = ParserState.ChunkSize
-        })
+        return this.#parseChunkEnd(bytes, start)
       case ParserState.Trailers:
-        return this.#parseHeadPart(lineEnd, bytes, text => { this.#onTrailer(text) })
+        return this.#parseHeadPart(lineEnd, bytes, start)
       case ParserState.SizedBody:
-        return this.#parseData(bytes, ParserState.Complete)
+        return this.#parseData(bytes, start, ParserState.Complete)
       case ParserState.ChunkData:
-        return this.#parseData(bytes, ParserState.ChunkEnd)
+        return this.#parseData(bytes, start, ParserState.ChunkEnd)
       case ParserState.OpenBody:
-        this.listener.onData(bytes)
-        return noBytes
+        this.listener.onData(start === 0 ? bytes : bytes.subarray(start))
+        return bytes.length
       case ParserState.Complete:
-        return bytes
+        return start
     }
   }
 
   /** Parses a head or a trailer, whose length is limited together with that of those before it. */
-  #parseHeadPart (delimiter: Buffer, bytes: Buffer, onText: (text: string) => void): Buffer {
-    return this.#parseUntil(delimiter, bytes, this.#remainingHeadBytes, text => {
+  #parseHeadPart (delimiter: Buffer, bytes: Buffer, start: number): number {
+    const isTrailer = this.#state === ParserState.Trailers
+    return this.#parseUntil(delimiter, bytes, start, this.#remainingHeadBytes, text => {
       this.#remainingHeadBytes = Math.max(0, this.#remainingHeadBytes - text.length - delimiter.length)
-      onText(text)
+      if (isTrailer) {
+        this.#onTrailer(text)
+      } else {
+        this.#onHeadText(text)
+      }
+    })
+  }
+
+  #parseChunkSize (bytes: Buffer, start: number): number {
+    if (this.#pending.length === 0) {
+      // A stream has a chunk for each event, nearly always with a plain size that arrives at once: it needs no string.
+      let size = 0
+      let position = start
+      for (let digit = hexadecimalValue(bytes[position]); digit >= 0 && position - start < maximumSizeDigits; digit = hexadecimalValue(bytes[position])) {
+        size = size * hexadecimal + digit
+        position += 1
+      }
+      if (position > start && isLineEnd(bytes, position)) {
+        this.#startChunk(size)
+        return position + lineEnd.length
+      }
+    }
+    return this.#parseUntil(lineEnd, bytes, start, maximumLineBytes, text => { this.#onChunkSize(text) })
+  }
+
+  #parseChunkEnd (bytes: Buffer, start: number): number {
+    if (this.#pending.length === 0 && isLineEnd(bytes, start)) {
+      this.#state = ParserState.ChunkSize
+      return start + lineEnd.length
+    }
+    return this.#parseUntil(lineEnd, bytes, start, maximumLineBytes, text => {
+      if (text !== '') {
+        throw new MalformedResponseError(`a chunk is followed by ${JSON.stringify(text)} instead of a line end`)
+      }
+      this.#state = ParserState.ChunkSize
     })
   }
 
   /** Collects bytes until the delimiter, and passes the text before it on. */
-  #parseUntil (delimiter: Buffer, bytes: Buffer, maximumBytes: number, onText: (text: string) => void): Buffer {
-    const data = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes])
+  #parseUntil (delimiter: Buffer, bytes: Buffer, start: number, maximumBytes: number, onText: (text: string) => void): number {
+    const part = bytes.subarray(start)
+    const pendingBytes = this.#pending.length
+    const data = pendingBytes === 0 ? part : Buffer.concat([this.#pending, part])
     const end = data.indexOf(delimiter)
     if ((end < 0 ? data.length : end) > maximumBytes) {
       throw new MalformedResponseError(`no ${JSON.stringify(delimiter.toString())} within the ${maximumBytes} bytes that a response's ${this.#state} may have`)
     }
     if (end < 0) {
       this.#pending = Buffer.from(data)
-      return noBytes
+      return bytes.length
     }
     this.#pending = noBytes
     onText(data.toString('latin1', 0, end))
-    return data.subarray(end + delimiter.length)
+    return start + end + delimiter.length - pendingBytes
   }
 
-  #parseData (bytes: Buffer, nextState: ParserState): Buffer {
-    const length = Math.min(this.#remaining, bytes.length)
-    this.#remaining -= length
+  #parseData (bytes: Buffer, start: number, nextState: ParserState): number {
+    const end = Math.min(start + this.#remaining, bytes.length)
+    this.#remaining -= end - start
     if (this.#remaining === 0) {
       this.#state = nextState
     }
-    this.listener.onData(bytes.subarray(0, length))
-    return bytes.subarray(length)
+    this.listener.onData(bytes.subarray(start, end))
+    return end
   }
 
   #onHeadText (text: string): void {
@@ -238,7 +274,11 @@
     if (this.#remainingExtensionBytes < 0) {
       throw new MalformedResponseError(`the chunk extensions of a response have more than ${maximumExtensionBytes} bytes`)
     }
-    this.#remaining = Number.parseInt(size, hexadecimal)
+    this.#startChunk(Number.parseInt(size, hexadecimal))
+  }
+
+  #startChunk (size: number): void {
+    this.#remaining = size
     this.#state = this.#remaining === 0 ? ParserState.Trailers : ParserState.ChunkData
   }
 
@@ -256,6 +296,22 @@
   return status !== noContentStatus && status !== notModifiedStatus && headers['transfer-encoding'] === undefined && headers['content-length'] === undefined
 }
 
+/** Returns the value of a hexadecimal digit, or -1 if the byte is none or missing. */
+function hexadecimalValue (byte: number | undefined): number {
+  if (byte === undefined) {
+    return -1
+  }
+  if (byte >= 0x30 && byte <= 0x39) {
+    return byte - 0x30
+  }
+  const lowerCase = byte | 0x20
+  return lowerCase >= 0x61 && lowerCase <= 0x66 ? lowerCase - 0x61 + 10 : -1
+}
+
+function isLineEnd (bytes: Buffer, position: number): boolean {
+  return bytes[position] === carriageReturn && bytes[position + 1] === lineFeed
+}
+
 function parseHead (status: number, lines: readonly string[]): ResponseHead {
   const rawHeaders: string[] = []
   const headers: Record<string, string | undefined> = {}
--- a/packages/gateway/tests/targets/response-parser.test.ts
+++ b/packages/gateway/tests/targets/response-parser.test.ts
@@ -108,6 +108,34 @@
     assert.equal(parse(Buffer.from('HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n')).parser.isPersistent, false)
   })
 
+  it('reads every form of a chunk size alike, however it is split', () => {
+    const bytes = response('200 OK\r\nTransfer-Encoding: chunked', '00000003\r\nabc\r\nA\r\n0123456789\r\n1a\r\nabcdefghijklmnopqrstuvwxyz\r\n1 \t\r\nx\r\n2;a=b\r\nyz\r\n00\r\n\r\n')
+    for (let length = 1; length <= bytes.length; length += 1) {
+      const { body, parser, hasExcess } = parse(bytes, [length])
+      assert.equal(body.toString(), 'abc0123456789abcdefghijklmnopqrstuvwxyzxyz', `in parts of ${length} bytes`)
+      assert.ok(parser.isComplete)
+      assert.equal(hasExcess, false)
+    }
+  })
+
+  it('makes no strings of the sizes of chunks that arrive whole', context => {
+    const parser = new ResponseParser({ onHead: () => true, onData: () => {}, onSkipped: () => {} })
+    parser.push(response('200 OK\r\nTransfer-Encoding: chunked'))
+    const chunk = Buffer.from('5\r\nabcde\r\n')
+    const { mock } = context.mock.method(Buffer.prototype, 'toString')
+    for (let count = 0; count < 100; count += 1) {
+      parser.push(chunk)
+    }
+    assert.equal(mock.callCount(), 0)
+  })
+
+  for (const bytes of ['100000001\r\n', '5\nabcde\n0\n\n', '5\r\rabcde', '5\r\nabcde\r\r', '5\r\nabcde\n\n', '-5\r\nabcde\r\n', 'g\r\n', '\r\n']) {
+    it(`rejects the chunks ${JSON.stringify(bytes)} that arrive whole`, () => {
+      const parser = new ResponseParser({ onHead: () => true, onData: () => {}, onSkipped: () => {} })
+      assert.throws(() => { parser.push(response('200 OK\r\nTransfer-Encoding: chunked', `${bytes}${'a'.repeat(300)}\r\n`)) }, MalformedResponseError)
+    })
+  }
+
   for (const [name, bytes] of [
     ['bytes that are no response', Buffer.from('no answer in the protocol\r\n\r\n')],
     ['another protocol version', Buffer.from('HTTP/2.0 200 OK\r\n\r\n')],
