Relay events without copying them twice

Cause: each part of a response was copied out of the read buffer, framed from a list of three buffers, which copies it again, and searched for its ids with matchAll, which makes a new regular expression for each event.

Change: parts of a response are valid only during the call, as the parser's own interface says; what keeps a part (the beginning of an event, a held body, the write that carries the head) copies it. A chunk is framed with one allocation. Ids are searched with one regular expression.

The four new tests whose read buffer is overwritten fail if parts are only not copied on the way in (on the code before) and pass after.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -1,6 +1,6 @@
 /** Splits an event stream at event boundaries: https://html.spec.whatwg.org/multipage/server-sent-events.html#parsing-an-event-stream */
 
-/** Complete events, and the id of the last of them. */
+/** Complete events, and the id of the last of them. The bytes may be those of the chunk. */
 export interface CompleteEvents {
   /** Bytes of the complete events; empty if the chunk completed none. */
   readonly bytes: Buffer
@@ -38,7 +38,7 @@
   }
 
   /**
-   * Adds a chunk and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end or does not
+   * Adds a chunk, which may change after the call, and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end or does not
    * follow the one before.
    */
   push (chunk: Buffer): CompleteEvents {
@@ -51,7 +51,10 @@
     // What follows an event that does not belong to the stream tells nothing of it.
     this.#rest = emptyBuffer
     const lastId = end === 0 ? null : this.#checkOrder(bytes.toString('latin1'))
-    this.#rest = data.subarray(end)
+    if (end < data.length) {
+      const rest = data.subarray(end)
+      this.#rest = data === chunk ? Buffer.from(rest) : rest
+    }
     if (end === 0) {
       return { bytes, lastId }
     }
@@ -62,8 +65,9 @@
   /** Returns the id of the last event that has one, or null. */
   #checkOrder (events: string): number | null {
     let last: number | null = null
-    for (const [, text] of events.matchAll(idField)) {
-      const id = Number(text)
+    idField.lastIndex = 0
+    for (let match = idField.exec(events); match !== null; match = idField.exec(events)) {
+      const id = Number(match[1])
       this.#hasLaterId ||= this.after !== null && id > this.after
       if (this.#lastId !== null && id <= this.#lastId) {
         throw new MalformedStreamError(`event ${id} follows event ${this.#lastId} in a stream`)
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -102,7 +102,7 @@
     }
   }
 
-  /** Relays data to the client or holds it; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end or out of order. */
+  /** Relays data, which may change after the call, to the client or holds it; returns false if the connection's write buffer is full. Throws a `MalformedStreamError` for an event without end or out of order. */
   onData (chunk: Buffer): boolean {
     if (this.#splitter === null) {
       return this.#hold(chunk) || this.#write(chunk)
@@ -175,7 +175,7 @@
     if (this.#held.length >= maximumHeldParts) {
       this.#held = [Buffer.concat(this.#held)]
     }
-    this.#held.push(bytes)
+    this.#held.push(Buffer.from(bytes))
     this.#heldBytes += bytes.length
     return true
   }
@@ -224,7 +224,7 @@
     this.#begin()
     const { socket } = this.response
     // A stream has many small parts. Writing each as one chunk takes half of the time of ServerResponse.write, which makes four writes of it.
-    return isFirst || !this.#framesChunks || socket === null ? this.response.write(bytes) : socket.write(encodeChunk(bytes))
+    return isFirst || !this.#framesChunks || socket === null ? this.response.write(Buffer.from(bytes)) : socket.write(encodeChunk(bytes))
   }
 }
 
@@ -233,8 +233,12 @@
   return (headers['content-type'] ?? '').split(';', 1)[0]?.trim().toLowerCase() ?? ''
 }
 
-/** Frames bytes as a chunk: https://www.rfc-editor.org/rfc/rfc9112#section-7.1 */
+/** Copies bytes into a chunk with its framing: https://www.rfc-editor.org/rfc/rfc9112#section-7.1 */
 function encodeChunk (bytes: Buffer): Buffer {
-  const size = Buffer.from(`${bytes.length.toString(16)}\r\n`, 'latin1')
-  return Buffer.concat([size, bytes, lineEnd])
+  const size = `${bytes.length.toString(16)}\r\n`
+  const chunk = Buffer.allocUnsafe(size.length + bytes.length + lineEnd.length)
+  chunk.write(size, 'latin1')
+  chunk.set(bytes, size.length)
+  chunk.set(lineEnd, size.length + bytes.length)
+  return chunk
 }
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -57,7 +57,10 @@
 /** Receives a response as it arrives. */
 export interface ResponseSink {
   onHead: (head: ResponseHead) => void
-  /** Returns false to pause the response until {@link RunningCall.resume}; throws to break the call off for the error's message. */
+  /**
+   * Returns false to pause the response until {@link RunningCall.resume}; throws to break the call off for the error's message. The bytes are
+   * valid only during the call.
+   */
   onData: (chunk: Buffer) => boolean
   /** Called if the target says that it leaves, before {@link onHead}, and also for a rejection, which is not passed on. */
   onLeaving: () => void
--- a/packages/gateway/src/targets/target-connection.ts
+++ b/packages/gateway/src/targets/target-connection.ts
@@ -11,7 +11,7 @@
   onSent: () => void
   /** Returns whether the response answers the request; another one is skipped, with `onSkipped` at its end. */
   onHead: (head: ResponseHead) => boolean
-  /** Returns false to stop reading until {@link TargetConnection.resume}. */
+  /** Returns false to stop reading until {@link TargetConnection.resume}. The bytes are valid only during the call. */
   onData: (bytes: Buffer) => boolean
   onSkipped: () => void
   /** @param isEndKnown whether a length or chunks, not the end of the connection, have ended the response */
@@ -76,8 +76,7 @@
       onHead: head => exchange.onHead(head),
       onSkipped: () => { exchange.onSkipped() },
       onData: bytes => {
-        // The read buffer is used again for the next read.
-        if (!exchange.onData(Buffer.from(bytes))) {
+        if (!exchange.onData(bytes)) {
           this.#isPaused = true
         }
       }
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -12,6 +12,19 @@
     assert.deepEqual(splitter.push(Buffer.from('ta: b\n\n')), { bytes: Buffer.from('id: 2\ndata: b\n\n'), lastId: 2 })
   })
 
+  it('keeps the beginning of an event whose bytes are overwritten by the next read', () => {
+    const splitter = new EventSplitter()
+    const readBuffer = Buffer.from('id: 1\ndata: a\n\nid: 2\nda')
+    splitter.push(readBuffer)
+    readBuffer.fill('x')
+    assert.deepEqual(splitter.push(Buffer.from('ta: b\n\n')), { bytes: Buffer.from('id: 2\ndata: b\n\n'), lastId: 2 })
+  })
+
+  it('reads the ids of a stream after another one had events out of order', () => {
+    assert.throws(() => new EventSplitter(null).push(Buffer.from('id: 2\ndata: a\n\nid: 1\ndata: b\n\n')), MalformedStreamError)
+    assert.equal(new EventSplitter(null).push(Buffer.from('id: 1\ndata: a\n\n')).lastId, 1)
+  })
+
   it('reads the id of an event that begins with another field', () => {
     const splitter = new EventSplitter()
     assert.equal(splitter.push(Buffer.from('x-weight-versions: 3\nid: 7\ndata: a\n\n')).lastId, 7)
--- a/packages/gateway/tests/online/response-relay.test.ts
+++ b/packages/gateway/tests/online/response-relay.test.ts
@@ -54,6 +54,26 @@
     })
   }
 
+  for (const [name, head, isStream] of [
+    ['a stream in chunks', chunkedHead, true],
+    ['a plain body in chunks', chunkedHead, false],
+    ['a plain body that is held until its end', unframedHead, false]
+  ] as const) {
+    it(`relays ${name} whose bytes are overwritten by the next read`, async context => {
+      const parts = ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\nid', ': 3\ndata: c\n', '\n']
+      const { body } = await receive(context, isStream, relay => {
+        relay.onHead(head, null)
+        for (const part of parts) {
+          const readBuffer = Buffer.from(part)
+          relay.onData(readBuffer)
+          readBuffer.fill('x')
+        }
+        relay.end()
+      })
+      assert.equal(body, parts.join(''))
+    })
+  }
+
   it('tells a stream that ended inside an event, and not a plain body, from a complete one', async context => {
     for (const [head, isStream, expected] of [
       [unframedHead, true, 'the stream ended inside an event'],
