--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -20,6 +20,25 @@
     assert.deepEqual(splitter.push(Buffer.from('ta: b\n\n')), { bytes: Buffer.from('id: 2\ndata: b\n\n'), lastId: 2 })
   })
 
+  it('reads the same last id from events of any form as a search for lines with ids', () => {
+    const id = fc.oneof(fc.nat(30).map(String), fc.constantFrom('', 'x', '007', '999999999999999', '1000000000000000', '9'.repeat(20)))
+    const line = fc.oneof(
+      fc.tuple(fc.constantFrom('id:', 'id: ', 'id:  ', 'id', ' id: ', 'xid: ', 'Id: ', 'data: id: ', 'data: '), id, fc.constantFrom('', ' ', 'x')).map(parts => parts.join('')),
+      fc.constantFrom('data: a', ': comment', 'x-weight-versions: 1')
+    )
+    const event = fc.tuple(fc.array(line, { minLength: 1, maxLength: 4 }), fc.constantFrom('\n', '\r\n')).map(([lines, lineEnd]) => [...lines, '', ''].join(lineEnd))
+    fc.assert(fc.property(fc.array(event, { minLength: 1, maxLength: 3 }), events => {
+      const text = events.join('')
+      const ids = [...text.matchAll(/^id: ?(\d{1,15})$/gm)].map(match => Number(match[1]))
+      const push = (): unknown => new EventSplitter().push(Buffer.from(text))
+      if (ids.some((value, index) => index > 0 && value <= (ids[index - 1] ?? 0))) {
+        assert.throws(push, MalformedStreamError)
+      } else {
+        assert.deepEqual(push(), { bytes: Buffer.from(text), lastId: ids.at(-1) ?? null })
+      }
+    }), { numRuns: 2_000 })
+  })
+
   it('reads the ids of a stream after another one had events out of order', () => {
     assert.throws(() => new EventSplitter(null).push(Buffer.from('id: 2\ndata: a\n\nid: 1\ndata: b\n\n')), MalformedStreamError)
     assert.equal(new EventSplitter(null).push(Buffer.from('id: 1\ndata: a\n\n')).lastId, 1)
