Load only the used parts of prom-client and msgpackr

Cause: a profile of the start (--cpu-prof, 100 us) has 22 ms of 132 ms of the bundle's evaluation in prom-client, which loads its push gateway, its default metrics and what they need (https, v8), and 8 ms in msgpackr's search for a native addon, which a bundle never has.

Change: the four used classes of prom-client are imported from their own modules, as undici's pool is, and Packr from msgpackr/pack, which is the same code without that search. What is written to the wire and the store is the same, and so are the metrics (compared as text).

The tests of peers, online, targets, quarantine, streams, log, jobs and util of the gateway and online and batch of the platform pass (load average 5 to 25).

--- a/packages/gateway/src/jobs/job-records.ts
+++ b/packages/gateway/src/jobs/job-records.ts
@@ -1,5 +1,5 @@
 /** Encoding of batch jobs as records of the jobs topic. */
-import { Packr } from 'msgpackr'
+import { Packr } from 'msgpackr/pack'
 import type { KeyedRecord, NewRecord } from '../log/keyed-topic.js'
 import { decodePart, decodeSubmission } from './decode-submission.js'
 import { ItemState } from './job.js'
--- a/packages/gateway/src/jobs/token-ledger.ts
+++ b/packages/gateway/src/jobs/token-ledger.ts
@@ -4,7 +4,7 @@
  * nothing was appended since all others were read. Only then is the job itself appended. The owner of its partition later
  * replaces the reservation by a new total of the partition.
  */
-import { Packr } from 'msgpackr'
+import { Packr } from 'msgpackr/pack'
 import PQueue from 'p-queue'
 import { messageOf } from '@arbutusloft/protocol'
 import * as z from 'zod'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,5 +1,5 @@
 /** Prometheus metrics of a gateway process. */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from './util/prometheus.js'
 
 /** Bucket bounds in seconds, dense around the latency objectives of online routes. */
 const latencyBounds = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 5]
--- a/packages/gateway/src/peers/peer-socket.ts
+++ b/packages/gateway/src/peers/peer-socket.ts
@@ -6,7 +6,7 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
 import { messageOf } from '@arbutusloft/protocol'
-import { Packr } from 'msgpackr'
+import { Packr } from 'msgpackr/pack'
 import type { Logger } from '../util/logger.js'
 import { isPeerMessage } from './peer-messages.js'
 import type { PeerMessage } from './peer-messages.js'
--- a/packages/gateway/src/quarantine/quarantine-log.ts
+++ b/packages/gateway/src/quarantine/quarantine-log.ts
@@ -1,7 +1,7 @@
 /** Keeps what is in quarantine in the log, so that it holds when all processes of the fleet are lost at once. */
 import type { QuarantineEntry } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
-import { Packr } from 'msgpackr'
+import { Packr } from 'msgpackr/pack'
 import * as z from 'zod'
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedRecord, KeyedTopic, NewRecord } from '../log/keyed-topic.js'
--- a/packages/gateway/src/streams/origin-log.ts
+++ b/packages/gateway/src/streams/origin-log.ts
@@ -5,7 +5,7 @@
 import { hash32, streamMemoryMilliseconds } from '@arbutusloft/policy'
 import type { KnownOrigin } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
-import { Packr } from 'msgpackr'
+import { Packr } from 'msgpackr/pack'
 import * as z from 'zod'
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedRecord, KeyedTopic } from '../log/keyed-topic.js'
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -1,5 +1,5 @@
 /** MessagePack encoding of messages between processes and of records in the log. */
-import { Packr } from 'msgpackr'
+import { Packr } from 'msgpackr/pack'
 import tsResults from 'ts-results'
 import type { Result } from 'ts-results'
 import { ProtocolError, ProtocolErrorCode } from './errors.js'
