Log how trials of quarantined content end

Of a trial whose end does not come to the process that granted it only the longer period was seen: logs did not tell a crash from a holder that was killed, a lost release or another owner. The process that granted it now logs one line, "trial ended", with answered, interrupted, stopped, not-run, holder-lost, unreported or superseded.

--- a/packages/gateway/src/quarantine/quarantine-sharing.ts
+++ b/packages/gateway/src/quarantine/quarantine-sharing.ts
@@ -28,7 +28,8 @@
 /** Sends and receives entries. */
 export class QuarantineSharing {
   constructor (private readonly dependencies: QuarantineSharingDependencies) {
-    const { quarantine, transport } = dependencies
+    const { quarantine, transport, logger } = dependencies
+    quarantine.onTrialEnded(({ digest, permit, end, since }) => { logger.info('trial ended', { digest, permit, end, took: Date.now() - since }) })
     quarantine.onChange((entry, isQuarantine) => { this.#onChange(entry, isQuarantine) })
     transport.onMessage(message => {
       if (message.type === PeerMessageType.Quarantine) {
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -52,6 +52,34 @@
   readonly target: string
 }
 
+/** How a trial of quarantined content ended, as far as the process that granted it was told. */
+export const TrialEnd = {
+  Answered: 'answered',
+  /** Its target broke the answer off, as it does if it crashes. */
+  Interrupted: 'interrupted',
+  /** Without a complete answer for another reason, such as a caller that left. */
+  Stopped: 'stopped',
+  NotRun: 'not-run',
+  /** Its holder failed before it told. */
+  HolderLost: 'holder-lost',
+  /** Its holder no longer has the slot, and its release did not arrive. */
+  Unreported: 'unreported',
+  /** Another process decided on the content, or the next trial began, before it ended. */
+  Superseded: 'superseded'
+} as const
+export type TrialEnd = typeof TrialEnd[keyof typeof TrialEnd]
+
+/** A trial that has ended. */
+export interface EndedTrial {
+  readonly digest: string
+  readonly permit: string
+  readonly end: TrialEnd
+  /** Time at which the trial was granted, in milliseconds since the epoch. */
+  readonly since: number
+}
+
+export type TrialListener = (trial: EndedTrial) => void
+
 /** Crashes after which a request, or a part that no request was answered with before, is quarantined. */
 const crashesToQuarantine = 3
 /** The same for a part that requests were answered with before. */
@@ -134,12 +162,18 @@
   /** Digests by list of parts; a list belongs to one request and is looked up again while that waits. */
   readonly #partDigests = new WeakMap<readonly string[], readonly string[]>()
   readonly #listeners: QuarantineListener[] = []
+  readonly #trialListeners: TrialListener[] = []
 
   /** Calls the listener when this process begins, extends or ends a quarantine, or counts or clears a crash of a request. */
   onChange (listener: QuarantineListener): void {
     this.#listeners.push(listener)
   }
 
+  /** Calls the listener with each trial that was granted here, when its end is known or it is known that it will not be. */
+  onTrialEnded (listener: TrialListener): void {
+    this.#trialListeners.push(listener)
+  }
+
   /** Whether anything is known against any request or part. */
   get isActive (): boolean {
     return this.#suspicions.size > 0
@@ -186,6 +220,7 @@
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
         const isTrial = suspicion.periods > 0
+        this.#endObservation(digest, suspicion, TrialEnd.Superseded)
         suspicion.observed = { permit, since: now, isTrial }
         if (isTrial) {
           // The next period begins with the trial, so that no other process tries the content meanwhile.
@@ -206,7 +241,8 @@
       const suspicion = this.#suspicions.get(digest)
       if (suspicion?.observed?.permit === permit) {
         const { isTrial } = suspicion.observed
-        suspicion.observed = null
+        const stopped = isInterrupted ? TrialEnd.Interrupted : TrialEnd.Stopped
+        this.#endObservation(digest, suspicion, mayHaveRun ? stopped : TrialEnd.NotRun)
         if (isTrial && suspicion.periods > 1 && !mayHaveRun && suspicion.trialRetries < maximumTrialRetries) {
           suspicion.trialRetries += 1
           this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
@@ -217,6 +253,15 @@
     }
   }
 
+  /** Records that the end of a request is not going to be known. */
+  onEndLost (permit: string, end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported): void {
+    for (const [digest, suspicion] of this.#suspicions) {
+      if (suspicion.observed?.permit === permit) {
+        this.#endObservation(digest, suspicion, end)
+      }
+    }
+  }
+
   /** Remembers that a request was answered completely, for the time at which this process decides; the process that does so now clears the request. */
   rememberAnswered (content: RequestContent): void {
     for (const digest of this.#partsOf(content)) {
@@ -233,6 +278,7 @@
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
+        this.#endObservation(digest, suspicion, TrialEnd.Answered)
         this.#suspicions.delete(digest)
         this.#onCleared(digest, suspicion)
       }
@@ -245,7 +291,7 @@
     for (const digest of this.#digestsOf(report)) {
       const known = this.#suspicions.get(digest)
       if (known?.observed?.permit === permit) {
-        known.observed = null
+        this.#endObservation(digest, known, TrialEnd.Interrupted)
       }
       if (!isExplained) {
         const suspicion = known ?? this.#suspect(digest, digest === report.digest, now)
@@ -304,17 +350,30 @@
     if (version <= Math.max(known?.version ?? 0, this.#clearedVersions.get(digest) ?? 0)) {
       return
     }
+    if (known !== undefined) {
+      this.#endObservation(digest, known, TrialEnd.Superseded)
+    }
     if (periods === 0 && crashes === 0) {
       this.#suspicions.delete(digest)
       this.#rememberCleared(digest, version)
       return
     }
     const suspicion = known ?? this.#suspect(digest, crashes > 0, now)
-    suspicion.observed = null
     Object.assign(suspicion, { version, periods, until: periods === 0 ? 0 : now + Math.min(remaining, periodOf(periods)) })
     suspicion.crashes = Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
   }
 
+  #endObservation (digest: string, suspicion: Suspicion, end: TrialEnd): void {
+    const { observed } = suspicion
+    suspicion.observed = null
+    if (observed?.isTrial !== true) {
+      return
+    }
+    for (const listener of this.#trialListeners) {
+      listener({ digest, permit: observed.permit, end, since: observed.since })
+    }
+  }
+
   #suspicionsOf (content: RequestContent): readonly Suspicion[] {
     if (this.#suspicions.size === 0) {
       return []
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -5,7 +5,7 @@
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
 import { CrashAttribution } from './crash-attribution.js'
-import { CrashQuarantine, QuarantineAdmission } from './crash-quarantine.js'
+import { CrashQuarantine, QuarantineAdmission, TrialEnd } from './crash-quarantine.js'
 import type { CrashReport, RequestContent } from './crash-quarantine.js'
 import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
@@ -224,7 +224,8 @@
    */
   synchronize (holder: string, held: readonly HeldSlot[], now: number): readonly SlotDecision[] {
     this.#begin(now)
-    const revoked = this.#slots.synchronize(holder, held, now)
+    const { revoked, dropped } = this.#slots.synchronize(holder, held, now)
+    dropped.forEach(({ permit }) => { this.quarantine.onEndLost(permit, TrialEnd.Unreported) })
     return [
       ...revoked.map(permit => ({ kind: DecisionKind.Revoke, permit, holder })),
       ...this.#grantWaiting()
@@ -236,7 +237,8 @@
     this.#begin(now)
     this.#online.remove(({ request }) => request.holder === holder)
     this.#batch.deleteHolder(holder)
-    this.#slots.synchronize(holder, [], now, true)
+    const { dropped } = this.#slots.synchronize(holder, [], now, true)
+    dropped.forEach(({ permit }) => { this.quarantine.onEndLost(permit, TrialEnd.HolderLost) })
     this.#health.forgetHolder(holder, now)
     this.#cutOffGrants.delete(holder)
     return this.#grantWaiting()
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -44,6 +44,14 @@
   online: number
 }
 
+/** What a holder's report has changed. */
+export interface SlotReportResult {
+  /** Reported permits that were revoked before. */
+  readonly revoked: readonly string[]
+  /** Slots that the report lacks, which are free now. */
+  readonly dropped: readonly GrantedSlot[]
+}
+
 /** Receives each target whose zone, slots or granted slots have changed; one that was removed is no longer accepting. */
 export type TargetListener = (target: TargetSlots) => void
 
@@ -157,14 +165,16 @@
 
   /**
    * Replaces what is known of a holder's slots by its report, but keeps slots granted so recently that the report may not
-   * contain them yet, unless the holder is gone. Returns the reported permits that were revoked before.
+   * contain them yet, unless the holder is gone.
    */
-  synchronize (holder: string, held: readonly HeldSlot[], now: number, isGone = false): readonly string[] {
+  synchronize (holder: string, held: readonly HeldSlot[], now: number, isGone = false): SlotReportResult {
     const reported = new Set(held.map(slot => slot.permit))
+    const dropped: GrantedSlot[] = []
     for (const permit of [...this.#permitsByHolder.get(holder) ?? []]) {
       const slot = this.#granted.get(permit)
       if (slot !== undefined && !reported.has(permit) && (isGone || now - slot.grantedAt > grantTransitMilliseconds)) {
         this.release(permit)
+        dropped.push(slot)
       }
     }
     const revoked: string[] = []
@@ -176,7 +186,7 @@
         revoked.push(permit)
       }
     }
-    return revoked
+    return { revoked, dropped }
   }
 
   /** Marks a slot as revoked, so that it no longer counts as granted. */
