Count a trial whose end is lost as given up, not as a crash

Cause: the period after a trial begins with it, and only a release that comes to the process which granted the trial shortens it. Slots that an owner frees for another reason (its holder was killed, a report of the holder lacks them, the holder asks again for a grant that it has not got) left the longer period, as after a crash. The holder sends the release to the owner of its last report, which may be another one.

Change: such a trial of a part counts like one that its caller gave up, which is followed after 1, 8 and 64 s and then every ten minutes. It counts as before if its target is gone, has started again or is reported as crashed since the grant, and for whole requests.

--- a/packages/policy/src/fleet/crash-attribution.ts
+++ b/packages/policy/src/fleet/crash-attribution.ts
@@ -82,6 +82,11 @@
     return [...holders]
   }
 
+  /** Whether a crash of a target was reported at this time, in milliseconds since the epoch, or later. */
+  isReportedSince (target: string, time: number): boolean {
+    return this.#byTarget.get(target)?.some(({ at }) => at >= time) ?? false
+  }
+
   /** Records that a holder has reached a target. */
   onContact (holder: string): void {
     this.#brokenLinks.delete(holder)
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -253,11 +253,19 @@
     }
   }
 
-  /** Records that the end of a request is not going to be known. */
-  onEndLost (permit: string, end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported): void {
+  /**
+   * Records that the end of a request is not going to be known.
+   *
+   * @param mayHaveCrashed whether there are signs that its target has crashed since
+   */
+  onEndLost (request: { readonly permit: string, readonly digest: string }, end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported, mayHaveCrashed: boolean, now: number): void {
     for (const [digest, suspicion] of this.#suspicions) {
-      if (suspicion.observed?.permit === permit) {
+      if (suspicion.observed?.permit === request.permit) {
+        const { isTrial } = suspicion.observed
         this.#endObservation(digest, suspicion, end)
+        if (isTrial && !mayHaveCrashed && digest !== request.digest) {
+          this.#shortenPeriod(digest, suspicion, now)
+        }
       }
     }
   }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -144,14 +144,14 @@
     const reason = this.#versionRefusalOf(request)
     if (reason !== null) {
       this.withdraw(request.permit)
-      this.#slots.release(request.permit)
+      this.#drop(request.permit)
       return [refusalOf(request, reason, request.latestReturn)]
     }
     const held = this.#slots.get(request.permit)
     const target = this.#slots.target(held?.target ?? '')
     if (held !== undefined && (target?.accepting !== true || !isOfVersion(target, request))) {
       // The holder may not have got the grant, and must not use it any more.
-      this.#slots.release(request.permit)
+      this.#drop(request.permit)
     } else if (held !== undefined) {
       return [{ kind: DecisionKind.Grant, permit: request.permit, holder: request.holder, target: held.target, address: held.address }]
     }
@@ -225,7 +225,7 @@
   synchronize (holder: string, held: readonly HeldSlot[], now: number): readonly SlotDecision[] {
     this.#begin(now)
     const { revoked, dropped } = this.#slots.synchronize(holder, held, now)
-    dropped.forEach(({ permit }) => { this.quarantine.onEndLost(permit, TrialEnd.Unreported) })
+    this.#onEndsLost(dropped, TrialEnd.Unreported)
     return [
       ...revoked.map(permit => ({ kind: DecisionKind.Revoke, permit, holder })),
       ...this.#grantWaiting()
@@ -238,7 +238,7 @@
     this.#online.remove(({ request }) => request.holder === holder)
     this.#batch.deleteHolder(holder)
     const { dropped } = this.#slots.synchronize(holder, [], now, true)
-    dropped.forEach(({ permit }) => { this.quarantine.onEndLost(permit, TrialEnd.HolderLost) })
+    this.#onEndsLost(dropped, TrialEnd.HolderLost)
     this.#health.forgetHolder(holder, now)
     this.#cutOffGrants.delete(holder)
     return this.#grantWaiting()
@@ -393,10 +393,10 @@
   }
 
   #grant (request: SlotRequest, granted: TargetSlots): SlotGrant {
-    const { id: target, address } = granted
+    const { id: target, address, born } = granted
     const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
     this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
@@ -640,6 +640,21 @@
     }
   }
 
+  /** Frees the slot of a permit without a release of its holder. */
+  #drop (permit: string): void {
+    const slot = this.#slots.release(permit)
+    if (slot !== undefined) {
+      this.#onEndsLost([slot], TrialEnd.Unreported)
+    }
+  }
+
+  #onEndsLost (slots: readonly GrantedSlot[], end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported): void {
+    for (const slot of slots) {
+      const mayHaveCrashed = this.#slots.target(slot.target)?.born !== slot.born || this.#crashes.isReportedSince(slot.target, slot.grantedAt)
+      this.quarantine.onEndLost(slot, end, mayHaveCrashed, this.#now)
+    }
+  }
+
   #onAnswered ({ target, holder, grantedAt }: GrantedSlot): void {
     this.#crashes.onContact(holder)
     for (const other of this.#crashes.onAnswered(target, holder, grantedAt, this.#now)) {
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -10,6 +10,8 @@
   readonly target: string
   /** `ip:port` of the target; empty if the slot is known from a report of its holder. */
   readonly address: string
+  /** As in {@link FleetTarget}, at the time of the grant or of the first report. */
+  readonly born: number
   readonly workClass: WorkClass
   /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
   readonly prefix: readonly string[]
@@ -181,7 +183,7 @@
     for (const { permit, target, workClass, due, ran } of held) {
       const known = this.#granted.get(permit)
       if (known === undefined) {
-        this.recordGrant({ permit, holder, target, address: '', workClass, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
+        this.recordGrant({ permit, holder, target, address: '', born: this.#targets.get(target)?.born ?? 0, workClass, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
       } else if (known.revoked) {
         revoked.push(permit)
       }
--- a/packages/policy/tests/fleet/stream-versions.test.ts
+++ b/packages/policy/tests/fleet/stream-versions.test.ts
@@ -803,7 +803,7 @@
           known.set(change.target, change.version)
           preemptible.setVersion(change.target, change.version)
         } else if (change.kind === 'add' && !slots.has(change.permit)) {
-          const slot = { permit: `b${change.permit}`, holder: 'h', target: change.target, address: '', workClass: WorkClass.Batch, prefix: [], digest: '', due: change.due, ran: 0, startedAt: 0, grantedAt: 0, revoked: false }
+          const slot = { permit: `b${change.permit}`, holder: 'h', target: change.target, address: '', born: 1, workClass: WorkClass.Batch, prefix: [], digest: '', due: change.due, ran: 0, startedAt: 0, grantedAt: 0, revoked: false }
           slots.set(change.permit, slot)
           preemptible.add(slot)
         } else if (change.kind === 'delete') {
