Count trials that never ran as nothing

A trial of quarantined content whose slot was given back unused, or to whose target no way led, was released as stopped, so that it counted as one that its caller gave up: of a part the next followed after 1, 8 and 64 s, of a whole request after 8 s.

Change: such a slot is released with the outcome not-run. A trial does not count then, and the next is due after a second, however often. The release says stopped and carries the optional isNotRun, so that earlier builds read it as before. It is set by holders that give a slot back (target leaves, other version, rate limit), for grants of withdrawn requests, for slots that are not used, calls without a path and calls that are stopped before they are sent. Trials that a target did not answer are limited to three repetitions as before, since they may have run.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -347,7 +347,7 @@
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
     if (stopped) {
-      slot.release(SlotOutcome.Stopped)
+      slot.release(call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped)
     } else {
       void releaseSlot(slot, call, { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, this.dependencies.connections)
     }
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -126,7 +126,7 @@
       }
       await this.#runAttempts()
     } finally {
-      this.#takeNextSlot()?.release(SlotOutcome.Stopped)
+      this.#takeNextSlot()?.release(SlotOutcome.NotRun)
       this.#endQuestion()
       clearTimeout(timer)
       ending.removeEventListener('abort', onEnding)
@@ -157,12 +157,12 @@
         return
       }
       if (this.#question !== null && this.#abort.signal.aborted) {
-        result.slot.release(SlotOutcome.Stopped)
+        result.slot.release(SlotOutcome.NotRun)
         this.#finishIncomplete()
         return
       }
       if (this.#possibleExecutions === 0 && !this.#isAdmitted()) {
-        result.slot.release(SlotOutcome.Stopped)
+        result.slot.release(SlotOutcome.NotRun)
         this.#refuseStopping()
         return
       }
@@ -333,7 +333,8 @@
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
     if (this.#abort.signal.aborted) {
-      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
+      const stopped = call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped
+      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : stopped)
     } else {
       released = releaseSlot(slot, call, { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, dependencies.connections)
     }
--- a/packages/gateway/src/online/silence-watch.ts
+++ b/packages/gateway/src/online/silence-watch.ts
@@ -92,7 +92,7 @@
       if (!result.granted) {
         await pause(repeatMilliseconds, signal)
       } else if (signal.aborted) {
-        result.slot.release(SlotOutcome.Stopped)
+        result.slot.release(SlotOutcome.NotRun)
       } else {
         this.close()
         this.options.onFound(result.slot)
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -139,6 +139,8 @@
   readonly service: string
   readonly permit: string
   readonly outcome: SlotOutcome
+  /** Marks {@link SlotOutcome.NotRun}, which earlier builds do not know and get as {@link SlotOutcome.Stopped}. */
+  readonly isNotRun?: boolean
   /** The request that the target crashed under; left out if it has not crashed. */
   readonly crash?: Omit<CrashReport, 'digest'> & Partial<Pick<CrashReport, 'digest'>>
 }
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -68,6 +68,8 @@
 const successorCount = 3
 /** Time for which members may differ on who owns a service after a change of owners. */
 const formerOwnerMilliseconds = 10_000
+/** Number of withdrawn permits that are remembered, whose grants may still be in transit. */
+const maximumWithdrawn = 1_024
 /** Delay before a batch request that was rejected is sent again. */
 const batchRetryMilliseconds = 100
 
@@ -75,6 +77,8 @@
 export class SlotClient {
   readonly #pending = new Map<string, PendingRequest>()
   readonly #held = new Map<string, LocalSlot>()
+  /** Permits of requests that were withdrawn before a slot was used. */
+  readonly #withdrawn = new Set<string>()
   readonly #owner: SlotOwner
   readonly #leaving = new LeavingTargets()
   readonly #limits = new TargetRateLimits()
@@ -310,8 +314,14 @@
 
   #withdraw (permit: string): void {
     const pending = this.#pending.get(permit)
-    if (pending !== undefined) {
-      this.#sendWithdrawal(pending.ownerAddress, pending)
+    if (pending === undefined) {
+      return
+    }
+    this.#sendWithdrawal(pending.ownerAddress, pending)
+    this.#withdrawn.add(permit)
+    const [oldest] = this.#withdrawn
+    if (this.#withdrawn.size > maximumWithdrawn && oldest !== undefined) {
+      this.#withdrawn.delete(oldest)
     }
   }
 
@@ -382,7 +392,7 @@
         this.#owner.withdraw(message.service, message.permit)
         return
       case PeerMessageType.SlotRelease:
-        this.#owner.release(message.service, message.permit, message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash })
+        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash })
         return
       case PeerMessageType.SlotReport:
         this.#owner.report(message.service, sender, message.held)
@@ -443,7 +453,7 @@
   /** Gives a slot back whose target cannot be used, and requests another one. */
   #giveBack (pending: PendingRequest, target: TargetEndpoint, owner: string): void {
     const { demand, permit } = pending
-    this.#sendRelease(demand.service, owner, permit, SlotOutcome.Stopped, null)
+    this.#sendRelease(demand.service, owner, permit, SlotOutcome.NotRun, null)
     pending.demand = { ...demand, excluded: [...demand.excluded, target.id] }
     this.#restartRequest(pending, Date.now())
   }
@@ -451,7 +461,7 @@
   /** Gives a slot back that an owner granted without knowing the rate limit of its target, of which this process has used its share, and requests another one. */
   #giveBackUnpaced (pending: PendingRequest, target: TargetEndpoint, owner: string, now: number): void {
     const { demand, permit, waitsSince } = pending
-    this.#sendRelease(demand.service, owner, permit, SlotOutcome.Stopped, null)
+    this.#sendRelease(demand.service, owner, permit, SlotOutcome.NotRun, null)
     if (!pending.excluded.includes(target.id)) {
       pending.demand = { ...demand, patience: Math.max(0, demand.patience - (now - waitsSince)) }
       pending.waitsSince = now
@@ -537,7 +547,7 @@
     if (pending === undefined) {
       // The request was withdrawn, or two owners granted it: releases the slot unless it is in use.
       if (!this.#held.has(permit)) {
-        this.#sendRelease(service, owner, permit, SlotOutcome.Stopped, null)
+        this.#sendRelease(service, owner, permit, this.#withdrawn.has(permit) ? SlotOutcome.NotRun : SlotOutcome.Stopped, null)
       }
       return
     }
@@ -603,7 +613,8 @@
     if (owner === this.transport.address) {
       this.#owner.release(service, permit, outcome, crash)
     } else {
-      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, outcome, ...(crash === null ? {} : { crash }) })
+      const end = outcome === SlotOutcome.NotRun ? { outcome: SlotOutcome.Stopped, isNotRun: true } : { outcome }
+      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, ...end, ...(crash === null ? {} : { crash }) })
     }
   }
 }
--- a/packages/gateway/src/targets/call-outcome.ts
+++ b/packages/gateway/src/targets/call-outcome.ts
@@ -43,7 +43,7 @@
     case CallOutcome.Unreachable:
       return SlotOutcome.Unreachable
     case CallOutcome.NoPath:
-      return SlotOutcome.Stopped
+      return SlotOutcome.NotRun
     case CallOutcome.Disconnected:
       return mayHaveCrashed(call) ? SlotOutcome.Crashed : SlotOutcome.Broken
     case CallOutcome.Broken:
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -1,7 +1,7 @@
 /** Tests what holders of slots do about targets that leave, over an in-memory network. */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { CrashQuarantine, promptPartDigest, SlotOutcome, VersionHistory } from '@arbutusloft/policy'
+import { CrashQuarantine, promptPartDigest, SlotOutcome, TrialEnd, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { Membership, MemberState, PeerMessageType, sleep, SlotClient, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { AcquireResult, PeerMessage, PeerTransport, Slot, SlotDemand, Target } from '../../src/index.js'
@@ -141,6 +141,45 @@
     assert.equal((await acquire(owner))?.target.id, 'two')
   })
 
+  it('tells the owner that a request has not run whose slot it gives back, in a way that earlier builds take for stopped', async () => {
+    const slot = await acquire(holder)
+    holder.transport.dropped = PeerMessageType.TargetLeaving
+    slot?.markLeaving()
+    slot?.release(SlotOutcome.Finished)
+    const before = holder.transport.count(PeerMessageType.SlotRelease)
+    assert.equal(await acquire(holder), null)
+    const releases = holder.transport.sent.flatMap(message => message.type === PeerMessageType.SlotRelease ? [message] : []).slice(before)
+    assert.ok(releases.length > 0 && releases.every(({ outcome, isNotRun }) => outcome === SlotOutcome.Stopped && isNotRun === true), JSON.stringify(releases))
+  })
+
+  it('tells the owner that a request has not run which was withdrawn while its grant was in transit', async () => {
+    const caller = new AbortController()
+    const result = holder.slots.acquire({ ...demand, prefix: ['withdrawn'] }, caller.signal)
+    holder.transport.dropped = PeerMessageType.SlotWithdrawal
+    caller.abort()
+    assert.equal((await result).granted, false)
+    await sleep(20)
+    const [release] = holder.transport.sent.flatMap(message => message.type === PeerMessageType.SlotRelease ? [message] : []).slice(-1)
+    assert.ok(release?.outcome === SlotOutcome.Stopped && release.isNotRun === true, JSON.stringify(release))
+  })
+
+  it('counts the trial of a part as nothing whose slot is given back', async () => {
+    const ends: string[] = []
+    owner.quarantine.onTrialEnded(({ end }) => { ends.push(end) })
+    const slot = await acquire(holder)
+    holder.transport.dropped = PeerMessageType.TargetLeaving
+    slot?.markLeaving()
+    slot?.release(SlotOutcome.Finished)
+    for (const crashed of ['t1', 't2', 't3']) {
+      owner.quarantine.onCrashed(crashed, { target: crashed, parts: ['part'], digest: '' }, Date.now() - 2_000)
+    }
+    await holder.slots.acquire({ ...demand, prefix: ['part'] }, AbortSignal.timeout(300))
+    assert.deepEqual(ends, [TrialEnd.NotRun])
+    const { retryAfter } = owner.quarantine.decide({ parts: ['part'], digest: '' }, Date.now())
+    assert.ok(retryAfter <= 1_000, `${retryAfter} ms`)
+    assert.deepEqual(owner.quarantine.entries(Date.now()).map(({ periods }) => periods), [1])
+  })
+
   it('gives a slot at another software version back than the one that began its stream, as an owner of an earlier build may grant it', async () => {
     owner.targets.replace([{ ...target, softwareVersion: 'v2' }])
     holder.transport.withoutContinued = true
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -253,6 +253,20 @@
     }
   }
 
+  /** Records that a request has certainly not run. A trial does not count then. */
+  onNotRun (permit: string, content: RequestContent, now: number): void {
+    for (const digest of this.#digestsOf(content)) {
+      const suspicion = this.#suspicions.get(digest)
+      if (suspicion?.observed?.permit === permit) {
+        const { isTrial } = suspicion.observed
+        this.#endObservation(digest, suspicion, TrialEnd.NotRun)
+        if (isTrial && suspicion.periods > 1) {
+          this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
+        }
+      }
+    }
+  }
+
   /**
    * Records that the end of a request is not going to be known.
    *
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -620,6 +620,8 @@
     const now = this.#now
     if (outcome === SlotOutcome.Finished) {
       this.quarantine.onCompleted(contentOf(held))
+    } else if (outcome === SlotOutcome.NotRun) {
+      this.quarantine.onNotRun(held.permit, contentOf(held), now)
     } else {
       this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome), interruptions.has(outcome))
     }
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -131,6 +131,8 @@
   Unsuccessful: 'unsuccessful',
   /** Its receiver stopped the answer: the client left, its deadline passed, or the slot was revoked. */
   Stopped: 'stopped',
+  /** The slot was given back unused, or no way led to its target, which says nothing of the target: the request has certainly not run. */
+  NotRun: 'not-run',
   /** The target could not be reached, or was unresponsive. */
   Unreachable: 'unreachable',
   /** Another target responded at the target's address. */
--- a/packages/policy/src/fleet/target-health.ts
+++ b/packages/policy/src/fleet/target-health.ts
@@ -153,6 +153,7 @@
   recordOutcome (target: string, holder: string, outcome: SlotOutcome, now: number): void {
     switch (outcome) {
       case SlotOutcome.Stopped:
+      case SlotOutcome.NotRun:
         // Says nothing of the target.
         return
       case SlotOutcome.Finished:
--- a/packages/policy/tests/fleet/trial-ends.test.ts
+++ b/packages/policy/tests/fleet/trial-ends.test.ts
@@ -90,6 +90,19 @@
   }
 })
 
+describe('trials that never ran', () => {
+  it('count as nothing, however many there are', () => {
+    const owner = new TrialOwner()
+    for (let number = 0; number < 6; number += 1) {
+      const at = trialAt + number * 1_100
+      assert.notEqual(owner.request(`trial-${number}`, at), null)
+      owner.release(`trial-${number}`, SlotOutcome.NotRun, at + 10)
+      assert.ok(owner.isHeldBack(at + 900))
+    }
+    assert.ok(owner.ends.length === 6 && owner.ends.every(end => end === TrialEnd.NotRun))
+  })
+})
+
 describe('a trial of a part whose end does not come to the process that granted it', () => {
   const losses: ReadonlyArray<readonly [string, (owner: TrialOwner, now: number) => void]> = [
     ['its holder was killed', (owner, now) => { owner.loseHolder(now) }],
