Let a suspected part count as answered once its owner hears of answers

A new owner of slots that counts broken connections before it is told which parts were answered held such a part back after the third of them instead of the fifth and a second without an answer: whether a part was answered is kept with the suspicion, as it was at its first crash. The same holds for an owner whose own requests with the part were answered while another process decided.

The mark now follows both while the part is not in quarantine.

--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -134,8 +134,8 @@
   firstCrashAt: number
   /** The latest of these crashes, as far as they were reported to this process. */
   readonly counted: CountedCrash[]
-  /** Whether an answer with this content was complete before the first crash. */
-  readonly isProven: boolean
+  /** Whether an answer with this content was complete before the first crash, or of a part that is not in quarantine since then. */
+  isProven: boolean
   /** Quarantine periods so far; 0 if the content is not in quarantine. */
   periods: number
   /** Time from which a request with the quarantined content may be tried, in milliseconds since the epoch. */
@@ -287,7 +287,7 @@
   /** Remembers that a request was answered completely, for the time at which this process decides; the process that does so now clears the request. */
   rememberAnswered (content: RequestContent): void {
     for (const digest of this.#partsOf(content)) {
-      remember(this.#provenParts, digest)
+      this.#rememberPart(digest)
     }
     if (content.digest !== '') {
       remember(this.#provenRequests, content.digest)
@@ -365,7 +365,7 @@
   /** Adopts an entry of another process or of the log unless a newer one is known. */
   merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
     if (version === 0 && periods === 0 && crashes === 0) {
-      remember(this.#provenParts, digest)
+      this.#rememberPart(digest)
       return
     }
     const known = this.#suspicions.get(digest)
@@ -396,6 +396,14 @@
     }
   }
 
+  #rememberPart (digest: string): void {
+    remember(this.#provenParts, digest)
+    const suspicion = this.#suspicions.get(digest)
+    if (suspicion?.periods === 0 && !suspicion.isRequest) {
+      suspicion.isProven = true
+    }
+  }
+
   #suspicionsOf (content: RequestContent): readonly Suspicion[] {
     if (this.#suspicions.size === 0) {
       return []
--- a/packages/policy/tests/fleet/shared-parts.test.ts
+++ b/packages/policy/tests/fleet/shared-parts.test.ts
@@ -147,6 +147,28 @@
     assert.ok(!isHeldBack(newOwner, 400))
   })
 
+  for (const [name, remember] of [
+    ['another process tells of it', (quarantine: CrashQuarantine) => {
+      const process = new CrashQuarantine()
+      process.rememberAnswered(contentOf('earlier'))
+      process.answered().forEach(entry => { quarantine.merge(entry, 150) })
+    }],
+    ['a request of its own process was answered', (quarantine: CrashQuarantine) => { quarantine.rememberAnswered(contentOf('earlier')) }]
+  ] as const) {
+    it(`counts as answered before at an owner that suspects it already when ${name}`, () => {
+      const quarantine = new CrashQuarantine()
+      for (const [index, digest] of ['first', 'second', 'third', 'fourth'].entries()) {
+        crash(quarantine, contentOf(digest), `t${index}`, index * 100)
+        if (index === 1) {
+          remember(quarantine)
+        }
+      }
+      assert.ok(!isHeldBack(quarantine, 400))
+      crash(quarantine, contentOf('fifth'), 't4', 1_100)
+      assert.ok(isHeldBack(quarantine, 1_100), 'the crashes count none the less')
+    })
+  }
+
   it('stays held back at a new owner that is told that it was answered before', () => {
     const newOwner = new CrashQuarantine()
     const process = new CrashQuarantine()
