Attribute crashes under permits that a new owner does not know

A crash that is reported for a permit which the receiving owner does not know (another owner granted it, and the holder's next report comes later) counted at once and for good: neither was its holder considered, which may be cut off from targets, nor was it withdrawn when the target completed an answer that it had begun before. Three of them held a part back that was never answered there.

They pass through CrashAttribution now, with the sender of the release as their holder.

--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -392,7 +392,7 @@
         this.#owner.withdraw(message.service, message.permit)
         return
       case PeerMessageType.SlotRelease:
-        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash })
+        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash }, sender)
         return
       case PeerMessageType.SlotReport:
         this.#owner.report(message.service, sender, message.held)
@@ -611,7 +611,7 @@
 
   #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null): void {
     if (owner === this.transport.address) {
-      this.#owner.release(service, permit, outcome, crash)
+      this.#owner.release(service, permit, outcome, crash, owner)
     } else {
       const end = outcome === SlotOutcome.NotRun ? { outcome: SlotOutcome.Stopped, isNotRun: true } : { outcome }
       this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, ...end, ...(crash === null ? {} : { crash }) })
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -161,11 +161,12 @@
    * Frees the slot of a permit; the outcome tells admission control about the target's health.
    *
    * @param crash the request that the target crashed under, or null if it has not crashed
+   * @param sender as in {@link FleetAdmission.release}
    */
-  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null): void {
+  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sender = ''): void {
     this.#forgetRequest(permit)
     this.#updateGranting()
-    this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now(), crash))
+    this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now(), crash, sender))
   }
 
   /** Removes a waiting request. */
--- a/packages/gateway/tests/quarantine/cut-connections.test.ts
+++ b/packages/gateway/tests/quarantine/cut-connections.test.ts
@@ -42,6 +42,13 @@
     }
   }
 
+  /** Lets a holder report crashes under permits that another owner granted. */
+  crashUnknown (holder: string, reports: ReadonlyArray<{ readonly target: string, readonly parts: readonly string[], readonly digest: string }>): void {
+    for (const report of reports) {
+      this.#owner.release(service, `${holder}/${report.target}/unknown`, SlotOutcome.Crashed, report, holder)
+    }
+  }
+
   finish (...permits: readonly string[]): void {
     for (const permit of permits) {
       this.#owner.release(service, permit, SlotOutcome.Finished, null)
@@ -83,6 +90,17 @@
     assert.ok(!owner.isHeldBack('request'))
   })
 
+  it('hold back nothing either if another owner had granted the slots', context => {
+    const owner = new TestOwner(context)
+    const sound = targetIds.slice(0, 3).map(target => owner.dispatch('other', target, `sound-${target}`))
+    owner.wait(50)
+    owner.crashUnknown('cut', targetIds.slice(0, 3).map(target => ({ target, parts: ['shared'], digest: `broken-${target}` })))
+    assert.ok(owner.isHeldBack('next', ['shared']))
+    owner.wait(400)
+    owner.finish(...sound)
+    assert.ok(!owner.isHeldBack('next', ['shared']))
+  })
+
   it('hold back nothing from then on until it reaches a target', context => {
     const owner = new TestOwner(context)
     const others = targetIds.map(target => owner.dispatch('other', target, `sound-${target}`))
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -162,14 +162,15 @@
    * Releases a slot and returns the resulting decisions. Ignores unknown permits but for crashes, since they were released before.
    *
    * @param crash the request that the target crashed under, or null if it has not crashed
+   * @param sender process that releases the slot; matters only for crashes under permits that are unknown
    */
-  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null): readonly SlotDecision[] {
+  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null, sender = ''): readonly SlotDecision[] {
     this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
     if (held === undefined) {
       if (crash !== null) {
-        this.quarantine.onCrashed(permit, crash, now)
+        this.#crashes.onCrashed(permit, sender, crash, this.#health.isTrusted(sender), now)
       }
       return []
     }
