--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -125,7 +125,7 @@
       }
       await this.#runAttempts()
     } finally {
-      this.#takeNextSlot()?.release(SlotOutcome.Stopped)
+      this.#takeNextSlot()?.release(SlotOutcome.NotRun)
       this.#endQuestion()
       clearTimeout(timer)
       ending.removeEventListener('abort', onEnding)
@@ -156,12 +156,12 @@
         return
       }
       if (this.#question !== null && this.#abort.signal.aborted) {
-        result.slot.release(SlotOutcome.Stopped)
+        result.slot.release(SlotOutcome.NotRun)
         this.#finishIncomplete()
         return
       }
       if (this.#possibleExecutions === 0 && !this.#isAdmitted()) {
-        result.slot.release(SlotOutcome.Stopped)
+        result.slot.release(SlotOutcome.NotRun)
         this.#refuseStopping()
         return
       }
@@ -336,7 +336,8 @@
       // A new slot would be taken from the requests that wait for one.
       this.#nextSlot = slotForSecondCall(slot, slotOutcomeOf(endedCall))
     } else if (this.#abort.signal.aborted) {
-      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : SlotOutcome.Stopped)
+      const stopped = call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped
+      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : stopped)
     } else {
       released = releaseSlot(slot, call, endedCall, dependencies.connections)
     }
--- a/packages/gateway/src/permits/shared-slot.ts
+++ b/packages/gateway/src/permits/shared-slot.ts
@@ -3,7 +3,7 @@
 import type { Slot } from './slot.js'
 
 /** Outcomes that tell nothing of how the target answers. */
-const outcomesWithoutAnswer: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Stopped, SlotOutcome.Full])
+const outcomesWithoutAnswer: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Stopped, SlotOutcome.NotRun, SlotOutcome.Full])
 /** Outcomes that tell that the target is no longer there. */
 const absences: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced])
 
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -5,7 +5,7 @@
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
 import { CrashAttribution } from './crash-attribution.js'
-import { CrashQuarantine, QuarantineAdmission } from './crash-quarantine.js'
+import { CrashQuarantine, QuarantineAdmission, TrialEnd } from './crash-quarantine.js'
 import type { CrashReport, RequestContent } from './crash-quarantine.js'
 import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
@@ -144,14 +144,14 @@
     const reason = this.#versionRefusalOf(request)
     if (reason !== null) {
       this.withdraw(request.permit)
-      this.#slots.release(request.permit)
+      this.#drop(request.permit)
       return [refusalOf(request, reason, request.latestReturn)]
     }
     const held = this.#slots.get(request.permit)
     const target = this.#slots.target(held?.target ?? '')
     if (held !== undefined && (target?.accepting !== true || !isOfVersion(target, request))) {
       // The holder may not have got the grant, and must not use it any more.
-      this.#slots.release(request.permit)
+      this.#drop(request.permit)
     } else if (held !== undefined) {
       return [{ kind: DecisionKind.Grant, permit: request.permit, holder: request.holder, target: held.target, address: held.address }]
     }
@@ -162,14 +162,15 @@
    * Releases a slot and returns the resulting decisions. Ignores unknown permits but for crashes, since they were released before.
    *
    * @param crash the request that the target crashed under, or null if it has not crashed
+   * @param sender process that releases the slot; matters only for crashes under permits that are unknown
    */
-  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null): readonly SlotDecision[] {
+  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null, sender = ''): readonly SlotDecision[] {
     this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
     if (held === undefined) {
       if (crash !== null) {
-        this.quarantine.onCrashed(permit, crash, now)
+        this.#crashes.onCrashed(permit, sender, crash, this.#health.isTrusted(sender), now)
       }
       return []
     }
@@ -224,7 +225,8 @@
    */
   synchronize (holder: string, held: readonly HeldSlot[], now: number): readonly SlotDecision[] {
     this.#begin(now)
-    const revoked = this.#slots.synchronize(holder, held, now)
+    const { revoked, dropped } = this.#slots.synchronize(holder, held, now)
+    this.#onEndsLost(dropped, TrialEnd.Unreported)
     return [
       ...revoked.map(permit => ({ kind: DecisionKind.Revoke, permit, holder })),
       ...this.#grantWaiting()
@@ -236,7 +238,8 @@
     this.#begin(now)
     this.#online.remove(({ request }) => request.holder === holder)
     this.#batch.deleteHolder(holder)
-    this.#slots.synchronize(holder, [], now, true)
+    const { dropped } = this.#slots.synchronize(holder, [], now, true)
+    this.#onEndsLost(dropped, TrialEnd.HolderLost)
     this.#health.forgetHolder(holder, now)
     this.#cutOffGrants.delete(holder)
     return this.#grantWaiting()
@@ -391,10 +394,10 @@
   }
 
   #grant (request: SlotRequest, granted: TargetSlots): SlotGrant {
-    const { id: target, address } = granted
+    const { id: target, address, born } = granted
     const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
     this.#health.onGranted(target, now)
     this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
@@ -618,6 +621,8 @@
     const now = this.#now
     if (outcome === SlotOutcome.Finished) {
       this.quarantine.onCompleted(contentOf(held))
+    } else if (outcome === SlotOutcome.NotRun) {
+      this.quarantine.onNotRun(held.permit, contentOf(held), now)
     } else {
       this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome), interruptions.has(outcome))
     }
@@ -638,6 +643,21 @@
     }
   }
 
+  /** Frees the slot of a permit without a release of its holder. */
+  #drop (permit: string): void {
+    const slot = this.#slots.release(permit)
+    if (slot !== undefined) {
+      this.#onEndsLost([slot], TrialEnd.Unreported)
+    }
+  }
+
+  #onEndsLost (slots: readonly GrantedSlot[], end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported): void {
+    for (const slot of slots) {
+      const mayHaveCrashed = this.#slots.target(slot.target)?.born !== slot.born || this.#crashes.isReportedSince(slot.target, slot.grantedAt)
+      this.quarantine.onEndLost(slot, end, mayHaveCrashed, this.#now)
+    }
+  }
+
   #onAnswered ({ target, holder, grantedAt }: GrantedSlot): void {
     this.#crashes.onContact(holder)
     for (const other of this.#crashes.onAnswered(target, holder, grantedAt, this.#now)) {
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -10,6 +10,8 @@
   readonly target: string
   /** `ip:port` of the target; empty if the slot is known from a report of its holder. */
   readonly address: string
+  /** As in {@link FleetTarget}, at the time of the grant or of the first report. */
+  readonly born: number
   readonly workClass: WorkClass
   /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
   readonly prefix: readonly string[]
@@ -44,6 +46,14 @@
   online: number
 }
 
+/** What a holder's report has changed. */
+export interface SlotReportResult {
+  /** Reported permits that were revoked before. */
+  readonly revoked: readonly string[]
+  /** Slots that the report lacks, which are free now. */
+  readonly dropped: readonly GrantedSlot[]
+}
+
 /** Receives each target whose zone, slots or granted slots have changed; one that was removed is no longer accepting. */
 export type TargetListener = (target: TargetSlots) => void
 
@@ -157,26 +167,28 @@
 
   /**
    * Replaces what is known of a holder's slots by its report, but keeps slots granted so recently that the report may not
-   * contain them yet, unless the holder is gone. Returns the reported permits that were revoked before.
+   * contain them yet, unless the holder is gone.
    */
-  synchronize (holder: string, held: readonly HeldSlot[], now: number, isGone = false): readonly string[] {
+  synchronize (holder: string, held: readonly HeldSlot[], now: number, isGone = false): SlotReportResult {
     const reported = new Set(held.map(slot => slot.permit))
+    const dropped: GrantedSlot[] = []
     for (const permit of [...this.#permitsByHolder.get(holder) ?? []]) {
       const slot = this.#granted.get(permit)
       if (slot !== undefined && !reported.has(permit) && (isGone || now - slot.grantedAt > grantTransitMilliseconds)) {
         this.release(permit)
+        dropped.push(slot)
       }
     }
     const revoked: string[] = []
     for (const { permit, target, workClass, due, ran } of held) {
       const known = this.#granted.get(permit)
       if (known === undefined) {
-        this.recordGrant({ permit, holder, target, address: '', workClass, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
+        this.recordGrant({ permit, holder, target, address: '', born: this.#targets.get(target)?.born ?? 0, workClass, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
       } else if (known.revoked) {
         revoked.push(permit)
       }
     }
-    return revoked
+    return { revoked, dropped }
   }
 
   /** Marks a slot as revoked, so that it no longer counts as granted. */
