--- a/packages/gateway/tests/permits/shared-slot.test.ts
+++ b/packages/gateway/tests/permits/shared-slot.test.ts
@@ -15,7 +15,7 @@
 
 describe('slotForSecondCall', () => {
   it('reports a finished answer, however the other call has ended', () => {
-    for (const other of [SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Stopped, SlotOutcome.Broken, SlotOutcome.Crashed, SlotOutcome.Failed, SlotOutcome.Full]) {
+    for (const other of [SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Stopped, SlotOutcome.NotRun, SlotOutcome.Broken, SlotOutcome.Crashed, SlotOutcome.Failed, SlotOutcome.Full]) {
       assert.deepEqual(reported(SlotOutcome.Finished, other), [SlotOutcome.Finished], other)
     }
     assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Finished), [SlotOutcome.Finished])
@@ -32,6 +32,7 @@
   it('reports a crash if no answer was finished', () => {
     assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Crashed), [SlotOutcome.Crashed])
     assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Stopped), [SlotOutcome.Unsuccessful])
+    assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.NotRun), [SlotOutcome.Unsuccessful])
     assert.deepEqual(reported(SlotOutcome.Unsuccessful, SlotOutcome.Full), [SlotOutcome.Unsuccessful])
   })
 
