Forget refusals of partitions that nothing calls, and pause relays by partition

Change: a refusal is forgotten 1.6 s after its due probe, and all when an outage ends; a peer's call may be the probe; others that are served show a partial outage for 1.6 s only; after refusals beside which others may have been served, the next call of any partition is tried at once; the pause after peers had no access is one of the partition, or of all while the store is away.

--- a/packages/gateway/src/store/relaying-store-connection.ts
+++ b/packages/gateway/src/store/relaying-store-connection.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../util/logger.js'
 import type { ResponseObserver } from '../util/buffered-call.js'
 import { Pool } from '../util/undici-pool.js'
+import { RelayPauses } from './relay-pauses.js'
 import { StoreAccess } from './store-access.js'
 import { readTransfer } from './store-connection.js'
 import type { StoreConnection, StoreReply } from './store-connection.js'
@@ -26,12 +27,6 @@
 const repetitionMilliseconds = 1
 /** Peers that are tried for one call. */
 const maximumPeers = 4
-/**
- * Time for which no peer is asked after those that were had no access to the store either, so that an outage of the store
- * does not cause calls among all members; it doubles each time.
- */
-const initialRelayPauseMilliseconds = 400
-const maximumRelayPauseMilliseconds = 1_600
 /** Time to connect to a peer, and the time allowed for the relay in addition to the call's own timeout. */
 const relayOverheadMilliseconds = 150
 
@@ -59,12 +54,9 @@
 /** Calls the store directly unless direct calls have failed recently; relays a call through peers if the direct one isn't served. */
 export class RelayingStoreConnection implements StoreConnection {
   readonly #access = new StoreAccess()
-  /** Time until which no peer is asked, by the clock of `performance`. */
-  #relayPausedUntil = 0
-  #relayPause = initialRelayPauseMilliseconds
+  readonly #relayPauses = new RelayPauses()
   /** The same for urgent reads, which go on while other calls pause. */
-  #urgentPausedUntil = 0
-  #urgentPause = initialRelayPauseMilliseconds
+  readonly #urgentPauses = new RelayPauses()
   /** The peer that relayed a call last, or null. */
   #provenPeer: string | null = null
   /** Direct calls in a row, each begun after the one before had failed, that were sent and not answered. */
@@ -98,7 +90,7 @@
    * @param observer follows the response
    */
   async callForPeer (method: 'GET' | 'POST', path: string, body: Buffer | null, timeoutMilliseconds: number, observer?: ResponseObserver): Promise<StoreReply> {
-    if (this.#access.isRefused(this.#partitionOf(path))) {
+    if (this.#access.isAway || !this.#access.shouldCall(this.#partitionOf(path), performance.now())) {
       return { answered: false, sent: false, reason: 'the store turns this instance away, too' }
     }
     return await this.callDirectly(method, path, body, timeoutMilliseconds, timeoutMilliseconds >= conclusiveMilliseconds, observer)
@@ -140,6 +132,11 @@
     }
   }
 
+  /** Calls of all partitions pause together while the store is away as a whole. */
+  #pauseKeyOf (path: string): string {
+    return this.#access.isAway ? '' : this.#partitionOf(path)
+  }
+
   #partitionOf (path: string): string {
     return this.options.partitionOf?.(path) ?? ''
   }
@@ -149,16 +146,16 @@
    * when those asked before had no access to the store.
    */
   async #readUrgently (path: string, timeoutMilliseconds: number): Promise<StoreReply> {
-    const peers = performance.now() < this.#urgentPausedUntil ? [] : this.#peersToTry(maximumUrgentPeers)
+    const pauseKey = this.#pauseKeyOf(path)
+    const peers = this.#urgentPauses.isActive(pauseKey, performance.now()) ? [] : this.#peersToTry(maximumUrgentPeers)
     let failures = 0
     const ways = peers.map(peer => async () => {
       const reply = await callPeer(peer, 'GET', path, null, Math.min(timeoutMilliseconds, urgentTimeoutMilliseconds))
       if (isServed(reply)) {
         this.#provenPeer = peer
-        this.#urgentPause = initialRelayPauseMilliseconds
+        this.#urgentPauses.end(pauseKey)
       } else if ((failures += 1) === peers.length) {
-        this.#urgentPausedUntil = performance.now() + this.#urgentPause
-        this.#urgentPause = Math.min(this.#urgentPause * 2, maximumRelayPauseMilliseconds)
+        this.#urgentPauses.begin(pauseKey, performance.now())
       }
       return reply
     })
@@ -170,14 +167,15 @@
 
   async #relay (method: 'GET' | 'POST', path: string, body: Buffer | null, timeout: number, directReply?: StoreReply): Promise<StoreReply> {
     let last: StoreReply = directReply ?? { answered: false, sent: false, reason: 'no peer has access to the store' }
-    if (performance.now() < this.#relayPausedUntil) {
+    const pauseKey = this.#pauseKeyOf(path)
+    if (this.#relayPauses.isActive(pauseKey, performance.now())) {
       return last
     }
     for (const peer of this.#peersToTry(maximumPeers)) {
       const reply = await callPeer(peer, method, path, body, timeout)
       if (isServed(reply)) {
         this.#provenPeer = peer
-        this.#relayPause = initialRelayPauseMilliseconds
+        this.#relayPauses.end(pauseKey)
         return reply
       }
       if (method === 'POST' && isLost(reply)) {
@@ -186,8 +184,7 @@
       last = reply
     }
     this.#provenPeer = null
-    this.#relayPausedUntil = performance.now() + this.#relayPause
-    this.#relayPause = Math.min(this.#relayPause * 2, maximumRelayPauseMilliseconds)
+    this.#relayPauses.begin(pauseKey, performance.now())
     return last
   }
 
--- a/packages/gateway/src/store/store-access.ts
+++ b/packages/gateway/src/store/store-access.ts
@@ -4,6 +4,8 @@
 const initialProbeMilliseconds = 100
 /** Upper bound of that delay: the store may be away for seconds, and each call to it has a cost. */
 const maximumProbeMilliseconds = 800
+/** Time after a due probe after which a refusal is forgotten, as nothing calls the partition, and for which others that are served show a partial outage. */
+const evidenceMilliseconds = 2 * maximumProbeMilliseconds
 /** Partitions that refuse calls, with none served meanwhile, from which on the store counts as away for this instance. */
 const refusedPartitions = 2
 
@@ -33,8 +35,8 @@
   #outages = 0
   /** Number of refusals that were noted. */
   #refusals = 0
-  /** Whether others have been served since partitions refuse calls, so that each of these is judged by itself. */
-  #isPartial = false
+  /** Latest time at which a partition was served while another one refused calls. */
+  #partialAt = -Infinity
 
   /** Whether the store is away as a whole, as far as this instance can tell. */
   get isAway (): boolean {
@@ -48,6 +50,7 @@
 
   /** Whether a call should be made directly; if the store was known to refuse it, another one is tried only later. */
   shouldCall (partition: string, now: number): boolean {
+    this.#forgetUnused(now)
     const probe = this.#outage ?? this.#refused.get(partition)
     if (probe === undefined) {
       return true
@@ -76,41 +79,66 @@
     if (mark.outage !== outage || mark.partition !== change) {
       return false
     }
-    if (isServed !== this.isRefused(partition)) {
-      // A call that waited at the store may be served although others have been refused meanwhile.
-      this.#isPartial ||= isServed && this.#refused.size > 0 && mark.refusals === refusals
-      return false
-    }
-    this.#changes.set(partition, change + 1)
+    this.#forgetUnused(now)
+    const wasRefused = this.isRefused(partition)
     if (isServed) {
-      this.#serve(partition, now)
+      // A call that waited at the store may be served although others have been refused meanwhile.
+      this.#serve(partition, mark.refusals === refusals, now)
     } else {
       this.#refuse(partition, isWhole, now)
     }
+    if (wasRefused === this.isRefused(partition)) {
+      return false
+    }
+    this.#changes.set(partition, change + 1)
     return true
   }
 
-  #serve (partition: string, now: number): void {
-    this.#refused.delete(partition)
-    this.#isPartial = this.#refused.size > 0
+  #serve (partition: string, isRecent: boolean, now: number): void {
     if (this.#outage !== null) {
+      // What refused calls may be back as well. If not, it was an outage of some partitions.
       this.#outage = null
       this.#outages += 1
-      // The end of an outage is that of all refusals, unless they go on.
-      this.#refused.forEach(probe => { Object.assign(probe, firstProbe(now)).nextAt = now })
+      this.#refused.clear()
+      this.#partialAt = now
+      return
+    }
+    this.#refused.delete(partition)
+    if (isRecent && this.#refused.size > 0) {
+      this.#partialAt = now
     }
   }
 
   #refuse (partition: string, isWhole: boolean, now: number): void {
     this.#refusals += 1
-    this.#refused.set(partition, firstProbe(now))
-    if (isWhole || (!this.#isPartial && this.#refused.size >= refusedPartitions)) {
-      this.#outage = firstProbe(now)
-      this.#outages += 1
+    if (!this.#refused.has(partition)) {
+      this.#refused.set(partition, probeAt(now + initialProbeMilliseconds))
+    }
+    if (this.#outage !== null) {
+      return
+    }
+    if (isWhole) {
+      this.#beginOutage(now + initialProbeMilliseconds)
+    } else if (this.#refused.size >= refusedPartitions && now - this.#partialAt > evidenceMilliseconds) {
+      // Calls that began together may have been served as well: the next one, of any partition, shows it.
+      this.#beginOutage(now)
+    }
+  }
+
+  #beginOutage (probedAt: number): void {
+    this.#outage = probeAt(probedAt)
+    this.#outages += 1
+  }
+
+  #forgetUnused (now: number): void {
+    for (const [partition, { nextAt }] of this.#refused) {
+      if (now - nextAt > evidenceMilliseconds) {
+        this.#refused.delete(partition)
+      }
     }
   }
 }
 
-function firstProbe (now: number): Probe {
-  return { nextAt: now + initialProbeMilliseconds, delay: initialProbeMilliseconds }
+function probeAt (nextAt: number): Probe {
+  return { nextAt, delay: initialProbeMilliseconds }
 }
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -113,6 +113,17 @@
     assert.equal(await read(connection), '200 relayed')
   })
 
+  it('relays calls of a partition again that the store has refused once, though it does not call that itself', async () => {
+    const connection = new RelayingStoreConnection(new PreparedConnection([refused, served]), { peers: () => [], logger: createTestLogger(), partitionOf: path => path })
+    const relay = async (path: string): Promise<number> => {
+      const reply = await connection.callForPeer('GET', path, null, 500)
+      return reply.answered ? reply.status : 0
+    }
+    assert.deepEqual([await relay('/a'), await relay('/b'), await relay('/a')], [503, 200, 0])
+    await sleep(150)
+    assert.equal(await relay('/a'), 200)
+  })
+
   it('calls the store directly while it knows no peer', async () => {
     const connection = connect([refused, refused, served], false)
     assert.equal(await read(connection), '503 ')
