--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -222,9 +222,10 @@
     if (configuration.version <= current) {
       return
     }
-    const left = this.#routes === null ? [] : this.#serviceHistory.replace(this.#routes.configuration, configuration, Date.now())
-    this.#routes = new RouteTable(configuration)
-    left.forEach(service => { this.#streamOrigins.copyAll(service) })
+    const routes = new RouteTable(configuration)
+    const left = this.#routes === null ? new Set<string>() : this.#serviceHistory.replace(this.#routes, routes, Date.now())
+    this.#routes = routes
+    this.#streamOrigins.copyAll(left)
     this.#areRoutesComplete = isComplete
     this.metrics.routesVersion.set(configuration.version)
     this.options.logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length })
@@ -256,7 +257,7 @@
       rejectRequest(response, Status.ServiceUnavailable, 'not run: no configuration yet', unreadyRetryMilliseconds)
       return null
     }
-    const path = pathOf(request)
+    const path = pathOf(request.url)
     const route = this.#routes.find(request.headers.host ?? '', path)
     if (route === null) {
       const { version } = this.#routes.configuration
@@ -284,6 +285,13 @@
     }
   }
 
+  /** Whether a client that takes a stream of the service up on a path can only get to this service. */
+  #isSoleService (route: Route, path: string, service: string): boolean {
+    const current = this.#routes?.find(route.host, path) ?? route
+    const services = this.#serviceHistory.servicesOf(current, path, Date.now())
+    return services.size === 1 && services.has(service)
+  }
+
   /** Serves an online request to its final response. */
   async serve (request: IncomingMessage, response: ServerResponse, route: Route): Promise<void> {
     const arrivedAt = Date.now()
@@ -292,17 +300,18 @@
       return
     }
     const { names } = this.options
-    const services = this.#serviceHistory.servicesOf(route, pathOf(request), arrivedAt)
-    const takesUp = takesUpStream(request, route)
-    const origin = takesUp ? await this.#streamOrigins.find(attemptResumedBy(request, names), services) : null
-    const service = origin?.service ?? (takesUp && services.size > 1 ? null : pickService(route.services, Math.random()))
+    const attempt = takesUpStream(request, route) ? attemptResumedBy(request, names) : ''
+    const services = attempt === '' ? null : this.#serviceHistory.servicesOf(route, pathOf(request.url), arrivedAt)
+    const origin = services === null ? null : await this.#streamOrigins.find(attempt, services)
+    const isUnknown = services !== null && services.size > 1 && origin === null
+    const service = origin?.service ?? (isUnknown ? null : pickService(route.services, Math.random()))
     if (service === null || !route.services.some(weighted => weighted.service === service)) {
-      const reason = service === null ? noServiceReason(services) : `the route has no service ${service} any more, which began the stream`
-      this.options.logger.info('refused', { request: request.headers[names.requestId] ?? null, route: route.name, reason, services: [...services] })
+      const reason = isUnknown ? 'it is not known which service began the stream' : service === null ? 'the route has no service' : `the route has no service ${service} any more, which began the stream`
+      this.options.logger.info('refused', { request: request.headers[names.requestId] ?? null, route: route.name, reason, resumes: attempt })
       rejectRequest(response, Status.ServiceUnavailable, `not run: ${reason}`, unreadyRetryMilliseconds)
       return
     }
-    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin, services.size === 1)
+    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin)
     await new OnlineRun(this.#onlineDependencies(), online, response).run()
   }
 
@@ -354,6 +363,7 @@
       slots: this.slots,
       connections: this.#connections,
       origins: this.#streamOrigins,
+      isSoleService: ({ route, path, service }) => this.#isSoleService(route, pathOf(path), service),
       drainAdmission: this.drainAdmission,
       ending: this.#ending.signal,
       names,
@@ -380,12 +390,7 @@
   return `${member.address}/${member.incarnation}`
 }
 
-/** Returns the path of a request without its query. */
-function pathOf ({ url = '/' }: IncomingMessage): string {
+/** Returns a path without its query. */
+function pathOf (url = '/'): string {
   return url.split('?', 1)[0] ?? url
 }
-
-/** Returns why no service is chosen for a request that may have begun at the given ones. */
-function noServiceReason (services: ReadonlySet<string>): string {
-  return services.size > 1 ? 'it is not known which service began the stream' : 'the route has no service'
-}
--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -20,8 +20,6 @@
   readonly route: Route
   /** Service of the route that was chosen for this request. */
   readonly service: string
-  /** Whether a stream that begins now, or is taken up, can only be one of this service. */
-  readonly isSoleService: boolean
   /** See {@link requestDigest}. */
   readonly digest: string
   /** Ids of the prompt parts that other requests may share, in order; used for prefix-cache affinity. */
@@ -61,7 +59,6 @@
  * Creates a request from the client's HTTP request. A malformed deadline counts as absent.
  *
  * @param origin origin of the stream that the client takes up, or null if it is unknown or there is none
- * @param isSoleService whether its path leads to this service only, and did so for as long as streams may be taken up
  */
 export function createOnlineRequest (
   request: IncomingMessage,
@@ -71,8 +68,7 @@
   names: HeaderNames,
   budgets: CallerBudgets,
   arrivedAt: number,
-  origin: StreamOrigin | null = null,
-  isSoleService = true
+  origin: StreamOrigin | null = null
 ): OnlineRequest {
   const timeout = nonNegativeNumberOf(request.headers[names.deadline])
   const budget = Math.min(timeout ?? Infinity, route.timeoutMilliseconds)
@@ -89,7 +85,6 @@
     body: body.length === 0 && request.headers['content-length'] === undefined ? null : body,
     route,
     service,
-    isSoleService,
     prefix: sharedPromptParts(firstValueOf(request.headers[names.promptPrefix])),
     resumes: attemptResumedBy(request, names),
     continues: takesUpStream(request, route) ? origin ?? unknownOrigin : null,
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -28,6 +28,8 @@
   readonly slots: SlotClient
   readonly connections: TargetConnections
   readonly origins: Pick<StreamOriginDirectory, 'record' | 'ask'>
+  /** Whether a client that takes up the stream of a request can only get to the service that began it. */
+  readonly isSoleService: (request: OnlineRequest) => boolean
   readonly drainAdmission: DrainAdmission
   /** Aborted shortly before the instance ends, so that requests get a final response where that is possible. */
   readonly ending: AbortSignal
@@ -202,7 +204,7 @@
     }
     const attempt = request.continues === null ? request.id : request.resumes
     if (attempt !== '') {
-      this.dependencies.origins.record(attempt, request.service, this.#origin, request.isSoleService)
+      this.dependencies.origins.record(attempt, request.service, this.#origin, this.dependencies.isSoleService(request))
     }
   }
 
--- a/packages/gateway/src/streams/stream-origin-directory.ts
+++ b/packages/gateway/src/streams/stream-origin-directory.ts
@@ -58,7 +58,7 @@
 
   constructor (private readonly dependencies: StreamOriginDirectoryDependencies) {
     const { versions, transport } = dependencies
-    versions.onMixed(service => { this.copyAll(service) })
+    versions.onMixed(service => { this.#copy(this.#own.ofServices(new Set([service]), Date.now()), true) })
     transport.onMessage((message, sender) => {
       switch (message.type) {
         case PeerMessageType.StreamOrigins:
@@ -82,8 +82,9 @@
     const now = Date.now()
     const origin = { service, softwareVersion, target, born }
     this.#own.add(attempt, origin, now, now)
-    if (!isSoleService || this.dependencies.versions.isMixed(service, now)) {
-      this.#copy([{ attempt, origin, age: 0 }])
+    const isMixed = this.dependencies.versions.isMixed(service, now)
+    if (isMixed || !isSoleService) {
+      this.#copy([{ attempt, origin, age: 0 }], isMixed)
     }
   }
 
@@ -113,9 +114,11 @@
     return this.#known(attempt)
   }
 
-  /** Tells other processes where all streams of a service come from that began here and may be taken up. */
-  copyAll (service: string): void {
-    this.#copy(this.#own.ofService(service, Date.now()))
+  /** Tells other processes where all streams of some services come from that began here and may be taken up. */
+  copyAll (services: ReadonlySet<string>): void {
+    if (services.size > 0) {
+      this.#copy(this.#own.ofServices(services, Date.now()), false)
+    }
   }
 
   async #askProcesses (attempt: string): Promise<KnownOrigin | null> {
@@ -173,11 +176,14 @@
     }
   }
 
-  #copy (entries: StreamOriginsMessage['entries']): void {
+  /** @param isLogged whether the copies are to outlast the loss of all processes, which costs writes */
+  #copy (entries: StreamOriginsMessage['entries'], isLogged: boolean): void {
     const byKeeper = new Map<string, Array<StreamOriginsMessage['entries'][number]>>()
     const ready = this.dependencies.membership.ready()
-    const recorder = this.#recorder
-    this.#log(entries)
+    const recorder = isLogged ? this.#recorder : []
+    if (isLogged) {
+      this.#log(entries)
+    }
     for (const entry of entries) {
       for (const address of new Set([...this.#keepersOf(entry.attempt, ready, copies), ...recorder])) {
         const kept = byKeeper.get(address) ?? []
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -148,6 +148,7 @@
           slots: harness.#slots(),
           connections: harness.targetConnections,
           origins: { record: () => {}, ask: async () => null },
+          isSoleService: () => true,
           drainAdmission: harness.drainAdmission,
           ending: harness.ending.signal,
           names,
--- a/packages/policy/src/routes/route-table.ts
+++ b/packages/policy/src/routes/route-table.ts
@@ -1,4 +1,5 @@
 /** Selection of a route by host and longest path prefix. */
+import { PrefixMap } from './prefix-map.js'
 
 /** How requests of a route are run. */
 export const RouteKind = {
@@ -64,22 +65,21 @@
 
 /** Index of the routes of one version by host and path prefix. */
 export class RouteTable {
-  readonly #hosts = new Map<string, Route[]>()
+  /** Of several routes with the same host and prefix, the first. */
+  readonly #routes = new PrefixMap<Route>()
 
   constructor (readonly configuration: RouteConfiguration) {
     for (const route of configuration.routes) {
-      const routes = this.#hosts.get(route.host) ?? []
-      routes.push(route)
-      this.#hosts.set(route.host, routes)
-    }
-    for (const routes of this.#hosts.values()) {
-      routes.sort((left, right) => right.prefix.length - left.prefix.length)
+      if (!this.#routes.has(route.host, route.prefix)) {
+        this.#routes.set(route.host, route.prefix, route)
+      }
     }
   }
 
   /** Returns the route with the longest prefix of the path, or null if none matches. */
   find (host: string, path: string): Route | null {
-    return this.#hosts.get(host)?.find(route => path.startsWith(route.prefix)) ?? null
+    const [entry] = this.#routes.matching(host, path)
+    return entry?.value ?? null
   }
 
   /** Returns the route with the given name, or null if the version has none. */
--- a/packages/policy/src/streams/stream-origins.ts
+++ b/packages/policy/src/streams/stream-origins.ts
@@ -40,10 +40,10 @@
     return stored === undefined || isOld(stored, now) ? null : stored.origin
   }
 
-  /** Returns the attempts of a service, with the milliseconds since their first events. */
-  ofService (service: string, now: number): ReadonlyArray<{ readonly attempt: string, readonly origin: KnownOrigin, readonly age: number }> {
+  /** Returns the attempts of some services, with the milliseconds since their first events. */
+  ofServices (services: ReadonlySet<string>, now: number): ReadonlyArray<{ readonly attempt: string, readonly origin: KnownOrigin, readonly age: number }> {
     return [...this.#origins]
-      .filter(([, stored]) => stored.origin.service === service && !isOld(stored, now))
+      .filter(([, stored]) => services.has(stored.origin.service) && !isOld(stored, now))
       .map(([attempt, { origin, begunAt }]) => ({ attempt, origin, age: Math.max(0, now - begunAt) }))
   }
 
