Report no finished answer later than 0.2 s, and end a question in time that is answered with comments

Change: after 0.2 s the outcome says nothing of the first answer. The question ends with the first event, also behind a take-up.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -296,7 +296,7 @@
         if (this.#relay.relayedBytes > relayedBytes) {
           silenceWatch.onProgress()
           this.#lastProgressAt = Date.now()
-          if (this.#relay.lastId !== resumeAfter) {
+          if ((this.#relay.lastId ?? request.lastEventId) !== resumeAfter) {
             this.#endQuestion()
           }
           this.#recordOrigin(target)
--- a/packages/gateway/src/permits/shared-slot.ts
+++ b/packages/gateway/src/permits/shared-slot.ts
@@ -7,9 +7,19 @@
 /** Outcomes that tell that the target is no longer there. */
 const absences: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced])
 
+/** Time from the end of an answer to its report, after which a crash reported meanwhile would seem to have come before the answer; the owner allows 300 ms, the way included. */
+const maximumReportDelayMilliseconds = 200
+
 /** Returns a slot for the second call, whose release reports the outcome of both. */
 export function slotForSecondCall (slot: Slot, firstOutcome: SlotOutcome): Slot {
-  return { ...slot, release: outcome => { slot.release(outcomeOfBoth(firstOutcome, outcome)) } }
+  const endedAt = performance.now()
+  return {
+    ...slot,
+    release: outcome => {
+      const isLate = performance.now() - endedAt > maximumReportDelayMilliseconds
+      slot.release(outcomeOfBoth(isLate && firstOutcome === SlotOutcome.Finished ? SlotOutcome.Stopped : firstOutcome, outcome))
+    }
+  }
 }
 
 /** Returns the outcome to report: a finished answer shows that the target does not crash under the prompt, however the other call ended. */
