Repeat the trials of items that were displaced or stopped

Cause: the trial of a request in quarantine whose slot the owner revokes for an online request, or whose run stops, counted like a crash: the next one came after 8 s, the one after that 64 s later. An answer that a living target broke off did too. Change: such a trial is followed by the next after a second, counted so that three at most reach targets in the ten minutes after the users' bound; batch work that is a trial is displaced last for a second. The fourth period is 600 s in place of 512: at an arrival every four seconds four trials came within ten minutes (interrupted-items.test.ts fails so on, as do the two tests of repeated trials and that of the choice of the slot to revoke).

--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -90,11 +90,10 @@
 const unreportedCrashes = 1
 /** Time within which interrupted requests on one target count as the same crash: less than a target needs to start again. */
 const sameCrashMilliseconds = 1_000
-/** First quarantine period: the time for which requests are held back by mistake if the crashes had another cause. */
-const firstPeriodMilliseconds = 1_000
-/** Multiple of the former period. */
-const periodFactor = 8
-const maximumPeriodMilliseconds = 3_600_000
+/** Quarantine periods; the last one holds for all that follow. The first is the time for which requests are held back by mistake if the crashes had another cause. */
+const periodsMilliseconds = [1_000, 8_000, 64_000, 600_000, 3_600_000] as const
+/** Time from the third crash until which a trial does not count towards the users' bound. */
+const uncountedMilliseconds = 2_500
 /** Time before a request is tried again if the last trial did not reach a target. */
 const trialRetryMilliseconds = 1_000
 /** Trials of a quarantine that are repeated so. */
@@ -132,12 +131,16 @@
   /** Crashes since the last complete answer. */
   crashes: number
   firstCrashAt: number
+  /** Time of the crash after which a request is in quarantine, in milliseconds since the epoch; Infinity before. */
+  limitReachedAt: number
   /** The latest of these crashes, as far as they were reported to this process. */
   readonly counted: CountedCrash[]
   /** Whether an answer with this content was complete before the first crash, or of a part that is not in quarantine since then. */
   isProven: boolean
   /** Quarantine periods so far; 0 if the content is not in quarantine. */
   periods: number
+  /** Number of trials that count towards the users' bound. */
+  countedTrials: number
   /** Time from which a request with the quarantined content may be tried, in milliseconds since the epoch. */
   until: number
   /** Trials that were repeated because they did not reach a target. */
@@ -223,6 +226,7 @@
         this.#endObservation(digest, suspicion, TrialEnd.Superseded)
         suspicion.observed = { permit, since: now, isTrial }
         if (isTrial) {
+          suspicion.countedTrials += now - suspicion.limitReachedAt <= uncountedMilliseconds ? 0 : 1
           // The next period begins with the trial, so that no other process tries the content meanwhile.
           this.#setPeriod(digest, suspicion, suspicion.periods + 1, now)
         }
@@ -235,8 +239,9 @@
    *
    * @param mayHaveRun whether it may have reached its target
    * @param isInterrupted whether its target broke the answer off, as far as is known
+   * @param isWithdrawn whether it was stopped to make room for another one, or because the process that ran it no longer does
    */
-  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean, isInterrupted = true): void {
+  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean, isInterrupted = true, isWithdrawn = false): void {
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion?.observed?.permit === permit) {
@@ -246,7 +251,7 @@
         if (isTrial && suspicion.periods > 1 && !mayHaveRun && suspicion.trialRetries < maximumTrialRetries) {
           suspicion.trialRetries += 1
           this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
-        } else if (isTrial && mayHaveRun && !isInterrupted && digest !== content.digest) {
+        } else if (isTrial && mayHaveRun && !isInterrupted && (isWithdrawn || digest !== content.digest)) {
           this.#shortenPeriod(digest, suspicion, now)
         }
       }
@@ -294,6 +299,11 @@
     }
   }
 
+  /** Whether a request with this permit was the last one to be tried of what is in quarantine. */
+  isTrial (permit: string): boolean {
+    return [...this.#suspicions.values()].some(({ observed }) => observed?.permit === permit && observed.isTrial)
+  }
+
   /** Records that a request was answered completely. */
   onCompleted (content: RequestContent): void {
     this.rememberAnswered(content)
@@ -317,7 +327,7 @@
       }
       if (!isExplained) {
         const suspicion = known ?? this.#suspect(digest, digest === report.digest, now)
-        this.#countCrash(digest, suspicion, permit, report.target, now)
+        this.#countCrash(digest, suspicion, permit, report, now)
         isExplained = suspicion.periods > 0
       }
     }
@@ -383,6 +393,10 @@
     const suspicion = known ?? this.#suspect(digest, crashes > 0, now)
     Object.assign(suspicion, { version, periods, until: periods === 0 ? 0 : now + Math.min(remaining, periodOf(periods)) })
     suspicion.crashes = Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
+    if (periods > 0) {
+      suspicion.limitReachedAt = -Infinity
+      suspicion.countedTrials = Math.max(suspicion.countedTrials, periods - 1)
+    }
   }
 
   #endObservation (digest: string, suspicion: Suspicion, end: TrialEnd): void {
@@ -435,9 +449,11 @@
       isRequest,
       crashes: 0,
       firstCrashAt: now,
+      limitReachedAt: Infinity,
       counted: [],
       isProven: (isRequest ? this.#provenRequests : this.#provenParts).has(digest),
       periods: 0,
+      countedTrials: 0,
       until: 0,
       trialRetries: 0,
       version: this.#clearedVersions.get(digest) ?? 0,
@@ -456,13 +472,16 @@
     }
   }
 
-  #countCrash (digest: string, suspicion: Suspicion, permit: string, target: string, now: number): void {
+  #countCrash (digest: string, suspicion: Suspicion, permit: string, { target }: CrashReport, now: number): void {
     const same = suspicion.counted.find(crash => isSameCrash(crash, target, now))
     if (same !== undefined) {
       same.permits.add(permit)
       return
     }
     suspicion.crashes += 1
+    if (suspicion.crashes === crashesToQuarantine) {
+      suspicion.limitReachedAt = now
+    }
     suspicion.counted.push({ target, at: now, permits: new Set([permit]) })
     if (suspicion.counted.length > maximumCountedCrashes) {
       suspicion.counted.shift()
@@ -479,11 +498,11 @@
     }
   }
 
-  /** Brings the next trial of a part forward after one whose end tells of no crash. */
+  /** Brings the next trial forward after one whose end tells of no crash. */
   #shortenPeriod (digest: string, suspicion: Suspicion, now: number): void {
-    const { periods, until } = suspicion
+    const { isRequest, periods, countedTrials, until } = suspicion
     // The period that began with the first trial is the second one.
-    const milliseconds = stoppedTrialMilliseconds[periods - 2] ?? stoppedTrialMilliseconds[3]
+    const milliseconds = stoppedTrialMilliseconds[isRequest ? countedTrials : periods - 2] ?? stoppedTrialMilliseconds[3]
     if (now + milliseconds < until) {
       this.#setPeriod(digest, suspicion, periods, now, milliseconds)
     }
@@ -611,5 +630,5 @@
 
 /** Returns the length of a quarantine period, in milliseconds; periods are numbered from 1. */
 function periodOf (period: number): number {
-  return Math.min(maximumPeriodMilliseconds, firstPeriodMilliseconds * periodFactor ** (period - 1))
+  return periodsMilliseconds[period - 1] ?? periodsMilliseconds[4]
 }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -40,6 +40,8 @@
 const fruitlessMilliseconds = 250
 /** Makes such an item the last choice for preemption; in milliseconds of remaining work, more than any item has. */
 const fruitlessPenalty = 1_000_000
+/** Time from a grant within which the trial of an item has probably not shown yet whether targets crash under it. */
+const trialMilliseconds = 1_000
 /** Makes an item on a target with a rate limit the choice after those on others. */
 const limitedPenalty = 500_000
 const millisecondsPerSecond = 1_000
@@ -80,9 +82,6 @@
 /** Outcomes that say that the request has not run. */
 const outcomesWithoutRun: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Unreachable, SlotOutcome.Replaced, SlotOutcome.Full])
 
-/** Outcomes that say that the answer was broken off. */
-const interruptions: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Broken, SlotOutcome.Crashed])
-
 /** Outcomes that say that the target has answered. */
 const answerOutcomes: ReadonlySet<SlotOutcome> = new Set([SlotOutcome.Finished, SlotOutcome.Unsuccessful, SlotOutcome.Failed])
 
@@ -373,6 +372,16 @@
    * it has received nothing, and then the one that has come furthest, since it soon frees its slot by itself.
    */
   #selectVictim (request: SlotRequest): GrantedSlot | null {
+    const victim = this.#selectVictimOf(request, slot => !this.#isOpenTrial(slot))
+    return victim === null && this.quarantine.isActive ? this.#selectVictimOf(request, () => true) : victim
+  }
+
+  /** Whether an item is the trial of what is in quarantine, and has probably not shown anything yet. */
+  #isOpenTrial ({ permit, grantedAt }: GrantedSlot): boolean {
+    return this.#now - grantedAt < trialMilliseconds && this.quarantine.isTrial(permit)
+  }
+
+  #selectVictimOf (request: SlotRequest, isCandidate: (slot: GrantedSlot) => boolean): GrantedSlot | null {
     const now = this.#now
     return this.#slots.preemptible.select(
       versionOf(request),
@@ -380,7 +389,7 @@
       slot => {
         const target = this.#slots.target(slot.target)
         // A slot that is freed is no new allowance of a target with a rate limit, which isUsable checks.
-        if (target === undefined || target.online >= target.slots || !this.#isUsable(target, request, TargetAvailability.Available)) {
+        if (target === undefined || !isCandidate(slot) || target.online >= target.slots || !this.#isUsable(target, request, TargetAvailability.Available)) {
           return null
         }
         const held = now - slot.grantedAt
@@ -624,7 +633,9 @@
     } else if (outcome === SlotOutcome.NotRun) {
       this.quarantine.onNotRun(held.permit, contentOf(held), now)
     } else {
-      this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome), interruptions.has(outcome))
+      // What its holder stopped for its own reasons, or a target that lives broke off, shows nothing of the content.
+      const isWithdrawn = outcome === SlotOutcome.Broken || (held.workClass === WorkClass.Batch && outcome === SlotOutcome.Stopped)
+      this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome), outcome === SlotOutcome.Crashed, isWithdrawn)
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
     if (answerOutcomes.has(outcome)) {
--- /dev/null
+++ b/packages/policy/tests/fleet/interrupted-items.test.ts
@@ -0,0 +1,147 @@
+/** Tests that items which are interrupted for another reason than their content are not held back for long, without a network or a clock. */
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { WorkClass } from '@arbutusloft/protocol'
+import { CrashQuarantine, DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, QuarantineAdmission, SlotOutcome } from '../../src/index.js'
+import type { RequestContent, SlotDecision, SlotRequest } from '../../src/index.js'
+
+const digest = 'item'
+const parts = ['subject']
+const item: RequestContent = { parts, digest }
+/** Milliseconds after which the users' bound on retries applies. */
+const contactMilliseconds = 3_000
+const maximumLaterArrivals = 3
+
+function isHeldBack (quarantine: CrashQuarantine, now: number, content = item): boolean {
+  return quarantine.decide(content, now).admission === QuarantineAdmission.Quarantined
+}
+
+/** An owner of slots that an item asks for. */
+class ItemOwner {
+  readonly quarantine = new CrashQuarantine()
+  readonly #fleet: FleetAdmission
+  readonly #targets = new Map<string, string>()
+  readonly #revoked = new Set<string>()
+  readonly #crashed: string[] = []
+
+  constructor (targets = 6, slots = 1) {
+    this.#fleet = new FleetAdmission({ ...defaultFleetAdmissionOptions, headroom: 0 }, this.quarantine)
+    this.#fleet.setTargets(Array.from({ length: targets }, (_, index) => ({ id: `t${index}`, address: `t${index}:1`, zone: 'a', slots, born: 1, softwareVersion: 'v1', leaving: false, accepting: true })), 0)
+  }
+
+  /** Returns whether a slot is granted. */
+  requestItem (permit: string, now: number, content = item): boolean {
+    const excluded = permit.startsWith('other') ? [] : this.#crashed
+    return this.#request({ permit, workClass: WorkClass.Batch, prefix: content.parts, digest: content.digest, due: now + 18_000, excluded }, now)
+  }
+
+  requestOnline (permit: string, now: number): boolean {
+    return this.#request({ permit, workClass: WorkClass.Online, prefix: [], digest: permit, due: 0, excluded: [] }, now)
+  }
+
+  isGranted (permit: string): boolean {
+    return this.#targets.has(permit)
+  }
+
+  isRevoked (permit: string): boolean {
+    return this.#revoked.has(permit)
+  }
+
+  crash (permit: string, now: number, content = item): void {
+    const target = this.#targets.get(permit)
+    assert.ok(target !== undefined, `${permit} was not granted`)
+    this.#crashed.push(target)
+    this.#apply(this.#fleet.release(permit, SlotOutcome.Crashed, now, { target, ...content }))
+  }
+
+  end (permit: string, outcome: SlotOutcome, now: number): void {
+    assert.ok(this.isGranted(permit), `${permit} was not granted`)
+    this.#apply(this.#fleet.release(permit, outcome, now))
+  }
+
+  /** Lets three targets crash under the item; returns the time at which its first trial is due. */
+  holdItemBack (): number {
+    for (const number of [0, 1, 2]) {
+      assert.ok(this.requestItem(`first-${number}`, number * 100))
+      this.crash(`first-${number}`, number * 100 + 50)
+    }
+    assert.ok(isHeldBack(this.quarantine, 300))
+    // The trial is left for a second to holders that have not failed.
+    return 2_300
+  }
+
+  #request (request: Pick<SlotRequest, 'permit' | 'workClass' | 'prefix' | 'digest' | 'due' | 'excluded'>, now: number): boolean {
+    this.#apply(this.#fleet.request({ ...request, holder: 'h', zone: 'a', continues: null, patience: 10_000, spent: 0, latestReturn: 500, ran: 0, sinceStart: 0 }, now))
+    return this.isGranted(request.permit)
+  }
+
+  #apply (decisions: readonly SlotDecision[]): void {
+    for (const decision of decisions) {
+      if (decision.kind === DecisionKind.Grant) {
+        this.#targets.set(decision.permit, decision.target)
+      } else if (decision.kind === DecisionKind.Revoke) {
+        this.#revoked.add(decision.permit)
+      }
+    }
+  }
+}
+
+describe('the trial of an item', () => {
+  it('is repeated within a second and a half if its slot was revoked for an online request', () => {
+    const owner = new ItemOwner(6, 1)
+    const due = owner.holdItemBack()
+    assert.ok(owner.requestItem('trial', due))
+    for (let number = 0; !owner.isRevoked('trial'); number += 1) {
+      assert.ok(owner.requestOnline(`online-${number}`, due + 100), 'an online request waits behind a batch item')
+    }
+    owner.end('trial', SlotOutcome.Stopped, due + 110)
+    assert.ok(!isHeldBack(owner.quarantine, due + 1_500))
+  })
+
+  it('is repeated within a second and a half if its run was stopped', () => {
+    const owner = new ItemOwner()
+    const due = owner.holdItemBack()
+    assert.ok(owner.requestItem('trial', due))
+    owner.end('trial', SlotOutcome.Stopped, due + 100)
+    assert.ok(!isHeldBack(owner.quarantine, due + 1_500))
+  })
+
+  it('is the last batch run whose slot is revoked', () => {
+    const owner = new ItemOwner(9, 1)
+    const due = owner.holdItemBack()
+    for (let number = 0; number < 8; number += 1) {
+      assert.ok(owner.requestItem(`other-${number}`, due - 500, { parts: [], digest: `other-${number}` }))
+    }
+    assert.ok(owner.requestItem('trial', due))
+    for (let number = 0; number < 5; number += 1) {
+      assert.ok(owner.requestOnline(`online-${number}`, due + 400 + number))
+    }
+    assert.ok(!owner.isRevoked('trial'))
+  })
+})
+
+describe('trials of an item that are stopped or crash targets', () => {
+  for (const interval of [10, 700, 4_000, 20_000]) {
+    it(`reach targets three times at most in the ten minutes after the bound if it asks every ${interval} ms`, () => {
+      for (let pattern = 0; pattern < 32; pattern += 1) {
+        const quarantine = new CrashQuarantine()
+        const arrivals: number[] = []
+        for (let now = 0; now < 660_000; now += interval) {
+          if (quarantine.decide(item, now).admission !== QuarantineAdmission.Admitted) {
+            continue
+          }
+          const run = arrivals.push(now)
+          const crashes = run <= 3 || (pattern >> (run - 4)) % 2 === 1
+          quarantine.onDispatched(`p${now}`, item, now)
+          quarantine.onEnded(`p${now}`, item, now + 5, true, crashes, !crashes)
+          if (crashes) {
+            quarantine.onCrashed(`p${now}`, { target: `t${now}`, ...item }, now + 5)
+          }
+        }
+        const third = arrivals[2] ?? Infinity
+        const later = arrivals.filter(at => at > third + contactMilliseconds && at <= third + contactMilliseconds + 600_000)
+        assert.ok(later.length <= maximumLaterArrivals, `${later.length} later arrivals with ${pattern}: ${arrivals.join()}`)
+      }
+    })
+  }
+})
