End a quarantine once an answer has gone well for 300 ms

Cause: only a complete answer cleared a request. An item runs for seconds, so that one which was displaced or interrupted again and again was never cleared, and the other items of its job waited for the whole answer of one trial. Targets crash under such content as they begin to answer; an end 300 ms after the first data counts as no crash by the present rule. Change: a success that has brought data for 300 ms clears its request and parts, when its slot is released and, for what is in quarantine, at once by a message (builds before ignore both). Silence does not count.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -8,6 +8,7 @@
 import type { AcquireResult, Slot, SlotDemand } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
 import { requestDigest } from '../quarantine/request-digest.js'
+import { AnswerProgress } from '../targets/answer-progress.js'
 import { failedStatus, unresponsiveReason } from '../targets/call-outcome.js'
 import type { ResponseHead } from '../targets/response-parser.js'
 import { releaseSlot } from '../targets/slot-release.js'
@@ -279,7 +280,7 @@
     const resumedAfter = this.#output.lastId
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
-    let firstDataAt: number | null = null
+    const progress = new AnswerProgress(() => { slot.markSound() })
     const call = callTarget(this.dependencies.connections, target, {
       id: this.item.id,
       method: itemMethod,
@@ -300,7 +301,7 @@
         }
       },
       onData: chunk => {
-        firstDataAt ??= Date.now()
+        progress.onData(this.#status)
         if (this.#output.push(chunk)) {
           this.#writer = target
           eventAt = Date.now()
@@ -348,10 +349,11 @@
     this.#stop.signal.removeEventListener('abort', onStop)
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
+    const endedCall = { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound }, endedAt: Date.now() }
     if (stopped) {
-      slot.release(call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped)
+      slot.release(call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped, endedCall.evidence)
     } else {
-      void releaseSlot(slot, call, { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }, this.dependencies.connections)
+      void releaseSlot(slot, call, endedCall, this.dependencies.connections)
     }
     this.dependencies.logger.info('item run ended', { job: this.job.id, item: this.item.id, target: target.id, version: target.softwareVersion, via: call.via, after: resumedAfter, end: outcome, reason, status: this.#status, events: this.#output.events, took: Date.now() - sentAt, ...(outcome === CallOutcome.Disconnected ? { digest: this.#digest, parts: this.#parts.map(promptPartDigest) } : {}) })
     return await this.#onCallEnd(outcome, target, stopped, resumedAfter)
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -10,6 +10,7 @@
 import type { SlotClient } from '../permits/slot-client.js'
 import type { StreamOriginDirectory } from '../streams/stream-origin-directory.js'
 import { callTarget, CallOutcome } from '../targets/target-call.js'
+import { AnswerProgress } from '../targets/answer-progress.js'
 import { failedStatus, slotOutcomeOf, unresponsiveReason } from '../targets/call-outcome.js'
 import { releaseSlot } from '../targets/slot-release.js'
 import type { TargetConnections } from '../targets/target-connections.js'
@@ -258,7 +259,7 @@
       headers.push('Last-Event-Id', eventId)
     }
     const sentAt = Date.now()
-    let firstDataAt: number | null = null
+    const progress = new AnswerProgress(() => { slot.markSound() })
     let status: number | null = null
     let isDiscarded = false
     const call = callTarget(dependencies.connections, target, {
@@ -290,7 +291,7 @@
         this.#relay.onHead(head, request.route.resumable ? resumeAfter : null)
       },
       onData: chunk => {
-        firstDataAt ??= Date.now()
+        progress.onData(status)
         const { relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
         if (this.#relay.relayedBytes > relayedBytes) {
@@ -332,14 +333,14 @@
     silenceWatch.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
-    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt, endedAt: Date.now() }
+    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound }, endedAt: Date.now() }
     const hasQuestion = outcome === CallOutcome.EndUnknown && !isDiscarded && this.#beginQuestion()
     if (hasQuestion && this.#nextSlot === null && dependencies.slots.canRunAgain(slot)) {
       // A new slot would be taken from the requests that wait for one.
       this.#nextSlot = slotForSecondCall(slot, slotOutcomeOf(endedCall))
     } else if (this.#abort.signal.aborted) {
       const stopped = call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped
-      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : stopped)
+      slot.release(silenceWatch.isSilent && call.via === null && this.#question === null ? SlotOutcome.Unreachable : stopped, endedCall.evidence)
     } else {
       released = releaseSlot(slot, call, endedCall, dependencies.connections)
     }
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { CrashReport, RequestContent, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -26,7 +26,8 @@
   OriginAnswer: 'm',
   VersionQuery: 'b',
   VersionAnswer: 'd',
-  RateLimits: 'f'
+  RateLimits: 'f',
+  SlotSound: 's'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -143,6 +144,15 @@
   readonly isNotRun?: boolean
   /** The request that the target crashed under; left out if it has not crashed. */
   readonly crash?: Omit<CrashReport, 'digest'> & Partial<Pick<CrashReport, 'digest'>>
+  /** The request, if its incomplete answer has shown that the target does not crash under it; left out by earlier builds. */
+  readonly sound?: RequestContent
+}
+
+/** Tells that a target does not crash under a request, whose answer goes on. Builds before ignore it. */
+export interface SlotSoundMessage {
+  readonly type: typeof PeerMessageType.SlotSound
+  readonly service: string
+  readonly sound: RequestContent
 }
 
 /** Reports all slots of a service that the sender holds. */
@@ -233,6 +243,7 @@
   | SlotRevocationMessage
   | SlotWithdrawalMessage
   | SlotReleaseMessage
+  | SlotSoundMessage
   | SlotReportMessage
   | TargetLeavingMessage
   | RateLimitsMessage
@@ -251,7 +262,7 @@
 ])
 const slotTypes: ReadonlySet<unknown> = new Set([
   PeerMessageType.SlotRequest, PeerMessageType.SlotQueued, PeerMessageType.SlotGrant, PeerMessageType.SlotRejection, PeerMessageType.SlotRevocation,
-  PeerMessageType.SlotWithdrawal, PeerMessageType.SlotRelease, PeerMessageType.SlotReport, PeerMessageType.TargetLeaving, PeerMessageType.RateLimits
+  PeerMessageType.SlotWithdrawal, PeerMessageType.SlotRelease, PeerMessageType.SlotSound, PeerMessageType.SlotReport, PeerMessageType.TargetLeaving, PeerMessageType.RateLimits
 ])
 
 /** Checks that a decoded datagram has a message type that this version knows; only messages about members have their fields checked as well. */
--- a/packages/gateway/src/permits/shared-slot.ts
+++ b/packages/gateway/src/permits/shared-slot.ts
@@ -15,9 +15,9 @@
   const endedAt = performance.now()
   return {
     ...slot,
-    release: outcome => {
+    release: (outcome, evidence) => {
       const isLate = performance.now() - endedAt > maximumReportDelayMilliseconds
-      slot.release(outcomeOfBoth(isLate && firstOutcome === SlotOutcome.Finished ? SlotOutcome.Stopped : firstOutcome, outcome))
+      slot.release(outcomeOfBoth(isLate && firstOutcome === SlotOutcome.Finished ? SlotOutcome.Stopped : firstOutcome, outcome), evidence)
     }
   }
 }
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -4,7 +4,7 @@
  * that were granted, reports them periodically and releases them.
  */
 import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision, VersionHistory } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, CrashQuarantine, RequestContent, SlotDecision, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -16,7 +16,7 @@
 import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import { RateLimitSharing } from './rate-limit-sharing.js'
-import type { AcquireResult, Slot, SlotDemand } from './slot.js'
+import type { AcquireResult, AnswerEvidence, Slot, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 import type { ObservedRateLimitChange } from './slot-owner.js'
 
@@ -402,7 +402,10 @@
         this.#owner.withdraw(message.service, message.permit)
         return
       case PeerMessageType.SlotRelease:
-        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash }, sender)
+        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash }, sender, message.sound ?? null)
+        return
+      case PeerMessageType.SlotSound:
+        this.#owner.onSound(message.service, message.sound)
         return
       case PeerMessageType.SlotReport:
         this.#owner.report(message.service, sender, message.held)
@@ -582,7 +585,7 @@
     const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
-    const release = (outcome: SlotOutcome): void => { this.#release(held, outcome) }
+    const release = (outcome: SlotOutcome, evidence?: AnswerEvidence): void => { this.#release(held, outcome, evidence) }
     const recordRateLimit = (requestsPerSecond: number | null, sentAt: number): void => {
       const report = { service, target: target.id, born: target.born, requestsPerSecond, sentAgo: Math.max(0, Date.now() - sentAt), heardAgo: 0 }
       this.#rateLimitSharing.onAnswer(report, permit, grantedLimit ?? null, [...this.#grantersOf(service), owner])
@@ -590,7 +593,9 @@
         this.#holderPacing.onTold(owner, target.id, target.born, Date.now())
       }
     }
-    pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving: () => { this.#markLeaving(service, target) }, recordRateLimit, release } })
+    const markLeaving = (): void => { this.#markLeaving(service, target) }
+    const markSound = (): void => { this.#markSound(held) }
+    pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving, recordRateLimit, markSound, release } })
   }
 
   #onRejection (permit: string, reason: RefusalReason, retryAfter: number): void {
@@ -608,23 +613,37 @@
     pending.settle({ granted: false, reason, retryAfter })
   }
 
-  #release (held: LocalSlot, outcome: SlotOutcome): void {
+  /** Tells the owner of the slot, if the content is in quarantine as far as is known here: all instances are told of a quarantine. */
+  #markSound ({ service, permit, prefix, digest, ownerAddress }: LocalSlot): void {
+    const sound = { parts: prefix, digest }
+    if (!this.#held.has(permit) || !this.quarantine.isQuarantined(sound)) {
+      return
+    }
+    if (ownerAddress === this.transport.address) {
+      this.#owner.onSound(service, sound)
+    } else {
+      this.transport.send(ownerAddress, { type: PeerMessageType.SlotSound, service, sound })
+    }
+  }
+
+  #release (held: LocalSlot, outcome: SlotOutcome, { isSound }: AnswerEvidence = { isSound: false }): void {
     if (this.#held.delete(held.permit)) {
       const { service, ownerAddress, permit, target, prefix, digest } = held
       const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest } : null
-      if (outcome === SlotOutcome.Finished) {
+      const sound = isSound && outcome !== SlotOutcome.Crashed ? { parts: prefix, digest } : null
+      if (outcome === SlotOutcome.Finished || sound !== null) {
         this.quarantine.rememberAnswered({ parts: prefix, digest })
       }
-      this.#sendRelease(service, ownerAddress, permit, outcome, crash)
+      this.#sendRelease(service, ownerAddress, permit, outcome, crash, sound)
     }
   }
 
-  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null): void {
+  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sound: RequestContent | null = null): void {
     if (owner === this.transport.address) {
-      this.#owner.release(service, permit, outcome, crash, owner)
+      this.#owner.release(service, permit, outcome, crash, owner, sound)
     } else {
       const end = outcome === SlotOutcome.NotRun ? { outcome: SlotOutcome.Stopped, isNotRun: true } : { outcome }
-      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, ...end, ...(crash === null ? {} : { crash }) })
+      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, ...end, ...(crash === null ? {} : { crash }), ...(sound === null ? {} : { sound }) })
     }
   }
 }
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -2,6 +2,12 @@
 import type { RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
 import type { TargetEndpoint } from '../targets/target-registry.js'
 
+/** What an answer that was not complete has shown, apart from the outcome of its request. */
+export interface AnswerEvidence {
+  /** Whether it went well for so long that its target does not crash under the request. */
+  readonly isSound: boolean
+}
+
 /** A slot that this process holds. */
 export interface Slot {
   /** Id of the permit under which the slot was granted. */
@@ -18,8 +24,10 @@
    * @param sentAt time at which the request was sent, in milliseconds since the epoch
    */
   recordRateLimit: (requestsPerSecond: number | null, sentAt: number) => void
+  /** Records that the answer, which goes on, has gone well for so long that the target does not crash under the request. */
+  markSound: () => void
   /** Releases the slot; calls after the first one do nothing. */
-  release: (outcome: SlotOutcome) => void
+  release: (outcome: SlotOutcome, evidence?: AnswerEvidence) => void
 }
 
 /** Result of a request for a slot. */
--- a/packages/gateway/src/targets/call-outcome.ts
+++ b/packages/gateway/src/targets/call-outcome.ts
@@ -1,5 +1,7 @@
 /** Maps the end of a target call to the slot outcome that is reported to the slot's owner. */
 import { SlotOutcome } from '@arbutusloft/policy'
+import type { AnswerEvidence } from '../permits/slot.js'
+import { isSuccess, soundAnswerMilliseconds } from './answer-progress.js'
 import { CallOutcome } from './target-call.js'
 
 /** Abort reason of a call whose target sent no data for too long. */
@@ -7,14 +9,7 @@
 
 /** Status of a request that the target ran and that failed. */
 export const failedStatus = 500
-const firstSuccessStatus = 200
-const lastSuccessStatus = 299
 
-/**
- * Time for which an answer has to have brought data to show that its target does not crash under its prompt: several
- * intervals between events, and longer than an item's answer is left unread.
- */
-const soundAnswerMilliseconds = 300
 /** Time after which a connection without an answer was not just rejected by a target that has too many of them: several round trips between availability zones. */
 const acceptedMilliseconds = 25
 
@@ -27,6 +22,7 @@
   readonly sentAt: number
   /** Time of the first data of the response's body, or null if none arrived. */
   readonly firstDataAt: number | null
+  readonly evidence: AnswerEvidence
   readonly endedAt: number
 }
 
@@ -55,8 +51,7 @@
   if (status === failedStatus) {
     return SlotOutcome.Failed
   }
-  const isSuccess = status !== null && status >= firstSuccessStatus && status <= lastSuccessStatus && firstDataAt !== null
-  return isSuccess ? SlotOutcome.Finished : SlotOutcome.Unsuccessful
+  return isSuccess(status) && firstDataAt !== null ? SlotOutcome.Finished : SlotOutcome.Unsuccessful
 }
 
 /** Whether the target may have crashed under the request: it had accepted the request, and its answer had not gone well for some time. */
--- a/packages/gateway/src/targets/slot-release.ts
+++ b/packages/gateway/src/targets/slot-release.ts
@@ -21,11 +21,12 @@
     (call.failure === ConnectionFailure.Disconnected && dialer.canCheck && !await dialer.wasEndedByTarget(slot.target, call.via, call.endsAt)))
   // The silence of a relayed connection may be that of the peer.
   const isPeerSilent = outcome === SlotOutcome.Unreachable && call.via !== null
+  const { evidence } = ended
   if (isPathLost || isPeerSilent) {
-    slot.release(SlotOutcome.Stopped)
+    slot.release(SlotOutcome.Stopped, evidence)
     return
   }
   // A target that has only reset the connection accepts others. One that crashes takes longer to start again.
   const hasOnlyReset = outcome === SlotOutcome.Crashed && call.failure === ConnectionFailure.Disconnected && await dialer.isListening(slot.target, call.endsAt)
-  slot.release(hasOnlyReset ? SlotOutcome.Broken : outcome)
+  slot.release(hasOnlyReset ? SlotOutcome.Broken : outcome, evidence)
 }
--- a/packages/gateway/tests/jobs/item-cut-heads.test.ts
+++ b/packages/gateway/tests/jobs/item-cut-heads.test.ts
@@ -42,7 +42,7 @@
   server.listen(0, '127.0.0.1')
   await once(server, 'listening')
   const target = { id: 't', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, born: 1, softwareVersion: 'v1' }
-  const slot = { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: () => {} }
+  const slot = { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: () => {} }
   const connections = new TargetConnections()
   const run = new ItemRun({
     slots: { acquire: async () => ({ granted: true, slot }) },
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -68,7 +68,7 @@
             await once(signal, 'abort')
             return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
           }
-          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: revoke.signal, markLeaving: () => {}, recordRateLimit: () => {}, release: outcome => { outcomes.push(outcome) } } }
+          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: revoke.signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: outcome => { outcomes.push(outcome) } } }
         }
       },
       connections,
@@ -116,7 +116,7 @@
       connections.close()
       server.close()
     })
-    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: () => {} }
+    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: () => {} }
     const dependencies = { slots: { acquire: async (): Promise<AcquireResult> => ({ granted: true, slot }) }, connections, names, logger: createTestLogger(), routeOf: () => ({ ...route, maxAttempts: 2 }), refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
     assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a' })
@@ -135,7 +135,7 @@
     const outcomes: SlotOutcome[] = []
     const grant = async (): Promise<AcquireResult> => {
       const target = { id: 't', address: addresses.shift() ?? '', born: 1, softwareVersion: 'v1' }
-      return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: outcome => { outcomes.push(outcome) } } }
+      return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: outcome => { outcomes.push(outcome) } } }
     }
     const dependencies = { slots: { acquire: grant }, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
@@ -166,7 +166,7 @@
       server.closeAllConnections()
       server.close()
     })
-    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: () => {} }
+    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: () => {} }
     const run = new ItemRun({
       slots: { acquire: async () => ({ granted: true, slot }) },
       connections,
@@ -198,7 +198,7 @@
       grants += 1
       const permit = `p${grants}`
       const release = (outcome: SlotOutcome): void => { outcomes.set(permit, outcomes.get(permit) ?? outcome) }
-      return { granted: true, slot: { permit, target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release } }
+      return { granted: true, slot: { permit, target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release } }
     }
     const dependencies = { slots: { acquire: grant }, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
@@ -233,7 +233,7 @@
       server.close()
     })
     const outcomes: SlotOutcome[] = []
-    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: (outcome: SlotOutcome) => { outcomes.push(outcome) } }
+    const slot = { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: (outcome: SlotOutcome) => { outcomes.push(outcome) } }
     const dependencies = { slots: { acquire: async (): Promise<AcquireResult> => ({ granted: true, slot }) }, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
     const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
     assert.deepEqual(await run.run(), { state: ItemState.Completed, text: 'a\nb' })
@@ -278,7 +278,7 @@
     const run = new ItemRun({
       slots: {
         acquire: async (): Promise<AcquireResult> => {
-          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: outcome => { outcomes.push(outcome) } } }
+          return { granted: true, slot: { permit: 'p', target: { id: 't', address, born: 1, softwareVersion: 'v1' }, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: outcome => { outcomes.push(outcome) } } }
         }
       },
       connections,
--- a/packages/gateway/tests/permits/shared-slot.test.ts
+++ b/packages/gateway/tests/permits/shared-slot.test.ts
@@ -8,7 +8,7 @@
 
 function heldSlot (released: SlotOutcome[]): Slot {
   const target = { id: 't', address: '1:1', born: 1, softwareVersion: 'v1' }
-  return { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: outcome => { released.push(outcome) } }
+  return { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: outcome => { released.push(outcome) } }
 }
 
 function reported (...outcomes: readonly SlotOutcome[]): readonly SlotOutcome[] {
--- a/packages/gateway/tests/targets/slot-release.test.ts
+++ b/packages/gateway/tests/targets/slot-release.test.ts
@@ -7,7 +7,7 @@
 import type { TestContext } from 'node:test'
 import { SlotOutcome } from '@arbutusloft/policy'
 import type { HeaderNames } from '../../src/online/header-names.js'
-import type { Slot } from '../../src/permits/slot.js'
+import type { AnswerEvidence, Slot } from '../../src/permits/slot.js'
 import { releaseSlot } from '../../src/targets/slot-release.js'
 import { callTarget } from '../../src/targets/target-call.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
@@ -18,6 +18,7 @@
 
 interface Release {
   readonly outcome: SlotOutcome
+  readonly evidence: AnswerEvidence | undefined
 }
 
 /** Sends a request to a target that resets the connection some time after it has read it; returns what is released. */
@@ -40,12 +41,12 @@
     server.close()
   })
   return await new Promise(resolve => {
-    const slot: Slot = { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, release: outcome => { resolve({ outcome }) } }
+    const slot: Slot = { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: () => {}, markSound: () => {}, release: (outcome, evidence) => { resolve({ outcome, evidence }) } }
     const sink = { onHead: () => {}, onData: () => true, onLeaving: () => {}, onRateLimit: () => {}, onForeign: () => {} }
     const call = callTarget(connections, target, { id: 'r', method: 'POST', path: '/', headers: [], body: null, remainingMilliseconds: null }, names, sink)
     const sentAt = Date.now()
     void call.ended.then(({ end, reason }) => {
-      void releaseSlot(slot, call, { end, reason, status: null, sentAt, firstDataAt: null, endedAt: Date.now() }, connections)
+      void releaseSlot(slot, call, { end, reason, status: null, sentAt, firstDataAt: null, evidence: { isSound: true }, endedAt: Date.now() }, connections)
     })
   })
 }
@@ -56,7 +57,8 @@
   })
 
   it('tells of a crash if the target accepts none', async context => {
-    const { outcome } = await release(context, server => { server.close() })
+    const { outcome, evidence } = await release(context, server => { server.close() })
     assert.equal(outcome, SlotOutcome.Crashed)
+    assert.deepEqual(evidence, { isSound: true })
   })
 })
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -290,7 +290,7 @@
       }
       this.#nextTarget += 1
       const target = { id: this.hasOneTarget ? 't' : `t${this.#nextTarget}`, address, born: 1, softwareVersion: 'v1' }
-      return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: requestsPerSecond => { this.rateLimits.push(requestsPerSecond) }, release: outcome => { this.outcomes.push(outcome) } } }
+      return { granted: true, slot: { permit: 'p', target, revoked: new AbortController().signal, markLeaving: () => {}, recordRateLimit: requestsPerSecond => { this.rateLimits.push(requestsPerSecond) }, markSound: () => {}, release: outcome => { this.outcomes.push(outcome) } } }
     }
     const canRunAgain: SlotClient['canRunAgain'] = () => this.canRunAgain && this.answers.length > 0
     return { acquire, canRunAgain } as unknown as SlotClient
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -187,6 +187,11 @@
     return [...this.#suspicions.values()].some(suspicion => suspicion.periods > 0)
   }
 
+  /** Whether a request or one of its parts is in quarantine, as far as is known here. */
+  isQuarantined (content: RequestContent): boolean {
+    return this.#suspicionsOf(content).some(({ periods }) => periods > 0)
+  }
+
   /** Returns the milliseconds for which a request is held back, as far as is known here; 0 if it is not. */
   remainingFor (content: RequestContent, now: number): number {
     const quarantined = this.#suspicionsOf(content).filter(({ periods }) => periods > 0)
@@ -304,7 +309,7 @@
     return [...this.#suspicions.values()].some(({ observed }) => observed?.permit === permit && observed.isTrial)
   }
 
-  /** Records that a request was answered completely. */
+  /** Records that a request was answered completely, or for so long that its target does not crash under it. */
   onCompleted (content: RequestContent): void {
     this.rememberAnswered(content)
     for (const digest of this.#digestsOf(content)) {
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -162,11 +162,15 @@
    *
    * @param crash the request that the target crashed under, or null if it has not crashed
    * @param sender process that releases the slot; matters only for crashes under permits that are unknown
+   * @param sound the request, if its answer was incomplete but long enough to show that its target does not crash under it; else null
    */
-  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null, sender = ''): readonly SlotDecision[] {
+  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null, sender = '', sound: RequestContent | null = null): readonly SlotDecision[] {
     this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
+    if (sound !== null) {
+      this.quarantine.onCompleted(sound)
+    }
     if (held === undefined) {
       if (crash !== null) {
         this.#crashes.onCrashed(permit, sender, crash, this.#health.isTrusted(sender), now)
@@ -180,6 +184,13 @@
     return this.#grantWaiting()
   }
 
+  /** Takes note that targets do not crash under a request, and returns the resulting decisions. */
+  onSound (sound: RequestContent, now: number): readonly SlotDecision[] {
+    this.#begin(now)
+    this.quarantine.onCompleted(sound)
+    return this.#grantWaiting()
+  }
+
   /**
    * Takes note that the rate limit of a target may have changed, and returns the resulting decisions.
    *
--- a/packages/policy/tests/fleet/interrupted-items.test.ts
+++ b/packages/policy/tests/fleet/interrupted-items.test.ts
@@ -54,9 +54,9 @@
     this.#apply(this.#fleet.release(permit, SlotOutcome.Crashed, now, { target, ...content }))
   }
 
-  end (permit: string, outcome: SlotOutcome, now: number): void {
+  end (permit: string, outcome: SlotOutcome, now: number, isSound = false): void {
     assert.ok(this.isGranted(permit), `${permit} was not granted`)
-    this.#apply(this.#fleet.release(permit, outcome, now))
+    this.#apply(this.#fleet.release(permit, outcome, now, null, '', isSound ? item : null))
   }
 
   /** Lets three targets crash under the item; returns the time at which its first trial is due. */
@@ -145,3 +145,28 @@
     })
   }
 })
+
+describe('an answer that went well before it was stopped or broken off', () => {
+  for (const outcome of [SlotOutcome.Stopped, SlotOutcome.Broken, SlotOutcome.Unreachable]) {
+    it(`ends the quarantine of its request if its outcome is ${outcome}`, () => {
+      const owner = new ItemOwner()
+      const due = owner.holdItemBack()
+      assert.ok(owner.requestItem('trial', due))
+      owner.end('trial', outcome, due + 800, true)
+      assert.ok(!isHeldBack(owner.quarantine, due + 810))
+    })
+  }
+
+  it('clears the crashes before it', () => {
+    const owner = new ItemOwner()
+    for (const number of [0, 1]) {
+      assert.ok(owner.requestItem(`first-${number}`, number * 100))
+      owner.crash(`first-${number}`, number * 100 + 50)
+    }
+    assert.ok(owner.requestItem('long', 300))
+    owner.end('long', SlotOutcome.Stopped, 1_300, true)
+    assert.ok(owner.requestItem('next', 1_400))
+    owner.crash('next', 1_450)
+    assert.ok(!isHeldBack(owner.quarantine, 1_460))
+  })
+})
