Count the crashes of a request anew when its answer has got further

Cause: crashes were counted wherever they came. Content that crashes targets does so at one place. Change: a crash report tells the last event that had arrived; one that is further than any before begins the count anew, four times at most and within 2 s of the third crash, so that the users' bound (three retries from 3 s after the third crash on) holds whichever way the places go.

--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -333,7 +333,7 @@
     silenceWatch.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
-    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound }, endedAt: Date.now() }
+    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound, place: this.#relay.lastId ?? request.lastEventId ?? 0 }, endedAt: Date.now() }
     const hasQuestion = outcome === CallOutcome.EndUnknown && !isDiscarded && this.#beginQuestion()
     if (hasQuestion && this.#nextSlot === null && dependencies.slots.canRunAgain(slot)) {
       // A new slot would be taken from the requests that wait for one.
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -626,10 +626,10 @@
     }
   }
 
-  #release (held: LocalSlot, outcome: SlotOutcome, { isSound }: AnswerEvidence = { isSound: false }): void {
+  #release (held: LocalSlot, outcome: SlotOutcome, { isSound, place }: AnswerEvidence = { isSound: false, place: 0 }): void {
     if (this.#held.delete(held.permit)) {
       const { service, ownerAddress, permit, target, prefix, digest } = held
-      const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest } : null
+      const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest, place } : null
       const sound = isSound && outcome !== SlotOutcome.Crashed ? { parts: prefix, digest } : null
       if (outcome === SlotOutcome.Finished || sound !== null) {
         this.quarantine.rememberAnswered({ parts: prefix, digest })
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -6,6 +6,8 @@
 export interface AnswerEvidence {
   /** Whether it went well for so long that its target does not crash under the request. */
   readonly isSound: boolean
+  /** Id of the last event of the answer that has arrived, from this target or from those before; 0 before the first. */
+  readonly place: number
 }
 
 /** A slot that this process holds. */
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -28,6 +28,8 @@
   readonly remaining: number
   /** Crashes of a request that is not in quarantine; left out if there are none. */
   readonly crashes?: number
+  /** Number of times for which the answer of that request got further from one crash to the next; left out if there are none, and by earlier builds. */
+  readonly advances?: number
 }
 
 /** Whether a request may be dispatched. */
@@ -50,6 +52,8 @@
 /** A request that a target crashed under, as its holder reports it. */
 export interface CrashReport extends RequestContent {
   readonly target: string
+  /** Id of the last event of the answer that had arrived, from this target or from those before; left out if it is unknown. */
+  readonly place?: number
 }
 
 /** How a trial of quarantined content ended, as far as the process that granted it was told. */
@@ -86,6 +90,15 @@
 const provenCrashesToQuarantine = 5
 /** Time without a complete answer that it takes as well if there was one before, so that targets which crash together for another reason do not quarantine what they all run. */
 const provenSilenceMilliseconds = 1_000
+/**
+ * Time from the third crash of a request in which crashes do not count that came before its answer got further: content that crashes targets
+ * does so at one place. Retries count towards the users' bound after 3 s.
+ */
+const advanceMilliseconds = 2_000
+/** Number of times for which a request's crashes are forgotten so: each may cost a target. */
+const maximumAdvances = 4
+/** First quarantine period of a request that was admitted once more than others have been, since that may have cost a target as a trial does. */
+const laterFirstPeriod = 2
 /** Crashes of a part whose report for the request that explains them may still be in transit. */
 const unreportedCrashes = 1
 /** Time within which interrupted requests on one target count as the same crash: less than a target needs to start again. */
@@ -128,12 +141,19 @@
 /** What is known against a request or a part. */
 interface Suspicion {
   readonly isRequest: boolean
-  /** Crashes since the last complete answer. */
+  /** Crashes that count: of a request those since its answer last got further, of a part those since the last complete answer. */
   crashes: number
+  /** All crashes since the last complete answer. */
+  allCrashes: number
+  /** Time of the first of those that count, in milliseconds since the epoch. */
   firstCrashAt: number
-  /** Time of the crash after which a request is in quarantine, in milliseconds since the epoch; Infinity before. */
+  /** Time of the crash after which a request would be in quarantine if its answers had not got further, in milliseconds since the epoch; Infinity before. */
   limitReachedAt: number
-  /** The latest of these crashes, as far as they were reported to this process. */
+  /** Id of the last event that answers to the request have brought, as far as crash reports told it; null if none did. */
+  furthestPlace: number | null
+  /** Number of times for which the answer of a request got further from one crash to the next. */
+  advances: number
+  /** The latest of all crashes, as far as they were reported to this process. */
   readonly counted: CountedCrash[]
   /** Whether an answer with this content was complete before the first crash, or of a part that is not in quarantine since then. */
   isProven: boolean
@@ -350,7 +370,8 @@
       crash.permits.delete(permit)
       if (crash.permits.size === 0) {
         suspicion.counted.splice(suspicion.counted.indexOf(crash), 1)
-        suspicion.crashes -= 1
+        suspicion.crashes -= crash.at >= suspicion.firstCrashAt ? 1 : 0
+        suspicion.allCrashes -= 1
         this.#onFewerCrashes(digest, suspicion, now)
       }
     }
@@ -378,7 +399,7 @@
   }
 
   /** Adopts an entry of another process or of the log unless a newer one is known. */
-  merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
+  merge ({ digest, version, periods, remaining, crashes = 0, advances = 0 }: QuarantineEntry, now: number): void {
     if (version === 0 && periods === 0 && crashes === 0) {
       this.#rememberPart(digest)
       return
@@ -398,6 +419,11 @@
     const suspicion = known ?? this.#suspect(digest, crashes > 0, now)
     Object.assign(suspicion, { version, periods, until: periods === 0 ? 0 : now + Math.min(remaining, periodOf(periods)) })
     suspicion.crashes = Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
+    suspicion.advances = Math.max(suspicion.advances, advances)
+    suspicion.allCrashes = Math.max(suspicion.allCrashes, suspicion.crashes + advances)
+    if (suspicion.allCrashes >= crashesToQuarantine) {
+      suspicion.limitReachedAt = Math.min(suspicion.limitReachedAt, now)
+    }
     if (periods > 0) {
       suspicion.limitReachedAt = -Infinity
       suspicion.countedTrials = Math.max(suspicion.countedTrials, periods - 1)
@@ -453,8 +479,11 @@
     const suspicion: Suspicion = {
       isRequest,
       crashes: 0,
+      allCrashes: 0,
       firstCrashAt: now,
       limitReachedAt: Infinity,
+      furthestPlace: null,
+      advances: 0,
       counted: [],
       isProven: (isRequest ? this.#provenRequests : this.#provenParts).has(digest),
       periods: 0,
@@ -477,14 +506,18 @@
     }
   }
 
-  #countCrash (digest: string, suspicion: Suspicion, permit: string, { target }: CrashReport, now: number): void {
+  #countCrash (digest: string, suspicion: Suspicion, permit: string, { target, place }: CrashReport, now: number): void {
     const same = suspicion.counted.find(crash => isSameCrash(crash, target, now))
     if (same !== undefined) {
       same.permits.add(permit)
       return
     }
+    if (suspicion.isRequest && place !== undefined) {
+      recordPlace(suspicion, place, now)
+    }
     suspicion.crashes += 1
-    if (suspicion.crashes === crashesToQuarantine) {
+    suspicion.allCrashes += 1
+    if (suspicion.allCrashes === crashesToQuarantine) {
       suspicion.limitReachedAt = now
     }
     suspicion.counted.push({ target, at: now, permits: new Set([permit]) })
@@ -495,7 +528,10 @@
     if (suspicion.periods > 0) {
       return
     }
-    if (this.#isQuarantineDue(digest, suspicion, now)) {
+    if (suspicion.isRequest && suspicion.advances > 0 && now - suspicion.limitReachedAt >= advanceMilliseconds) {
+      this.#setPeriod(digest, suspicion, laterFirstPeriod, now)
+      suspicion.countedTrials += 1
+    } else if (this.#isQuarantineDue(digest, suspicion, now)) {
       this.#setPeriod(digest, suspicion, 1, now)
     } else if (suspicion.isRequest) {
       suspicion.version += 1
@@ -612,6 +648,16 @@
   }
 }
 
+/** Forgets the crashes of a request before its answer got further. */
+function recordPlace (suspicion: Suspicion, place: number, now: number): void {
+  const { furthestPlace, periods, advances, limitReachedAt } = suspicion
+  suspicion.furthestPlace = Math.max(place, furthestPlace ?? 0)
+  const isFurther = furthestPlace !== null && place > furthestPlace
+  if (isFurther && periods === 0 && advances < maximumAdvances && now - limitReachedAt < advanceMilliseconds) {
+    Object.assign(suspicion, { advances: advances + 1, crashes: 0, firstCrashAt: now })
+  }
+}
+
 function isSameCrash (crash: Pick<CountedCrash, 'target' | 'at'>, target: string, at: number): boolean {
   return crash.target === target && Math.abs(at - crash.at) < sameCrashMilliseconds
 }
@@ -626,9 +672,9 @@
   }
 }
 
-function entryOf (digest: string, { version, periods, until, crashes }: Suspicion, now: number): QuarantineEntry {
+function entryOf (digest: string, { version, periods, until, crashes, advances }: Suspicion, now: number): QuarantineEntry {
   if (periods === 0) {
-    return { digest, version, periods, remaining: 0, crashes }
+    return { digest, version, periods, remaining: 0, crashes, ...(advances === 0 ? {} : { advances }) }
   }
   return { digest, version, periods, remaining: Math.max(0, until - now) }
 }
