Release requests whose crashes a part explains that they do not have

Cause: only a request could explain the crashes of another request. Change: once such a part is in quarantine, the first period of requests ends whose crashes all were crashes under it and that do not have it; their next crash counts as one of a trial.

--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -153,6 +153,10 @@
   furthestPlace: number | null
   /** Number of times for which the answer of a request got further from one crash to the next. */
   advances: number
+  /** Digests of the parts of a request; null if it is only known from another process. */
+  ownParts: readonly string[] | null
+  /** First period of the next quarantine. */
+  firstPeriod: number
   /** The latest of all crashes, as far as they were reported to this process. */
   readonly counted: CountedCrash[]
   /** Whether an answer with this content was complete before the first crash, or of a part that is not in quarantine since then. */
@@ -352,11 +356,14 @@
       }
       if (!isExplained) {
         const suspicion = known ?? this.#suspect(digest, digest === report.digest, now)
+        if (suspicion.isRequest) {
+          suspicion.ownParts ??= this.#partsOf(report)
+        }
         this.#countCrash(digest, suspicion, permit, report, now)
         isExplained = suspicion.periods > 0
       }
     }
-    this.#endExplained()
+    this.#endExplained(now)
   }
 
   /** Records that a target has not crashed under a request after all. What is in quarantine only because of that no longer is. */
@@ -484,6 +491,8 @@
       limitReachedAt: Infinity,
       furthestPlace: null,
       advances: 0,
+      ownParts: null,
+      firstPeriod: 1,
       counted: [],
       isProven: (isRequest ? this.#provenRequests : this.#provenParts).has(digest),
       periods: 0,
@@ -532,7 +541,7 @@
       this.#setPeriod(digest, suspicion, laterFirstPeriod, now)
       suspicion.countedTrials += 1
     } else if (this.#isQuarantineDue(digest, suspicion, now)) {
-      this.#setPeriod(digest, suspicion, 1, now)
+      this.#setPeriod(digest, suspicion, suspicion.firstPeriod, now)
     } else if (suspicion.isRequest) {
       suspicion.version += 1
       this.#notify(entryOf(digest, suspicion, now), false)
@@ -549,10 +558,20 @@
     }
   }
 
-  /** Ends the first quarantine period of parts whose crashes a request explains by now: its reports may come after those of the requests that it interrupted. */
-  #endExplained (): void {
+  /**
+   * Ends the first quarantine period of parts whose crashes a request explains by now, as its reports may come after those of the requests that it
+   * interrupted, and of requests whose crashes a part explains that they do not have.
+   */
+  #endExplained (now: number): void {
     for (const [digest, suspicion] of this.#suspicions) {
       const { isRequest, periods, crashes, counted } = suspicion
+      if (isRequest && periods === 1 && this.#isExplainedByPart(suspicion)) {
+        // The next crash counts as one under a trial.
+        Object.assign(suspicion, { periods: 0, until: 0, crashes: crashesToQuarantine - 1, countedTrials: 1, firstPeriod: laterFirstPeriod, version: suspicion.version + 1 })
+        counted.length = 0
+        this.#notify(entryOf(digest, suspicion, now), true)
+        continue
+      }
       const isAllKnown = counted.length >= Math.min(crashes, maximumCountedCrashes)
       if (!isRequest && periods === 1 && isAllKnown && this.#isExplained(digest, suspicion)) {
         Object.assign(suspicion, { periods: 0, until: 0, version: suspicion.version + 1 })
@@ -581,7 +600,7 @@
   #quarantineIfDue ({ digest }: RequestContent, now: number): void {
     const suspicion = this.#suspicions.get(digest)
     if (suspicion?.periods === 0 && this.#isQuarantineDue(digest, suspicion, now)) {
-      this.#setPeriod(digest, suspicion, 1, now)
+      this.#setPeriod(digest, suspicion, suspicion.firstPeriod, now)
     }
   }
 
@@ -612,6 +631,17 @@
     return false
   }
 
+  /** Whether a part in quarantine that a request does not have explains all its crashes. */
+  #isExplainedByPart ({ crashes, counted, ownParts }: Suspicion): boolean {
+    if (ownParts === null || counted.length === 0 || counted.length < crashes) {
+      return false
+    }
+    return [...this.#suspicions].some(([digest, other]) => {
+      const isForeignPart = !other.isRequest && other.periods > 0 && !ownParts.includes(digest)
+      return isForeignPart && counted.every(crash => other.counted.some(({ target, at }) => isSameCrash(crash, target, at)))
+    })
+  }
+
   /** Returns the digests of the suspected requests that a crash interrupted. */
   #interruptedBy ({ target, at }: CountedCrash): readonly string[] {
     const suspected = [...this.#suspicions].filter(([, { isRequest, counted }]) => isRequest && counted.some(crash => isSameCrash(crash, target, at)))
--- a/packages/policy/tests/fleet/interrupted-items.test.ts
+++ b/packages/policy/tests/fleet/interrupted-items.test.ts
@@ -214,3 +214,49 @@
     })
   }
 })
+
+describe('a request that was interrupted by crashes under a part that it does not have', () => {
+  const deadly = (number: number): RequestContent => ({ parts: ['deadly'], digest: `deadly-${number}` })
+
+  function crashBoth (quarantine: CrashQuarantine, number: number, now: number): void {
+    quarantine.onCrashed(`item-${number}`, { target: `t${number}`, ...item }, now)
+    quarantine.onCrashed(`deadly-${number}`, { target: `t${number}`, ...deadly(number) }, now + 5)
+  }
+
+  function crashWithoutItem (quarantine: CrashQuarantine): void {
+    for (const number of [3, 4]) {
+      quarantine.onCrashed(`deadly-${number}`, { target: `t${number}`, ...deadly(number) }, 250)
+    }
+  }
+
+  it('is no longer held back once that part is', () => {
+    const quarantine = new CrashQuarantine()
+    crashWithoutItem(quarantine)
+    for (const number of [0, 1, 2]) {
+      crashBoth(quarantine, number, number * 100)
+    }
+    assert.ok(isHeldBack(quarantine, 210, deadly(9)))
+    assert.ok(!isHeldBack(quarantine, 210))
+  })
+
+  it('is held back for the second period after its next crash without that part', () => {
+    const quarantine = new CrashQuarantine()
+    for (const number of [0, 1, 2]) {
+      crashBoth(quarantine, number, number * 100)
+    }
+    crashWithoutItem(quarantine)
+    quarantine.onDispatched('alone', item, 300)
+    quarantine.onCrashed('alone', { target: 't9', ...item }, 350)
+    assert.ok(quarantine.decide(item, 360).retryAfter > 7_000)
+  })
+
+  it('is held back if it has that part itself', () => {
+    const quarantine = new CrashQuarantine()
+    const own = { parts: ['deadly'], digest: 'own' }
+    for (const number of [0, 1, 2]) {
+      quarantine.onCrashed(`own-${number}`, { target: `t${number}`, ...own }, number * 100)
+      quarantine.onCrashed(`deadly-${number}`, { target: `u${number}`, ...deadly(number) }, number * 100 + 5)
+    }
+    assert.ok(isHeldBack(quarantine, 210, own))
+  })
+})
