--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -28,6 +28,8 @@
   readonly remaining: number
   /** Crashes of a request that is not in quarantine; left out if there are none. */
   readonly crashes?: number
+  /** Number of times for which the answer of that request got further from one crash to the next; left out if there are none, and by earlier builds. */
+  readonly advances?: number
 }
 
 /** Whether a request may be dispatched. */
@@ -50,6 +52,8 @@
 /** A request that a target crashed under, as its holder reports it. */
 export interface CrashReport extends RequestContent {
   readonly target: string
+  /** Id of the last event of the answer that had arrived, from this target or from those before; left out if it is unknown. */
+  readonly place?: number
 }
 
 /** How a trial of quarantined content ended, as far as the process that granted it was told. */
@@ -86,15 +90,23 @@
 const provenCrashesToQuarantine = 5
 /** Time without a complete answer that it takes as well if there was one before, so that targets which crash together for another reason do not quarantine what they all run. */
 const provenSilenceMilliseconds = 1_000
+/**
+ * Time from the third crash of a request in which crashes do not count that came before its answer got further: content that crashes targets
+ * does so at one place. Retries count towards the users' bound after 3 s.
+ */
+const advanceMilliseconds = 2_000
+/** Number of times for which a request's crashes are forgotten so: each may cost a target. */
+const maximumAdvances = 4
+/** First quarantine period of a request that was admitted once more than others have been, since that may have cost a target as a trial does. */
+const laterFirstPeriod = 2
 /** Crashes of a part whose report for the request that explains them may still be in transit. */
 const unreportedCrashes = 1
 /** Time within which interrupted requests on one target count as the same crash: less than a target needs to start again. */
 const sameCrashMilliseconds = 1_000
-/** First quarantine period: the time for which requests are held back by mistake if the crashes had another cause. */
-const firstPeriodMilliseconds = 1_000
-/** Multiple of the former period. */
-const periodFactor = 8
-const maximumPeriodMilliseconds = 3_600_000
+/** Quarantine periods; the last one holds for all that follow. The first is the time for which requests are held back by mistake if the crashes had another cause. */
+const periodsMilliseconds = [1_000, 8_000, 64_000, 600_000, 3_600_000] as const
+/** Time from the third crash until which a trial does not count towards the users' bound. */
+const uncountedMilliseconds = 2_500
 /** Time before a request is tried again if the last trial did not reach a target. */
 const trialRetryMilliseconds = 1_000
 /** Trials of a quarantine that are repeated so. */
@@ -129,15 +141,30 @@
 /** What is known against a request or a part. */
 interface Suspicion {
   readonly isRequest: boolean
-  /** Crashes since the last complete answer. */
+  /** Crashes that count: of a request those since its answer last got further, of a part those since the last complete answer. */
   crashes: number
+  /** All crashes since the last complete answer. */
+  allCrashes: number
+  /** Time of the first of those that count, in milliseconds since the epoch. */
   firstCrashAt: number
-  /** The latest of these crashes, as far as they were reported to this process. */
+  /** Time of the crash after which a request would be in quarantine if its answers had not got further, in milliseconds since the epoch; Infinity before. */
+  limitReachedAt: number
+  /** Id of the last event that answers to the request have brought, as far as crash reports told it; null if none did. */
+  furthestPlace: number | null
+  /** Number of times for which the answer of a request got further from one crash to the next. */
+  advances: number
+  /** Digests of the parts of a request; null if it is only known from another process. */
+  ownParts: readonly string[] | null
+  /** First period of the next quarantine. */
+  firstPeriod: number
+  /** The latest of all crashes, as far as they were reported to this process. */
   readonly counted: CountedCrash[]
   /** Whether an answer with this content was complete before the first crash, or of a part that is not in quarantine since then. */
   isProven: boolean
   /** Quarantine periods so far; 0 if the content is not in quarantine. */
   periods: number
+  /** Number of trials that count towards the users' bound. */
+  countedTrials: number
   /** Time from which a request with the quarantined content may be tried, in milliseconds since the epoch. */
   until: number
   /** Trials that were repeated because they did not reach a target. */
@@ -184,6 +211,11 @@
     return [...this.#suspicions.values()].some(suspicion => suspicion.periods > 0)
   }
 
+  /** Whether a request or one of its parts is in quarantine, as far as is known here. */
+  isQuarantined (content: RequestContent): boolean {
+    return this.#suspicionsOf(content).some(({ periods }) => periods > 0)
+  }
+
   /** Returns the milliseconds for which a request is held back, as far as is known here; 0 if it is not. */
   remainingFor (content: RequestContent, now: number): number {
     const quarantined = this.#suspicionsOf(content).filter(({ periods }) => periods > 0)
@@ -223,6 +255,7 @@
         this.#endObservation(digest, suspicion, TrialEnd.Superseded)
         suspicion.observed = { permit, since: now, isTrial }
         if (isTrial) {
+          suspicion.countedTrials += now - suspicion.limitReachedAt <= uncountedMilliseconds ? 0 : 1
           // The next period begins with the trial, so that no other process tries the content meanwhile.
           this.#setPeriod(digest, suspicion, suspicion.periods + 1, now)
         }
@@ -235,8 +268,9 @@
    *
    * @param mayHaveRun whether it may have reached its target
    * @param isInterrupted whether its target broke the answer off, as far as is known
+   * @param isWithdrawn whether it was stopped to make room for another one, or because the process that ran it no longer does
    */
-  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean, isInterrupted = true): void {
+  onEnded (permit: string, content: RequestContent, now: number, mayHaveRun: boolean, isInterrupted = true, isWithdrawn = false): void {
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion?.observed?.permit === permit) {
@@ -246,7 +280,7 @@
         if (isTrial && suspicion.periods > 1 && !mayHaveRun && suspicion.trialRetries < maximumTrialRetries) {
           suspicion.trialRetries += 1
           this.#setPeriod(digest, suspicion, suspicion.periods - 1, now, trialRetryMilliseconds)
-        } else if (isTrial && mayHaveRun && !isInterrupted && digest !== content.digest) {
+        } else if (isTrial && mayHaveRun && !isInterrupted && (isWithdrawn || digest !== content.digest)) {
           this.#shortenPeriod(digest, suspicion, now)
         }
       }
@@ -294,7 +328,12 @@
     }
   }
 
-  /** Records that a request was answered completely. */
+  /** Whether a request with this permit was the last one to be tried of what is in quarantine. */
+  isTrial (permit: string): boolean {
+    return [...this.#suspicions.values()].some(({ observed }) => observed?.permit === permit && observed.isTrial)
+  }
+
+  /** Records that a request was answered completely, or for so long that its target does not crash under it. */
   onCompleted (content: RequestContent): void {
     this.rememberAnswered(content)
     for (const digest of this.#digestsOf(content)) {
@@ -317,11 +356,14 @@
       }
       if (!isExplained) {
         const suspicion = known ?? this.#suspect(digest, digest === report.digest, now)
-        this.#countCrash(digest, suspicion, permit, report.target, now)
+        if (suspicion.isRequest) {
+          suspicion.ownParts ??= this.#partsOf(report)
+        }
+        this.#countCrash(digest, suspicion, permit, report, now)
         isExplained = suspicion.periods > 0
       }
     }
-    this.#endExplained()
+    this.#endExplained(now)
   }
 
   /** Records that a target has not crashed under a request after all. What is in quarantine only because of that no longer is. */
@@ -335,7 +377,8 @@
       crash.permits.delete(permit)
       if (crash.permits.size === 0) {
         suspicion.counted.splice(suspicion.counted.indexOf(crash), 1)
-        suspicion.crashes -= 1
+        suspicion.crashes -= crash.at >= suspicion.firstCrashAt ? 1 : 0
+        suspicion.allCrashes -= 1
         this.#onFewerCrashes(digest, suspicion, now)
       }
     }
@@ -363,7 +406,7 @@
   }
 
   /** Adopts an entry of another process or of the log unless a newer one is known. */
-  merge ({ digest, version, periods, remaining, crashes = 0 }: QuarantineEntry, now: number): void {
+  merge ({ digest, version, periods, remaining, crashes = 0, advances = 0 }: QuarantineEntry, now: number): void {
     if (version === 0 && periods === 0 && crashes === 0) {
       this.#rememberPart(digest)
       return
@@ -383,6 +426,15 @@
     const suspicion = known ?? this.#suspect(digest, crashes > 0, now)
     Object.assign(suspicion, { version, periods, until: periods === 0 ? 0 : now + Math.min(remaining, periodOf(periods)) })
     suspicion.crashes = Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
+    suspicion.advances = Math.max(suspicion.advances, advances)
+    suspicion.allCrashes = Math.max(suspicion.allCrashes, suspicion.crashes + advances)
+    if (suspicion.allCrashes >= crashesToQuarantine) {
+      suspicion.limitReachedAt = Math.min(suspicion.limitReachedAt, now)
+    }
+    if (periods > 0) {
+      suspicion.limitReachedAt = -Infinity
+      suspicion.countedTrials = Math.max(suspicion.countedTrials, periods - 1)
+    }
   }
 
   #endObservation (digest: string, suspicion: Suspicion, end: TrialEnd): void {
@@ -434,10 +486,17 @@
     const suspicion: Suspicion = {
       isRequest,
       crashes: 0,
+      allCrashes: 0,
       firstCrashAt: now,
+      limitReachedAt: Infinity,
+      furthestPlace: null,
+      advances: 0,
+      ownParts: null,
+      firstPeriod: 1,
       counted: [],
       isProven: (isRequest ? this.#provenRequests : this.#provenParts).has(digest),
       periods: 0,
+      countedTrials: 0,
       until: 0,
       trialRetries: 0,
       version: this.#clearedVersions.get(digest) ?? 0,
@@ -456,13 +515,20 @@
     }
   }
 
-  #countCrash (digest: string, suspicion: Suspicion, permit: string, target: string, now: number): void {
+  #countCrash (digest: string, suspicion: Suspicion, permit: string, { target, place }: CrashReport, now: number): void {
     const same = suspicion.counted.find(crash => isSameCrash(crash, target, now))
     if (same !== undefined) {
       same.permits.add(permit)
       return
     }
+    if (suspicion.isRequest && place !== undefined) {
+      recordPlace(suspicion, place, now)
+    }
     suspicion.crashes += 1
+    suspicion.allCrashes += 1
+    if (suspicion.allCrashes === crashesToQuarantine) {
+      suspicion.limitReachedAt = now
+    }
     suspicion.counted.push({ target, at: now, permits: new Set([permit]) })
     if (suspicion.counted.length > maximumCountedCrashes) {
       suspicion.counted.shift()
@@ -471,28 +537,41 @@
     if (suspicion.periods > 0) {
       return
     }
-    if (this.#isQuarantineDue(digest, suspicion, now)) {
-      this.#setPeriod(digest, suspicion, 1, now)
+    if (suspicion.isRequest && suspicion.advances > 0 && now - suspicion.limitReachedAt >= advanceMilliseconds) {
+      this.#setPeriod(digest, suspicion, laterFirstPeriod, now)
+      suspicion.countedTrials += 1
+    } else if (this.#isQuarantineDue(digest, suspicion, now)) {
+      this.#setPeriod(digest, suspicion, suspicion.firstPeriod, now)
     } else if (suspicion.isRequest) {
       suspicion.version += 1
       this.#notify(entryOf(digest, suspicion, now), false)
     }
   }
 
-  /** Brings the next trial of a part forward after one whose end tells of no crash. */
+  /** Brings the next trial forward after one whose end tells of no crash. */
   #shortenPeriod (digest: string, suspicion: Suspicion, now: number): void {
-    const { periods, until } = suspicion
+    const { isRequest, periods, countedTrials, until } = suspicion
     // The period that began with the first trial is the second one.
-    const milliseconds = stoppedTrialMilliseconds[periods - 2] ?? stoppedTrialMilliseconds[3]
+    const milliseconds = stoppedTrialMilliseconds[isRequest ? countedTrials : periods - 2] ?? stoppedTrialMilliseconds[3]
     if (now + milliseconds < until) {
       this.#setPeriod(digest, suspicion, periods, now, milliseconds)
     }
   }
 
-  /** Ends the first quarantine period of parts whose crashes a request explains by now: its reports may come after those of the requests that it interrupted. */
-  #endExplained (): void {
+  /**
+   * Ends the first quarantine period of parts whose crashes a request explains by now, as its reports may come after those of the requests that it
+   * interrupted, and of requests whose crashes a part explains that they do not have.
+   */
+  #endExplained (now: number): void {
     for (const [digest, suspicion] of this.#suspicions) {
       const { isRequest, periods, crashes, counted } = suspicion
+      if (isRequest && periods === 1 && this.#isExplainedByPart(suspicion)) {
+        // The next crash counts as one under a trial.
+        Object.assign(suspicion, { periods: 0, until: 0, crashes: crashesToQuarantine - 1, countedTrials: 1, firstPeriod: laterFirstPeriod, version: suspicion.version + 1 })
+        counted.length = 0
+        this.#notify(entryOf(digest, suspicion, now), true)
+        continue
+      }
       const isAllKnown = counted.length >= Math.min(crashes, maximumCountedCrashes)
       if (!isRequest && periods === 1 && isAllKnown && this.#isExplained(digest, suspicion)) {
         Object.assign(suspicion, { periods: 0, until: 0, version: suspicion.version + 1 })
@@ -521,7 +600,7 @@
   #quarantineIfDue ({ digest }: RequestContent, now: number): void {
     const suspicion = this.#suspicions.get(digest)
     if (suspicion?.periods === 0 && this.#isQuarantineDue(digest, suspicion, now)) {
-      this.#setPeriod(digest, suspicion, 1, now)
+      this.#setPeriod(digest, suspicion, suspicion.firstPeriod, now)
     }
   }
 
@@ -552,6 +631,17 @@
     return false
   }
 
+  /** Whether a part in quarantine that a request does not have explains all its crashes. */
+  #isExplainedByPart ({ crashes, counted, ownParts }: Suspicion): boolean {
+    if (ownParts === null || counted.length === 0 || counted.length < crashes) {
+      return false
+    }
+    return [...this.#suspicions].some(([digest, other]) => {
+      const isForeignPart = !other.isRequest && other.periods > 0 && !ownParts.includes(digest)
+      return isForeignPart && counted.every(crash => other.counted.some(({ target, at }) => isSameCrash(crash, target, at)))
+    })
+  }
+
   /** Returns the digests of the suspected requests that a crash interrupted. */
   #interruptedBy ({ target, at }: CountedCrash): readonly string[] {
     const suspected = [...this.#suspicions].filter(([, { isRequest, counted }]) => isRequest && counted.some(crash => isSameCrash(crash, target, at)))
@@ -588,6 +678,16 @@
   }
 }
 
+/** Forgets the crashes of a request before its answer got further. */
+function recordPlace (suspicion: Suspicion, place: number, now: number): void {
+  const { furthestPlace, periods, advances, limitReachedAt } = suspicion
+  suspicion.furthestPlace = Math.max(place, furthestPlace ?? 0)
+  const isFurther = furthestPlace !== null && place > furthestPlace
+  if (isFurther && periods === 0 && advances < maximumAdvances && now - limitReachedAt < advanceMilliseconds) {
+    Object.assign(suspicion, { advances: advances + 1, crashes: 0, firstCrashAt: now })
+  }
+}
+
 function isSameCrash (crash: Pick<CountedCrash, 'target' | 'at'>, target: string, at: number): boolean {
   return crash.target === target && Math.abs(at - crash.at) < sameCrashMilliseconds
 }
@@ -602,14 +702,14 @@
   }
 }
 
-function entryOf (digest: string, { version, periods, until, crashes }: Suspicion, now: number): QuarantineEntry {
+function entryOf (digest: string, { version, periods, until, crashes, advances }: Suspicion, now: number): QuarantineEntry {
   if (periods === 0) {
-    return { digest, version, periods, remaining: 0, crashes }
+    return { digest, version, periods, remaining: 0, crashes, ...(advances === 0 ? {} : { advances }) }
   }
   return { digest, version, periods, remaining: Math.max(0, until - now) }
 }
 
 /** Returns the length of a quarantine period, in milliseconds; periods are numbered from 1. */
 function periodOf (period: number): number {
-  return Math.min(maximumPeriodMilliseconds, firstPeriodMilliseconds * periodFactor ** (period - 1))
+  return periodsMilliseconds[period - 1] ?? periodsMilliseconds[4]
 }
