Tell the holder of a queued request why it waits

Cause: the owner of the slots answered a queued request without a reason, and a request that its own holder withdrew by its timer looked like one that the owner had rejected.

Change: FleetAdmission.waitOf tells why a request waits (WaitCause). The owner sends it in an optional field of SlotQueued with each answer to a request or its repetition; AcquireResult carries the last one if the holder withdrew the request. Builds before ignore the field, and a message without it means unknown. No decision changes; a trial of what is in quarantine that waits because its holder has failed is held back too.

--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -88,6 +88,8 @@
 export interface SlotQueuedMessage {
   readonly type: typeof PeerMessageType.SlotQueued
   readonly permit: string
+  /** Why it waits; earlier builds leave it out and ignore it. */
+  readonly wait?: SlotWait
 }
 
 /** Grants a slot on a target. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,12 +3,12 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision, VersionHistory } from '@arbutusloft/policy'
+import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, receivedWait, RefusalReason, SlotOutcome, TargetRateLimits, unknownWait } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, CrashQuarantine, SlotDecision, SlotWait, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
-import type { SlotGrantMessage, SlotMessage } from '../peers/peer-messages.js'
+import type { SlotGrantMessage, SlotMessage, SlotQueuedMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
 import { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
@@ -16,7 +16,7 @@
 import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import { RateLimitSharing } from './rate-limit-sharing.js'
-import type { AcquireResult, Slot, SlotDemand } from './slot.js'
+import type { AcquireResult, Slot, SlotDemand, SlotRejection } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 import type { ObservedRateLimitChange } from './slot-owner.js'
 
@@ -37,6 +37,8 @@
   queued: boolean
   /** Whether the request was retransmitted because the owner had not responded. */
   retransmitted: boolean
+  /** Why it waits, as the owner told last. */
+  wait: SlotWait
 }
 
 /** A slot that this process holds. */
@@ -119,11 +121,12 @@
 
   /**
    * Requests a slot and waits until it is granted or rejected. Batch requests are retried until they are granted or
-   * aborted, unless they continue what no target can go on with. If the signal aborts, withdraws the request and resolves as rejected.
+   * aborted, unless they continue what no target can go on with. If the signal aborts, withdraws the request and resolves as withdrawn,
+   * with why it waited.
    */
   async acquire (demand: SlotDemand, signal: AbortSignal): Promise<AcquireResult> {
     if (signal.aborted) {
-      return { granted: false, reason: RefusalReason.Busy, retryAfter: 0 }
+      return withdrawnAfter(unknownWait)
     }
     const now = Date.now()
     const heldBack = this.quarantine.remainingFor({ parts: demand.prefix, digest: demand.digest }, now)
@@ -136,7 +139,7 @@
     return await new Promise(resolve => {
       const abort = (): void => {
         this.#withdraw(permit)
-        settle({ granted: false, reason: RefusalReason.Busy, retryAfter: 0 })
+        settle(withdrawnAfter(pending.wait))
       }
       const settle = (result: AcquireResult): void => {
         signal.removeEventListener('abort', abort)
@@ -144,7 +147,7 @@
         resolve(result)
       }
       const ownerAddress = this.#ownerOf(demand.service)
-      const pending = { permit, demand, settle, ownerAddress, excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false }
+      const pending: PendingRequest = { permit, demand, settle, ownerAddress, excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false, wait: unknownWait }
       signal.addEventListener('abort', abort, { once: true })
       this.#pending.set(permit, pending)
       this.#sendRequest(pending)
@@ -228,7 +231,9 @@
     const request = { ...demand, excluded: pending.excluded }
     if (pending.ownerAddress === this.transport.address) {
       pending.queued = true
-      this.#owner.request(service, { ...request, permit, zone, holder: this.transport.address })
+      if (!this.#owner.request(service, { ...request, permit, zone, holder: this.transport.address })) {
+        pending.wait = this.#owner.waitOf(service, permit) ?? unknownWait
+      }
       return
     }
     this.transport.send(pending.ownerAddress, { type: PeerMessageType.SlotRequest, service, request: { ...request, permit, zone } })
@@ -394,7 +399,7 @@
         const { digest = '', continues = null } = message.request
         const decided = this.#owner.request(message.service, { ...message.request, digest, continues, holder: sender })
         if (!decided) {
-          this.transport.send(sender, { type: PeerMessageType.SlotQueued, permit: message.request.permit })
+          this.transport.send(sender, { type: PeerMessageType.SlotQueued, permit: message.request.permit, ...this.#waitMark(message.service, message.request.permit) })
         }
         return
       }
@@ -408,7 +413,7 @@
         this.#owner.report(message.service, sender, message.held)
         return
       case PeerMessageType.SlotQueued:
-        this.#onQueued(message.permit)
+        this.#onQueued(message.permit, receivedWait(message.wait))
         return
       case PeerMessageType.SlotGrant:
         if (message.isMixed === true) {
@@ -545,10 +550,16 @@
     return this.#limits.isKnown(target, born) ? { rateLimit: this.#limits.limitOf(target, born) } : {}
   }
 
-  #onQueued (permit: string): void {
+  #waitMark (service: string, permit: string): Pick<SlotQueuedMessage, 'wait'> {
+    const wait = this.#owner.waitOf(service, permit)
+    return wait === null ? {} : { wait }
+  }
+
+  #onQueued (permit: string, wait: SlotWait): void {
     const pending = this.#pending.get(permit)
     if (pending !== undefined) {
       pending.queued = true
+      pending.wait = wait
     }
   }
 
@@ -634,6 +645,11 @@
   return reason === RefusalReason.VersionGone || reason === RefusalReason.VersionUnknown
 }
 
+/** Returns the result of a request that its own holder withdrew. */
+function withdrawnAfter (wait: SlotWait): SlotRejection {
+  return { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait }
+}
+
 /** Returns the time at which a pending request has to be checked, in milliseconds since the epoch. */
 function nextCheckOf ({ sentAt, queued, retransmitted }: PendingRequest): number {
   if (queued) {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -2,8 +2,8 @@
  * The owner side of slot allocation: runs admission control for every service for which other processes, the holders,
  * send slot requests to this one.
  */
-import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, TargetRateLimits } from '@arbutusloft/policy'
-import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory } from '@arbutusloft/policy'
+import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, TargetRateLimits, WaitCause } from '@arbutusloft/policy'
+import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SlotDecision, SlotOutcome, SlotRequest, SlotWait, VersionHistory } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
@@ -86,6 +86,14 @@
     return this.#decide(service, owned, request)
   }
 
+  /** Returns why the request of a permit waits, or null if it does not wait here, or only for its stream's version to be confirmed. */
+  waitOf (service: string, permit: string): SlotWait | null {
+    if (this.#deferred.has(permit)) {
+      return { cause: WaitCause.NoTarget, until: 0 }
+    }
+    return this.#services.get(service)?.admission.waitOf(permit, Date.now()) ?? null
+  }
+
   #decide (service: string, owned: OwnedService, request: SlotRequest): boolean {
     const now = Date.now()
     const known = this.#withOrigin(service, request, now)
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -1,5 +1,5 @@
 /** Requests for slots, and their results. A slot lets its holder run one request on one target. */
-import type { RefusalReason, SlotOutcome, SlotRequest } from '@arbutusloft/policy'
+import type { RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import type { TargetEndpoint } from '../targets/target-registry.js'
 
 /** A slot that this process holds. */
@@ -25,8 +25,18 @@
 /** Result of a request for a slot. */
 export type AcquireResult =
   | { readonly granted: true, readonly slot: Slot }
-  /** @property retryAfter milliseconds until a slot is expected to be free or the prompt's quarantine is reviewed; 0 if the request was aborted */
-  | { readonly granted: false, readonly reason: RefusalReason, readonly retryAfter: number }
+  | SlotRejection
+
+/** No slot: the owner rejected the request, or its own holder withdrew it. */
+export interface SlotRejection {
+  readonly granted: false
+  /** {@link RefusalReason.Busy} if the holder withdrew it. */
+  readonly reason: RefusalReason
+  /** Milliseconds until a slot is expected to be free or the prompt's quarantine is reviewed; 0 if the holder withdrew it. */
+  readonly retryAfter: number
+  /** Why it waited, as far as its holder knew, if the holder withdrew it; left out if the owner rejected it. */
+  readonly wait?: SlotWait
+}
 
 /** Parameters of a request for a slot on a target of `service`; permit, holder and availability zone are filled in when it is sent. */
 export type SlotDemand = Omit<SlotRequest, 'permit' | 'holder' | 'zone'> & { readonly service: string }
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -1,7 +1,7 @@
 /** Tests what holders of slots do about targets that leave, over an in-memory network. */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it } from 'node:test'
-import { CrashQuarantine, promptPartDigest, SlotOutcome, TrialEnd, VersionHistory } from '@arbutusloft/policy'
+import { CrashQuarantine, promptPartDigest, RefusalReason, SlotOutcome, TrialEnd, unknownWait, VersionHistory, WaitCause } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { Membership, MemberState, PeerMessageType, sleep, SlotClient, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { AcquireResult, PeerMessage, PeerTransport, Slot, SlotDemand, Target } from '../../src/index.js'
@@ -17,6 +17,8 @@
   dropped: PeerMessage['type'] | null = null
   /** Whether requests for slots lose the stream that they continue, as at an owner that does not know of it. */
   withoutContinued = false
+  /** Whether answers to requests for slots leave out why they wait, as those of an earlier build do. */
+  withoutWait = false
   readonly address: string
 
   constructor (private readonly inner: PeerTransport) {
@@ -26,8 +28,7 @@
   send (address: string, message: PeerMessage): void {
     this.sent.push(message)
     if (message.type !== this.dropped) {
-      const isStripped = this.withoutContinued && message.type === PeerMessageType.SlotRequest
-      this.inner.send(address, isStripped ? { ...message, request: { ...message.request, continues: null } } : message)
+      this.inner.send(address, this.#stripped(message))
     }
   }
 
@@ -35,6 +36,13 @@
     this.inner.onMessage(listener)
   }
 
+  #stripped (message: PeerMessage): PeerMessage {
+    if (this.withoutContinued && message.type === PeerMessageType.SlotRequest) {
+      return { ...message, request: { ...message.request, continues: null } }
+    }
+    return this.withoutWait && message.type === PeerMessageType.SlotQueued ? { type: message.type, permit: message.permit } : message
+  }
+
   count (type: PeerMessage['type']): number {
     return this.sent.filter(message => message.type === type).length
   }
@@ -222,6 +230,41 @@
     assert.ok(holder.versions.isMixed('s', Date.now()))
   })
 
+  it('tells why a request waited that its holder withdraws, also where it owns the slots itself', async () => {
+    const taken = await Promise.all(Array.from({ length: target.slots }, async () => await acquire(owner)))
+    assert.ok(taken.every(slot => slot !== null))
+    for (const member of [holder, owner]) {
+      // New owners grant no batch work for 400 ms.
+      const result = await member.slots.acquire({ ...demand, workClass: WorkClass.Batch, digest: 'other' }, AbortSignal.timeout(1_500))
+      assert.deepEqual(result, { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait: { cause: WaitCause.Full, until: 0 } })
+    }
+    owner.quarantine.merge({ digest: 'held-back', version: 3, periods: 2, remaining: 60_000 }, Date.now())
+    for (const member of [holder, owner]) {
+      const result = await member.slots.acquire({ ...demand, workClass: WorkClass.Batch, digest: 'held-back' }, AbortSignal.timeout(300))
+      assert.ok(!result.granted && result.wait?.cause === WaitCause.HeldBack && result.wait.until > 7_000, JSON.stringify(result))
+    }
+  })
+
+  it('tells a request that its holder withdrew from one that the owner rejected', async () => {
+    owner.targets.replace([{ ...target, softwareVersion: 'v2' }])
+    for (const member of [holder, owner]) {
+      const rejected = await member.slots.acquire({ ...demand, workClass: WorkClass.Batch, continues: { softwareVersion: 'v1', target: 'other', born: 1 } }, AbortSignal.timeout(300))
+      assert.ok(!rejected.granted && rejected.reason === RefusalReason.VersionGone, JSON.stringify(rejected))
+      assert.equal(rejected.wait, undefined)
+      const withdrawn = await member.slots.acquire(demand, AbortSignal.abort())
+      assert.deepEqual(withdrawn, { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait: unknownWait })
+    }
+  })
+
+  it('takes the cause for unknown that an owner of an earlier build leaves out', async () => {
+    owner.transport.withoutWait = true
+    const taken = await Promise.all(Array.from({ length: target.slots }, async () => await acquire(owner)))
+    assert.ok(taken.every(slot => slot !== null))
+    const result = await holder.slots.acquire({ ...demand, workClass: WorkClass.Batch }, AbortSignal.timeout(800))
+    assert.deepEqual(result, { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait: unknownWait })
+    assert.ok(owner.transport.count(PeerMessageType.SlotQueued) > 0)
+  })
+
   it('uses a target that has started again under the id of one that left', async () => {
     (await acquire(holder))?.markLeaving()
     await sleep(20)
--- a/packages/policy/src/fleet/batch-queue.ts
+++ b/packages/policy/src/fleet/batch-queue.ts
@@ -33,6 +33,11 @@
     return this.#waiting.has(permit)
   }
 
+  /** Returns the waiting request of a permit, or undefined if there is none. */
+  get (permit: string): SlotRequest | undefined {
+    return this.#waiting.get(permit)
+  }
+
   delete (permit: string): void {
     this.#waiting.delete(permit)
   }
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -19,6 +19,8 @@
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
 import { TargetPacing } from './target-pacing.js'
+import { WaitCause } from './wait-cause.js'
+import type { SlotWait } from './wait-cause.js'
 
 /** Options of {@link FleetAdmission}. */
 export interface FleetAdmissionOptions extends SuspensionOptions {
@@ -272,6 +274,30 @@
     return { ...this.#slots.load(), waiting: this.#online.length }
   }
 
+  /** Returns why the request of a permit waits, or null if it does not wait. */
+  waitOf (permit: string, now: number): SlotWait | null {
+    const request = this.#batch.get(permit) ?? this.#online.get(permit)
+    if (request === undefined) {
+      return null
+    }
+    this.#begin(now)
+    const version = versionOf(request)
+    const accepting = version === null ? this.#sound.size + this.#unsound.size : this.#slots.acceptingOf(version)
+    if (accepting === 0) {
+      return { cause: WaitCause.NoTarget, until: 0 }
+    }
+    if (!this.#admitsContent(request)) {
+      return { cause: WaitCause.HeldBack, until: this.#quarantinedFor(request) }
+    }
+    if (this.#isHeldBack(request)) {
+      return { cause: WaitCause.CutOff, until: 0 }
+    }
+    if (request.workClass === WorkClass.Batch && (now < this.#batchBlockedUntil || this.#isOnlineWaiting())) {
+      return { cause: WaitCause.Yields, until: Math.max(0, this.#batchBlockedUntil - now) }
+    }
+    return { cause: this.#slotCauseOf(request), until: 0 }
+  }
+
   /** Whether requests wait, so that {@link tick} has something to do. */
   get hasWaiting (): boolean {
     return this.#online.length > 0 || this.#batch.length > 0
@@ -498,6 +524,30 @@
     }
   }
 
+  /** Returns why no slot suits a waiting request that may get one otherwise. */
+  #slotCauseOf (request: SlotRequest): WaitCause {
+    const hasRoom = request.workClass === WorkClass.Online || this.#freeSlots() > this.#headroom()
+    const isUnserved = this.#selectTarget(request, TargetAvailability.Available) === null && this.#selectTarget(request, TargetAvailability.OnTrial) === null
+    if (request.continues !== null && hasRoom && isUnserved && this.#selectTarget({ ...request, continues: null }, TargetAvailability.Available) !== null) {
+      return WaitCause.VersionTaken
+    }
+    let cause: WaitCause = hasRoom && isUnserved && this.#sound.freeOf(versionOf(request)) > 0 ? WaitCause.Suspended : WaitCause.Full
+    for (const target of this.#unsound) {
+      if (target.granted >= target.slots || !isOfVersion(target, request)) {
+        continue
+      }
+      if (!this.#hasAllowance(target)) {
+        return WaitCause.Limited
+      }
+      if (!this.#allows(target, request)) {
+        cause = WaitCause.Yields
+      } else if (cause === WaitCause.Full && this.#health.availabilityFor(target.id, request.holder, this.#now) === TargetAvailability.Suspended) {
+        cause = WaitCause.Suspended
+      }
+    }
+    return cause
+  }
+
   #hasRoomForBatch (): boolean {
     return this.#freeSlots() > this.#headroom() ||
       [...this.#unsound].some(target => this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.OnTrial && this.#hasAllowance(target))
--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -41,6 +41,11 @@
     return this.#permits.has(permit)
   }
 
+  /** Returns the waiting request of a permit, or undefined if there is none. */
+  get (permit: string): SlotRequest | undefined {
+    return this.has(permit) ? this.#waiting.find(({ request }) => request.permit === permit)?.request : undefined
+  }
+
   add (request: SlotRequest, now: number): void {
     const entry = { request, queuedAt: now }
     const index = this.#waiting.findLastIndex(other => firstAttemptOf(other) <= firstAttemptOf(entry))
