Log and count why an item waits for a slot

Cause: ItemRun logged only that output was thrown away, with the reason of a withdrawal by its own timer.

Change: "item waits" tells job, item, service, cause, until and waited after each slot wait of 2 s in which the cause has changed, and otherwise every 10 s at most; arbutus_gateway_items_waiting counts such items by cause; "item begins anew" names the true cause. The decision to begin anew is as before.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -5,8 +5,9 @@
 import type { HeaderNames } from '../online/header-names.js'
 import { sharedPromptParts } from '../online/online-request.js'
 import { forwardedHeaders } from '../online/forwarded-headers.js'
-import type { AcquireResult, Slot, SlotDemand } from '../permits/slot.js'
+import type { AcquireResult, Slot, SlotDemand, SlotRejection } from '../permits/slot.js'
 import type { SlotClient } from '../permits/slot-client.js'
+import type { GatewayMetrics } from '../metrics.js'
 import { requestDigest } from '../quarantine/request-digest.js'
 import { failedStatus, unresponsiveReason } from '../targets/call-outcome.js'
 import type { ResponseHead } from '../targets/response-parser.js'
@@ -19,6 +20,7 @@
 import { sleep } from '../util/sleep.js'
 import { ItemOutput } from './item-output.js'
 import type { ItemProgress } from './item-progress.js'
+import { ItemWait } from './item-wait.js'
 import { ItemState } from './job.js'
 import type { Job, JobItem } from './job.js'
 
@@ -28,6 +30,8 @@
   readonly connections: TargetConnections
   readonly names: HeaderNames
   readonly logger: Logger
+  /** Left out if waiting items are not counted. */
+  readonly metrics?: Pick<GatewayMetrics, 'waitingItems'>
   /** Returns the current route of this name, or null if it was removed. */
   readonly routeOf: (name: string) => Route | null
   /** Reads the configuration to its end; returns whether `routeOf` is then at least as new as the call. */
@@ -76,6 +80,7 @@
 export class ItemRun {
   readonly #stop = new AbortController()
   readonly #parts: readonly string[]
+  readonly #wait: ItemWait
   /** Digest of the requests that run the item; empty before the first attempt. */
   #digest = ''
   readonly #output = new ItemOutput()
@@ -105,6 +110,7 @@
     private readonly savedProgress: Promise<ItemProgress | null>
   ) {
     this.#parts = sharedPromptParts(headerOf(item, dependencies.names.promptPrefix))
+    this.#wait = new ItemWait(dependencies.logger, { job: job.id, item: item.id }, dependencies.metrics)
   }
 
   /** Progress of the item, or null before the first event. */
@@ -147,6 +153,7 @@
    * changed, for example after a pause.
    */
   async #isGivenUp (): Promise<boolean> {
+    this.#wait.end()
     const startedAt = Date.now()
     if (!await this.dependencies.refreshRoutes()) {
       await sleep(refreshRetryMilliseconds)
@@ -158,6 +165,7 @@
   /** Stops the run immediately; a target stops working on the item when the connection closes. */
   stop (): void {
     this.#stop.abort()
+    this.#wait.end()
   }
 
   /** Status of the current attempt's response, or null before its head. */
@@ -176,11 +184,13 @@
       this.#digest = requestDigest({ host: route.host, method: itemMethod, path: this.item.path, body: this.item.body })
     }
     const startedAt = Date.now()
+    this.#wait.begin(startedAt)
     const result = await this.#acquire(route, service)
     if (!result.granted) {
-      this.#onSlotRejected(result.reason, Date.now() - startedAt)
+      this.#onNoSlot(service, result, startedAt)
       return null
     }
+    this.#wait.end()
     this.#versionWaitMilliseconds = 0
     this.#excluded = []
     return await this.#dispatchSafely(route, service, result.slot)
@@ -203,15 +213,22 @@
    * Begins the output anew if no target of the version that wrote its events is left, or none is free for so long that the output could have
    * been written again meanwhile.
    */
-  #onSlotRejected (reason: RefusalReason, waitedMilliseconds: number): void {
-    if (this.#output.origin === null || this.#stop.signal.aborted) {
+  #onNoSlot (service: string, { reason, wait }: SlotRejection, startedAt: number): void {
+    if (this.#stop.signal.aborted) {
       return
     }
-    this.#versionWaitMilliseconds += waitedMilliseconds
+    const now = Date.now()
+    if (wait !== undefined) {
+      this.#wait.onCause(service, wait, now)
+    }
+    if (this.#output.origin === null) {
+      return
+    }
+    this.#versionWaitMilliseconds += now - startedAt
     if (reason === RefusalReason.Busy && this.#versionWaitMilliseconds < Math.max(this.#ranMilliseconds, slotWaitMilliseconds)) {
       return
     }
-    this.#beginAnew(reason)
+    this.#beginAnew(wait?.cause ?? reason)
   }
 
   #beginAnew (reason: string): void {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -41,6 +41,14 @@
     registers: [this.registry]
   })
 
+  /** Batch items that have waited for a slot for longer than one request for it lasts, by cause; see {@link WaitCause}. */
+  readonly waitingItems = new Gauge({
+    name: 'arbutus_gateway_items_waiting',
+    help: 'Batch items that wait for a slot, by cause',
+    labelNames: ['cause'],
+    registers: [this.registry]
+  })
+
   /** Client calls about batch jobs by kind and status. */
   readonly jobCalls = new Counter({
     name: 'arbutus_gateway_job_calls_total',
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -5,11 +5,12 @@
 import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
-import { RefusalReason, RouteKind, SlotOutcome } from '@arbutusloft/policy'
+import { RefusalReason, RouteKind, SlotOutcome, WaitCause } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { ItemRun } from '../../src/jobs/item-run.js'
 import { ItemState } from '../../src/jobs/job.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
+import { GatewayMetrics } from '../../src/metrics.js'
 import type { AcquireResult, SlotDemand } from '../../src/permits/slot.js'
 import { TargetConnection } from '../../src/targets/target-connection.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
@@ -333,6 +334,26 @@
     }
   })
 
+  it('tells why an item without output waits for a slot, and no more once it was stopped', async context => {
+    const lines: string[] = []
+    const metrics = new GatewayMetrics()
+    const waiting = async (_demand: unknown, signal: AbortSignal): Promise<AcquireResult> => {
+      await once(signal, 'abort')
+      return { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait: { cause: WaitCause.CutOff, until: 0 } }
+    }
+    const dependencies = { slots: { acquire: waiting }, connections: new TargetConnections(), names, logger: createTestLogger(lines), metrics, routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(null))
+    context.after(() => { run.stop() })
+    const ended = run.run()
+    await sleep(2_300)
+    const told = lines.map(line => JSON.parse(line) as Record<string, unknown>)
+    assert.deepEqual(told.map(({ message, item, service, cause }) => [message, item, service, cause]), [['item waits', 'i', 's', WaitCause.CutOff]])
+    assert.match(await metrics.registry.metrics(), /arbutus_gateway_items_waiting\{cause="cut-off"\} 1/)
+    run.stop()
+    assert.equal(await ended, null)
+    assert.match(await metrics.registry.metrics(), /arbutus_gateway_items_waiting\{cause="cut-off"\} 0/)
+  })
+
   const known: ReadonlyArray<readonly [string, Route | null, Partial<Job>]> = [
     ['a route that was added', null, {}],
     ['a longer retention', { ...route, retentionMilliseconds: 1_000 }, { acceptedAt: Date.now() - 2_000 }],
