Keep an item's events through waits that beginning anew does not shorten

Cause: every wait counted as one for a target of the version that wrote the events.

Change: VersionWait decides. Events are given up if no target of the version is left, or if targets of another version could have taken the item, and none of its own, for as long as it has run (at least 2 s as before). They are kept while the item is held back, its holder is cut off, all slots are taken, limited or suspended, batch work yields, or the owner does not tell the cause.

An owner of a build before tells no cause: with it, events are kept until the version is gone.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -1,5 +1,5 @@
 /** Runs one batch item until it has a result: acquires a slot, dispatches to a target, and resumes the stream after each interruption. */
-import { promptPartDigest, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
+import { promptPartDigest, SlotOutcome, VersionWait } from '@arbutusloft/policy'
 import type { Route, StreamOrigin } from '@arbutusloft/policy'
 import { messageOf, WorkClass } from '@arbutusloft/protocol'
 import type { HeaderNames } from '../online/header-names.js'
@@ -88,8 +88,8 @@
   #failedResponses = 0
   /** Target that wrote the latest events; null before the first, and if they were restored from saved progress. */
   #writer: Pick<TargetEndpoint, 'id' | 'born'> | null = null
-  /** Milliseconds for which the item has waited for a target of the version that wrote its events, since it last had one. */
-  #versionWaitMilliseconds = 0
+  /** Waits for a target of the version that wrote the item's events. */
+  readonly #versionWait = new VersionWait(slotWaitMilliseconds)
   /** Targets that the next slot must not be on. */
   #excluded: string[] = []
   /** Head of the current attempt's response, or null before it. */
@@ -191,7 +191,7 @@
       return null
     }
     this.#wait.end()
-    this.#versionWaitMilliseconds = 0
+    this.#versionWait.reset()
     this.#excluded = []
     return await this.#dispatchSafely(route, service, result.slot)
   }
@@ -209,10 +209,7 @@
     return begun
   }
 
-  /**
-   * Begins the output anew if no target of the version that wrote its events is left, or none is free for so long that the output could have
-   * been written again meanwhile.
-   */
+  /** Tells why the item waits, and begins its output anew if {@link VersionWait} says so. */
   #onNoSlot (service: string, { reason, wait }: SlotRejection, startedAt: number): void {
     if (this.#stop.signal.aborted) {
       return
@@ -221,22 +218,18 @@
     if (wait !== undefined) {
       this.#wait.onCause(service, wait, now)
     }
-    if (this.#output.origin === null) {
-      return
-    }
-    this.#versionWaitMilliseconds += now - startedAt
-    if (reason === RefusalReason.Busy && this.#versionWaitMilliseconds < Math.max(this.#ranMilliseconds, slotWaitMilliseconds)) {
-      return
+    const reasonToBegin = this.#output.origin === null ? null : this.#versionWait.record({ reason, cause: wait?.cause ?? null, waited: now - startedAt }, this.#ranMilliseconds)
+    if (reasonToBegin !== null) {
+      this.#beginAnew(reasonToBegin)
     }
-    this.#beginAnew(wait?.cause ?? reason)
   }
 
   #beginAnew (reason: string): void {
     const { origin, lastId } = this.#output
-    this.dependencies.logger.info('item begins anew', { job: this.job.id, item: this.item.id, service: origin?.service, version: origin?.softwareVersion, after: lastId, reason, waited: this.#versionWaitMilliseconds })
+    this.dependencies.logger.info('item begins anew', { job: this.job.id, item: this.item.id, service: origin?.service, version: origin?.softwareVersion, after: lastId, reason, waited: this.#versionWait.milliseconds })
     this.#output.discard()
     this.#writer = null
-    this.#versionWaitMilliseconds = 0
+    this.#versionWait.reset()
   }
 
   get #origin (): StreamOrigin | null {
--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -5,16 +5,23 @@
 import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
-import { RefusalReason, RouteKind, SlotOutcome, WaitCause } from '@arbutusloft/policy'
+import { CrashQuarantine, RefusalReason, RouteKind, SlotOutcome, VersionHistory, WaitCause } from '@arbutusloft/policy'
 import type { Route } from '@arbutusloft/policy'
 import { ItemRun } from '../../src/jobs/item-run.js'
 import { ItemState } from '../../src/jobs/job.js'
 import type { Job, JobItem } from '../../src/jobs/job.js'
 import { GatewayMetrics } from '../../src/metrics.js'
+import { MemberState } from '../../src/peers/member.js'
+import { Membership } from '../../src/peers/membership.js'
 import type { AcquireResult, SlotDemand } from '../../src/permits/slot.js'
+import { SlotClient } from '../../src/permits/slot-client.js'
+import { requestDigest } from '../../src/quarantine/request-digest.js'
 import { TargetConnection } from '../../src/targets/target-connection.js'
 import { TargetConnections } from '../../src/targets/target-connections.js'
+import { TargetFreshness } from '../../src/targets/target-freshness.js'
+import { TargetRegistry, TargetState } from '../../src/targets/target-registry.js'
 import { sleep } from '../../src/util/sleep.js'
+import { LoopbackNetwork } from '../util/loopback-transport.js'
 import { createTestLogger } from '../util/test-logger.js'
 
 const names = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', rateLimit: 'x-rate-limit', promptPrefix: 'x-prompt-prefix', resumes: 'x-resumes', wait: 'x-wait' }
@@ -354,6 +361,31 @@
     assert.match(await metrics.registry.metrics(), /arbutus_gateway_items_waiting\{cause="cut-off"\} 0/)
   })
 
+  it('keeps the events of an item that is held back for longer than it has run', async context => {
+    const transport = new LoopbackNetwork().join('10.0.0.1')
+    const membership = new Membership(transport, { zone: 'a', incarnation: 1, capacity: 1, seeds: ['10.0.0.1'] }, createTestLogger())
+    membership.setState(MemberState.Ready)
+    const targets = new TargetRegistry()
+    targets.replace([{ id: 't', service: 's', address: '127.0.0.1:1', zone: 'a', slots: 4, state: TargetState.Ready, born: 1, softwareVersion: 'v1' }])
+    const quarantine = new CrashQuarantine()
+    const digest = requestDigest({ host: route.host, method: 'POST', path: item.path, body: item.body })
+    quarantine.merge({ digest, version: 3, periods: 3, remaining: 60_000 }, Date.now())
+    const slots = new SlotClient(membership, transport, targets, new TargetFreshness(), quarantine, new VersionHistory())
+    const connections = new TargetConnections()
+    const progress = { lastId: 5, origin: { service: 's', softwareVersion: 'v1' }, text: 'a\nb\nc\nd\ne' }
+    const dependencies = { slots, connections, names, logger: createTestLogger(), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(progress))
+    context.after(() => {
+      run.stop()
+      slots.close()
+      membership.close()
+      connections.close()
+    })
+    void run.run()
+    await sleep(2_500)
+    assert.equal(run.progress?.lastId, 5)
+  })
+
   const known: ReadonlyArray<readonly [string, Route | null, Partial<Job>]> = [
     ['a route that was added', null, {}],
     ['a longer retention', { ...route, retentionMilliseconds: 1_000 }, { acceptedAt: Date.now() - 2_000 }],
