Test that an item's run begins anew when its version is taken, and says so

The decision has its own test; this one guards the way from the slot client's answer through ItemRun to the log line. It can't show a fault of the code before, which had no such cause.

--- a/packages/gateway/tests/jobs/item-run.test.ts
+++ b/packages/gateway/tests/jobs/item-run.test.ts
@@ -386,6 +386,31 @@
     assert.equal(run.progress?.lastId, 5)
   })
 
+  it('begins an item anew whose version is taken for longer than it has run while another version is free, and says so', async context => {
+    const lines: string[] = []
+    const asked: Array<string | null> = []
+    const taken = async ({ continues }: SlotDemand, signal: AbortSignal): Promise<AcquireResult> => {
+      asked.push(continues?.softwareVersion ?? null)
+      await once(signal, 'abort')
+      return { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait: { cause: WaitCause.VersionTaken, until: 0 } }
+    }
+    const progress = { lastId: 5, origin: { service: 's', softwareVersion: 'v1' }, text: 'a' }
+    const dependencies = { slots: { acquire: taken }, connections: new TargetConnections(), names, logger: createTestLogger(lines), routeOf: () => route, refreshRoutes, serviceOf: () => 's' }
+    const run = new ItemRun(dependencies, { ...job, acceptedAt: Date.now() }, item, Promise.resolve(progress))
+    context.after(() => { run.stop() })
+    const ended = run.run()
+    // A timer may end a wait a millisecond early, so that it takes a second one.
+    const until = Date.now() + 5_000
+    while (!asked.includes(null) && Date.now() < until) {
+      await sleep(20)
+    }
+    run.stop()
+    assert.equal(await ended, null)
+    assert.ok(asked.includes(null), JSON.stringify(asked))
+    const begun = lines.map(line => JSON.parse(line) as Record<string, unknown>).find(({ message }) => message === 'item begins anew')
+    assert.deepEqual([begun?.['reason'], begun?.['after']], [WaitCause.VersionTaken, 5])
+  })
+
   const known: ReadonlyArray<readonly [string, Route | null, Partial<Job>]> = [
     ['a route that was added', null, {}],
     ['a longer retention', { ...route, retentionMilliseconds: 1_000 }, { acceptedAt: Date.now() - 2_000 }],
