Start an item again whose run was ended by an error

Callers saw an accepted item that stays open: JobRunner.#runToEnd and ItemRun.run have no catch but around the dispatch, so an error of a dependency (the look-up or reading of routes, the choice of a service, the request for a slot) ended the item's loop. Its entry stayed in the map of runs, and nothing started the item again while the partition stayed with this process.

An error now ends the run with the line "item run failed" and outcome "failed" of arbutus_gateway_items_total. The item is started again after 200 ms, doubled with each failure up to 5 s, from the events of the failed run; events with which two runs in a row have failed are not used again. Saved progress that cannot be loaded counts as none.

--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -1,4 +1,5 @@
 /** Runs the items of the jobs in the partitions that this process owns. */
+import { messageOf } from '@arbutusloft/protocol'
 import type { GatewayMetrics } from '../metrics.js'
 import { Alarm } from '../util/alarm.js'
 import { isSettled } from './job.js'
@@ -6,15 +7,18 @@
 import type { ItemProgress, ProgressEntry } from './item-progress.js'
 import { ItemRun } from './item-run.js'
 import type { ItemRunDependencies } from './item-run.js'
+import { itemsWithoutRun } from './item-watch.js'
 import type { JobPartition } from './job-partition.js'
 import type { JobPartitions } from './job-partitions.js'
 import type { JobProgress, ProgressLog } from './progress-log.js'
+import { RunFailures } from './run-failures.js'
+import type { RunFailure } from './run-failures.js'
 
 /** Dependencies of {@link JobRunner}. */
 export interface JobRunnerDependencies extends ItemRunDependencies {
-  readonly partitions: JobPartitions
+  readonly partitions: Pick<JobPartitions, 'onActiveChange'>
   readonly metrics: GatewayMetrics
-  readonly progress: ProgressLog
+  readonly progress: Pick<ProgressLog, 'loadPartition' | 'save'>
   /** Time from acceptance for which a job's records are kept at least. */
   readonly retentionMilliseconds: number
 }
@@ -50,6 +54,7 @@
   readonly partition: JobPartition
   /** Progress that the former owner has saved; read once, when this process takes the partition. */
   readonly savedProgress: Promise<JobProgress>
+  readonly failures: RunFailures
 }
 
 /** Starts the items of jobs in active partitions; stops items that have a result, whose job has ended, or whose partition has passed to another process. */
@@ -59,6 +64,7 @@
   readonly #readAlarm = new Alarm(now => this.#readPartitions(now))
   readonly #expiryAlarm = new Alarm(now => this.#deleteExpired(now))
   readonly #progressAlarm = new Alarm(now => this.#saveProgress(now))
+  readonly #retryAlarm = new Alarm(now => this.#retryFailed(now))
   readonly #watchedPartitions = new WeakSet<JobPartition>()
   readonly #jobsBeingDeleted = new Set<string>()
   /** Progress entries to be deleted with the next save. */
@@ -90,6 +96,7 @@
     this.#readAlarm.close()
     this.#expiryAlarm.close()
     this.#progressAlarm.close()
+    this.#retryAlarm.close()
     this.#active.clear()
     for (const { run } of this.#runs.values()) {
       run.stop()
@@ -100,7 +107,7 @@
     if (this.#draining) {
       return
     }
-    const active = { partition, savedProgress: this.dependencies.progress.loadPartition(partition.number) }
+    const active = { partition, savedProgress: this.#loadProgress(partition), failures: new RunFailures() }
     this.#active.set(partition.number, active)
     if (!this.#watchedPartitions.has(partition)) {
       this.#watchedPartitions.add(partition)
@@ -115,10 +122,21 @@
     this.#expiryAlarm.setBy(now + expiryIntervalMilliseconds)
   }
 
+  /** Loads the saved progress of a partition; there is none if that fails, and its items begin with their first events. */
+  async #loadProgress ({ number }: JobPartition): Promise<JobProgress> {
+    try {
+      return await this.dependencies.progress.loadPartition(number)
+    } catch (error) {
+      this.dependencies.logger.error('progress not read', { partition: number, error: messageOf(error) })
+      return new Map()
+    }
+  }
+
   /** Stops the items of a partition, and saves their progress for its next owner. */
   async #giveUp (partition: JobPartition): Promise<void> {
+    const failures = this.#active.get(partition.number)?.failures.all() ?? []
     this.#active.delete(partition.number)
-    const handedOver: ProgressEntry[] = []
+    const handedOver: ProgressEntry[] = [...failures].filter(({ progress }) => progress !== null)
     for (const started of [...this.#runs.values()].filter(run => run.partition === partition)) {
       handedOver.push(...this.#stop(started))
     }
@@ -134,8 +152,11 @@
       const shouldRun = !isSettled(job)
       job.items.forEach((_, index) => {
         if (shouldRun && !job.finished.has(index)) {
-          this.#start(active, job, index)
+          if (active.failures.get(job, index) === undefined) {
+            this.#start(active, job, index)
+          }
         } else {
+          active.failures.delete(job, index)
           const started = this.#runs.get(keyOf(job, index))
           if (started !== undefined) {
             this.#stop(started)
@@ -145,13 +166,16 @@
     }
   }
 
-  #start ({ partition, savedProgress }: ActivePartition, job: Job, index: number): void {
+  #start (active: ActivePartition, job: Job, index: number): void {
+    const { partition, savedProgress, failures } = active
     const key = keyOf(job, index)
     const item = job.items[index]
     if (item === undefined || this.#runs.has(key)) {
       return
     }
-    const run = new ItemRun(this.dependencies, job, item, savedProgress.then(progress => progressOf(progress, job, index)))
+    const failure = failures.get(job, index)
+    const progress = failure === undefined ? savedProgress.then(saved => progressOf(saved, job, index)) : Promise.resolve(failure.progress)
+    const run = new ItemRun(this.dependencies, job, item, progress)
     const started = { partition, job, index, run, savedId: null }
     this.#runs.set(key, started)
     this.#progressAlarm.setBy(Date.now() + progressIntervalMilliseconds)
@@ -159,21 +183,60 @@
   }
 
   async #runToEnd (started: StartedRun): Promise<void> {
+    try {
+      await this.#runAndFinish(started)
+    } catch (error) {
+      this.#onRunFailed(started, error)
+      return
+    }
+    const { job, index } = started
+    if (this.#runs.get(keyOf(job, index)) === started) {
+      this.#runs.delete(keyOf(job, index))
+    }
+  }
+
+  async #runAndFinish (started: StartedRun): Promise<void> {
     const { partition, job, index, run } = started
     const outcome = await run.run()
     if (outcome === null) {
       this.dependencies.metrics.items.inc({ outcome: 'stopped' })
-    } else {
-      this.dependencies.metrics.items.inc({ outcome: outcome.state })
-      const changeOutcome = await partition.log.finish(job.id, index, outcome.state, outcome.text)
-      this.dependencies.logger.info('item finished', { job: job.id, item: job.items[index]?.id, index, state: outcome.state, end: changeOutcome })
+      return
     }
-    if (this.#runs.get(keyOf(job, index)) === started) {
+    this.dependencies.metrics.items.inc({ outcome: outcome.state })
+    const changeOutcome = await partition.log.finish(job.id, index, outcome.state, outcome.text)
+    this.#deleteProgress(started)
+    this.dependencies.logger.info('item finished', { job: job.id, item: job.items[index]?.id, index, state: outcome.state, end: changeOutcome })
+  }
+
+  /** Ends a run that an error has ended, and starts the item again after a delay unless it was stopped meanwhile. */
+  #onRunFailed (started: StartedRun, error: unknown): void {
+    const { partition, job, index, run } = started
+    const isCurrent = this.#runs.get(keyOf(job, index)) === started
+    let failure: RunFailure | null = null
+    run.stop()
+    if (isCurrent) {
       this.#runs.delete(keyOf(job, index))
+      failure = this.#active.get(partition.number)?.failures.record(job, index, run.progress, Date.now()) ?? null
+      this.#retryAlarm.setBy(failure?.retryAt ?? Infinity)
     }
-    if (outcome !== null) {
-      this.#deleteProgress(started)
+    this.dependencies.metrics.items.inc({ outcome: 'failed' })
+    this.dependencies.logger.error('item run failed', { job: job.id, item: job.items[index]?.id, index, failures: failure?.failures ?? null, error: messageOf(error), stack: error instanceof Error ? error.stack : null })
+  }
+
+  /** Starts the items again whose runs have failed and whose delays are over; returns when to check again. */
+  #retryFailed (now: number): number {
+    let next = Infinity
+    for (const active of this.#active.values()) {
+      for (const { job, index } of itemsWithoutRun(active.partition.fold.unsettled(), (...item) => this.#runs.has(keyOf(...item)))) {
+        const failure = active.failures.get(job, index)
+        if (failure !== undefined && failure.retryAt <= now) {
+          this.#start(active, job, index)
+        } else {
+          next = Math.min(next, failure?.retryAt ?? Infinity)
+        }
+      }
     }
+    return next
   }
 
   /** Stops a run; returns the progress to save for the process that takes the item over. */
