Go on with a partition's appends after an append that throws

An error out of KeyedTopic.append, which should never reject, ended the loop of JobLog: the results, submissions and ends that waited then stayed in memory until the next change came, and an item whose result was among them stayed in the map of runs. The error now counts as an append without an answer and is logged ("append failed"). StoreTopic.append is not known to throw; this guards against one that does.

"records the result of an item after an append that failed with an error" fails on the code before (unhandled rejection) and passes now.

--- a/packages/gateway/src/jobs/job-log.ts
+++ b/packages/gateway/src/jobs/job-log.ts
@@ -3,6 +3,7 @@
  * decision made from the fold still holds when its records are appended, even with concurrent writers: a job is accepted
  * once, and an item finishes once.
  */
+import { messageOf } from '@arbutusloft/protocol'
 import PQueue from 'p-queue'
 import { AppendOutcome } from '../log/keyed-topic.js'
 import type { KeyedTopic, NewRecord } from '../log/keyed-topic.js'
@@ -172,7 +173,7 @@
 
   async #append (batch: readonly PendingChange[], records: readonly NewRecord[], expectedEnd: number): Promise<void> {
     const startedAt = performance.now()
-    const outcome = await this.topic.append(records, expectedEnd)
+    const outcome = await this.#appendRecords(records, expectedEnd)
     switch (outcome) {
       case AppendOutcome.Done:
         this.follower.applyAppended(records.map((record, index) => ({ ...record, offset: expectedEnd + index })), startedAt)
@@ -194,6 +195,16 @@
     }
   }
 
+  /** Like {@link KeyedTopic.append}; an error does not tell whether the records were appended, and must not end the appends of other changes. */
+  async #appendRecords (records: readonly NewRecord[], expectedEnd: number): Promise<AppendOutcome> {
+    try {
+      return await this.topic.append(records, expectedEnd)
+    } catch (error) {
+      this.logger.error('append failed', { at: expectedEnd, records: records.length, error: messageOf(error) })
+      return AppendOutcome.Unknown
+    }
+  }
+
   /** Settles the changes whose deadline has passed. */
   #settleExpired (): void {
     const now = Date.now()
--- a/packages/gateway/tests/jobs/job-runner.test.ts
+++ b/packages/gateway/tests/jobs/job-runner.test.ts
@@ -99,4 +99,27 @@
     assert.equal(harness.linesOf('item run failed').length, length)
     assert.equal(harness.runner.running, 0)
   })
+
+  it('records the result of an item after an append that failed with an error', async () => {
+    const topic = log.connect()
+    let failures = 0
+    const harness = new RunnerHarness({
+      ...topic,
+      append: async (records, end) => {
+        if (records.some(({ key }) => key.startsWith('r/')) && failures < 2) {
+          failures += 1
+          throw new Error('injected')
+        }
+        return await topic.append(records, end)
+      }
+    })
+    harnesses.push(harness)
+    harness.setActive(true)
+    await submit(harness, 'j', 1)
+    harness.hasRoute = false
+    await advance(5_000)
+    assert.equal(failures, 2)
+    assert.equal(harness.finished('j'), 1)
+    assert.equal(harness.runner.running, 0)
+  })
 })
