Check by time which items lack a run, and which runs are needed no more

Items were started and stopped only by changes of the fold. An item of whose change the runner was not told stayed without a run, and the runs of a job that another process had deleted went on without end here if its end was not read: the fold reports no deletion, nor jobs that are missing from a partition which was loaded anew.

JobRunner now compares once a second, in partitions that it has read since it took them, the unfinished items of unsettled jobs with its runs (item-watch.ts, no network; its time does not grow with finished jobs). Lines "item without run started" and "item run without need stopped"; counter arbutus_gateway_item_check_changes_total. Delays after failures are kept by the same alarm.

--- a/packages/gateway/src/jobs/item-watch.ts
+++ b/packages/gateway/src/jobs/item-watch.ts
@@ -1,6 +1,7 @@
-/** Finds the items that should run in this process and do not. */
+/** Compares the items that should run in this process with those that do. */
 import { isSettled } from './job.js'
 import type { Job } from './job.js'
+import type { JobsFold } from './jobs-fold.js'
 
 /** One item of a job. */
 export interface ItemPosition {
@@ -24,3 +25,12 @@
   }
   return missing
 }
+
+/**
+ * Whether the item needs no run any more: it has a result, or its job has ended or was deleted. A job with a record that cannot be read
+ * may still need one.
+ */
+export function isRunSuperfluous (fold: Pick<JobsFold, 'get' | 'isUnreadable'>, jobId: string, index: number): boolean {
+  const job = fold.get(jobId)
+  return job === undefined ? !fold.isUnreadable(jobId) : isSettled(job) || job.finished.has(index)
+}
--- a/packages/gateway/src/jobs/job-runner.ts
+++ b/packages/gateway/src/jobs/job-runner.ts
@@ -7,7 +7,7 @@
 import type { ItemProgress, ProgressEntry } from './item-progress.js'
 import { ItemRun } from './item-run.js'
 import type { ItemRunDependencies } from './item-run.js'
-import { itemsWithoutRun } from './item-watch.js'
+import { isRunSuperfluous, itemsWithoutRun } from './item-watch.js'
 import type { JobPartition } from './job-partition.js'
 import type { JobPartitions } from './job-partitions.js'
 import type { JobProgress, ProgressLog } from './progress-log.js'
@@ -36,6 +36,8 @@
 const progressIntervalMilliseconds = 2_000
 /** Multiple of the retention after which jobs are deleted; the margin keeps a process whose clock runs ahead from deleting them too early. */
 const retentionFactor = 1.5
+/** Interval at which the items that should run are compared with those that do. */
+const watchIntervalMilliseconds = 1_000
 /** Delay before a partition that could not be read is read again. */
 const retryMilliseconds = 200
 
@@ -55,6 +57,8 @@
   /** Progress that the former owner has saved; read once, when this process takes the partition. */
   readonly savedProgress: Promise<JobProgress>
   readonly failures: RunFailures
+  /** Whether the partition was read since this process took it. */
+  isRead: boolean
 }
 
 /** Starts the items of jobs in active partitions; stops items that have a result, whose job has ended, or whose partition has passed to another process. */
@@ -64,7 +68,7 @@
   readonly #readAlarm = new Alarm(now => this.#readPartitions(now))
   readonly #expiryAlarm = new Alarm(now => this.#deleteExpired(now))
   readonly #progressAlarm = new Alarm(now => this.#saveProgress(now))
-  readonly #retryAlarm = new Alarm(now => this.#retryFailed(now))
+  readonly #watchAlarm = new Alarm(now => this.#watch(now))
   readonly #watchedPartitions = new WeakSet<JobPartition>()
   readonly #jobsBeingDeleted = new Set<string>()
   /** Progress entries to be deleted with the next save. */
@@ -96,7 +100,7 @@
     this.#readAlarm.close()
     this.#expiryAlarm.close()
     this.#progressAlarm.close()
-    this.#retryAlarm.close()
+    this.#watchAlarm.close()
     this.#active.clear()
     for (const { run } of this.#runs.values()) {
       run.stop()
@@ -107,7 +111,7 @@
     if (this.#draining) {
       return
     }
-    const active = { partition, savedProgress: this.#loadProgress(partition), failures: new RunFailures() }
+    const active = { partition, savedProgress: this.#loadProgress(partition), failures: new RunFailures(), isRead: false }
     this.#active.set(partition.number, active)
     if (!this.#watchedPartitions.has(partition)) {
       this.#watchedPartitions.add(partition)
@@ -116,10 +120,12 @@
     while (this.#active.get(partition.number) === active && !await partition.refresh()) {
       await new Promise(resolve => { setTimeout(resolve, retryMilliseconds) })
     }
-    this.#onChanged(partition, partition.fold.unsettled())
+    active.isRead = true
     const now = Date.now()
+    this.#watchAlarm.setBy(now + watchIntervalMilliseconds)
     this.#readAlarm.setBy(now + readIntervalMilliseconds)
     this.#expiryAlarm.setBy(now + expiryIntervalMilliseconds)
+    this.#onChanged(partition, partition.fold.unsettled())
   }
 
   /** Loads the saved progress of a partition; there is none if that fails, and its items begin with their first events. */
@@ -217,28 +223,47 @@
     if (isCurrent) {
       this.#runs.delete(keyOf(job, index))
       failure = this.#active.get(partition.number)?.failures.record(job, index, run.progress, Date.now()) ?? null
-      this.#retryAlarm.setBy(failure?.retryAt ?? Infinity)
+      this.#watchAlarm.setBy(failure?.retryAt ?? Infinity)
     }
     this.dependencies.metrics.items.inc({ outcome: 'failed' })
     this.dependencies.logger.error('item run failed', { job: job.id, item: job.items[index]?.id, index, failures: failure?.failures ?? null, error: messageOf(error), stack: error instanceof Error ? error.stack : null })
   }
 
-  /** Starts the items again whose runs have failed and whose delays are over; returns when to check again. */
-  #retryFailed (now: number): number {
-    let next = Infinity
-    for (const active of this.#active.values()) {
+  /** Starts items that should run and do not, and stops runs that nothing needs any more; returns when to check again. */
+  #watch (now: number): number {
+    if (this.#active.size === 0) {
+      return Infinity
+    }
+    // An error in a check must not end the checks.
+    this.#watchAlarm.setBy(now + watchIntervalMilliseconds)
+    for (const started of [...this.#runs.values()].filter(run => this.#isSuperfluous(run))) {
+      const { job, index } = started
+      this.#stop(started)
+      this.dependencies.metrics.watchedItems.inc({ change: 'stopped' })
+      this.dependencies.logger.warn('item run without need stopped', { job: job.id, item: job.items[index]?.id, index })
+    }
+    let next = now + watchIntervalMilliseconds
+    for (const active of [...this.#active.values()].filter(({ isRead }) => isRead)) {
       for (const { job, index } of itemsWithoutRun(active.partition.fold.unsettled(), (...item) => this.#runs.has(keyOf(...item)))) {
         const failure = active.failures.get(job, index)
-        if (failure !== undefined && failure.retryAt <= now) {
+        if (failure === undefined) {
+          this.dependencies.metrics.watchedItems.inc({ change: 'started' })
+          this.dependencies.logger.warn('item without run started', { job: job.id, item: job.items[index]?.id, index, partition: active.partition.number })
+        }
+        if (failure === undefined || failure.retryAt <= now) {
           this.#start(active, job, index)
         } else {
-          next = Math.min(next, failure?.retryAt ?? Infinity)
+          next = Math.min(next, failure.retryAt)
         }
       }
     }
     return next
   }
 
+  #isSuperfluous ({ partition, job, index }: StartedRun): boolean {
+    return this.#active.get(partition.number)?.partition !== partition || isRunSuperfluous(partition.fold, job.id, index)
+  }
+
   /** Stops a run; returns the progress to save for the process that takes the item over. */
   #stop (started: StartedRun): readonly ProgressEntry[] {
     const { job, index, run } = started
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -41,6 +41,14 @@
     registers: [this.registry]
   })
 
+  /** Changes that the check of items that should run has made: started, for an item without a run, or stopped, for a run without need. */
+  readonly watchedItems = new Counter({
+    name: 'arbutus_gateway_item_check_changes_total',
+    help: 'Runs of batch items that the periodic check has started or stopped',
+    labelNames: ['change'],
+    registers: [this.registry]
+  })
+
   /** Client calls about batch jobs by kind and status. */
   readonly jobCalls = new Counter({
     name: 'arbutus_gateway_job_calls_total',
--- a/packages/gateway/tests/jobs/job-runner.test.ts
+++ b/packages/gateway/tests/jobs/job-runner.test.ts
@@ -1,12 +1,13 @@
 /** Tests that accepted items are run until they have a result, whatever fails, over an in-memory log with mocked timers. */
 import assert from 'node:assert/strict'
 import { afterEach, beforeEach, describe, it, mock } from 'node:test'
-import { ChangeOutcome } from '../../src/index.js'
+import { ChangeOutcome, ExpiredOffsetError, LogUnavailableError } from '../../src/index.js'
 import type { JobRunnerDependencies } from '../../src/index.js'
 import { FaultyLog } from '../util/faulty-topic.js'
 import { acquire, advance, RunnerHarness, submissionOf, turn } from '../util/runner-harness.js'
 
 const itemsName = 'arbutus_gateway_items_total'
+const checkName = 'arbutus_gateway_item_check_changes_total'
 
 /** A fault of one dependency, which lasts while `isFailing` returns true. */
 type FaultyDependencies = (isFailing: () => boolean) => Partial<JobRunnerDependencies>
@@ -122,4 +123,78 @@
     assert.equal(harness.finished('j'), 1)
     assert.equal(harness.runner.running, 0)
   })
+
+  it('starts the items of a job of whose change it was not told', async () => {
+    const harness = open()
+    mock.method(harness.partition.fold, 'onChange', () => {})
+    harness.setActive(true)
+    await advance(50)
+    await submit(harness, 'j', 3)
+    await advance(1_100)
+    assert.equal(harness.runner.running, 3)
+    assert.deepEqual(harness.linesOf('item without run started').map(({ job, item, partition }) => [job, item, partition]), [['j', 'j-0', 0], ['j', 'j-1', 0], ['j', 'j-2', 0]])
+    assert.equal(await harness.count(checkName, 'started'), 3)
+    harness.hasRoute = false
+    await advance(3_000)
+    assert.equal(harness.finished('j'), 3)
+    assert.equal(harness.runner.running, 0)
+  })
+
+  it('stops the items of a job that another process has deleted before the end of the job was read here', async () => {
+    const topic = log.connect()
+    let hasExpired = false
+    const harness = new RunnerHarness({
+      ...topic,
+      read: async (from, wait) => {
+        if (hasExpired) {
+          hasExpired = false
+          throw new ExpiredOffsetError('injected')
+        }
+        return await topic.read(from, wait)
+      }
+    })
+    harnesses.push(harness)
+    harness.setActive(true)
+    await submit(harness, 'j', 2)
+    assert.equal(harness.runner.running, 2)
+    const other = open()
+    await Promise.all([other.partition.refresh(), advance(50)])
+    const deleted = other.partition.log.delete('j')
+    await advance(50)
+    assert.equal(await deleted, ChangeOutcome.Done)
+    hasExpired = true
+    await Promise.all([harness.partition.refresh(), advance(3_000)])
+    assert.equal(harness.partition.fold.get('j'), undefined)
+    assert.equal(harness.runner.running, 0)
+    assert.equal(harness.linesOf('item run without need stopped').length, 2)
+    assert.equal(await harness.count(checkName, 'stopped'), 2)
+  })
+
+  it('neither starts nor stops anything while the partition is not its own or was not read yet', async () => {
+    const topic = log.connect()
+    let isReachable = true
+    const harness = new RunnerHarness({
+      ...topic,
+      read: async (from, wait) => {
+        if (!isReachable) {
+          throw new LogUnavailableError('injected')
+        }
+        return await topic.read(from, wait)
+      }
+    })
+    harnesses.push(harness)
+    harness.setActive(true)
+    await submit(harness, 'j', 2)
+    harness.setActive(false)
+    await advance(3_000)
+    assert.equal(harness.runner.running, 0)
+    isReachable = false
+    harness.setActive(true)
+    await advance(3_000)
+    assert.equal(harness.runner.running, 0)
+    isReachable = true
+    await advance(1_500)
+    assert.equal(harness.runner.running, 2)
+    assert.equal(await harness.count(checkName, 'started'), 0)
+  })
 })
