Report slots after each request, so that none stays taken whose release was lost

What callers saw: an item that waits beside a free slot. A holder reported its slots 900 ms after a grant, and further on only if it held or awaited one at that moment. If the release of a short request was lost, no report followed; each request, also one that is sent again every 600 ms because it waits, counted as news of the holder, so the owner never took it for gone and kept the slot. An item of that holder that came later waited for good: nothing but a grant began its reports.

Each request now has its service reported within the interval of reports (900 ms), once more even if no slot is held. The messages are the same as before.

--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -92,7 +92,8 @@
   readonly #formerOwners = new Map<string, Map<string, number>>()
   #ownersChangedAt = 0
   readonly #permitPrefix: string
-  readonly #servicesWithReportedSlots = new Set<string>()
+  /** Services of which the owner gets one more report, even if no slot is held. */
+  readonly #servicesToReport = new Set<string>()
   readonly #ownerListeners: Array<(address: string) => void> = []
   #sequence = 0
 
@@ -147,6 +148,9 @@
       const pending = { permit, demand, settle, ownerAddress, excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false }
       signal.addEventListener('abort', abort, { once: true })
       this.#pending.set(permit, pending)
+      // The owner may count a slot of this process whose release was lost, and each request makes it keep that.
+      this.#servicesToReport.add(demand.service)
+      this.#reportAlarm.setBy(now + this.#reportInterval(now))
       this.#sendRequest(pending)
       this.#pendingAlarm.setBy(nextCheckOf(pending))
     })
@@ -354,19 +358,19 @@
     for (const pending of this.#pending.values()) {
       services.set(pending.demand.service, services.get(pending.demand.service) ?? [])
     }
-    for (const service of this.#servicesWithReportedSlots) {
+    for (const service of this.#servicesToReport) {
       services.set(service, services.get(service) ?? [])
     }
     for (const [service, held] of services) {
       this.#sendReport(service, held)
       // One empty report tells the owner that no slot is held any more; after it, nothing is reported.
       if (held.length > 0) {
-        this.#servicesWithReportedSlots.add(service)
+        this.#servicesToReport.add(service)
       } else {
-        this.#servicesWithReportedSlots.delete(service)
+        this.#servicesToReport.delete(service)
       }
     }
-    return this.#servicesWithReportedSlots.size === 0 && this.#pending.size === 0 ? Infinity : now + this.#reportInterval(now)
+    return this.#servicesToReport.size === 0 && this.#pending.size === 0 ? Infinity : now + this.#reportInterval(now)
   }
 
   #reportInterval (now: number): number {
--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -238,4 +238,30 @@
     assert.equal(await acquire(owner), null)
     assert.deepEqual(members.map(({ transport }) => transport.count(PeerMessageType.TargetLeaving)).reduce((sum, count) => sum + count), 1)
   })
+
+  it('gets a slot for an item whose target the owner counts as taken since a release of its own was lost', async () => {
+    members.forEach(({ targets }) => { targets.replace([{ ...target, slots: 1 }]) })
+    const slot = await acquire(holder)
+    holder.transport.dropped = PeerMessageType.SlotRelease
+    slot?.release(SlotOutcome.Finished)
+    holder.transport.dropped = null
+    await sleep(1_000)
+    const result = await holder.slots.acquire({ ...demand, workClass: WorkClass.Batch }, AbortSignal.timeout(4_000))
+    assert.ok(result.granted)
+    result.slot.release(SlotOutcome.Finished)
+  })
+
+  it('frees a slot whose release was lost for other holders, though it goes on with short requests', async () => {
+    members.forEach(({ targets }) => { targets.replace([{ ...target, slots: 2 }]) })
+    const slot = await acquire(holder)
+    holder.transport.dropped = PeerMessageType.SlotRelease
+    slot?.release(SlotOutcome.Finished)
+    holder.transport.dropped = null
+    for (let requests = 0; requests < 3; requests += 1) {
+      await sleep(1_000)
+      releaseOf(await holder.slots.acquire(demand, AbortSignal.timeout(300)))
+    }
+    await sleep(20)
+    assert.equal(owner.slots.serviceLoad('s')?.online, 0)
+  })
 })
