--- a/packages/policy/tests/fleet/fleet-admission.test.ts
+++ b/packages/policy/tests/fleet/fleet-admission.test.ts
@@ -444,6 +444,26 @@
     assert.equal(targetOf(fleet.request(request('c3', cut), 1_950)), 'two')
   })
 
+  it('grants the items of a holder that reaches targets again all free slots within two seconds, though none of them has ended', () => {
+    const fleet = createFleet()
+    const large = targets.map(target => ({ ...target, slots: 6 }))
+    fleet.setTargets(large, 0)
+    for (const { id } of targets) {
+      fleet.request(request(`failed-${id}`, { ...batch, holder: 'cut', excluded: targets.filter(other => other.id !== id).map(other => other.id) }), 0)
+      fleet.release(`failed-${id}`, SlotOutcome.Unreachable, 10)
+    }
+    const mendedAt = 400
+    ;['p1', 'p2', 'p3', 'p4', 'p5', 'p6'].forEach(permit => fleet.request(request(permit), mendedAt))
+    const items = ['b1', 'b2', 'b3', 'b4', 'b5', 'b6']
+    const granted = new Map<string, number>()
+    const record = (decisions: readonly SlotDecision[], now: number): void => { decisions.forEach(({ permit }) => granted.set(permit, now - mendedAt)) }
+    items.forEach(permit => { record(fleet.request(request(permit, { ...batch, holder: 'cut', due: 10_000 }), mendedAt), mendedAt) })
+    for (let now = mendedAt; now <= mendedAt + 2_000; now += 25) {
+      record(fleet.tick(now), now)
+    }
+    assert.deepEqual([...granted.keys()].sort(), items, JSON.stringify([...granted]))
+  })
+
   // Load: connections of a cut-off instance are refused at once, while batch work fills the fleet.
   it('revokes batch slots twice a second at most for a holder that reaches no target, however soon its requests fail', () => {
     const fleet = createFleet()
