--- a/packages/gateway/tests/permits/slot-client.test.ts
+++ b/packages/gateway/tests/permits/slot-client.test.ts
@@ -51,12 +51,13 @@
 }
 
 describe('SlotClient', () => {
+  let network: LoopbackNetwork
   let members: TestMember[] = []
   let owner: TestMember
   let holder: TestMember
 
   beforeEach(async () => {
-    const network = new LoopbackNetwork()
+    network = new LoopbackNetwork()
     members = ['10.0.0.1', '10.0.0.2'].map(address => {
       const transport = new FilteringTransport(network.join(address))
       const membership = new Membership(transport, { zone: 'a', incarnation: 1, capacity: 1, seeds: ['10.0.0.1'] }, createTestLogger())
@@ -264,4 +265,38 @@
     await sleep(20)
     assert.equal(owner.slots.serviceLoad('s')?.online, 0)
   })
+
+  it('gets the slot of its former incarnation for an item after it started again under the same address', async () => {
+    members.forEach(({ targets }) => { targets.replace([{ ...target, slots: 1 }]) })
+    assert.ok(await acquire(holder) !== null)
+    holder.slots.close()
+    holder.membership.close()
+    const transport = new FilteringTransport(network.join(holder.transport.address))
+    const membership = new Membership(transport, { zone: 'a', incarnation: 2, capacity: 1, seeds: ['10.0.0.1', '10.0.0.2'] }, createTestLogger())
+    membership.setState(MemberState.Ready)
+    const slots = new SlotClient(membership, transport, holder.targets, new TargetFreshness(), new CrashQuarantine(), new VersionHistory())
+    members = [owner, { ...holder, transport, membership, slots }]
+    while (membership.ready().length < 2) {
+      await sleep(10)
+    }
+    const result = await slots.acquire({ ...demand, workClass: WorkClass.Batch }, AbortSignal.timeout(5_000))
+    assert.ok(result.granted)
+    assert.deepEqual(owner.slots.serviceLoad('s'), { online: 0, batch: 1, waiting: 0, slots: 1 })
+    result.slot.release(SlotOutcome.Finished)
+    await sleep(20)
+    assert.equal(owner.slots.serviceLoad('s')?.batch, 0)
+  })
+
+  it('gets a slot for an item though the target came back with another birth while it held the slot', async () => {
+    members.forEach(({ targets }) => { targets.replace([{ ...target, slots: 1 }]) })
+    const slot = await acquire(holder)
+    holder.transport.dropped = PeerMessageType.SlotRelease
+    slot?.release(SlotOutcome.Crashed)
+    holder.transport.dropped = null
+    members.forEach(({ targets }) => { targets.replace([{ ...target, slots: 1, born: 2_000 }]) })
+    await sleep(1_000)
+    const result = await holder.slots.acquire({ ...demand, workClass: WorkClass.Batch }, AbortSignal.timeout(4_000))
+    assert.ok(result.granted)
+    result.slot.release(SlotOutcome.Finished)
+  })
 })
