Join the parts of events, heads and held bodies at a cost linear in their bytes

Cause: EventSplitter.push joined all it had with each part and searched it from the end, ResponseParser did so with heads and lines, and a held body was joined anew every 64 parts: quadratic in the number of parts, in the thread that serves all callers. Change: GrowingBuffer doubles its capacity up to the limit of what it holds; only new bytes are searched, and the one to three before them that a boundary may straddle. Limits stay as they were.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Splits an event stream at event boundaries: https://html.spec.whatwg.org/multipage/server-sent-events.html#parsing-an-event-stream */
+import { GrowingBuffer } from '../util/growing-buffer.js'
 
 /** Complete events, and the id of the last of them. The bytes may be those of the chunk. */
 export interface CompleteEvents {
@@ -17,7 +18,6 @@
 const maximumEventBytes = 262_144
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
-const emptyBuffer = Buffer.alloc(0)
 /** Ids that are exact as numbers; a stream with others is not checked, and nothing continues it. */
 const idField = /^id: ?(\d{1,15})$/gm
 const eventEnd = /\r?\n\r?\n/
@@ -27,7 +27,7 @@
 
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
-  #rest: Buffer = emptyBuffer
+  readonly #rest = new GrowingBuffer(maximumEventBytes)
   #hasEvents = false
   #hasLaterId = false
   #lastId: number | null
@@ -42,21 +42,27 @@
    * follow the one before.
    */
   push (chunk: Buffer): CompleteEvents {
-    if (this.#rest.length > maximumEventBytes) {
+    const restBytes = this.#rest.length
+    if (restBytes > maximumEventBytes) {
       throw new MalformedStreamError(`an event of a stream has more than ${maximumEventBytes} bytes`)
     }
-    const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
-    const end = endOfLastEvent(data)
+    if (restBytes > 0) {
+      this.#rest.append(chunk)
+    }
+    const data = restBytes > 0 ? this.#rest.bytes : chunk
+    const end = endOfLastEvent(data, restBytes)
     const bytes = data.subarray(0, end)
+    if (end === 0) {
+      if (restBytes === 0) {
+        this.#rest.append(chunk)
+      }
+      return { bytes, lastId: null }
+    }
     // What follows an event that does not belong to the stream tells nothing of it.
-    this.#rest = emptyBuffer
-    const lastId = end === 0 ? null : this.#checkOrder(bytes.toString('latin1'))
+    this.#rest.clear()
+    const lastId = this.#checkOrder(bytes.toString('latin1'))
     if (end < data.length) {
-      const rest = data.subarray(end)
-      this.#rest = data === chunk ? Buffer.from(rest) : rest
-    }
-    if (end === 0) {
-      return { bytes, lastId }
+      this.#rest.append(data.subarray(end))
     }
     // A comment is no event; all events of a rest have ids.
     this.#hasEvents ||= this.after === null || lastId !== null
@@ -87,7 +93,7 @@
 
   /** Whether the bytes after the last complete event can be the beginning of another one. */
   get endsInsideEvent (): boolean {
-    const start = this.#rest.toString('latin1', 0, eventStart.length)
+    const start = this.#rest.bytes.toString('latin1', 0, eventStart.length)
     return start !== '' && eventStart.startsWith(start)
   }
 
@@ -98,7 +104,7 @@
 
   /** Bytes after the last complete event. */
   get rest (): Buffer {
-    return this.#rest
+    return this.#rest.bytes
   }
 
   /** Whether at least one event is complete. */
@@ -107,8 +113,9 @@
   }
 }
 
-function endOfLastEvent (data: Buffer): number {
-  for (let index = data.length - 1; index > 0; index -= 1) {
+/** Returns the position after the last event, or 0 if none ends behind the bytes that were searched before. */
+function endOfLastEvent (data: Buffer, searchedBytes: number): number {
+  for (let index = data.length - 1; index >= Math.max(searchedBytes, 1); index -= 1) {
     const lineEnd = data[index - 1] === carriageReturn ? index - 2 : index - 1
     if (data[index] === lineFeed && data[lineEnd] === lineFeed) {
       return index + 1
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -4,6 +4,7 @@
 import type { ResponseHead } from '../targets/response-parser.js'
 import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
+import { GrowingBuffer } from '../util/growing-buffer.js'
 import { EventSplitter } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
 import { emptyStreamReason, streamEndOf } from './stream-end.js'
@@ -19,8 +20,6 @@
  * the usual response, and little memory for each request.
  */
 const maximumHeldBytes = 65_536
-/** Number of parts from which they are joined, as each takes some hundred bytes beside its own. */
-const maximumHeldParts = 64
 
 /**
  * Relays the response of one target, or of several targets if a stream is resumed, to one client. Sends the head only
@@ -50,9 +49,8 @@
   #relayedBytes = 0
   /** Length of the whole body, which the target did not tell; null if it is not known when the head is sent. */
   #knownLength: number | null = null
-  /** Parts of a plain response without framing that wait for its end; null if the response is passed on as it arrives. */
-  #held: Buffer[] | null = null
-  #heldBytes = 0
+  /** Bytes of a plain response without framing that wait for its end; null if the response is passed on as it arrives. */
+  #held: GrowingBuffer | null = null
 
   constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
 
@@ -85,7 +83,7 @@
 
   /** Bytes of the body that were sent to the client or are held for it; the bytes of an event count once it is complete. */
   get relayedBytes (): number {
-    return this.#relayedBytes + this.#heldBytes
+    return this.#relayedBytes + (this.#held?.length ?? 0)
   }
 
   /** Whether the response of another target may follow: nothing was sent to the client yet, or only comments and events with ids. */
@@ -110,8 +108,7 @@
     this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter) : null
     if (!this.#hasBegun) {
       this.#head = head
-      this.#held = this.#splitter === null && endsWithConnection(head) ? [] : null
-      this.#heldBytes = 0
+      this.#held = this.#splitter === null && endsWithConnection(head) ? new GrowingBuffer(maximumHeldBytes) : null
     }
   }
 
@@ -162,7 +159,7 @@
   /** Ends a response that is complete. */
   end (): void {
     if (this.#held !== null && this.response.req.method !== 'HEAD') {
-      this.#knownLength = this.#heldBytes
+      this.#knownLength = this.#held.length
     }
     this.#releaseHeld()
     this.#begin()
@@ -189,15 +186,11 @@
     if (this.#held === null) {
       return false
     }
-    if (this.#heldBytes + bytes.length > maximumHeldBytes) {
+    if (this.#held.length + bytes.length > maximumHeldBytes) {
       this.#releaseHeld()
       return false
     }
-    if (this.#held.length >= maximumHeldParts) {
-      this.#held = [Buffer.concat(this.#held)]
-    }
-    this.#held.push(Buffer.from(bytes))
-    this.#heldBytes += bytes.length
+    this.#held.append(bytes)
     return true
   }
 
@@ -205,9 +198,8 @@
     if (this.#held === null) {
       return
     }
-    const bytes = Buffer.concat(this.#held)
+    const { bytes } = this.#held
     this.#held = null
-    this.#heldBytes = 0
     if (bytes.length > 0) {
       this.#write(bytes)
     }
--- a/packages/gateway/src/targets/response-parser.ts
+++ b/packages/gateway/src/targets/response-parser.ts
@@ -2,6 +2,7 @@
  * Parses one HTTP/1.1 response strictly: https://www.rfc-editor.org/rfc/rfc9112. Targets that are at fault break off or
  * garble responses, and a response that only looks complete must not pass for one. So whatever leaves its length in doubt is malformed.
  */
+import { GrowingBuffer } from '../util/growing-buffer.js'
 
 /** Status and headers of a response. */
 export interface ResponseHead {
@@ -51,7 +52,6 @@
 const maximumExtensionBytes = 16_384
 const headEnd = Buffer.from('\r\n\r\n')
 const lineEnd = Buffer.from('\r\n')
-const noBytes = Buffer.alloc(0)
 const statusLine = /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?$/
 const headerLine = /^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[\t ]*([\t\x20-\x7e\x80-\xff]*)$/
 const chunkSizeLine = /^([0-9A-Fa-f]{1,8})[\t ]*(?:;[\t\x20-\x7e\x80-\xff]*)?$/
@@ -69,7 +69,7 @@
 export class ResponseParser {
   #state: ParserState = ParserState.Head
   /** Bytes of a head or line whose rest has not arrived. */
-  #pending: Buffer = noBytes
+  readonly #pending = new GrowingBuffer(maximumHeadBytes)
   /** Bytes that the body or the current chunk still lacks. */
   #remaining = 0
   /** Bytes that the heads and trailers may still have. */
@@ -195,16 +195,21 @@
   #parseUntil (delimiter: Buffer, bytes: Buffer, start: number, maximumBytes: number, onText: (text: string) => void): number {
     const part = bytes.subarray(start)
     const pendingBytes = this.#pending.length
-    const data = pendingBytes === 0 ? part : Buffer.concat([this.#pending, part])
-    const end = data.indexOf(delimiter)
+    if (pendingBytes > 0) {
+      this.#pending.append(part)
+    }
+    const data = pendingBytes > 0 ? this.#pending.bytes : part
+    const end = data.indexOf(delimiter, Math.max(0, pendingBytes - delimiter.length + 1))
     if ((end < 0 ? data.length : end) > maximumBytes) {
       throw new MalformedResponseError(`no ${JSON.stringify(delimiter.toString())} within the ${maximumBytes} bytes that a response's ${this.#state} may have`)
     }
     if (end < 0) {
-      this.#pending = Buffer.from(data)
+      if (pendingBytes === 0) {
+        this.#pending.append(part)
+      }
       return bytes.length
     }
-    this.#pending = noBytes
+    this.#pending.clear()
     onText(data.toString('latin1', 0, end))
     return start + end + delimiter.length - pendingBytes
   }
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import { EventSplitter, MalformedStreamError } from '../../src/index.js'
+import { countCopiedBytes } from '../util/copied-bytes.js'
 
 describe('EventSplitter', () => {
   it('buffers an incomplete event until the rest of it arrives', () => {
@@ -92,6 +93,39 @@
     }, MalformedStreamError)
   })
 
+  for (const partBytes of [1, 10, 4_096]) {
+    it(`copies each byte of an event a bounded number of times if it arrives in parts of ${partBytes}`, context => {
+      const part = Buffer.alloc(partBytes, 'data: abc\n')
+      const total = 65_536 - 65_536 % partBytes
+      const splitter = new EventSplitter()
+      const copied = countCopiedBytes(context, () => {
+        for (let received = 0; received < total; received += partBytes) {
+          splitter.push(part)
+        }
+      })
+      assert.ok(copied <= 4 * total, `${copied} bytes were copied of ${total}`)
+      const end = splitter.push(Buffer.from('\n\n'))
+      assert.equal(end.bytes.length, total + 2)
+    })
+  }
+
+  it('finds the end of an event and keeps the next one if each byte arrives alone', () => {
+    const splitter = new EventSplitter()
+    const text = 'id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\nda'
+    const readBuffer = Buffer.alloc(1)
+    const events: string[] = []
+    for (const byte of Buffer.from(text)) {
+      readBuffer[0] = byte
+      const { bytes } = splitter.push(readBuffer)
+      if (bytes.length > 0) {
+        events.push(bytes.toString())
+      }
+    }
+    assert.deepEqual(events, ['id: 1\r\ndata: a\r\n\r\n', 'id: 2\ndata: b\n\n'])
+    assert.equal(splitter.rest.toString(), 'id: 3\nda')
+    assert.ok(splitter.showsMore)
+  })
+
   it('returns every byte in order, wherever the chunks end', () => {
     const events = Array.from({ length: 8 }, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(index)}\n\n`).join('')
     fc.assert(fc.property(fc.array(fc.nat(events.length), { maxLength: 12 }), cuts => {
--- a/packages/gateway/tests/online/response-relay.test.ts
+++ b/packages/gateway/tests/online/response-relay.test.ts
@@ -9,6 +9,7 @@
 import { CallOutcome } from '../../src/targets/target-call.js'
 import { ResponseRelay } from '../../src/online/response-relay.js'
 import type { CallEnd, ResponseHead } from '../../src/index.js'
+import { countCopiedBytes } from '../util/copied-bytes.js'
 
 const unframedHead: ResponseHead = { status: 200, rawHeaders: ['X-Signature', 's'], headers: { 'x-signature': 's' } }
 const complete: CallEnd = { end: CallOutcome.Complete, reason: '' }
@@ -39,6 +40,23 @@
 }
 
 describe('ResponseRelay', () => {
+  it('copies each byte of a held body a bounded number of times if each arrives alone', async context => {
+    const length = 65_536
+    let copied = 0
+    const { body } = await receive(context, false, relay => {
+      relay.onHead(unframedHead, null)
+      const part = Buffer.from('x')
+      copied = countCopiedBytes(context, () => {
+        for (let received = 0; received < length; received += 1) {
+          relay.onData(part)
+        }
+      })
+      relay.end()
+    })
+    assert.equal(body.length, length)
+    assert.ok(copied <= 4 * length, `${copied} bytes were copied of ${length}`)
+  })
+
   for (const isStream of [false, true]) {
     it(`relays a response without length or chunks whole and with a framing of its own, ${isStream ? 'as a stream' : 'as a plain body'}`, async context => {
       const { message, body } = await receive(context, isStream, relay => {
--- a/packages/gateway/tests/targets/response-parser.test.ts
+++ b/packages/gateway/tests/targets/response-parser.test.ts
@@ -4,6 +4,7 @@
 import { array, assert as assertProperty, constantFrom, nat, property, stringMatching, tuple, uint8Array } from 'fast-check'
 import { MalformedResponseError, ResponseParser } from '../../src/index.js'
 import type { ResponseHead } from '../../src/index.js'
+import { countCopiedBytes } from '../util/copied-bytes.js'
 
 interface Parsed {
   readonly heads: readonly ResponseHead[]
@@ -49,6 +50,14 @@
 const header = tuple(stringMatching(/^X-[A-Za-z0-9-]{1,10}$/), stringMatching(/^[!-~]([ -~]{0,20}[!-~])?$/))
 
 describe('ResponseParser', () => {
+  it('copies each byte of a head a bounded number of times if each arrives alone', context => {
+    const head = Buffer.from(`HTTP/1.1 200 OK\r\n${'X-Header: value\r\n'.repeat(1_800)}Content-Length: 0\r\n\r\n`)
+    let parsed: Parsed | null = null
+    const copied = countCopiedBytes(context, () => { parsed = parse(head, [1]) })
+    assert.equal((parsed as Parsed | null)?.heads.length, 1)
+    assert.ok(copied <= 4 * head.length, `${copied} bytes were copied of ${head.length}`)
+  })
+
   it('returns head and body of sized and chunked responses, however they are split', () => {
     assertProperty(property(array(header, { maxLength: 5 }), bodies, splits, constantFrom('sized', 'chunked'), (headers, parts, lengths, framing) => {
       const chunks = parts.map(part => Buffer.from(part))
