Read at most 64 KiB of a direct connection in a turn of the event loop

Cause: the event loop reads a connection again as long as its buffer is filled, before others are served. Change: ReadTurn decides when a connection has had its turn; a read that leaves nothing behind ends the count, so sound streams schedule nothing.

--- a/packages/gateway/src/targets/direct-transport.ts
+++ b/packages/gateway/src/targets/direct-transport.ts
@@ -4,11 +4,12 @@
 import { messageOf } from '@arbutusloft/protocol'
 import { afterNextRead } from '../util/after-next-read.js'
 import { checkEnd } from './connection-end.js'
+import { maximumBytesPerTurn, ReadTurn } from './read-turn.js'
 import { ConnectionFailure, connectTimeoutMilliseconds, failSoon } from './transport.js'
 import type { ConnectAttempt, ConnectListener, TargetTransport, TransportListener } from './transport.js'
 
 /** All connections read into this buffer, one after the other; what is kept of it is copied. */
-const readBuffer = Buffer.allocUnsafe(65_536)
+const readBuffer = Buffer.allocUnsafe(maximumBytesPerTurn)
 
 /**
  * Connects to a target; never throws.
@@ -30,8 +31,10 @@
   readonly #timer: NodeJS.Timeout
   #listener: TransportListener | null = null
   #isConnected = false
+  /** Whether the listener takes no more. */
   #isPaused = false
   #isEnded = false
+  readonly #turn = new ReadTurn(() => { this.#readOn() })
 
   constructor (address: string, private readonly connectListener: ConnectListener) {
     const [host = '', port = ''] = address.split(':')
@@ -45,7 +48,7 @@
         buffer: readBuffer,
         callback: length => {
           this.#isPaused = this.#listener?.onData(readBuffer.subarray(0, length)) === false
-          return !this.#isPaused
+          return this.#turn.add(length, length < readBuffer.length) && !this.#isPaused
         }
       }
     })
@@ -67,7 +70,7 @@
   resume (): void {
     if (this.#isPaused) {
       this.#isPaused = false
-      this.#socket.resume()
+      this.#readOn()
     }
   }
 
@@ -81,6 +84,12 @@
     this.#socket.destroy()
   }
 
+  #readOn (): void {
+    if (!this.#isPaused && !this.#turn.isOver && !this.#isEnded) {
+      this.#socket.resume()
+    }
+  }
+
   #onConnected (): void {
     if (!this.#isEnded) {
       clearTimeout(this.#timer)
