Read at most 64 KiB of a relayed connection in a turn of the event loop

Callers saw: the same as with direct connections, through a relaying peer (read in the code, no run of callers shows it). Cause: all that had arrived was read and passed on for as long as more arrived. Change: RelayedTransport asks ReadTurn, which now counts by turns, and reads no more than what remains; direct connections still count only reads that fill the buffer. Measured: 225,304 bytes read in one turn before (the test failed, twice), at most 65,536 after. The relaying side (target-relay.ts) pipes as before.

--- a/packages/gateway/src/targets/direct-transport.ts
+++ b/packages/gateway/src/targets/direct-transport.ts
@@ -48,7 +48,8 @@
         buffer: readBuffer,
         callback: length => {
           this.#isPaused = this.#listener?.onData(readBuffer.subarray(0, length)) === false
-          return this.#turn.add(length, length < readBuffer.length) && !this.#isPaused
+          // The event loop reads a connection again in the same turn only if the buffer was filled.
+          return (length < readBuffer.length || this.#turn.add(length)) && !this.#isPaused
         }
       }
     })
--- a/packages/gateway/src/targets/read-turn.ts
+++ b/packages/gateway/src/targets/read-turn.ts
@@ -3,38 +3,37 @@
 /** Bytes that are read from a connection in a turn: one full read. */
 export const maximumBytesPerTurn = 65_536
 
-/** Counts the bytes that are read from one connection without a pause. */
+/** Counts the bytes that are read from one connection in the current turn. */
 export class ReadTurn {
   #bytes = 0
-  #isOver = false
 
-  /** @param onNext called in the next turn after {@link ReadTurn.add} has returned false */
+  /** @param onNext called in the next turn if reading has paused */
   constructor (private readonly onNext: () => void) {}
 
   /** Whether reading pauses until the next turn. */
   get isOver (): boolean {
-    return this.#isOver
+    return this.remaining === 0
   }
 
-  /**
-   * Counts a read; returns whether the connection may be read on in this turn.
-   *
-   * @param isDrained whether the read has taken all that had arrived, so that the event loop serves others next
-   */
-  add (bytes: number, isDrained: boolean): boolean {
-    if (isDrained) {
-      this.#bytes = 0
-      return !this.#isOver
+  /** Bytes that may still be read in this turn. */
+  get remaining (): number {
+    return Math.max(0, maximumBytesPerTurn - this.#bytes)
+  }
+
+  /** Counts a read; returns whether the connection may be read on in this turn. A read that the event loop follows with those of others needs no count. */
+  add (bytes: number): boolean {
+    if (this.#bytes === 0 && bytes > 0) {
+      setImmediate(() => { this.#startNext() })
     }
     this.#bytes += bytes
-    if (this.#bytes >= maximumBytesPerTurn && !this.#isOver) {
-      this.#isOver = true
-      setImmediate(() => {
-        this.#isOver = false
-        this.#bytes = 0
-        this.onNext()
-      })
+    return !this.isOver
+  }
+
+  #startNext (): void {
+    const { isOver } = this
+    this.#bytes = 0
+    if (isOver) {
+      this.onNext()
     }
-    return !this.#isOver
   }
 }
--- a/packages/gateway/src/targets/relayed-transport.ts
+++ b/packages/gateway/src/targets/relayed-transport.ts
@@ -5,6 +5,7 @@
 import { Status } from '../http/reply.js'
 import { afterNextRead } from '../util/after-next-read.js'
 import { RelayedEnd, relayedAddressHeader, relayedEndTrailer, relayedRemainingHeader, relayedTargetHeader, targetRelayPath } from './relay-protocol.js'
+import { ReadTurn } from './read-turn.js'
 import { ConnectionFailure, connectTimeoutMilliseconds, failSoon } from './transport.js'
 import type { ConnectAttempt, ConnectListener, TargetTransport, TransportListener } from './transport.js'
 import type { TargetEndpoint } from './target-registry.js'
@@ -91,6 +92,7 @@
   #listener: TransportListener | null = null
   #isPaused = false
   #isEnded = false
+  readonly #turn = new ReadTurn(() => { this.#read() })
 
   constructor (readonly via: string, private readonly request: ClientRequest, private readonly response: IncomingMessage) {
     request.on('error', error => { this.#onRelayLost(messageOf(error)) })
@@ -125,13 +127,15 @@
     this.request.destroy()
   }
 
-  /** Passes on all that has arrived at once, like a read of a socket: a listener that reads from time to time would else get one chunk each time. */
+  /** Passes on all that has arrived at once, up to the limit of a turn, like a read of a socket: a listener that reads from time to time would else get one chunk each time. */
   #read (): void {
-    while (!this.#isPaused && !this.#isEnded) {
-      const bytes = this.response.read() as Buffer | null
+    while (!this.#isPaused && !this.#turn.isOver && !this.#isEnded) {
+      const { remaining } = this.#turn
+      const bytes = this.response.read(this.response.readableLength > remaining ? remaining : undefined) as Buffer | null
       if (bytes === null) {
         return
       }
+      this.#turn.add(bytes.length)
       this.#isPaused = this.#listener?.onData(bytes) === false
     }
   }
--- a/packages/gateway/tests/targets/relayed-connections.test.ts
+++ b/packages/gateway/tests/targets/relayed-connections.test.ts
@@ -5,6 +5,7 @@
 import type { TestContext } from 'node:test'
 import { callTarget, CallOutcome, EventSplitter, sleep } from '../../src/index.js'
 import type { CallEnd, ResponseSink, RunningCall } from '../../src/index.js'
+import { maximumBytesPerTurn } from '../../src/targets/read-turn.js'
 import { ConnectionFailure } from '../../src/targets/transport.js'
 import { Cut, RelayHarness } from '../util/relay-harness.js'
 import type { RelayHarnessOptions, ServeConnection } from '../util/relay-harness.js'
@@ -75,6 +76,33 @@
     })
   }
 
+  it('does not take a whole turn of the event loop if its target sends as fast as it is read', async context => {
+    const length = 4_194_304
+    const harness = await start(context, { serve: answering(`${head}Content-Length: ${length}\r\n\r\n${'x'.repeat(length)}`) })
+    await harness.cut(Cut.Refuse)
+    let bytesInTurn = 0
+    let most = 0
+    let received = 0
+    const onTurn = (): void => {
+      bytesInTurn = 0
+      if (received < length) {
+        setImmediate(onTurn)
+      }
+    }
+    onTurn()
+    const { call } = send(harness, 1, {
+      onData: chunk => {
+        received += chunk.length
+        bytesInTurn += chunk.length
+        most = Math.max(most, bytesInTurn)
+        return true
+      }
+    })
+    assert.deepEqual(await call.ended, { end: CallOutcome.Complete, reason: '' })
+    assert.equal(received, length)
+    assert.ok(most <= maximumBytesPerTurn, `${most} bytes were read in a turn`)
+  })
+
   it('uses the relayed connection of the call before', async context => {
     const harness = await start(context, { serve: answering(whole) })
     await harness.cut(Cut.Refuse)
