Break off a stream that brings only comments and empty events without end

Cause: a complete comment or empty event began the answer at the client, and nothing limited how many bytes may come without an event. Change: more than the maximum length of an event (262,144 bytes) of complete blocks in a row without an event that has data (on resumable routes: data and an id) is a malformed stream; the count starts anew with each such event. Comments and empty events at the beginning of a stream that isn't a rest are held, within the same limit, until something else follows, so the request goes on elsewhere. So a client gets the head of a sound stream with its first event, not with a comment before.

--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -14,8 +14,8 @@
   override readonly name = 'MalformedStreamError'
 }
 
-/** Maximum length of an event: the length of the records that the store accepts, as a result holds all events of a batch item. */
-const maximumEventBytes = 262_144
+/** Maximum length of an event, and of bytes in a row without one that has content: the length of the records that the store accepts, as a result holds all events of a batch item. */
+export const maximumEventBytes = 262_144
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
 /** Ids that are exact as numbers; a stream with others is not checked, and nothing continues it. */
@@ -24,22 +24,32 @@
 const numericId = /^id: ?\d{1,15}$/m
 const otherThanComment = /^[^:\r\n]/m
 const eventStart = 'id:'
+const dataWithContent = /^data:(?: [^\r\n]|[^ \r\n])/m
+/** A line that is neither empty, a comment nor a data field without a value. */
+const lineWithContent = /^(?!data:? ?[\r\n])[^:\r\n]/m
+const idWithContent = /^id:(?: [^\r\n]|[^ \r\n])/m
 
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
   readonly #rest = new GrowingBuffer(maximumEventBytes)
   #hasEvents = false
   #hasLaterId = false
+  #isEmpty = true
+  /** Bytes of comments, empty events and line ends since the last event with content. */
+  #bytesWithoutContent = 0
   #lastId: number | null
 
-  /** @param after id of the event after which the stream continues, so that its first event has the next id; null if it begins */
-  constructor (private readonly after: number | null = null) {
+  /**
+   * @param after id of the event after which the stream continues, so that its first event has the next id; null if it begins
+   * @param needsIds whether only events with an id count as content
+   */
+  constructor (private readonly after: number | null = null, private readonly needsIds = false) {
     this.#lastId = after
   }
 
   /**
    * Adds a chunk, which may change after the call, and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end or does not
-   * follow the one before.
+   * follow the one before, or if too many bytes bring no event with content.
    */
   push (chunk: Buffer): CompleteEvents {
     const restBytes = this.#rest.length
@@ -60,7 +70,9 @@
     }
     // What follows an event that does not belong to the stream tells nothing of it.
     this.#rest.clear()
-    const lastId = this.#checkOrder(bytes.toString('latin1'))
+    const events = bytes.toString('latin1')
+    const lastId = this.#checkOrder(events)
+    this.#checkContent(events)
     if (end < data.length) {
       this.#rest.append(data.subarray(end))
     }
@@ -91,6 +103,23 @@
     return last
   }
 
+  #checkContent (events: string): void {
+    this.#isEmpty &&= !lineWithContent.test(events)
+    if (dataWithContent.test(events) && (!this.needsIds || idWithContent.test(events))) {
+      this.#bytesWithoutContent = 0
+      return
+    }
+    this.#bytesWithoutContent += events.length
+    if (this.#bytesWithoutContent > maximumEventBytes) {
+      throw new MalformedStreamError(`more than ${maximumEventBytes} bytes of a stream in a row have no event with ${this.needsIds ? 'an id and data' : 'data'}`)
+    }
+  }
+
+  /** Whether the complete events are only comments and events without data. */
+  get isEmpty (): boolean {
+    return this.#isEmpty
+  }
+
   /** Whether the bytes after the last complete event can be the beginning of another one. */
   get endsInsideEvent (): boolean {
     const start = this.#rest.bytes.toString('latin1', 0, eventStart.length)
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -100,7 +100,7 @@
     private readonly request: OnlineRequest,
     private readonly response: ServerResponse
   ) {
-    this.#relay = new ResponseRelay(response, request.route.kind === RouteKind.Stream)
+    this.#relay = new ResponseRelay(response, request.route.kind === RouteKind.Stream, request.route.resumable)
     this.#origin = request.continues
   }
 
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -5,7 +5,7 @@
 import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
 import { GrowingBuffer } from '../util/growing-buffer.js'
-import { EventSplitter } from './event-splitter.js'
+import { EventSplitter, maximumEventBytes } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
 import { emptyStreamReason, streamEndOf } from './stream-end.js'
 
@@ -49,10 +49,11 @@
   #relayedBytes = 0
   /** Length of the whole body, which the target did not tell; null if it is not known when the head is sent. */
   #knownLength: number | null = null
-  /** Bytes of a plain response without framing that wait for its end; null if the response is passed on as it arrives. */
+  /** Bytes of a plain response without framing that wait for its end, or comments and empty events at the beginning of a stream; null if the response is passed on as it arrives. */
   #held: GrowingBuffer | null = null
 
-  constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
+  /** @param needsIds whether the events of the stream have to have ids */
+  constructor (private readonly response: ServerResponse, private readonly isStream: boolean, private readonly needsIds = false) {}
 
   /** Whether the head of a response was sent to the client. */
   get hasBegun (): boolean {
@@ -105,10 +106,11 @@
     if (this.#lastId === null) {
       this.#takenUpAfter = resumesAfter
     }
-    this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter) : null
+    this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter, this.needsIds) : null
     if (!this.#hasBegun) {
       this.#head = head
-      this.#held = this.#splitter === null && endsWithConnection(head) ? new GrowingBuffer(maximumHeldBytes) : null
+      const isHeld = this.#splitter === null ? endsWithConnection(head) : resumesAfter === null
+      this.#held = isHeld ? new GrowingBuffer(this.#maximumHeldBytes) : null
     }
   }
 
@@ -119,7 +121,13 @@
     }
     const { bytes, lastId } = this.#splitter.push(chunk)
     this.#lastId = lastId ?? this.#lastId
-    return bytes.length === 0 || this.#write(bytes)
+    if (bytes.length === 0) {
+      return true
+    }
+    if (!this.#splitter.isEmpty) {
+      this.#releaseHeld()
+    }
+    return this.#hold(bytes) || this.#write(bytes)
   }
 
   /**
@@ -158,7 +166,7 @@
 
   /** Ends a response that is complete. */
   end (): void {
-    if (this.#held !== null && this.response.req.method !== 'HEAD') {
+    if (this.#held !== null && this.#splitter === null && this.response.req.method !== 'HEAD') {
       this.#knownLength = this.#held.length
     }
     this.#releaseHeld()
@@ -181,12 +189,16 @@
     }
   }
 
-  /** Holds a part of a plain response until its end; returns false if the response is not or no longer held. */
+  get #maximumHeldBytes (): number {
+    return this.#splitter === null ? maximumHeldBytes : maximumEventBytes
+  }
+
+  /** Holds a part of a plain response, or the empty beginning of a stream; returns false if the response is not or no longer held. */
   #hold (bytes: Buffer): boolean {
     if (this.#held === null) {
       return false
     }
-    if (this.#held.length + bytes.length > maximumHeldBytes) {
+    if (this.#held.length + bytes.length > this.#maximumHeldBytes) {
       this.#releaseHeld()
       return false
     }
--- a/packages/gateway/tests/online/event-splitter.test.ts
+++ b/packages/gateway/tests/online/event-splitter.test.ts
@@ -126,6 +126,33 @@
     assert.ok(splitter.showsMore)
   })
 
+  for (const [name, part, needsIds] of [
+    ['comments', ': wait\n\n', false],
+    ['empty events', 'data:\n\n', false],
+    ['line ends', '\n\n', false],
+    ['events without ids in a stream that needs them', 'data: a\n\n', true]
+  ] as const) {
+    it(`rejects ${name} without end`, () => {
+      const splitter = new EventSplitter(null, needsIds)
+      let pushed = 0
+      assert.throws(() => {
+        for (; pushed < 1_048_576; pushed += part.length) {
+          splitter.push(Buffer.from(part))
+        }
+      }, MalformedStreamError)
+      assert.ok(pushed <= 262_144, `${pushed} bytes were accepted`)
+      assert.equal(splitter.isEmpty, !needsIds)
+    })
+
+    it(`accepts some of ${name} before each event`, () => {
+      const splitter = new EventSplitter(null, needsIds)
+      for (let event = 1; event <= 10; event += 1) {
+        splitter.push(Buffer.from(part.repeat(Math.floor(131_072 / part.length))))
+        assert.equal(splitter.push(Buffer.from(`id: ${event}\ndata: a\n\n`)).lastId, event)
+      }
+    })
+  }
+
   it('returns every byte in order, wherever the chunks end', () => {
     const events = Array.from({ length: 8 }, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(index)}\n\n`).join('')
     fc.assert(fc.property(fc.array(fc.nat(events.length), { maxLength: 12 }), cuts => {
