--- a/packages/gateway/src/online/event-splitter.ts
+++ b/packages/gateway/src/online/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Splits an event stream at event boundaries: https://html.spec.whatwg.org/multipage/server-sent-events.html#parsing-an-event-stream */
+import { GrowingBuffer } from '../util/growing-buffer.js'
 
 /** Complete events, and the id of the last of them. The bytes may be those of the chunk. */
 export interface CompleteEvents {
@@ -13,50 +14,67 @@
   override readonly name = 'MalformedStreamError'
 }
 
-/** Maximum length of an event: the length of the records that the store accepts, as a result holds all events of a batch item. */
-const maximumEventBytes = 262_144
+/** Maximum length of an event, and of bytes in a row without one that has content: the length of the records that the store accepts, as a result holds all events of a batch item. */
+export const maximumEventBytes = 262_144
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
-const emptyBuffer = Buffer.alloc(0)
 /** Ids that are exact as numbers; a stream with others is not checked, and nothing continues it. */
 const idField = /^id: ?(\d{1,15})$/gm
 const eventEnd = /\r?\n\r?\n/
 const numericId = /^id: ?\d{1,15}$/m
 const otherThanComment = /^[^:\r\n]/m
 const eventStart = 'id:'
+const dataWithContent = /^data:(?: [^\r\n]|[^ \r\n])/m
+/** A line that is neither empty, a comment nor a data field without a value. */
+const lineWithContent = /^(?!data:? ?[\r\n])[^:\r\n]/m
+const idWithContent = /^id:(?: [^\r\n]|[^ \r\n])/m
 
 /** Buffers an incomplete event until the rest of it arrives. */
 export class EventSplitter {
-  #rest: Buffer = emptyBuffer
+  readonly #rest = new GrowingBuffer(maximumEventBytes)
   #hasEvents = false
   #hasLaterId = false
+  #isEmpty = true
+  /** Bytes of comments, empty events and line ends since the last event with content. */
+  #bytesWithoutContent = 0
   #lastId: number | null
 
-  /** @param after id of the event after which the stream continues, so that its first event has the next id; null if it begins */
-  constructor (private readonly after: number | null = null) {
+  /**
+   * @param after id of the event after which the stream continues, so that its first event has the next id; null if it begins
+   * @param needsIds whether only events with an id count as content
+   */
+  constructor (private readonly after: number | null = null, private readonly needsIds = false) {
     this.#lastId = after
   }
 
   /**
    * Adds a chunk, which may change after the call, and returns the events that are now complete; throws a {@link MalformedStreamError} if an event has no end or does not
-   * follow the one before.
+   * follow the one before, or if too many bytes bring no event with content.
    */
   push (chunk: Buffer): CompleteEvents {
-    if (this.#rest.length > maximumEventBytes) {
+    const restBytes = this.#rest.length
+    if (restBytes > maximumEventBytes) {
       throw new MalformedStreamError(`an event of a stream has more than ${maximumEventBytes} bytes`)
     }
-    const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
-    const end = endOfLastEvent(data)
+    if (restBytes > 0) {
+      this.#rest.append(chunk)
+    }
+    const data = restBytes > 0 ? this.#rest.bytes : chunk
+    const end = endOfLastEvent(data, restBytes)
     const bytes = data.subarray(0, end)
+    if (end === 0) {
+      if (restBytes === 0) {
+        this.#rest.append(chunk)
+      }
+      return { bytes, lastId: null }
+    }
     // What follows an event that does not belong to the stream tells nothing of it.
-    this.#rest = emptyBuffer
-    const lastId = end === 0 ? null : this.#checkOrder(bytes.toString('latin1'))
+    this.#rest.clear()
+    const events = bytes.toString('latin1')
+    const lastId = this.#checkOrder(events)
+    this.#checkContent(events)
     if (end < data.length) {
-      const rest = data.subarray(end)
-      this.#rest = data === chunk ? Buffer.from(rest) : rest
-    }
-    if (end === 0) {
-      return { bytes, lastId }
+      this.#rest.append(data.subarray(end))
     }
     // A comment is no event; all events of a rest have ids.
     this.#hasEvents ||= this.after === null || lastId !== null
@@ -85,9 +103,26 @@
     return last
   }
 
+  #checkContent (events: string): void {
+    this.#isEmpty &&= !lineWithContent.test(events)
+    if (dataWithContent.test(events) && (!this.needsIds || idWithContent.test(events))) {
+      this.#bytesWithoutContent = 0
+      return
+    }
+    this.#bytesWithoutContent += events.length
+    if (this.#bytesWithoutContent > maximumEventBytes) {
+      throw new MalformedStreamError(`more than ${maximumEventBytes} bytes of a stream in a row have no event with ${this.needsIds ? 'an id and data' : 'data'}`)
+    }
+  }
+
+  /** Whether the complete events are only comments and events without data. */
+  get isEmpty (): boolean {
+    return this.#isEmpty
+  }
+
   /** Whether the bytes after the last complete event can be the beginning of another one. */
   get endsInsideEvent (): boolean {
-    const start = this.#rest.toString('latin1', 0, eventStart.length)
+    const start = this.#rest.bytes.toString('latin1', 0, eventStart.length)
     return start !== '' && eventStart.startsWith(start)
   }
 
@@ -98,7 +133,7 @@
 
   /** Bytes after the last complete event. */
   get rest (): Buffer {
-    return this.#rest
+    return this.#rest.bytes
   }
 
   /** Whether at least one event is complete. */
@@ -107,8 +142,9 @@
   }
 }
 
-function endOfLastEvent (data: Buffer): number {
-  for (let index = data.length - 1; index > 0; index -= 1) {
+/** Returns the position after the last event, or 0 if none ends behind the bytes that were searched before. */
+function endOfLastEvent (data: Buffer, searchedBytes: number): number {
+  for (let index = data.length - 1; index >= Math.max(searchedBytes, 1); index -= 1) {
     const lineEnd = data[index - 1] === carriageReturn ? index - 2 : index - 1
     if (data[index] === lineFeed && data[lineEnd] === lineFeed) {
       return index + 1
--- a/packages/gateway/src/online/response-relay.ts
+++ b/packages/gateway/src/online/response-relay.ts
@@ -4,7 +4,8 @@
 import type { ResponseHead } from '../targets/response-parser.js'
 import { CallOutcome } from '../targets/target-call.js'
 import type { CallEnd } from '../targets/target-call.js'
-import { EventSplitter } from './event-splitter.js'
+import { GrowingBuffer } from '../util/growing-buffer.js'
+import { EventSplitter, maximumEventBytes } from './event-splitter.js'
 import { forwardedHeaders } from './forwarded-headers.js'
 import { emptyStreamReason, streamEndOf } from './stream-end.js'
 
@@ -19,8 +20,6 @@
  * the usual response, and little memory for each request.
  */
 const maximumHeldBytes = 65_536
-/** Number of parts from which they are joined, as each takes some hundred bytes beside its own. */
-const maximumHeldParts = 64
 
 /**
  * Relays the response of one target, or of several targets if a stream is resumed, to one client. Sends the head only
@@ -50,11 +49,11 @@
   #relayedBytes = 0
   /** Length of the whole body, which the target did not tell; null if it is not known when the head is sent. */
   #knownLength: number | null = null
-  /** Parts of a plain response without framing that wait for its end; null if the response is passed on as it arrives. */
-  #held: Buffer[] | null = null
-  #heldBytes = 0
+  /** Bytes of a plain response without framing that wait for its end, or comments and empty events at the beginning of a stream; null if the response is passed on as it arrives. */
+  #held: GrowingBuffer | null = null
 
-  constructor (private readonly response: ServerResponse, private readonly isStream: boolean) {}
+  /** @param needsIds whether the events of the stream have to have ids */
+  constructor (private readonly response: ServerResponse, private readonly isStream: boolean, private readonly needsIds = false) {}
 
   /** Whether the head of a response was sent to the client. */
   get hasBegun (): boolean {
@@ -85,7 +84,7 @@
 
   /** Bytes of the body that were sent to the client or are held for it; the bytes of an event count once it is complete. */
   get relayedBytes (): number {
-    return this.#relayedBytes + this.#heldBytes
+    return this.#relayedBytes + (this.#held?.length ?? 0)
   }
 
   /** Whether the response of another target may follow: nothing was sent to the client yet, or only comments and events with ids. */
@@ -107,11 +106,11 @@
     if (this.#lastId === null) {
       this.#takenUpAfter = resumesAfter
     }
-    this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter) : null
+    this.#splitter = this.isStream && head.status === successStatus ? new EventSplitter(resumesAfter, this.needsIds) : null
     if (!this.#hasBegun) {
       this.#head = head
-      this.#held = this.#splitter === null && endsWithConnection(head) ? [] : null
-      this.#heldBytes = 0
+      const isHeld = this.#splitter === null ? endsWithConnection(head) : resumesAfter === null
+      this.#held = isHeld ? new GrowingBuffer(this.#maximumHeldBytes) : null
     }
   }
 
@@ -122,7 +121,13 @@
     }
     const { bytes, lastId } = this.#splitter.push(chunk)
     this.#lastId = lastId ?? this.#lastId
-    return bytes.length === 0 || this.#write(bytes)
+    if (bytes.length === 0) {
+      return true
+    }
+    if (!this.#splitter.isEmpty) {
+      this.#releaseHeld()
+    }
+    return this.#hold(bytes) || this.#write(bytes)
   }
 
   /**
@@ -161,8 +166,8 @@
 
   /** Ends a response that is complete. */
   end (): void {
-    if (this.#held !== null && this.response.req.method !== 'HEAD') {
-      this.#knownLength = this.#heldBytes
+    if (this.#held !== null && this.#splitter === null && this.response.req.method !== 'HEAD') {
+      this.#knownLength = this.#held.length
     }
     this.#releaseHeld()
     this.#begin()
@@ -184,20 +189,20 @@
     }
   }
 
-  /** Holds a part of a plain response until its end; returns false if the response is not or no longer held. */
+  get #maximumHeldBytes (): number {
+    return this.#splitter === null ? maximumHeldBytes : maximumEventBytes
+  }
+
+  /** Holds a part of a plain response, or the empty beginning of a stream; returns false if the response is not or no longer held. */
   #hold (bytes: Buffer): boolean {
     if (this.#held === null) {
       return false
     }
-    if (this.#heldBytes + bytes.length > maximumHeldBytes) {
+    if (this.#held.length + bytes.length > this.#maximumHeldBytes) {
       this.#releaseHeld()
       return false
     }
-    if (this.#held.length >= maximumHeldParts) {
-      this.#held = [Buffer.concat(this.#held)]
-    }
-    this.#held.push(Buffer.from(bytes))
-    this.#heldBytes += bytes.length
+    this.#held.append(bytes)
     return true
   }
 
@@ -205,9 +210,8 @@
     if (this.#held === null) {
       return
     }
-    const bytes = Buffer.concat(this.#held)
+    const { bytes } = this.#held
     this.#held = null
-    this.#heldBytes = 0
     if (bytes.length > 0) {
       this.#write(bytes)
     }
