Let only answers that get further end a quarantine, and begin it in time whichever way crashes go

And any bytes for 300 ms counted as an answer that goes well. Cause: an answer that went well cleared crashes further on than it had come, also one that its target ended; after crashes at different places the quarantine began with the next report only; entries did not tell all crashes; the release of a request made its own part look unexplained; a withdrawal counted only the crashes since the answer got further. Change: an answer clears what it has passed, by events with higher ids, and only while it goes on or when its holder stops it; a request is in quarantine from 2 s after its third crash on; entries tell all crashes and the furthest place (optional fields, which builds before ignore); after a withdrawal all crashes that are left count. Trials that targets rejected unrun count as nothing, and those that living targets answered with a failure, or whose holder was lost while its target lives, are repeated like displaced ones. The check whether a target accepts connections runs beside that of the way to it.

--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -290,7 +290,7 @@
     const resumedAfter = this.#output.lastId
     const sentAt = Date.now()
     this.#startedAt ??= sentAt
-    const progress = new AnswerProgress(() => { slot.markSound() })
+    const progress = new AnswerProgress(this.#output.lastId ?? 0, place => { slot.markSound(place) })
     const call = callTarget(this.dependencies.connections, target, {
       id: this.item.id,
       method: itemMethod,
@@ -311,12 +311,12 @@
         }
       },
       onData: chunk => {
-        progress.onData(this.#status)
         if (this.#output.push(chunk)) {
           this.#writer = target
           eventAt = Date.now()
           unresponsiveTimer.refresh()
         }
+        progress.onData(this.#status, this.#output.lastId ?? 0)
         readTimer ??= setTimeout(() => {
           readTimer = null
           call.resume()
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -259,7 +259,7 @@
       headers.push('Last-Event-Id', eventId)
     }
     const sentAt = Date.now()
-    const progress = new AnswerProgress(() => { slot.markSound() })
+    const progress = new AnswerProgress(resumeAfter ?? 0, place => { slot.markSound(place) })
     let status: number | null = null
     let isDiscarded = false
     const call = callTarget(dependencies.connections, target, {
@@ -291,9 +291,9 @@
         this.#relay.onHead(head, request.route.resumable ? resumeAfter : null)
       },
       onData: chunk => {
-        progress.onData(status)
         const { relayedBytes } = this.#relay
         const isWritable = this.#relay.onData(chunk)
+        progress.onData(status, this.#relay.lastId ?? resumeAfter ?? 0)
         if (this.#relay.relayedBytes > relayedBytes) {
           silenceWatch.onProgress()
           this.#lastProgressAt = Date.now()
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, RequestContent, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
+import type { CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -146,15 +146,15 @@
   readonly isNotRun?: boolean
   /** The request that the target crashed under; left out if it has not crashed. */
   readonly crash?: Omit<CrashReport, 'digest'> & Partial<Pick<CrashReport, 'digest'>>
-  /** The request, if its incomplete answer has shown that the target does not crash under it; left out by earlier builds. */
-  readonly sound?: RequestContent
+  /** The request, if it was stopped while its answer went well; left out by earlier builds. */
+  readonly sound?: SoundReport
 }
 
 /** Tells that a target does not crash under a request, whose answer goes on. Builds before ignore it. */
 export interface SlotSoundMessage {
   readonly type: typeof PeerMessageType.SlotSound
   readonly service: string
-  readonly sound: RequestContent
+  readonly sound: SoundReport
 }
 
 /** Reports all slots of a service that the sender holds. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -4,7 +4,7 @@
  * that were granted, reports them periodically and releases them.
  */
 import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits, receivedWait, unknownWait } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, CrashQuarantine, RequestContent, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -609,7 +609,7 @@
       }
     }
     const markLeaving = (): void => { this.#markLeaving(service, target) }
-    const markSound = (): void => { this.#markSound(held) }
+    const markSound = (place: number): void => { this.#markSound(held, place) }
     pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving, recordRateLimit, markSound, release } })
   }
 
@@ -629,8 +629,8 @@
   }
 
   /** Tells the owner of the slot, if the content is in quarantine as far as is known here: all instances are told of a quarantine. */
-  #markSound ({ service, permit, prefix, digest, ownerAddress }: LocalSlot): void {
-    const sound = { parts: prefix, digest }
+  #markSound ({ service, permit, prefix, digest, ownerAddress }: LocalSlot, place: number): void {
+    const sound = { parts: prefix, digest, place }
     if (!this.#held.has(permit) || !this.quarantine.isQuarantined(sound)) {
       return
     }
@@ -645,15 +645,15 @@
     if (this.#held.delete(held.permit)) {
       const { service, ownerAddress, permit, target, prefix, digest } = held
       const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest, place } : null
-      const sound = isSound && outcome !== SlotOutcome.Crashed ? { parts: prefix, digest } : null
-      if (outcome === SlotOutcome.Finished || sound !== null) {
+      const sound = isSound && outcome === SlotOutcome.Stopped ? { parts: prefix, digest, place } : null
+      if (outcome === SlotOutcome.Finished) {
         this.quarantine.rememberAnswered({ parts: prefix, digest })
       }
       this.#sendRelease(service, ownerAddress, permit, outcome, crash, sound)
     }
   }
 
-  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sound: RequestContent | null = null): void {
+  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sound: SoundReport | null = null): void {
     if (owner === this.transport.address) {
       this.#owner.release(service, permit, outcome, crash, owner, sound)
     } else {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -3,7 +3,7 @@
  * send slot requests to this one.
  */
 import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, TargetRateLimits, WaitCause } from '@arbutusloft/policy'
-import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, RequestContent, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SoundReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
@@ -172,14 +172,14 @@
    * @param sender as in {@link FleetAdmission.release}
    * @param sound as in {@link FleetAdmission.release}
    */
-  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sender = '', sound: RequestContent | null = null): void {
+  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sender = '', sound: SoundReport | null = null): void {
     this.#forgetRequest(permit)
     this.#updateGranting()
     this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now(), crash, sender, sound))
   }
 
   /** Takes note that targets do not crash under a request. */
-  onSound (service: string, sound: RequestContent): void {
+  onSound (service: string, sound: SoundReport): void {
     this.#emit(service, this.#ensureService(service).admission.onSound(sound, Date.now()))
   }
 
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -26,8 +26,8 @@
    * @param sentAt time at which the request was sent, in milliseconds since the epoch
    */
   recordRateLimit: (requestsPerSecond: number | null, sentAt: number) => void
-  /** Records that the answer, which goes on, has gone well for so long that the target does not crash under the request. */
-  markSound: () => void
+  /** Records that the answer, which goes on, has gone well for so long that the target does not crash under what it has sent; `place` as in {@link AnswerEvidence}. */
+  markSound: (place: number) => void
   /** Releases the slot; calls after the first one do nothing. */
   release: (outcome: SlotOutcome, evidence?: AnswerEvidence) => void
 }
--- a/packages/gateway/src/targets/answer-progress.ts
+++ b/packages/gateway/src/targets/answer-progress.ts
@@ -1,4 +1,4 @@
-/** Tells whether an answer goes well for so long that its target does not crash under the request. */
+/** Tells whether an answer goes well for so long that its target does not crash under what it has sent. */
 
 const firstSuccessStatus = 200
 const lastSuccessStatus = 299
@@ -8,6 +8,8 @@
  * intervals between events, and longer than an item's answer is left unread.
  */
 export const soundAnswerMilliseconds = 300
+/** Time after which another event has to follow: events that had arrived while this process stood still are read at once. */
+const followingMilliseconds = 50
 
 /** Whether a status tells of a success: https://www.rfc-editor.org/rfc/rfc9110#section-15.3 */
 export function isSuccess (status: number | null): boolean {
@@ -17,28 +19,41 @@
 /** Follows the data of one answer. Times are in milliseconds since the epoch. */
 export class AnswerProgress {
   #firstDataAt: number | null = null
+  #firstEventAt: number | null = null
+  /** Time of the first event after which the answer has gone well for long enough, if another one follows. */
+  #soundSince: number | null = null
   #isSound = false
 
-  /** @param onSound called once, when the answer has gone well for long enough */
-  constructor (private readonly onSound: () => void) {}
+  /**
+   * @param place id of the last event before this answer, or 0
+   * @param onSound called once, when the answer has gone well for long enough, with the id of the latest event
+   */
+  constructor (private place: number, private readonly onSound: (place: number) => void) {}
 
   /** Time of the first data of the answer's body, or null before. */
   get firstDataAt (): number | null {
     return this.#firstDataAt
   }
 
-  /** Whether a success has brought data for long enough. Silence does not count. */
+  /** Whether a success has brought events with higher and higher ids for long enough. */
   get isSound (): boolean {
     return this.#isSound
   }
 
-  /** Records that data of the body has arrived. */
-  onData (status: number | null): void {
+  /** Records that data of the body has arrived; `place` is the id of the latest event, or 0 before the first. */
+  onData (status: number | null, place: number): void {
     const now = Date.now()
     this.#firstDataAt ??= now
-    if (!this.#isSound && isSuccess(status) && now - this.#firstDataAt >= soundAnswerMilliseconds) {
+    if (place <= this.place || !isSuccess(status)) {
+      return
+    }
+    this.place = place
+    this.#firstEventAt ??= now
+    if (this.#soundSince === null) {
+      this.#soundSince = now - this.#firstEventAt >= soundAnswerMilliseconds ? now : null
+    } else if (!this.#isSound && now - this.#soundSince >= followingMilliseconds) {
       this.#isSound = true
-      this.onSound()
+      this.onSound(place)
     }
   }
 }
--- a/packages/gateway/src/targets/slot-release.ts
+++ b/packages/gateway/src/targets/slot-release.ts
@@ -17,6 +17,8 @@
 export async function releaseSlot (slot: Slot, call: RunningCall, ended: EndedCall, { dialer }: TargetConnections): Promise<void> {
   const outcome = slotOutcomeOf(ended)
   const isInterrupted = interruptions.has(outcome)
+  // A target that has only reset the connection accepts others. One that crashes takes longer to start again.
+  const lives = outcome === SlotOutcome.Crashed && call.failure === ConnectionFailure.Disconnected ? dialer.isListening(slot.target, call.endsAt) : false
   const isPathLost = isInterrupted && (call.failure === ConnectionFailure.RelayLost ||
     (call.failure === ConnectionFailure.Disconnected && dialer.canCheck && !await dialer.wasEndedByTarget(slot.target, call.via, call.endsAt)))
   // The silence of a relayed connection may be that of the peer.
@@ -26,7 +28,5 @@
     slot.release(SlotOutcome.Stopped, evidence)
     return
   }
-  // A target that has only reset the connection accepts others. One that crashes takes longer to start again.
-  const hasOnlyReset = outcome === SlotOutcome.Crashed && call.failure === ConnectionFailure.Disconnected && await dialer.isListening(slot.target, call.endsAt)
-  slot.release(hasOnlyReset ? SlotOutcome.Broken : outcome, evidence)
+  slot.release(await lives ? SlotOutcome.Broken : outcome, evidence)
 }
--- a/packages/policy/src/fleet/crash-quarantine.ts
+++ b/packages/policy/src/fleet/crash-quarantine.ts
@@ -30,6 +30,10 @@
   readonly crashes?: number
   /** Number of times for which the answer of that request got further from one crash to the next; left out if there are none, and by earlier builds. */
   readonly advances?: number
+  /** All crashes of that request, if they are more than `crashes`; left out otherwise, and by earlier builds. */
+  readonly allCrashes?: number
+  /** As in {@link CrashReport}, the furthest of the crashes; left out if it is unknown, and by earlier builds. */
+  readonly place?: number
 }
 
 /** Whether a request may be dispatched. */
@@ -56,6 +60,12 @@
   readonly place?: number
 }
 
+/** A request whose answer has gone well for so long that its target does not crash under what it had sent until then. */
+export interface SoundReport extends RequestContent {
+  /** As in {@link CrashReport}. */
+  readonly place: number
+}
+
 /** How a trial of quarantined content ended, as far as the process that granted it was told. */
 export const TrialEnd = {
   Answered: 'answered',
@@ -305,13 +315,14 @@
    * Records that the end of a request is not going to be known.
    *
    * @param mayHaveCrashed whether there are signs that its target has crashed since
+   * @param isRepeated whether its holder or another one sends it again without a caller
    */
-  onEndLost (request: { readonly permit: string, readonly digest: string }, end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported, mayHaveCrashed: boolean, now: number): void {
+  onEndLost (request: { readonly permit: string, readonly digest: string }, end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported, mayHaveCrashed: boolean, now: number, isRepeated = false): void {
     for (const [digest, suspicion] of this.#suspicions) {
       if (suspicion.observed?.permit === request.permit) {
         const { isTrial } = suspicion.observed
         this.#endObservation(digest, suspicion, end)
-        if (isTrial && !mayHaveCrashed && digest !== request.digest) {
+        if (isTrial && !mayHaveCrashed && (isRepeated || digest !== request.digest)) {
           this.#shortenPeriod(digest, suspicion, now)
         }
       }
@@ -333,19 +344,36 @@
     return [...this.#suspicions.values()].some(({ observed }) => observed?.permit === permit && observed.isTrial)
   }
 
-  /** Records that a request was answered completely, or for so long that its target does not crash under it. */
+  /**
+   * Records that an answer goes well. It clears what targets have crashed under before, at events that it has passed; it shows nothing of what is
+   * known from processes that don't tell these.
+   */
+  onSound (report: SoundReport): void {
+    for (const digest of this.#digestsOf(report)) {
+      const suspicion = this.#suspicions.get(digest)
+      if (suspicion !== undefined && suspicion.furthestPlace !== null && report.place > suspicion.furthestPlace) {
+        this.#clear(digest, suspicion)
+      }
+    }
+  }
+
+  /** Records that a request was answered completely. */
   onCompleted (content: RequestContent): void {
     this.rememberAnswered(content)
     for (const digest of this.#digestsOf(content)) {
       const suspicion = this.#suspicions.get(digest)
       if (suspicion !== undefined) {
-        this.#endObservation(digest, suspicion, TrialEnd.Answered)
-        this.#suspicions.delete(digest)
-        this.#onCleared(digest, suspicion)
+        this.#clear(digest, suspicion)
       }
     }
   }
 
+  #clear (digest: string, suspicion: Suspicion): void {
+    this.#endObservation(digest, suspicion, TrialEnd.Answered)
+    this.#suspicions.delete(digest)
+    this.#onCleared(digest, suspicion)
+  }
+
   /** Records that a target crashed under a request. What is in quarantine explains the crash, so that what is less specific is spared. */
   onCrashed (permit: string, report: CrashReport, now: number): void {
     let isExplained = false
@@ -377,8 +405,9 @@
       crash.permits.delete(permit)
       if (crash.permits.size === 0) {
         suspicion.counted.splice(suspicion.counted.indexOf(crash), 1)
-        suspicion.crashes -= crash.at >= suspicion.firstCrashAt ? 1 : 0
         suspicion.allCrashes -= 1
+        // Which of the others came before the answer got further is not known any more.
+        suspicion.crashes = suspicion.allCrashes
         this.#onFewerCrashes(digest, suspicion, now)
       }
     }
@@ -406,7 +435,7 @@
   }
 
   /** Adopts an entry of another process or of the log unless a newer one is known. */
-  merge ({ digest, version, periods, remaining, crashes = 0, advances = 0 }: QuarantineEntry, now: number): void {
+  merge ({ digest, version, periods, remaining, crashes = 0, advances = 0, allCrashes = crashes, place }: QuarantineEntry, now: number): void {
     if (version === 0 && periods === 0 && crashes === 0) {
       this.#rememberPart(digest)
       return
@@ -424,12 +453,19 @@
       return
     }
     const suspicion = known ?? this.#suspect(digest, crashes > 0, now)
+    const isReleased = periods === 0 && suspicion.periods > 0
     Object.assign(suspicion, { version, periods, until: periods === 0 ? 0 : now + Math.min(remaining, periodOf(periods)) })
-    suspicion.crashes = Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
+    suspicion.crashes = isReleased ? crashes : Math.max(suspicion.crashes, periods > 0 ? crashesToQuarantine : crashes)
     suspicion.advances = Math.max(suspicion.advances, advances)
-    suspicion.allCrashes = Math.max(suspicion.allCrashes, suspicion.crashes + advances)
+    suspicion.allCrashes = Math.max(suspicion.allCrashes, suspicion.crashes, allCrashes)
+    if (place !== undefined) {
+      suspicion.furthestPlace = Math.max(place, suspicion.furthestPlace ?? 0)
+    }
     if (suspicion.allCrashes >= crashesToQuarantine) {
       suspicion.limitReachedAt = Math.min(suspicion.limitReachedAt, now)
+      if (periods === 0 && suspicion.advances === 0) {
+        Object.assign(suspicion, { firstPeriod: laterFirstPeriod, countedTrials: 1 })
+      }
     }
     if (periods > 0) {
       suspicion.limitReachedAt = -Infinity
@@ -521,7 +557,7 @@
       same.permits.add(permit)
       return
     }
-    if (suspicion.isRequest && place !== undefined) {
+    if (place !== undefined) {
       recordPlace(suspicion, place, now)
     }
     suspicion.crashes += 1
@@ -537,10 +573,7 @@
     if (suspicion.periods > 0) {
       return
     }
-    if (suspicion.isRequest && suspicion.advances > 0 && now - suspicion.limitReachedAt >= advanceMilliseconds) {
-      this.#setPeriod(digest, suspicion, laterFirstPeriod, now)
-      suspicion.countedTrials += 1
-    } else if (this.#isQuarantineDue(digest, suspicion, now)) {
+    if (this.#isQuarantineDue(digest, suspicion, now)) {
       this.#setPeriod(digest, suspicion, suspicion.firstPeriod, now)
     } else if (suspicion.isRequest) {
       suspicion.version += 1
@@ -568,7 +601,6 @@
       if (isRequest && periods === 1 && this.#isExplainedByPart(suspicion)) {
         // The next crash counts as one under a trial.
         Object.assign(suspicion, { periods: 0, until: 0, crashes: crashesToQuarantine - 1, countedTrials: 1, firstPeriod: laterFirstPeriod, version: suspicion.version + 1 })
-        counted.length = 0
         this.#notify(entryOf(digest, suspicion, now), true)
         continue
       }
@@ -605,7 +637,10 @@
   }
 
   #isQuarantineDue (digest: string, suspicion: Suspicion, now: number): boolean {
-    const { isProven, crashes, firstCrashAt } = suspicion
+    const { isProven, crashes, firstCrashAt, advances, limitReachedAt } = suspicion
+    if (suspicion.isRequest && advances > 0 && now - limitReachedAt >= advanceMilliseconds) {
+      return true
+    }
     const isSilentLongEnough = !isProven || now - firstCrashAt >= provenSilenceMilliseconds
     return crashes >= this.#requiredCrashes(suspicion) && isSilentLongEnough && !this.#isExplained(digest, suspicion)
   }
@@ -682,7 +717,7 @@
 function recordPlace (suspicion: Suspicion, place: number, now: number): void {
   const { furthestPlace, periods, advances, limitReachedAt } = suspicion
   suspicion.furthestPlace = Math.max(place, furthestPlace ?? 0)
-  const isFurther = furthestPlace !== null && place > furthestPlace
+  const isFurther = suspicion.isRequest && furthestPlace !== null && place > furthestPlace
   if (isFurther && periods === 0 && advances < maximumAdvances && now - limitReachedAt < advanceMilliseconds) {
     Object.assign(suspicion, { advances: advances + 1, crashes: 0, firstCrashAt: now })
   }
@@ -702,11 +737,12 @@
   }
 }
 
-function entryOf (digest: string, { version, periods, until, crashes, advances }: Suspicion, now: number): QuarantineEntry {
+function entryOf (digest: string, { version, periods, until, crashes, allCrashes, advances, furthestPlace }: Suspicion, now: number): QuarantineEntry {
+  const place = furthestPlace === null ? {} : { place: furthestPlace }
   if (periods === 0) {
-    return { digest, version, periods, remaining: 0, crashes, ...(advances === 0 ? {} : { advances }) }
+    return { digest, version, periods, remaining: 0, crashes, ...(advances === 0 ? {} : { advances }), ...(allCrashes > crashes ? { allCrashes } : {}), ...place }
   }
-  return { digest, version, periods, remaining: Math.max(0, until - now) }
+  return { digest, version, periods, remaining: Math.max(0, until - now), ...place }
 }
 
 /** Returns the length of a quarantine period, in milliseconds; periods are numbered from 1. */
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -6,7 +6,7 @@
 import { BatchQueue } from './batch-queue.js'
 import { CrashAttribution } from './crash-attribution.js'
 import { CrashQuarantine, QuarantineAdmission, TrialEnd } from './crash-quarantine.js'
-import type { CrashReport, RequestContent } from './crash-quarantine.js'
+import type { CrashReport, RequestContent, SoundReport } from './crash-quarantine.js'
 import { RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
@@ -164,20 +164,20 @@
    *
    * @param crash the request that the target crashed under, or null if it has not crashed
    * @param sender process that releases the slot; matters only for crashes under permits that are unknown
-   * @param sound the request, if its answer was incomplete but long enough to show that its target does not crash under it; else null
+   * @param sound the request, if it was stopped while its answer went well; else null
    */
-  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null, sender = '', sound: RequestContent | null = null): readonly SlotDecision[] {
+  release (permit: string, outcome: SlotOutcome, now: number, crash: CrashReport | null = null, sender = '', sound: SoundReport | null = null): readonly SlotDecision[] {
     this.#begin(now)
     this.withdraw(permit)
     const held = this.#slots.release(permit)
-    if (sound !== null) {
-      this.quarantine.onCompleted(sound)
+    if (sound !== null && outcome === SlotOutcome.Stopped) {
+      this.quarantine.onSound(sound)
     }
     if (held === undefined) {
       if (crash !== null) {
         this.#crashes.onCrashed(permit, sender, crash, this.#health.isTrusted(sender), now)
       }
-      return []
+      return sound === null ? [] : this.#grantWaiting()
     }
     this.#recordOutcome(held, outcome)
     if (crash !== null) {
@@ -187,9 +187,9 @@
   }
 
   /** Takes note that targets do not crash under a request, and returns the resulting decisions. */
-  onSound (sound: RequestContent, now: number): readonly SlotDecision[] {
+  onSound (sound: SoundReport, now: number): readonly SlotDecision[] {
     this.#begin(now)
-    this.quarantine.onCompleted(sound)
+    this.quarantine.onSound(sound)
     return this.#grantWaiting()
   }
 
@@ -691,11 +691,11 @@
     const now = this.#now
     if (outcome === SlotOutcome.Finished) {
       this.quarantine.onCompleted(contentOf(held))
-    } else if (outcome === SlotOutcome.NotRun) {
+    } else if (outcome === SlotOutcome.NotRun || outcome === SlotOutcome.Full) {
       this.quarantine.onNotRun(held.permit, contentOf(held), now)
     } else {
-      // What its holder stopped for its own reasons, or a target that lives broke off, shows nothing of the content.
-      const isWithdrawn = outcome === SlotOutcome.Broken || (held.workClass === WorkClass.Batch && outcome === SlotOutcome.Stopped)
+      // What its holder stopped for its own reasons, or a target that lives broke off or answered with a failure, is no crash.
+      const isWithdrawn = outcome === SlotOutcome.Broken || answerOutcomes.has(outcome) || (held.workClass === WorkClass.Batch && outcome === SlotOutcome.Stopped)
       this.quarantine.onEnded(held.permit, contentOf(held), now, !outcomesWithoutRun.has(outcome), outcome === SlotOutcome.Crashed, isWithdrawn)
     }
     this.#health.recordOutcome(held.target, held.holder, outcome, now)
@@ -726,7 +726,7 @@
   #onEndsLost (slots: readonly GrantedSlot[], end: typeof TrialEnd.HolderLost | typeof TrialEnd.Unreported): void {
     for (const slot of slots) {
       const mayHaveCrashed = this.#slots.target(slot.target)?.born !== slot.born || this.#crashes.isReportedSince(slot.target, slot.grantedAt)
-      this.quarantine.onEndLost(slot, end, mayHaveCrashed, this.#now)
+      this.quarantine.onEndLost(slot, end, mayHaveCrashed, this.#now, slot.workClass === WorkClass.Batch)
     }
   }
 
