--- a/packages/policy/src/retries/version-wait.ts
+++ b/packages/policy/src/retries/version-wait.ts
@@ -14,6 +14,13 @@
   readonly waited: number
 }
 
+/** Causes of waits that may end sooner with targets of another version. */
+const causesOfVersion: ReadonlySet<WaitCause> = new Set([
+  WaitCause.VersionTaken,
+  // The owner is of a build that does not tell causes, or out of reach: the version may be taken.
+  WaitCause.Unknown
+])
+
 /** Adds up the waits of one item since its last slot. */
 export class VersionWait {
   #milliseconds = 0
@@ -21,7 +28,7 @@
   /** @param minimumMilliseconds time for which an item waits for its version at least, however short it has run */
   constructor (private readonly minimumMilliseconds: number) {}
 
-  /** Milliseconds for which beginning anew would have helped. */
+  /** Milliseconds for which beginning anew would have helped, or may have. */
   get milliseconds (): number {
     return this.#milliseconds
   }
@@ -36,7 +43,7 @@
     if (cause === null) {
       return reason === RefusalReason.VersionGone || reason === RefusalReason.VersionUnknown ? reason : null
     }
-    if (cause !== WaitCause.VersionTaken) {
+    if (!causesOfVersion.has(cause)) {
       return null
     }
     this.#milliseconds += waited
