Decode client accounts and name the account to targets

Cause: the accounts of the configuration were not decoded, so that requests reached targets with the client's key and without the account's name. Change: decode accounts, find the account of an online request by its key, answer 401 without one, keep the key from targets and set the account's name. Slot requests carry account, rank and expected tokens where a deployment has accounts.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import { pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
 import type { RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
+import { identify, rejectKey, slotCallerOf } from './accounts/client-identity.js'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
 import { rejectRequest, reply, Status } from './http/reply.js'
 import { JobApi } from './jobs/job-api.js'
@@ -295,11 +296,17 @@
   /** Serves an online request to its final response. */
   async serve (request: IncomingMessage, response: ServerResponse, route: Route): Promise<void> {
     const arrivedAt = Date.now()
+    const { names } = this.options
+    const identity = identify(request, this.#routes?.accounts ?? null, route.isPublic === true)
+    if (identity.fault !== null) {
+      rejectKey(response, identity.fault)
+      return
+    }
     const body = await this.body(request, response)
     if (body === null) {
       return
     }
-    const { names } = this.options
+    const caller = this.#routes?.accounts === null ? null : slotCallerOf(request, identity.account, route, names)
     const attempt = takesUpStream(request, route) ? attemptResumedBy(request, names) : ''
     const services = attempt === '' ? null : this.#serviceHistory.servicesOf(route, pathOf(request.url), arrivedAt)
     const origin = services === null ? null : await this.#streamOrigins.find(attempt, services)
@@ -311,7 +318,7 @@
       rejectRequest(response, Status.ServiceUnavailable, `not run: ${reason}`, unreadyRetryMilliseconds)
       return
     }
-    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin)
+    const online = createOnlineRequest(request, body, route, service, names, this.#callerBudgets, arrivedAt, origin, caller)
     await new OnlineRun(this.#onlineDependencies(), online, response).run()
   }
 
--- a/packages/gateway/src/http/reply.ts
+++ b/packages/gateway/src/http/reply.ts
@@ -6,6 +6,7 @@
   Ok: 200,
   Accepted: 202,
   BadRequest: 400,
+  Unauthorized: 401,
   NotFound: 404,
   RequestTimeout: 408,
   ContentTooLarge: 413,
--- a/packages/gateway/src/online/header-names.ts
+++ b/packages/gateway/src/online/header-names.ts
@@ -16,6 +16,10 @@
   readonly promptPrefix: string
   /** Id of the client's attempt that brought the first event of the stream which a request resumes. */
   readonly resumes: string
+  /** Tokens of the prompt and maximum tokens of the output, as two numbers with a comma between them; left out if nobody names them. */
+  readonly tokenCounts?: string
+  /** Name of the client account, which the gateway tells a target; left out if targets are not told. */
+  readonly account?: string
   /** Milliseconds that a read of batch results may wait for the first new result. */
   readonly wait: string
 }
--- a/packages/gateway/src/online/online-request.ts
+++ b/packages/gateway/src/online/online-request.ts
@@ -1,9 +1,10 @@
 /** A client's online request, with its route and deadline. */
 import type { IncomingMessage } from 'node:http'
 import { RouteKind } from '@arbutusloft/policy'
-import type { Route, StreamOrigin } from '@arbutusloft/policy'
+import type { Route, SlotCaller, StreamOrigin } from '@arbutusloft/policy'
 import type { CallerBudgets } from './caller-budgets.js'
 import { requestDigest } from '../quarantine/request-digest.js'
+import { accountHeader, accountHeadersOf } from '../accounts/account-headers.js'
 import { forwardedHeaders } from './forwarded-headers.js'
 import type { HeaderNames } from './header-names.js'
 
@@ -38,6 +39,8 @@
   readonly hasDeadline: boolean
   /** Milliseconds that the client has spent on earlier attempts, as far as its timeout shows. */
   readonly spentMilliseconds: number
+  /** Left out where the deployment has no client accounts. */
+  readonly caller?: SlotCaller
 }
 
 const lastEventIdHeader = 'last-event-id'
@@ -59,6 +62,7 @@
  * Creates a request from the client's HTTP request. A malformed deadline counts as absent.
  *
  * @param origin origin of the stream that the client takes up, or null if it is unknown or there is none
+ * @param caller who sends the request; null where the deployment has no client accounts
  */
 export function createOnlineRequest (
   request: IncomingMessage,
@@ -68,7 +72,8 @@
   names: HeaderNames,
   budgets: CallerBudgets,
   arrivedAt: number,
-  origin: StreamOrigin | null = null
+  origin: StreamOrigin | null = null,
+  caller: SlotCaller | null = null
 ): OnlineRequest {
   const timeout = nonNegativeNumberOf(request.headers[names.deadline])
   const budget = Math.min(timeout ?? Infinity, route.timeoutMilliseconds)
@@ -81,7 +86,10 @@
     method,
     path,
     digest: requestDigest({ host: route.host, method, path, body }),
-    headers: forwardedHeaders(request.rawHeaders, new Set([names.deadline, names.expectedTarget, lastEventIdHeader, 'content-length'])),
+    headers: [
+      ...forwardedHeaders(request.rawHeaders, new Set([names.deadline, names.expectedTarget, lastEventIdHeader, 'content-length', ...(caller === null ? [] : accountHeadersOf(names))])),
+      ...accountHeader(names, caller?.account ?? '')
+    ],
     body: body.length === 0 && request.headers['content-length'] === undefined ? null : body,
     route,
     service,
@@ -92,7 +100,8 @@
     otherEventId: isEventNumber ? '' : eventId,
     deadline: arrivedAt + budget,
     hasDeadline: timeout !== null,
-    spentMilliseconds: timeout === null ? 0 : budgets.spentOf(route.name, budget, arrivedAt)
+    spentMilliseconds: timeout === null ? 0 : budgets.spentOf(route.name, budget, arrivedAt),
+    ...(caller === null ? {} : { caller })
   }
 }
 
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -61,7 +61,8 @@
   [RefusalReason.Busy]: 'all targets are busy',
   [RefusalReason.Quarantined]: 'targets have crashed under it or a part of its prompt',
   [RefusalReason.VersionGone]: 'no target of the software version that began the stream is left',
-  [RefusalReason.VersionUnknown]: 'it is not known which software version began the stream'
+  [RefusalReason.VersionUnknown]: 'it is not known which software version began the stream',
+  [RefusalReason.OverAllowance]: 'the account has used its allowance'
 }
 
 /** Handles one online request. */
@@ -93,6 +94,8 @@
   /** Whether this run has recorded the stream's origin for later attempts of the client. */
   #isOriginRecorded = false
   #hasAskedForOrigin = false
+  /** Whether a slot was granted, for which the account's allowance counts the request. */
+  #isCounted = false
   /** Time from the arrival of the request to the first byte of the response that was relayed, or null before it. */
   #firstByteMilliseconds: number | null = null
 
@@ -158,6 +161,7 @@
         this.#onSlotRejected(result.reason, result.retryAfter)
         return
       }
+      this.#isCounted = true
       if (this.#question !== null && this.#abort.signal.aborted) {
         result.slot.release(SlotOutcome.NotRun)
         this.#finishIncomplete()
@@ -216,7 +220,7 @@
   }
 
   async #acquire (excluded: readonly string[], signal: AbortSignal): Promise<AcquireResult> {
-    const { route, service, prefix, digest, spentMilliseconds } = this.request
+    const { route, service, prefix, digest, spentMilliseconds, caller } = this.request
     const maximumWait = Math.min(this.#question?.patience ?? route.objectiveMilliseconds * slotWaitShare, this.#remainingMilliseconds())
     return await this.dependencies.slots.acquire({
       service,
@@ -231,7 +235,8 @@
       // The rest applies to batch items only.
       due: 0,
       ran: 0,
-      sinceStart: 0
+      sinceStart: 0,
+      ...(caller === undefined ? {} : { caller: { ...caller, isCounted: this.#isCounted } })
     }, signal)
   }
 
@@ -492,9 +497,11 @@
     }
     const waited = Date.now() - this.#startedAt
     this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
-    // A quarantine may last longer than the caller can wait, which then need not come back.
-    const callerRetryAfter = reason === RefusalReason.Quarantined ? retryAfter : Math.min(retryAfter, this.#latestReturnMilliseconds())
-    rejectRequest(this.response, Status.ServiceUnavailable, `not run: ${refusalTexts[reason]}`, callerRetryAfter)
+    // A quarantine, or the time until an allowance has room, may last longer than the caller can wait, which then need not come back.
+    const isExact = reason === RefusalReason.Quarantined || reason === RefusalReason.OverAllowance
+    const callerRetryAfter = isExact ? retryAfter : Math.min(retryAfter, this.#latestReturnMilliseconds())
+    const status = reason === RefusalReason.OverAllowance ? Status.TooManyRequests : Status.ServiceUnavailable
+    rejectRequest(this.response, status, `not run: ${refusalTexts[reason]}`, callerRetryAfter)
     this.#count('refused')
   }
 
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -30,6 +30,18 @@
   readonly born: number
 }
 
+/** Who sends a request, where the deployment has client accounts. */
+export interface SlotCaller {
+  /** Name of the account; empty for a request without a key on a public route. */
+  readonly account: string
+  /** Rank of the account or, if it has none, of the route; 0 is the highest. */
+  readonly rank: number
+  /** Tokens that the request may take, of the prompt and the output; 1 if unknown. */
+  readonly tokens: number
+  /** Whether the account's allowance already counts the request, or never does: second attempts, repetitions and batch items. */
+  readonly isCounted: boolean
+}
+
 /** Request for a slot on any target of the service. */
 export interface SlotRequest {
   /** Identifier of the permit, chosen by its holder; the same in a repeated request. */
@@ -68,6 +80,8 @@
   readonly ran: number
   /** Batch: milliseconds since the item got its first slot; 0 before, and for online requests. */
   readonly sinceStart: number
+  /** Left out where the deployment has no client accounts. */
+  readonly caller?: SlotCaller
 }
 
 /** A slot that a holder reports as its own. */
@@ -107,7 +121,9 @@
   /** No target of the software version that began its stream is left. */
   VersionGone: 'version-gone',
   /** It continues a stream, and it is not certain which software version began it. */
-  VersionUnknown: 'version-unknown'
+  VersionUnknown: 'version-unknown',
+  /** Its account has used its allowance. */
+  OverAllowance: 'over-allowance'
 } as const
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason]
 
--- a/packages/policy/src/routes/route-table.ts
+++ b/packages/policy/src/routes/route-table.ts
@@ -1,4 +1,6 @@
 /** Selection of a route by host and longest path prefix. */
+import type { Account } from '../accounts/account.js'
+import { AccountDirectory } from '../accounts/account-directory.js'
 import { PrefixMap } from './prefix-map.js'
 
 /** How requests of a route are run. */
@@ -32,7 +34,7 @@
   readonly timeoutMilliseconds: number
   /** Time in milliseconds within which an answer should begin. */
   readonly objectiveMilliseconds: number
-  /** Rank of the route; 0 is the highest priority. */
+  /** Rank of the route; 0 is the highest. It decides on requests of accounts without a rank, and on none where there are no accounts. */
   readonly priority: number
   /** Maximum number of targets to which one request is sent. */
   readonly maxAttempts: number
@@ -42,8 +44,10 @@
   readonly completionMilliseconds: number
   /** Batch: milliseconds from submission after which an unfinished item may be dropped. */
   readonly retentionMilliseconds: number
-  /** Batch: maximum number of tokens of all clients together that may wait; 0 means no limit. */
+  /** Batch: maximum number of tokens that may wait, of each client account, or of all clients together where there are no accounts; 0 means no limit. */
   readonly waitingTokens: number
+  /** Whether requests need no key of a client account; false if left out. */
+  readonly isPublic?: boolean
 }
 
 /** Limits on the size and timing of clients' requests. */
@@ -61,14 +65,19 @@
   readonly version: number
   readonly routes: readonly Route[]
   readonly limits: ClientLimits
+  /** Client accounts; left out if requests carry no keys. */
+  readonly accounts?: readonly Account[]
 }
 
 /** Index of the routes of one version by host and path prefix. */
 export class RouteTable {
   /** Of several routes with the same host and prefix, the first. */
   readonly #routes = new PrefixMap<Route>()
+  /** Client accounts of the version, or null if requests carry no keys. */
+  readonly accounts: AccountDirectory | null
 
   constructor (readonly configuration: RouteConfiguration) {
+    this.accounts = configuration.accounts === undefined ? null : new AccountDirectory(configuration.accounts)
     for (const route of configuration.routes) {
       if (!this.#routes.has(route.host, route.prefix)) {
         this.#routes.set(route.host, route.prefix, route)
