Read the list of targets before it is too old to grant slots

An outage that had been found also counted for any time after it, so that an owner that was stopped meanwhile granted from its old list. Change: the read begins 950 ms before the list is too old, if it is 900 ms old, and a read that found nobody with access counts for as long as a list does.

--- a/packages/gateway/src/targets/target-freshness.ts
+++ b/packages/gateway/src/targets/target-freshness.ts
@@ -17,6 +17,13 @@
   readonly logger: Logger
 }
 
+/**
+ * Time before the maximum age at which a refresh begins: longer than a refresh takes that finds nobody with access to the store, so that slots need
+ * not wait for it. While the store was silent, they waited for 0.9 s.
+ */
+const refreshAheadMilliseconds = 950
+/** Age below which a list is not read again: lists that are followed reach it while nothing changes. */
+const minimumRefreshAgeMilliseconds = 900
 /** Time after a refresh that found nobody with access to the store until the next one begins; slots are granted meanwhile. */
 const retryMilliseconds = 300
 /** Longer than a refresh takes unless the process is paused. */
@@ -45,22 +52,28 @@
     this.#listeners.push(listener)
   }
 
-  /** Returns whether slots may be granted from the list; if not, begins to read it again. */
+  /** Returns whether slots may be granted from the list; if not, or if it soon will be too old, begins to read it again. */
   check (): boolean {
     if (this.#options === null) {
       return true
     }
     const { source, maximumAgeMilliseconds } = this.#options
     const age = source.ageMilliseconds
-    if (age >= 0 && age <= maximumAgeMilliseconds) {
+    const refreshAge = Math.min(maximumAgeMilliseconds, Math.max(minimumRefreshAgeMilliseconds, maximumAgeMilliseconds - refreshAheadMilliseconds))
+    if (age >= 0 && age <= refreshAge) {
       this.#isUnconfirmable = false
       return true
     }
-    const mayRefresh = !this.#isUnconfirmable || Math.abs(Date.now() - this.#failedAt) >= retryMilliseconds
+    const sinceFailure = Math.abs(Date.now() - this.#failedAt)
+    if (sinceFailure > maximumAgeMilliseconds) {
+      // The store may be back since then.
+      this.#isUnconfirmable = false
+    }
+    const mayRefresh = !this.#isUnconfirmable || sinceFailure >= retryMilliseconds
     if (mayRefresh && !this.#isRefreshing) {
       void this.#refresh(this.#options)
     }
-    return this.#isUnconfirmable
+    return this.#isUnconfirmable || (age >= 0 && age <= maximumAgeMilliseconds)
   }
 
   /** Reads the list; resolves with whether it then shows all changes from before the call, and with false if that takes too long. */
@@ -77,9 +90,10 @@
     })
   }
 
-  async #refresh ({ source, logger }: TargetFreshnessOptions): Promise<void> {
+  async #refresh ({ source, maximumAgeMilliseconds, logger }: TargetFreshnessOptions): Promise<void> {
     this.#isRefreshing = true
-    logger.info('targets out of date, slots wait', { age: source.ageMilliseconds })
+    const age = source.ageMilliseconds
+    logger.info(age >= 0 && age <= maximumAgeMilliseconds ? 'targets nearly out of date' : 'targets out of date, slots wait', { age })
     let startedAt = Date.now()
     let isRead = await source.refresh()
     // A refresh that ends so late was begun before the process was paused, and says nothing about the time since then.
