Move the choice of targets into a unit of its own

Change: TargetChoice holds the scoring, the candidates and the conditions under which a target may get a request; FleetAdmission passes the time and whether online requests have lately had to wait. The behaviour is unchanged.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -15,6 +15,8 @@
 import { OverloadForecast } from './overload-forecast.js'
 import { PrefixAffinity } from './prefix-affinity.js'
 import { isOfVersion, versionOf } from './software-version.js'
+import { TargetChoice } from './target-choice.js'
+import type { ChoiceMoment } from './target-choice.js'
 import { TargetAvailability, TargetHealth } from './target-health.js'
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
@@ -50,21 +52,6 @@
 /** Milliseconds of remaining work that the requester's availability zone outweighs when an item is preempted. */
 const sameZoneMilliseconds = 500
 
-/** Number of busy slots that a probably cached prompt prefix outweighs in a target's score. */
-const prefixAffinityWeight = 1.5
-/** Number of busy slots that the holder's availability zone outweighs in a target's score. */
-const sameZoneWeight = 1
-/**
- * Number of busy slots that a rate limit outweighs in a target's score: against it for an online request, and for it for a batch item, which takes
- * a slot for longer and no more of the limit.
- */
-const rateLimitWeight = 4
-/**
- * Number of busy slots that a failure rate of 1 weighs as much as in a target's score: more than a typical target has, so
- * that such a target is chosen only if all others are full.
- */
-const failureRateWeight = 10
-
 /**
  * Slots that a holder which probably reaches no target gets within {@link cutOffGrantMilliseconds} while half of all are in use, and
  * requests of it that may wait: enough to find that it reaches one again.
@@ -102,6 +89,7 @@
   /** The other accepting targets; each decision examines all of these. */
   readonly #unsound = new Set<TargetSlots>()
   readonly #prefixAffinity = new PrefixAffinity()
+  readonly #choice: TargetChoice
   readonly #holdTime = new MovingAverage(initialHoldTimeMilliseconds, holdTimeWeight)
   readonly #forecast = new OverloadForecast()
   readonly #online = new OnlineQueue()
@@ -122,6 +110,7 @@
     this.#health = new TargetHealth(options)
     this.#pacing = new TargetPacing(limits)
     this.#crashes = new CrashAttribution(quarantine)
+    this.#choice = new TargetChoice({ slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#prefixAffinity, sound: this.#sound, unsound: this.#unsound })
   }
 
   /** Replaces the list of targets and returns the resulting decisions. */
@@ -426,7 +415,7 @@
       slot => {
         const target = this.#slots.target(slot.target)
         // A slot that is freed is no new allowance of a target with a rate limit, which isUsable checks.
-        if (target === undefined || !isCandidate(slot) || target.online >= target.slots || !this.#isUsable(target, request, TargetAvailability.Available)) {
+        if (target === undefined || !isCandidate(slot) || target.online >= target.slots || !this.#choice.isUsable(target, request, TargetAvailability.Available, this.#moment)) {
           return null
         }
         const held = now - slot.grantedAt
@@ -556,10 +545,10 @@
       if (target.granted >= target.slots || !isOfVersion(target, request)) {
         continue
       }
-      if (!this.#hasAllowance(target)) {
+      if (!this.#choice.hasAllowance(target, this.#now)) {
         return WaitCause.Limited
       }
-      if (!this.#allows(target, request)) {
+      if (!this.#choice.allows(target, request, this.#moment)) {
         cause = WaitCause.Yields
       } else if (cause === WaitCause.Full && this.#health.availabilityFor(target.id, request.holder, this.#now) === TargetAvailability.Suspended) {
         cause = WaitCause.Suspended
@@ -570,7 +559,7 @@
 
   #hasRoomForBatch (): boolean {
     return this.#freeSlots() > this.#headroom() ||
-      [...this.#unsound].some(target => this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.OnTrial && this.#hasAllowance(target))
+      [...this.#unsound].some(target => this.#health.availabilityFor(target.id, null, this.#now) === TargetAvailability.OnTrial && this.#choice.hasAllowance(target, this.#now))
   }
 
   /** Slots that batch work leaves free: fewer than rate limits ever allow at once, so that it runs when nothing else does. */
@@ -591,7 +580,7 @@
   /** Whether an unsound target has a slot for some holder, so that waiting requests are worth examining. */
   #hasUnsound (version: string | null): boolean {
     for (const target of this.#unsound) {
-      const isFree = target.granted < target.slots && this.#hasAllowance(target)
+      const isFree = target.granted < target.slots && this.#choice.hasAllowance(target, this.#now)
       if (isFree && (version === null || target.softwareVersion === version) && this.#health.availabilityFor(target.id, null, this.#now) !== TargetAvailability.Suspended) {
         return true
       }
@@ -604,87 +593,18 @@
     let count = this.#slots.preemptible.countOf(version)
     for (const target of this.#unsound) {
       const isOther = version !== null && target.softwareVersion !== version
-      count -= isOther || this.#hasAllowance(target) ? 0 : target.granted - target.online
+      count -= isOther || this.#choice.hasAllowance(target, this.#now) ? 0 : target.granted - target.online
     }
     return count
   }
 
-  /**
-   * Whether the rate limit of a target, if it names one, allows a request at present. What batch work takes cannot be taken back, so that it leaves it
-   * to online requests while some have lately had to wait.
-   */
-  #allows (target: TargetSlots, { workClass }: SlotRequest): boolean {
-    const isLeftToOnline = workClass === WorkClass.Batch && this.#now - this.#onlinePressureAt < onlinePressureMilliseconds
-    return this.#hasAllowance(target) && !(isLeftToOnline && this.#pacing.isLimited(target, this.#now))
-  }
-
-  /** Whether the rate limit of a target, if it names one, allows a request at present. */
-  #hasAllowance (target: TargetSlots): boolean {
-    return this.#pacing.allowanceOf(target, this.#now) > 0
-  }
-
   /** Returns the best target with a free slot of those that are available in this way, or null if there is none. */
   #selectTarget (request: SlotRequest, availability: TargetAvailability): TargetSlots | null {
-    const candidates = [...this.#unsound].filter(target => target.granted < target.slots && this.#isUsable(target, request, availability))
-    if (availability === TargetAvailability.Available) {
-      candidates.push(...this.#soundCandidates(request))
-    }
-    let best: TargetSlots | null = null
-    let bestScore = -Infinity
-    for (const candidate of candidates) {
-      const score = this.#scoreOf(candidate, request)
-      if (score > bestScore) {
-        best = candidate
-        bestScore = score
-      }
-    }
-    return best
-  }
-
-  /** Returns the sound targets that can be the best for a request: one that probably caches its prefix, and the least loaded ones. */
-  #soundCandidates (request: SlotRequest): readonly TargetSlots[] {
-    const isCandidate = (target: TargetSlots): boolean => !this.#isExcluded(target, request) && !this.#health.isSuspendedFor(target.id, request.holder, this.#now)
-    const candidates = this.#sound.leastLoaded(request.zone, versionOf(request), isCandidate)
-    const caching = this.#slots.target(this.#prefixAffinity.targetOf(request.prefix) ?? '')
-    const isUsable = caching !== undefined && this.#sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) && isCandidate(caching)
-    return isUsable ? [caching, ...candidates] : candidates
-  }
-
-  #isUsable (target: TargetSlots, request: SlotRequest, availability: TargetAvailability): boolean {
-    return target.accepting && isOfVersion(target, request) && !this.#isExcluded(target, request) && this.#allows(target, request) &&
-      this.#health.availabilityFor(target.id, request.holder, this.#now) === availability
-  }
-
-  // A batch item waits without a time limit. If only excluded targets accept work, trying one of them again is better
-  // than never running the item; so it is for a stream that no other target can continue.
-  #isExcluded ({ id }: TargetSlots, request: SlotRequest): boolean {
-    const { excluded, continues, workClass } = request
-    if (!excluded.includes(id)) {
-      return false
-    }
-    if (continues !== null) {
-      return this.#slots.acceptingOf(continues.softwareVersion) > this.#countAcceptingExcluded(request)
-    }
-    return workClass === WorkClass.Online || this.#sound.size + this.#unsound.size > excluded.length
-  }
-
-  /** Returns the number of accepting targets that could serve a request, were they not excluded. */
-  #countAcceptingExcluded (request: SlotRequest): number {
-    let count = 0
-    for (const id of new Set(request.excluded)) {
-      const target = this.#slots.target(id)
-      count += target?.accepting === true && isOfVersion(target, request) ? 1 : 0
-    }
-    return count
+    return this.#choice.select(request, availability, this.#moment)
   }
 
-  /** Scores a target for a request; higher is better, and one busy slot lowers the score by one. */
-  #scoreOf (target: TargetSlots, request: SlotRequest): number {
-    const prefix = this.#prefixAffinity.targetOf(request.prefix) === target.id ? prefixAffinityWeight : 0
-    const zone = target.zone === request.zone ? sameZoneWeight : 0
-    const limit = this.#pacing.isLimited(target, this.#now) ? rateLimitWeight : 0
-    const isPreferred = request.workClass === WorkClass.Batch || this.#pacing.isProbeDue(target, this.#now)
-    return prefix + zone + (isPreferred ? limit : -limit) - this.#health.penaltyOf(target.id, this.#now) * failureRateWeight - target.granted
+  get #moment (): ChoiceMoment {
+    return { now: this.#now, isOnlinePressed: this.#now - this.#onlinePressureAt < onlinePressureMilliseconds }
   }
 
   #recordOutcome (held: GrantedSlot, outcome: SlotOutcome): void {
--- /dev/null
+++ b/packages/policy/src/fleet/target-choice.ts
@@ -0,0 +1,134 @@
+/**
+ * Which target a request goes to. Load: requests of many holders on targets of several availability zones, of which some cache the prompt, fail often,
+ * name rate limits or are suspended, with 1,000 targets of one service.
+ */
+import { WorkClass } from '@arbutusloft/protocol'
+import type { SlotRequest } from './fleet-messages.js'
+import type { FleetSlots, TargetSlots } from './fleet-slots.js'
+import type { PrefixAffinity } from './prefix-affinity.js'
+import { isOfVersion, versionOf } from './software-version.js'
+import { TargetAvailability } from './target-health.js'
+import type { TargetHealth } from './target-health.js'
+import type { TargetIndex } from './target-index.js'
+import type { TargetPacing } from './target-pacing.js'
+
+/** What is known of the targets of one service. */
+export interface ChoiceState {
+  readonly slots: Pick<FleetSlots, 'target' | 'acceptingOf'>
+  readonly health: Pick<TargetHealth, 'availabilityFor' | 'isSuspendedFor' | 'penaltyOf'>
+  readonly pacing: Pick<TargetPacing, 'allowanceOf' | 'isLimited' | 'isProbeDue'>
+  readonly prefixAffinity: Pick<PrefixAffinity, 'targetOf'>
+  /** Accepting targets of which nothing bad is known, and which name no rate limit. */
+  readonly sound: TargetIndex
+  /** The other accepting targets; each choice examines all of these. */
+  readonly unsound: ReadonlySet<TargetSlots>
+}
+
+/** What a choice depends on beside the state of the targets. */
+export interface ChoiceMoment {
+  /** Milliseconds since the epoch. */
+  readonly now: number
+  /** Whether an online request has lately had to wait, so that batch work leaves the targets with rate limits alone. */
+  readonly isOnlinePressed: boolean
+}
+
+/** Number of busy slots that a probably cached prompt prefix outweighs in a target's score. */
+const prefixAffinityWeight = 1.5
+/** Number of busy slots that the holder's availability zone outweighs in a target's score. */
+const sameZoneWeight = 1
+/**
+ * Number of busy slots that a rate limit outweighs in a target's score: against it for an online request, and for it for a batch item, which takes
+ * a slot for longer and no more of the limit.
+ */
+const rateLimitWeight = 4
+/**
+ * Number of busy slots that a failure rate of 1 weighs as much as in a target's score: more than a typical target has, so
+ * that such a target is chosen only if all others are full.
+ */
+const failureRateWeight = 10
+
+/** Scores targets and chooses the best one. */
+export class TargetChoice {
+  constructor (private readonly state: ChoiceState) {}
+
+  /** Returns the best target with a free slot of those that are available in this way, or null if there is none. */
+  select (request: SlotRequest, availability: TargetAvailability, moment: ChoiceMoment): TargetSlots | null {
+    const candidates = [...this.state.unsound].filter(target => target.granted < target.slots && this.isUsable(target, request, availability, moment))
+    if (availability === TargetAvailability.Available) {
+      candidates.push(...this.#soundCandidates(request, moment))
+    }
+    let best: TargetSlots | null = null
+    let bestScore = -Infinity
+    for (const candidate of candidates) {
+      const score = this.#scoreOf(candidate, request, moment)
+      if (score > bestScore) {
+        best = candidate
+        bestScore = score
+      }
+    }
+    return best
+  }
+
+  /** Whether a target that is available in this way may get a request, if it has a free slot. */
+  isUsable (target: TargetSlots, request: SlotRequest, availability: TargetAvailability, moment: ChoiceMoment): boolean {
+    return target.accepting && isOfVersion(target, request) && !this.#isExcluded(target, request) && this.allows(target, request, moment) &&
+      this.state.health.availabilityFor(target.id, request.holder, moment.now) === availability
+  }
+
+  /**
+   * Whether the rate limit of a target, if it names one, allows a request at present. What batch work takes cannot be taken back, so that it leaves it
+   * to online requests while some have lately had to wait.
+   */
+  allows (target: TargetSlots, { workClass }: SlotRequest, { now, isOnlinePressed }: ChoiceMoment): boolean {
+    const isLeftToOnline = workClass === WorkClass.Batch && isOnlinePressed
+    return this.hasAllowance(target, now) && !(isLeftToOnline && this.state.pacing.isLimited(target, now))
+  }
+
+  /** Whether the rate limit of a target, if it names one, allows a request at present. */
+  hasAllowance (target: TargetSlots, now: number): boolean {
+    return this.state.pacing.allowanceOf(target, now) > 0
+  }
+
+  /** Returns the sound targets that can be the best for a request: one that probably caches its prefix, and the least loaded ones. */
+  #soundCandidates (request: SlotRequest, { now }: ChoiceMoment): readonly TargetSlots[] {
+    const { slots, health, prefixAffinity, sound } = this.state
+    const isCandidate = (target: TargetSlots): boolean => !this.#isExcluded(target, request) && !health.isSuspendedFor(target.id, request.holder, now)
+    const candidates = sound.leastLoaded(request.zone, versionOf(request), isCandidate)
+    const caching = slots.target(prefixAffinity.targetOf(request.prefix) ?? '')
+    const isCachingUsable = caching !== undefined && sound.has(caching) && caching.granted < caching.slots && isOfVersion(caching, request) && isCandidate(caching)
+    return isCachingUsable ? [caching, ...candidates] : candidates
+  }
+
+  // A batch item waits without a time limit. If only excluded targets accept work, trying one of them again is better
+  // than never running the item; so it is for a stream that no other target can continue.
+  #isExcluded ({ id }: TargetSlots, request: SlotRequest): boolean {
+    const { excluded, continues, workClass } = request
+    if (!excluded.includes(id)) {
+      return false
+    }
+    if (continues !== null) {
+      return this.state.slots.acceptingOf(continues.softwareVersion) > this.#countAcceptingExcluded(request)
+    }
+    return workClass === WorkClass.Online || this.state.sound.size + this.state.unsound.size > excluded.length
+  }
+
+  /** Returns the number of accepting targets that could serve a request, were they not excluded. */
+  #countAcceptingExcluded (request: SlotRequest): number {
+    let count = 0
+    for (const id of new Set(request.excluded)) {
+      const target = this.state.slots.target(id)
+      count += target?.accepting === true && isOfVersion(target, request) ? 1 : 0
+    }
+    return count
+  }
+
+  /** Scores a target for a request; higher is better, and one busy slot lowers the score by one. */
+  #scoreOf (target: TargetSlots, request: SlotRequest, { now }: ChoiceMoment): number {
+    const { health, pacing, prefixAffinity } = this.state
+    const prefix = prefixAffinity.targetOf(request.prefix) === target.id ? prefixAffinityWeight : 0
+    const zone = target.zone === request.zone ? sameZoneWeight : 0
+    const limit = pacing.isLimited(target, now) ? rateLimitWeight : 0
+    const isPreferred = request.workClass === WorkClass.Batch || pacing.isProbeDue(target, now)
+    return prefix + zone + (isPreferred ? limit : -limit) - health.penaltyOf(target.id, now) * failureRateWeight - target.granted
+  }
+}
