Bound the requests of each client account over all instances

Cause: requests beyond an account's rate are served like all others: while one account sends 4.7 times its usual load, 456 of 2,713 requests of others are late (docs/accounts-and-load.md). Change: the owner of a service's slots counts the requests of each account in a sliding window of 100 ms buckets and refuses those beyond the allowance. Owners tell their successors what they have charged, holders tell new owners what others granted them, and a fleet that was started anew assumes what was used before. A group of instances that does not see all others grants its share. The owners of services have moved from SlotClient to ServiceOwners. Messages between processes and the bounds under failures are not tested yet.

--- /dev/null
+++ b/packages/gateway/src/accounts/allowance-sharing.ts
@@ -0,0 +1,210 @@
+/**
+ * Shares what owners have charged to accounts: with their successors and other owners while there are charges, with processes that begin to own slots, and
+ * with those that were stopped.
+ */
+import { isChargesReport, isUsageReport, splitToDatagrams } from '@arbutusloft/policy'
+import type { AccountAllowances, AccountEntry, GrantedUsage } from '@arbutusloft/policy'
+import type { Membership } from '../peers/membership.js'
+import { PeerMessageType } from '../peers/peer-messages.js'
+import type { AccountChargesMessage, PeerMessage } from '../peers/peer-messages.js'
+import type { PeerTransport } from '../peers/peer-socket.js'
+import type { ServiceOwners } from '../permits/service-owners.js'
+import { Alarm } from '../util/alarm.js'
+import type { Logger } from '../util/logger.js'
+import type { SteadyClock } from '../util/steady-clock.js'
+import { KnownInstances } from './known-instances.js'
+
+/** Dependencies of {@link AllowanceSharing}. */
+export interface AllowanceSharingDependencies {
+  readonly allowances: AccountAllowances
+  readonly usage: GrantedUsage
+  readonly clock: SteadyClock
+  readonly membership: Pick<Membership, 'live' | 'self' | 'onChange'>
+  readonly transport: PeerTransport
+  readonly owners: () => Pick<ServiceOwners, 'owners' | 'granters'>
+  /** Whether the configuration in force has accounts; nothing is sent without. */
+  readonly hasAccounts: () => boolean
+  readonly logger: Logger
+}
+
+/** Interval at which charges are sent while there are any. */
+const chargesIntervalMilliseconds = 100
+/** Time after which reports to a new owner and questions are sent again, since datagrams are lost. */
+const repeatMilliseconds = 300
+/** Bytes of the accounts' entries in the datagram that an owner sends in each interval. */
+const maximumEntryBytes = 1_080
+/** Time by which a clock has to have stood still until it is set. */
+const minimumLagMilliseconds = 500
+
+/** Sends and receives charges and reports. */
+export class AllowanceSharing {
+  readonly #instances = new KnownInstances()
+  readonly #chargesAlarm = new Alarm(() => this.#sendCharges())
+  readonly #repeatAlarm = new Alarm(() => this.#repeat())
+  /** Owners that were sent a report, each with its incarnation. */
+  #toldOwners: ReadonlySet<string> = new Set()
+  /** Owners to which the report is sent once more. */
+  readonly #toTellAgain = new Set<string>()
+  #wasGranter = false
+  #asksAgain = false
+  /** Number of the latest question, and whether its answers have set the clock. */
+  #question = 0
+  #isClockSet = true
+
+  constructor (private readonly dependencies: AllowanceSharingDependencies) {
+    const { transport, membership } = dependencies
+    transport.onMessage((message, sender) => { this.#onMessage(message, sender) })
+    membership.onChange(() => { this.update() })
+  }
+
+  /** Takes note that members or the configuration may have changed: reports to owners that are new, and asks others once this process may become one. */
+  update (): void {
+    const { membership, transport, hasAccounts, owners } = this.dependencies
+    this.updateGroup()
+    if (!hasAccounts()) {
+      return
+    }
+    const incarnations = new Map(membership.live().map(({ address, incarnation }) => [address, incarnation]))
+    const nameOf = (address: string): string => `${address}/${incarnations.get(address) ?? 0}`
+    const current = owners().owners
+    const added = current.filter(address => !this.#toldOwners.has(nameOf(address)))
+    this.#toldOwners = new Set(current.map(nameOf))
+    for (const address of added) {
+      this.#tell(address)
+      this.#toTellAgain.add(address)
+    }
+    const isGranter = owners().granters.includes(transport.address)
+    if (isGranter && !this.#wasGranter) {
+      this.#ask()
+    }
+    this.#wasGranter = isGranter
+    if (added.length > 0) {
+      this.#repeatAlarm.setBy(Date.now() + repeatMilliseconds)
+    }
+  }
+
+  /** Tells the allowances how many instances this one sees; called before each decision, since members are suspected at any time. */
+  updateGroup (): void {
+    const { allowances, membership, clock } = this.dependencies
+    allowances.setGroup(this.#instances.groupOf(membership.live(), clock.now()))
+    if (clock.hasJumped() && this.dependencies.hasAccounts()) {
+      this.#ask()
+    }
+  }
+
+  /** Has the changed charges sent within the interval. */
+  onCharged (): void {
+    if (this.dependencies.allowances.hasUnsent) {
+      this.#chargesAlarm.setBy(Date.now() + chargesIntervalMilliseconds)
+    }
+  }
+
+  close (): void {
+    this.#chargesAlarm.close()
+    this.#repeatAlarm.close()
+  }
+
+  #sendCharges (): number {
+    const { allowances, clock, transport } = this.dependencies
+    const now = clock.now()
+    const entries = allowances.takeUnsent(maximumEntryBytes, now)
+    if (entries.length > 0) {
+      const message = this.#chargesMessage(entries, now)
+      this.#others().forEach(address => { transport.send(address, message) })
+    }
+    return allowances.hasUnsent ? Date.now() + chargesIntervalMilliseconds : Infinity
+  }
+
+  #repeat (): number {
+    const addresses = [...this.#toTellAgain]
+    this.#toTellAgain.clear()
+    addresses.forEach(address => { this.#tell(address) })
+    if (this.#asksAgain) {
+      this.#asksAgain = false
+      this.#sendQuestion()
+    }
+    return Infinity
+  }
+
+  /** Tells an owner what others have granted this process. */
+  #tell (address: string): void {
+    const { allowances, usage, clock, transport } = this.dependencies
+    const now = clock.now()
+    for (const entries of splitToDatagrams(usage.usageFor(address, now))) {
+      const report = { up: Math.round(allowances.upFor(now)), entries }
+      if (address === transport.address) {
+        allowances.onUsage(address, report, now)
+      } else {
+        transport.send(address, { type: PeerMessageType.AccountUsage, report })
+      }
+    }
+  }
+
+  /** Asks the other owners for all that they have charged. */
+  #ask (): void {
+    this.#question += 1
+    this.#isClockSet = false
+    this.#asksAgain = true
+    this.#sendQuestion()
+    this.#repeatAlarm.setBy(Date.now() + repeatMilliseconds)
+  }
+
+  #sendQuestion (): void {
+    const { clock, transport } = this.dependencies
+    const message = { type: PeerMessageType.AccountChargesQuery, question: this.#question, at: Math.round(clock.now()) } as const
+    this.#others().forEach(address => { transport.send(address, message) })
+  }
+
+  #onMessage (message: PeerMessage, sender: string): void {
+    const { allowances, clock, logger } = this.dependencies
+    const now = clock.now()
+    switch (message.type) {
+      case PeerMessageType.AccountCharges:
+        if (!isChargesReport(message.report)) {
+          logger.warn('charges of accounts not readable', { peer: sender })
+          return
+        }
+        this.#setClock(message)
+        allowances.onCharges(sender, message.report, clock.now())
+        return
+      case PeerMessageType.AccountUsage:
+        if (!isUsageReport(message.report)) {
+          logger.warn('report of granted requests not readable', { peer: sender })
+          return
+        }
+        allowances.onUsage(sender, message.report, now)
+        return
+      case PeerMessageType.AccountChargesQuery:
+        this.#answer(sender, message.question, allowances.lagOf(sender, message.at, now), now)
+        break
+      default:
+        // Other messages are not about accounts.
+    }
+  }
+
+  #answer (sender: string, question: number, lag: number, now: number): void {
+    for (const entries of splitToDatagrams(this.dependencies.allowances.allCharges(now))) {
+      this.dependencies.transport.send(sender, { ...this.#chargesMessage(entries, now), answer: { question, lag: Math.round(lag) } })
+    }
+  }
+
+  /** Sets the clock forward by the time for which it stood still, as far as the first answer that tells of one says. */
+  #setClock ({ answer }: AccountChargesMessage): void {
+    if (this.#isClockSet || answer?.question !== this.#question || typeof answer.lag !== 'number' || !(answer.lag >= minimumLagMilliseconds)) {
+      return
+    }
+    this.#isClockSet = true
+    this.dependencies.clock.advance(answer.lag)
+    this.dependencies.logger.info('clock of allowances set forward', { by: answer.lag })
+  }
+
+  #chargesMessage (entries: readonly AccountEntry[], now: number): AccountChargesMessage {
+    const { allowances } = this.dependencies
+    return { type: PeerMessageType.AccountCharges, report: { at: Math.round(now), up: Math.round(allowances.upFor(now)), entries } }
+  }
+
+  #others (): readonly string[] {
+    const { owners, transport } = this.dependencies
+    return owners().granters.filter(address => address !== transport.address)
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,9 +1,10 @@
 /** Composition of a gateway process from its parts. */
 import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
-import type { RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
+import { defaultAllowanceOptions, pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
+import type { AllowanceOptions, RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
+import { AccountLimits } from './accounts/account-limits.js'
 import { identify, rejectKey, slotCallerOf } from './accounts/client-identity.js'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
 import { rejectRequest, reply, Status } from './http/reply.js'
@@ -66,6 +67,8 @@
   readonly refreshConfiguration: () => Promise<boolean>
   /** Number of partitions of each topic. */
   readonly partitions: number
+  /** Bounds on the requests of client accounts; {@link defaultAllowanceOptions} if left out. */
+  readonly allowance?: AllowanceOptions
   readonly logger: Logger
 }
 
@@ -102,6 +105,7 @@
   readonly targetRelay: TargetRelay
   readonly membership: Membership
   readonly slots: SlotClient
+  readonly accountLimits: AccountLimits
   readonly jobs: JobApi
   readonly jobForwarder: JobForwarder
   /** Decides which requests are served once this process stops. */
@@ -147,6 +151,14 @@
       admits: endsAt => this.ready || (this.#draining && this.drainAdmission.admits(endsAt)),
       metrics: this.metrics
     })
+    this.accountLimits = new AccountLimits({
+      options: options.allowance ?? defaultAllowanceOptions,
+      membership: this.membership,
+      transport,
+      owners: () => this.slots.owners,
+      metrics: this.metrics,
+      logger
+    })
     const quarantine = new CrashQuarantine()
     const history = new VersionHistory()
     // Before the slots, whose owner decides by the history when the targets change.
@@ -160,7 +172,8 @@
     void this.#serviceVersions.load()
     this.#originLog = new OriginLog(options.openTopic(originsTopicName, 0, this.metrics), transport.address, logger)
     this.#streamOrigins = new StreamOriginDirectory({ versions: history, membership: this.membership, transport, log: this.#originLog })
-    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history)
+    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history, this.accountLimits.charging)
+    this.accountLimits.start()
     this.slots.onRateLimitChange(({ service, target, previous, current, holder, age, recentGrants }) => {
       logger.info('rate limit of target changed', { service, target, previous, limit: current, holder, age, recentGrants })
     })
@@ -227,6 +240,11 @@
     const left = this.#routes === null ? new Set<string>() : this.#serviceHistory.replace(this.#routes, routes, Date.now())
     this.#routes = routes
     this.#streamOrigins.copyAll(left)
+    if (routes.accounts !== null) {
+      // Their owners have to be told what this process was granted.
+      this.slots.owners.learn(servicesOf(routes))
+    }
+    this.accountLimits.configure(routes.accounts)
     this.#areRoutesComplete = isComplete
     this.metrics.routesVersion.set(configuration.version)
     this.options.logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length })
@@ -248,8 +266,7 @@
    * the list of targets closely.
    */
   get needsTargets (): boolean {
-    const services = this.#routes?.configuration.routes.flatMap(route => route.services.map(({ service }) => service)) ?? []
-    return this.slots.isNearOwner(new Set(services))
+    return this.#routes !== null && this.slots.isNearOwner(servicesOf(this.#routes))
   }
 
   /** Returns the route of a request; if there is none, responds to the request and returns null. */
@@ -357,6 +374,7 @@
     this.#serviceVersions.close()
     this.#originLog.close()
     this.slots.close()
+    this.accountLimits.close()
     this.membership.close()
     await this.jobForwarder.close()
     this.#directProbe.close()
@@ -397,6 +415,11 @@
   return `${member.address}/${member.incarnation}`
 }
 
+/** Returns the services that routes use. */
+function servicesOf ({ configuration }: RouteTable): ReadonlySet<string> {
+  return new Set(configuration.routes.flatMap(route => route.services.map(({ service }) => service)))
+}
+
 /** Returns a path without its query. */
 function pathOf (url = '/'): string {
   return url.split('?', 1)[0] ?? url
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -93,6 +93,31 @@
     registers: [this.registry]
   })
 
+  /** Requests that were refused because their account had used its allowance; accounts after the first 20 are counted together. */
+  readonly allowanceRefusals = new Counter({
+    name: 'arbutus_gateway_allowance_refusals_total',
+    help: 'Requests refused because their account had used its allowance, by account',
+    labelNames: ['account'],
+    registers: [this.registry]
+  })
+
+  #allowances: () => ReadonlyArray<{ readonly account: string, readonly limit: number, readonly used: number }> = () => []
+
+  /** Allowances at the owner of slots, in requests of one window: what is in force and what is used, of the 20 accounts that use most. */
+  readonly allowance: Gauge<'account' | 'kind'> = new Gauge({
+    name: 'arbutus_gateway_account_allowance',
+    help: 'Requests of one window that an account may send and has sent, by account and kind (limit, used)',
+    labelNames: ['account', 'kind'],
+    registers: [this.registry],
+    collect: () => {
+      this.allowance.reset()
+      for (const { account, limit, used } of this.#allowances()) {
+        this.allowance.set({ account, kind: 'limit' }, limit)
+        this.allowance.set({ account, kind: 'used' }, used)
+      }
+    }
+  })
+
   #rateLimits: () => ReadonlyArray<readonly [string, number]> = () => []
 
   /** Rate limits in force of listed targets, in requests a second, as far as this process knows them; no value for targets without one. */
@@ -114,6 +139,11 @@
     registers: [this.registry]
   })
 
+  /** Asks for the allowances when metrics are read. */
+  onCollectAllowances (allowances: () => ReadonlyArray<{ readonly account: string, readonly limit: number, readonly used: number }>): void {
+    this.#allowances = allowances
+  }
+
   /** Asks for the limits, in pairs of a target's id and its requests a second, when metrics are read. */
   onCollectRateLimits (rateLimits: () => ReadonlyArray<readonly [string, number]>): void {
     this.#rateLimits = rateLimits
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -161,6 +161,7 @@
         this.#onSlotRejected(result.reason, result.retryAfter)
         return
       }
+      const [wasCounted, pathlessAttempts] = [this.#isCounted, this.#pathlessAttempts]
       this.#isCounted = true
       if (this.#question !== null && this.#abort.signal.aborted) {
         result.slot.release(SlotOutcome.NotRun)
@@ -175,6 +176,8 @@
       if (await this.#dispatchSafely(result.slot)) {
         return
       }
+      // A slot that was released as not run is not counted any more.
+      this.#isCounted = wasCounted || this.#pathlessAttempts === pathlessAttempts
       if (this.#rejections > maximumRejections || this.#pathlessAttempts >= maximumPathlessAttempts) {
         this.#onSlotRejected(RefusalReason.Busy, 0)
         return
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
+import type { ChargesReport, CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait, UsageReport } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -27,7 +27,10 @@
   VersionQuery: 'b',
   VersionAnswer: 'd',
   RateLimits: 'f',
-  SlotSound: 's'
+  SlotSound: 's',
+  AccountCharges: 'c',
+  AccountUsage: 'e',
+  AccountChargesQuery: 't'
 } as const
 
 /** Asks the receiver to show that it is alive. */
@@ -227,6 +230,28 @@
   readonly isMixed: boolean
 }
 
+/** Tells another owner of slots what the sender has charged to accounts. */
+export interface AccountChargesMessage {
+  readonly type: typeof PeerMessageType.AccountCharges
+  readonly report: ChargesReport
+  /** The question that this answers, and the milliseconds for which the clock of who asked has stood still since its last report. */
+  readonly answer?: { readonly question: number, readonly lag: number }
+}
+
+/** Tells an owner of slots what others have granted the sender. */
+export interface AccountUsageMessage {
+  readonly type: typeof PeerMessageType.AccountUsage
+  readonly report: UsageReport
+}
+
+/** Asks another owner of slots for all that it has charged to accounts within the window. */
+export interface AccountChargesQueryMessage {
+  readonly type: typeof PeerMessageType.AccountChargesQuery
+  readonly question: number
+  /** As in {@link ChargesReport}. */
+  readonly at: number
+}
+
 /** Messages about members; the first update in each describes its sender. */
 export type MemberMessage =
   | PingMessage
@@ -256,7 +281,10 @@
 /** Messages about the software versions of targets. */
 export type VersionMessage = VersionQueryMessage | VersionAnswerMessage
 
-export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage | OriginMessage | VersionMessage
+/** Messages about the allowances of accounts. */
+export type AllowanceMessage = AccountChargesMessage | AccountUsageMessage | AccountChargesQueryMessage
+
+export type PeerMessage = MemberMessage | SlotMessage | QuarantineMessage | OriginMessage | VersionMessage | AllowanceMessage
 
 const types: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType))
 const memberTypes: ReadonlySet<unknown> = new Set([
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,19 +3,21 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits, receivedWait, unknownWait } from '@arbutusloft/policy'
+import { DecisionKind, HolderPacing, LeavingTargets, RefusalReason, SlotOutcome, TargetRateLimits, receivedWait, unknownWait } from '@arbutusloft/policy'
 import type { CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
 import type { SlotGrantMessage, SlotMessage, SlotQueuedMessage } from '../peers/peer-messages.js'
 import type { PeerTransport } from '../peers/peer-socket.js'
+import type { AccountCharging } from '../accounts/account-charging.js'
 import { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import { TargetState } from '../targets/target-registry.js'
 import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import { RateLimitSharing } from './rate-limit-sharing.js'
+import { ServiceOwners } from './service-owners.js'
 import type { AcquireResult, AnswerEvidence, Slot, SlotDemand, SlotRejection } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 import type { ObservedRateLimitChange } from './slot-owner.js'
@@ -66,10 +68,6 @@
 const takeoverMilliseconds = 1_000
 /** Time after which a queued request is sent again, in case the owner has lost its soft state. */
 const queuedResendMilliseconds = 600
-/** Number of members, in the order in which they succeed each other as owner of a service, that keep themselves ready for it. */
-const successorCount = 3
-/** Time for which members may differ on who owns a service after a change of owners. */
-const formerOwnerMilliseconds = 10_000
 /** Number of withdrawn permits that are remembered, whose grants may still be in transit. */
 const maximumWithdrawn = 1_024
 /** Delay before a batch request that was rejected is sent again. */
@@ -88,10 +86,7 @@
   readonly #rateLimitSharing: RateLimitSharing
   readonly #pendingAlarm = new Alarm(now => this.#checkPending(now))
   readonly #reportAlarm = new Alarm(now => this.#reportAll(now))
-  /** Addresses of the owner of each service and of its successors, until the members change. */
-  readonly #owners = new Map<string, readonly string[]>()
-  /** Processes that were owners of a service until lately, with the times until which others may still take them for such. */
-  readonly #formerOwners = new Map<string, Map<string, number>>()
+  readonly #owners: ServiceOwners
   #ownersChangedAt = 0
   readonly #permitPrefix: string
   /** Services of which the owner gets one more report, even if no slot is held. */
@@ -105,11 +100,13 @@
     private readonly targets: TargetRegistry,
     private readonly freshness: TargetFreshness,
     private readonly quarantine: CrashQuarantine,
-    private readonly versions: VersionHistory
+    private readonly versions: VersionHistory,
+    private readonly charging: AccountCharging | null = null
   ) {
+    this.#owners = new ServiceOwners(membership, transport.address)
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
-    const confirmation = new VersionConfirmation({ versions, freshness, membership, transport, nearOwners: service => this.#ownersOf(service) })
-    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) }, confirmation, this.#limits)
+    const confirmation = new VersionConfirmation({ versions, freshness, membership, transport, nearOwners: service => this.#owners.ownersOf(service) })
+    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) }, confirmation, this.#limits, charging)
     this.#rateLimitSharing = new RateLimitSharing(this.#limits, targets, transport, this.#owner)
     targets.onChange(changed => { this.#onTargetsChanged(changed) })
     transport.onMessage((message, sender) => {
@@ -147,7 +144,7 @@
         this.#pending.delete(permit)
         resolve(result)
       }
-      const ownerAddress = this.#ownerOf(demand.service)
+      const ownerAddress = this.#owners.ownerOf(demand.service)
       const pending: PendingRequest = { permit, demand, settle, ownerAddress, excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false, wait: unknownWait }
       signal.addEventListener('abort', abort, { once: true })
       this.#pending.set(permit, pending)
@@ -171,19 +168,22 @@
 
   /** Returns the service's slots in use and its waiting requests, or null if this process is not the owner. */
   serviceLoad (service: string): ReturnType<SlotOwner['serviceLoad']> {
-    return this.#ownerOf(service) === this.transport.address ? this.#owner.serviceLoad(service) : null
+    return this.#owners.ownerOf(service) === this.transport.address ? this.#owner.serviceLoad(service) : null
   }
 
   /** Whether this process owns one of the services, or would soon if their owners failed. */
   isNearOwner (services: Iterable<string>): boolean {
-    return [...services].some(service => this.#ownersOf(service).includes(this.transport.address))
+    return [...services].some(service => this.#owners.ownersOf(service).includes(this.transport.address))
   }
 
   /** Addresses of the other processes that own the services which this process knows, or would if their owners failed. */
   get nearOwners (): readonly string[] {
-    const addresses = new Set([...this.#owners.values()].flat())
-    addresses.delete(this.transport.address)
-    return [...addresses]
+    return this.#owners.nearOwners.filter(address => address !== this.transport.address)
+  }
+
+  /** Processes that grant slots or may soon, as far as this process knows. */
+  get owners (): Pick<ServiceOwners, 'owners' | 'granters' | 'learn'> {
+    return this.#owners
   }
 
   /** Calls the listener with the address of each other process that begins to own slots which this process uses. */
@@ -212,21 +212,6 @@
     this.#owner.close()
   }
 
-  #ownerOf (service: string): string {
-    return this.#ownersOf(service)[0] ?? this.transport.address
-  }
-
-  #ownersOf (service: string): readonly string[] {
-    const known = this.#owners.get(service)
-    if (known !== undefined) {
-      return known
-    }
-    const candidates = this.membership.ownerCandidates().map(({ address }) => ({ id: address }))
-    const owners = ownersOf(service, candidates, successorCount).map(({ id }) => id)
-    this.#owners.set(service, owners)
-    return owners
-  }
-
   #sendRequest (pending: PendingRequest): void {
     const { service, ...demand } = pending.demand
     const { zone } = this.membership.self
@@ -253,7 +238,7 @@
         this.#restartRequest(pending, now)
       } else if (pending.retransmitted) {
         this.membership.suspect(pending.ownerAddress)
-        pending.ownerAddress = this.#ownerOf(pending.demand.service)
+        pending.ownerAddress = this.#owners.ownerOf(pending.demand.service)
         this.#restartRequest(pending, now)
       } else {
         pending.retransmitted = true
@@ -277,24 +262,20 @@
 
   #onMembersChanged (): void {
     const now = Date.now()
-    const formerOwners = new Map(this.#owners)
-    const owners = new Map([...this.#owners].map(([service, [owner]]) => [service, owner]))
-    this.#owners.clear()
-    for (const [service, former] of formerOwners) {
-      const current = this.#ownersOf(service)
+    const changes = this.#owners.update(now)
+    for (const { service, former, current } of changes) {
       this.#rateLimitSharing.tell(service, current.filter(address => !former.includes(address)))
-      this.#addFormerOwners(service, former.filter(address => !current.includes(address)), now)
     }
-    if ([...owners].every(([service, owner]) => owner === this.#ownerOf(service))) {
+    const newOwners = changes.filter(({ former, current }) => former[0] !== current[0]).map(({ service }) => this.#owners.ownerOf(service))
+    if (newOwners.length === 0) {
       return
     }
     this.#ownersChangedAt = now
-    const newOwners = [...owners].filter(([service, owner]) => owner !== this.#ownerOf(service)).map(([service]) => this.#ownerOf(service))
     for (const address of new Set(newOwners)) {
       this.#notifyOwner(address)
     }
     for (const pending of this.#pending.values()) {
-      const owner = this.#ownerOf(pending.demand.service)
+      const owner = this.#owners.ownerOf(pending.demand.service)
       if (owner !== pending.ownerAddress) {
         this.#sendWithdrawal(pending.ownerAddress, pending)
         pending.ownerAddress = owner
@@ -304,24 +285,6 @@
     this.#reportAlarm.setBy(this.#reportAll(now))
   }
 
-  #addFormerOwners (service: string, addresses: readonly string[], now: number): void {
-    const known = this.#formerOwners.get(service) ?? new Map<string, number>()
-    this.#formerOwners.set(service, known)
-    addresses.forEach(address => known.set(address, now + formerOwnerMilliseconds))
-  }
-
-  /** Returns the processes that may grant slots of a service at present: its owners, and those that others may still take for such. */
-  #grantersOf (service: string): readonly string[] {
-    const now = Date.now()
-    const former = this.#formerOwners.get(service)
-    for (const [address, until] of former ?? []) {
-      if (until < now) {
-        former?.delete(address)
-      }
-    }
-    return [...this.#ownersOf(service), ...former?.keys() ?? []]
-  }
-
   #notifyOwner (address: string): void {
     if (address === this.transport.address) {
       return
@@ -383,7 +346,7 @@
   }
 
   #sendReport (service: string, held: readonly HeldSlot[]): void {
-    const owner = this.#ownerOf(service)
+    const owner = this.#owners.ownerOf(service)
     for (const slot of held) {
       const known = this.#held.get(slot.permit)
       if (known !== undefined) {
@@ -461,7 +424,7 @@
   }
 
   #announceLeaving (service: string, target: TargetEndpoint): void {
-    for (const owner of this.#ownersOf(service)) {
+    for (const owner of this.#owners.ownersOf(service)) {
       this.#sendLeaving(owner, target)
     }
   }
@@ -506,7 +469,7 @@
   #deliverDecision (service: string, decision: SlotDecision): void {
     const { holder, permit } = decision
     if (decision.kind === DecisionKind.Grant) {
-      this.#rateLimitSharing.onGranted({ id: decision.target, ...this.#startOf(decision.target) }, permit, this.#ownersOf(service))
+      this.#rateLimitSharing.onGranted({ id: decision.target, ...this.#startOf(decision.target) }, permit, this.#owners.ownersOf(service))
     }
     if (holder === this.transport.address) {
       this.#applyDecision(service, decision)
@@ -596,6 +559,7 @@
       return
     }
     const { workClass, prefix, digest, due, ran } = pending.demand
+    this.charging?.onSlotGranted(permit, owner, pending.demand)
     const revoke = new AbortController()
     const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
@@ -603,7 +567,7 @@
     const release = (outcome: SlotOutcome, evidence?: AnswerEvidence): void => { this.#release(held, outcome, evidence) }
     const recordRateLimit = (requestsPerSecond: number | null, sentAt: number): void => {
       const report = { service, target: target.id, born: target.born, requestsPerSecond, sentAgo: Math.max(0, Date.now() - sentAt), heardAgo: 0 }
-      this.#rateLimitSharing.onAnswer(report, permit, grantedLimit ?? null, [...this.#grantersOf(service), owner])
+      this.#rateLimitSharing.onAnswer(report, permit, grantedLimit ?? null, [...this.#owners.grantersOf(service), owner])
       if (requestsPerSecond !== null && grantedLimit === undefined) {
         this.#holderPacing.onTold(owner, target.id, target.born, Date.now())
       }
@@ -644,6 +608,7 @@
   #release (held: LocalSlot, outcome: SlotOutcome, { isSound, place }: AnswerEvidence = { isSound: false, place: 0 }): void {
     if (this.#held.delete(held.permit)) {
       const { service, ownerAddress, permit, target, prefix, digest } = held
+      this.charging?.onSlotReleased(permit, outcome)
       const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest, place } : null
       const sound = isSound && outcome === SlotOutcome.Stopped ? { parts: prefix, digest, place } : null
       if (outcome === SlotOutcome.Finished) {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -5,6 +5,7 @@
 import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, TargetRateLimits, WaitCause } from '@arbutusloft/policy'
 import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SoundReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
+import type { AccountCharging } from '../accounts/account-charging.js'
 import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
 import type { TargetRegistry, Target } from '../targets/target-registry.js'
@@ -64,7 +65,8 @@
     private readonly versions: VersionHistory,
     private readonly listener: DecisionListener,
     private readonly confirmation: Pick<VersionConfirmation, 'confirm'> | null = null,
-    private readonly limits = new TargetRateLimits()
+    private readonly limits = new TargetRateLimits(),
+    private readonly charging: AccountCharging | null = null
   ) {
     targets.onChange(() => { this.#updateTargets() })
     freshness.onRefreshed(() => { this.#updateGranting() })
@@ -73,6 +75,11 @@
   /** Passes a request to admission control; returns false if it was queued, and true if it was granted or rejected. */
   request (service: string, request: SlotRequest): boolean {
     const owned = this.#recordContact(service, request.holder)
+    const refusal = this.charging?.admit(request) ?? null
+    if (refusal !== null) {
+      this.#emit(service, [refusal])
+      return true
+    }
     this.#updateGranting()
     if (!this.#isGranting) {
       this.#deferred.set(request.permit, { service, request })
@@ -174,6 +181,7 @@
    */
   release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sender = '', sound: SoundReport | null = null): void {
     this.#forgetRequest(permit)
+    this.charging?.onReleased(permit, outcome)
     this.#updateGranting()
     this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now(), crash, sender, sound))
   }
@@ -186,6 +194,7 @@
   /** Removes a waiting request. */
   withdraw (service: string, permit: string): void {
     this.#forgetRequest(permit)
+    this.charging?.onWithdrawn(permit)
     this.#ensureService(service).admission.withdraw(permit)
   }
 
@@ -299,6 +308,7 @@
         if (now - lastMessageAt > holderTimeoutMilliseconds) {
           holders.delete(holder)
           this.#forgetHolder(holder)
+          this.charging?.onHolderLost(holder)
           this.#emit(service, admission.removeHolder(holder, now))
         }
       }
@@ -328,6 +338,7 @@
 
   #emit (service: string, decisions: readonly SlotDecision[]): void {
     for (const decision of decisions) {
+      this.charging?.onDecision(decision)
       this.listener(service, decision)
     }
   }
--- /dev/null
+++ b/packages/policy/src/accounts/peer-charges.ts
@@ -0,0 +1,113 @@
+/** The charges of other owners, as they report them. */
+import { bucketMilliseconds, bucketOf, ChargeWindow, oldestBucketOf } from './charge-window.js'
+import { setLatest } from '../util/latest-entries.js'
+import { fromEntry } from './allowance-messages.js'
+import type { ChargesReport } from './allowance-messages.js'
+
+interface Source {
+  /** Time of this process's clock less that of the sender, for the datagram that took least. */
+  offset: number
+  heardAt: number
+  readonly accounts: Map<string, SourceAccount>
+}
+
+interface SourceAccount {
+  readonly window: ChargeWindow
+  waiting: number
+  heardAt: number
+}
+
+/** Number of owners, and of accounts of each, that are remembered. */
+const maximumSources = 64
+const maximumAccounts = 10_000
+/** A clock that differs by more than this from what was known has been stopped or replaced: datagrams are not that late. */
+const maximumDelayMilliseconds = 1_000
+/** Time by which the known offset may fall behind with each report, so that it follows a clock that runs faster. */
+const offsetDriftMilliseconds = 1
+/** Time for which a number of waiting requests is taken for valid; it is repeated three times as often. */
+const waitingValidMilliseconds = 900
+
+/** Counts by owner, account and bucket of that owner's clock, since a count that is sent again must replace the former one. */
+export class PeerCharges {
+  readonly #sources = new Map<string, Source>()
+
+  constructor (private readonly windowMilliseconds: number) {}
+
+  /** Applies a report; returns the accounts in it. */
+  apply (address: string, report: ChargesReport, now: number): readonly string[] {
+    const source = this.#sourceOf(address, now - report.at, now)
+    const newest = bucketOf(report.at)
+    const charges = report.entries.map(fromEntry)
+    for (const { account, waiting, counts } of charges) {
+      const known = source.accounts.get(account) ?? { window: new ChargeWindow(), waiting: 0, heardAt: now }
+      known.waiting = waiting
+      known.heardAt = now
+      for (const [bucketsAgo, count] of counts) {
+        known.window.set(newest - bucketsAgo, count)
+      }
+      setLatest(source.accounts, account, known, maximumAccounts)
+    }
+    return charges.map(({ account }) => account)
+  }
+
+  /** Returns the milliseconds by which the clock of an owner has stood still since its last report, as one at which its process was stopped does; 0 if unknown. */
+  lagOf (address: string, at: number, now: number): number {
+    const known = this.#sources.get(address)
+    return known === undefined ? 0 : Math.max(0, now - at - known.offset)
+  }
+
+  /** Returns what other owners have charged to an account within the window, what waits there included. */
+  usedBy (account: string, now: number): number {
+    let used = 0
+    for (const { offset, accounts } of this.#sources.values()) {
+      const known = accounts.get(account)
+      if (known !== undefined) {
+        known.window.expireBefore(oldestBucketOf(this.windowMilliseconds, now - offset))
+        used += known.window.total + (now - known.heardAt < waitingValidMilliseconds ? known.waiting : 0)
+      }
+    }
+    return used
+  }
+
+  /** Returns the counts of an account by bucket of this process's clock. */
+  countsOf (account: string, now: number): ReadonlyArray<readonly [bucket: number, count: number]> {
+    return [...this.#sources.values()].flatMap(({ offset, accounts }) => {
+      const window = accounts.get(account)?.window
+      window?.expireBefore(oldestBucketOf(this.windowMilliseconds, now - offset))
+      return [...window?.entries() ?? []].map(([bucket, count]) => [bucket + Math.round(offset / bucketMilliseconds), count] as const)
+    })
+  }
+
+  /** Whether a report of an owner counts within the window. */
+  hasHeard (now: number): boolean {
+    return [...this.#sources.values()].some(({ heardAt }) => now - heardAt < this.windowMilliseconds)
+  }
+
+  /** Forgets owners that have reported nothing for two windows, and accounts without a count. */
+  sweep (now: number): void {
+    for (const [address, { heardAt, offset, accounts }] of this.#sources) {
+      if (now - heardAt > 2 * this.windowMilliseconds) {
+        this.#sources.delete(address)
+        continue
+      }
+      for (const [account, { window, heardAt: accountHeardAt }] of accounts) {
+        window.expireBefore(oldestBucketOf(this.windowMilliseconds, now - offset))
+        if (window.total === 0 && now - accountHeardAt > waitingValidMilliseconds) {
+          accounts.delete(account)
+        }
+      }
+    }
+  }
+
+  #sourceOf (address: string, offset: number, now: number): Source {
+    const known = this.#sources.get(address)
+    if (known === undefined) {
+      const source = { offset, heardAt: now, accounts: new Map<string, SourceAccount>() }
+      setLatest(this.#sources, address, source, maximumSources)
+      return source
+    }
+    known.heardAt = now
+    known.offset = offset > known.offset + maximumDelayMilliseconds ? offset : Math.min(offset, known.offset + offsetDriftMilliseconds)
+    return known
+  }
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,7 +1,12 @@
 /** Decisions of the system as pure logic, without input, output or a clock: callers pass `now` in milliseconds since the epoch. */
 export * from './accounts/account.js'
+export * from './accounts/account-allowances.js'
 export * from './accounts/account-directory.js'
+export * from './accounts/allowance-messages.js'
 export * from './accounts/bearer-key.js'
+export * from './accounts/charge-window.js'
+export * from './accounts/granted-usage.js'
+export * from './accounts/group-limit.js'
 export * from './admission/batch-feedback.js'
 export * from './admission/batch-order.js'
 export * from './admission/decision.js'
--- a/packages/policy/src/limits/holder-pacing.ts
+++ b/packages/policy/src/limits/holder-pacing.ts
@@ -1,5 +1,6 @@
 /** Rate limits of targets at a holder whose owner does not keep them, as owners of builds before the limits do not. */
 import type { TargetRateLimits } from './target-rate-limits.js'
+import { setLatest } from '../util/latest-entries.js'
 
 interface ToldLimit {
   readonly born: number
@@ -87,13 +88,3 @@
     return Math.max(0, last + members * millisecondsPerSecond / Math.max(limit, minimumRequestsPerSecond) - now)
   }
 }
-
-/** Sets a value as the last one, and forgets the first one if there are more than `maximum`. */
-function setLatest<V> (map: Map<string, V>, key: string, value: V, maximum: number): void {
-  map.delete(key)
-  map.set(key, value)
-  const [first] = map.keys()
-  if (map.size > maximum && first !== undefined) {
-    map.delete(first)
-  }
-}
