Serve online requests by rank and by their accounts' shares

Cause: waiting online requests were served by the time of their first attempts alone, so that requests of an account that floods, or of a lower rank, delayed all others. Items of one span of deadlines go to the account that holds the fewest slots. Held slots carry account and tokens for a new owner.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -16,6 +16,14 @@
     registers: [this.registry]
   })
 
+  /** Refused requests of client accounts by what put them behind others (see {@link OrderCause}) and by rank (see {@link rankLabelOf}). */
+  readonly orderedRefusals = new Counter({
+    name: 'arbutus_gateway_ordered_refusals_total',
+    help: 'Online requests of client accounts that were refused for their place among those that wait, by cause and rank',
+    labelNames: ['cause', 'rank'],
+    registers: [this.registry]
+  })
+
   /** Time from the arrival of a request to the end of its response, in seconds. */
   readonly duration = new Histogram({
     name: 'arbutus_gateway_request_seconds',
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -1,7 +1,7 @@
 /** Runs one online request: acquires a slot, dispatches to a target, retries or resumes after failures, and relays the response. */
 import type { ServerResponse } from 'node:http'
-import { promptPartDigest, questionAfterEnd, RefusalReason, RouteKind, silenceLimits, SlotOutcome } from '@arbutusloft/policy'
-import type { DrainAdmission, EndQuestion, StreamOrigin } from '@arbutusloft/policy'
+import { promptPartDigest, questionAfterEnd, rankLabelOf, RefusalReason, RouteKind, silenceLimits, SlotOutcome } from '@arbutusloft/policy'
+import type { DrainAdmission, EndQuestion, QueueStanding, StreamOrigin } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { rejectRequest, reply, Status } from '../http/reply.js'
 import type { GatewayMetrics } from '../metrics.js'
@@ -158,7 +158,7 @@
         continue
       }
       if (!result.granted) {
-        this.#onSlotRejected(result.reason, result.retryAfter)
+        this.#onSlotRejected(result.reason, result.retryAfter, result.standing)
         return
       }
       this.#isCounted = true
@@ -490,13 +490,16 @@
     return true
   }
 
-  #onSlotRejected (reason: RefusalReason, retryAfter: number): void {
+  #onSlotRejected (reason: RefusalReason, retryAfter: number, standing?: QueueStanding): void {
     if (this.#clientDisconnected || this.#relay.hasBegun || this.#possibleExecutions > 0 || this.#abort.signal.aborted) {
       this.#finishIncomplete()
       return
     }
     const waited = Date.now() - this.#startedAt
-    this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections })
+    this.dependencies.logger.info('refused', { request: this.request.id, route: this.request.route.name, waited, reason, retryAfter, refusals: this.#rejections, ...(standing === undefined ? {} : { order: standing }) })
+    if (standing !== undefined) {
+      this.dependencies.metrics.orderedRefusals.inc({ cause: standing.cause, rank: rankLabelOf(standing.rank) })
+    }
     // A quarantine, or the time until an allowance has room, may last longer than the caller can wait, which then need not come back.
     const isExact = reason === RefusalReason.Quarantined || reason === RefusalReason.OverAllowance
     const callerRetryAfter = isExact ? retryAfter : Math.min(retryAfter, this.#latestReturnMilliseconds())
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
+import type { CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, QueueStanding, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -121,6 +121,8 @@
   readonly reason: RefusalReason
   /** Milliseconds until a slot is expected to be free, or until the quarantine is reviewed. */
   readonly retryAfter: number
+  /** Left out where the deployment has no client accounts, and by earlier builds. */
+  readonly standing?: QueueStanding
 }
 
 /** Revokes a slot; its holder must stop the request and release the slot. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,8 +3,8 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits, receivedWait, unknownWait } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import { DecisionKind, heldAccountOf, HolderPacing, LeavingTargets, ownersOf, receivedStanding, RefusalReason, SlotOutcome, standingOf, TargetRateLimits, receivedWait, unknownWait } from '@arbutusloft/policy'
+import type { CrashReport, HeldSlot, CrashQuarantine, QueueStanding, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -355,9 +355,9 @@
   /** Reports all slots that this process holds to their owners; returns when to report again. */
   #reportAll (now: number): number {
     const services = new Map<string, HeldSlot[]>()
-    for (const { service, permit, target, workClass, due, ran } of this.#held.values()) {
+    for (const { service, permit, target, workClass, due, ran, account, tokens } of this.#held.values()) {
       const held = services.get(service) ?? []
-      held.push({ permit, target, workClass, due, ran })
+      held.push({ permit, target, workClass, due, ran, ...(account === undefined ? {} : { account, tokens: tokens ?? 1 }) })
       services.set(service, held)
     }
     for (const pending of this.#pending.values()) {
@@ -429,7 +429,7 @@
         this.#onGrant(message.service, message.permit, this.#endpointOf(message), sender, message.rateLimit)
         return
       case PeerMessageType.SlotRejection:
-        this.#onRejection(message.permit, message.reason, message.retryAfter)
+        this.#onRejection(message.permit, message.reason, message.retryAfter, receivedStanding(message.standing))
         return
       case PeerMessageType.SlotRevocation:
         this.#held.get(message.permit)?.revoke.abort()
@@ -517,7 +517,7 @@
         this.transport.send(holder, { type: PeerMessageType.SlotGrant, service, permit, target: decision.target, address: decision.address, ...this.#startOf(decision.target), ...this.#mixedMark(service), ...this.#limitMark(decision.target) })
         return
       case DecisionKind.Refuse:
-        this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, reason: decision.reason, retryAfter: decision.retryAfter })
+        this.transport.send(holder, { type: PeerMessageType.SlotRejection, permit, reason: decision.reason, retryAfter: decision.retryAfter, ...standingOf(decision.standing) })
         return
       case DecisionKind.Revoke:
         this.transport.send(holder, { type: PeerMessageType.SlotRevocation, permit })
@@ -530,7 +530,7 @@
         this.#onGrant(service, decision.permit, this.#endpointOf(decision), this.transport.address, this.#limitMark(decision.target).rateLimit)
         return
       case DecisionKind.Refuse:
-        this.#onRejection(decision.permit, decision.reason, decision.retryAfter)
+        this.#onRejection(decision.permit, decision.reason, decision.retryAfter, decision.standing ?? null)
         return
       case DecisionKind.Revoke:
         this.#held.get(decision.permit)?.revoke.abort()
@@ -597,7 +597,7 @@
     }
     const { workClass, prefix, digest, due, ran } = pending.demand
     const revoke = new AbortController()
-    const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner }
+    const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner, ...heldAccountOf(pending.demand) }
     this.#held.set(permit, held)
     this.#reportAlarm.setBy(now + this.#reportInterval(now))
     const release = (outcome: SlotOutcome, evidence?: AnswerEvidence): void => { this.#release(held, outcome, evidence) }
@@ -613,7 +613,7 @@
     pending.settle({ granted: true, slot: { permit, target, revoked: revoke.signal, markLeaving, recordRateLimit, markSound, release } })
   }
 
-  #onRejection (permit: string, reason: RefusalReason, retryAfter: number): void {
+  #onRejection (permit: string, reason: RefusalReason, retryAfter: number, standing: QueueStanding | null): void {
     const pending = this.#pending.get(permit)
     if (pending === undefined) {
       return
@@ -625,7 +625,7 @@
       this.#pendingAlarm.setBy(nextCheckOf(pending))
       return
     }
-    pending.settle({ granted: false, reason, retryAfter })
+    pending.settle({ granted: false, reason, retryAfter, ...standingOf(standing) })
   }
 
   /** Tells the owner of the slot, if the content is in quarantine as far as is known here: all instances are told of a quarantine. */
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -1,5 +1,5 @@
 /** Requests for slots, and their results. A slot lets its holder run one request on one target. */
-import type { RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
+import type { QueueStanding, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import type { TargetEndpoint } from '../targets/target-registry.js'
 
 /** What an answer that was not complete has shown, apart from the outcome of its request. */
@@ -44,6 +44,8 @@
   readonly reason: RefusalReason
   /** Milliseconds until a slot is expected to be free or the prompt's quarantine is reviewed; 0 if the holder withdrew it. */
   readonly retryAfter: number
+  /** Its place among the requests that wait, if the owner rejected it for that; left out where the deployment has no client accounts. */
+  readonly standing?: QueueStanding
   /** Why it waited, as far as its holder knew, if the holder withdrew it; left out if the owner rejected it. */
   readonly wait?: SlotWait
 }
--- a/packages/policy/src/fleet/batch-queue.ts
+++ b/packages/policy/src/fleet/batch-queue.ts
@@ -1,8 +1,10 @@
 /**
  * Batch items that wait for a slot. Load: more batch work than slots, where items in the mere order of their deadlines all
- * become late one after the other: an item that cannot be in time any more waits for those that can.
+ * become late one after the other: an item that cannot be in time any more waits for those that can. Jobs of one client account that would take
+ * all slots beside equally urgent items of others: items of the account that holds fewer slots come first.
  */
 import { MovingAverage } from '../util/moving-average.js'
+import { dueSpanOf } from './due-spans.js'
 import type { SlotRequest } from './fleet-messages.js'
 
 /** Deadline and progress of an item; see {@link SlotRequest}. */
@@ -79,18 +81,60 @@
 
   /**
    * Returns the items in the order in which they are served: those that can be in time by deadline, then the others, the oldest first.
-   * Among both, those that continue an output come first, since fewer targets can serve them.
+   * Among both, those that continue an output come first, since fewer targets can serve them. Of equally urgent ones, those of the client account
+   * that holds the fewest slots come first.
+   *
+   * @param heldBy number of slots that an account holds
    */
-  inOrder (now: number): readonly SlotRequest[] {
+  inOrder (now: number, heldBy: (account: string) => number): Iterable<SlotRequest> {
     const inTime: SlotRequest[] = []
     const lost: SlotRequest[] = []
+    let hasAccounts = false
     for (const request of this.#waiting.values()) {
-      (this.isLost(request, now) ? lost : inTime).push(request)
+      hasAccounts ||= request.caller !== undefined
+      const list = this.isLost(request, now) ? lost : inTime
+      list.push(request)
     }
-    return [...inTime.sort(byVersionAndDue), ...lost.sort(byVersionAndDue)]
+    const ordered = [inTime.sort(byVersionAndDue), lost.sort(byVersionAndDue)]
+    return hasAccounts ? byAccount(ordered, heldBy) : ordered.flat()
   }
 }
 
+/** Yields items so that those of one span are given to accounts in turn, the account with the fewest slots first. */
+function * byAccount (lists: ReadonlyArray<readonly SlotRequest[]>, heldBy: (account: string) => number): Generator<SlotRequest> {
+  // Numbers of slots that accounts hold once the items before have got theirs.
+  const held = new Map<string, number>()
+  for (const list of lists) {
+    for (let from = 0; from < list.length;) {
+      const to = endOfSpan(list, from)
+      const counted = list.slice(from, to).map(request => {
+        const account = request.caller?.account ?? ''
+        const count = held.get(account) ?? heldBy(account)
+        held.set(account, count + 1)
+        return { request, count }
+      })
+      // Sorting is stable: by deadline among items of accounts that hold as many slots.
+      for (const { request } of counted.sort((left, right) => left.count - right.count)) {
+        yield request
+      }
+      from = to
+    }
+  }
+}
+
+/** Returns the index behind the last item of the list that is as urgent as the one at an index, and also continues an output or not. */
+function endOfSpan (list: readonly SlotRequest[], from: number): number {
+  let to = from + 1
+  while (to < list.length && isAsUrgent(list[from], list[to])) {
+    to += 1
+  }
+  return to
+}
+
+function isAsUrgent (left: SlotRequest | undefined, right: SlotRequest | undefined): boolean {
+  return left !== undefined && right !== undefined && dueSpanOf(left) === dueSpanOf(right) && (left.continues === null) === (right.continues === null)
+}
+
 function byVersionAndDue (left: SlotRequest, right: SlotRequest): number {
   return Number(left.continues === null) - Number(right.continues === null) || left.due - right.due || right.ran - left.ran
 }
--- a/packages/policy/src/fleet/due-spans.ts
+++ b/packages/policy/src/fleet/due-spans.ts
@@ -17,7 +17,7 @@
   }
 
   add (slot: GrantedSlot): void {
-    const span = spanOf(slot)
+    const span = dueSpanOf(slot)
     const slots = this.#spans.get(span) ?? new Set()
     this.#spans.set(span, slots)
     this.#count += slots.has(slot) ? 0 : 1
@@ -25,7 +25,7 @@
   }
 
   delete (slot: GrantedSlot): void {
-    const span = spanOf(slot)
+    const span = dueSpanOf(slot)
     const slots = this.#spans.get(span)
     if (slots?.delete(slot) === true) {
       this.#count -= 1
@@ -53,7 +53,8 @@
   }
 }
 
-function spanOf ({ due }: GrantedSlot): number {
+/** Returns the number of the span that a deadline falls into. */
+export function dueSpanOf ({ due }: Pick<GrantedSlot, 'due'>): number {
   return Math.floor(due / dueSpanMilliseconds)
 }
 
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -6,14 +6,17 @@
 import { BatchQueue } from './batch-queue.js'
 import { CrashAttribution } from './crash-attribution.js'
 import { CrashQuarantine, QuarantineAdmission, TrialEnd } from './crash-quarantine.js'
-import type { CrashReport, RequestContent, SoundReport } from './crash-quarantine.js'
-import { RefusalReason, SlotOutcome } from './fleet-messages.js'
+import type { CrashReport, SoundReport } from './crash-quarantine.js'
+import { refusalOf, RefusalReason, SlotOutcome } from './fleet-messages.js'
 import type { FleetTarget, HeldSlot, SlotDecision, SlotGrant, SlotRequest } from './fleet-messages.js'
 import { FleetSlots } from './fleet-slots.js'
 import type { GrantedSlot, TargetSlots } from './fleet-slots.js'
 import { OnlineQueue } from './online-queue.js'
 import { OverloadForecast } from './overload-forecast.js'
 import { PrefixAffinity } from './prefix-affinity.js'
+import { standingMark } from './rank-order.js'
+import type { RequestsAhead } from './rank-order.js'
+import { contentOf } from './request-content.js'
 import { isOfVersion, versionOf } from './software-version.js'
 import { TargetAvailability, TargetHealth } from './target-health.js'
 import type { SuspensionOptions } from './target-health.js'
@@ -237,7 +240,8 @@
    */
   synchronize (holder: string, held: readonly HeldSlot[], now: number): readonly SlotDecision[] {
     this.#begin(now)
-    const { revoked, dropped } = this.#slots.synchronize(holder, held, now)
+    const { revoked, dropped, adopted } = this.#slots.synchronize(holder, held, now)
+    this.#online.recordHeld(adopted)
     this.#onEndsLost(dropped, TrialEnd.Unreported)
     return [
       ...revoked.map(permit => ({ kind: DecisionKind.Revoke, permit, holder })),
@@ -273,7 +277,7 @@
   tick (now: number): readonly SlotDecision[] {
     this.#begin(now)
     const expired = this.#online.removeExpired(now)
-    return [...this.#refuseQuarantined(), ...expired.map(({ request }) => this.#refuse(request)), ...this.#grantWaiting()]
+    return [...this.#refuseQuarantined(), ...expired.map(({ request, ahead }) => this.#refuse(request, ahead)), ...this.#grantWaiting()]
   }
 
   /**
@@ -348,11 +352,12 @@
       this.#online.remove(entry => entry.request.permit === request.permit)
       return [refusalOf(request, RefusalReason.Quarantined, retryAfter)]
     }
+    const now = this.#now
+    this.#online.recordAsked(request, now)
     const granted = this.#grantOnline(request)
     if (granted.length > 0) {
       return granted
     }
-    const now = this.#now
     if (this.#online.has(request.permit)) {
       return []
     }
@@ -366,14 +371,15 @@
       return [refusalOf(request, RefusalReason.Busy, Math.min(cutOffGrantMilliseconds, latestReturn))]
     }
     // Newcomers have to let those pass who were told to come back meanwhile.
-    const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience)
-    if (this.#expectedWait(this.#online.countAhead(now - spent, now) + returns + 1) > patience) {
-      return [this.#refuse(request)]
+    const returns = spent > 0 ? 0 : this.#forecast.returnsWithin(now, patience, request.caller)
+    const ahead = this.#online.aheadOf(request, now)
+    if (this.#expectedWait(ahead.count + returns + 1) > patience) {
+      return [this.#refuse(request, ahead)]
     }
     this.#onlinePressureAt = now
     this.#online.add(request, now)
-    const displaced = spent > 0 ? this.#online.removeDisplaced(now, this.#millisecondsPerRequest()) : null
-    return displaced === null ? [] : [this.#refuse(displaced.request)]
+    const displaced = this.#online.mayDisplace(request) ? this.#online.removeDisplaced(request, now, this.#millisecondsPerRequest()) : null
+    return displaced === null ? [] : [this.#refuse(displaced.request, displaced.ahead)]
   }
 
   #requestBatch (request: SlotRequest): readonly SlotDecision[] {
@@ -441,9 +447,10 @@
 
   #grant (request: SlotRequest, granted: TargetSlots): SlotGrant {
     const { id: target, address, born } = granted
-    const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
+    const { permit, holder, workClass, prefix, digest, due, ran, sinceStart, caller } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, account: caller?.account, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#online.recordGranted(request, now)
     this.#health.onGranted(target, now)
     this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
@@ -479,7 +486,7 @@
     if (!this.#online.versions.includes(null) || (!this.quarantine.isActive && !this.#health.hasCutOffHolders)) {
       return this.#online.versions.includes(null)
     }
-    return this.#online.inOrder(this.#now).some(({ request }) => {
+    return this.#online.some(request => {
       return request.continues === null && !this.#health.isCutOff(request.holder, this.#now) && this.#admitsContent(request)
     })
   }
@@ -520,7 +527,7 @@
       return
     }
     const heldBack = new Set<string>()
-    for (const request of this.#batch.inOrder(this.#now)) {
+    for (const request of this.#batch.inOrder(this.#now, account => this.#slots.heldBy(account))) {
       // A holder that is held back stays so until all items have been examined.
       if (heldBack.has(request.holder) || this.#isHeldBack(request)) {
         heldBack.add(request.holder)
@@ -737,13 +744,14 @@
     }
   }
 
-  #refuse (request: SlotRequest): SlotDecision {
+  /** @param ahead what is served before the request; null where no request has a client account */
+  #refuse (request: SlotRequest, ahead: RequestsAhead | null): SlotDecision {
     this.#onlinePressureAt = this.#now
     if (!this.#admitsContent(request)) {
       return refusalOf(request, RefusalReason.Quarantined, this.#quarantinedFor(request))
     }
-    const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#requestsPerMillisecond(), request.latestReturn))
-    return refusalOf(request, RefusalReason.Busy, retryAfter)
+    const retryAfter = Math.ceil(this.#forecast.nextReturn(this.#now, this.#requestsPerMillisecond(), request.latestReturn, request.caller))
+    return { ...refusalOf(request, RefusalReason.Busy, retryAfter), ...standingMark(request, ahead, count => this.#expectedWait(count + 1) <= request.patience) }
   }
 
   /** Returns why no target can continue the stream of a request, or null if one can, or may again, and for requests that continue none. */
@@ -841,11 +849,3 @@
     return sum
   }
 }
-
-function contentOf ({ prefix, digest }: Pick<SlotRequest, 'prefix' | 'digest'>): RequestContent {
-  return { parts: prefix, digest }
-}
-
-function refusalOf ({ permit, holder }: SlotRequest, reason: RefusalReason, retryAfter: number): SlotDecision {
-  return { kind: DecisionKind.Refuse, permit, holder, reason, retryAfter: Math.max(1, retryAfter) }
-}
--- a/packages/policy/src/fleet/fleet-messages.ts
+++ b/packages/policy/src/fleet/fleet-messages.ts
@@ -1,6 +1,7 @@
 /** Requests to and decisions of {@link FleetAdmission}. Their fields are sent between processes under these names. */
 import type { WorkClass } from '@arbutusloft/protocol'
-import type { DecisionKind } from '../admission/decision.js'
+import { DecisionKind } from '../admission/decision.js'
+import type { QueueStanding } from './queue-standing.js'
 
 /** A target as admission control sees it. */
 export interface FleetTarget {
@@ -93,6 +94,15 @@
   readonly due: number
   /** As in {@link SlotRequest}, at the time of the request. */
   readonly ran: number
+  /** As in {@link SlotCaller}; left out where the deployment has no client accounts, and by earlier builds. */
+  readonly account?: string
+  /** As in {@link SlotCaller}; left out if `account` is. */
+  readonly tokens?: number
+}
+
+/** Returns what a holder reports of the client account of a slot that it holds. */
+export function heldAccountOf ({ caller }: Pick<SlotRequest, 'caller'>): Pick<HeldSlot, 'account' | 'tokens'> {
+  return caller === undefined ? {} : { account: caller.account, tokens: caller.tokens }
 }
 
 /** Grants the slot: the holder may send its request to the target. */
@@ -135,6 +145,13 @@
   readonly reason: RefusalReason
   /** Milliseconds until a slot is expected to be free, or until the quarantine is reviewed. */
   readonly retryAfter: number
+  /** Place of a request that cannot start in time; left out where it has no client account. */
+  readonly standing?: QueueStanding
+}
+
+/** Returns the rejection of a request. */
+export function refusalOf ({ permit, holder }: Pick<SlotRequest, 'permit' | 'holder'>, reason: RefusalReason, retryAfter: number): SlotRefusal {
+  return { kind: DecisionKind.Refuse, permit, holder, reason, retryAfter: Math.max(1, retryAfter) }
 }
 
 export type SlotDecision = SlotGrant | SlotRevocation | SlotRefusal
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -13,6 +13,8 @@
   /** As in {@link FleetTarget}, at the time of the grant or of the first report. */
   readonly born: number
   readonly workClass: WorkClass
+  /** Client account that the slot was granted to; undefined where the deployment has none. */
+  readonly account?: string | undefined
   /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
   readonly prefix: readonly string[]
   /** As in {@link SlotRequest}; empty if the slot is known from a report of its holder. */
@@ -52,6 +54,8 @@
   readonly revoked: readonly string[]
   /** Slots that the report lacks, which are free now. */
   readonly dropped: readonly GrantedSlot[]
+  /** Reported slots that were unknown. */
+  readonly adopted: readonly HeldSlot[]
 }
 
 /** Receives each target whose zone, slots or granted slots have changed; one that was removed is no longer accepting. */
@@ -75,6 +79,8 @@
   readonly #targets = new Map<string, TargetSlots>()
   readonly #granted = new Map<string, GrantedSlot>()
   readonly #permitsByHolder = new Map<string, Set<string>>()
+  /** Numbers of granted slots by client account, without revoked ones. */
+  readonly #heldByAccount = new Map<string, number>()
   readonly #versions = new Map<string, VersionCounts>()
   readonly preemptible = new PreemptibleSlots()
 
@@ -143,6 +149,11 @@
     return count
   }
 
+  /** Returns the number of slots that a client account was granted and still has, without revoked ones. */
+  heldBy (account: string): number {
+    return this.#heldByAccount.get(account) ?? 0
+  }
+
   /** Records a granted slot; its target may have been removed from the list. */
   recordGrant (slot: GrantedSlot): void {
     this.#granted.set(slot.permit, slot)
@@ -180,15 +191,18 @@
       }
     }
     const revoked: string[] = []
-    for (const { permit, target, workClass, due, ran } of held) {
+    const adopted: HeldSlot[] = []
+    for (const slot of held) {
+      const { permit, target, workClass, due, ran, account } = slot
       const known = this.#granted.get(permit)
       if (known === undefined) {
-        this.recordGrant({ permit, holder, target, address: '', born: this.#targets.get(target)?.born ?? 0, workClass, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
+        adopted.push(slot)
+        this.recordGrant({ permit, holder, target, address: '', born: this.#targets.get(target)?.born ?? 0, workClass, account, prefix: [], digest: '', due, ran, startedAt: now - ran, grantedAt: now, revoked: false })
       } else if (known.revoked) {
         revoked.push(permit)
       }
     }
-    return { revoked, dropped }
+    return { revoked, dropped, adopted }
   }
 
   /** Marks a slot as revoked, so that it no longer counts as granted. */
@@ -239,6 +253,14 @@
   }
 
   #adjustCounts (slot: GrantedSlot, change: number): void {
+    if (slot.account !== undefined && !slot.revoked) {
+      const held = this.heldBy(slot.account) + change
+      if (held > 0) {
+        this.#heldByAccount.set(slot.account, held)
+      } else {
+        this.#heldByAccount.delete(slot.account)
+      }
+    }
     const target = this.#targets.get(slot.target)
     if (target === undefined || slot.revoked) {
       return
--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -1,9 +1,13 @@
 /**
  * Online requests that wait for a slot, in the order in which they get one. Load: bursts beyond all slots, whose callers are
  * rejected and come back: who has been rejected before is served first, so that nobody is rejected twice while newcomers are served.
- * Streams that go on at the few targets of their software version: they are served before all others.
+ * Streams that go on at the few targets of their software version: they are served before all others. Accounts of several ranks that
+ * together ask for more than all slots, or one that floods: among requests of one class, {@link RankOrder} decides.
  */
-import type { SlotRequest } from './fleet-messages.js'
+import { WorkClass } from '@arbutusloft/protocol'
+import type { HeldSlot, SlotRequest } from './fleet-messages.js'
+import { RankOrder } from './rank-order.js'
+import type { RequestsAhead } from './rank-order.js'
 import { versionOf } from './software-version.js'
 
 /** A request that waits. */
@@ -13,6 +17,12 @@
   readonly queuedAt: number
 }
 
+/** A request that was removed to be refused. */
+export interface RemovedRequest extends WaitingRequest {
+  /** What is served before it; null where no request has a client account. */
+  readonly ahead: RequestsAhead | null
+}
+
 /**
  * Multiple of a request's `patience` after which a waiting request is rejected. Up to then a late request stays queued: a
  * late answer is worth less than a timely one but more than none. It gets only slots that no timely request needs.
@@ -21,12 +31,23 @@
 /** Share of its patience within which a request may be rejected because of one that came back; later, it has waited too long for that. */
 const earlyRejectionShare = 1 / 3
 
+/** Requests of the classes that are served one after the other, each by the time of their callers' first attempts. */
+interface RequestClasses {
+  readonly boundTimely: WaitingRequest[]
+  readonly boundLate: WaitingRequest[]
+  readonly timely: WaitingRequest[]
+  readonly late: WaitingRequest[]
+}
+
 /** Keeps requests by the time of their callers' first attempts. */
 export class OnlineQueue {
   #waiting: WaitingRequest[] = []
   readonly #permits = new Set<string>()
   /** Numbers of requests by what {@link versionOf} returns for them. */
   readonly #counts = new Map<string | null, number>()
+  readonly #rankOrder = new RankOrder()
+  /** Number of requests of client accounts; without any, the order is that of first attempts. */
+  #ofAccounts = 0
 
   get length (): number {
     return this.#waiting.length
@@ -71,48 +92,129 @@
     return this.#waiting.filter(({ request }) => request.holder === holder).length
   }
 
-  /** Returns the number of requests in time that are served before one of a caller whose first attempt was at the given time. */
-  countAhead (firstAttemptAt: number, now: number): number {
-    let count = 0
-    for (const entry of this.#waiting) {
-      count += firstAttemptOf(entry) <= firstAttemptAt && !isLate(entry, now) ? 1 : 0
+  /** Records a request that has arrived, unless it waits already. */
+  recordAsked (request: SlotRequest, now: number): void {
+    if (request.caller !== undefined && !this.has(request.permit)) {
+      if (this.length === 0) {
+        this.#rankOrder.prune(now)
+      }
+      this.#rankOrder.recordAsked(request, now)
+    }
+  }
+
+  /** Records that a request got a slot, whether it has waited or not. */
+  recordGranted (request: SlotRequest, now: number): void {
+    if (request.caller !== undefined && request.workClass === WorkClass.Online) {
+      const isInTurn = request.continues === null && !this.#rankOrder.isOwed(request, now)
+      this.#rankOrder.recordServed(request, this.length === 0 || isInTurn, now)
+    }
+  }
+
+  /** Records slots that another owner granted. */
+  recordHeld (slots: readonly HeldSlot[]): void {
+    for (const { account, tokens, workClass } of slots) {
+      if (account !== undefined && workClass === WorkClass.Online) {
+        this.#rankOrder.recordHeld(account, tokens ?? 1)
+      }
     }
-    return count
   }
 
   /**
-   * Returns the requests in the order in which they are served: those that continue a stream, then the others; of both, those in time,
+   * Counts the requests that are served before a new one. Where no request has a client account, these are the requests in time of callers whose
+   * first attempts were earlier.
+   */
+  aheadOf (request: SlotRequest, now: number): RequestsAhead {
+    if (!this.#isRanked(request)) {
+      const count = this.#countEarlier(this.#waiting, now - request.spent, now)
+      return { count, whateverShare: count, whateverRank: count }
+    }
+    const { boundTimely, boundLate, timely } = this.#classes(now)
+    return this.#rankOrder.countAhead(request, [...boundTimely, ...boundLate], timely, this.#countEarlier(timely, now - request.spent, now), now)
+  }
+
+  /** Whether a request that can't be in time may be waiting because of a request that has just been added. */
+  mayDisplace (added: SlotRequest): boolean {
+    return added.spent > 0 || added.caller !== undefined
+  }
+
+  /**
+   * Yields the requests in the order in which they are served: those that continue a stream, then the others; of both, those in time,
    * then the late ones.
    */
-  inOrder (now: number): readonly WaitingRequest[] {
-    const bound = this.#waiting.filter(isBound)
-    return bound.length === 0 ? timelyFirst(this.#waiting, now) : [...timelyFirst(bound, now), ...timelyFirst(this.#waiting.filter(entry => !isBound(entry)), now)]
+  inOrder (now: number): Iterable<WaitingRequest> {
+    const { boundTimely, boundLate, timely, late } = this.#classes(now)
+    return this.#ofAccounts === 0 ? [...boundTimely, ...boundLate, ...timely, ...late] : this.#rankOrder.inOrder([boundTimely, boundLate, timely, late], now)
+  }
+
+  /** Whether a waiting request meets the condition. */
+  some (condition: (request: SlotRequest) => boolean): boolean {
+    return this.#waiting.some(({ request }) => condition(request))
   }
 
   /** Removes the requests that have waited too long even for a late answer, and returns them. */
-  removeExpired (now: number): readonly WaitingRequest[] {
-    return this.remove(({ request, queuedAt }) => now - queuedAt > request.patience * maximumWaitFactor)
+  removeExpired (now: number): readonly RemovedRequest[] {
+    const expired = this.remove(({ request, queuedAt }) => now - queuedAt > request.patience * maximumWaitFactor)
+    // Requests of one account and rank have nearly the same place.
+    const counted = new Map<string, RequestsAhead>()
+    return expired.map(entry => {
+      const { request } = entry
+      if (request.caller === undefined) {
+        return { ...entry, ahead: null }
+      }
+      const key = `${request.caller.rank} ${request.caller.account}`
+      const ahead = counted.get(key) ?? this.aheadOf(request, now)
+      counted.set(key, ahead)
+      return { ...entry, ahead }
+    })
   }
 
   /**
    * Removes and returns the last request in time if it would be late, now that another is ahead of it, and has not waited for long.
    * Passes over requests that continue a stream: their callers have a part of the answer.
    *
+   * @param added request that has just been added
    * @param millisecondsPerRequest time in which the queue advances by one request
    */
-  removeDisplaced (now: number, millisecondsPerRequest: number): WaitingRequest | null {
-    const timely = this.#waiting.filter(entry => !isLate(entry, now))
-    const last = timely.findLast(entry => !isBound(entry))
-    if (last === undefined) {
+  removeDisplaced (added: SlotRequest, now: number, millisecondsPerRequest: number): RemovedRequest | null {
+    const { boundTimely, timely } = this.#classes(now)
+    const isRanked = this.#isRanked(added)
+    const last = isRanked ? this.#rankOrder.last(boundTimely, timely, now) : timely.at(-1)
+    if (last === undefined || (isRanked && last.request === added)) {
       return null
     }
     const waited = now - last.queuedAt
     const { patience } = last.request
-    if (waited > patience * earlyRejectionShare || waited + timely.length * millisecondsPerRequest <= patience) {
+    if (waited > patience * earlyRejectionShare || waited + (boundTimely.length + timely.length) * millisecondsPerRequest <= patience) {
       return null
     }
     this.remove(entry => entry === last)
-    return last
+    return { ...last, ahead: isRanked ? this.aheadOf(last.request, now) : null }
+  }
+
+  /** Whether the order of requests depends on client accounts, given a request that has come or waits. */
+  #isRanked ({ caller }: SlotRequest): boolean {
+    return this.#ofAccounts > 0 || caller !== undefined
+  }
+
+  #classes (now: number): RequestClasses {
+    const classes: RequestClasses = { boundTimely: [], boundLate: [], timely: [], late: [] }
+    for (const entry of this.#waiting) {
+      if (isLate(entry, now)) {
+        (isBound(entry) ? classes.boundLate : classes.late).push(entry)
+      } else {
+        (isBound(entry) ? classes.boundTimely : classes.timely).push(entry)
+      }
+    }
+    return classes
+  }
+
+  /** Returns the number of requests in time of callers whose first attempts were not after the given time. */
+  #countEarlier (entries: readonly WaitingRequest[], firstAttemptAt: number, now: number): number {
+    let count = 0
+    for (const entry of entries) {
+      count += firstAttemptOf(entry) <= firstAttemptAt && !isLate(entry, now) ? 1 : 0
+    }
+    return count
   }
 
   #count ({ request }: WaitingRequest, change: 1 | -1): void {
@@ -121,6 +223,7 @@
     } else {
       this.#permits.delete(request.permit)
     }
+    this.#ofAccounts += request.caller === undefined ? 0 : change
     const version = versionOf(request)
     const count = (this.#counts.get(version) ?? 0) + change
     if (count === 0) {
@@ -131,12 +234,6 @@
   }
 }
 
-/** Returns the requests in time, then the late ones. */
-function timelyFirst (entries: readonly WaitingRequest[], now: number): readonly WaitingRequest[] {
-  const late = entries.filter(entry => isLate(entry, now))
-  return late.length === 0 ? [...entries] : [...entries.filter(entry => !isLate(entry, now)), ...late]
-}
-
 /** Whether only targets of one software version can serve the request. */
 function isBound ({ request }: WaitingRequest): boolean {
   return request.continues !== null
--- a/packages/policy/src/fleet/overload-forecast.ts
+++ b/packages/policy/src/fleet/overload-forecast.ts
@@ -2,6 +2,15 @@
  * When callers that are rejected should come back. Load: bursts beyond all slots that last for seconds; callers that come back
  * while the burst lasts would take the slots of others, or be rejected again.
  */
+import type { SlotCaller } from './fleet-messages.js'
+
+/** A caller that is expected to come back. */
+interface ExpectedReturn {
+  /** Time in milliseconds since the epoch. */
+  readonly at: number
+  /** Undefined where the deployment has no client accounts. */
+  readonly caller: SlotCaller | undefined
+}
 
 /** Time without a rejection after which an overload is over. */
 const calmMilliseconds = 400
@@ -20,8 +29,8 @@
   /** Time of the first and of the latest rejection of the present overload, in milliseconds since the epoch; null if there was none. */
   #startedAt: number | null = null
   #rejectedAt = 0
-  /** Times at which callers are expected to come back, in milliseconds since the epoch, the earliest first. */
-  #returns: number[] = []
+  /** The earliest first. */
+  #returns: ExpectedReturn[] = []
 
   /**
    * Returns the milliseconds after which a caller that is rejected now should come back, and expects it then.
@@ -29,26 +38,30 @@
    * @param slotsPerMillisecond rate at which slots become free
    * @param latest greatest result, in milliseconds
    */
-  nextReturn (now: number, slotsPerMillisecond: number, latest: number): number {
+  nextReturn (now: number, slotsPerMillisecond: number, latest: number, caller?: SlotCaller): number {
     this.#recordRejection(now)
     this.#forgetPast(now)
     const elapsed = now - (this.#startedAt ?? now)
     const expectedEnd = now + Math.max(this.#length - elapsed, elapsed * overtimeShare)
     const gap = slotsPerMillisecond > 0 ? 1 / (slotsPerMillisecond * returnShare) : 0
-    const at = Math.min(now + latest, Math.max(expectedEnd, (this.#returns.at(-1) ?? 0) + gap))
-    this.#returns.push(at)
+    const at = Math.min(now + latest, Math.max(expectedEnd, (this.#returns.at(-1)?.at ?? 0) + gap))
+    this.#returns.push({ at, caller })
     return at - now
   }
 
-  /** Returns the number of callers that are expected to come back within the given milliseconds. */
-  returnsWithin (now: number, milliseconds: number): number {
+  /**
+   * Returns the number of callers that are expected to come back within the given milliseconds. For a request of a client account, counts only callers of
+   * higher ranks and of its own account: others that have used more of their share are served after it.
+   */
+  returnsWithin (now: number, milliseconds: number, caller?: SlotCaller): number {
     this.#forgetPast(now)
-    const index = this.#returns.findIndex(at => at > now + milliseconds)
-    return index < 0 ? this.#returns.length : index
+    const index = this.#returns.findIndex(({ at }) => at > now + milliseconds)
+    const count = index < 0 ? this.#returns.length : index
+    return caller === undefined ? count : this.#returns.slice(0, count).filter(other => isAheadOf(other.caller, caller)).length
   }
 
   #forgetPast (now: number): void {
-    const index = this.#returns.findIndex(at => at >= now)
+    const index = this.#returns.findIndex(({ at }) => at >= now)
     this.#returns = index < 0 ? [] : this.#returns.slice(index)
   }
 
@@ -62,3 +75,8 @@
     this.#rejectedAt = now
   }
 }
+
+/** Whether requests of one caller may be served before requests of another one that come earlier. */
+function isAheadOf (caller: SlotCaller | undefined, other: SlotCaller): boolean {
+  return caller === undefined || caller.rank < other.rank || (caller.rank === other.rank && caller.account === other.account)
+}
