Keep keys from items, jobs and other instances, and confirm the configuration before keys are judged by an old one

Cause: items of jobs carried the client's key to targets, to the store and to the owner of the job; any client could read and end any job; waiting tokens were bounded over all accounts; and a key was judged by whatever configuration the instance had, however old. Change: items lose the headers with key and account, at submission and again at dispatch, and get the account of their job, which the submission records. Calls about jobs need a key of that account; the owner of a job is told the name in x-arbutus-account. max_count bounds the waiting tokens of each account. Keys are judged by the age of the configuration (decideKey), which is read first beyond timing_bounds.revocation_ms; an instance that sees less than half of the others answers 503 instead. Malformed accounts no longer count as missing routes, and a configuration that is no JSON is no longer quoted in the log. Metrics count requests by account and rejected keys by reason.

--- a/packages/gateway/src/accounts/client-identity.ts
+++ b/packages/gateway/src/accounts/client-identity.ts
@@ -1,59 +1,53 @@
 /** Which client account sends a request. */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 import { bearerKeyOf, KeyFault } from '@arbutusloft/policy'
-import type { Account, AccountDirectory, Route, SlotCaller } from '@arbutusloft/policy'
-import { reply, Status } from '../http/reply.js'
+import type { Account, BearerKey, Route, SlotCaller } from '@arbutusloft/policy'
 import type { HeaderNames } from '../online/header-names.js'
 import { authorizationHeader } from './account-headers.js'
 
+/** Who sends a request. */
+export interface ClientIdentity {
+  /** Whether the deployment has client accounts. */
+  readonly hasAccounts: boolean
+  /** Null for a request without the key of an account, which is served on public routes only, and where there are no accounts. */
+  readonly account: Account | null
+}
+
+/** Identity of all requests where there are no accounts. */
+export const noAccounts: ClientIdentity = { hasAccounts: false, account: null }
+
 /** Why a request is not served for its key. */
 export const IdentityFault = {
   ...KeyFault,
   /** No account holds the key. */
-  Unknown: 'unknown'
+  Unknown: 'unknown',
+  /** It cannot be told at present whether an account holds the key. */
+  Unconfirmed: 'unconfirmed'
 } as const
 export type IdentityFault = typeof IdentityFault[keyof typeof IdentityFault]
 
-/** The account of a request, null if it needs none, or why the request is rejected. */
-export interface ClientIdentity {
-  readonly account: Account | null
-  readonly fault: IdentityFault | null
-}
-
 /** Tokens of a request that names none. */
 const lowestCost = 1
 
-const faultTexts: Readonly<Record<IdentityFault, string>> = {
+/** What a client is told whose request is not served for its key. */
+export const identityFaultTexts: Readonly<Record<IdentityFault, string>> = {
   [IdentityFault.Missing]: 'the request has no Authorization header with a key',
-  [IdentityFault.Malformed]: 'the Authorization header is not a single one of the form "Bearer KEY"',
-  [IdentityFault.Unknown]: 'no client account holds the key'
+  [IdentityFault.Duplicate]: 'the request has more than one Authorization header',
+  [IdentityFault.Malformed]: 'the Authorization header is not of the form "Bearer KEY"',
+  [IdentityFault.Unknown]: 'no client account holds the key',
+  [IdentityFault.Unconfirmed]: 'not run: it cannot be confirmed at present whether the key is valid'
 }
 
-/**
- * Finds the account of a request by its key.
- *
- * @param accounts null if requests carry no keys
- * @param isPublic whether a request without the key of an account is served as well
- */
-export function identify (request: IncomingMessage, accounts: AccountDirectory | null, isPublic: boolean): ClientIdentity {
-  if (accounts === null) {
-    return { account: null, fault: null }
-  }
-  const bearer = bearerKeyOf(valuesOf(request.rawHeaders, authorizationHeader))
-  const account = 'key' in bearer ? accounts.findByKey(bearer.key) : null
-  if (account !== null || isPublic) {
-    return { account, fault: null }
-  }
-  return { account: null, fault: 'fault' in bearer ? bearer.fault : IdentityFault.Unknown }
+/** Returns the key that a request carries, or why it names none. */
+export function keyOf ({ rawHeaders }: IncomingMessage): BearerKey {
+  return bearerKeyOf(valuesOf(rawHeaders, authorizationHeader))
 }
 
-/** Answers a request that is rejected for its key. */
-export function rejectKey (response: ServerResponse, fault: IdentityFault): void {
-  reply(response, Status.Unauthorized, { error: faultTexts[fault] }, { 'www-authenticate': 'Bearer' })
-}
-
-/** Returns how a request counts among those of its account, for the slot that it needs. */
-export function slotCallerOf (request: IncomingMessage, account: Account | null, route: Route, names: HeaderNames): SlotCaller {
+/** Returns how a request counts among those of its account, for the slot that it needs; null where there are no accounts. */
+export function slotCallerOf (request: IncomingMessage, { hasAccounts, account }: ClientIdentity, route: Route, names: HeaderNames): SlotCaller | null {
+  if (!hasAccounts) {
+    return null
+  }
   const counts = names.tokenCounts === undefined ? '' : String(request.headers[names.tokenCounts] ?? '')
   return { account: account?.name ?? '', rank: account?.rank ?? route.priority, tokens: tokensOf(counts), isCounted: false }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,9 +2,11 @@
 import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
-import type { RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
+import type { RelayPeer, RevocationRules, Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
-import { identify, rejectKey, slotCallerOf } from './accounts/client-identity.js'
+import { ClientAuthentication } from './accounts/client-authentication.js'
+import { slotCallerOf } from './accounts/client-identity.js'
+import type { ClientIdentity } from './accounts/client-identity.js'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
 import { rejectRequest, reply, Status } from './http/reply.js'
 import { JobApi } from './jobs/job-api.js'
@@ -64,6 +66,10 @@
   readonly openTopic: (name: string, partition: number, metrics: GatewayMetrics) => KeyedTopic
   /** Reads the configuration to its end and applies it; returns whether that succeeded. */
   readonly refreshConfiguration: () => Promise<boolean>
+  /** Returns the milliseconds since the time up to which all versions of the configuration are known, by the clock that shows more. */
+  readonly configurationAge: () => number
+  /** How keys are judged once the configuration is old. */
+  readonly revocation: RevocationRules
   /** Number of partitions of each topic. */
   readonly partitions: number
   readonly logger: Logger
@@ -104,6 +110,8 @@
   readonly slots: SlotClient
   readonly jobs: JobApi
   readonly jobForwarder: JobForwarder
+  /** Finds the client account of each request. */
+  readonly authentication: ClientAuthentication
   /** Decides which requests are served once this process stops. */
   readonly drainAdmission = new DrainAdmission()
   readonly #ending = new AbortController()
@@ -123,6 +131,10 @@
   #routes: RouteTable | null = null
   /** Whether the newest configuration was read, with all of its routes. */
   #areRoutesComplete = false
+  /** Whether all accounts of the configuration in force could be decoded. */
+  #areAccountsComplete = false
+  /** Whether the newest configuration that was read could be decoded. */
+  #isConfigurationReadable = false
   #targetsKnown = false
   #draining = false
 
@@ -147,6 +159,17 @@
       admits: endsAt => this.ready || (this.#draining && this.drainAdmission.admits(endsAt)),
       metrics: this.metrics
     })
+    this.authentication = new ClientAuthentication({
+      configuration: () => this.#routes === null ? null : { accounts: this.#routes.accounts, isComplete: this.#areAccountsComplete, isReadable: this.#isConfigurationReadable },
+      ageMilliseconds: options.configurationAge,
+      refresh: options.refreshConfiguration,
+      rules: options.revocation,
+      membership: this.membership,
+      transport,
+      requestIdHeader: options.names.requestId,
+      metrics: this.metrics,
+      logger
+    })
     const quarantine = new CrashQuarantine()
     const history = new VersionHistory()
     // Before the slots, whose owner decides by the history when the targets change.
@@ -193,7 +216,8 @@
       retentionMilliseconds: options.jobRetentionMilliseconds,
       routeOf: name => this.#routes?.findByName(name) ?? null,
       refreshRoutes: options.refreshConfiguration,
-      serviceOf: route => pickService(route.services, Math.random())
+      serviceOf: route => pickService(route.services, Math.random()),
+      accounts: () => this.#routes?.accounts ?? null
     })
     const processName = (): string => processNameOf(this.membership.self)
     this.#tokenLedger = new TokenLedger(options.openTopic(tokensTopicName, 0, this.metrics), this.#jobPartitions, processName, logger)
@@ -217,8 +241,10 @@
    * Applies a configuration; ignores it unless its version is newer than the current one.
    *
    * @param isComplete whether it has all routes; if not, a request without a route is refused, not called unknown
+   * @param hasAllAccounts whether it has all accounts; if not, a request with an unknown key is refused in the same way
    */
-  configure (configuration: RouteConfiguration, isComplete = true): void {
+  configure (configuration: RouteConfiguration, isComplete = true, hasAllAccounts = true): void {
+    this.#isConfigurationReadable = true
     const current = this.#routes?.configuration.version ?? -Infinity
     if (configuration.version <= current) {
       return
@@ -228,6 +254,7 @@
     this.#routes = routes
     this.#streamOrigins.copyAll(left)
     this.#areRoutesComplete = isComplete
+    this.#areAccountsComplete = hasAllAccounts
     this.metrics.routesVersion.set(configuration.version)
     this.options.logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length })
     this.#updateState()
@@ -235,6 +262,7 @@
 
   /** Notes that there is a newer configuration that could not be read; the current one stays in force. */
   missConfiguration (): void {
+    this.#isConfigurationReadable = false
     this.#areRoutesComplete = false
   }
 
@@ -272,6 +300,13 @@
     return route
   }
 
+  /** Returns who sends a request of a route; answers the request and returns null if it is not served for its key. */
+  async identify (request: IncomingMessage, response: ServerResponse, { name, host }: Route): Promise<ClientIdentity | null> {
+    // The configuration may be read anew in between.
+    const isPublic = (): boolean => this.#routes?.find(host, pathOf(request.url))?.isPublic === true
+    return await this.authentication.identify(request, response, { route: name, isPublic })
+  }
+
   /** Reads a request's body; returns null if it is too large, after responding to the request, or if the connection failed. */
   async body (request: IncomingMessage, response: ServerResponse): Promise<Buffer | null> {
     try {
@@ -297,16 +332,15 @@
   async serve (request: IncomingMessage, response: ServerResponse, route: Route): Promise<void> {
     const arrivedAt = Date.now()
     const { names } = this.options
-    const identity = identify(request, this.#routes?.accounts ?? null, route.isPublic === true)
-    if (identity.fault !== null) {
-      rejectKey(response, identity.fault)
+    const identity = await this.identify(request, response, route)
+    if (identity === null) {
       return
     }
     const body = await this.body(request, response)
     if (body === null) {
       return
     }
-    const caller = this.#routes?.accounts === null ? null : slotCallerOf(request, identity.account, route, names)
+    const caller = slotCallerOf(request, identity, route, names)
     const attempt = takesUpStream(request, route) ? attemptResumedBy(request, names) : ''
     const services = attempt === '' ? null : this.#serviceHistory.servicesOf(route, pathOf(request.url), arrivedAt)
     const origin = services === null ? null : await this.#streamOrigins.find(attempt, services)
--- a/packages/gateway/src/http/reply.ts
+++ b/packages/gateway/src/http/reply.ts
@@ -9,6 +9,7 @@
   Unauthorized: 401,
   NotFound: 404,
   RequestTimeout: 408,
+  Conflict: 409,
   ContentTooLarge: 413,
   TooManyRequests: 429,
   InternalServerError: 500,
--- a/packages/gateway/src/jobs/decode-submission.ts
+++ b/packages/gateway/src/jobs/decode-submission.ts
@@ -12,6 +12,8 @@
 /** What a request can carry: https://www.rfc-editor.org/rfc/rfc9110#section-5.5 */
 const pathForm = /^\/[\x21-\x7e]*$/
 const headerForm = /^[\t\x20-\x7e]*$/
+/** Targets get the name of the account in a header. */
+const accountForm = /^[\x21-\x7e]+$/
 
 /** A record of the jobs holds what no process of the fleet writes. */
 export class InvalidRecordError extends Error {
@@ -25,6 +27,7 @@
   check(isWhole(content.acceptedAt, latestTime), 'acceptedAt', content.acceptedAt, `a time up to ${latestTime}`)
   check(typeof content.acceptedBy === 'string', 'acceptedBy', content.acceptedBy, 'a text')
   check(isWhole(content.parts, maximumParts), 'parts', content.parts, `a number up to ${maximumParts}`)
+  check(content.account === undefined || (typeof content.account === 'string' && accountForm.test(content.account)), 'account', content.account, 'a name of visible ASCII characters')
   check(Array.isArray(content.items) && content.items.length > 0, 'items', content.items, 'a list of items')
   const items: unknown = content.items
   for (const [index, item] of (items as readonly unknown[]).entries()) {
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -1,7 +1,8 @@
 /** Runs one batch item until it has a result: acquires a slot, dispatches to a target, and resumes the stream after each interruption. */
 import { promptPartDigest, SlotOutcome, VersionWait } from '@arbutusloft/policy'
-import type { Route, StreamOrigin } from '@arbutusloft/policy'
+import type { AccountDirectory, Route, SlotCaller, StreamOrigin } from '@arbutusloft/policy'
 import { messageOf, WorkClass } from '@arbutusloft/protocol'
+import { accountHeader, accountHeadersOf } from '../accounts/account-headers.js'
 import type { HeaderNames } from '../online/header-names.js'
 import { sharedPromptParts } from '../online/online-request.js'
 import { forwardedHeaders } from '../online/forwarded-headers.js'
@@ -39,6 +40,8 @@
   readonly refreshRoutes: () => Promise<boolean>
   /** Chooses one of the route's services for an attempt, or returns null if it has none. */
   readonly serviceOf: (route: Route) => string | null
+  /** Returns the client accounts, or null where there are none; left out if there never are any. */
+  readonly accounts?: () => AccountDirectory | null
 }
 
 /** Result of an item. */
@@ -265,10 +268,25 @@
       latestReturn: 0,
       due: this.job.acceptedAt + route.completionMilliseconds,
       ran: this.#ranMilliseconds,
-      sinceStart: this.#startedAt === null ? 0 : Date.now() - this.#startedAt
+      sinceStart: this.#startedAt === null ? 0 : Date.now() - this.#startedAt,
+      ...this.#caller(route)
     }
   }
 
+  /** Returns the account of the job as the caller of its items, which its allowance does not count. */
+  #caller (route: Route): { readonly caller?: SlotCaller } {
+    const { account } = this.job
+    if (account === undefined) {
+      return {}
+    }
+    const rank = this.#accounts?.findByName(account)?.rank ?? route.priority
+    return { caller: { account, rank, tokens: this.item.tokens, isCounted: true } }
+  }
+
+  get #accounts (): AccountDirectory | null {
+    return this.dependencies.accounts?.() ?? null
+  }
+
   /** Like {@link #dispatch}, but also gives the slot back if that throws; the item then needs another attempt. */
   async #dispatchSafely (route: Route, service: string, slot: Slot): Promise<ItemOutcome | null> {
     try {
@@ -370,8 +388,12 @@
   }
 
   #headers (route: Route): string[] {
-    const headers = forwardedHeaders(this.item.headers, new Set([this.dependencies.names.requestId, 'host', 'content-length']))
-    headers.push('Host', route.host, this.dependencies.names.requestId, this.item.id)
+    const { names } = this.dependencies
+    const { account } = this.job
+    // Records of earlier builds may hold keys in the headers of items.
+    const ofAccounts = account !== undefined || this.#accounts !== null ? accountHeadersOf(names) : []
+    const headers = forwardedHeaders(this.item.headers, new Set([names.requestId, 'host', 'content-length', ...ofAccounts]))
+    headers.push('Host', route.host, names.requestId, this.item.id, ...accountHeader(names, account ?? ''))
     if (this.#output.lastId !== null) {
       headers.push('Last-Event-Id', String(this.#output.lastId))
     }
--- a/packages/gateway/src/jobs/job-api.ts
+++ b/packages/gateway/src/jobs/job-api.ts
@@ -3,6 +3,8 @@
 import type { Route } from '@arbutusloft/policy'
 import type { Logger } from '../util/logger.js'
 import { sleep } from '../util/sleep.js'
+import { isVisible, unrestrictedCaller } from './job-caller.js'
+import type { JobCaller } from './job-caller.js'
 import type { ItemResult, Job, JobItem } from './job.js'
 import { ChangeOutcome } from './job-log.js'
 import type { JobPartition } from './job-partition.js'
@@ -13,6 +15,8 @@
 export const JobCallOutcome = {
   Ok: 'ok',
   NotFound: 'not-found',
+  /** A job of another client account has the id; the submitted one was not accepted and will not run. */
+  Taken: 'taken',
   /** The job would exceed the route's limit of waiting tokens; it was not accepted and will not run. */
   OverLimit: 'over-limit',
   /** The log is unreachable, cannot be read, or did not append the change in time; nothing was changed. */
@@ -72,7 +76,7 @@
   ) {}
 
   /** Submits a job. Idempotent: a job that is submitted again with the same id is accepted again but runs once. */
-  async submit (route: Route, id: string, items: readonly JobItem[]): Promise<JobCallOutcome> {
+  async submit (route: Route, id: string, items: readonly JobItem[], caller = unrestrictedCaller): Promise<JobCallOutcome> {
     if (route.kind !== RouteKind.Batch) {
       return JobCallOutcome.NotFound
     }
@@ -80,8 +84,9 @@
     if ((!partition.isLoaded || partition.fold.isUnreadable(id)) && !await this.#refresh(partition)) {
       return JobCallOutcome.Unavailable
     }
-    if (partition.fold.get(id) !== undefined) {
-      return JobCallOutcome.Ok
+    const known = partition.fold.get(id)
+    if (known !== undefined) {
+      return isVisible(known, caller) ? JobCallOutcome.Ok : JobCallOutcome.Taken
     }
     if (partition.fold.isUnreadable(id)) {
       this.#logMiss('job not readable', id, partition)
@@ -89,19 +94,22 @@
     }
     const deadline = Date.now() + Math.min(route.timeoutMilliseconds, changeTimeoutMilliseconds)
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
-    const request = { job: id, route: route.name, tokens, limit: route.waitingTokens }
+    const { account } = caller
+    const request = { job: id, route: route.name, tokens, limit: route.waitingTokens, ...(account === null ? {} : { account }) }
     const reservation = await this.ledger.reserve(partition, request, deadline)
     const outcome = reservation.granted
-      ? await partition.log.submit({ id, route: route.name, items }, this.processName(), deadline)
+      ? await partition.log.submit({ id, route: route.name, items, ...(account === null || account === '' ? {} : { account }) }, this.processName(), deadline)
       : reservation.reason
     this.ledger.settle(request, outcome)
-    this.logger.info('job submitted', { job: id, route: route.name, items: items.length, tokens, waiting: reservation.waiting, limit: route.waitingTokens, partition: partition.number, position: partition.position, end: outcome })
-    return jobCallOutcomeOf(outcome)
+    this.logger.info('job submitted', { job: id, route: route.name, ...(account === null ? {} : { account }), items: items.length, tokens, waiting: reservation.waiting, limit: route.waitingTokens, partition: partition.number, position: partition.position, end: outcome })
+    const accepted = partition.fold.get(id)
+    // Another account may have submitted a job with the same id meanwhile.
+    return accepted === undefined || isVisible(accepted, caller) ? jobCallOutcomeOf(outcome) : JobCallOutcome.Taken
   }
 
   /** Ends a job; its results so far remain available. */
-  async end (id: string): Promise<JobCallOutcome> {
-    const found = await this.#find(id)
+  async end (id: string, caller = unrestrictedCaller): Promise<JobCallOutcome> {
+    const found = await this.#find(id, caller)
     if (typeof found === 'string') {
       return found
     }
@@ -112,8 +120,8 @@
   }
 
   /** Returns the results from a position on; waits up to `wait` milliseconds for the first one. */
-  async results (id: string, after: number, wait: number): Promise<ResultPage | JobCallOutcome> {
-    const found = await this.#find(id)
+  async results (id: string, after: number, wait: number, caller = unrestrictedCaller): Promise<ResultPage | JobCallOutcome> {
+    const found = await this.#find(id, caller)
     if (typeof found === 'string') {
       return found
     }
@@ -131,8 +139,8 @@
   }
 
   /** Returns the request body of an item. */
-  async body (id: string, item: string): Promise<Buffer | JobCallOutcome> {
-    const found = await this.#find(id)
+  async body (id: string, item: string, caller = unrestrictedCaller): Promise<Buffer | JobCallOutcome> {
+    const found = await this.#find(id, caller)
     if (typeof found === 'string') {
       return found
     }
@@ -145,7 +153,7 @@
   }
 
   /** Finds a job or returns why that failed. A job that the fold doesn't have may already be in the log, so refreshes the fold then. */
-  async #find (id: string): Promise<FoundJob | JobCallOutcome> {
+  async #find (id: string, caller: JobCaller): Promise<FoundJob | JobCallOutcome> {
     for (const number of new Set([this.partitions.numberOf(id), undividedPartition])) {
       const partition = this.partitions.get(number)
       const known = partition.fold.get(id)
@@ -154,6 +162,10 @@
         return JobCallOutcome.Unavailable
       }
       const job = known ?? partition.fold.get(id)
+      if (job !== undefined && !isVisible(job, caller)) {
+        this.#logMiss('job of another account', id, partition)
+        return JobCallOutcome.NotFound
+      }
       if (job !== undefined) {
         return { job, partition }
       }
--- a/packages/gateway/src/jobs/job-records.ts
+++ b/packages/gateway/src/jobs/job-records.ts
@@ -34,6 +34,8 @@
   readonly acceptedBy: string
   /** Number of records that hold the bodies of the items. */
   readonly parts: number
+  /** Name of the client account; left out without one, and by builds that knew no accounts. */
+  readonly account?: string
   readonly items: ReadonlyArray<Omit<JobItem, 'body'> & { readonly bodyBytes: number }>
 }
 
@@ -69,7 +71,8 @@
     records.push({ key, value: bodies.subarray(start, start + maximumPartBytes) })
   }
   const items = submission.items.map(({ id, path, headers, tokens, body }) => ({ id, path, headers, tokens, bodyBytes: body.length }))
-  const value = packr.pack({ route: submission.route, acceptedAt, acceptedBy, parts: records.length, items })
+  const { route, account } = submission
+  const value = packr.pack({ route, acceptedAt, acceptedBy, parts: records.length, items, ...(account === undefined ? {} : { account }) })
   return [...records, { key: `${JobRecordKind.Submission}/${submission.id}`, value }]
 }
 
--- a/packages/gateway/src/jobs/job.ts
+++ b/packages/gateway/src/jobs/job.ts
@@ -25,6 +25,8 @@
   /** Name of the route. */
   readonly route: string
   readonly items: readonly JobItem[]
+  /** Name of the client account that it belongs to; left out if it belongs to none. */
+  readonly account?: string
 }
 
 /** Result of an item; its position among the job's results never changes. */
--- a/packages/gateway/src/jobs/jobs-fold.ts
+++ b/packages/gateway/src/jobs/jobs-fold.ts
@@ -6,6 +6,7 @@
 import type { Job, JobItem } from './job.js'
 import { JobRecordKind, parseJobRecord } from './job-records.js'
 import type { JobRecord, ResultRecord, SubmissionRecord } from './job-records.js'
+import { tokensOf, waitingKey } from './waiting-tokens.js'
 
 /** Receives the jobs that records have changed. */
 export type JobsListener = (changed: ReadonlySet<Job>) => void
@@ -76,17 +77,22 @@
     return this.#unsettled
   }
 
-  /** Returns the number of tokens of a route's items that wait or run. */
-  waitingTokens (route: string): number {
-    return this.waitingTokensByRoute().get(route) ?? 0
+  /**
+   * Returns the number of tokens of a route's items that wait or run.
+   *
+   * @param account as for {@link tokensOf}
+   */
+  waitingTokens (route: string, account?: string): number {
+    return tokensOf(this.waitingTokensByKey(), route, account)
   }
 
-  /** Returns the number of tokens of items that wait or run, by route; routes without any are left out. */
-  waitingTokensByRoute (): ReadonlyMap<string, number> {
+  /** Returns the number of tokens of items that wait or run, by {@link waitingKey}; keys without any are left out. */
+  waitingTokensByKey (): ReadonlyMap<string, number> {
     const tokens = new Map<string, number>()
     for (const job of this.#unsettled) {
       const waiting = job.items.reduce((sum, item, index) => sum + (job.finished.has(index) ? 0 : item.tokens), 0)
-      tokens.set(job.route, (tokens.get(job.route) ?? 0) + waiting)
+      const key = waitingKey(job.route, job.account)
+      tokens.set(key, (tokens.get(key) ?? 0) + waiting)
     }
     return tokens
   }
@@ -149,7 +155,7 @@
     if (known !== undefined) {
       return known
     }
-    const { route, acceptedAt, acceptedBy } = record
+    const { route, acceptedAt, acceptedBy, account } = record
     const parts = this.#bodies.get(record.job) ?? []
     if (Object.keys(parts).length !== record.parts) {
       throw new IncompleteJobError(record.job, record.parts, Object.keys(parts).length)
@@ -162,7 +168,7 @@
       start += bodyBytes
       return { id, path, headers, tokens, body }
     })
-    const job: Job = { id: record.job, route, acceptedAt, acceptedBy, items, bodyParts: record.parts, results: [], finished: new Set(), ended: false }
+    const job: Job = { id: record.job, route, acceptedAt, acceptedBy, items, bodyParts: record.parts, results: [], finished: new Set(), ended: false, ...(account === undefined ? {} : { account }) }
     this.#jobs.set(job.id, job)
     this.#unreadable.delete(job.id)
     this.#unsettled.add(job)
--- a/packages/gateway/src/jobs/token-ledger.ts
+++ b/packages/gateway/src/jobs/token-ledger.ts
@@ -16,17 +16,20 @@
 import { ChangeOutcome } from './job-log.js'
 import type { JobPartition } from './job-partition.js'
 import type { JobPartitions } from './job-partitions.js'
+import { tokensOf } from './waiting-tokens.js'
 
 /** A job whose tokens are to be counted before it is accepted. */
 export interface TokenRequest {
   readonly job: string
   readonly route: string
+  /** Client account whose tokens the limit bounds, empty for jobs of no account; left out where there are no accounts, and all tokens of the route count. */
+  readonly account?: string
   readonly tokens: number
-  /** Maximum number of tokens that may wait on the route, in all partitions; 0 for no limit. */
+  /** Maximum number of tokens that may wait, in all partitions; 0 for no limit. */
   readonly limit: number
 }
 
-/** Result of a reservation; `waiting` is the number of tokens that waited on the route before it, in all partitions. */
+/** Result of a reservation; `waiting` is the number of tokens under the same limit that waited before it, in all partitions. */
 export type ReservationResult =
   | { readonly granted: true, readonly waiting: number }
   | { readonly granted: false, readonly waiting: number, readonly reason: ChangeOutcome }
@@ -38,7 +41,7 @@
 const retryMilliseconds = 10
 /** Interval at which the totals of owned partitions are corrected. */
 const correctionIntervalMilliseconds = 3_000
-/** The same while the waiting tokens of a route are near its limit, when an outdated total would reject a job that fits. */
+/** The same while the waiting tokens of a route, or of an account on it, are near their limit, when an outdated total would reject a job that fits. */
 const nearLimitCorrectionIntervalMilliseconds = 700
 /** Share of the limit that counts as near. */
 const nearLimitShare = 0.5
@@ -53,15 +56,18 @@
 const packr = new Packr({ useRecords: false })
 
 const partitionSchema = z.number().int().nonnegative()
-/** Tokens by route. */
+/** Tokens by {@link waitingKey}. */
 const totalSchema = z.array(z.tuple([z.string(), z.number().nonnegative()]))
-/** A reservation as it is recorded; its key is `r/JOB/PROCESS`. It was made `at` this time, in milliseconds since the epoch. */
-const reservationSchema = z.object({ job: z.string(), partition: partitionSchema, route: z.string(), tokens: z.number().nonnegative(), at: z.number() })
+/**
+ * A reservation as it is recorded; its key is `r/JOB/PROCESS`. It was made `at` this time, in milliseconds since the epoch. Jobs of no account
+ * have no `account`, nor have the records of builds that knew no accounts.
+ */
+const reservationSchema = z.object({ job: z.string(), partition: partitionSchema, route: z.string(), account: z.string().optional(), tokens: z.number().nonnegative(), at: z.number() })
 type Reservation = Readonly<z.infer<typeof reservationSchema>>
 
 /** Content of the topic. */
 interface LedgerContent {
-  /** Tokens by route, by partition. */
+  /** Tokens by {@link waitingKey}, by partition. */
   readonly totals: Map<number, ReadonlyMap<string, number>>
   /** The same, encoded as in the topic. */
   readonly encodedTotals: ReadonlyMap<number, string>
@@ -99,7 +105,7 @@
    */
   async reserve (partition: JobPartition, request: TokenRequest, deadline: number): Promise<ReservationResult> {
     if (request.limit === 0) {
-      return { granted: true, waiting: partition.fold.waitingTokens(request.route) }
+      return { granted: true, waiting: partition.fold.waitingTokens(request.route, request.account) }
     }
     while (Date.now() < deadline) {
       const result = await this.#queue.add(async () => await this.#tryReserve(partition, request))
@@ -129,12 +135,13 @@
   }
 
   /** Makes one attempt; returns null if it has to be repeated. */
-  async #tryReserve (partition: JobPartition, { job, route, tokens, limit }: TokenRequest): Promise<ReservationResult | null> {
+  async #tryReserve (partition: JobPartition, request: TokenRequest): Promise<ReservationResult | null> {
+    const { job, route, account = '', tokens, limit } = request
     const content = await this.#read()
     if (content === null) {
       return null
     }
-    const waiting = this.#waitingTokens(content, route, job)
+    const waiting = this.#waitingTokens(content, request)
     if (waiting + tokens > limit * nearLimitShare) {
       const now = Date.now()
       this.#nearLimitUntil = now + correctionIntervalMilliseconds
@@ -143,25 +150,26 @@
     if (waiting + tokens > limit) {
       return { granted: false, waiting, reason: ChangeOutcome.OverLimit }
     }
-    const reservation: Reservation = { job, partition: partition.number, route, tokens, at: Date.now() }
+    const reservation: Reservation = { job, partition: partition.number, route, ...(account === '' ? {} : { account }), tokens, at: Date.now() }
     const outcome = await this.topic.append([{ key: this.#keyOf(job), value: packr.pack(reservation) }], content.end)
     return outcome === AppendOutcome.Done ? { granted: true, waiting } : null
   }
 
-  /** Returns the tokens that wait on the route in all partitions, with reservations for other jobs. */
-  #waitingTokens ({ totals, encodedTotals, reservations }: LedgerContent, route: string, job: string): number {
+  /** Returns the tokens under the same limit that wait in all partitions, with reservations for other jobs. */
+  #waitingTokens ({ totals, encodedTotals, reservations }: LedgerContent, { job, route, account }: TokenRequest): number {
     const active = new Map(this.#loadedPartitions().map(partition => [partition.number, partition]))
     for (const [number, partition] of active) {
-      const known = partition.fold.waitingTokensByRoute()
+      const known = partition.fold.waitingTokensByKey()
       // A total of another process shows that this one was taken for lost, and contains jobs that it may not know.
       const isOnlyWriter = !encodedTotals.has(number) || encodedTotals.get(number) === this.#appended.get(number)
       totals.set(number, isOnlyWriter ? known : greaterOf(known, totals.get(number) ?? known))
     }
     const counted = new Set([job])
-    let waiting = [...totals.values()].reduce((sum, tokens) => sum + (tokens.get(route) ?? 0), 0)
+    let waiting = [...totals.values()].reduce((sum, tokens) => sum + tokensOf(tokens, route, account), 0)
     for (const reservation of reservations.values()) {
       const isInTotal = active.get(reservation.partition)?.fold.get(reservation.job) !== undefined
-      if (reservation.route === route && !counted.has(reservation.job) && !isInTotal && !isExpired(reservation)) {
+      const isBounded = reservation.route === route && (account === undefined || (reservation.account ?? '') === account)
+      if (isBounded && !counted.has(reservation.job) && !isInTotal && !isExpired(reservation)) {
         counted.add(reservation.job)
         waiting += reservation.tokens
       }
@@ -259,12 +267,12 @@
 }
 
 function totalOf (partition: JobPartition): Buffer {
-  return packr.pack([...partition.fold.waitingTokensByRoute()])
+  return packr.pack([...partition.fold.waitingTokensByKey()])
 }
 
-/** Returns the greater number of tokens of each route. */
+/** Returns the greater number of tokens of each key. */
 function greaterOf (one: ReadonlyMap<string, number>, other: ReadonlyMap<string, number>): ReadonlyMap<string, number> {
-  return new Map([...one.keys(), ...other.keys()].map(route => [route, Math.max(one.get(route) ?? 0, other.get(route) ?? 0)]))
+  return new Map([...one.keys(), ...other.keys()].map(key => [key, Math.max(one.get(key) ?? 0, other.get(key) ?? 0)]))
 }
 
 function isExpired ({ at }: Reservation): boolean {
--- a/packages/gateway/src/log/keyed-follower.ts
+++ b/packages/gateway/src/log/keyed-follower.ts
@@ -1,6 +1,8 @@
 /** Follows a keyed topic: loads the newest record of each key, then reads records as they are appended. */
 import { messageOf } from '@arbutusloft/protocol'
 import type { Logger } from '../util/logger.js'
+import { ageOf, laterMark, longAgo } from '../util/clock-mark.js'
+import type { ClockMark } from '../util/clock-mark.js'
 import { sleep } from '../util/sleep.js'
 import { ExpiredOffsetError, PartialLoad } from './keyed-topic.js'
 import type { KeyedRecord, KeyedTopic, RecordBatch } from './keyed-topic.js'
@@ -35,8 +37,8 @@
   #position: number | null = null
   /** Start of the latest successful read, by the clock of `performance`; the listener has received everything that was appended before it. */
   #confirmedAt = -Infinity
-  /** Time up to which the latest successful read has shown all records, in milliseconds since the epoch. */
-  #shownUntil = -Infinity
+  /** Time up to which the latest successful read has shown all records. */
+  #shownUntil: ClockMark = longAgo
   /** What a load that failed has read, or null. */
   #partialLoad: PartialLoad | null = null
   /** Start of the first read since the latest one that succeeded, by the clock of `performance`; null if no read has begun since. */
@@ -78,7 +80,12 @@
 
   /** Milliseconds since the time up to which the listener has received everything; `Infinity` before the first load, negative if the clock was set back. */
   get ageMilliseconds (): number {
-    return Date.now() - this.#shownUntil
+    return Date.now() - this.#shownUntil.wall
+  }
+
+  /** The same by the clock that shows more: the monotonic clock stands still while the process is stopped, and the wall clock may be set back. */
+  get greatestAgeMilliseconds (): number {
+    return ageOf(this.#shownUntil)
   }
 
   /** Milliseconds for which reads have been trying in vain; 0 if the latest one succeeded. */
@@ -221,7 +228,8 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, startedAtSteady)
     this.#unreadSince = null
     // The store answers without records only when the wait is over.
-    this.#shownUntil = this.#position === before && before !== null ? Math.min(Date.now(), startedAt + waitMilliseconds) : startedAt
+    const start: ClockMark = { wall: startedAt, steady: startedAtSteady }
+    this.#shownUntil = this.#position === before && before !== null ? laterMark(start, waitMilliseconds) : start
   }
 
   /** Reads once, or loads the newest records if the wanted ones have expired; returns whether the listener has received everything up to the end of the topic. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,5 @@
 /** Prometheus metrics of a gateway process. */
+import { AccountCounts } from './accounts/account-counts.js'
 import { Counter, Gauge, Histogram, Registry } from './util/prometheus.js'
 
 /** Bucket bounds in seconds, dense around the latency objectives of online routes. */
@@ -107,6 +108,28 @@
     }
   })
 
+  readonly #accountCounts = new AccountCounts()
+
+  /** Requests and calls about jobs whose key is that of an account, by account and outcome; see {@link AccountCounts}. */
+  readonly accountRequests: Counter<'account' | 'outcome'> = new Counter({
+    name: 'arbutus_gateway_account_requests_total',
+    help: 'Requests by client account and outcome',
+    labelNames: ['account', 'outcome'],
+    registers: [this.registry],
+    collect: () => {
+      this.accountRequests.reset()
+      this.#accountCounts.series().forEach(({ account, outcome, count }) => { this.accountRequests.inc({ account, outcome }, count) })
+    }
+  })
+
+  /** Requests that were not served for their key, by reason; see {@link IdentityFault}. */
+  readonly rejectedKeys = new Counter({
+    name: 'arbutus_gateway_rejected_keys_total',
+    help: 'Requests that were not served for their key, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry]
+  })
+
   /** Version of the current configuration. */
   readonly routesVersion = new Gauge({
     name: 'arbutus_gateway_routes_version',
@@ -114,6 +137,15 @@
     registers: [this.registry]
   })
 
+  /**
+   * Counts a request of an account.
+   *
+   * @param status status of the response, or null if the connection closed before its end
+   */
+  countAccountRequest (account: string, status: number | null): void {
+    this.#accountCounts.record(account, status)
+  }
+
   /** Asks for the limits, in pairs of a target's id and its requests a second, when metrics are read. */
   onCollectRateLimits (rateLimits: () => ReadonlyArray<readonly [string, number]>): void {
     this.#rateLimits = rateLimits
--- a/packages/gateway/src/util/logger.ts
+++ b/packages/gateway/src/util/logger.ts
@@ -33,7 +33,7 @@
 }
 
 /** Counts the lines of the current second, and those omitted since the last line was written. */
-class LineBudget {
+export class LineBudget {
   #second = 0
   #lines = 0
   #omitted = 0
--- a/packages/policy/src/accounts/bearer-key.ts
+++ b/packages/policy/src/accounts/bearer-key.ts
@@ -3,7 +3,9 @@
 /** Why a request names no key. */
 export const KeyFault = {
   Missing: 'missing',
-  /** Several headers, another scheme, or no single text behind the scheme. */
+  /** Several headers: it is not certain which one the client means. */
+  Duplicate: 'duplicate',
+  /** Another scheme, or no single text behind the scheme. */
   Malformed: 'malformed'
 } as const
 export type KeyFault = typeof KeyFault[keyof typeof KeyFault]
@@ -24,6 +26,9 @@
   if (value === undefined) {
     return { fault: KeyFault.Missing }
   }
-  const key = values.length === 1 ? bearerForm.exec(value)?.[1] : undefined
+  if (values.length > 1) {
+    return { fault: KeyFault.Duplicate }
+  }
+  const key = bearerForm.exec(value)?.[1]
   return key === undefined ? { fault: KeyFault.Malformed } : { key }
 }
--- a/packages/policy/src/routes/route-table.ts
+++ b/packages/policy/src/routes/route-table.ts
@@ -75,9 +75,11 @@
   readonly #routes = new PrefixMap<Route>()
   /** Client accounts of the version, or null if requests carry no keys. */
   readonly accounts: AccountDirectory | null
+  readonly #publicBatchHosts: ReadonlySet<string>
 
   constructor (readonly configuration: RouteConfiguration) {
     this.accounts = configuration.accounts === undefined ? null : new AccountDirectory(configuration.accounts)
+    this.#publicBatchHosts = new Set(configuration.routes.filter(({ kind, isPublic }) => kind === RouteKind.Batch && isPublic === true).map(({ host }) => host))
     for (const route of configuration.routes) {
       if (!this.#routes.has(route.host, route.prefix)) {
         this.#routes.set(route.host, route.prefix, route)
@@ -91,6 +93,11 @@
     return entry?.value ?? null
   }
 
+  /** Whether a host has a batch route whose requests need no key. */
+  hasPublicBatchRoute (host: string): boolean {
+    return this.#publicBatchHosts.has(host)
+  }
+
   /** Returns the route with the given name, or null if the version has none. */
   findByName (name: string): Route | null {
     return this.configuration.routes.find(route => route.name === name) ?? null
--- a/packages/policy/tests/accounts/bearer-key.test.ts
+++ b/packages/policy/tests/accounts/bearer-key.test.ts
@@ -17,6 +17,7 @@
   })
 
   it('takes none of two headers, since it is not certain which one the client means', () => {
-    assert.deepEqual(bearerKeyOf(['Bearer abc', 'Bearer abc']), { fault: KeyFault.Malformed })
+    assert.deepEqual(bearerKeyOf(['Bearer abc', 'Bearer abc']), { fault: KeyFault.Duplicate })
+    assert.deepEqual(bearerKeyOf(['', 'Bearer abc']), { fault: KeyFault.Duplicate })
   })
 })
