--- a/packages/policy/src/accounts/instance-contact.ts
+++ b/packages/policy/src/accounts/instance-contact.ts
@@ -32,8 +32,8 @@
   }
 
   /**
-   * Records the other instances that are seen at present. Those not seen for a while are forgotten only while at least half is seen, or the store
-   * is: otherwise an instance that is cut off for long would come to know itself only.
+   * Records the other instances that are seen at present. Those not seen for a while are forgotten only while at least half is seen and heard, or the
+   * store was read: otherwise an instance that is cut off for long would come to know itself only.
    *
    * @param isConfirmed whether the store was read lately
    */
@@ -41,7 +41,7 @@
     for (const address of seen) {
       this.#seenAt.set(address, now)
     }
-    if (!isConfirmed && !this.#isHalf(seen.length)) {
+    if (!isConfirmed && !this.#hearsHalf(seen.length, now)) {
       return
     }
     for (const [address, at] of this.#seenAt) {
@@ -57,8 +57,7 @@
     if (this.#seenAt.size === 0) {
       return true
     }
-    const isHeard = Math.abs(now - this.#heardAt) <= maximumSilenceMilliseconds && now - this.#heardSince >= settlingMilliseconds
-    return isHeard && this.#isHalf(seen.length)
+    return this.#hearsHalf(seen.length, now)
   }
 
   /** Number of known instances, this one included. */
@@ -66,7 +65,8 @@
     return this.#seenAt.size + 1
   }
 
-  #isHalf (others: number): boolean {
-    return 2 * (others + 1) >= this.known
+  #hearsHalf (others: number, now: number): boolean {
+    const isHeard = Math.abs(now - this.#heardAt) <= maximumSilenceMilliseconds && now - this.#heardSince >= settlingMilliseconds
+    return isHeard && 2 * (others + 1) >= this.known
   }
 }
