Model the allowances of accounts under failures, and name owners by their incarnation

Requests that were sent to a second owner were charged by both. Change: holders name owners by address and incarnation; a withdrawal takes the charge back also if the slot was granted, and is repeated once another owner has granted the slot. packages/fleet-model/src/allowances plays owners and holders under kills, stops, divisions and lost datagrams. A group that misses more than 16 instances gets half of its share of the margin. A division and a cold start still break the bound in it; the model has no tests yet.

--- /dev/null
+++ b/packages/fleet-model/src/allowances/allowance-process.ts
@@ -0,0 +1,89 @@
+/** An instance: a holder, an owner of what others ask it for, and what it shares of both. */
+import { AccountAllowances, AccountDirectory, GrantedUsage, splitToDatagrams } from '@arbutusloft/policy'
+import type { Account, AllowanceOptions, AllowanceRefusal, ChargesReport, UsageReport } from '@arbutusloft/policy'
+
+/** Milliseconds for which an instance that is no longer seen counts as known. */
+const knownMilliseconds = 10_000
+/** Bytes of entries in the datagram of an owner. */
+const maximumEntryBytes = 1_080
+/** Time by which a clock has to have stood still until it is set. */
+const minimumLagMilliseconds = 500
+
+/** Keeps the state of an instance from its start to its end. */
+export class AllowanceProcess {
+  readonly allowances: AccountAllowances
+  readonly usage: GrantedUsage
+  /** Owners that this process has reported to since they became owners. */
+  toldOwners: ReadonlySet<string> = new Set()
+  isGranter = false
+  /** Whether a clock that has stood still is to be set by the next answer. */
+  isClockDoubtful = false
+  /** Permits that this process has granted, and those that wait. */
+  readonly granted = new Set<string>()
+  readonly waiting = new Set<string>()
+  readonly #seenAt = new Map<number, number>()
+  #seen: readonly number[] = []
+  #lost = 0
+
+  /** @param clockOffset difference of this instance's clock from the time of the model */
+  constructor (readonly number: number, readonly incarnation: number, private readonly simulatedNow: () => number, private readonly clockOffset: number, options: AllowanceOptions) {
+    this.allowances = new AccountAllowances(this.now, options)
+    this.usage = new GrantedUsage(options.windowMilliseconds)
+  }
+
+  get now (): number {
+    return this.simulatedNow() + this.clockOffset - this.#lost
+  }
+
+  get up (): number {
+    return this.allowances.upFor(this.now)
+  }
+
+  /** Makes the clock lose time, as one that stands still while the process is stopped. */
+  loseTime (milliseconds: number): void {
+    this.#lost += milliseconds
+    this.isClockDoubtful = true
+  }
+
+  setClock (lag: number): void {
+    if (this.isClockDoubtful && lag >= minimumLagMilliseconds) {
+      this.isClockDoubtful = false
+      this.#lost -= lag
+    }
+  }
+
+  configure (accounts: readonly Account[]): void {
+    this.allowances.setAccounts(new AccountDirectory(accounts))
+  }
+
+  setSeen (seen: readonly number[]): void {
+    this.#seen = seen
+    this.recordSeen()
+  }
+
+  recordSeen (): void {
+    const now = this.simulatedNow()
+    const seen = this.#seen
+    seen.forEach(number => this.#seenAt.set(number, now))
+    const known = [...this.#seenAt.values()].filter(at => now - at <= knownMilliseconds).length
+    this.allowances.setGroup({ seen: seen.length, known })
+  }
+
+  /** Decides on a request; null if it may be granted. */
+  request (permit: string, holder: string, account: string): AllowanceRefusal | null {
+    return this.allowances.request({ permit, holder, account }, this.now)
+  }
+
+  chargesReport (): ChargesReport | null {
+    const entries = this.allowances.takeUnsent(maximumEntryBytes, this.now)
+    return entries.length === 0 ? null : { at: this.now, up: this.up, entries }
+  }
+
+  allCharges (): readonly ChargesReport[] {
+    return splitToDatagrams(this.allowances.allCharges(this.now)).map(entries => ({ at: this.now, up: this.up, entries }))
+  }
+
+  usageReports (receiver: string): readonly UsageReport[] {
+    return splitToDatagrams(this.usage.usageFor(receiver, this.now)).map(entries => ({ up: this.up, entries }))
+  }
+}
--- a/packages/fleet-model/src/index.ts
+++ b/packages/fleet-model/src/index.ts
@@ -1,4 +1,7 @@
 /** A model of a fleet without a network: loads are played against admission policies, and what callers get is counted. */
+export { boundOf, mostInWindow } from './allowances/allowance-audit.js'
+export type { AccountDemand, AllowanceLoad, AllowanceOutcome, DifferentView, Division, Loss, Refusal, Stop } from './allowances/allowance-load.js'
+export { simulateAllowances } from './allowances/simulate-allowances.js'
 export type { AdmissionPolicy } from './admission-policy.js'
 export { estimate, playSeeds } from './compare-policies.js'
 export type { Estimate, NamedPolicy } from './compare-policies.js'
--- a/packages/gateway/src/accounts/account-charging.ts
+++ b/packages/gateway/src/accounts/account-charging.ts
@@ -9,6 +9,8 @@
   readonly usage: GrantedUsage
   /** Returns the time of a clock that is not set, in milliseconds. */
   readonly now: () => number
+  /** Names the process at an address, which a later one at the address does not share. */
+  readonly processOf: (address: string) => string
   /** Called before a request is decided. */
   readonly onRequest: () => void
   /** Called when a request was refused. */
@@ -49,9 +51,9 @@
     this.dependencies.onCharged()
   }
 
-  /** Takes note at the owner that a waiting request was given up. */
+  /** Takes note at the owner that its holder has given a request up, or asked another owner: a grant that the holder has not got is not used then. */
   onWithdrawn (permit: string): void {
-    this.dependencies.allowances.withdraw(permit)
+    this.dependencies.allowances.refund(permit)
     this.dependencies.onCharged()
   }
 
@@ -74,7 +76,7 @@
   /** Takes note at the holder that an owner has granted a slot. */
   onSlotGranted (permit: string, owner: string, request: Pick<SlotRequest, 'workClass' | 'caller'>): void {
     if (isCharged(request)) {
-      this.dependencies.usage.add(permit, request.caller.account, owner, this.dependencies.now())
+      this.dependencies.usage.add(permit, request.caller.account, this.dependencies.processOf(owner), this.dependencies.now())
     }
   }
 
--- a/packages/gateway/src/accounts/account-limits.ts
+++ b/packages/gateway/src/accounts/account-limits.ts
@@ -8,13 +8,13 @@
 import type { Logger } from '../util/logger.js'
 import { SteadyClock } from '../util/steady-clock.js'
 import { AccountCharging } from './account-charging.js'
-import { AllowanceSharing } from './allowance-sharing.js'
+import { AllowanceSharing, processAt } from './allowance-sharing.js'
 import { AllowanceWatch } from './allowance-watch.js'
 
 /** Dependencies of {@link AccountLimits}. */
 export interface AccountLimitsDependencies {
   readonly options: AllowanceOptions
-  readonly membership: Pick<Membership, 'live' | 'self' | 'onChange'>
+  readonly membership: Pick<Membership, 'live' | 'onChange' | 'incarnationOf'>
   readonly transport: PeerTransport
   readonly owners: () => Pick<ServiceOwners, 'owners' | 'granters'>
   readonly metrics: GatewayMetrics
@@ -33,7 +33,7 @@
   #hasAccounts = false
 
   constructor (private readonly dependencies: AccountLimitsDependencies) {
-    const { options, metrics, logger, clock = new SteadyClock() } = dependencies
+    const { options, membership, metrics, logger, clock = new SteadyClock() } = dependencies
     const now = (): number => clock.now()
     this.#clock = clock
     this.#allowances = new AccountAllowances(now(), options)
@@ -43,6 +43,7 @@
       allowances: this.#allowances,
       usage: this.#usage,
       now,
+      processOf: address => processAt(address, membership),
       onRequest: () => { this.#sharing?.updateGroup() },
       onRefused: refusal => { this.#watch.onRefused(refusal) },
       onCharged: () => { this.#sharing?.onCharged() }
--- a/packages/gateway/src/accounts/allowance-sharing.ts
+++ b/packages/gateway/src/accounts/allowance-sharing.ts
@@ -19,7 +19,7 @@
   readonly allowances: AccountAllowances
   readonly usage: GrantedUsage
   readonly clock: SteadyClock
-  readonly membership: Pick<Membership, 'live' | 'self' | 'onChange'>
+  readonly membership: Pick<Membership, 'live' | 'onChange' | 'incarnationOf'>
   readonly transport: PeerTransport
   readonly owners: () => Pick<ServiceOwners, 'owners' | 'granters'>
   /** Whether the configuration in force has accounts; nothing is sent without. */
@@ -64,8 +64,7 @@
     if (!hasAccounts()) {
       return
     }
-    const incarnations = new Map(membership.live().map(({ address, incarnation }) => [address, incarnation]))
-    const nameOf = (address: string): string => `${address}/${incarnations.get(address) ?? 0}`
+    const nameOf = (address: string): string => processAt(address, membership)
     const current = owners().owners
     const added = current.filter(address => !this.#toldOwners.has(nameOf(address)))
     this.#toldOwners = new Set(current.map(nameOf))
@@ -128,9 +127,9 @@
 
   /** Tells an owner what others have granted this process. */
   #tell (address: string): void {
-    const { allowances, usage, clock, transport } = this.dependencies
+    const { allowances, usage, clock, membership, transport } = this.dependencies
     const now = clock.now()
-    for (const entries of splitToDatagrams(usage.usageFor(address, now))) {
+    for (const entries of splitToDatagrams(usage.usageFor(processAt(address, membership), now))) {
       const report = { up: Math.round(allowances.upFor(now)), entries }
       if (address === transport.address) {
         allowances.onUsage(address, report, now)
@@ -208,3 +207,8 @@
     return owners().granters.filter(address => address !== transport.address)
   }
 }
+
+/** Names the process at an address, which a later one at the address does not share. */
+export function processAt (address: string, membership: Pick<Membership, 'incarnationOf'>): string {
+  return `${address}/${membership.incarnationOf(address)}`
+}
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -163,6 +163,11 @@
     return this.#self
   }
 
+  /** Returns the incarnation of the latest process known at an address; 0 if none is. */
+  incarnationOf (address: string): number {
+    return address === this.#self.address ? this.#self.incarnation : this.#table.get(address)?.incarnation ?? 0
+  }
+
   /** Returns the members that are not suspected of having failed, this process first. */
   live (): readonly Member[] {
     return this.#derive().live
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -29,6 +29,8 @@
   readonly settle: (result: AcquireResult) => void
   /** Address of the member that the request was sent to. */
   ownerAddress: string
+  /** Address of the owner from which it was last withdrawn for another one; empty if none. */
+  formerOwner: string
   /** Targets that were excluded when the request was last sent. */
   excluded: readonly string[]
   /** Time from which the demand's patience counts, in milliseconds since the epoch. */
@@ -145,7 +147,7 @@
         resolve(result)
       }
       const ownerAddress = this.#owners.ownerOf(demand.service)
-      const pending: PendingRequest = { permit, demand, settle, ownerAddress, excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false, wait: unknownWait }
+      const pending: PendingRequest = { permit, demand, settle, ownerAddress, formerOwner: '', excluded: demand.excluded, waitsSince: now, sentAt: Date.now(), queued: false, retransmitted: false, wait: unknownWait }
       signal.addEventListener('abort', abort, { once: true })
       this.#pending.set(permit, pending)
       // The owner may count a slot of this process whose release was lost, and each request makes it keep that.
@@ -278,6 +280,7 @@
       const owner = this.#owners.ownerOf(pending.demand.service)
       if (owner !== pending.ownerAddress) {
         this.#sendWithdrawal(pending.ownerAddress, pending)
+        pending.formerOwner = pending.ownerAddress
         pending.ownerAddress = owner
         this.#restartRequest(pending, now)
       }
@@ -315,6 +318,14 @@
     }
   }
 
+  /** Withdraws a granted request once more from an owner before, which otherwise charges its account as well if the first withdrawal was lost. */
+  #repeatWithdrawal (pending: PendingRequest, granter: string): void {
+    const { formerOwner, demand } = pending
+    if (demand.caller !== undefined && formerOwner !== '' && formerOwner !== granter) {
+      this.#sendWithdrawal(formerOwner, pending)
+    }
+  }
+
   /** Reports all slots that this process holds to their owners; returns when to report again. */
   #reportAll (now: number): number {
     const services = new Map<string, HeldSlot[]>()
@@ -560,6 +571,7 @@
     }
     const { workClass, prefix, digest, due, ran } = pending.demand
     this.charging?.onSlotGranted(permit, owner, pending.demand)
+    this.#repeatWithdrawal(pending, owner)
     const revoke = new AbortController()
     const held: LocalSlot = { permit, target: target.id, workClass, prefix, digest, due, ran, service, revoke, ownerAddress: owner }
     this.#held.set(permit, held)
--- a/packages/policy/src/accounts/group-limit.ts
+++ b/packages/policy/src/accounts/group-limit.ts
@@ -36,14 +36,22 @@
 }
 
 /**
- * Returns the requests that a group grants in one window: its share of the allowance by the number of instances. A group of less than half of them gets a
- * sixteenth of the margin besides. A larger one that misses up to 16 gets up to half of the margin, so that the loss of single instances makes it
- * refuse nothing; all groups together then stay within the margin: with k instances outside, they add at most k/16 + (1 - k/16)/2 of it.
+ * Returns the requests that a group grants in one window: its share of the allowance by the number of instances, and a part of the margin, since the
+ * requests of an account are never divided exactly by instances. The part is at least a sixteenth for a group of less than half of the instances, and half of the share
+ * otherwise. A larger group that misses k instances, 16 at most, leaves each of these a sixteenth and takes half of the rest, so that the loss of single
+ * instances makes it refuse nothing. All groups together stay within the margin if those of less than half are 16 at most.
  */
 export function groupLimit (allowance: number, { seen, known }: AllowanceGroup, options: AllowanceOptions): number {
   const all = Math.max(1, known, seen)
   const missing = all - seen
-  const margin = marginOf(allowance, options)
-  const extra = seen * 2 < all ? margin / maximumGroups : Math.max(0, 1 - missing / maximumGroups) * margin / 2
-  return Math.floor(Math.min(allowance, allowance * seen / all + extra) + roundingError)
+  const share = seen / all
+  const extra = marginOf(allowance, options) * partOfMargin(share, missing)
+  return Math.floor(Math.min(allowance, allowance * share + extra) + roundingError)
+}
+
+function partOfMargin (share: number, missing: number): number {
+  if (share < 1 / 2) {
+    return Math.max(1 / maximumGroups, share / 2)
+  }
+  return missing <= maximumGroups ? (1 - missing / maximumGroups) / 2 : share / 2
 }
