--- a/packages/gateway/tests/jobs/odd-job-records.test.ts
+++ b/packages/gateway/tests/jobs/odd-job-records.test.ts
@@ -30,12 +30,17 @@
     assert.equal(foldOf('s/odd', content).fold.get('odd')?.items.length, 1)
   })
 
+  it('keeps the account of a submission, and knows none of one that an earlier build has written', () => {
+    assert.equal(foldOf('s/odd', { ...content, account: 'a' }).fold.get('odd')?.account, 'a')
+    assert.equal(foldOf('s/odd', content).fold.get('odd')?.account, undefined)
+  })
+
   const oddItems = [
     { headers: null }, { headers: ['X-Model', 'a\r\nX-Other: b'] }, { headers: ['X-Model', '\u010a'] }, { headers: [1, 2] }, { path: 'p' }, { path: '/a b' }, { path: '/\r\n' },
     { id: 7 }, { tokens: NaN }, { tokens: -1 }, { tokens: Infinity }, { tokens: '1' }, { bodyBytes: -1 }, { bodyBytes: 0.5 }
   ]
   const oddContents: readonly unknown[] = [
-    null, 7, 'text', [], {}, ...[{ route: 7 }, { acceptedAt: NaN }, { acceptedAt: -1 }, { acceptedAt: Number.MAX_SAFE_INTEGER }, { acceptedBy: null }, { parts: -1 }, { items: [] },
+    null, 7, 'text', [], {}, ...[{ route: 7 }, { acceptedAt: NaN }, { acceptedAt: -1 }, { acceptedAt: Number.MAX_SAFE_INTEGER }, { acceptedBy: null }, { parts: -1 }, { account: 7 }, { account: '' }, { account: 'a\r\nx: y' }, { items: [] },
       { items: {} }, { items: [null] }, ...oddItems.map(odd => ({ items: [{ ...item, ...odd }] }))].map(odd => ({ ...content, ...odd }))
   ]
   for (const odd of oddContents) {
--- a/packages/gateway/tests/jobs/token-ledger.test.ts
+++ b/packages/gateway/tests/jobs/token-ledger.test.ts
@@ -28,15 +28,16 @@
   }
 
   /** Submits a job with one item; returns whether it was accepted. */
-  async submit (job: string, tokens: number): Promise<boolean> {
+  async submit (job: string, tokens: number, account?: string): Promise<boolean> {
     const deadline = Date.now() + 2_000
-    const request = { job, route, tokens, limit }
+    const ofAccount = account === undefined ? {} : { account }
+    const request = { job, route, tokens, limit, ...ofAccount }
     const reservation = await this.ledger.reserve(this.partition, request, deadline)
     if (!reservation.granted) {
       return false
     }
     const items = [{ id: `${job}-item`, path: '/', headers: [], body: Buffer.alloc(0), tokens }]
-    const outcome = await this.partition.log.submit({ id: job, route, items }, this.name, deadline)
+    const outcome = await this.partition.log.submit({ id: job, route, items, ...(account === '' ? {} : ofAccount) }, this.name, deadline)
     this.ledger.settle(request, outcome)
     return outcome === ChangeOutcome.Done
   }
@@ -107,6 +108,58 @@
   })
 })
 
+describe('TokenLedger with client accounts', () => {
+  it('bounds the tokens of each account by itself, and all together without accounts', async context => {
+    const [owner, other] = startProcesses(['owner', otherName])
+    assert.ok(owner !== undefined && other !== undefined)
+    context.after(() => { [owner, other].forEach(each => { each.close() }) })
+    assert.equal(await owner.submit('a1', 90, 'a'), true)
+    assert.equal(await owner.submit('a2', 20, 'a'), false)
+    assert.equal(await owner.submit('b1', 100, 'b'), true)
+    assert.equal(await owner.submit('none', 100, ''), true)
+    assert.equal(await owner.submit('none-2', 1, ''), false)
+    assert.equal(await owner.submit('all', 1), false)
+    // By the totals and reservations in the topic, at a process that does not own the partition, before and after a correction.
+    for (const suffix of ['', '-corrected']) {
+      await other.partition.refresh()
+      assert.equal(await other.submit(`a3${suffix}`, 11, 'a'), false)
+      assert.equal(await other.submit(`b2${suffix}`, 1, 'b'), false)
+      assert.equal(await other.submit(`c1${suffix}`, 50, 'c'), true)
+      await owner.partition.refresh()
+      await owner.ledger.correct()
+    }
+    assert.equal(await other.submit('c2', 1, 'c'), false)
+  })
+
+  it('holds the bound of each account when many processes submit at once', async context => {
+    const processes = startProcesses(['owner', ...Array.from({ length: 3 }, () => otherName)])
+    context.after(() => { processes.forEach(each => { each.close() }) })
+    const accounts = ['a', 'b', '']
+    const accepted = new Map<string, number>()
+    await Promise.all(processes.flatMap((process, index) => accounts.flatMap(account => Array.from({ length: 5 }, async (_, number) => {
+      if (await process.submit(`${account}-${index}-${number}`, 15, account)) {
+        accepted.set(account, (accepted.get(account) ?? 0) + 15)
+      }
+    }))))
+    for (const account of accounts) {
+      const tokens = accepted.get(account) ?? 0
+      assert.ok(tokens > 0 && tokens <= limit, `${tokens} tokens of ${account}`)
+    }
+  })
+
+  it('counts totals and reservations of builds that knew no accounts for the jobs of no account', async context => {
+    const tokens = new FaultyLog(() => 0.5)
+    const [other] = startProcesses([otherName], tokens)
+    assert.ok(other !== undefined)
+    context.after(() => { other.close() })
+    const reservation = { job: 'earlier', partition: 3, route, tokens: 30, at: Date.now() }
+    await tokens.connect().append([{ key: 'p/2', value: packr.pack([[route, 60]]) }, { key: 'r/earlier/process', value: packr.pack(reservation) }], null)
+    assert.equal(await other.submit('none', 11, ''), false)
+    assert.equal(await other.submit('all', 11), false)
+    assert.equal(await other.submit('a', 100, 'a'), true)
+  })
+})
+
 describe('TokenLedger beside records that no process of the fleet writes', () => {
   const reservation = { job: 'j', partition: 1, route, tokens: 1, at: Date.now() }
   for (const [key, value] of [
--- a/packages/gateway/tests/log/keyed-follower.test.ts
+++ b/packages/gateway/tests/log/keyed-follower.test.ts
@@ -1,4 +1,4 @@
-/** Tests that a refresh has read everything that was appended before it was called, whatever other reads are in flight. */
+/** Tests that a refresh has read everything that was appended before it was called, whatever other reads are in flight, and how old it says that the topic is. */
 import assert from 'node:assert/strict'
 import { setImmediate } from 'node:timers/promises'
 import { describe, it, mock } from 'node:test'
@@ -167,3 +167,26 @@
     })
   }
 })
+
+describe('the greatest age of a followed topic', () => {
+  it('grows while the process is stopped, and after the wall clock was set back', async context => {
+    const topic = new HeldTopic()
+    topic.add('key')
+    const { follower } = follow(topic)
+    assert.equal(follower.greatestAgeMilliseconds, Infinity)
+    let wall = 1_790_000_000_000
+    let steady = 1_000
+    context.mock.method(Date, 'now', () => wall)
+    context.mock.method(performance, 'now', () => steady)
+    assert.ok(await resultOf(topic, follower.refresh()))
+    assert.equal(follower.greatestAgeMilliseconds, 0)
+    // The monotonic clock stands still during a stop.
+    wall += 8_000
+    assert.equal(follower.greatestAgeMilliseconds, 8_000)
+    wall -= 3_600_000
+    steady += 6_000
+    assert.equal(follower.greatestAgeMilliseconds, 6_000)
+    assert.ok(await resultOf(topic, follower.refresh()))
+    assert.equal(follower.greatestAgeMilliseconds, 0)
+  })
+})
