Compare reports of holders with those of each owner, and test the bound in the model

Cause: holders that report to an owner may be some of all, so that their sum compared with that of all owners hid what they alone knew: in the model a division let 178 requests of 163 allowed reach targets. The counts of a restarted owner were taken for those of its predecessor, by another clock: accounts below their allowance were refused for seconds. Change: holders report by owner, owners are named by address and incarnation, and the incarnations of members tell which of them were up before.

--- a/packages/fleet-model/src/allowances/allowance-process.ts
+++ b/packages/fleet-model/src/allowances/allowance-process.ts
@@ -1,11 +1,9 @@
 /** An instance: a holder, an owner of what others ask it for, and what it shares of both. */
-import { AccountAllowances, AccountDirectory, GrantedUsage, splitToDatagrams } from '@arbutusloft/policy'
-import type { Account, AllowanceOptions, AllowanceRefusal, ChargesReport, UsageReport } from '@arbutusloft/policy'
+import { AccountAllowances, AccountDirectory, GrantedUsage, maximumEntryBytes, splitToDatagrams } from '@arbutusloft/policy'
+import type { Account, AllowanceOptions, AllowanceRefusal, ChargesReport, OwnerProcess, UsageReport } from '@arbutusloft/policy'
 
 /** Milliseconds for which an instance that is no longer seen counts as known. */
 const knownMilliseconds = 10_000
-/** Bytes of entries in the datagram of an owner. */
-const maximumEntryBytes = 1_080
 /** Time by which a clock has to have stood still until it is set. */
 const minimumLagMilliseconds = 500
 
@@ -16,6 +14,8 @@
   /** Owners that this process has reported to since they became owners. */
   toldOwners: ReadonlySet<string> = new Set()
   isGranter = false
+  /** Start of the process in the time of the model. */
+  readonly startedAt: number
   /** Whether a clock that has stood still is to be set by the next answer. */
   isClockDoubtful = false
   /** Permits that this process has granted, and those that wait. */
@@ -27,6 +27,7 @@
 
   /** @param clockOffset difference of this instance's clock from the time of the model */
   constructor (readonly number: number, readonly incarnation: number, private readonly simulatedNow: () => number, private readonly clockOffset: number, options: AllowanceOptions) {
+    this.startedAt = simulatedNow()
     this.allowances = new AccountAllowances(this.now, options)
     this.usage = new GrantedUsage(options.windowMilliseconds)
   }
@@ -35,8 +36,9 @@
     return this.simulatedNow() + this.clockOffset - this.#lost
   }
 
-  get up (): number {
-    return this.allowances.upFor(this.now)
+  /** Names this process to holders. */
+  get identity (): OwnerProcess {
+    return { address: String(this.number), incarnation: this.incarnation }
   }
 
   /** Makes the clock lose time, as one that stands still while the process is stopped. */
@@ -76,14 +78,14 @@
 
   chargesReport (): ChargesReport | null {
     const entries = this.allowances.takeUnsent(maximumEntryBytes, this.now)
-    return entries.length === 0 ? null : { at: this.now, up: this.up, entries }
+    return entries.length === 0 ? null : { incarnation: this.incarnation, at: this.now, entries }
   }
 
   allCharges (): readonly ChargesReport[] {
-    return splitToDatagrams(this.allowances.allCharges(this.now)).map(entries => ({ at: this.now, up: this.up, entries }))
+    return splitToDatagrams(this.allowances.allCharges(this.now)).map(entries => ({ incarnation: this.incarnation, at: this.now, entries }))
   }
 
-  usageReports (receiver: string): readonly UsageReport[] {
-    return splitToDatagrams(this.usage.usageFor(receiver, this.now)).map(entries => ({ up: this.up, entries }))
+  usageReports (receiver: OwnerProcess): readonly UsageReport[] {
+    return this.usage.reportsFor(receiver, this.now)
   }
 }
--- a/packages/fleet-model/src/allowances/simulate-allowances.ts
+++ b/packages/fleet-model/src/allowances/simulate-allowances.ts
@@ -110,12 +110,16 @@
     isBefore = false
     process.configure(this.#accounts)
     this.#processes[number] = process
-    this.#setVisible(number, true)
+    if (this.#clock.now > 0) {
+      this.#setVisible(number, true)
+    }
   }
 
   #lose (number: number): void {
     this.#processes[number] = null
     this.#stopped.delete(number)
+    this.#ownersByInstance.delete(number)
+    this.#formerGranters.delete(number)
     this.#setVisible(number, false)
   }
 
@@ -181,6 +185,7 @@
       }
       const seen = this.#seenBy(process.number)
       process.setSeen(seen)
+      this.#tellStarts(process, seen)
       const former = this.#ownersByInstance.get(process.number) ?? []
       const current = Array.from({ length: this.load.services }, (_, service) => this.#ownersOf(service, process.number, seen))
       this.#ownersByInstance.set(process.number, current)
@@ -196,6 +201,16 @@
     }
   }
 
+  /** The gossip of members tells when each of them started. */
+  #tellStarts (process: AllowanceProcess, seen: readonly number[]): void {
+    for (const other of seen) {
+      const startedAt = this.#processes[other]?.startedAt ?? this.#clock.now
+      if (other !== process.number) {
+        process.allowances.onStart(String(other), process.now - (this.#clock.now - startedAt))
+      }
+    }
+  }
+
   #tellNewOwners (process: AllowanceProcess, owners: ReadonlyArray<readonly number[]>): void {
     const first = new Set(owners.map(([owner = 0]) => owner))
     const nameOfNumber = (number: number): string => nameOf(this.#processes[number] ?? null)
@@ -211,7 +226,8 @@
   }
 
   #tell (process: AllowanceProcess, owner: number): void {
-    for (const report of process.usageReports(nameOf(this.#processes[owner] ?? null))) {
+    const receiver = this.#processes[owner]?.identity ?? { address: String(owner), incarnation: 0 }
+    for (const report of process.usageReports(receiver)) {
       this.#reportsSent += 1
       this.#send(process.number, owner, receiver => { receiver.allowances.onUsage(String(process.number), report, receiver.now) })
     }
@@ -223,7 +239,7 @@
       for (const other of this.#grantersOf(process.number)) {
         this.#queriesSent += 1
         this.#send(process.number, other, receiver => {
-          const lag = receiver.allowances.lagOf(String(process.number), at, receiver.now)
+          const lag = receiver.allowances.lagOf(process.identity, at, receiver.now)
           for (const report of receiver.allCharges()) {
             this.#send(other, process.number, asker => {
               asker.setClock(lag)
@@ -253,9 +269,12 @@
           continue
         }
         const report = process.chargesReport()
-        for (const other of report === null ? [] : this.#grantersOf(process.number)) {
+        if (report === null) {
+          continue
+        }
+        for (const other of this.#grantersOf(process.number)) {
           this.#chargesSent += 1
-          this.#send(process.number, other, receiver => { receiver.allowances.onCharges(String(process.number), report ?? { at: 0, up: 0, entries: [] }, receiver.now) })
+          this.#send(process.number, other, receiver => { receiver.allowances.onCharges(String(process.number), report, receiver.now) })
         }
       }
       this.#scheduleCharges()
@@ -285,7 +304,8 @@
   }
 
   #startRequest (account: string): void {
-    const running = this.#processes.filter(process => process !== null && !this.#stopped.has(process.number))
+    // An instance takes requests once it knows others.
+    const running = this.#processes.filter(process => process !== null && !this.#stopped.has(process.number) && this.#ownersByInstance.has(process.number))
     const holder = running[Math.floor(this.#random.uniform() * running.length)]
     if (holder === undefined || holder === null) {
       return
@@ -299,7 +319,13 @@
   /** Sends a request to the owner, twice, and then to the next one, as a holder does without an answer. */
   #try (request: Request, tries: number): void {
     const { holder, service } = request
-    if (request.isEnded || tries >= maximumTries) {
+    if (request.isEnded) {
+      return
+    }
+    if (tries >= maximumTries) {
+      // Its client has given up.
+      request.isEnded = true
+      this.#withdraw({ ...request, formerOwner: request.owner })
       return
     }
     const owners = this.#ownersByInstance.get(holder.number)?.[service] ?? []
@@ -369,7 +395,7 @@
         return
       }
       request.isEnded = true
-      holder.usage.add(request.permit, request.account, nameOf(owner), holder.now)
+      holder.usage.add(request.permit, request.account, owner.identity, holder.now)
       if (request.formerOwner !== owner.number) {
         this.#withdraw(request)
       }
--- a/packages/gateway/src/accounts/account-charging.ts
+++ b/packages/gateway/src/accounts/account-charging.ts
@@ -1,6 +1,6 @@
 /** Charges requests for slots to their accounts: at the owner, which decides, and at the holder, which can tell a new owner what it was granted. */
 import { DecisionKind, RefusalReason, SlotOutcome } from '@arbutusloft/policy'
-import type { AccountAllowances, AllowanceRefusal, GrantedUsage, SlotDecision, SlotRefusal, SlotRequest } from '@arbutusloft/policy'
+import type { AccountAllowances, AllowanceRefusal, GrantedUsage, OwnerProcess, SlotDecision, SlotRefusal, SlotRequest } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 
 /** Dependencies of {@link AccountCharging}. */
@@ -9,8 +9,8 @@
   readonly usage: GrantedUsage
   /** Returns the time of a clock that is not set, in milliseconds. */
   readonly now: () => number
-  /** Names the process at an address, which a later one at the address does not share. */
-  readonly processOf: (address: string) => string
+  /** Returns the latest process at an address, as far as it is known. */
+  readonly processOf: (address: string) => OwnerProcess
   /** Called before a request is decided. */
   readonly onRequest: () => void
   /** Called when a request was refused. */
--- a/packages/gateway/src/accounts/account-limits.ts
+++ b/packages/gateway/src/accounts/account-limits.ts
@@ -14,7 +14,7 @@
 /** Dependencies of {@link AccountLimits}. */
 export interface AccountLimitsDependencies {
   readonly options: AllowanceOptions
-  readonly membership: Pick<Membership, 'live' | 'onChange' | 'incarnationOf'>
+  readonly membership: Pick<Membership, 'live' | 'self' | 'onChange' | 'incarnationOf'>
   readonly transport: PeerTransport
   readonly owners: () => Pick<ServiceOwners, 'owners' | 'granters'>
   readonly metrics: GatewayMetrics
--- a/packages/gateway/src/accounts/allowance-sharing.ts
+++ b/packages/gateway/src/accounts/allowance-sharing.ts
@@ -2,8 +2,8 @@
  * Shares what owners have charged to accounts: with their successors and other owners while there are charges, with processes that begin to own slots, and
  * with those that were stopped.
  */
-import { isChargesReport, isUsageReport, splitToDatagrams } from '@arbutusloft/policy'
-import type { AccountAllowances, AccountEntry, GrantedUsage } from '@arbutusloft/policy'
+import { isChargesReport, isUsageReport, maximumEntryBytes, splitToDatagrams } from '@arbutusloft/policy'
+import type { AccountAllowances, AccountEntry, GrantedUsage, OwnerProcess } from '@arbutusloft/policy'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { AccountChargesMessage, PeerMessage } from '../peers/peer-messages.js'
@@ -19,7 +19,7 @@
   readonly allowances: AccountAllowances
   readonly usage: GrantedUsage
   readonly clock: SteadyClock
-  readonly membership: Pick<Membership, 'live' | 'onChange' | 'incarnationOf'>
+  readonly membership: Pick<Membership, 'live' | 'self' | 'onChange' | 'incarnationOf'>
   readonly transport: PeerTransport
   readonly owners: () => Pick<ServiceOwners, 'owners' | 'granters'>
   /** Whether the configuration in force has accounts; nothing is sent without. */
@@ -31,8 +31,6 @@
 const chargesIntervalMilliseconds = 100
 /** Time after which reports to a new owner and questions are sent again, since datagrams are lost. */
 const repeatMilliseconds = 300
-/** Bytes of the accounts' entries in the datagram that an owner sends in each interval. */
-const maximumEntryBytes = 1_080
 /** Time by which a clock has to have stood still until it is set. */
 const minimumLagMilliseconds = 500
 
@@ -45,6 +43,8 @@
   #toldOwners: ReadonlySet<string> = new Set()
   /** Owners to which the report is sent once more. */
   readonly #toTellAgain = new Set<string>()
+  /** Incarnations of the instances whose starts the allowances know. */
+  readonly #incarnations = new Map<string, number>()
   #wasGranter = false
   #asksAgain = false
   /** Number of the latest question, and whether its answers have set the clock. */
@@ -61,10 +61,11 @@
   update (): void {
     const { membership, transport, hasAccounts, owners } = this.dependencies
     this.updateGroup()
+    this.#updateStarts()
     if (!hasAccounts()) {
       return
     }
-    const nameOf = (address: string): string => processAt(address, membership)
+    const nameOf = (address: string): string => `${address}/${membership.incarnationOf(address)}`
     const current = owners().owners
     const added = current.filter(address => !this.#toldOwners.has(nameOf(address)))
     this.#toldOwners = new Set(current.map(nameOf))
@@ -82,6 +83,17 @@
     }
   }
 
+  /** An incarnation is the time of a start by the wall clock of its instance; the allowances take the middle of them, since single clocks may be wrong. */
+  #updateStarts (): void {
+    const { allowances, membership, clock, transport } = this.dependencies
+    for (const { address, incarnation } of membership.live()) {
+      if (address !== transport.address && this.#incarnations.get(address) !== incarnation) {
+        this.#incarnations.set(address, incarnation)
+        allowances.onStart(address, clock.now() - Math.max(0, Date.now() - incarnation))
+      }
+    }
+  }
+
   /** Tells the allowances how many instances this one sees; called before each decision, since members are suspected at any time. */
   updateGroup (): void {
     const { allowances, membership, clock } = this.dependencies
@@ -129,8 +141,7 @@
   #tell (address: string): void {
     const { allowances, usage, clock, membership, transport } = this.dependencies
     const now = clock.now()
-    for (const entries of splitToDatagrams(usage.usageFor(processAt(address, membership), now))) {
-      const report = { up: Math.round(allowances.upFor(now)), entries }
+    for (const report of usage.reportsFor(processAt(address, membership), now)) {
       if (address === transport.address) {
         allowances.onUsage(address, report, now)
       } else {
@@ -149,8 +160,8 @@
   }
 
   #sendQuestion (): void {
-    const { clock, transport } = this.dependencies
-    const message = { type: PeerMessageType.AccountChargesQuery, question: this.#question, at: Math.round(clock.now()) } as const
+    const { clock, membership, transport } = this.dependencies
+    const message = { type: PeerMessageType.AccountChargesQuery, question: this.#question, incarnation: membership.self.incarnation, at: Math.round(clock.now()) } as const
     this.#others().forEach(address => { transport.send(address, message) })
   }
 
@@ -174,7 +185,7 @@
         allowances.onUsage(sender, message.report, now)
         return
       case PeerMessageType.AccountChargesQuery:
-        this.#answer(sender, message.question, allowances.lagOf(sender, message.at, now), now)
+        this.#answer(sender, message.question, allowances.lagOf({ address: sender, incarnation: message.incarnation }, message.at, now), now)
         break
       default:
         // Other messages are not about accounts.
@@ -198,8 +209,7 @@
   }
 
   #chargesMessage (entries: readonly AccountEntry[], now: number): AccountChargesMessage {
-    const { allowances } = this.dependencies
-    return { type: PeerMessageType.AccountCharges, report: { at: Math.round(now), up: Math.round(allowances.upFor(now)), entries } }
+    return { type: PeerMessageType.AccountCharges, report: { incarnation: this.dependencies.membership.self.incarnation, at: Math.round(now), entries } }
   }
 
   #others (): readonly string[] {
@@ -208,7 +218,7 @@
   }
 }
 
-/** Names the process at an address, which a later one at the address does not share. */
-export function processAt (address: string, membership: Pick<Membership, 'incarnationOf'>): string {
-  return `${address}/${membership.incarnationOf(address)}`
+/** Returns the latest process at an address, as far as it is known. */
+export function processAt (address: string, membership: Pick<Membership, 'incarnationOf'>): OwnerProcess {
+  return { address, incarnation: membership.incarnationOf(address) }
 }
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -249,6 +249,8 @@
   readonly type: typeof PeerMessageType.AccountChargesQuery
   readonly question: number
   /** As in {@link ChargesReport}. */
+  readonly incarnation: number
+  /** As in {@link ChargesReport}. */
   readonly at: number
 }
 
--- a/packages/policy/src/accounts/account-allowances.ts
+++ b/packages/policy/src/accounts/account-allowances.ts
@@ -6,7 +6,7 @@
 import type { Account } from './account.js'
 import type { AccountDirectory } from './account-directory.js'
 import { toEntry } from './allowance-messages.js'
-import type { AccountEntry, ChargesReport, UsageReport } from './allowance-messages.js'
+import type { AccountEntry, ChargesReport, OwnerProcess, UsageReport } from './allowance-messages.js'
 import { bucketMilliseconds, bucketOf, ChargeWindow, oldestBucketOf } from './charge-window.js'
 import { ChargedPermits } from './charged-permits.js'
 import { ColdStart } from './cold-start.js'
@@ -78,10 +78,11 @@
   #group: AllowanceGroup = { seen: 1, known: 1 }
   #sweptAt = -Infinity
 
-  constructor (private readonly startedAt: number, private readonly options = defaultAllowanceOptions) {
+  /** @param startedAt start of this process */
+  constructor (startedAt: number, private readonly options = defaultAllowanceOptions) {
     const { windowMilliseconds } = options
     this.#peers = new PeerCharges(windowMilliseconds)
-    this.#holders = new HolderReports(windowMilliseconds, (account, now) => this.#peers.countsOf(account, now))
+    this.#holders = new HolderReports(windowMilliseconds, (owner, account, now) => this.#peers.countsOf(owner, account, now))
     this.#coldStart = new ColdStart(startedAt)
   }
 
@@ -96,6 +97,14 @@
     this.#coldStart.setKnown(group.known)
   }
 
+  /**
+   * Takes note of when another instance started. Half of them have to have been there a window before this one for it to assume no requests: they tell a
+   * new owner what they were granted.
+   */
+  onStart (address: string, startedAt: number): void {
+    this.#coldStart.observe(address, startedAt)
+  }
+
   /**
    * Charges a request unless its permit is charged already. Returns null if it may be granted, or a refusal, which charges nothing. Once it is decided,
    * {@link onGranted} or {@link refund} has to be called; it counts as a waiting one until then.
@@ -161,13 +170,11 @@
 
   /** Takes over what another owner reports. */
   onCharges (address: string, report: ChargesReport, now: number): void {
-    this.#coldStart.observe(address, now - report.up)
     this.#peers.apply(address, report, now).forEach(account => { this.#holders.onCharges(account) })
   }
 
   /** Takes over what a holder was granted by others. */
   onUsage (holder: string, report: UsageReport, now: number): void {
-    this.#coldStart.observe(holder, now - report.up)
     this.#holders.apply(holder, report, now)
   }
 
@@ -202,13 +209,8 @@
   }
 
   /** Returns the milliseconds by which the clock of another owner has stood still since its last report; 0 if unknown. */
-  lagOf (address: string, at: number, now: number): number {
-    return this.#peers.lagOf(address, at, now)
-  }
-
-  /** Milliseconds since the start of this process. */
-  upFor (now: number): number {
-    return Math.max(0, now - this.startedAt)
+  lagOf (owner: OwnerProcess, at: number, now: number): number {
+    return this.#peers.lagOf(owner, at, now)
   }
 
   /** Returns the state of an account. */
@@ -275,7 +277,7 @@
     const limited = this.#limitedOf(account)
     const counts = [
       ...this.#own.get(account)?.window.entries() ?? [],
-      ...this.#peers.countsOf(account, now),
+      ...this.#peers.allCountsOf(account, now),
       ...this.#holders.unreportedCountsOf(account, now)
     ].sort(([left], [right]) => left - right)
     let used = counts.reduce((sum, [, count]) => sum + count, this.#own.get(account)?.waiting ?? 0)
--- a/packages/policy/src/accounts/allowance-messages.ts
+++ b/packages/policy/src/accounts/allowance-messages.ts
@@ -11,20 +11,38 @@
 /** {@link AccountCharges} as a flat list, which takes less of a datagram: distances and counts alternate. */
 export type AccountEntry = readonly [account: string, waiting: number, ...counts: readonly number[]]
 
+/** A process that owns slots; a later one at its address has another incarnation, and perhaps another clock. */
+export interface OwnerProcess {
+  readonly address: string
+  readonly incarnation: number
+}
+
+/** Returns the name of a process in reports. */
+export function nameOfOwner ({ address, incarnation }: OwnerProcess): string {
+  return `${address}/${incarnation.toString(36)}`
+}
+
 /** What an owner has charged, as far as it has changed lately. */
 export interface ChargesReport {
+  /** Incarnation of the sender. */
+  readonly incarnation: number
   /** Time of the sender's clock, in milliseconds; its newest bucket holds it. */
   readonly at: number
-  /** Milliseconds since the sender's process started. */
-  readonly up: number
   readonly entries: readonly AccountEntry[]
 }
 
-/** What a holder was granted in its last window by others than the receiver; a later report replaces an earlier one of the same account. */
-export type UsageReport = Omit<ChargesReport, 'at'>
+/** Requests of an account that an owner has granted a holder, as {@link AccountEntry}: the owner's index in {@link UsageReport.owners} takes the second place. */
+export type UsageEntry = readonly [account: string, owner: number, ...counts: readonly number[]]
+
+/** What a holder was granted in its last window by others than the receiver; a later report replaces an earlier one of the same account and owner. */
+export interface UsageReport {
+  /** Names of owners, as by {@link nameOfOwner}. */
+  readonly owners: readonly string[]
+  readonly entries: readonly UsageEntry[]
+}
 
 /** Bytes of a datagram that are left for entries, so that it fits into 1,200 bytes. */
-const maximumEntryBytes = 1_080
+export const maximumEntryBytes = 1_000
 /** Upper bounds of the bytes that `msgpackr` takes for an entry without its name and for a number of it. */
 const entryHeadBytes = 8
 const numberBytes = 3
@@ -64,13 +82,19 @@
   if (typeof value !== 'object' || value === null) {
     return false
   }
-  const { up, entries } = value as Partial<Record<keyof UsageReport, unknown>>
-  return isCount(up) && Array.isArray(entries) && entries.every(isEntry)
+  const { owners } = value as Partial<Record<keyof UsageReport, unknown>>
+  return hasEntries(value) && Array.isArray(owners) && owners.every(owner => typeof owner === 'string')
 }
 
 /** Whether a received value is a report of an owner. */
 export function isChargesReport (value: unknown): value is ChargesReport {
-  return isUsageReport(value) && isCount((value as Partial<ChargesReport>).at)
+  return typeof value === 'object' && value !== null && hasEntries(value) &&
+    isCount((value as Partial<ChargesReport>).at) && isCount((value as Partial<ChargesReport>).incarnation)
+}
+
+function hasEntries (value: object): boolean {
+  const { entries } = value as Partial<Record<'entries', unknown>>
+  return Array.isArray(entries) && entries.every(isEntry)
 }
 
 function isEntry (value: unknown): value is AccountEntry {
--- a/packages/policy/src/accounts/charge-window.ts
+++ b/packages/policy/src/accounts/charge-window.ts
@@ -3,6 +3,9 @@
 /** Length of a bucket: the greatest error in the age of a request. */
 export const bucketMilliseconds = 100
 
+/** Counts by number of the bucket, in no particular order. */
+export type BucketCounts = ReadonlyArray<readonly [bucket: number, count: number]>
+
 /** Returns the number of the bucket that holds a time in milliseconds. */
 export function bucketOf (time: number): number {
   return Math.floor(time / bucketMilliseconds)
--- a/packages/policy/src/accounts/cold-start.ts
+++ b/packages/policy/src/accounts/cold-start.ts
@@ -2,6 +2,7 @@
  * What accounts may have used before a fleet was started anew. No state is left when all instances were killed, so a new process assumes that each
  * account has used its rate, and its burst at last.
  */
+import { setLatest } from '../util/latest-entries.js'
 import type { Account } from './account.js'
 import { allowanceOf, marginOf } from './group-limit.js'
 import type { AllowanceOptions } from './group-limit.js'
@@ -10,7 +11,7 @@
 /** Number of instances whose starts are remembered. */
 const maximumStarts = 1_000
 
-/** Derives since when the fleet has counted requests from the starts that instances report. */
+/** Derives since when the fleet has counted requests from the starts of its instances. */
 export class ColdStart {
   readonly #starts = new Map<string, number>()
   #start: number
@@ -23,8 +24,8 @@
 
   /** Takes note of when another instance started. */
   observe (address: string, startedAt: number): void {
-    if (this.#starts.size < maximumStarts || this.#starts.has(address)) {
-      this.#starts.set(address, startedAt)
+    if (this.#starts.get(address) !== startedAt) {
+      setLatest(this.#starts, address, startedAt, maximumStarts)
       this.#update()
     }
   }
@@ -55,7 +56,7 @@
     return Math.max(0, account.requestsPerSecond * before / millisecondsPerSecond + account.burst - margin)
   }
 
-  /** The start of the fleet is the time by which half of the other instances had started; those that have not reported count as started with this process. */
+  /** The start of the fleet is the time by which half of the other instances had started; those of which nothing is known count as started with this process. */
   #update (): void {
     const reported = [...this.#starts.values()].map(start => Math.min(start, this.startedAt))
     const silent = Math.max(0, this.#known - 1 - reported.length)
--- a/packages/policy/src/accounts/granted-usage.ts
+++ b/packages/policy/src/accounts/granted-usage.ts
@@ -1,6 +1,6 @@
 /** The requests of accounts that a holder was granted in its last window, by the owner that granted them, for owners that take over. */
-import { toEntry } from './allowance-messages.js'
-import type { AccountEntry } from './allowance-messages.js'
+import { nameOfOwner, splitToDatagrams } from './allowance-messages.js'
+import type { OwnerProcess, UsageReport } from './allowance-messages.js'
 import { setLatest } from '../util/latest-entries.js'
 import { bucketOf, ChargeWindow, oldestBucketOf } from './charge-window.js'
 
@@ -8,8 +8,7 @@
 const maximumAccounts = 1_000
 
 interface GrantedPermit {
-  readonly account: string
-  readonly owner: string
+  readonly window: ChargeWindow
   readonly bucket: number
 }
 
@@ -21,14 +20,15 @@
   constructor (private readonly windowMilliseconds: number) {}
 
   /** Counts a slot that an owner has granted. */
-  add (permit: string, account: string, owner: string, now: number): void {
+  add (permit: string, account: string, owner: OwnerProcess, now: number): void {
     const owners = this.#accounts.get(account) ?? new Map<string, ChargeWindow>()
     setLatest(this.#accounts, account, owners, maximumAccounts)
-    const window = owners.get(owner) ?? new ChargeWindow()
-    owners.set(owner, window)
+    const name = nameOfOwner(owner)
+    const window = owners.get(name) ?? new ChargeWindow()
+    owners.set(name, window)
     const bucket = bucketOf(now)
     window.add(bucket, 1)
-    this.#permits.set(permit, { account, owner, bucket })
+    this.#permits.set(permit, { window, bucket })
     this.#forgetPermits(now)
   }
 
@@ -37,33 +37,39 @@
     const granted = this.#permits.get(permit)
     if (granted !== undefined) {
       this.#permits.delete(permit)
-      this.#accounts.get(granted.account)?.get(granted.owner)?.add(granted.bucket, -1)
+      granted.window.add(granted.bucket, -1)
     }
   }
 
-  /** Returns what owners other than the given one have granted within the window. */
-  usageFor (receiver: string, now: number): readonly AccountEntry[] {
-    const newest = bucketOf(now)
+  /** Returns what processes other than the receiver have granted within the window, in reports that fit into a datagram each; at least one. */
+  reportsFor (receiver: OwnerProcess, now: number): readonly UsageReport[] {
+    const owners: string[] = []
+    const entries = this.#windows(now).filter(({ owner }) => owner !== nameOfOwner(receiver)).map(({ account, owner, window }) => {
+      const index = owners.indexOf(owner)
+      const counts = [...window.entries()].flatMap(([bucket, count]) => [bucketOf(now) - bucket, count])
+      return [account, index < 0 ? owners.push(owner) - 1 : index, ...counts] as const
+    })
+    return splitToDatagrams(entries).map(part => ({ owners, entries: part }))
+  }
+
+  /** Returns the counts within the window that are not empty, and forgets the others. */
+  #windows (now: number): ReadonlyArray<{ readonly account: string, readonly owner: string, readonly window: ChargeWindow }> {
     const oldest = oldestBucketOf(this.windowMilliseconds, now)
-    const usage: AccountEntry[] = []
+    const windows = []
     for (const [account, owners] of this.#accounts) {
-      const counts = new Map<number, number>()
       for (const [owner, window] of owners) {
         window.expireBefore(oldest)
         if (window.total === 0) {
           owners.delete(owner)
-        }
-        for (const [bucket, count] of owner === receiver ? [] : window.entries()) {
-          counts.set(newest - bucket, (counts.get(newest - bucket) ?? 0) + count)
+        } else {
+          windows.push({ account, owner, window })
         }
       }
       if (owners.size === 0) {
         this.#accounts.delete(account)
-      } else if (counts.size > 0) {
-        usage.push(toEntry({ account, waiting: 0, counts: [...counts] }))
       }
     }
-    return usage
+    return windows
   }
 
   /** Forgets the permits whose grants count no longer; they stand in the order of their grants. */
--- a/packages/policy/src/accounts/holder-reports.ts
+++ b/packages/policy/src/accounts/holder-reports.ts
@@ -3,6 +3,7 @@
 import { fromEntry } from './allowance-messages.js'
 import type { UsageReport } from './allowance-messages.js'
 import { bucketOf, ChargeWindow, oldestBucketOf } from './charge-window.js'
+import type { BucketCounts } from './charge-window.js'
 
 /** Number of accounts that are remembered. */
 const maximumAccounts = 10_000
@@ -12,26 +13,31 @@
  */
 const toleranceBuckets = 2
 
-/** Keeps the newest report of each holder by account. */
+/** Keeps the newest report of each holder by account and owner. */
 export class HolderReports {
-  readonly #accounts = new Map<string, Map<string, ReadonlyArray<readonly [bucket: number, count: number]>>>()
+  /** Counts by account, owner and holder. */
+  readonly #accounts = new Map<string, Map<string, Map<string, BucketCounts>>>()
   /** Requests that owners have not reported, by account; left out if they have to be computed. */
   readonly #unreported = new Map<string, ChargeWindow>()
-  #heardAt = -Infinity
 
-  /** @param countsOf returns what owners have reported of an account */
-  constructor (private readonly windowMilliseconds: number, private readonly countsOf: (account: string, now: number) => ReadonlyArray<readonly [bucket: number, count: number]>) {}
+  /** @param countsOf returns what an owner has reported of an account */
+  constructor (private readonly windowMilliseconds: number, private readonly countsOf: (owner: string, account: string, now: number) => BucketCounts) {}
 
   /** Applies a report of a holder. */
-  apply (holder: string, { entries }: UsageReport, now: number): void {
+  apply (holder: string, { owners, entries }: UsageReport, now: number): void {
     const newest = bucketOf(now)
-    this.#heardAt = now
-    for (const { account, counts } of entries.map(fromEntry)) {
-      const holders = this.#accounts.get(account) ?? new Map<string, ReadonlyArray<readonly [bucket: number, count: number]>>()
+    for (const entry of entries) {
+      const { account, waiting: index, counts } = fromEntry(entry)
+      const owner = owners[index]
+      if (owner === undefined) {
+        continue
+      }
+      const granters = this.#accounts.get(account) ?? new Map<string, Map<string, BucketCounts>>()
+      const holders = granters.get(owner) ?? new Map<string, BucketCounts>()
+      granters.set(owner, holders)
       holders.set(holder, counts.map(([bucketsAgo, count]) => [newest - bucketsAgo, count] as const))
       this.#unreported.delete(account)
-      const forgotten = setLatest(this.#accounts, account, holders, maximumAccounts)
-      this.#unreported.delete(forgotten ?? '')
+      this.#unreported.delete(setLatest(this.#accounts, account, granters, maximumAccounts) ?? '')
     }
   }
 
@@ -48,78 +54,75 @@
   }
 
   /** Returns these requests by bucket. */
-  unreportedCountsOf (account: string, now: number): ReadonlyArray<readonly [bucket: number, count: number]> {
+  unreportedCountsOf (account: string, now: number): BucketCounts {
     return [...this.#windowOf(account, now)?.entries() ?? []]
   }
 
-  /** Whether a report of a holder counts within the window. */
-  hasHeard (now: number): boolean {
-    return now - this.#heardAt < this.windowMilliseconds
-  }
-
   /** Forgets reports that no longer count. */
   sweep (now: number): void {
     const oldest = oldestBucketOf(this.windowMilliseconds, now)
-    for (const [account, holders] of this.#accounts) {
-      for (const [holder, counts] of holders) {
-        if (counts.every(([bucket]) => bucket < oldest)) {
-          holders.delete(holder)
+    for (const [account, granters] of this.#accounts) {
+      for (const [owner, holders] of granters) {
+        for (const [holder, counts] of holders) {
+          if (counts.every(([bucket]) => bucket < oldest)) {
+            holders.delete(holder)
+          }
+        }
+        if (holders.size === 0) {
+          granters.delete(owner)
         }
       }
-      if (holders.size === 0) {
-        this.#forget(account)
+      if (granters.size === 0) {
+        this.#accounts.delete(account)
+        this.#unreported.delete(account)
       }
     }
   }
 
-  #forget (account: string): void {
-    this.#accounts.delete(account)
-    this.#unreported.delete(account)
-  }
-
   #windowOf (account: string, now: number): ChargeWindow | null {
-    const holders = this.#accounts.get(account)
-    if (holders === undefined) {
+    const granters = this.#accounts.get(account)
+    if (granters === undefined) {
       return null
     }
     const known = this.#unreported.get(account)
     if (known !== undefined) {
       return known
     }
-    const window = this.#compute(account, holders, now)
+    const window = new ChargeWindow()
+    for (const [owner, holders] of granters) {
+      this.#addUnreported(window, [...holders.values()].flat(), this.countsOf(owner, account, now), now)
+    }
     this.#unreported.set(account, window)
     return window
   }
 
   /**
    * Compares running sums from the oldest bucket on. A request that only holders have reported makes their sum the greater one from then on; one that
-   * only owners have reported may stand for it later, so that the window holds the greater of both.
+   * only the owner has reported may stand for it later, so that the sum of both is the greater of them.
    */
-  #compute (account: string, holders: ReadonlyMap<string, ReadonlyArray<readonly [bucket: number, count: number]>>, now: number): ChargeWindow {
+  #addUnreported (window: ChargeWindow, held: BucketCounts, reported: BucketCounts, now: number): void {
     const oldest = oldestBucketOf(this.windowMilliseconds, now)
     const newest = bucketOf(now)
-    const held = countsByBucket([...holders.values()].flat())
-    const reported = countsByBucket(this.countsOf(account, now))
-    const window = new ChargeWindow()
+    const heldBy = sumsByBucket(held)
+    const reportedBy = sumsByBucket(reported)
     let heldSum = 0
-    // Owners may have counted the first requests of holders' sum one bucket earlier.
+    // The owner may have counted the first requests of the holders' sum one bucket earlier.
     const isBefore = (bucket: number): boolean => bucket > oldest && bucket < oldest + toleranceBuckets * 2
-    let reportedSum = [...reported].reduce((sum, [bucket, count]) => isBefore(bucket) ? sum + count : sum, 0)
+    let reportedSum = reported.reduce((sum, [bucket, count]) => isBefore(bucket) ? sum + count : sum, 0)
     let greatest = 0
     for (let bucket = oldest + toleranceBuckets; bucket <= newest; bucket += 1) {
-      heldSum += held.get(bucket) ?? 0
-      reportedSum += reported.get(bucket + toleranceBuckets) ?? 0
+      heldSum += heldBy.get(bucket) ?? 0
+      reportedSum += reportedBy.get(bucket + toleranceBuckets) ?? 0
       const excess = heldSum - reportedSum
       if (excess > greatest) {
-        window.set(bucket, excess - greatest)
+        window.add(bucket, excess - greatest)
         greatest = excess
       }
     }
-    return window
   }
 }
 
-function countsByBucket (counts: ReadonlyArray<readonly [bucket: number, count: number]>): ReadonlyMap<number, number> {
+function sumsByBucket (counts: BucketCounts): ReadonlyMap<number, number> {
   const sums = new Map<number, number>()
   for (const [bucket, count] of counts) {
     sums.set(bucket, (sums.get(bucket) ?? 0) + count)
--- a/packages/policy/src/accounts/peer-charges.ts
+++ b/packages/policy/src/accounts/peer-charges.ts
@@ -1,8 +1,9 @@
 /** The charges of other owners, as they report them. */
 import { bucketMilliseconds, bucketOf, ChargeWindow, oldestBucketOf } from './charge-window.js'
 import { setLatest } from '../util/latest-entries.js'
-import { fromEntry } from './allowance-messages.js'
-import type { ChargesReport } from './allowance-messages.js'
+import { fromEntry, nameOfOwner } from './allowance-messages.js'
+import type { BucketCounts } from './charge-window.js'
+import type { ChargesReport, OwnerProcess } from './allowance-messages.js'
 
 interface Source {
   /** Time of this process's clock less that of the sender, for the datagram that took least. */
@@ -29,13 +30,14 @@
 
 /** Counts by owner, account and bucket of that owner's clock, since a count that is sent again must replace the former one. */
 export class PeerCharges {
+  /** By name of the owner. */
   readonly #sources = new Map<string, Source>()
 
   constructor (private readonly windowMilliseconds: number) {}
 
   /** Applies a report; returns the accounts in it. */
   apply (address: string, report: ChargesReport, now: number): readonly string[] {
-    const source = this.#sourceOf(address, now - report.at, now)
+    const source = this.#sourceOf(nameOfOwner({ address, incarnation: report.incarnation }), now - report.at, now)
     const newest = bucketOf(report.at)
     const charges = report.entries.map(fromEntry)
     for (const { account, waiting, counts } of charges) {
@@ -51,8 +53,8 @@
   }
 
   /** Returns the milliseconds by which the clock of an owner has stood still since its last report, as one at which its process was stopped does; 0 if unknown. */
-  lagOf (address: string, at: number, now: number): number {
-    const known = this.#sources.get(address)
+  lagOf (owner: OwnerProcess, at: number, now: number): number {
+    const known = this.#sources.get(nameOfOwner(owner))
     return known === undefined ? 0 : Math.max(0, now - at - known.offset)
   }
 
@@ -69,13 +71,20 @@
     return used
   }
 
-  /** Returns the counts of an account by bucket of this process's clock. */
-  countsOf (account: string, now: number): ReadonlyArray<readonly [bucket: number, count: number]> {
-    return [...this.#sources.values()].flatMap(({ offset, accounts }) => {
-      const window = accounts.get(account)?.window
-      window?.expireBefore(oldestBucketOf(this.windowMilliseconds, now - offset))
-      return [...window?.entries() ?? []].map(([bucket, count]) => [bucket + Math.round(offset / bucketMilliseconds), count] as const)
-    })
+  /** Returns the counts of an account at an owner by bucket of this process's clock. */
+  countsOf (owner: string, account: string, now: number): BucketCounts {
+    const source = this.#sources.get(owner)
+    const window = source?.accounts.get(account)?.window
+    if (source === undefined || window === undefined) {
+      return []
+    }
+    window.expireBefore(oldestBucketOf(this.windowMilliseconds, now - source.offset))
+    return [...window.entries()].map(([bucket, count]) => [bucket + Math.round(source.offset / bucketMilliseconds), count] as const)
+  }
+
+  /** Returns the counts of an account at all owners by bucket of this process's clock. */
+  allCountsOf (account: string, now: number): BucketCounts {
+    return [...this.#sources.keys()].flatMap(owner => this.countsOf(owner, account, now))
   }
 
   /** Whether a report of an owner counts within the window. */
@@ -85,9 +94,9 @@
 
   /** Forgets owners that have reported nothing for two windows, and accounts without a count. */
   sweep (now: number): void {
-    for (const [address, { heardAt, offset, accounts }] of this.#sources) {
+    for (const [owner, { heardAt, offset, accounts }] of this.#sources) {
       if (now - heardAt > 2 * this.windowMilliseconds) {
-        this.#sources.delete(address)
+        this.#sources.delete(owner)
         continue
       }
       for (const [account, { window, heardAt: accountHeardAt }] of accounts) {
@@ -99,11 +108,11 @@
     }
   }
 
-  #sourceOf (address: string, offset: number, now: number): Source {
-    const known = this.#sources.get(address)
+  #sourceOf (owner: string, offset: number, now: number): Source {
+    const known = this.#sources.get(owner)
     if (known === undefined) {
       const source = { offset, heardAt: now, accounts: new Map<string, SourceAccount>() }
-      setLatest(this.#sources, address, source, maximumSources)
+      setLatest(this.#sources, owner, source, maximumSources)
       return source
     }
     known.heardAt = now
--- a/packages/policy/tests/accounts/account-allowances.test.ts
+++ b/packages/policy/tests/accounts/account-allowances.test.ts
@@ -1,7 +1,7 @@
 /** Tests the allowances of accounts at one owner, without a network. */
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import { AccountAllowances, AccountDirectory, AllowanceOrigin, splitToDatagrams } from '../../src/index.js'
+import { AccountAllowances, AccountDirectory, AllowanceOrigin, maximumEntryBytes, splitToDatagrams } from '../../src/index.js'
 import type { AccountEntry, AllowanceOptions } from '../../src/index.js'
 
 const options: AllowanceOptions = { windowMilliseconds: 5_000, overage: 0.1, slack: 20 }
@@ -120,7 +120,7 @@
   it('counts what another owner reports by its own clock, however often and in whatever order reports arrive', () => {
     const clockDifference = 12_345
     const report = (sentAt: number, entry: AccountEntry): void => {
-      allowances.onCharges('other', { at: sentAt + clockDifference, up: 60_000, entries: [entry] }, sentAt + 1)
+      allowances.onCharges('other', { incarnation: 7, at: sentAt + clockDifference, entries: [entry] }, sentAt + 1)
     }
     report(start, [account, 0, 0, 30])
     report(start + 100, [account, 2, 1, 35, 0, 5])
@@ -132,18 +132,18 @@
   })
 
   it('counts the waiting requests of another owner only while that repeats them', () => {
-    allowances.onCharges('other', { at: start, up: 60_000, entries: [[account, 30]] }, start)
+    allowances.onCharges('other', { incarnation: 7, at: start, entries: [[account, 30]] }, start)
     assert.equal(grant(100, start), 50)
     assert.equal(allowances.stateOf(account, start + 1_000).used, 50)
   })
 
   it('takes the greater of what a former owner and the holders report', () => {
     // The owner has reported 20 requests of two holders, and failed before it reported 10 more.
-    allowances.onCharges('former', { at: start, up: 60_000, entries: [[account, 0, 10, 20]] }, start)
-    allowances.onUsage('h1', { up: 60_000, entries: [[account, 0, 10, 12, 1, 4]] }, start + 50)
-    allowances.onUsage('h2', { up: 60_000, entries: [[account, 0, 10, 8, 1, 6]] }, start + 50)
+    allowances.onCharges('former', { incarnation: 7, at: start, entries: [[account, 0, 10, 20]] }, start)
+    allowances.onUsage('h1', { owners: ['former/7'], entries: [[account, 0, 10, 12, 1, 4]] }, start + 50)
+    allowances.onUsage('h2', { owners: ['former/7'], entries: [[account, 0, 10, 8, 1, 6]] }, start + 50)
     assert.equal(allowances.stateOf(account, start + 50).used, 30)
-    allowances.onUsage('h2', { up: 60_000, entries: [[account, 0, 13, 8, 4, 6]] }, start + 350)
+    allowances.onUsage('h2', { owners: ['former/7'], entries: [[account, 0, 13, 8, 4, 6]] }, start + 350)
     assert.equal(allowances.stateOf(account, start + 350).used, 30, 'a repeated report counts once')
     assert.equal(grant(100, start + 350), 50)
     assert.equal(allowances.stateOf(account, start + 350).origin, AllowanceOrigin.Holders)
@@ -151,10 +151,10 @@
 
   it('does not count requests twice of which the owner and the holders tell times that differ a little', () => {
     const buckets = Array.from({ length: 45 }, (_, index) => index + 1)
-    allowances.onCharges('former', { at: start, up: 60_000, entries: [[account, 0, ...buckets.flatMap(bucket => [bucket, bucket % 3])]] }, start)
+    allowances.onCharges('former', { incarnation: 7, at: start, entries: [[account, 0, ...buckets.flatMap(bucket => [bucket, bucket % 3])]] }, start)
     const total = buckets.reduce((sum, bucket) => sum + bucket % 3, 0)
     for (const shift of [-1, 0, 1]) {
-      allowances.onUsage('h1', { up: 60_000, entries: [[account, 0, ...buckets.flatMap(bucket => [bucket + shift, bucket % 3])]] }, start + 20)
+      allowances.onUsage('h1', { owners: ['former/7'], entries: [[account, 0, ...buckets.flatMap(bucket => [bucket + shift, bucket % 3])]] }, start + 20)
       const { used } = allowances.stateOf(account, start + 20)
       assert.ok(used >= total && used <= total + 3, `${used} of ${total} with reports ${shift} buckets older`)
     }
@@ -172,13 +172,13 @@
     assert.equal(grant(200, start), 150)
   })
 
-  it('assumes nothing once half of the instances have reported that they were up before', () => {
+  it('assumes nothing once half of the instances are known to have been up before', () => {
     allowances = createAllowances(0)
     allowances.setAccounts(directory(10, 100))
     allowances.setGroup({ seen: 5, known: 5 })
-    allowances.onUsage('h1', { up: 60_000, entries: [] }, start)
+    allowances.onStart('h1', start - 60_000)
     assert.equal(allowances.stateOf(account, start).origin, AllowanceOrigin.ColdStart)
-    allowances.onUsage('h2', { up: 60_000, entries: [] }, start)
+    allowances.onStart('h2', start - 60_000)
     assert.equal(grant(200, start), 150)
   })
 
@@ -186,8 +186,8 @@
     allowances = createAllowances(100)
     allowances.setAccounts(directory(10, 100))
     allowances.setGroup({ seen: 3, known: 3 })
-    allowances.onUsage('h1', { up: 300, entries: [] }, start)
-    allowances.onUsage('h2', { up: 200, entries: [] }, start)
+    allowances.onStart('h1', start - 300)
+    allowances.onStart('h2', start - 200)
     assert.ok(grant(200, start) < 45)
   })
 
@@ -213,7 +213,7 @@
     names.forEach(name => { grant(1, start, name) })
     const sent = new Map<string, number>()
     for (let turn = 0; turn < 20; turn += 1) {
-      const entries = allowances.takeUnsent(1_080, start + turn * 100)
+      const entries = allowances.takeUnsent(maximumEntryBytes, start + turn * 100)
       assert.equal(splitToDatagrams(entries).length, 1)
       entries.forEach(([name]) => sent.set(name, (sent.get(name) ?? 0) + 1))
     }
