Model client accounts in overload, and bound what a decision examines

Cause: the effect of rank and share was not measured, and a newcomer's place and the request that it displaces were found in two passes. The classes of waiting requests are kept until requests are removed. The floor is 0.3 instead of 0.35: the floor of a flooding account took more from the others than the bound of a quarter needs.

--- a/packages/fleet-model/src/index.ts
+++ b/packages/fleet-model/src/index.ts
@@ -1,4 +1,9 @@
 /** A model of a fleet without a network: loads are played against admission policies, and what callers get is counted. */
+export { leastServed, waitFigures } from './accounts/account-audit.js'
+export type { LeastServed, WaitFigures } from './accounts/account-audit.js'
+export { alternatingSteps, zipfAccounts } from './accounts/account-load.js'
+export type { AccountFlood, AccountLoad, AccountRequest, LoadAccount } from './accounts/account-load.js'
+export { simulateAccounts } from './accounts/simulate-accounts.js'
 export type { AdmissionPolicy } from './admission-policy.js'
 export { estimate, playSeeds } from './compare-policies.js'
 export type { Estimate, NamedPolicy } from './compare-policies.js'
--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -48,6 +48,8 @@
   readonly #rankOrder = new RankOrder()
   /** Number of requests of client accounts; without any, the order is that of first attempts. */
   #ofAccounts = 0
+  /** Classes as of a time, until requests are removed: a newcomer's place and the request that it displaces are found in the same ones. */
+  #classified: { readonly now: number, readonly classes: RequestClasses } | null = null
 
   get length (): number {
     return this.#waiting.length
@@ -69,8 +71,12 @@
 
   add (request: SlotRequest, now: number): void {
     const entry = { request, queuedAt: now }
-    const index = this.#waiting.findLastIndex(other => firstAttemptOf(other) <= firstAttemptOf(entry))
-    this.#waiting.splice(index + 1, 0, entry)
+    insert(this.#waiting, entry)
+    if (this.#classified?.now === now) {
+      insert(classOf(entry, this.#classified.classes, now), entry)
+    } else {
+      this.#classified = null
+    }
     this.#count(entry, 1)
   }
 
@@ -78,6 +84,7 @@
   remove (condition: (entry: WaitingRequest) => boolean): readonly WaitingRequest[] {
     const removed = this.#waiting.filter(condition)
     if (removed.length > 0) {
+      this.#classified = null
       const gone = new Set(removed)
       this.#waiting = this.#waiting.filter(entry => !gone.has(entry))
       for (const entry of removed) {
@@ -125,11 +132,11 @@
    */
   aheadOf (request: SlotRequest, now: number): RequestsAhead {
     if (!this.#isRanked(request)) {
-      const count = this.#countEarlier(this.#waiting, now - request.spent, now)
+      const count = this.#countEarlierInTime(now - request.spent, now)
       return { count, whateverShare: count, whateverRank: count }
     }
     const { boundTimely, boundLate, timely } = this.#classes(now)
-    return this.#rankOrder.countAhead(request, [...boundTimely, ...boundLate], timely, this.#countEarlier(timely, now - request.spent, now), now)
+    return this.#rankOrder.countAhead(request, [...boundTimely, ...boundLate], timely, indexBehind(timely, now - request.spent), now)
   }
 
   /** Whether a request that can't be in time may be waiting because of a request that has just been added. */
@@ -197,21 +204,21 @@
   }
 
   #classes (now: number): RequestClasses {
+    if (this.#classified?.now === now) {
+      return this.#classified.classes
+    }
     const classes: RequestClasses = { boundTimely: [], boundLate: [], timely: [], late: [] }
     for (const entry of this.#waiting) {
-      if (isLate(entry, now)) {
-        (isBound(entry) ? classes.boundLate : classes.late).push(entry)
-      } else {
-        (isBound(entry) ? classes.boundTimely : classes.timely).push(entry)
-      }
+      classOf(entry, classes, now).push(entry)
     }
+    this.#classified = { now, classes }
     return classes
   }
 
   /** Returns the number of requests in time of callers whose first attempts were not after the given time. */
-  #countEarlier (entries: readonly WaitingRequest[], firstAttemptAt: number, now: number): number {
+  #countEarlierInTime (firstAttemptAt: number, now: number): number {
     let count = 0
-    for (const entry of entries) {
+    for (const entry of this.#waiting) {
       count += firstAttemptOf(entry) <= firstAttemptAt && !isLate(entry, now) ? 1 : 0
     }
     return count
@@ -234,6 +241,23 @@
   }
 }
 
+/** Inserts a request behind those of callers whose first attempts were not later. */
+function insert (entries: WaitingRequest[], entry: WaitingRequest): void {
+  entries.splice(indexBehind(entries, firstAttemptOf(entry)), 0, entry)
+}
+
+/** Returns the number of requests of callers whose first attempts were not after the given time. */
+function indexBehind (entries: readonly WaitingRequest[], firstAttemptAt: number): number {
+  return entries.findLastIndex(other => firstAttemptOf(other) <= firstAttemptAt) + 1
+}
+
+function classOf (entry: WaitingRequest, { boundTimely, boundLate, timely, late }: RequestClasses, now: number): WaitingRequest[] {
+  if (isBound(entry)) {
+    return isLate(entry, now) ? boundLate : boundTimely
+  }
+  return isLate(entry, now) ? late : timely
+}
+
 /** Whether only targets of one software version can serve the request. */
 function isBound ({ request }: WaitingRequest): boolean {
   return request.continues !== null
--- a/packages/policy/src/fleet/rank-order.ts
+++ b/packages/policy/src/fleet/rank-order.ts
@@ -36,7 +36,7 @@
   readonly count: number
   /** Those that would also be ahead if its account had used less of its share than all others. */
   readonly whateverShare: number
-  /** Those that would also be ahead if it were of the highest rank. */
+  /** Those that would also be ahead if no request had a higher rank. */
   readonly whateverRank: number
 }
 
@@ -131,12 +131,12 @@
     const own = this.#next(request, flow, index, progress, now)
     const later = this.#place(entries.slice(index), progress, now, index + 1)
     const unused = { ...own, isOwed: false, start: this.#share.virtualTimeOf(flow.rank) }
-    const highest = { ...unused, rank: -Infinity }
     let [count, whateverShare, whateverRank] = [before.length, before.length, before.length]
     for (const { place } of [...earlier, ...later]) {
-      count += comparePlaces(place, own) < 0 ? 1 : 0
+      const isAhead = comparePlaces(place, own) < 0
+      count += isAhead ? 1 : 0
       whateverShare += comparePlaces(place, unused) < 0 ? 1 : 0
-      whateverRank += comparePlaces(place, highest) < 0 ? 1 : 0
+      whateverRank += isAhead && (place.isOwed || place.rank === own.rank) ? 1 : 0
     }
     return { count, whateverShare, whateverRank }
   }
--- a/packages/policy/src/fleet/service-floor.ts
+++ b/packages/policy/src/fleet/service-floor.ts
@@ -7,7 +7,7 @@
  * Share of the ratio served / asked of all accounts that each account gets at least. The external bound is a quarter over 10 s; the rest covers the
  * time until an account is known to be behind.
  */
-const floorShare = 0.35
+const floorShare = 0.3
 /** Time in which an account whose last request was served is owed the next one, if it asks; half of the 10 s of the external bound. */
 const restoringMilliseconds = 5_000
 /** Time constant with which what is owed to an account, and the counts of all accounts, are forgotten. */
