Compute the order of requests of client accounts in one pass without a place for each

Cause: with 1,000 waiting requests of 73 accounts a decision took 206 microseconds, of which most went to a place object and six look-ups for each request. Change: entries keep their flow; a pass keeps one progress for each flow, and places are compared by their fields.

--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -6,6 +6,7 @@
  */
 import { WorkClass } from '@arbutusloft/protocol'
 import type { HeldSlot, SlotRequest } from './fleet-messages.js'
+import type { Flow } from './fair-share.js'
 import { RankOrder } from './rank-order.js'
 import type { RequestsAhead } from './rank-order.js'
 import { versionOf } from './software-version.js'
@@ -15,6 +16,7 @@
   readonly request: SlotRequest
   /** Time in milliseconds since the epoch. */
   readonly queuedAt: number
+  readonly flow: Flow
 }
 
 /** A request that was removed to be refused. */
@@ -70,7 +72,7 @@
   }
 
   add (request: SlotRequest, now: number): void {
-    const entry = { request, queuedAt: now }
+    const entry = { request, queuedAt: now, flow: this.#rankOrder.flowOf(request) }
     insert(this.#waiting, entry)
     if (this.#classified?.now === now) {
       insert(classOf(entry, this.#classified.classes, now), entry)
--- a/packages/policy/src/fleet/rank-order.ts
+++ b/packages/policy/src/fleet/rank-order.ts
@@ -12,23 +12,8 @@
 /** What the order needs of a waiting request. */
 export interface OrderedEntry {
   readonly request: SlotRequest
-}
-
-/** Place of a request in the order; see {@link comparePlaces}. */
-interface Place {
-  /** Whether its account is owed the request, whatever its rank. */
-  readonly isOwed: boolean
-  readonly rank: number
-  /** Virtual time at which it starts, in tokens. */
-  readonly start: number
-  /** Index in the order of first attempts, which decides between equals. */
-  readonly index: number
-}
-
-interface PlacedEntry<Entry> {
-  readonly entry: Entry
+  /** As {@link RankOrder.flowOf} returned it. */
   readonly flow: Flow
-  readonly place: Place
 }
 
 /** Numbers of requests that are served before another one. */
@@ -40,14 +25,34 @@
   readonly whateverRank: number
 }
 
-/** Requests of flows and credits of accounts as they will be when the requests that come before in the order have been served. */
-interface Progress {
-  readonly starts: Map<Flow, number>
-  readonly credits: Map<string, number>
+/** Place of a request in the order; see {@link compareWith}. */
+interface Place {
+  /** Whether its account is owed the request, whatever its rank. */
+  readonly isOwed: boolean
+  readonly rank: number
+  /** Virtual time at which it starts, in tokens. */
+  readonly start: number
+  /** Index in the order of first attempts, which decides between equals. */
+  readonly index: number
+}
+
+/** A flow as it is when the requests that a pass has come to have been served. */
+interface FlowProgress {
+  readonly rank: number
+  /** Virtual time at which the next request starts, in tokens. */
+  start: number
+  /** Requests that the account is owed; flows of one account share it. */
+  readonly owed: { left: number }
 }
 
-function newProgress (): Progress {
-  return { starts: new Map(), credits: new Map() }
+/** Requests of one flow and class, by the time of their first attempts. */
+interface FlowQueue {
+  readonly progress: FlowProgress
+  readonly indexes: number[]
+  /** Number of the first of them that the account is owed. */
+  owed: number
+  /** Number of those that have been yielded. */
+  next: number
 }
 
 /** Who asks in a request whose holder names no account, as holders of earlier builds. */
@@ -58,6 +63,11 @@
   readonly #share = new FairShare()
   readonly #floor = new ServiceFloor()
 
+  /** Returns the flow of a request; it stays the same until {@link prune}. */
+  flowOf ({ caller = unknownCaller }: SlotRequest): Flow {
+    return this.#share.flowOf(caller.account, caller.rank)
+  }
+
   recordAsked ({ caller = unknownCaller }: SlotRequest, now: number): void {
     this.#floor.recordAsked(caller.account, now)
   }
@@ -69,7 +79,7 @@
    */
   recordServed (request: SlotRequest, isInTurn: boolean, now: number): void {
     const { caller = unknownCaller } = request
-    this.#share.recordServed(this.#flowOf(request), costOf(caller), isInTurn)
+    this.#share.recordServed(this.flowOf(request), costOf(caller), isInTurn)
     this.#floor.recordServed(caller.account, now)
   }
 
@@ -95,9 +105,9 @@
    * @param classes requests by the time of their first attempts; all of one class come before those of the next one
    */
   * inOrder<Entry extends OrderedEntry> (classes: ReadonlyArray<readonly Entry[]>, now: number): Generator<Entry> {
-    const progress = newProgress()
+    const pass = new Pass(this.#share, this.#floor, now)
     for (const entries of classes) {
-      yield * merge(this.#place(entries, progress, now))
+      yield * merge(entries, pass)
     }
   }
 
@@ -107,13 +117,20 @@
    * @param before requests of the classes before
    */
   last<Entry extends OrderedEntry> (before: readonly OrderedEntry[], entries: readonly Entry[], now: number): Entry | undefined {
-    const progress = newProgress()
-    this.#place(before, progress, now)
-    let last: PlacedEntry<Entry> | undefined
-    for (const placed of this.#place(entries, progress, now)) {
-      last = last === undefined || comparePlaces(last.place, placed.place) < 0 ? placed : last
+    const pass = new Pass(this.#share, this.#floor, now)
+    before.forEach(entry => { pass.advance(entry) })
+    let last: Entry | undefined
+    let lastPlace: Place | null = null
+    for (const [index, entry] of entries.entries()) {
+      const { rank, start, owed } = pass.progressOf(entry.flow)
+      const isOwed = owed.left > 0
+      if (lastPlace === null || compareWith(lastPlace, isOwed, rank, start, index) < 0) {
+        last = entry
+        lastPlace = { isOwed, rank, start, index }
+      }
+      pass.advance(entry)
     }
-    return last?.entry
+    return last
   }
 
   /**
@@ -124,42 +141,65 @@
    * @param index number of those whose first attempts were not after that of the new one
    */
   countAhead (request: SlotRequest, before: readonly OrderedEntry[], entries: readonly OrderedEntry[], index: number, now: number): RequestsAhead {
-    const progress = newProgress()
-    this.#place(before, progress, now)
-    const flow = this.#flowOf(request)
-    const earlier = this.#place(entries.slice(0, index), progress, now)
-    const own = this.#next(request, flow, index, progress, now)
-    const later = this.#place(entries.slice(index), progress, now, index + 1)
+    const flow = this.flowOf(request)
+    const pass = new Pass(this.#share, this.#floor, now)
+    before.forEach(entry => { pass.advance(entry) })
+    const own = placeBehind(pass.progressOf(flow), flow, entries, index)
     const unused = { ...own, isOwed: false, start: this.#share.virtualTimeOf(flow.rank) }
     let [count, whateverShare, whateverRank] = [before.length, before.length, before.length]
-    for (const { place } of [...earlier, ...later]) {
-      const isAhead = comparePlaces(place, own) < 0
+    for (const [position, entry] of entries.entries()) {
+      if (position === index) {
+        pass.advance({ request, flow })
+      }
+      const { rank, start, owed } = pass.progressOf(entry.flow)
+      const isOwed = owed.left > 0
+      // The new request stands between those at the index before and at the index.
+      const place = position < index ? position : position + 1
+      const isAhead = compareWith(own, isOwed, rank, start, place) > 0
       count += isAhead ? 1 : 0
-      whateverShare += comparePlaces(place, unused) < 0 ? 1 : 0
-      whateverRank += isAhead && (place.isOwed || place.rank === own.rank) ? 1 : 0
+      whateverShare += compareWith(unused, isOwed, rank, start, place) > 0 ? 1 : 0
+      whateverRank += isAhead && (isOwed || rank === own.rank) ? 1 : 0
+      pass.advance(entry)
     }
     return { count, whateverShare, whateverRank }
   }
+}
+
+/** Goes through requests of all accounts, those of each account in the order in which they are served. */
+class Pass {
+  readonly #flows = new Map<Flow, FlowProgress>()
+  readonly #owed = new Map<string, { left: number }>()
+
+  constructor (private readonly share: FairShare, private readonly floor: ServiceFloor, private readonly now: number) {}
 
-  /** Returns the places of requests in one pass, given in the order of their first attempts, which is that of each account's requests. */
-  #place<Entry extends OrderedEntry> (entries: readonly Entry[], progress: Progress, now: number, firstIndex = 0): Array<PlacedEntry<Entry>> {
-    return entries.map((entry, index) => {
-      const flow = this.#flowOf(entry.request)
-      return { entry, flow, place: this.#next(entry.request, flow, firstIndex + index, progress, now) }
-    })
+  progressOf (flow: Flow): FlowProgress {
+    const known = this.#flows.get(flow)
+    if (known !== undefined) {
+      return known
+    }
+    const owed = this.#owed.get(flow.account) ?? { left: this.floor.creditOf(flow.account, this.now) }
+    this.#owed.set(flow.account, owed)
+    const progress = { rank: flow.rank, start: this.share.startOf(flow), owed }
+    this.#flows.set(flow, progress)
+    return progress
   }
 
-  #next ({ caller = unknownCaller }: SlotRequest, flow: Flow, index: number, { starts, credits }: Progress, now: number): Place {
-    const start = starts.get(flow) ?? this.#share.startOf(flow)
-    starts.set(flow, start + costOf(caller))
-    const credit = credits.get(flow.account) ?? this.#floor.creditOf(flow.account, now)
-    credits.set(flow.account, credit - 1)
-    return { isOwed: credit > 0, rank: flow.rank, start, index }
+  /** Goes on to the request behind one. */
+  advance ({ request, flow }: OrderedEntry): void {
+    const progress = this.progressOf(flow)
+    progress.start += costOf(request.caller ?? unknownCaller)
+    progress.owed.left -= 1
   }
+}
 
-  #flowOf ({ caller = unknownCaller }: SlotRequest): Flow {
-    return this.#share.flowOf(caller.account, caller.rank)
+/** Returns the place of a request of a flow that comes at an index. */
+function placeBehind ({ rank, start, owed }: FlowProgress, flow: Flow, entries: readonly OrderedEntry[], index: number): Place {
+  let [ownStart, left] = [start, owed.left]
+  for (const entry of entries.slice(0, index)) {
+    left -= entry.flow.account === flow.account ? 1 : 0
+    ownStart += entry.flow === flow ? costOf(entry.request.caller ?? unknownCaller) : 0
   }
+  return { isOwed: left > 0, rank, start: ownStart, index }
 }
 
 /**
@@ -179,47 +219,53 @@
   return { standing: { cause: isInTime(ahead.whateverRank) ? OrderCause.Rank : OrderCause.Load, rank, position } }
 }
 
-function comparePlaces (left: Place, right: Place): number {
-  return Number(right.isOwed) - Number(left.isOwed) || left.rank - right.rank || left.start - right.start || left.index - right.index
+/** Returns a number below 0 if a place comes before another one, which is given by its fields. */
+function compareWith (place: Place, isOwed: boolean, rank: number, start: number, index: number): number {
+  if (place.isOwed !== isOwed) {
+    return place.isOwed ? -1 : 1
+  }
+  return place.rank - rank || place.start - start || place.index - index
 }
 
 /** Yields entries by place. Those of one flow are in order, so that only the first one of each flow is compared. */
-function * merge<Entry> (placed: ReadonlyArray<PlacedEntry<Entry>>): Generator<Entry> {
-  const byFlow = new Map<Flow, Array<PlacedEntry<Entry>>>()
-  for (const one of placed) {
-    const others = byFlow.get(one.flow)
-    if (others === undefined) {
-      byFlow.set(one.flow, [one])
-    } else {
-      others.push(one)
+function * merge<Entry extends OrderedEntry> (entries: readonly Entry[], pass: Pass): Generator<Entry> {
+  const queues = new Map<Flow, FlowQueue>()
+  for (const [index, { flow }] of entries.entries()) {
+    const queue = queues.get(flow) ?? { progress: pass.progressOf(flow), indexes: [], owed: 0, next: 0 }
+    if (queue.indexes.length === 0) {
+      queues.set(flow, queue)
     }
+    queue.indexes.push(index)
+    queue.owed += queue.progress.owed.left > 0 ? 1 : 0
+    queue.progress.owed.left -= 1
   }
   // The flow whose first request is served next comes last, where it is removed and inserted again.
-  const heads = [...byFlow.values()].map(entries => ({ entries, next: 0 })).sort((left, right) => compareHeads(right, left))
+  const heads = [...queues.values()].sort((left, right) => compareHeads(right, left))
   for (let head = heads.pop(); head !== undefined; head = heads.pop()) {
-    const first = head.entries[head.next]
-    if (first !== undefined) {
-      yield first.entry
+    const entry = entries[head.indexes[head.next] ?? -1]
+    if (entry !== undefined) {
+      yield entry
+      head.progress.start += costOf(entry.request.caller ?? unknownCaller)
     }
     head.next += 1
-    if (head.next < head.entries.length) {
+    if (head.next < head.indexes.length) {
       heads.splice(insertionIndex(heads, head), 0, head)
     }
   }
 }
 
-interface FlowHead {
-  readonly entries: ReadonlyArray<PlacedEntry<unknown>>
-  next: number
+function compareHeads (left: FlowQueue, right: FlowQueue): number {
+  const { progress: { rank, start }, indexes, owed, next } = right
+  return compareWith(placeOf(left), next < owed, rank, start, indexes[next] ?? Infinity)
 }
 
-function compareHeads (left: FlowHead, right: FlowHead): number {
-  const [leftPlace, rightPlace] = [left.entries[left.next]?.place, right.entries[right.next]?.place]
-  return leftPlace === undefined || rightPlace === undefined ? 0 : comparePlaces(leftPlace, rightPlace)
+/** Returns the place of the first request of a flow that has not been yielded. */
+function placeOf ({ progress: { rank, start }, indexes, owed, next }: FlowQueue): Place {
+  return { isOwed: next < owed, rank, start, index: indexes[next] ?? Infinity }
 }
 
 /** Returns the index at which a head keeps the others in descending order, by binary search. */
-function insertionIndex (heads: readonly FlowHead[], head: FlowHead): number {
+function insertionIndex (heads: readonly FlowQueue[], head: FlowQueue): number {
   let [low, high] = [0, heads.length]
   while (low < high) {
     const middle = (low + high) >>> 1
