--- a/packages/fleet-model/src/index.ts
+++ b/packages/fleet-model/src/index.ts
@@ -1,15 +1,12 @@
 /** A model of a fleet without a network: loads are played against admission policies, and what callers get is counted. */
-<<<<<<< HEAD
 export { boundOf, mostInWindow } from './allowances/allowance-audit.js'
 export type { AccountDemand, AllowanceLoad, AllowanceOutcome, DifferentView, Division, Loss, Refusal, Stop } from './allowances/allowance-load.js'
 export { simulateAllowances } from './allowances/simulate-allowances.js'
-=======
 export { leastServed, waitFigures } from './accounts/account-audit.js'
 export type { LeastServed, WaitFigures } from './accounts/account-audit.js'
 export { alternatingSteps, zipfAccounts } from './accounts/account-load.js'
 export type { AccountFlood, AccountLoad, AccountRequest, LoadAccount } from './accounts/account-load.js'
 export { simulateAccounts } from './accounts/simulate-accounts.js'
->>>>>>> part-3
 export type { AdmissionPolicy } from './admission-policy.js'
 export { estimate, playSeeds } from './compare-policies.js'
 export type { Estimate, NamedPolicy } from './compare-policies.js'
