--- a/packages/gateway/src/accounts/allowance-sharing.ts
+++ b/packages/gateway/src/accounts/allowance-sharing.ts
@@ -2,7 +2,7 @@
  * Shares what owners have charged to accounts: with their successors and other owners while there are charges, with processes that begin to own slots, and
  * with those that were stopped.
  */
-import { isChargesReport, isUsageReport, maximumEntryBytes, splitToDatagrams } from '@arbutusloft/policy'
+import { isChargesReport, isOwnerTime, isUsageReport, maximumEntryBytes, splitToDatagrams } from '@arbutusloft/policy'
 import type { AccountAllowances, AccountEntry, GrantedUsage, OwnerProcess } from '@arbutusloft/policy'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
@@ -185,6 +185,10 @@
         allowances.onUsage(sender, message.report, now)
         return
       case PeerMessageType.AccountChargesQuery:
+        if (!isOwnerTime(message)) {
+          logger.warn('question for charges of accounts not readable', { peer: sender })
+          return
+        }
         this.#answer(sender, message.question, allowances.lagOf({ address: sender, incarnation: message.incarnation }, message.at, now), now)
         break
       default:
--- a/packages/policy/src/accounts/account-allowances.ts
+++ b/packages/policy/src/accounts/account-allowances.ts
@@ -290,7 +290,7 @@
         expired += 1
       }
       if (used + this.#assumedOf(limited, at) < limit) {
-        return at - now
+        return Math.ceil(at - now)
       }
     }
     return windowMilliseconds
--- a/packages/policy/src/accounts/allowance-messages.ts
+++ b/packages/policy/src/accounts/allowance-messages.ts
@@ -77,6 +77,12 @@
   return parts
 }
 
+/** Whether a received value names the process and the clock of an owner. */
+export function isOwnerTime (value: object): value is Pick<ChargesReport, 'incarnation' | 'at'> {
+  const { incarnation, at } = value as Partial<Record<keyof ChargesReport, unknown>>
+  return isCount(incarnation) && isCount(at)
+}
+
 /** Whether a received value is a report of a holder. */
 export function isUsageReport (value: unknown): value is UsageReport {
   if (typeof value !== 'object' || value === null) {
@@ -88,8 +94,7 @@
 
 /** Whether a received value is a report of an owner. */
 export function isChargesReport (value: unknown): value is ChargesReport {
-  return typeof value === 'object' && value !== null && hasEntries(value) &&
-    isCount((value as Partial<ChargesReport>).at) && isCount((value as Partial<ChargesReport>).incarnation)
+  return typeof value === 'object' && value !== null && hasEntries(value) && isOwnerTime(value)
 }
 
 function hasEntries (value: object): boolean {
