Keep the accounts with waiting requests in a heap while the order is computed

Cause: each decision sorted the accounts, and looked up each request's account in a map. Change: a binary heap of the accounts, of which a grant usually takes only the first; the progress of a pass is kept at the flow.

--- a/packages/policy/src/fleet/fair-share.ts
+++ b/packages/policy/src/fleet/fair-share.ts
@@ -10,6 +10,18 @@
   readonly account: string
   /** Virtual time in tokens at which the account's last served request in this rank ends. */
   finish: number
+  /** Progress of the pass that came to it last; kept here since a pass comes to it for each of its requests. */
+  latest: FlowProgress | null
+}
+
+/** A flow as it is when the requests that a pass through the waiting ones has come to have been served. */
+export interface FlowProgress {
+  readonly pass: object
+  readonly rank: number
+  /** Virtual time at which the next request starts, in tokens. */
+  start: number
+  /** Requests that the account is owed; flows of one account share it. */
+  readonly owed: { left: number }
 }
 
 /** Flows of one rank. */
@@ -39,7 +51,7 @@
     }
     const held = this.#held.get(account) ?? 0
     this.#held.delete(account)
-    const flow = { rank: Number.isFinite(rank) ? rank : Number.MAX_VALUE, account, finish: virtualTime + held }
+    const flow = { rank: Number.isFinite(rank) ? rank : Number.MAX_VALUE, account, finish: virtualTime + held, latest: null }
     flows.set(account, flow)
     return flow
   }
--- a/packages/policy/src/fleet/rank-order.ts
+++ b/packages/policy/src/fleet/rank-order.ts
@@ -3,7 +3,7 @@
  * Accounts below their floor come first, then higher ranks; within a rank, the accounts that have used less of their share.
  */
 import { costOf, FairShare } from './fair-share.js'
-import type { Flow } from './fair-share.js'
+import type { Flow, FlowProgress } from './fair-share.js'
 import type { SlotCaller, SlotRequest } from './fleet-messages.js'
 import type { QueueStanding } from './queue-standing.js'
 import { OrderCause } from './queue-standing.js'
@@ -36,15 +36,6 @@
   readonly index: number
 }
 
-/** A flow as it is when the requests that a pass has come to have been served. */
-interface FlowProgress {
-  readonly rank: number
-  /** Virtual time at which the next request starts, in tokens. */
-  start: number
-  /** Requests that the account is owed; flows of one account share it. */
-  readonly owed: { left: number }
-}
-
 /** Requests of one flow and class, by the time of their first attempts. */
 interface FlowQueue {
   readonly progress: FlowProgress
@@ -121,14 +112,16 @@
     before.forEach(entry => { pass.advance(entry) })
     let last: Entry | undefined
     let lastPlace: Place | null = null
-    for (const [index, entry] of entries.entries()) {
-      const { rank, start, owed } = pass.progressOf(entry.flow)
-      const isOwed = owed.left > 0
-      if (lastPlace === null || compareWith(lastPlace, isOwed, rank, start, index) < 0) {
+    let index = 0
+    for (const entry of entries) {
+      const progress = pass.progressOf(entry.flow)
+      const isOwed = progress.owed.left > 0
+      if (lastPlace === null || compareWith(lastPlace, isOwed, progress.rank, progress.start, index) < 0) {
         last = entry
-        lastPlace = { isOwed, rank, start, index }
+        lastPlace = { isOwed, rank: progress.rank, start: progress.start, index }
       }
-      pass.advance(entry)
+      advance(progress, entry)
+      index += 1
     }
     return last
   }
@@ -147,19 +140,22 @@
     const own = placeBehind(pass.progressOf(flow), flow, entries, index)
     const unused = { ...own, isOwed: false, start: this.#share.virtualTimeOf(flow.rank) }
     let [count, whateverShare, whateverRank] = [before.length, before.length, before.length]
-    for (const [position, entry] of entries.entries()) {
-      if (position === index) {
+    let place = 0
+    for (const entry of entries) {
+      if (place === index) {
+        // The new request stands between those at the index before and at the index.
         pass.advance({ request, flow })
+        place += 1
       }
-      const { rank, start, owed } = pass.progressOf(entry.flow)
-      const isOwed = owed.left > 0
-      // The new request stands between those at the index before and at the index.
-      const place = position < index ? position : position + 1
+      const progress = pass.progressOf(entry.flow)
+      const { rank, start } = progress
+      const isOwed = progress.owed.left > 0
       const isAhead = compareWith(own, isOwed, rank, start, place) > 0
       count += isAhead ? 1 : 0
       whateverShare += compareWith(unused, isOwed, rank, start, place) > 0 ? 1 : 0
       whateverRank += isAhead && (isOwed || rank === own.rank) ? 1 : 0
-      pass.advance(entry)
+      advance(progress, entry)
+      place += 1
     }
     return { count, whateverShare, whateverRank }
   }
@@ -173,23 +169,31 @@
   constructor (private readonly share: FairShare, private readonly floor: ServiceFloor, private readonly now: number) {}
 
   progressOf (flow: Flow): FlowProgress {
-    const known = this.#flows.get(flow)
-    if (known !== undefined) {
-      return known
+    if (flow.latest?.pass === this) {
+      return flow.latest
     }
+    const progress = this.#flows.get(flow) ?? this.#begin(flow)
+    flow.latest = progress
+    return progress
+  }
+
+  /** Goes on to the request behind one. */
+  advance (entry: OrderedEntry): void {
+    advance(this.progressOf(entry.flow), entry)
+  }
+
+  #begin (flow: Flow): FlowProgress {
     const owed = this.#owed.get(flow.account) ?? { left: this.floor.creditOf(flow.account, this.now) }
     this.#owed.set(flow.account, owed)
-    const progress = { rank: flow.rank, start: this.share.startOf(flow), owed }
+    const progress = { pass: this, rank: flow.rank, start: this.share.startOf(flow), owed }
     this.#flows.set(flow, progress)
     return progress
   }
+}
 
-  /** Goes on to the request behind one. */
-  advance ({ request, flow }: OrderedEntry): void {
-    const progress = this.progressOf(flow)
-    progress.start += costOf(request.caller ?? unknownCaller)
-    progress.owed.left -= 1
-  }
+function advance (progress: FlowProgress, { request }: OrderedEntry): void {
+  progress.start += costOf(request.caller ?? unknownCaller)
+  progress.owed.left -= 1
 }
 
 /** Returns the place of a request of a flow that comes at an index. */
@@ -230,51 +234,66 @@
 /** Yields entries by place. Those of one flow are in order, so that only the first one of each flow is compared. */
 function * merge<Entry extends OrderedEntry> (entries: readonly Entry[], pass: Pass): Generator<Entry> {
   const queues = new Map<Flow, FlowQueue>()
-  for (const [index, { flow }] of entries.entries()) {
-    const queue = queues.get(flow) ?? { progress: pass.progressOf(flow), indexes: [], owed: 0, next: 0 }
-    if (queue.indexes.length === 0) {
+  let index = 0
+  for (const { flow } of entries) {
+    const known = queues.get(flow)
+    const queue = known ?? { progress: pass.progressOf(flow), indexes: [], owed: 0, next: 0 }
+    if (known === undefined) {
       queues.set(flow, queue)
     }
     queue.indexes.push(index)
     queue.owed += queue.progress.owed.left > 0 ? 1 : 0
     queue.progress.owed.left -= 1
+    index += 1
+  }
+  const heads = [...queues.values()]
+  for (let parent = (heads.length >>> 1) - 1; parent >= 0; parent -= 1) {
+    siftDown(heads, parent)
   }
-  // The flow whose first request is served next comes last, where it is removed and inserted again.
-  const heads = [...queues.values()].sort((left, right) => compareHeads(right, left))
-  for (let head = heads.pop(); head !== undefined; head = heads.pop()) {
+  for (let head = heads[0]; head !== undefined; head = heads[0]) {
     const entry = entries[head.indexes[head.next] ?? -1]
     if (entry !== undefined) {
       yield entry
       head.progress.start += costOf(entry.request.caller ?? unknownCaller)
     }
     head.next += 1
-    if (head.next < head.indexes.length) {
-      heads.splice(insertionIndex(heads, head), 0, head)
+    const last = heads.length - 1
+    if (head.next === head.indexes.length) {
+      heads[0] = heads[last] ?? head
+      heads.pop()
     }
+    siftDown(heads, 0)
   }
 }
 
-function compareHeads (left: FlowQueue, right: FlowQueue): number {
-  const { progress: { rank, start }, indexes, owed, next } = right
-  return compareWith(placeOf(left), next < owed, rank, start, indexes[next] ?? Infinity)
-}
-
-/** Returns the place of the first request of a flow that has not been yielded. */
-function placeOf ({ progress: { rank, start }, indexes, owed, next }: FlowQueue): Place {
-  return { isOwed: next < owed, rank, start, index: indexes[next] ?? Infinity }
+/** Moves a flow down a binary heap, whose first one is served next, until no flow below comes before it. */
+function siftDown (heads: FlowQueue[], from: number): void {
+  const moved = heads[from]
+  if (moved === undefined) {
+    return
+  }
+  let parent = from
+  for (let child = 2 * parent + 1; child < heads.length; child = 2 * parent + 1) {
+    const [left, right] = [heads[child], heads[child + 1]]
+    const isRight = left !== undefined && right !== undefined && isBefore(right, left)
+    const first = isRight ? right : left
+    if (first === undefined || !isBefore(first, moved)) {
+      break
+    }
+    heads[parent] = first
+    parent = isRight ? child + 1 : child
+  }
+  heads[parent] = moved
 }
 
-/** Returns the index at which a head keeps the others in descending order, by binary search. */
-function insertionIndex (heads: readonly FlowQueue[], head: FlowQueue): number {
-  let [low, high] = [0, heads.length]
-  while (low < high) {
-    const middle = (low + high) >>> 1
-    const other = heads[middle]
-    if (other !== undefined && compareHeads(other, head) > 0) {
-      low = middle + 1
-    } else {
-      high = middle
-    }
+/** Whether the first request of a flow that has not been yielded comes before that of another one. */
+function isBefore (left: FlowQueue, right: FlowQueue): boolean {
+  const [isOwed, isOtherOwed] = [left.next < left.owed, right.next < right.owed]
+  if (isOwed !== isOtherOwed) {
+    return isOwed
   }
-  return low
+  const { progress } = left
+  const { progress: other } = right
+  const difference = progress.rank - other.rank || progress.start - other.start || (left.indexes[left.next] ?? Infinity) - (right.indexes[right.next] ?? Infinity)
+  return difference < 0
 }
