Bound the memory and the descriptors that requests and responses hold

Cause: bodies were collected without a bound over all connections, in a list entry for each part, and unread bodies stayed in the streams' buffers.

Change: ByteBudget (policy) decides who gets room; HeldBytes counts, tells those that wait, logs and counts refusals.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,12 +1,15 @@
 /** Composition of a gateway process from its parts. */
 import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
+import { ByteBudget, pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
 import type { RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { identify, rejectKey, slotCallerOf } from './accounts/client-identity.js'
-import { BodyTooLargeError, readBody } from './http/read-body.js'
-import { rejectRequest, reply, Status } from './http/reply.js'
+import type { ClientIdentity } from './accounts/client-identity.js'
+import { BodyRefusedError, BodyTimeoutError, BodyTooLargeError, readBody } from './http/read-body.js'
+import type { RequestBody } from './http/read-body.js'
+import { rejectRequest, reply, retryAfterHeader, Status } from './http/reply.js'
+import { replyUnread } from './http/unread-body.js'
 import { JobApi } from './jobs/job-api.js'
 import { JobForwarder } from './jobs/job-forwarder.js'
 import { JobPartitions } from './jobs/job-partitions.js'
@@ -15,6 +18,8 @@
 import { TokenLedger } from './jobs/token-ledger.js'
 import type { KeyedTopic } from './log/keyed-topic.js'
 import { LoadLimit } from './log/load-limit.js'
+import { HeldBytes } from './memory/held-bytes.js'
+import { UnreadResponses } from './memory/unread-responses.js'
 import { GatewayMetrics } from './metrics.js'
 import { CallerBudgets } from './online/caller-budgets.js'
 import type { HeaderNames } from './online/header-names.js'
@@ -66,6 +71,8 @@
   readonly refreshConfiguration: () => Promise<boolean>
   /** Number of partitions of each topic. */
   readonly partitions: number
+  /** Bytes of memory that requests and responses may hold. */
+  readonly heldBytes: number
   readonly logger: Logger
 }
 
@@ -87,6 +94,10 @@
 const maximumLoads = 3
 /** Retry delay for clients whose request a process rejects because it has no configuration yet, or no service for the route. */
 const unreadyRetryMilliseconds = 50
+/** Retry delay for clients whose request the process has no memory for: about as long as a request runs. */
+const memoryRetryMilliseconds = 500
+/** Bodies of the greatest length that may be in flight to one target. */
+const maximumTargetBodies = 4
 
 /** Timeout for saving the progress of items on drain; allows for a slow append. */
 const progressSaveTimeoutMilliseconds = 100
@@ -95,6 +106,10 @@
 export class Gateway {
   readonly metrics = new GatewayMetrics()
   readonly targets = new TargetRegistry()
+  /** Memory that requests and responses hold. */
+  readonly held: HeldBytes
+  /** Responses that callers have not read. */
+  readonly unreadResponses: UnreadResponses
   readonly targetFreshness = new TargetFreshness()
   /** Which ways lead to targets at present. */
   readonly targetPaths = new TargetPaths()
@@ -130,6 +145,8 @@
     const { zone, incarnation, capacity, seeds, transport, logger } = options
     // Each request in flight listens to it.
     setMaxListeners(0, this.#ending.signal)
+    this.held = new HeldBytes(new ByteBudget(options.heldBytes), this.metrics, logger)
+    this.unreadResponses = new UnreadResponses(this.held, logger)
     this.membership = new Membership(transport, { zone, incarnation, capacity, seeds }, logger)
     this.#connections = new TargetConnections(new TargetDialer(new DialWays({
       paths: this.targetPaths,
@@ -145,6 +162,7 @@
       paths: this.targetPaths,
       targets: this.targets,
       admits: endsAt => this.ready || (this.#draining && this.drainAdmission.admits(endsAt)),
+      held: this.held,
       metrics: this.metrics
     })
     const quarantine = new CrashQuarantine()
@@ -228,6 +246,7 @@
     this.#routes = routes
     this.#streamOrigins.copyAll(left)
     this.#areRoutesComplete = isComplete
+    this.#connections.maximumTargetBytes = maximumTargetBodies * configuration.limits.bodyBytes
     this.metrics.routesVersion.set(configuration.version)
     this.options.logger.info('configuration in force', { version: configuration.version, routes: configuration.routes.length })
     this.#updateState()
@@ -272,13 +291,20 @@
     return route
   }
 
-  /** Reads a request's body; returns null if it is too large, after responding to the request, or if the connection failed. */
-  async body (request: IncomingMessage, response: ServerResponse): Promise<Buffer | null> {
+  /**
+   * Reads a request's body, which the caller closes. Returns null if the body is too large, too slow or does not fit into the memory, after
+   * responding to the request, or if the connection failed.
+   */
+  async body (request: IncomingMessage, response: ServerResponse): Promise<RequestBody | null> {
     try {
-      return await readBody(request, this.#routes?.configuration.limits.bodyBytes ?? 0)
+      return await readBody(request, this.#routes?.configuration.limits.bodyBytes ?? 0, this.held)
     } catch (error) {
       if (error instanceof BodyTooLargeError) {
-        reply(response, Status.ContentTooLarge, { error: error.message }, { connection: 'close' })
+        replyUnread(request, response, Status.ContentTooLarge, { error: error.message })
+      } else if (error instanceof BodyRefusedError) {
+        replyUnread(request, response, Status.ServiceUnavailable, { error: error.message }, retryAfterHeader(memoryRetryMilliseconds))
+      } else if (error instanceof BodyTimeoutError) {
+        replyUnread(request, response, Status.RequestTimeout, { error: error.message }, retryAfterHeader(0))
       } else {
         this.options.logger.info('connection failed while reading the request body', { error: messageOf(error) })
       }
@@ -296,7 +322,6 @@
   /** Serves an online request to its final response. */
   async serve (request: IncomingMessage, response: ServerResponse, route: Route): Promise<void> {
     const arrivedAt = Date.now()
-    const { names } = this.options
     const identity = identify(request, this.#routes?.accounts ?? null, route.isPublic === true)
     if (identity.fault !== null) {
       rejectKey(response, identity.fault)
@@ -306,6 +331,15 @@
     if (body === null) {
       return
     }
+    try {
+      await this.#serveWithBody(request, response, route, identity, body.bytes, arrivedAt)
+    } finally {
+      body.close()
+    }
+  }
+
+  async #serveWithBody (request: IncomingMessage, response: ServerResponse, route: Route, identity: ClientIdentity, body: Buffer, arrivedAt: number): Promise<void> {
+    const { names } = this.options
     const caller = this.#routes?.accounts === null ? null : slotCallerOf(request, identity.account, route, names)
     const attempt = takesUpStream(request, route) ? attemptResumedBy(request, names) : ''
     const services = attempt === '' ? null : this.#serviceHistory.servicesOf(route, pathOf(request.url), arrivedAt)
@@ -362,6 +396,7 @@
     this.#directProbe.close()
     this.#detachment.close()
     this.#connections.close()
+    this.unreadResponses.close()
   }
 
   #onlineDependencies (): ConstructorParameters<typeof OnlineRun>[0] {
--- a/packages/gateway/src/http/reply.ts
+++ b/packages/gateway/src/http/reply.ts
@@ -32,5 +32,10 @@
 
 /** Rejects a request that has not run and never will. `retryAfter` is in milliseconds; `Retry-After` is sent in seconds with three decimals. */
 export function rejectRequest (response: ServerResponse, status: Status, message: string, retryAfter: number): void {
-  reply(response, status, { error: message }, { 'retry-after': (retryAfter / millisecondsPerSecond).toFixed(3) })
+  reply(response, status, { error: message }, retryAfterHeader(retryAfter))
+}
+
+/** Returns the header that tells a client when to come again, for a time in milliseconds. */
+export function retryAfterHeader (milliseconds: number): Readonly<Record<string, string>> {
+  return { 'retry-after': (milliseconds / millisecondsPerSecond).toFixed(3) }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -93,6 +93,33 @@
     registers: [this.registry]
   })
 
+  /** Requests and responses that were refused or ended for lack of memory, by what held or needed it; see {@link HeldKind}. */
+  readonly memoryRefusals = new Counter({
+    name: 'arbutus_gateway_memory_refusals_total',
+    help: 'Requests and responses that were refused or ended for lack of memory, by kind',
+    labelNames: ['kind'],
+    registers: [this.registry]
+  })
+
+  /** Client connections that were closed at once, since as many are open as the process may have. */
+  readonly droppedConnections = new Counter({
+    name: 'arbutus_gateway_dropped_connections_total',
+    help: 'Connections that were closed at once beyond the number that may be open',
+    labelNames: ['port'],
+    registers: [this.registry]
+  })
+
+  #heldBytes: () => ReadonlyArray<readonly [string, number]> = () => []
+
+  /** Bytes that requests and responses hold, by kind; see {@link HeldKind}. */
+  readonly heldBytes: Gauge<'kind'> = new Gauge({
+    name: 'arbutus_gateway_held_bytes',
+    help: 'Bytes that requests and responses hold in memory, by kind',
+    labelNames: ['kind'],
+    registers: [this.registry],
+    collect: () => { this.#heldBytes().forEach(([kind, bytes]) => { this.heldBytes.set({ kind }, bytes) }) }
+  })
+
   #rateLimits: () => ReadonlyArray<readonly [string, number]> = () => []
 
   /** Rate limits in force of listed targets, in requests a second, as far as this process knows them; no value for targets without one. */
@@ -114,6 +141,11 @@
     registers: [this.registry]
   })
 
+  /** Asks for the bytes that are held, in pairs of a kind and its bytes, when metrics are read. */
+  onCollectHeldBytes (heldBytes: () => ReadonlyArray<readonly [string, number]>): void {
+    this.#heldBytes = heldBytes
+  }
+
   /** Asks for the limits, in pairs of a target's id and its requests a second, when metrics are read. */
   onCollectRateLimits (rateLimits: () => ReadonlyArray<readonly [string, number]>): void {
     this.#rateLimits = rateLimits
--- a/packages/gateway/src/targets/direct-transport.ts
+++ b/packages/gateway/src/targets/direct-transport.ts
@@ -60,6 +60,10 @@
     this.#timer = setTimeout(() => { this.#onTimeout() }, connectTimeoutMilliseconds)
   }
 
+  get hasUnsent (): boolean {
+    return this.#socket.writableLength > 0
+  }
+
   start (listener: TransportListener): void {
     this.#listener = listener
   }
--- a/packages/gateway/src/targets/relayed-transport.ts
+++ b/packages/gateway/src/targets/relayed-transport.ts
@@ -101,6 +101,10 @@
     response.once('close', () => { this.#onRelayLost('connection closed') })
   }
 
+  get hasUnsent (): boolean {
+    return this.request.writableLength > 0
+  }
+
   start (listener: TransportListener): void {
     this.#listener = listener
     this.response.on('readable', () => { this.#read() })
--- a/packages/gateway/src/targets/target-call.ts
+++ b/packages/gateway/src/targets/target-call.ts
@@ -103,6 +103,9 @@
 const maximumForeignBytes = 1_048_576
 
 /** Methods whose requests have a body, if only an empty one. */
+/** Length up to which a body is sent in one write with the headers; copying a longer one takes more memory than a second write. */
+const maximumJoinedBytes = 16_384
+
 const methodsWithBody: ReadonlySet<string> = new Set(['POST', 'PUT', 'PATCH'])
 
 /** Sends the request and passes the response to the sink. */
@@ -117,10 +120,11 @@
   const connection = connections.acquire(target, request.id, endsAt)
   const call = new TargetCall(connection, endsAt, async () => await connections.dialer.isListening(target, endsAt), request.id, names, sink)
   connection.send(request.id, encodeRequest(request, target, names), call, request.method !== 'HEAD')
+  call.start(send => connections.sendWithin(target, request.body?.length ?? 0, send))
   return call
 }
 
-function encodeRequest (request: TargetRequest, target: TargetEndpoint, names: HeaderNames): Buffer {
+function encodeRequest (request: TargetRequest, target: TargetEndpoint, names: HeaderNames): readonly Buffer[] {
   const { method, path, headers, body, remainingMilliseconds } = request
   const lines = [`${method} ${path} HTTP/1.1`]
   for (let index = 0; index + 1 < headers.length; index += 2) {
@@ -135,11 +139,16 @@
   }
   // Node.js decodes headers as Latin-1, so this restores their bytes.
   const head = Buffer.from(lines.join('\r\n') + '\r\n\r\n', 'latin1')
-  return body === null ? head : Buffer.concat([head, body])
+  if (body === null) {
+    return [head]
+  }
+  return body.length <= maximumJoinedBytes ? [Buffer.concat([head, body])] : [head, body]
 }
 
 class TargetCall implements RunningCall, Exchange {
   readonly ended: RunningCall['ended']
+  /** Ends what the body counts among the bytes in flight to the target. */
+  #endBody: () => void = () => {}
   #settle: (result: { end: CallOutcome, reason: string }) => void = () => {}
   #sentAt: number | null = null
   #failure: ConnectionFailure | null = null
@@ -174,6 +183,16 @@
     return this.#failure
   }
 
+  /** @param sendWithin calls back when the request may be sent, and returns what ends its body */
+  start (sendWithin: (send: () => void) => () => void): void {
+    const endBody = sendWithin(() => { this.connection.allowSend() })
+    if (this.#isSettled) {
+      endBody()
+    } else {
+      this.#endBody = endBody
+    }
+  }
+
   resume (): void {
     this.connection.resume()
   }
@@ -291,6 +310,7 @@
   #finish (outcome: CallOutcome, reason: string): void {
     if (!this.#isSettled) {
       this.#isSettled = true
+      this.#endBody()
       this.#unusedBody?.close()
       this.#settle({ end: outcome, reason })
     }
--- a/packages/gateway/src/targets/target-connection.ts
+++ b/packages/gateway/src/targets/target-connection.ts
@@ -28,7 +28,10 @@
   /** Null before the connection is established. */
   #transport: TargetTransport | null = null
   #isClosed = false
-  #request: Buffer | null = null
+  /** Parts of a request that is not sent. */
+  #request: readonly Buffer[] = []
+  /** Whether the request may be sent. */
+  #maySend = false
   #exchange: Exchange | null = null
   #parser: ResponseParser | null = null
   /** Whether the exchange has asked to stop reading. */
@@ -63,15 +66,16 @@
   }
 
   /**
-   * Sends a request; the connection must be new or idle.
+   * Takes a request, which is sent once the connection is established and {@link TargetConnection.allowSend} was called; the connection must be new or idle.
    *
    * @param hasBody see {@link ResponseParser}
    */
-  send (id: string, request: Buffer, exchange: Exchange, hasBody: boolean): void {
+  send (id: string, request: readonly Buffer[], exchange: Exchange, hasBody: boolean): void {
     this.#remember(id)
     this.#hadBodylessResponse ||= !hasBody
     this.#exchange = exchange
     this.#request = request
+    this.#maySend = false
     this.#parser = new ResponseParser({
       onHead: head => exchange.onHead(head),
       onSkipped: () => { exchange.onSkipped() },
@@ -81,6 +85,11 @@
         }
       }
     }, hasBody, !this.#hadBodylessResponse)
+  }
+
+  /** Lets the request be sent. */
+  allowSend (): void {
+    this.#maySend = true
     this.#write()
   }
 
@@ -116,10 +125,12 @@
   }
 
   #write (): void {
-    if (this.#request !== null && this.#transport !== null && !this.#isClosed) {
+    if (this.#maySend && this.#request.length > 0 && this.#transport !== null && !this.#isClosed) {
       this.#exchange?.onSent()
-      this.#transport.write(this.#request)
-      this.#request = null
+      for (const part of this.#request) {
+        this.#transport.write(part)
+      }
+      this.#request = []
     }
   }
 
@@ -161,7 +172,8 @@
     this.#exchange = null
     this.#parser = null
     this.idleSince = Date.now()
-    if (isReusable) {
+    // The rest of a body that the target has answered early is not worth sending.
+    if (isReusable && this.#transport?.hasUnsent === false) {
       this.resume()
       this.onIdle()
     } else {
@@ -175,6 +187,7 @@
       return
     }
     this.#isClosed = true
+    this.#request = []
     this.#attempt.cancel()
     this.#transport?.destroy()
     this.onClosed(failure)
--- a/packages/gateway/src/targets/target-connections.ts
+++ b/packages/gateway/src/targets/target-connections.ts
@@ -1,5 +1,6 @@
 /** Connections to targets, which are used again for later requests. */
 import { Alarm } from '../util/alarm.js'
+import { TargetBytes } from './target-bytes.js'
 import { TargetConnection } from './target-connection.js'
 import { TargetDialer } from './target-dialer.js'
 import type { TargetEndpoint } from './target-registry.js'
@@ -11,11 +12,16 @@
  */
 const keepAliveMilliseconds = 200
 
+/** Bodies up to this length, in bytes, are sent at once. */
+const smallBodyBytes = 65_536
+const endNothing = (): void => {}
+
 /** The connections to one target. */
 interface TargetPool {
   /** Connections without a request, the one that was used last at the end. */
   readonly idle: TargetConnection[]
   readonly all: Set<TargetConnection>
+  readonly bytes: TargetBytes
 }
 
 /** Keeps connections by target, so that one that starts at the address or under the id of a former one gets its own connections. */
@@ -23,6 +29,9 @@
   readonly #pools = new Map<string, TargetPool>()
   readonly #alarm = new Alarm(now => this.#closeExpired(now))
 
+  /** Bytes of long request bodies that may be in flight to one target at once. */
+  maximumTargetBytes = Infinity
+
   constructor (readonly dialer = new TargetDialer()) {}
 
   /**
@@ -48,6 +57,20 @@
     return connection
   }
 
+  /** Calls `send` when a body may be sent to the target; see {@link TargetBytes.send}. */
+  sendWithin (target: TargetEndpoint, bytes: number, send: () => void): () => void {
+    if (bytes <= smallBodyBytes) {
+      send()
+      return endNothing
+    }
+    const pool = this.#poolOf(target)
+    const end = pool.bytes.send(bytes, this.maximumTargetBytes, send)
+    return () => {
+      end()
+      this.#forgetUnused(keyOf(target), pool)
+    }
+  }
+
   close (): void {
     this.#alarm.close()
     for (const { all } of this.#pools.values()) {
@@ -66,7 +89,7 @@
     if (known !== undefined) {
       return known
     }
-    const pool = { idle: [], all: new Set<TargetConnection>() }
+    const pool = { idle: [], all: new Set<TargetConnection>(), bytes: new TargetBytes() }
     this.#pools.set(key, pool)
     return pool
   }
@@ -81,15 +104,19 @@
       this.dialer.onRelayLost(connection.via)
     }
     pool.all.delete(connection)
-    if (pool.all.size === 0 && this.#pools.get(key) === pool) {
-      this.#pools.delete(key)
-    }
+    this.#forgetUnused(key, pool)
     const index = pool.idle.indexOf(connection)
     if (index >= 0) {
       pool.idle.splice(index, 1)
     }
   }
 
+  #forgetUnused (key: string, pool: TargetPool): void {
+    if (pool.all.size === 0 && pool.bytes.isIdle && this.#pools.get(key) === pool) {
+      this.#pools.delete(key)
+    }
+  }
+
   /** Closes connections that have been idle for too long; returns when to check again. */
   #closeExpired (now: number): number {
     let next = Infinity
--- a/packages/gateway/src/targets/target-relay.ts
+++ b/packages/gateway/src/targets/target-relay.ts
@@ -3,8 +3,10 @@
 import { connect, isIPv4 } from 'node:net'
 import type { Socket } from 'node:net'
 import { messageOf } from '@arbutusloft/protocol'
+import { HeldKind, RoomDecision } from '@arbutusloft/policy'
 import type { TargetPaths } from '@arbutusloft/policy'
 import { reply, Status } from '../http/reply.js'
+import type { HeldBytes, HeldPart } from '../memory/held-bytes.js'
 import type { GatewayMetrics } from '../metrics.js'
 import { afterNextRead } from '../util/after-next-read.js'
 import { checkEnd } from './connection-end.js'
@@ -21,11 +23,19 @@
    * names none; it goes on with those that it has.
    */
   readonly admits: (endsAt: number) => boolean
+  readonly held: HeldBytes
   readonly metrics: Pick<GatewayMetrics, 'relayedConnections'>
 }
 
 /** Connections that are relayed at once. Each has two sockets with up to 64 KiB of data in each direction, so that they take no more than 32 MB. */
 const maximumConnections = 128
+/** Bytes that a connection may hold, for which there has to be room when it begins. */
+const connectionBytes = 131_072
+/** Chunks from a peer after which their mean length is judged, and the least that it may be: peers send whole requests, and small chunks take more memory than their bytes. */
+const judgedChunks = 256
+const minimumMeanChunkBytes = 64
+/** Time without bytes in either direction after which a connection is closed if bytes wait for the target or for the peer: a side that reads nothing would hold them. */
+const stallTimeoutMilliseconds = 5_000
 /** Time without bytes in either direction after which a connection is closed; longer than the timeout of any request. */
 const idleTimeoutMilliseconds = 120_000
 const maximumPort = 65_535
@@ -49,11 +59,22 @@
       refuse(response, Status.ServiceUnavailable, reason)
       return
     }
+    const held = this.options.held.open(HeldKind.Relay)
+    if (held.grow(connectionBytes) !== RoomDecision.Granted) {
+      held.close()
+      this.options.held.recordRefusal(HeldKind.Relay)
+      this.#count('refused')
+      refuse(response, Status.ServiceUnavailable, 'no memory for another connection')
+      return
+    }
     this.#connections += 1
-    response.once('close', () => { this.#connections -= 1 })
+    response.once('close', () => {
+      this.#connections -= 1
+      held.close()
+    })
     // A peer that was lost without a sign would keep its place for good.
     request.setTimeout(idleTimeoutMilliseconds, () => { request.destroy() })
-    this.#connect(address, decodeURIComponent(String(request.headers[relayedTargetHeader] ?? '')), request, response)
+    this.#connect(address, decodeURIComponent(String(request.headers[relayedTargetHeader] ?? '')), request, response, held)
   }
 
   #reasonToRefuse (endsAt: number): string | null {
@@ -67,7 +88,7 @@
     return paths.isCutOff && !paths.mayProbe(Date.now()) ? 'this process is cut off from targets itself' : null
   }
 
-  #connect ({ host, port }: { readonly host: string, readonly port: number }, target: string, request: IncomingMessage, response: ServerResponse): void {
+  #connect ({ host, port }: { readonly host: string, readonly port: number }, target: string, request: IncomingMessage, response: ServerResponse, held: HeldPart): void {
     const { paths, targets } = this.options
     // Half-open for checkEnd.
     const socket = connect({ host, port, allowHalfOpen: true, noDelay: true })
@@ -95,6 +116,9 @@
       clearTimeout(timer)
       socket.destroy()
     })
+    // A peer sends nothing before the connection is made; what arrives would be held.
+    const onEarlyData = (): void => { request.destroy() }
+    request.on('data', onEarlyData)
     // Each connection ends so, unless the target or the relay ends it.
     request.on('error', () => { socket.destroy() })
     socket.once('error', error => { fail(messageOf(error)) })
@@ -102,7 +126,8 @@
       clearTimeout(timer)
       paths.recordDirectSuccess(target, Date.now())
       this.#count('connected')
-      relay(socket, request, response)
+      request.off('data', onEarlyData)
+      relay(socket, request, response, held)
     })
   }
 
@@ -112,7 +137,7 @@
 }
 
 /** Passes bytes on in both directions; a side that takes no more stops the other one. */
-function relay (socket: Socket, request: IncomingMessage, response: ServerResponse): void {
+function relay (socket: Socket, request: IncomingMessage, response: ServerResponse, held: HeldPart): void {
   const end = (how: RelayedEnd): void => {
     if (!response.writableEnded) {
       // Bytes that are not read would turn the close of the connection into a reset.
@@ -126,6 +151,38 @@
   response.flushHeaders()
   socket.pipe(response, { end: false })
   request.pipe(socket, { end: false })
+  const count = (): void => { held.set(socket.writableLength + response.writableLength + request.readableLength + socket.readableLength) }
+  const onIdle = (): void => {
+    if (socket.writableLength > 0 || response.writableLength > 0) {
+      socket.destroy()
+      request.destroy()
+    } else {
+      socket.setTimeout(stallTimeoutMilliseconds)
+    }
+  }
+  socket.setTimeout(stallTimeoutMilliseconds)
+  socket.on('timeout', onIdle)
+  let chunks = 0
+  let chunkBytes = 0
+  request.on('data', (chunk: Buffer) => {
+    count()
+    chunks += 1
+    chunkBytes += chunk.length
+    if (chunks < judgedChunks) {
+      return
+    }
+    if (chunkBytes < chunks * minimumMeanChunkBytes) {
+      // What has arrived already would be passed on although the connection ends.
+      request.unpipe(socket)
+      socket.destroy()
+      request.destroy()
+    }
+    chunks = 0
+    chunkBytes = 0
+  })
+  socket.on('data', count)
+  socket.on('drain', count)
+  response.on('drain', count)
   socket.once('end', () => {
     checkEnd(socket, reset => { end(reset === null ? RelayedEnd.Closed : RelayedEnd.Reset) })
   })
--- a/packages/gateway/src/targets/transport.ts
+++ b/packages/gateway/src/targets/transport.ts
@@ -33,6 +33,8 @@
   /** Begins to read; the target sends nothing before its first request. */
   start: (listener: TransportListener) => void
   write: (bytes: Buffer) => void
+  /** Whether bytes that were written have not been passed to the operating system. */
+  readonly hasUnsent: boolean
   /** Goes on reading after the listener has stopped it. */
   resume: () => void
   /** Finds out whether a connection that ended was reset; calls back soon, with the reset's error or null. */
--- a/packages/gateway/tests/store/relaying-store-connection.test.ts
+++ b/packages/gateway/tests/store/relaying-store-connection.test.ts
@@ -7,6 +7,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { DirectStoreConnection, relayStoreCall, RelayingStoreConnection, sleep } from '../../src/index.js'
 import type { StoreConnection, StoreReply } from '../../src/index.js'
+import { createHeldBytes } from '../util/test-held-bytes.js'
 import { createTestLogger } from '../util/test-logger.js'
 
 const served: StoreReply = { answered: true, status: 200, body: Buffer.from('direct') }
@@ -38,7 +39,7 @@
     const peerConnection = new RelayingStoreConnection(peerCalls, { peers: () => [], logger: createTestLogger() })
     peer = createServer((request, response) => {
       peerRequests += 1
-      void relayStoreCall(peerConnection, request, response)
+      void relayStoreCall(peerConnection, request, response, createHeldBytes())
     })
     peer.listen(0, '127.0.0.1')
     await once(peer, 'listening')
@@ -140,7 +141,7 @@
       close: async () => {}
     }
     const silentPeerConnection = new RelayingStoreConnection(silent, { peers: () => [], logger: createTestLogger() })
-    const silentPeer = createServer((request, response) => { void relayStoreCall(silentPeerConnection, request, response) })
+    const silentPeer = createServer((request, response) => { void relayStoreCall(silentPeerConnection, request, response, createHeldBytes()) })
     silentPeer.listen(0, '127.0.0.1')
     await once(silentPeer, 'listening')
     const peers = [silentPeer, peer].map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`)
@@ -204,7 +205,7 @@
       await once(store, 'listening')
       const direct = new DirectStoreConnection(`127.0.0.1:${(store.address() as AddressInfo).port}`)
       const peerConnection = new RelayingStoreConnection(direct, { peers: () => [], logger: createTestLogger() })
-      const slowPeer = createServer((request, response) => { void relayStoreCall(peerConnection, request, response) })
+      const slowPeer = createServer((request, response) => { void relayStoreCall(peerConnection, request, response, createHeldBytes()) })
       slowPeer.listen(0, '127.0.0.1')
       await once(slowPeer, 'listening')
       context.after(async () => {
--- a/packages/gateway/tests/util/online-harness.ts
+++ b/packages/gateway/tests/util/online-harness.ts
@@ -11,6 +11,7 @@
 import type { HeaderNames, SlotClient } from '../../src/index.js'
 import type { SlotDemand } from '../../src/permits/slot.js'
 import { watchReset } from './reset-watch.js'
+import { createHeldBytes } from './test-held-bytes.js'
 import { createTestLogger } from './test-logger.js'
 
 const names: HeaderNames = { requestId: 'x-request-id', deadline: 'x-deadline', expectedTarget: 'x-expected', notExecuted: 'x-not-executed', targetLeaving: 'x-leaving', rateLimit: 'x-rate-limit', promptPrefix: 'x-prefix', resumes: 'x-resumes', wait: 'x-wait' }
@@ -141,8 +142,8 @@
     const harness = new OnlineHarness(route, [...answers], [...firstTargets], hasNoSlots, slotWaitMilliseconds, [...slotWaitsMilliseconds], hasOneTarget, canRunAgain, connections)
     await harness.#listen(createServer(socket => { harness.#serveAsTarget(socket) }))
     await harness.#listen(createHttpServer((request, response) => {
-      void readBody(request, maximumBodyBytes).then(async body => {
-        const online = createOnlineRequest(request, body, route, 's', names, new CallerBudgets(), Date.now())
+      void readBody(request, maximumBodyBytes, createHeldBytes()).then(async body => {
+        const online = createOnlineRequest(request, body.bytes, route, 's', names, new CallerBudgets(), Date.now())
         await sleep(preparationMilliseconds)
         await new OnlineRun({
           slots: harness.#slots(),
--- a/packages/gateway/tests/util/relay-harness.ts
+++ b/packages/gateway/tests/util/relay-harness.ts
@@ -10,6 +10,7 @@
 import { DialWays, GatewayMetrics, relayedAddressHeader, TargetConnections, TargetDialer, TargetRegistry, TargetState } from '../../src/index.js'
 import type { Target } from '../../src/index.js'
 import { startHangingAddress } from './hanging-address.js'
+import { createHeldBytes } from './test-held-bytes.js'
 import { createTestLogger } from './test-logger.js'
 
 const loopback = '127.0.0.1'
@@ -151,7 +152,7 @@
   readonly #relay: TargetRelay
 
   private constructor (private readonly server: HttpServer, registry: TargetRegistry, private readonly addressOf: (address: string) => string) {
-    this.#relay = new TargetRelay({ paths: this.paths, targets: registry, admits: endsAt => this.isReady || (this.isStopping && this.#drainAdmission.admits(endsAt)), metrics: this.metrics })
+    this.#relay = new TargetRelay({ paths: this.paths, targets: registry, admits: endsAt => this.isReady || (this.isStopping && this.#drainAdmission.admits(endsAt)), held: createHeldBytes(), metrics: this.metrics })
     server.on('request', (request, response) => {
       this.calls += 1
       if (!this.isSilent) {
