Choose targets by learned speeds where these differ

Cause: two thirds of a customer's targets run at 0.7 of the usual speed and one third at 1.7. The choice by busy slots sends two of three online requests to the slow ones while fast slots are free.

Change: RelativeTimes separates the times of answers into what is due to the load and what is due to the target (weighted median of the latest 32 answers, half weight after 5 s, a new beginning after five answers in a row that differ by more than twice). TargetSpeeds turns this into busy slots, which the scoring uses in place of the granted ones, if the targets between the tenth and the ninetieth percentile differ by 1.5 times. TargetIndex keeps targets by classes of speed, so that no decision scans them. The model gets targets of unequal speed, noise and zones, and compares three ways to choose.

A trial of 120,000 random calls without reports gives the decisions of the previous code.

--- a/packages/fleet-model/src/fleet-load.ts
+++ b/packages/fleet-model/src/fleet-load.ts
@@ -57,6 +57,25 @@
   readonly isHanging: boolean
 }
 
+/** Answers that take longer than usual, wherever they are made. */
+export interface AnswerNoise {
+  /** Share of the answers. */
+  readonly share: number
+  /** Factor of their time. */
+  readonly factor: number
+}
+
+/** What distinguishes availability zones. */
+export interface ZoneLoad {
+  /** Milliseconds between two zones, one way. */
+  readonly crossMilliseconds: number
+  /** Bytes of a request with its answer, and of an item with its answer, that go between two zones if its target is in another zone than its instance. */
+  readonly bytesOfRequest: number
+  readonly bytesOfItem: number
+  /** Targets in each of the three zones; their sum is {@link FleetLoad.targets}. */
+  readonly targets: readonly number[]
+}
+
 /** A load. */
 export interface FleetLoad {
   readonly name: string
@@ -71,4 +90,11 @@
   readonly batch: BatchKind
   readonly losses: readonly TargetLoss[]
   readonly cuts: readonly InstanceCut[]
+  /** Speeds of the targets of each zone in turn, 1 being the usual one; omitted if all have that. */
+  readonly targetSpeeds?: readonly number[]
+  readonly noise?: AnswerNoise
+  /** Share of its time by which each other busy slot of its target makes an answer take longer; omitted for none. */
+  readonly slowdownPerSlot?: number
+  /** Omitted if targets are spread evenly, and zones do not matter. */
+  readonly zones?: ZoneLoad
 }
--- a/packages/fleet-model/src/fleet-outcome.ts
+++ b/packages/fleet-model/src/fleet-outcome.ts
@@ -39,4 +39,9 @@
   /** Milliseconds from the first attempt to the first event, of the requests that got one. */
   readonly firstEventP50: number
   readonly firstEventP99: number
+  /** Mean milliseconds from the arrival of an item to its end, of those that finished. */
+  readonly itemMean: number
+  /** Bytes between zones, and the share of requests and items that were sent to another zone. */
+  readonly crossZoneBytes: number
+  readonly crossZoneShare: number
 }
--- a/packages/fleet-model/src/simulation/batch-item.ts
+++ b/packages/fleet-model/src/simulation/batch-item.ts
@@ -10,6 +10,8 @@
 
 /** Milliseconds in which a target reads the prompt and the output so far again, after an item lost its slot. */
 const resumeMilliseconds = 20
+/** Events of an item's answer. */
+const eventsOfItem = 140
 /** Milliseconds before an item asks again after a failure. */
 const retryMilliseconds = 50
 
@@ -23,6 +25,8 @@
   /** Milliseconds for which it has held slots. */
   #ran = 0
   #isFinished = false
+  /** Milliseconds on the present target for a millisecond of work at the usual speed. */
+  #pace = 1
   /** Incremented with each grant and loss of a slot. */
   #run = 0
 
@@ -74,7 +78,8 @@
     }
     this.#startedAt = this.clock.now
     this.#firstStartedAt ??= this.clock.now
-    this.clock.after(this.#remaining, () => { this.#onEnd(run) })
+    this.#pace = this.desk.paceOf(target)
+    this.clock.after(this.#remaining * this.#pace, () => { this.#onEnd(run) })
   }
 
   onRefused (retryAfter: number): void {
@@ -101,7 +106,7 @@
   #interrupt (outcome: SlotOutcome): void {
     this.#run += 1
     const ran = this.clock.now - (this.#startedAt ?? this.clock.now)
-    this.#remaining += Math.min(ran, resumeMilliseconds) - ran
+    this.#remaining += Math.min(ran, resumeMilliseconds) - ran / this.#pace
     this.#ran += ran
     this.#startedAt = null
     this.desk.release(this.#permit, outcome)
@@ -112,7 +117,10 @@
       return
     }
     this.#isFinished = true
-    this.tally.addItem(this.#arrivedAt, this.clock.now - this.#arrivedAt <= this.kind.dueMilliseconds)
-    this.desk.release(this.#permit, SlotOutcome.Finished)
+    const took = this.clock.now - this.#arrivedAt
+    this.tally.addItem(this.#arrivedAt, took <= this.kind.dueMilliseconds, took)
+    // Only an answer that was not resumed has a first event of its own.
+    const ran = this.clock.now - (this.#startedAt ?? this.clock.now)
+    this.desk.release(this.#permit, SlotOutcome.Finished, this.#ran > 0 ? null : { firstEvent: ran / eventsOfItem, betweenEvents: ran / eventsOfItem })
   }
 }
--- a/packages/fleet-model/src/simulation/online-caller.ts
+++ b/packages/fleet-model/src/simulation/online-caller.ts
@@ -17,6 +17,8 @@
 const maximumRetryShare = 1 / 3
 /** Milliseconds between a caller and the gateway, both ways. */
 const roundTripMilliseconds = 6
+/** Events of an answer after the first one. */
+const eventsOfAnswer = 19
 /** Milliseconds without a first event after which a caller gives up. */
 const patienceMilliseconds = 2_000
 
@@ -33,6 +35,9 @@
   #startedAt: number | null = null
   #hasFirstEvent = false
   #isGivenUp = false
+  /** Milliseconds on the present target for a millisecond of work at the usual speed. */
+  #pace = 1
+  #isResumed = false
   /** Incremented with each grant, so that events of an earlier one are ignored. */
   #run = 0
 
@@ -69,8 +74,10 @@
       return
     }
     this.#startedAt = this.clock.now
-    this.clock.after(this.kind.firstEventMilliseconds, () => { this.#onFirstEvent(run) })
-    this.clock.after(this.#remaining, () => { this.#onEnd(run) })
+    this.#pace = this.desk.paceOf(target)
+    const transit = this.desk.roundTripOf(this.instance, target)
+    this.clock.after(this.kind.firstEventMilliseconds * this.#pace + transit, () => { this.#onFirstEvent(run) })
+    this.clock.after(this.#remaining * this.#pace + transit, () => { this.#onEnd(run) })
   }
 
   onRefused (retryAfter: number): void {
@@ -95,7 +102,8 @@
       }
       return
     }
-    this.#remaining -= this.clock.now - (this.#startedAt ?? this.clock.now)
+    this.#remaining -= (this.clock.now - (this.#startedAt ?? this.clock.now)) / this.#pace
+    this.#isResumed = true
     this.#request()
   }
 
@@ -145,7 +153,9 @@
   #onEnd (run: number): void {
     if (run === this.#run) {
       this.#run += 1
-      this.desk.release(this.#permit, SlotOutcome.Finished)
+      const firstEvent = this.kind.firstEventMilliseconds * this.#pace
+      const took = this.clock.now - (this.#startedAt ?? this.clock.now)
+      this.desk.release(this.#permit, SlotOutcome.Finished, this.#isResumed ? null : { firstEvent, betweenEvents: Math.max(0, took - firstEvent) / eventsOfAnswer })
     }
   }
 
--- a/packages/fleet-model/src/simulation/simulate-fleet.ts
+++ b/packages/fleet-model/src/simulation/simulate-fleet.ts
@@ -1,5 +1,4 @@
 /** Plays a load against an admission policy. */
-import type { FleetTarget } from '@arbutusloft/policy'
 import type { AdmissionPolicy } from '../admission-policy.js'
 import type { FleetLoad, OnlineKind, TargetLoss } from '../fleet-load.js'
 import type { FleetOutcome } from '../fleet-outcome.js'
@@ -9,6 +8,7 @@
 import { OnlineCaller } from './online-caller.js'
 import { RandomStream } from './random.js'
 import { SlotDesk } from './slot-desk.js'
+import type { SimulatedTarget } from './slot-desk.js'
 import { Tally } from './tally.js'
 
 const millisecondsPerSecond = 1_000
@@ -36,15 +36,13 @@
   readonly #desk: SlotDesk
   readonly #instances: readonly Instance[] = Array.from({ length: instanceCount }, (_, index) => ({ id: `instance-${index}`, zone: zoneOf(index) }))
   readonly #items: BatchItem[] = []
-  readonly #listed: Map<string, FleetTarget>
+  readonly #listed: Map<string, SimulatedTarget>
 
   constructor (private readonly load: FleetLoad, private readonly policy: AdmissionPolicy, private readonly seed: number) {
     this.#tally = new Tally(load)
-    this.#desk = new SlotDesk(policy, this.#clock, this.#tally)
-    this.#listed = new Map(Array.from({ length: load.targets }, (_, index) => {
-      const id = `target-${index}`
-      return [id, { id, address: '', zone: zoneOf(index), slots: load.slotsOfTarget, born: 1, softwareVersion: 'v1', leaving: false, accepting: true }]
-    }))
+    const targets = targetsOf(load)
+    this.#listed = new Map(targets.map(target => [target.id, target]))
+    this.#desk = new SlotDesk(policy, this.#clock, this.#tally, load, targets)
   }
 
   run (): FleetOutcome {
@@ -78,10 +76,12 @@
       const factor = [...this.load.steps].reverse().find(([from]) => from <= this.#clock.now)?.[1] ?? 1
       // Arrivals are drawn at the greatest rate; the share beyond the present one is left out.
       const isLeftOut = random.uniform() * greatest >= factor
-      const hold = random.around(kind.holdMilliseconds, holdDeviation)
+      const noise = this.#noiseOf(random)
+      const hold = random.around(kind.holdMilliseconds, holdDeviation) * noise
       const instance = this.#instanceFor(random)
       if (!isLeftOut) {
-        new OnlineCaller(kind, hold, instance, this.#desk, this.#clock, this.#tally).attempt()
+        const noisyKind = noise === 1 ? kind : { ...kind, firstEventMilliseconds: kind.firstEventMilliseconds * noise }
+        new OnlineCaller(noisyKind, hold, instance, this.#desk, this.#clock, this.#tally).attempt()
       }
       this.#scheduleOnline(kind, random)
     })
@@ -94,7 +94,7 @@
         return
       }
       const instance = this.#instanceFor(random)
-      const holds = Array.from({ length: batch.itemsPerJob }, () => random.around(batch.holdMilliseconds, holdDeviation))
+      const holds = Array.from({ length: batch.itemsPerJob }, () => random.around(batch.holdMilliseconds, holdDeviation) * this.#noiseOf(random))
       for (const hold of holds) {
         const item = new BatchItem(batch, hold, instance, this.#desk, this.#clock, this.#tally)
         this.#items.push(item)
@@ -104,6 +104,11 @@
     })
   }
 
+  #noiseOf (random: RandomStream): number {
+    const { noise } = this.load
+    return noise !== undefined && random.uniform() < noise.share ? noise.factor : 1
+  }
+
   #instanceFor (random: RandomStream): Instance {
     return this.#instances[Math.floor(random.uniform() * this.#instances.length)] as Instance
   }
@@ -136,6 +141,28 @@
   }
 }
 
+/** Returns the targets of a load; without {@link FleetLoad.zones} they are spread evenly. */
+function targetsOf ({ targets, slotsOfTarget, targetSpeeds = [1], zones: zoneLoad }: FleetLoad): readonly SimulatedTarget[] {
+  const zoneOfTarget = zoneLoad === undefined ? zoneOf : (index: number) => zoneOf(positionOf(index, zoneLoad.targets))
+  const seen = new Map<string, number>()
+  return Array.from({ length: targets }, (_, index) => {
+    const zone = zoneOfTarget(index)
+    const place = seen.get(zone) ?? 0
+    seen.set(zone, place + 1)
+    const speed = targetSpeeds[place % targetSpeeds.length] ?? 1
+    return { id: `target-${index}`, address: '', zone, slots: slotsOfTarget, born: 1, softwareVersion: 'v1', leaving: false, accepting: true, speed }
+  })
+}
+
+/** Returns the position of the count in which an index lies, if the counts follow each other. */
+function positionOf (index: number, counts: readonly number[]): number {
+  let end = 0
+  return counts.findIndex(count => {
+    end += count
+    return index < end
+  })
+}
+
 function zoneOf (index: number): string {
   return zones[index % zones.length] as string
 }
--- a/packages/fleet-model/src/simulation/tally.ts
+++ b/packages/fleet-model/src/simulation/tally.ts
@@ -26,6 +26,11 @@
   #items = 0
   #itemsInTime = 0
   #itemsLate = 0
+  #itemMilliseconds = 0
+  #itemsFinished = 0
+  #grants = 0
+  #crossZoneGrants = 0
+  #crossZoneBytes = 0
   revocations = 0
   refusals = 0
 
@@ -49,8 +54,17 @@
     }
   }
 
-  /** Records the end of a batch item; `inTime` is null if it did not finish. */
-  addItem (arrivedAt: number, inTime: boolean | null): void {
+  /** Records a grant; `bytes` are those that go between zones. */
+  addGrant (isCrossZone: boolean, bytes: number): void {
+    this.#grants += 1
+    this.#crossZoneGrants += isCrossZone ? 1 : 0
+    this.#crossZoneBytes += bytes
+  }
+
+  /** Records the end of a batch item, with the milliseconds since its arrival; `inTime` is null if it did not finish. */
+  addItem (arrivedAt: number, inTime: boolean | null, took = 0): void {
+    this.#itemMilliseconds += took
+    this.#itemsFinished += inTime === null ? 0 : 1
     const { worth, lateWorth } = this.load.batch
     this.#items += 1
     this.#itemsInTime += inTime === true ? 1 : 0
@@ -76,7 +90,10 @@
       batchWorth: shareOf(this.#batchWorth),
       worstWindows: this.#worstWindows(),
       firstEventP50: percentile(0.5),
-      firstEventP99: percentile(0.99)
+      firstEventP99: percentile(0.99),
+      itemMean: this.#itemMilliseconds / Math.max(1, this.#itemsFinished),
+      crossZoneBytes: this.#crossZoneBytes,
+      crossZoneShare: this.#crossZoneGrants / Math.max(1, this.#grants)
     }
   }
 
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -21,6 +21,8 @@
 import type { SuspensionOptions } from './target-health.js'
 import { TargetIndex } from './target-index.js'
 import { TargetPacing } from './target-pacing.js'
+import { TargetSpeeds } from './target-speeds.js'
+import type { AnswerTiming, ExpectedTime } from './target-speeds.js'
 import { WaitCause } from './wait-cause.js'
 import type { SlotWait } from './wait-cause.js'
 
@@ -89,6 +91,7 @@
   /** The other accepting targets; each decision examines all of these. */
   readonly #unsound = new Set<TargetSlots>()
   readonly #prefixAffinity = new PrefixAffinity()
+  readonly #speeds = new TargetSpeeds()
   readonly #choice: TargetChoice
   readonly #holdTime = new MovingAverage(initialHoldTimeMilliseconds, holdTimeWeight)
   readonly #forecast = new OverloadForecast()
@@ -110,7 +113,7 @@
     this.#health = new TargetHealth(options)
     this.#pacing = new TargetPacing(limits)
     this.#crashes = new CrashAttribution(quarantine)
-    this.#choice = new TargetChoice({ slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#prefixAffinity, sound: this.#sound, unsound: this.#unsound })
+    this.#choice = new TargetChoice({ slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#prefixAffinity, speeds: this.#speeds, sound: this.#sound, unsound: this.#unsound })
   }
 
   /** Replaces the list of targets and returns the resulting decisions. */
@@ -120,6 +123,7 @@
     this.#health.retainTargets(ids)
     this.#crashes.retainTargets(ids)
     this.#pacing.retainTargets(ids)
+    this.#speeds.retainTargets(targets)
     this.#slots.setTargets(targets)
     this.#sound.retainVersions(this.#slots.versions)
     return [...this.#refuseWithoutVersion(), ...this.#grantWaiting()]
@@ -175,6 +179,25 @@
     return this.#grantWaiting()
   }
 
+  /** Takes note of the times of a complete answer, just before its slot is released; ignores unknown permits. */
+  recordTiming (permit: string, timing: AnswerTiming, now: number): void {
+    const slot = this.#slots.get(permit)
+    const target = this.#slots.target(slot?.target ?? '')
+    if (slot?.slotsInUse !== undefined && target?.born === slot.born) {
+      this.#speeds.record(target, slot.workClass, slot.slotsInUse, target.granted, timing, now)
+    }
+  }
+
+  /** Whether the speeds of targets differ so much that they matter. */
+  areSpeedsUnequal (now: number): boolean {
+    return this.#speeds.areUnequal(WorkClass.Online, now) || this.#speeds.areUnequal(WorkClass.Batch, now)
+  }
+
+  /** Returns what is known of the times to the first event, of the slowest targets. */
+  expectedTimes (maximum: number, now: number): readonly ExpectedTime[] {
+    return this.#speeds.expectedTimes(this.#sound.targets, maximum, now)
+  }
+
   /** Takes note that targets do not crash under a request, and returns the resulting decisions. */
   onSound (sound: SoundReport, now: number): readonly SlotDecision[] {
     this.#begin(now)
@@ -306,10 +329,11 @@
     this.#now = now
     // The wall clock may have been set back.
     this.#onlinePressureAt = Math.min(this.#onlinePressureAt, now)
+    this.#choice.begin(now)
     for (const target of this.#unsound) {
       if (this.#isSound(target)) {
         this.#unsound.delete(target)
-        this.#sound.place(target)
+        this.#choice.place(target, this.#now)
       }
     }
   }
@@ -324,7 +348,7 @@
       this.#unsound.delete(target)
     } else if (this.#isSound(target)) {
       this.#unsound.delete(target)
-      this.#sound.place(target)
+      this.#choice.place(target, this.#now)
     } else {
       this.#sound.remove(target)
       this.#unsound.add(target)
@@ -432,7 +456,7 @@
     const { id: target, address, born } = granted
     const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, slotsInUse: granted.granted + 1, revoked: false })
     this.#health.onGranted(target, now)
     this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -25,6 +25,8 @@
   readonly startedAt: number
   /** Time in milliseconds since the epoch. */
   readonly grantedAt: number
+  /** Slots of the target that were in use then, this one included; omitted if the slot is known from a report of its holder. */
+  readonly slotsInUse?: number
   /** Whether the owner has revoked the slot; it counts as free from then on. */
   revoked: boolean
 }
--- a/packages/policy/src/fleet/target-choice.ts
+++ b/packages/policy/src/fleet/target-choice.ts
@@ -11,6 +11,7 @@
 import type { TargetHealth } from './target-health.js'
 import type { TargetIndex } from './target-index.js'
 import type { TargetPacing } from './target-pacing.js'
+import type { TargetSpeeds } from './target-speeds.js'
 
 /** What is known of the targets of one service. */
 export interface ChoiceState {
@@ -18,6 +19,7 @@
   readonly health: Pick<TargetHealth, 'availabilityFor' | 'isSuspendedFor' | 'penaltyOf'>
   readonly pacing: Pick<TargetPacing, 'allowanceOf' | 'isLimited' | 'isProbeDue'>
   readonly prefixAffinity: Pick<PrefixAffinity, 'targetOf'>
+  readonly speeds: TargetSpeeds
   /** Accepting targets of which nothing bad is known, and which name no rate limit. */
   readonly sound: TargetIndex
   /** The other accepting targets; each choice examines all of these. */
@@ -49,8 +51,28 @@
 
 /** Scores targets and chooses the best one. */
 export class TargetChoice {
+  /** Whether the index holds targets by their speeds. */
+  #areUnequal = false
+
   constructor (private readonly state: ChoiceState) {}
 
+  /** Adds a target to those of which nothing bad is known, or moves it after a change. */
+  place (target: TargetSlots, now: number): void {
+    this.state.sound.place(target, this.state.speeds.speedClassOf(target, now))
+  }
+
+  /** Takes note of the time; by then, what is known of the speeds of targets may have changed. */
+  begin (now: number): void {
+    const { speeds, sound } = this.state
+    const areUnequal = speeds.areUnequal(WorkClass.Online, now) || speeds.areUnequal(WorkClass.Batch, now)
+    if (areUnequal !== this.#areUnequal) {
+      this.#areUnequal = areUnequal
+      for (const target of [...sound.targets]) {
+        this.place(target, now)
+      }
+    }
+  }
+
   /** Returns the best target with a free slot of those that are available in this way, or null if there is none. */
   select (request: SlotRequest, availability: TargetAvailability, moment: ChoiceMoment): TargetSlots | null {
     const candidates = [...this.state.unsound].filter(target => target.granted < target.slots && this.isUsable(target, request, availability, moment))
@@ -122,13 +144,13 @@
     return count
   }
 
-  /** Scores a target for a request; higher is better, and one busy slot lowers the score by one. */
+  /** Scores a target for a request; higher is better, and one busy slot of a target of the mean speed lowers the score by one. */
   #scoreOf (target: TargetSlots, request: SlotRequest, { now }: ChoiceMoment): number {
-    const { health, pacing, prefixAffinity } = this.state
+    const { health, pacing, prefixAffinity, speeds } = this.state
     const prefix = prefixAffinity.targetOf(request.prefix) === target.id ? prefixAffinityWeight : 0
     const zone = target.zone === request.zone ? sameZoneWeight : 0
     const limit = pacing.isLimited(target, now) ? rateLimitWeight : 0
     const isPreferred = request.workClass === WorkClass.Batch || pacing.isProbeDue(target, now)
-    return prefix + zone + (isPreferred ? limit : -limit) - health.penaltyOf(target.id, now) * failureRateWeight - target.granted
+    return prefix + zone + (isPreferred ? limit : -limit) - health.penaltyOf(target.id, now) * failureRateWeight - speeds.loadOf(target, request.workClass, now)
   }
 }
--- a/packages/policy/src/fleet/target-index.ts
+++ b/packages/policy/src/fleet/target-index.ts
@@ -1,15 +1,16 @@
 /**
- * Accepting targets by software version, availability zone and the number of their granted slots, so that the best one is found
+ * Accepting targets by software version, availability zone, speed and the number of their granted slots, so that the best one is found
  * without a scan of all.
  */
 import type { TargetSlots } from './fleet-slots.js'
 
-/** Accepting targets of one version and availability zone that have free slots: the set at index n holds those with n granted slots. */
+/** Accepting targets of one version, availability zone and speed that have free slots: the set at index n holds those with n granted slots. */
 type ZoneBuckets = Array<Set<TargetSlots>>
 
 interface Position {
   readonly version: string
   readonly zone: string
+  readonly speedClass: number
   readonly granted: number
   /** Slots that the target adds to the total, and free ones. */
   readonly slots: number
@@ -17,7 +18,8 @@
 }
 
 interface VersionGroup {
-  readonly zones: Map<string, ZoneBuckets>
+  /** By availability zone and speed class. */
+  readonly zones: Map<string, Map<number, ZoneBuckets>>
   /** Number of free slots. */
   free: number
 }
@@ -53,11 +55,15 @@
     return version === null ? this.#free : this.#groups.get(version)?.free ?? 0
   }
 
-  /** Adds a target, or moves it after a change of its software version, zone, slots or granted slots. */
-  place (target: TargetSlots): void {
+  /**
+   * Adds a target, or moves it after a change of its software version, zone, speed, slots or granted slots.
+   *
+   * @param speedClass number that targets of about the same speed share
+   */
+  place (target: TargetSlots, speedClass = 0): void {
     this.remove(target)
     const { softwareVersion: version, zone, granted, slots } = target
-    const position = { version, zone, granted, slots, free: Math.max(0, slots - granted) }
+    const position = { version, zone, speedClass, granted, slots, free: Math.max(0, slots - granted) }
     this.#positions.set(target, position)
     this.#free += position.free
     this.#slots += position.slots
@@ -89,25 +95,31 @@
     }
   }
 
+  /** Targets in the index. */
+  get targets (): Iterable<TargetSlots> {
+    return this.#positions.keys()
+  }
+
   /**
-   * Returns the targets with a free slot that have the fewest granted ones: the best of the given zone, and the best of all others.
+   * Returns the targets with a free slot that have the fewest granted ones, of each speed class: the best of the given zone, then the best of all others.
    *
    * @param version software version of the targets, or null for all
    */
   leastLoaded (zone: string, version: string | null, condition: (target: TargetSlots) => boolean): readonly TargetSlots[] {
-    let own: TargetSlots | null = null
-    let other: TargetSlots | null = null
+    const own = new Map<number, TargetSlots>()
+    const other = new Map<number, TargetSlots>()
     for (const group of this.#groupsOf(version)) {
-      for (const [name, buckets] of group.zones) {
-        const found = firstOf(buckets, condition)
-        if (name === zone) {
-          own = lessLoaded(own, found)
-        } else {
-          other = lessLoaded(other, found)
+      for (const [name, classes] of group.zones) {
+        const best = name === zone ? own : other
+        for (const [speedClass, buckets] of classes) {
+          const found = lessLoaded(best.get(speedClass) ?? null, firstOf(buckets, condition))
+          if (found !== null) {
+            best.set(speedClass, found)
+          }
         }
       }
     }
-    return [own, other].filter(target => target !== null)
+    return [...own.values(), ...other.values()]
   }
 
   #groupsOf (version: string | null): Iterable<VersionGroup> {
@@ -123,15 +135,17 @@
     if (known !== undefined) {
       return known
     }
-    const group = { zones: new Map<string, ZoneBuckets>(), free: 0 }
+    const group = { zones: new Map<string, Map<number, ZoneBuckets>>(), free: 0 }
     this.#groups.set(version, group)
     return group
   }
 }
 
-function bucketOf ({ zones }: VersionGroup, { zone, granted }: Position): Set<TargetSlots> {
-  const buckets = zones.get(zone) ?? []
-  zones.set(zone, buckets)
+function bucketOf ({ zones }: VersionGroup, { zone, speedClass, granted }: Position): Set<TargetSlots> {
+  const classes = zones.get(zone) ?? new Map<number, ZoneBuckets>()
+  zones.set(zone, classes)
+  const buckets = classes.get(speedClass) ?? []
+  classes.set(speedClass, buckets)
   while (buckets.length <= granted) {
     buckets.push(new Set())
   }
