Report the times of answers with the release of slots

Cause: the owner of a service's slots decides by the speeds of targets, which only the holders of slots can measure.

Change: an optional field of the release message names the milliseconds to the first event and between further ones, for complete answers of requests that were not resumed or relayed, and whose callers did not hold them back. The owner shows expected and measured times of the slowest 100 targets as a metric and logs when speeds begin and cease to decide.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,6 +69,8 @@
   readonly logger: Logger
 }
 
+/** Targets whose times are shown in metrics, which bounds the number of series. */
+const maximumTimedTargets = 100
 /** Topic of batch jobs and their results. */
 const jobsTopicName = 'jobs'
 /** Topic of the progress of batch items. */
@@ -164,6 +166,11 @@
     this.slots.onRateLimitChange(({ service, target, previous, current, holder, age, recentGrants }) => {
       logger.info('rate limit of target changed', { service, target, previous, limit: current, holder, age, recentGrants })
     })
+    this.slots.targetTimes.onSpeedsChange(({ service, areUnequal, times }) => {
+      const [slowest, fastest] = [times[0], times.at(-1)]
+      logger.info(areUnequal ? 'speeds of targets differ' : 'speeds of targets no longer differ', { service, targets: times.length, slowest: slowest?.target ?? null, slowestMilliseconds: slowest?.expected ?? null, fastest: fastest?.target ?? null, fastestMilliseconds: fastest?.expected ?? null })
+    })
+    this.metrics.onCollectTargetTimes(() => this.slots.targetTimes.expectedTimes(maximumTimedTargets))
     this.metrics.onCollectRateLimits(() => this.targets.all().flatMap(target => {
       const limit = this.slots.rateLimitOf(target)
       return limit === null ? [] : [[target.id, limit] as const]
--- a/packages/gateway/src/jobs/item-run.ts
+++ b/packages/gateway/src/jobs/item-run.ts
@@ -359,7 +359,8 @@
     this.#stop.signal.removeEventListener('abort', onStop)
     this.#ranMilliseconds += Date.now() - sentAt
     const stopped = outcome !== CallOutcome.Complete && (slot.revoked.aborted || this.#stop.signal.aborted || reason === expiredReason)
-    const endedCall = { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound, place: this.#output.lastId ?? 0 }, endedAt: Date.now() }
+    const timing = outcome === CallOutcome.Complete && resumedAfter === null && call.via === null ? progress.timingOf(this.#status, call.sentAt) : null
+    const endedCall = { end: outcome, reason, status: this.#status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound, place: this.#output.lastId ?? 0, ...(timing === null ? {} : { timing }) }, endedAt: Date.now() }
     if (stopped) {
       slot.release(call.sentAt === null ? SlotOutcome.NotRun : SlotOutcome.Stopped, endedCall.evidence)
     } else {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,9 +1,12 @@
 /** Prometheus metrics of a gateway process. */
+import type { ExpectedTime } from '@arbutusloft/policy'
 import { Counter, Gauge, Histogram, Registry } from './util/prometheus.js'
 
 /** Bucket bounds in seconds, dense around the latency objectives of online routes. */
 const latencyBounds = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 5]
 
+const millisecondsPerSecond = 1_000
+
 /** Metrics of one gateway process, in a separate registry. */
 export class GatewayMetrics {
   readonly registry = new Registry()
@@ -107,6 +110,26 @@
     }
   })
 
+  #targetTimes: () => readonly ExpectedTime[] = () => []
+
+  /**
+   * Time to the first event of an online request at the slowest targets whose slots this process grants, in seconds: `expected` for the next request,
+   * `measured` for the latest one.
+   */
+  readonly targetFirstEvent: Gauge<'target' | 'figure'> = new Gauge({
+    name: 'arbutus_gateway_target_first_event_seconds',
+    help: 'Expected and latest measured time to the first event by target, at the owner of its slots',
+    labelNames: ['target', 'figure'],
+    registers: [this.registry],
+    collect: () => {
+      this.targetFirstEvent.reset()
+      for (const { target, expected, measured } of this.#targetTimes()) {
+        this.targetFirstEvent.set({ target, figure: 'expected' }, expected / millisecondsPerSecond)
+        this.targetFirstEvent.set({ target, figure: 'measured' }, measured / millisecondsPerSecond)
+      }
+    }
+  })
+
   /** Version of the current configuration. */
   readonly routesVersion = new Gauge({
     name: 'arbutus_gateway_routes_version',
@@ -114,6 +137,11 @@
     registers: [this.registry]
   })
 
+  /** Asks for the times to the first event when metrics are read. */
+  onCollectTargetTimes (targetTimes: () => readonly ExpectedTime[]): void {
+    this.#targetTimes = targetTimes
+  }
+
   /** Asks for the limits, in pairs of a target's id and its requests a second, when metrics are read. */
   onCollectRateLimits (rateLimits: () => ReadonlyArray<readonly [string, number]>): void {
     this.#rateLimits = rateLimits
--- a/packages/gateway/src/online/online-run.ts
+++ b/packages/gateway/src/online/online-run.ts
@@ -313,6 +313,7 @@
           this.#observeFirstByte()
         }
         if (!isWritable) {
+          progress.onHeldBack()
           this.#relay.onceWritable(() => { call.resume() })
         }
         return isWritable
@@ -338,7 +339,9 @@
     silenceWatch.close()
     this.#abort.signal.removeEventListener('abort', onAbort)
     let released = Promise.resolve()
-    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound, place: this.#relay.lastId ?? request.lastEventId ?? 0 }, endedAt: Date.now() }
+    // A relayed connection takes longer, and the rest of a stream is no whole answer.
+    const timing = outcome === CallOutcome.Complete && resumeAfter === null && call.via === null ? progress.timingOf(status, call.sentAt) : null
+    const endedCall = { end: outcome, reason, status, sentAt: call.sentAt ?? sentAt, firstDataAt: progress.firstDataAt, evidence: { isSound: progress.isSound, place: this.#relay.lastId ?? request.lastEventId ?? 0, ...(timing === null ? {} : { timing }) }, endedAt: Date.now() }
     const hasQuestion = outcome === CallOutcome.EndUnknown && !isDiscarded && this.#beginQuestion()
     if (hasQuestion && this.#nextSlot === null && dependencies.slots.canRunAgain(slot)) {
       // A new slot would be taken from the requests that wait for one.
--- a/packages/gateway/src/peers/peer-messages.ts
+++ b/packages/gateway/src/peers/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the processes of a gateway fleet; each is sent as one datagram. */
-import type { CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
+import type { AnswerTiming, CrashReport, SoundReport, HeldSlot, KnownOrigin, QuarantineEntry, RateLimitReport, RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import { isMemberDigest } from './member-digest.js'
 import type { MemberDigest } from './member-digest.js'
 
@@ -148,6 +148,8 @@
   readonly crash?: Omit<CrashReport, 'digest'> & Partial<Pick<CrashReport, 'digest'>>
   /** The request, if it was stopped while its answer went well; left out by earlier builds. */
   readonly sound?: SoundReport
+  /** Times of a complete answer; left out if they tell nothing of the target, and by earlier builds, which ignore it. */
+  readonly timing?: AnswerTiming
 }
 
 /** Tells that a target does not crash under a request, whose answer goes on. Builds before ignore it. */
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -3,8 +3,8 @@
  * of the service's targets (see slot-owner.ts). This module requests slots from owners over datagrams, keeps the slots
  * that were granted, reports them periodically and releases them.
  */
-import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits, receivedWait, unknownWait } from '@arbutusloft/policy'
-import type { CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits, receivedTiming, receivedWait, unknownWait } from '@arbutusloft/policy'
+import type { AnswerTiming, CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -16,7 +16,8 @@
 import type { Target, TargetEndpoint, TargetRegistry } from '../targets/target-registry.js'
 import { Alarm } from '../util/alarm.js'
 import { RateLimitSharing } from './rate-limit-sharing.js'
-import type { AcquireResult, AnswerEvidence, Slot, SlotDemand, SlotRejection } from './slot.js'
+import { endsBatchRequest, withdrawnAfter } from './slot.js'
+import type { AcquireResult, AnswerEvidence, Slot, SlotDemand } from './slot.js'
 import { SlotOwner } from './slot-owner.js'
 import type { ObservedRateLimitChange } from './slot-owner.js'
 
@@ -201,6 +202,11 @@
     this.#owner.onRateLimitChange(listener)
   }
 
+  /** What this process knows of the times of targets whose slots it grants. */
+  get targetTimes (): Pick<SlotOwner, 'expectedTimes' | 'onSpeedsChange'> {
+    return this.#owner
+  }
+
   /** Number of slots that this process holds. */
   get held (): number {
     return this.#held.size
@@ -411,7 +417,7 @@
         this.#owner.withdraw(message.service, message.permit)
         return
       case PeerMessageType.SlotRelease:
-        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash }, sender, message.sound ?? null)
+        this.#owner.release(message.service, message.permit, message.isNotRun === true ? SlotOutcome.NotRun : message.outcome, message.crash === undefined ? null : { digest: '', ...message.crash }, sender, message.sound ?? null, receivedTiming(message.timing))
         return
       case PeerMessageType.SlotSound:
         this.#owner.onSound(message.service, message.sound)
@@ -641,7 +647,7 @@
     }
   }
 
-  #release (held: LocalSlot, outcome: SlotOutcome, { isSound, place }: AnswerEvidence = { isSound: false, place: 0 }): void {
+  #release (held: LocalSlot, outcome: SlotOutcome, { isSound, place, timing }: AnswerEvidence = { isSound: false, place: 0 }): void {
     if (this.#held.delete(held.permit)) {
       const { service, ownerAddress, permit, target, prefix, digest } = held
       const crash = outcome === SlotOutcome.Crashed ? { target, parts: prefix, digest, place } : null
@@ -649,30 +655,20 @@
       if (outcome === SlotOutcome.Finished) {
         this.quarantine.rememberAnswered({ parts: prefix, digest })
       }
-      this.#sendRelease(service, ownerAddress, permit, outcome, crash, sound)
+      this.#sendRelease(service, ownerAddress, permit, outcome, crash, sound, outcome === SlotOutcome.Finished ? timing : undefined)
     }
   }
 
-  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sound: SoundReport | null = null): void {
+  #sendRelease (service: string, owner: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sound: SoundReport | null = null, timing?: AnswerTiming): void {
     if (owner === this.transport.address) {
-      this.#owner.release(service, permit, outcome, crash, owner, sound)
+      this.#owner.release(service, permit, outcome, crash, owner, sound, timing ?? null)
     } else {
       const end = outcome === SlotOutcome.NotRun ? { outcome: SlotOutcome.Stopped, isNotRun: true } : { outcome }
-      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, ...end, ...(crash === null ? {} : { crash }), ...(sound === null ? {} : { sound }) })
+      this.transport.send(owner, { type: PeerMessageType.SlotRelease, service, permit, ...end, ...(crash === null ? {} : { crash }), ...(sound === null ? {} : { sound }), ...(timing === undefined ? {} : { timing }) })
     }
   }
 }
 
-/** Whether a batch request is rejected for good, so that its item has to begin anew. */
-function endsBatchRequest (reason: RefusalReason): boolean {
-  return reason === RefusalReason.VersionGone || reason === RefusalReason.VersionUnknown
-}
-
-/** Returns the result of a request that its own holder withdrew. */
-function withdrawnAfter (wait: SlotWait): SlotRejection {
-  return { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait }
-}
-
 /** Returns the time at which a pending request has to be checked, in milliseconds since the epoch. */
 function nextCheckOf ({ sentAt, queued, retransmitted }: PendingRequest): number {
   if (queued) {
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -3,7 +3,7 @@
  * send slot requests to this one.
  */
 import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, TargetRateLimits, WaitCause } from '@arbutusloft/policy'
-import type { CrashReport, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SoundReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import type { AnswerTiming, CrashReport, ExpectedTime, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SoundReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
@@ -25,6 +25,14 @@
   readonly recentGrants: number
 }
 
+/** A change of whether the speeds of a service's targets decide where requests go, for logs. */
+export interface SpeedsChange {
+  readonly service: string
+  readonly areUnequal: boolean
+  /** What is known of the targets, the slowest first. */
+  readonly times: readonly ExpectedTime[]
+}
+
 /** Interval at which waiting requests are decided anew: their time may be up, and targets may have become available again. */
 const waitingCheckIntervalMilliseconds = 25
 /** Interval at which holders are checked for timeouts. */
@@ -42,6 +50,8 @@
   readonly admission: FleetAdmission
   /** Time of each holder's last request or report, in milliseconds since the epoch. */
   readonly holders: Map<string, number>
+  /** Whether the speeds of targets decide where requests go. */
+  areSpeedsUnequal: boolean
 }
 
 /** Keeps the soft state of each service for which this process was sent a message; holders' reports rebuild it after a takeover. */
@@ -52,6 +62,7 @@
   readonly #deferred = new Map<string, { readonly service: string, readonly request: SlotRequest }>()
   /** Holders of requests, by permit, that wait for {@link SlotOwner.#confirmationOf}. */
   readonly #unconfirmed = new Map<string, string>()
+  readonly #speedListeners: Array<(change: SpeedsChange) => void> = []
   readonly #rateLimitListeners: Array<(change: ObservedRateLimitChange) => void> = []
   /** Whether slots are granted, which the list of targets may be too old for. */
   #isGranting = true
@@ -171,11 +182,38 @@
    * @param crash the request that the target crashed under, or null if it has not crashed
    * @param sender as in {@link FleetAdmission.release}
    * @param sound as in {@link FleetAdmission.release}
+   * @param timing times of the answer, or null if they are unknown
    */
-  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sender = '', sound: SoundReport | null = null): void {
+  release (service: string, permit: string, outcome: SlotOutcome, crash: CrashReport | null, sender = '', sound: SoundReport | null = null, timing: AnswerTiming | null = null): void {
     this.#forgetRequest(permit)
     this.#updateGranting()
-    this.#emit(service, this.#ensureService(service).admission.release(permit, outcome, Date.now(), crash, sender, sound))
+    const owned = this.#ensureService(service)
+    if (timing !== null) {
+      this.#recordTiming(service, owned, permit, timing)
+    }
+    this.#emit(service, owned.admission.release(permit, outcome, Date.now(), crash, sender, sound))
+  }
+
+  #recordTiming (service: string, owned: OwnedService, permit: string, timing: AnswerTiming): void {
+    const now = Date.now()
+    owned.admission.recordTiming(permit, timing, now)
+    const areUnequal = owned.admission.areSpeedsUnequal(now)
+    if (areUnequal !== owned.areSpeedsUnequal) {
+      owned.areSpeedsUnequal = areUnequal
+      const times = owned.admission.expectedTimes(Infinity, now)
+      this.#speedListeners.forEach(listener => { listener({ service, areUnequal, times }) })
+    }
+  }
+
+  /** Calls the listener when the speeds of a service's targets begin to decide where requests go, and when they no longer do. */
+  onSpeedsChange (listener: (change: SpeedsChange) => void): void {
+    this.#speedListeners.push(listener)
+  }
+
+  /** Returns what is known of the times to the first event at targets whose slots this process grants, the slowest ones of each service. */
+  expectedTimes (maximum: number): readonly ExpectedTime[] {
+    const now = Date.now()
+    return [...this.#services.values()].flatMap(({ admission }) => admission.expectedTimes(maximum, now)).sort((left, right) => right.expected - left.expected).slice(0, maximum)
   }
 
   /** Takes note that targets do not crash under a request. */
@@ -254,7 +292,7 @@
     if (known !== undefined) {
       return known
     }
-    const owned = { admission: new FleetAdmission(defaultFleetAdmissionOptions, this.quarantine, this.limits), holders: new Map<string, number>() }
+    const owned = { admission: new FleetAdmission(defaultFleetAdmissionOptions, this.quarantine, this.limits), holders: new Map<string, number>(), areSpeedsUnequal: false }
     this.#services.set(service, owned)
     owned.admission.setTargets(this.#targetsOf(service), Date.now())
     return owned
--- a/packages/gateway/src/permits/slot.ts
+++ b/packages/gateway/src/permits/slot.ts
@@ -1,13 +1,16 @@
 /** Requests for slots, and their results. A slot lets its holder run one request on one target. */
-import type { RefusalReason, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
+import { RefusalReason } from '@arbutusloft/policy'
+import type { AnswerTiming, SlotOutcome, SlotRequest, SlotWait } from '@arbutusloft/policy'
 import type { TargetEndpoint } from '../targets/target-registry.js'
 
-/** What an answer that was not complete has shown, apart from the outcome of its request. */
+/** What an answer has shown, apart from the outcome of its request. */
 export interface AnswerEvidence {
   /** Whether it went well for so long that its target does not crash under the request. */
   readonly isSound: boolean
   /** Id of the last event of the answer that has arrived, from this target or from those before; 0 before the first. */
   readonly place: number
+  /** Times of an answer that is complete and was not resumed, if they tell how fast its target is; otherwise omitted. */
+  readonly timing?: AnswerTiming
 }
 
 /** A slot that this process holds. */
@@ -50,3 +53,13 @@
 
 /** Parameters of a request for a slot on a target of `service`; permit, holder and availability zone are filled in when it is sent. */
 export type SlotDemand = Omit<SlotRequest, 'permit' | 'holder' | 'zone'> & { readonly service: string }
+
+/** Returns the result of a request that its own holder withdrew. */
+export function withdrawnAfter (wait: SlotWait): SlotRejection {
+  return { granted: false, reason: RefusalReason.Busy, retryAfter: 0, wait }
+}
+
+/** Whether a batch request is rejected for good, so that its item has to begin anew. */
+export function endsBatchRequest (reason: RefusalReason): boolean {
+  return reason === RefusalReason.VersionGone || reason === RefusalReason.VersionUnknown
+}
--- a/packages/gateway/tests/targets/answer-progress.test.ts
+++ b/packages/gateway/tests/targets/answer-progress.test.ts
@@ -38,4 +38,34 @@
     assert.deepEqual(play(context, [[50, 4], [400, 5], [500, 6]], 500), [])
     assert.deepEqual(play(context, [[50, 4], [400, 5], [500, 6]], null), [])
   })
+
+  /** Plays a success that brings data at these times, the request being sent at 0, and returns its times. */
+  function timingOf (context: TestContext, data: ReadonlyArray<readonly [number, number]>, isHeldBack = false, status = 200): ReturnType<AnswerProgress['timingOf']> {
+    context.mock.timers.enable({ apis: ['Date'] })
+    const progress = new AnswerProgress(0, () => {})
+    let now = 0
+    for (const [time, place] of data) {
+      context.mock.timers.tick(time - now)
+      now = time
+      progress.onData(status, place)
+    }
+    if (isHeldBack) {
+      progress.onHeldBack()
+    }
+    const timing = progress.timingOf(status, 0)
+    context.mock.timers.reset()
+    return timing
+  }
+
+  it('tells the time to the first event and between further ones, also if several arrive at once', context => {
+    assert.deepEqual(timingOf(context, [[30, 1], [50, 3], [70, 5]]), { firstEvent: 30, betweenEvents: 10 })
+    assert.deepEqual(timingOf(context, [[30, 1], [50, 2]]), { firstEvent: 30, betweenEvents: null })
+    assert.deepEqual(timingOf(context, [[40, 0], [60, 0]]), { firstEvent: 40, betweenEvents: null })
+  })
+
+  it('tells no times of failures, and of answers whose caller reads slowly (guards against taking a slow caller for a slow target)', context => {
+    assert.equal(timingOf(context, [[30, 1], [50, 3], [70, 5]], true), null)
+    assert.equal(timingOf(context, [[30, 1], [50, 3], [70, 5]], false, 500), null)
+    assert.equal(timingOf(context, []), null)
+  })
 })
