Remember other instances longer while none of them is seen

Cause: an instance that was cut off from all others for more than 10 s took itself for the whole fleet and granted whole allowances. Change: it remembers them for 60 s while it sees none, and for 10 s once it sees some again.

--- a/packages/gateway/src/accounts/known-instances.ts
+++ b/packages/gateway/src/accounts/known-instances.ts
@@ -5,6 +5,8 @@
 
 /** Time for which an instance that is no longer seen counts as known. */
 const knownMilliseconds = 10_000
+/** The same while this instance sees no other one: all others are more probably out of its reach than lost. */
+const isolatedKnownMilliseconds = 60_000
 /** Interval at which the members that are seen are recorded; a group is asked for with each request. */
 const recordMilliseconds = 500
 
@@ -33,9 +35,16 @@
       }
       this.#latest = live
     }
+    if (this.#group.seen === 1 && live.length > 1) {
+      // Others become visible one by one.
+      for (const address of this.#seenAt.keys()) {
+        this.#seenAt.set(address, now)
+      }
+    }
     live.forEach(({ address }) => this.#seenAt.set(address, now))
+    const retention = live.length === 1 ? isolatedKnownMilliseconds : knownMilliseconds
     for (const [address, seenAt] of this.#seenAt) {
-      if (now - seenAt > knownMilliseconds) {
+      if (now - seenAt > retention) {
         this.#seenAt.delete(address)
       }
     }
