Forget accounts at intervals, and name no rank where none is ahead

Cause: while nothing waited, each request went through all accounts to forget those that say nothing; a refusal in the highest rank could name the rank as its cause. Change: accounts are forgotten every 10 s at most; the cause is the rank only if requests of higher ranks are ahead.

--- a/packages/policy/src/fleet/online-queue.ts
+++ b/packages/policy/src/fleet/online-queue.ts
@@ -19,6 +19,9 @@
   readonly flow: Flow
 }
 
+/** Interval at which accounts that need not be remembered are forgotten, which examines all accounts. */
+const pruneIntervalMilliseconds = 10_000
+
 /** A request that was removed to be refused. */
 export interface RemovedRequest extends WaitingRequest {
   /** What is served before it; null where no request has a client account. */
@@ -50,6 +53,8 @@
   readonly #rankOrder = new RankOrder()
   /** Number of requests of client accounts; without any, the order is that of first attempts. */
   #ofAccounts = 0
+  /** Time at which accounts were last forgotten, in milliseconds since the epoch. */
+  #prunedAt = 0
   /** Classes as of a time, until requests are removed: a newcomer's place and the request that it displaces are found in the same ones. */
   #classified: { readonly now: number, readonly classes: RequestClasses } | null = null
 
@@ -104,8 +109,9 @@
   /** Records a request that has arrived, unless it waits already. */
   recordAsked (request: SlotRequest, now: number): void {
     if (request.caller !== undefined && !this.has(request.permit)) {
-      if (this.length === 0) {
+      if (this.length === 0 && Math.abs(now - this.#prunedAt) > pruneIntervalMilliseconds) {
         this.#rankOrder.prune(now)
+        this.#prunedAt = now
       }
       this.#rankOrder.recordAsked(request, now)
     }
--- a/packages/policy/src/fleet/rank-order.ts
+++ b/packages/policy/src/fleet/rank-order.ts
@@ -220,7 +220,8 @@
   if (isInTime(ahead.whateverShare)) {
     return { standing: { cause: OrderCause.Share, rank, position } }
   }
-  return { standing: { cause: isInTime(ahead.whateverRank) ? OrderCause.Rank : OrderCause.Load, rank, position } }
+  const isOutranked = ahead.whateverRank < ahead.count && isInTime(ahead.whateverRank)
+  return { standing: { cause: isOutranked ? OrderCause.Rank : OrderCause.Load, rank, position } }
 }
 
 /** Returns a number below 0 if a place comes before another one, which is given by its fields. */
--- a/packages/policy/tests/fleet/rank-and-share.test.ts
+++ b/packages/policy/tests/fleet/rank-and-share.test.ts
@@ -60,6 +60,17 @@
     assert.deepEqual(describeDecisions(fleet.request(request('s1', 'small', 1), 1)), ['refuse l2 share 3'])
   })
 
+  it('names the load, and no rank, as the cause where all that is ahead is of the same rank and would be ahead whatever the share', () => {
+    const fleet = fullFleet()
+    satisfy(fleet, 'a', 0)
+    satisfy(fleet, 'b', 0)
+    for (const [permit, account] of [['b1', 'b'], ['c1', 'c'], ['d1', 'd']] as const) {
+      fleet.request(request(permit, account, 0, { patience: 10_000 }), 0)
+    }
+    const refused = fleet.request(request('a1', 'a', 0, { patience: 100 }), 0)
+    assert.deepEqual(describeDecisions(refused), ['refuse a1 load 4'])
+  })
+
   it('tells neither rank nor share of a refusal of a request without an account', () => {
     const fleet = fullFleet()
     const [refusal] = ['p1', 'p2', 'p3'].flatMap(permit => fleet.request(onlineRequest(permit, { patience: 400 }), 0))
