--- a/packages/gateway/src/http/read-body.ts
+++ b/packages/gateway/src/http/read-body.ts
@@ -57,9 +57,9 @@
  * Reads the whole body of a request. Rejects with a {@link BodyTooLargeError}, {@link BodyRefusedError} or {@link BodyTimeoutError}, after which the rest
  * of the body is still to be read, or with the connection's error.
  */
-export async function readBody (request: IncomingMessage, limit: number, held: HeldBytes): Promise<RequestBody> {
+export async function readBody (request: IncomingMessage, limit: number, held: HeldBytes, timeoutMilliseconds = bodyTimeoutMilliseconds): Promise<RequestBody> {
   return await new Promise((resolve, reject) => {
-    new BodyReader(request, limit, held, resolve, reject).start()
+    new BodyReader(request, limit, held, timeoutMilliseconds, resolve, reject).start()
   })
 }
 
@@ -82,6 +82,7 @@
     private readonly request: IncomingMessage,
     private readonly limit: number,
     private readonly held: HeldBytes,
+    private readonly timeoutMilliseconds: number,
     private readonly resolve: (body: RequestBody) => void,
     private readonly reject: (error: Error) => void
   ) {
@@ -104,7 +105,7 @@
     this.#timer = setTimeout(() => {
       // After a freeze of the process the rest may have arrived already.
       afterNextRead(() => { this.#onTimeout() })
-    }, bodyTimeoutMilliseconds)
+    }, this.timeoutMilliseconds)
   }
 
   #take (chunk: Buffer): void {
@@ -151,7 +152,7 @@
 
   #onTimeout (): void {
     if (this.#waiting === null) {
-      this.#fail(new BodyTimeoutError(bodyTimeoutMilliseconds))
+      this.#fail(new BodyTimeoutError(this.timeoutMilliseconds))
     } else {
       this.#refuse()
     }
