--- a/packages/gateway/src/targets/target-relay.ts
+++ b/packages/gateway/src/targets/target-relay.ts
@@ -34,8 +34,10 @@
 /** Chunks from a peer after which their mean length is judged, and the least that it may be: peers send whole requests, and small chunks take more memory than their bytes. */
 const judgedChunks = 256
 const minimumMeanChunkBytes = 64
-/** Time without bytes in either direction after which a connection is closed if bytes wait for the target or for the peer: a side that reads nothing would hold them. */
+/** Time without bytes in either direction after which a connection is closed if bytes wait for the target, which would hold them for good if it reads nothing. */
 const stallTimeoutMilliseconds = 5_000
+/** Number of these times after which it is closed if bytes wait for the peer, whose client may read slowly. */
+const maximumResponseStalls = 3
 /** Time without bytes in either direction after which a connection is closed; longer than the timeout of any request. */
 const idleTimeoutMilliseconds = 120_000
 const maximumPort = 65_535
@@ -151,9 +153,14 @@
   response.flushHeaders()
   socket.pipe(response, { end: false })
   request.pipe(socket, { end: false })
-  const count = (): void => { held.set(socket.writableLength + response.writableLength + request.readableLength + socket.readableLength) }
+  let stalls = 0
+  const count = (): void => {
+    stalls = 0
+    held.set(socket.writableLength + response.writableLength + request.readableLength + socket.readableLength)
+  }
   const onIdle = (): void => {
-    if (socket.writableLength > 0 || response.writableLength > 0) {
+    stalls += 1
+    if (socket.writableLength > 0 || (response.writableLength > 0 && stalls >= maximumResponseStalls)) {
       socket.destroy()
       request.destroy()
     } else {
