Weigh traffic between zones against the wait in the own zone

Cause: the zone of a request outweighs one busy slot of a target, whatever traffic between zones costs and however much room the zones have.

Change: ZoneRouting follows the demand and the slots of each zone. With a price of a gigabyte, a share of a zone's requests leaves it: what it cannot take up to the load at which the wait is worth the way, as far as other zones have room. The share changes by a tenth a second at most and does not depend on where requests went. Settings zones.price_per_gb (0) and zones.greatest_share (1); with these defaults, decisions are as before. The owner counts grants by zone and why they are in their zone or not, and shows the share.

--- a/packages/fleet-model/src/bin/arbutus-fleet-model.ts
+++ b/packages/fleet-model/src/bin/arbutus-fleet-model.ts
@@ -8,9 +8,11 @@
 import type { NamedPolicy } from '../compare-policies.js'
 import { policies } from '../policies/index.js'
 import { speedPolicies, unequalLoad } from '../speeds/index.js'
+import { zoneLoads, zonePolicies } from '../zones/index.js'
 
 const usageExitCode = 2
 const percent = 100
+const bytesPerMegabyte = 1e6
 
 /** Columns of the table: a heading, and the figure in percent or milliseconds. */
 const columns: ReadonlyArray<readonly [string, (outcome: FleetOutcome) => number]> = [
@@ -39,6 +41,12 @@
   ['item ms', outcome => outcome.itemMean],
   ['worth', outcome => percent * outcome.worth]
 ]
+/** Columns of the comparison of zones. */
+const zoneColumns: typeof columns = [
+  ['between, MB', outcome => outcome.crossZoneBytes / bytesPerMegabyte],
+  ['between, %', outcome => percent * outcome.crossZoneShare],
+  ...speedColumns
+]
 /** Shares of the capacity at which they are compared. */
 const speedShares = [0.4, 0.6, 0.8, 0.95]
 
@@ -82,6 +90,25 @@
   }
 }
 
+class ZonesCommand extends Command {
+  static override paths = [['zones']]
+  static override usage = Command.Usage({ description: 'Compare prices of traffic between availability zones with equal zones, with one short of targets and with one without any.' })
+
+  readonly seeds = Option.String('--seeds', '6', { description: 'Number of seeds' })
+
+  async execute (): Promise<number> {
+    const seeds = Number(this.seeds)
+    if (!Number.isInteger(seeds) || seeds < 1) {
+      this.context.stderr.write(`${this.seeds} seeds: expected a whole number above 0\n`)
+      return usageExitCode
+    }
+    for (const load of zoneLoads) {
+      print(load, zonePolicies, zoneColumns, seeds, this.context.stdout)
+    }
+    return 0
+  }
+}
+
 /** Plays a load with policies, and prints a table of means with the half width of their 95% confidence intervals. */
 function print (load: FleetLoad, compared: readonly NamedPolicy[], shown: typeof columns, seeds: number, output: NodeJS.WritableStream): void {
   output.write(`\n${load.name}: ${load.description}\n${'policy'.padEnd(columnWidth)}${shown.map(([heading]) => heading.padStart(columnWidth)).join('')}\n`)
@@ -98,5 +125,6 @@
 const cli = new Cli({ binaryName: 'arbutus-fleet-model' })
 cli.register(ModelCommand)
 cli.register(SpeedsCommand)
+cli.register(ZonesCommand)
 cli.register(Builtins.HelpCommand)
 process.exitCode = await cli.run(process.argv.slice(2))
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pickService, CrashQuarantine, DrainAdmission, RouteTable, ServiceHistory, TargetPaths, VersionHistory } from '@arbutusloft/policy'
-import type { RelayPeer, Route, RouteConfiguration } from '@arbutusloft/policy'
+import type { RelayPeer, Route, RouteConfiguration, ZoneRoutingOptions } from '@arbutusloft/policy'
 import { messageOf } from '@arbutusloft/protocol'
 import { identify, rejectKey, slotCallerOf } from './accounts/client-identity.js'
 import { BodyTooLargeError, readBody } from './http/read-body.js'
@@ -66,6 +66,8 @@
   readonly refreshConfiguration: () => Promise<boolean>
   /** Number of partitions of each topic. */
   readonly partitions: number
+  /** How traffic between availability zones is weighed; omitted for the defaults. */
+  readonly zoneRouting?: ZoneRoutingOptions | undefined
   readonly logger: Logger
 }
 
@@ -162,15 +164,16 @@
     void this.#serviceVersions.load()
     this.#originLog = new OriginLog(options.openTopic(originsTopicName, 0, this.metrics), transport.address, logger)
     this.#streamOrigins = new StreamOriginDirectory({ versions: history, membership: this.membership, transport, log: this.#originLog })
-    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history)
+    this.slots = new SlotClient(this.membership, transport, this.targets, this.targetFreshness, quarantine, history, options.zoneRouting)
     this.slots.onRateLimitChange(({ service, target, previous, current, holder, age, recentGrants }) => {
       logger.info('rate limit of target changed', { service, target, previous, limit: current, holder, age, recentGrants })
     })
-    this.slots.targetTimes.onSpeedsChange(({ service, areUnequal, times }) => {
+    this.slots.granted.onSpeedsChange(({ service, areUnequal, times }) => {
       const [slowest, fastest] = [times[0], times.at(-1)]
       logger.info(areUnequal ? 'speeds of targets differ' : 'speeds of targets no longer differ', { service, targets: times.length, slowest: slowest?.target ?? null, slowestMilliseconds: slowest?.expected ?? null, fastest: fastest?.target ?? null, fastestMilliseconds: fastest?.expected ?? null })
     })
-    this.metrics.onCollectTargetTimes(() => this.slots.targetTimes.expectedTimes(maximumTimedTargets))
+    this.metrics.onCollectZoneGrants(() => this.slots.granted.zoneGrants())
+    this.metrics.onCollectTargetTimes(() => this.slots.granted.expectedTimes(maximumTimedTargets))
     this.metrics.onCollectRateLimits(() => this.targets.all().flatMap(target => {
       const limit = this.slots.rateLimitOf(target)
       return limit === null ? [] : [[target.id, limit] as const]
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of a gateway process. */
 import type { ExpectedTime } from '@arbutusloft/policy'
+import type { ZoneGrants } from './permits/slot-owner.js'
 import { Counter, Gauge, Histogram, Registry } from './util/prometheus.js'
 
 /** Bucket bounds in seconds, dense around the latency objectives of online routes. */
@@ -130,6 +131,34 @@
     }
   })
 
+  #zoneGrants: () => readonly ZoneGrants[] = () => []
+
+  /** Slots granted to requests of each availability zone, by why they stayed in it or left it; see {@link ZoneCause}. */
+  readonly zoneGrants: Counter<'service' | 'zone' | 'cause'> = new Counter({
+    name: 'arbutus_gateway_zone_grants_total',
+    help: 'Slots granted at the owner, by zone of the requesting instance and why they are in its zone or in another one',
+    labelNames: ['service', 'zone', 'cause'],
+    registers: [this.registry],
+    collect: () => {
+      this.zoneGrants.reset()
+      for (const { service, zone, counts } of this.#zoneGrants()) {
+        counts.forEach((count, cause) => { this.zoneGrants.inc({ service, zone, cause }, count) })
+      }
+    }
+  })
+
+  /** Share of the requests of each availability zone that is to leave it while it has free slots. */
+  readonly zoneLeavingShare: Gauge<'service' | 'zone'> = new Gauge({
+    name: 'arbutus_gateway_zone_leaving_share',
+    help: 'Share of the requests of a zone that is to leave it while it has free slots, at the owner',
+    labelNames: ['service', 'zone'],
+    registers: [this.registry],
+    collect: () => {
+      this.zoneLeavingShare.reset()
+      this.#zoneGrants().forEach(({ service, zone, share }) => { this.zoneLeavingShare.set({ service, zone }, share) })
+    }
+  })
+
   /** Version of the current configuration. */
   readonly routesVersion = new Gauge({
     name: 'arbutus_gateway_routes_version',
@@ -142,6 +171,11 @@
     this.#targetTimes = targetTimes
   }
 
+  /** Asks for where requests went when metrics are read. */
+  onCollectZoneGrants (zoneGrants: () => readonly ZoneGrants[]): void {
+    this.#zoneGrants = zoneGrants
+  }
+
   /** Asks for the limits, in pairs of a target's id and its requests a second, when metrics are read. */
   onCollectRateLimits (rateLimits: () => ReadonlyArray<readonly [string, number]>): void {
     this.#rateLimits = rateLimits
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -4,7 +4,7 @@
  * that were granted, reports them periodically and releases them.
  */
 import { DecisionKind, HolderPacing, LeavingTargets, ownersOf, RefusalReason, SlotOutcome, TargetRateLimits, receivedTiming, receivedWait, unknownWait } from '@arbutusloft/policy'
-import type { AnswerTiming, CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import type { AnswerTiming, CrashReport, HeldSlot, CrashQuarantine, SoundReport, SlotDecision, VersionHistory, SlotWait, ZoneRoutingOptions } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { Membership } from '../peers/membership.js'
 import { isSlotMessage, PeerMessageType } from '../peers/peer-messages.js'
@@ -106,11 +106,12 @@
     private readonly targets: TargetRegistry,
     private readonly freshness: TargetFreshness,
     private readonly quarantine: CrashQuarantine,
-    private readonly versions: VersionHistory
+    private readonly versions: VersionHistory,
+    zoneOptions?: ZoneRoutingOptions
   ) {
     this.#permitPrefix = `${transport.address}/${membership.self.incarnation.toString(36)}/`
     const confirmation = new VersionConfirmation({ versions, freshness, membership, transport, nearOwners: service => this.#ownersOf(service) })
-    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) }, confirmation, this.#limits)
+    this.#owner = new SlotOwner(targets, freshness, this.#leaving, quarantine, versions, (service, decision) => { this.#deliverDecision(service, decision) }, confirmation, this.#limits, zoneOptions)
     this.#rateLimitSharing = new RateLimitSharing(this.#limits, targets, transport, this.#owner)
     targets.onChange(changed => { this.#onTargetsChanged(changed) })
     transport.onMessage((message, sender) => {
@@ -202,8 +203,8 @@
     this.#owner.onRateLimitChange(listener)
   }
 
-  /** What this process knows of the times of targets whose slots it grants. */
-  get targetTimes (): Pick<SlotOwner, 'expectedTimes' | 'onSpeedsChange'> {
+  /** What this process knows of targets whose slots it grants, and of where requests went. */
+  get granted (): Pick<SlotOwner, 'expectedTimes' | 'onSpeedsChange' | 'zoneGrants'> {
     return this.#owner
   }
 
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -2,8 +2,8 @@
  * The owner side of slot allocation: runs admission control for every service for which other processes, the holders,
  * send slot requests to this one.
  */
-import { DecisionKind, defaultFleetAdmissionOptions, FleetAdmission, RefusalReason, TargetRateLimits, WaitCause } from '@arbutusloft/policy'
-import type { AnswerTiming, CrashReport, ExpectedTime, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SoundReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait } from '@arbutusloft/policy'
+import { DecisionKind, defaultFleetAdmissionOptions, defaultZoneRoutingOptions, FleetAdmission, RefusalReason, TargetRateLimits, WaitCause } from '@arbutusloft/policy'
+import type { AnswerTiming, CrashReport, ExpectedTime, FleetTarget, HeldSlot, LeavingTargets, CrashQuarantine, RateLimitChange, RateLimitReport, SoundReport, SlotDecision, SlotOutcome, SlotRequest, VersionHistory, SlotWait, ZoneCause, ZoneRoutingOptions } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import type { VersionConfirmation } from '../streams/version-confirmation.js'
 import type { TargetFreshness } from '../targets/target-freshness.js'
@@ -33,6 +33,17 @@
   readonly times: readonly ExpectedTime[]
 }
 
+/** Where the requests of an availability zone went, for metrics. */
+export interface ZoneGrants {
+  readonly service: string
+  /** Zone of the instances that sent the requests. */
+  readonly zone: string
+  /** Share of its requests that is to leave it while it has free slots. */
+  readonly share: number
+  /** Grants so far by cause. */
+  readonly counts: ReadonlyMap<ZoneCause, number>
+}
+
 /** Interval at which waiting requests are decided anew: their time may be up, and targets may have become available again. */
 const waitingCheckIntervalMilliseconds = 25
 /** Interval at which holders are checked for timeouts. */
@@ -75,7 +86,8 @@
     private readonly versions: VersionHistory,
     private readonly listener: DecisionListener,
     private readonly confirmation: Pick<VersionConfirmation, 'confirm'> | null = null,
-    private readonly limits = new TargetRateLimits()
+    private readonly limits = new TargetRateLimits(),
+    private readonly zoneOptions: ZoneRoutingOptions = defaultZoneRoutingOptions
   ) {
     targets.onChange(() => { this.#updateTargets() })
     freshness.onRefreshed(() => { this.#updateGranting() })
@@ -239,6 +251,11 @@
     return this.#services.get(service)?.admission.load() ?? null
   }
 
+  /** Returns where the requests of each zone went that this process has granted slots. */
+  zoneGrants (): readonly ZoneGrants[] {
+    return [...this.#services].flatMap(([service, { admission }]) => admission.zoneGrants().map(grants => ({ service, ...grants })))
+  }
+
   /** Grants no more slots on targets that have been added to those that leave. */
   onTargetLeaving (): void {
     this.#updateTargets()
@@ -292,7 +309,7 @@
     if (known !== undefined) {
       return known
     }
-    const owned = { admission: new FleetAdmission(defaultFleetAdmissionOptions, this.quarantine, this.limits), holders: new Map<string, number>(), areSpeedsUnequal: false }
+    const owned = { admission: new FleetAdmission({ ...defaultFleetAdmissionOptions, ...this.zoneOptions }, this.quarantine, this.limits), holders: new Map<string, number>(), areSpeedsUnequal: false }
     this.#services.set(service, owned)
     owned.admission.setTargets(this.#targetsOf(service), Date.now())
     return owned
--- a/packages/gateway/tests/permits/target-times.test.ts
+++ b/packages/gateway/tests/permits/target-times.test.ts
@@ -92,12 +92,12 @@
     const owner = await findOwner()
     const holder = members.find(member => member !== owner) as TestMember
     const changes: boolean[] = []
-    members.forEach(({ slots }) => { slots.targetTimes.onSpeedsChange(({ areUnequal }) => { changes.push(areUnequal) }) })
+    members.forEach(({ slots }) => { slots.granted.onSpeedsChange(({ areUnequal }) => { changes.push(areUnequal) }) })
     await learn(holder)
     assert.deepEqual(await chosenBy(holder, 5), ['fast', 'fast', 'fast', 'fast', 'fast'])
     await sleep(50)
     assert.deepEqual(changes, [true])
-    const times = owner.slots.targetTimes.expectedTimes(2)
+    const times = owner.slots.granted.expectedTimes(2)
     assert.equal(times.length, 2)
     assert.ok(times.every(({ target, expected, measured }) => target !== 'fast' && expected > 25 && Math.abs(measured - 25 / 0.7) < 0.01), JSON.stringify(times))
   })
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -25,9 +25,11 @@
 import type { AnswerTiming, ExpectedTime } from './target-speeds.js'
 import { WaitCause } from './wait-cause.js'
 import type { SlotWait } from './wait-cause.js'
+import { defaultZoneRoutingOptions, ZoneRouting } from './zone-routing.js'
+import type { ZoneCause, ZoneRoutingOptions } from './zone-routing.js'
 
 /** Options of {@link FleetAdmission}. */
-export interface FleetAdmissionOptions extends SuspensionOptions {
+export interface FleetAdmissionOptions extends SuspensionOptions, Partial<ZoneRoutingOptions> {
   /** Slots of the whole fleet that batch work leaves free, so that the next online requests start at once. */
   readonly headroom: number
 }
@@ -92,6 +94,9 @@
   readonly #unsound = new Set<TargetSlots>()
   readonly #prefixAffinity = new PrefixAffinity()
   readonly #speeds = new TargetSpeeds()
+  readonly #zones: ZoneRouting
+  /** Grants by availability zone of the holder and cause. */
+  readonly #zoneGrants = new Map<string, Map<ZoneCause, number>>()
   readonly #choice: TargetChoice
   readonly #holdTime = new MovingAverage(initialHoldTimeMilliseconds, holdTimeWeight)
   readonly #forecast = new OverloadForecast()
@@ -111,9 +116,10 @@
    */
   constructor (private readonly options = defaultFleetAdmissionOptions, private readonly quarantine = new CrashQuarantine(), limits = new TargetRateLimits()) {
     this.#health = new TargetHealth(options)
+    this.#zones = new ZoneRouting({ ...defaultZoneRoutingOptions, ...options })
     this.#pacing = new TargetPacing(limits)
     this.#crashes = new CrashAttribution(quarantine)
-    this.#choice = new TargetChoice({ slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#prefixAffinity, speeds: this.#speeds, sound: this.#sound, unsound: this.#unsound })
+    this.#choice = new TargetChoice({ slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#prefixAffinity, speeds: this.#speeds, zones: this.#zones, sound: this.#sound, unsound: this.#unsound })
   }
 
   /** Replaces the list of targets and returns the resulting decisions. */
@@ -198,6 +204,11 @@
     return this.#speeds.expectedTimes(this.#sound.targets, maximum, now)
   }
 
+  /** Returns the grants so far by zone of the holder and cause, and the share of each zone that is to leave it. */
+  zoneGrants (): ReadonlyArray<{ readonly zone: string, readonly share: number, readonly counts: ReadonlyMap<ZoneCause, number> }> {
+    return [...this.#zoneGrants].map(([zone, counts]) => ({ zone, share: this.#zones.shareOf(zone), counts }))
+  }
+
   /** Takes note that targets do not crash under a request, and returns the resulting decisions. */
   onSound (sound: SoundReport, now: number): readonly SlotDecision[] {
     this.#begin(now)
@@ -329,7 +340,7 @@
     this.#now = now
     // The wall clock may have been set back.
     this.#onlinePressureAt = Math.min(this.#onlinePressureAt, now)
-    this.#choice.begin(now)
+    this.#choice.begin(now, this.#holdTime.value)
     for (const target of this.#unsound) {
       if (this.#isSound(target)) {
         this.#unsound.delete(target)
@@ -456,7 +467,8 @@
     const { id: target, address, born } = granted
     const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
     const now = this.#now
-    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, slotsInUse: granted.granted + 1, revoked: false })
+    this.#countZone(request.zone, this.#choice.zoneCauseOf(granted, request))
+    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, zone: request.zone, slotsInUse: granted.granted + 1, revoked: false })
     this.#health.onGranted(target, now)
     this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
@@ -465,6 +477,12 @@
     return { kind: DecisionKind.Grant, permit, holder, target, address }
   }
 
+  #countZone (zone: string, cause: ZoneCause): void {
+    const counts = this.#zoneGrants.get(zone) ?? new Map<ZoneCause, number>()
+    this.#zoneGrants.set(zone, counts)
+    counts.set(cause, (counts.get(cause) ?? 0) + 1)
+  }
+
   #countCutOffGrant (holder: string): void {
     if (this.#health.isCutOff(holder, this.#now)) {
       this.#cutOffGrants.set(holder, [...this.#cutOffGrants.get(holder) ?? [], this.#now].slice(-maximumCutOffGrants))
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -25,6 +25,8 @@
   readonly startedAt: number
   /** Time in milliseconds since the epoch. */
   readonly grantedAt: number
+  /** Availability zone of the holder; omitted as the following one is. */
+  readonly zone?: string
   /** Slots of the target that were in use then, this one included; omitted if the slot is known from a report of its holder. */
   readonly slotsInUse?: number
   /** Whether the owner has revoked the slot; it counts as free from then on. */
@@ -78,6 +80,8 @@
   readonly #granted = new Map<string, GrantedSlot>()
   readonly #permitsByHolder = new Map<string, Set<string>>()
   readonly #versions = new Map<string, VersionCounts>()
+  /** Slots in use by availability zone of their holders. */
+  readonly #inUseByZone = new Map<string, number>()
   readonly preemptible = new PreemptibleSlots()
 
   constructor (private readonly listener: TargetListener) {}
@@ -113,6 +117,11 @@
     return new Set(this.#versions.keys())
   }
 
+  /** Slots in use by availability zone of their holders, as far as that is known. */
+  get inUseByZone (): ReadonlyMap<string, number> {
+    return this.#inUseByZone
+  }
+
   /** Returns the number of accepting targets of a software version. */
   acceptingOf (version: string): number {
     return this.#versions.get(version)?.accepting ?? 0
@@ -241,8 +250,14 @@
   }
 
   #adjustCounts (slot: GrantedSlot, change: number): void {
+    if (slot.revoked) {
+      return
+    }
+    if (slot.zone !== undefined) {
+      this.#inUseByZone.set(slot.zone, (this.#inUseByZone.get(slot.zone) ?? 0) + change)
+    }
     const target = this.#targets.get(slot.target)
-    if (target === undefined || slot.revoked) {
+    if (target === undefined) {
       return
     }
     target.granted += change
--- a/packages/policy/src/fleet/target-choice.ts
+++ b/packages/policy/src/fleet/target-choice.ts
@@ -12,14 +12,17 @@
 import type { TargetIndex } from './target-index.js'
 import type { TargetPacing } from './target-pacing.js'
 import type { TargetSpeeds } from './target-speeds.js'
+import { ZoneCause } from './zone-routing.js'
+import type { ZoneRouting } from './zone-routing.js'
 
 /** What is known of the targets of one service. */
 export interface ChoiceState {
-  readonly slots: Pick<FleetSlots, 'target' | 'acceptingOf'>
+  readonly slots: Pick<FleetSlots, 'target' | 'acceptingOf' | 'inUseByZone'>
   readonly health: Pick<TargetHealth, 'availabilityFor' | 'isSuspendedFor' | 'penaltyOf'>
   readonly pacing: Pick<TargetPacing, 'allowanceOf' | 'isLimited' | 'isProbeDue'>
   readonly prefixAffinity: Pick<PrefixAffinity, 'targetOf'>
   readonly speeds: TargetSpeeds
+  readonly zones: Pick<ZoneRouting, 'isActive' | 'isDue' | 'leaves' | 'update' | 'weightOf'>
   /** Accepting targets of which nothing bad is known, and which name no rate limit. */
   readonly sound: TargetIndex
   /** The other accepting targets; each choice examines all of these. */
@@ -36,8 +39,6 @@
 
 /** Number of busy slots that a probably cached prompt prefix outweighs in a target's score. */
 const prefixAffinityWeight = 1.5
-/** Number of busy slots that the holder's availability zone outweighs in a target's score. */
-const sameZoneWeight = 1
 /**
  * Number of busy slots that a rate limit outweighs in a target's score: against it for an online request, and for it for a batch item, which takes
  * a slot for longer and no more of the limit.
@@ -61,9 +62,17 @@
     this.state.sound.place(target, this.state.speeds.speedClassOf(target, now))
   }
 
-  /** Takes note of the time; by then, what is known of the speeds of targets may have changed. */
-  begin (now: number): void {
-    const { speeds, sound } = this.state
+  /**
+   * Takes note of the time; by then, what is known of the speeds of targets and of the load of zones may have changed.
+   *
+   * @param holdMilliseconds mean time for which an online request holds its slot
+   */
+  begin (now: number, holdMilliseconds: number): void {
+    const { slots, speeds, sound, zones } = this.state
+    if (zones.isDue(now)) {
+      const names = new Set([...sound.slotsByZone.keys(), ...slots.inUseByZone.keys()])
+      zones.update(new Map([...names].map(zone => [zone, { slots: sound.slotsByZone.get(zone) ?? 0, demand: slots.inUseByZone.get(zone) ?? 0 }])), holdMilliseconds, now)
+    }
     const areUnequal = speeds.areUnequal(WorkClass.Online, now) || speeds.areUnequal(WorkClass.Batch, now)
     if (areUnequal !== this.#areUnequal) {
       this.#areUnequal = areUnequal
@@ -91,6 +100,21 @@
     return best
   }
 
+  /** Returns why a request gets a slot on this target's zone; called before the slot is counted. */
+  zoneCauseOf (target: TargetSlots, request: SlotRequest): ZoneCause {
+    const { sound, zones } = this.state
+    if (target.zone === request.zone) {
+      return ZoneCause.Own
+    }
+    if ((sound.slotsByZone.get(request.zone) ?? 0) === 0) {
+      return ZoneCause.Empty
+    }
+    if (!sound.hasFreeIn(request.zone)) {
+      return ZoneCause.Full
+    }
+    return zones.isActive && zones.leaves(request.zone, request.permit) ? ZoneCause.Share : ZoneCause.Better
+  }
+
   /** Whether a target that is available in this way may get a request, if it has a free slot. */
   isUsable (target: TargetSlots, request: SlotRequest, availability: TargetAvailability, moment: ChoiceMoment): boolean {
     return target.accepting && isOfVersion(target, request) && !this.#isExcluded(target, request) && this.allows(target, request, moment) &&
@@ -146,9 +170,9 @@
 
   /** Scores a target for a request; higher is better, and one busy slot of a target of the mean speed lowers the score by one. */
   #scoreOf (target: TargetSlots, request: SlotRequest, { now }: ChoiceMoment): number {
-    const { health, pacing, prefixAffinity, speeds } = this.state
+    const { health, pacing, prefixAffinity, sound, speeds, zones } = this.state
     const prefix = prefixAffinity.targetOf(request.prefix) === target.id ? prefixAffinityWeight : 0
-    const zone = target.zone === request.zone ? sameZoneWeight : 0
+    const zone = zones.weightOf(target.zone, request, sound.has(target))
     const limit = pacing.isLimited(target, now) ? rateLimitWeight : 0
     const isPreferred = request.workClass === WorkClass.Batch || pacing.isProbeDue(target, now)
     return prefix + zone + (isPreferred ? limit : -limit) - health.penaltyOf(target.id, now) * failureRateWeight - speeds.loadOf(target, request.workClass, now)
--- a/packages/policy/src/fleet/target-index.ts
+++ b/packages/policy/src/fleet/target-index.ts
@@ -28,6 +28,8 @@
 export class TargetIndex {
   readonly #groups = new Map<string, VersionGroup>()
   readonly #positions = new Map<TargetSlots, Position>()
+  /** Slots by availability zone. */
+  readonly #slotsByZone = new Map<string, number>()
   #free = 0
   #slots = 0
 
@@ -50,6 +52,11 @@
     return this.#positions.has(target)
   }
 
+  /** Slots of the targets in the index by availability zone. */
+  get slotsByZone (): ReadonlyMap<string, number> {
+    return this.#slotsByZone
+  }
+
   /** Returns the number of free slots of the targets of a software version, or of all targets for null. */
   freeOf (version: string | null): number {
     return version === null ? this.#free : this.#groups.get(version)?.free ?? 0
@@ -67,6 +74,7 @@
     this.#positions.set(target, position)
     this.#free += position.free
     this.#slots += position.slots
+    this.#slotsByZone.set(zone, (this.#slotsByZone.get(zone) ?? 0) + position.slots)
     const group = this.#groupOf(version)
     group.free += position.free
     if (position.free > 0) {
@@ -80,6 +88,7 @@
       this.#positions.delete(target)
       this.#free -= position.free
       this.#slots -= position.slots
+      this.#slotsByZone.set(position.zone, (this.#slotsByZone.get(position.zone) ?? 0) - position.slots)
       const group = this.#groupOf(position.version)
       group.free -= position.free
       bucketOf(group, position).delete(target)
@@ -122,6 +131,18 @@
     return [...own.values(), ...other.values()]
   }
 
+  /** Whether a target of an availability zone has a free slot. */
+  hasFreeIn (zone: string): boolean {
+    for (const { zones } of this.#groups.values()) {
+      for (const buckets of zones.get(zone)?.values() ?? []) {
+        if (buckets.some(bucket => bucket.size > 0)) {
+          return true
+        }
+      }
+    }
+    return false
+  }
+
   #groupsOf (version: string | null): Iterable<VersionGroup> {
     if (version === null) {
       return this.#groups.values()
--- a/packages/policy/tests/fleet/target-choice.test.ts
+++ b/packages/policy/tests/fleet/target-choice.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from 'node:test'
 import { WorkClass } from '@arbutusloft/protocol'
 import fc from 'fast-check'
-import { PrefixAffinity, SlotOutcome, TargetPacing, TargetRateLimits, TargetSpeeds } from '../../src/index.js'
+import { defaultZoneRoutingOptions, PrefixAffinity, SlotOutcome, TargetPacing, TargetRateLimits, TargetSpeeds, ZoneRouting } from '../../src/index.js'
 import type { FleetTarget, SlotRequest } from '../../src/index.js'
 import { FleetSlots } from '../../src/fleet/fleet-slots.js'
 import type { GrantedSlot, TargetSlots } from '../../src/fleet/fleet-slots.js'
@@ -26,7 +26,7 @@
   readonly #sound = new TargetIndex()
   readonly #unsound = new Set<TargetSlots>()
   readonly #slots = new FleetSlots(target => { this.#place(target) })
-  readonly #state = { slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#affinity, speeds: new TargetSpeeds(), sound: this.#sound, unsound: this.#unsound }
+  readonly #state = { slots: this.#slots, health: this.#health, pacing: this.#pacing, prefixAffinity: this.#affinity, speeds: new TargetSpeeds(), zones: new ZoneRouting(defaultZoneRoutingOptions), sound: this.#sound, unsound: this.#unsound }
   readonly #choice = new TargetChoice(this.#state)
   readonly #previous = new BusySlotsChoice(this.#state)
   readonly #held: GrantedSlot[] = []
