Keep cached prompts and short times from looking like speed

Cause: a target that has a frequent prompt cached answers sooner, and a first event after 1 ms is half as late as one after 2 ms as far as clocks tell. Either would make targets of equal speed look unequal.

Change: answers to requests whose prompt was probably cached at the grant are compared among themselves, and times to the first event count from 5 ms on.

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -190,7 +190,7 @@
     const slot = this.#slots.get(permit)
     const target = this.#slots.target(slot?.target ?? '')
     if (slot?.slotsInUse !== undefined && target?.born === slot.born) {
-      this.#speeds.record(target, slot.workClass, slot.slotsInUse, target.granted, timing, now)
+      this.#speeds.record(target, { workClass: slot.workClass, isPrefixCached: slot.isPrefixCached === true, slotsAtStart: slot.slotsInUse, slotsAtEnd: target.granted }, timing, now)
     }
   }
 
@@ -468,7 +468,7 @@
     const { permit, holder, workClass, prefix, digest, due, ran, sinceStart } = request
     const now = this.#now
     this.#countZone(request.zone, this.#choice.zoneCauseOf(granted, request))
-    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, zone: request.zone, slotsInUse: granted.granted + 1, revoked: false })
+    this.#slots.recordGrant({ permit, holder, target, address, born, workClass, prefix, digest, due, ran, startedAt: now - sinceStart, grantedAt: now, zone: request.zone, slotsInUse: granted.granted + 1, isPrefixCached: this.#prefixAffinity.targetOf(prefix) === target, revoked: false })
     this.#health.onGranted(target, now)
     this.#pacing.onGranted(granted, permit, now)
     this.#countCutOffGrant(holder)
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -25,10 +25,12 @@
   readonly startedAt: number
   /** Time in milliseconds since the epoch. */
   readonly grantedAt: number
-  /** Availability zone of the holder; omitted as the following one is. */
+  /** Availability zone of the holder; omitted as the following ones are. */
   readonly zone?: string
   /** Slots of the target that were in use then, this one included; omitted if the slot is known from a report of its holder. */
   readonly slotsInUse?: number
+  /** Whether the target probably had the prompt's beginning cached; omitted as the others are. */
+  readonly isPrefixCached?: boolean
   /** Whether the owner has revoked the slot; it counts as free from then on. */
   revoked: boolean
 }
--- a/packages/policy/src/fleet/target-speeds.ts
+++ b/packages/policy/src/fleet/target-speeds.ts
@@ -15,6 +15,16 @@
   readonly betweenEvents: number | null
 }
 
+/** What an answer's times depend on beside its target. */
+export interface AnswerConditions {
+  readonly workClass: WorkClass
+  /** Whether the target probably had the prompt's beginning cached, which it then need not process. */
+  readonly isPrefixCached: boolean
+  /** Slots of the target in use when the request was granted, and when it ended, this one included. */
+  readonly slotsAtStart: number
+  readonly slotsAtEnd: number
+}
+
 /** What is known of a target's time to the first event of an online request, for logs and metrics. */
 export interface ExpectedTime {
   readonly target: string
@@ -25,6 +35,11 @@
   readonly samples: number
 }
 
+/**
+ * Shortest time to the first event that counts, in milliseconds. Clocks tell whole milliseconds and zones are 1 to 3 ms apart, so that shorter times would
+ * make equal targets look unequal.
+ */
+const minimumFirstEvent = 5
 /** Longest time that a report may name: longer than any request runs. */
 const maximumTimingMilliseconds = 600_000
 /** Ratio of the times of two neighbouring speed classes: less than what counts as a difference between targets. */
@@ -44,15 +59,11 @@
   /** Latest time to the first event of an online request by target, in milliseconds. */
   readonly #measured = new Map<string, number>()
 
-  /**
-   * Records the times of an answer.
-   *
-   * @param slotsAtStart slots of the target in use when the request was granted, this one included
-   * @param slotsAtEnd the same when it ended
-   */
-  record (target: TimedTarget, workClass: WorkClass, slotsAtStart: number, slotsAtEnd: number, { firstEvent, betweenEvents }: AnswerTiming, now: number): void {
-    // An answer without events comes as a whole, after far longer than the first event of a stream.
-    this.#firstEvents.record(target, betweenEvents === null ? `${workClass}/whole` : workClass, slotsAtStart, firstEvent, now)
+  /** Records the times of an answer. */
+  record (target: TimedTarget, { workClass, isPrefixCached, slotsAtStart, slotsAtEnd }: AnswerConditions, { firstEvent, betweenEvents }: AnswerTiming, now: number): void {
+    // An answer without events comes as a whole, after far longer than the first event of a stream. Targets that cache much are not faster.
+    const group = `${workClass}${betweenEvents === null ? '/whole' : ''}${isPrefixCached ? '/cached' : ''}`
+    this.#firstEvents.record(target, group, slotsAtStart, Math.max(minimumFirstEvent, firstEvent), now)
     if (betweenEvents !== null) {
       this.#betweenEvents.record(target, workClass, Math.round((slotsAtStart + slotsAtEnd) / 2), betweenEvents, now)
     }
--- a/packages/policy/tests/fleet/target-speeds.test.ts
+++ b/packages/policy/tests/fleet/target-speeds.test.ts
@@ -76,6 +76,23 @@
     assert.deepEqual(Array.from({ length: 3 }, () => fleet.grant().target).sort(), ['fast', 'other-slow', 'slow'])
   })
 
+  it('does not take targets for fast that have prompts cached, or answer within few milliseconds', () => {
+    for (const [cached, other] of [[10, 25], [1, 4]] as const) {
+      const fleet = new UnequalFleet()
+      for (let round = 0; round < 60; round += 1) {
+        for (const [index, id] of [...speedOf.keys()].entries()) {
+          // Each target caches one prompt; one of them gets it most of the time.
+          const prefix = round % (index === 2 ? 1 : 8) === 0 ? [`prompt-of-${id}`] : []
+          const slot = fleet.grant({ prefix, excluded: [...speedOf.keys()].filter(other => other !== id) })
+          fleet.admission.recordTiming(slot.permit, { firstEvent: prefix.length > 0 && round > 0 ? cached : other, betweenEvents: 24 }, fleet.now)
+          fleet.finish(slot, false)
+        }
+      }
+      fleet.now += 300
+      assert.deepEqual(Array.from({ length: 3 }, () => fleet.grant().target).sort(), ['fast', 'other-slow', 'slow'])
+    }
+  })
+
   it('finds the fast target among 1,000 without a scan of all', () => {
     const admission = new FleetAdmission()
     const targets = Array.from({ length: 1_000 }, (_, index) => ({ id: `t${index}`, address: '', zone: 'abc'.charAt(index % 3), slots: 8, born: 1, softwareVersion: 'v1', leaving: false, accepting: true }))
