--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -27,8 +27,12 @@
   readonly startedAt: number
   /** Time in milliseconds since the epoch. */
   readonly grantedAt: number
+  /** Availability zone of the holder; omitted as the following ones are. */
+  readonly zone?: string
   /** Slots of the target that were in use then, this one included; omitted if the slot is known from a report of its holder. */
   readonly slotsInUse?: number
+  /** Whether the target probably had the prompt's beginning cached; omitted as the others are. */
+  readonly isPrefixCached?: boolean
   /** Whether the owner has revoked the slot; it counts as free from then on. */
   revoked: boolean
 }
@@ -84,6 +88,8 @@
   /** Numbers of granted slots by client account, without revoked ones. */
   readonly #heldByAccount = new Map<string, number>()
   readonly #versions = new Map<string, VersionCounts>()
+  /** Slots in use by availability zone of their holders. */
+  readonly #inUseByZone = new Map<string, number>()
   readonly preemptible = new PreemptibleSlots()
 
   constructor (private readonly listener: TargetListener) {}
@@ -119,6 +125,11 @@
     return new Set(this.#versions.keys())
   }
 
+  /** Slots in use by availability zone of their holders, as far as that is known. */
+  get inUseByZone (): ReadonlyMap<string, number> {
+    return this.#inUseByZone
+  }
+
   /** Returns the number of accepting targets of a software version. */
   acceptingOf (version: string): number {
     return this.#versions.get(version)?.accepting ?? 0
@@ -255,7 +266,10 @@
   }
 
   #adjustCounts (slot: GrantedSlot, change: number): void {
-    if (slot.account !== undefined && !slot.revoked) {
+    if (slot.revoked) {
+      return
+    }
+    if (slot.account !== undefined) {
       const held = this.heldBy(slot.account) + change
       if (held > 0) {
         this.#heldByAccount.set(slot.account, held)
@@ -263,8 +277,11 @@
         this.#heldByAccount.delete(slot.account)
       }
     }
+    if (slot.zone !== undefined) {
+      this.#inUseByZone.set(slot.zone, (this.#inUseByZone.get(slot.zone) ?? 0) + change)
+    }
     const target = this.#targets.get(slot.target)
-    if (target === undefined || slot.revoked) {
+    if (target === undefined) {
       return
     }
     target.granted += change
