Estimate a target for each fifth answer only

Cause: an estimate for each answer takes more of the owner's processor time than the grant and the release together.

Change: a target with 16 samples or more is estimated anew after five further ones.

--- a/packages/policy/src/fleet/relative-times.ts
+++ b/packages/policy/src/fleet/relative-times.ts
@@ -26,6 +26,8 @@
   samples: TimedSample[]
   /** Natural logarithm of the target's time relative to the usual one. */
   estimate: number
+  /** Samples since the estimate was made. */
+  unused: number
   /** Variance of the estimate, in units of that of one sample. */
   variance: number
   readonly means: Map<string, TargetMeans>
@@ -66,6 +68,9 @@
 const maximumAgeMilliseconds = 60_000
 /** Samples of a target that are kept. The deviation of their weighted median is then about a sixth of that of one sample. */
 const maximumSamples = 64
+/** Number of samples up to which each one leads to a new estimate, and number of further samples for each. */
+const promptSamples = 16
+const samplesPerEstimate = 5
 /** Samples that a target needs to count for {@link RelativeTimes.areUnequal}, and to be judged by its own estimate. */
 const minimumSamples = 8
 /** Samples in a row beyond {@link changeLogRatio} that show a change. Of 100 answers 15 take 2.5 times as long: 5 in a row are one series in 13,000. */
@@ -133,7 +138,12 @@
       times.deviating = 0
     }
     times.samples = times.samples.filter(({ at }) => now - at <= maximumAgeMilliseconds).slice(-maximumSamples)
-    this.#estimate(times, now)
+    times.unused += 1
+    // An estimate takes about 8 µs, more than all else that an answer costs.
+    if (times.samples.length < promptSamples || times.unused >= samplesPerEstimate) {
+      times.unused = 0
+      this.#estimate(times, now)
+    }
   }
 
   /** Whether the speeds of the targets with enough samples differ by half or more, beyond what chance makes them differ. */
@@ -182,7 +192,7 @@
     if (known?.born === born && known.softwareVersion === softwareVersion) {
       return known
     }
-    const times = { born, softwareVersion, samples: [], means: new Map<string, TargetMeans>(), estimate: 0, variance: 1, deviating: 0 }
+    const times = { born, softwareVersion, samples: [], means: new Map<string, TargetMeans>(), estimate: 0, unused: 0, variance: 1, deviating: 0 }
     this.#targets.set(id, times)
     return times
   }
