Ask other owners for their charges when their reports come late

Change: a report that is a second late makes its receiver ask all owners once; the answers set the offsets of their clocks right.

--- a/packages/fleet-model/src/allowances/allowance-process.ts
+++ b/packages/fleet-model/src/allowances/allowance-process.ts
@@ -14,6 +14,8 @@
   /** Owners that this process has reported to since they became owners. */
   toldOwners: ReadonlySet<string> = new Set()
   isGranter = false
+  /** Time of the last question in the time of the model. */
+  askedAt = -Infinity
   /** Start of the process in the time of the model. */
   readonly startedAt: number
   /** Whether a clock that has stood still is to be set by the next answer. */
--- a/packages/fleet-model/src/allowances/simulate-allowances.ts
+++ b/packages/fleet-model/src/allowances/simulate-allowances.ts
@@ -1,4 +1,5 @@
 /** Plays loads of client accounts: requests, grants, what instances tell each other of them, and when each request reaches a target. */
+import type { ChargesReport } from '@arbutusloft/policy'
 import { SimulatedClock } from '../simulation/clock.js'
 import { RandomStream } from '../simulation/random.js'
 import type { AccountDemand, AllowanceLoad, AllowanceOutcome, Refusal } from './allowance-load.js'
@@ -234,6 +235,7 @@
   }
 
   #ask (process: AllowanceProcess): void {
+    process.askedAt = this.#clock.now
     const ask = (): void => {
       const at = process.now
       for (const other of this.#grantersOf(process.number)) {
@@ -274,13 +276,20 @@
         }
         for (const other of this.#grantersOf(process.number)) {
           this.#chargesSent += 1
-          this.#send(process.number, other, receiver => { receiver.allowances.onCharges(String(process.number), report, receiver.now) })
+          this.#send(process.number, other, receiver => { this.#receive(receiver, process.number, report) })
         }
       }
       this.#scheduleCharges()
     })
   }
 
+  /** Takes over charges; a process that was stopped asks once what is up to date. */
+  #receive (receiver: AllowanceProcess, from: number, report: ChargesReport): void {
+    if (receiver.allowances.onCharges(String(from), report, receiver.now) && this.#clock.now - receiver.askedAt > repeatMilliseconds) {
+      this.#ask(receiver)
+    }
+  }
+
   #scheduleDemand (demand: AccountDemand): void {
     const highest = Math.max(...demand.steps.map(([, perSecond]) => perSecond))
     this.#clock.after(this.#random.exponential(millisecondsPerSecond / highest), () => {
--- a/packages/gateway/src/accounts/allowance-sharing.ts
+++ b/packages/gateway/src/accounts/allowance-sharing.ts
@@ -177,7 +177,10 @@
           return
         }
         this.#setClock(message)
-        allowances.onCharges(sender, message.report, clock.now())
+        if (allowances.onCharges(sender, message.report, clock.now()) && !this.#asksAgain) {
+          // Asks once for the reports that have waited together.
+          this.#ask()
+        }
         return
       case PeerMessageType.AccountUsage:
         if (!isUsageReport(message.report)) {
--- a/packages/policy/src/accounts/account-allowances.ts
+++ b/packages/policy/src/accounts/account-allowances.ts
@@ -173,9 +173,10 @@
     this.#permits.waitingWhere(charged => charged.holder === holder).forEach(permit => { this.refund(permit) })
   }
 
-  /** Takes over what another owner reports. */
-  onCharges (address: string, report: ChargesReport, now: number): void {
+  /** Takes over what another owner reports; returns whether it came so late that the owners have to be asked for all of their charges. */
+  onCharges (address: string, report: ChargesReport, now: number): boolean {
     this.#peers.apply(address, report, now).forEach(account => { this.#holders.onCharges(account) })
+    return this.#peers.isLate({ address, incarnation: report.incarnation }, now)
   }
 
   /** Takes over what a holder was granted by others. */
--- a/packages/policy/src/accounts/peer-charges.ts
+++ b/packages/policy/src/accounts/peer-charges.ts
@@ -56,6 +56,12 @@
     return charges.map(({ account }) => account)
   }
 
+  /** Whether the last report of an owner came so late that this process may have been stopped; the ages of its counts are then uncertain until the next one. */
+  isLate (owner: OwnerProcess, now: number): boolean {
+    const jump = this.#sources.get(nameOfOwner(owner))?.jump
+    return jump !== undefined && jump.by > 0 && jump.at === now
+  }
+
   /** Returns the milliseconds by which the clock of an owner has stood still since its last report, as one at which its process was stopped does; 0 if unknown. */
   lagOf (owner: OwnerProcess, at: number, now: number): number {
     const known = this.#sources.get(nameOfOwner(owner))
