--- a/packages/policy/src/accounts/account-allowances.ts
+++ b/packages/policy/src/accounts/account-allowances.ts
@@ -173,9 +173,10 @@
     this.#permits.waitingWhere(charged => charged.holder === holder).forEach(permit => { this.refund(permit) })
   }
 
-  /** Takes over what another owner reports. */
-  onCharges (address: string, report: ChargesReport, now: number): void {
+  /** Takes over what another owner reports; returns whether it came so late that the owners have to be asked for all of their charges. */
+  onCharges (address: string, report: ChargesReport, now: number): boolean {
     this.#peers.apply(address, report, now).forEach(account => { this.#holders.onCharges(account) })
+    return this.#peers.isLate({ address, incarnation: report.incarnation }, now)
   }
 
   /** Takes over what a holder was granted by others. */
@@ -300,7 +301,9 @@
     let used = counts.reduce((sum, [, count]) => sum + count, this.#waitingOf(account, now))
     let expired = 0
     const newest = bucketOf(now)
-    for (let bucket = newest + 1; bucket <= newest + windowMilliseconds / bucketMilliseconds; bucket += 1) {
+    // What is granted now expires with the end of its bucket.
+    const last = newest + Math.ceil(windowMilliseconds / bucketMilliseconds) + 1
+    for (let bucket = newest + 1; bucket <= last; bucket += 1) {
       const at = bucket * bucketMilliseconds
       for (let next = counts[expired]; next !== undefined && next[0] < oldestBucketOf(windowMilliseconds, at); next = counts[expired]) {
         used -= next[1]
@@ -310,7 +313,7 @@
         return Math.ceil(at - now)
       }
     }
-    return windowMilliseconds
+    return Math.ceil(last * bucketMilliseconds - now)
   }
 
   #sweep (now: number): void {
