Answer HEAD requests whose body is refused

Cause: the refusal was sent with the first bytes of its body, and the answer to a HEAD request has none. The connection was ended before the headers were sent, and the client got nothing. Change: the headers of such an answer are sent at once.

--- a/packages/gateway/src/http/unread-body.ts
+++ b/packages/gateway/src/http/unread-body.ts
@@ -25,7 +25,13 @@
   const bytes = Buffer.from(JSON.stringify(body))
   response.writeHead(status, { ...headers, 'content-type': 'application/json', 'content-length': bytes.length, connection: 'close' })
   // The end of the response would close the connection at once.
-  response.write(bytes, () => { socket.end() })
+  if (request.method === 'HEAD') {
+    // Without a body, the headers would not be sent before the end.
+    response.flushHeaders()
+    socket.end()
+  } else {
+    response.write(bytes, () => { socket.end() })
+  }
   const timer = setTimeout(() => { socket.destroy() }, lingerMilliseconds)
   response.once('close', () => { clearTimeout(timer) })
   drop(request, maximumLingerBytes, () => { socket.destroy() })
--- a/packages/gateway/tests/http/read-body.test.ts
+++ b/packages/gateway/tests/http/read-body.test.ts
@@ -109,6 +109,13 @@
     assert.match(await exchange(port, [lengthHead(limit + 1), bodyOf(1_000_000)]), /^HTTP\/1\.1 413 /)
   })
 
+  it('of a HEAD request that does not fit is answered as well, whose answer has no body', async () => {
+    const held = createHeldBytes(budgetBytes)
+    const port = await start(held)
+    const head = Buffer.from(lengthHead(limit + 1).toString('latin1').replace('POST', 'HEAD'))
+    assert.match(await exchange(port, [head, bodyOf(1_000_000)]), /^HTTP\/1\.1 413 [^]*\r\n\r\n$/)
+  })
+
   it('that does not arrive in time is answered with 408', async () => {
     const held = createHeldBytes(budgetBytes)
     const port = await start(held, timeoutMilliseconds)
