Keep the charges of a holder that is silent for one service only

Cause: an owner took a holder's waiting requests of all services back when it had heard nothing from it for one of them for 2.5 s. Holders report only services whose slots they hold or await, so each one that had gone over to another service lost its charges, which let its account exceed the allowance until the requests were repeated, or refused them then. Change: the charges are taken back once the holder is silent for all services of the owner.

--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -362,8 +362,11 @@
       for (const [holder, lastMessageAt] of holders) {
         if (now - lastMessageAt > holderTimeoutMilliseconds) {
           holders.delete(holder)
-          this.#forgetHolder(holder)
-          this.charging?.onHolderLost(holder)
+          // Holders say nothing about services whose slots they do not need, and go on with others.
+          if (![...this.#services.values()].some(other => other.holders.has(holder))) {
+            this.#forgetHolder(holder)
+            this.charging?.onHolderLost(holder)
+          }
           this.#emit(service, admission.removeHolder(holder, now))
         }
       }
--- a/packages/gateway/tests/permits/slot-accounts.test.ts
+++ b/packages/gateway/tests/permits/slot-accounts.test.ts
@@ -1,17 +1,19 @@
 /** Tests what holders and owners tell each other of client accounts, over an in-memory network, and what a new owner makes of it. */
 import assert from 'node:assert/strict'
-import { afterEach, describe, it } from 'node:test'
-import { CrashQuarantine, DecisionKind, LeavingTargets, OrderCause, SlotOutcome, VersionHistory } from '@arbutusloft/policy'
+import { afterEach, describe, it, mock } from 'node:test'
+import { AccountAllowances, CrashQuarantine, DecisionKind, GrantedUsage, LeavingTargets, OrderCause, SlotOutcome, VersionHistory } from '@arbutusloft/policy'
 import type { HeldSlot, SlotCaller, SlotDecision, SlotRequest } from '@arbutusloft/policy'
 import { WorkClass } from '@arbutusloft/protocol'
 import { Membership, MemberState, PeerMessageType, sleep, SlotClient, SlotOwner, TargetFreshness, TargetRegistry, TargetState } from '../../src/index.js'
 import type { PeerMessage, PeerTransport, SlotDemand, Target } from '../../src/index.js'
+import { AccountCharging } from '../../src/accounts/account-charging.js'
 import { LoopbackNetwork } from '../util/loopback-transport.js'
 import { createTestLogger } from '../util/test-logger.js'
 
 const target: Target = { id: 'one', service: 's', address: '1:1', zone: 'a', slots: 2, state: TargetState.Ready, born: 1_000, softwareVersion: 'v1' }
 const demand: SlotDemand = { service: 's', workClass: WorkClass.Online, prefix: [], digest: '', excluded: [], continues: null, patience: 100, spent: 0, latestReturn: 500, due: 0, ran: 0, sinceStart: 0 }
 const reportMilliseconds = 1_500
+const stepMilliseconds = 100
 
 function callerOf (account: string, rank = 0): { readonly caller: SlotCaller } {
   return { caller: { account, rank, tokens: 7, isCounted: false } }
@@ -135,3 +137,39 @@
     assert.deepEqual(granted, ['s1', 's2', 'l1', 's3'])
   })
 })
+
+describe('an owner whose holder asks for slots of one service and no longer of another', () => {
+  afterEach(() => { mock.timers.reset() })
+
+  it('keeps the charge of its waiting requests, and takes it back once the holder is silent for both', () => {
+    mock.timers.enable({ apis: ['setTimeout', 'setImmediate', 'Date'], now: 1_000_000 })
+    const allowances = new AccountAllowances(-1_000_000, { windowMilliseconds: 5_000, overage: 0, slack: 0 })
+    const charging = new AccountCharging({
+      allowances,
+      usage: new GrantedUsage(5_000),
+      now: () => Date.now(),
+      processOf: address => ({ address, incarnation: 1 }),
+      onRequest: () => { /* The group does not change. */ },
+      onRefused: () => { /* No account has a limit. */ },
+      onCharged: () => { /* Nobody is told. */ }
+    })
+    const targets = new TargetRegistry()
+    targets.replace([target, { ...target, id: 'two', service: 'other', address: '1:2' }])
+    const owner = new SlotOwner(targets, new TargetFreshness(), new LeavingTargets(), new CrashQuarantine(), new VersionHistory(), () => { /* Decisions are not looked at. */ }, null, undefined, charging)
+    const held = ['x', 'y'].map((permit): HeldSlot => ({ permit, target: 'one', workClass: WorkClass.Online, due: 0, ran: 0 }))
+    owner.report('other', 'h', [])
+    owner.report('s', 'h', held)
+    owner.request('s', { ...demand, permit: 'waiting', holder: 'h', zone: 'a', patience: 60_000, ...callerOf('large') })
+    const used = (): number => allowances.stateOf('large', Date.now()).used
+    for (let passed = 0; passed < 4_000; passed += stepMilliseconds) {
+      mock.timers.tick(stepMilliseconds)
+      owner.report('s', 'h', held)
+      assert.equal(used(), 1, `after ${passed + stepMilliseconds} ms`)
+    }
+    for (let passed = 0; passed < 4_000; passed += stepMilliseconds) {
+      mock.timers.tick(stepMilliseconds)
+    }
+    owner.close()
+    assert.equal(used(), 0)
+  })
+})
