Keep no listener for each request whose body is not used

Cause: a request with a body on the ports for addresses and readiness, or for a call about a job, left a listener on its connection, for as long as that was in use. Change: the listener is removed at the end of the body. Measured: 30 requests on one connection gave a MaxListenersExceededWarning before the change, and none after it.

--- a/packages/gateway/src/http/unread-body.ts
+++ b/packages/gateway/src/http/unread-body.ts
@@ -56,7 +56,11 @@
   }
   const { socket } = request
   const timer = setTimeout(() => { socket.destroy() }, unusedTimeoutMilliseconds)
-  const stop = (): void => { clearTimeout(timer) }
+  const stop = (): void => {
+    clearTimeout(timer)
+    // A connection in use again would keep one for each request.
+    socket.off('close', stop)
+  }
   request.once('end', stop)
   socket.once('close', stop)
   drop(request, maximumUnusedBytes, refuse)
