Carry out no call that is answered with 413 for its body

Cause: a call about a job, readiness, addresses or metrics with a body announced over 1,048,576 bytes was answered with 413 and then served all the same. A job was ended although its client was told that the call was refused. On the internal port, and where a process that stops had answered a forwarded call, the second answer threw an error, after which the connection was reset and the first answer could be lost.

--- a/packages/gateway/src/http/unread-body.ts
+++ b/packages/gateway/src/http/unread-body.ts
@@ -37,11 +37,11 @@
   drop(request, maximumLingerBytes, () => { socket.destroy() })
 }
 
-/** Drops the body of a request that has no use for one. */
-export function dropBody (request: IncomingMessage, response: ServerResponse): void {
+/** Drops the body of a request that has no use for one. Returns false if the body is announced to be too long, after answering the request, which is then not to be served. */
+export function dropBody (request: IncomingMessage, response: ServerResponse): boolean {
   const { 'content-length': length, 'transfer-encoding': encoding } = request.headers
   if ((length === undefined || length === '0') && encoding === undefined) {
-    return
+    return true
   }
   const refuse = (): void => {
     if (response.headersSent) {
@@ -52,7 +52,7 @@
   }
   if (Number(length ?? 0) > maximumUnusedBytes) {
     refuse()
-    return
+    return false
   }
   const { socket } = request
   const timer = setTimeout(() => { socket.destroy() }, unusedTimeoutMilliseconds)
@@ -64,6 +64,7 @@
   request.once('end', stop)
   socket.once('close', stop)
   drop(request, maximumUnusedBytes, refuse)
+  return true
 }
 
 function drop (request: IncomingMessage, maximumBytes: number, onExceeded: () => void): void {
