--- a/packages/gateway/src/http/unread-body.ts
+++ b/packages/gateway/src/http/unread-body.ts
@@ -25,17 +25,23 @@
   const bytes = Buffer.from(JSON.stringify(body))
   response.writeHead(status, { ...headers, 'content-type': 'application/json', 'content-length': bytes.length, connection: 'close' })
   // The end of the response would close the connection at once.
-  response.write(bytes, () => { socket.end() })
+  if (request.method === 'HEAD') {
+    // Without a body, the headers would not be sent before the end.
+    response.flushHeaders()
+    socket.end()
+  } else {
+    response.write(bytes, () => { socket.end() })
+  }
   const timer = setTimeout(() => { socket.destroy() }, lingerMilliseconds)
   response.once('close', () => { clearTimeout(timer) })
   drop(request, maximumLingerBytes, () => { socket.destroy() })
 }
 
-/** Drops the body of a request that has no use for one. */
-export function dropBody (request: IncomingMessage, response: ServerResponse): void {
+/** Drops the body of a request that has no use for one. Returns false if the body is announced to be too long, after answering the request, which is then not to be served. */
+export function dropBody (request: IncomingMessage, response: ServerResponse): boolean {
   const { 'content-length': length, 'transfer-encoding': encoding } = request.headers
   if ((length === undefined || length === '0') && encoding === undefined) {
-    return
+    return true
   }
   const refuse = (): void => {
     if (response.headersSent) {
@@ -46,14 +52,19 @@
   }
   if (Number(length ?? 0) > maximumUnusedBytes) {
     refuse()
-    return
+    return false
   }
   const { socket } = request
   const timer = setTimeout(() => { socket.destroy() }, unusedTimeoutMilliseconds)
-  const stop = (): void => { clearTimeout(timer) }
+  const stop = (): void => {
+    clearTimeout(timer)
+    // A connection in use again would keep one for each request.
+    socket.off('close', stop)
+  }
   request.once('end', stop)
   socket.once('close', stop)
   drop(request, maximumUnusedBytes, refuse)
+  return true
 }
 
 function drop (request: IncomingMessage, maximumBytes: number, onExceeded: () => void): void {
