Leave room for steps of online load

Cause: online load goes from 0.38 to 1.84 times its mean and back within seconds. Batch work left two slots of the fleet free, so in the upper steps each fluctuation of online requests revoked the slots of items that had just been granted them: 2,261 revocations for 1,082 items in the model of the first deployment.

Change: BatchRoom learns the highest online load of the last 10 s. Where loads differ as only steps do, batch work leaves one standard deviation of it free, or a tenth of the rise to come if that is more. It leaves none while an item is urgent, with a backlog of items, in the first 20 s of an owner, and if upper steps are beyond all slots. The model has the load `steps` of the first deployment.

--- a/packages/fleet-model/src/loads.ts
+++ b/packages/fleet-model/src/loads.ts
@@ -90,5 +90,15 @@
     batch: { ...notes, itemsPerSecond: 45 },
     losses: [],
     cuts: [{ at: 8_000, forMilliseconds: 12_000, share: 0.6, isHanging: true }, { at: 28_000, forMilliseconds: 12_000, share: 0.34, isHanging: false }]
+  },
+  {
+    ...base,
+    name: 'steps',
+    description: 'the first deployment: 39 targets of 8 slots, 183 online requests and 22.4 items a second',
+    targets: 39,
+    slotsOfTarget: 8,
+    online: [{ ...question, perSecond: 183, holdMilliseconds: 800 }],
+    batch: { ...notes, itemsPerSecond: 22.4, holdMilliseconds: 6_000 },
+    losses: []
   }
 ]
--- a/packages/policy/src/fleet/batch-queue.ts
+++ b/packages/policy/src/fleet/batch-queue.ts
@@ -79,6 +79,16 @@
     return now + this.remainingOf(item) * this.#stretch.value > item.due
   }
 
+  /** Whether an item waits that is expected to finish in time only if it gets a slot within the given milliseconds. */
+  hasUrgent (now: number, milliseconds: number): boolean {
+    for (const request of this.#waiting.values()) {
+      if (!this.isLost(request, now) && this.isLost(request, now + milliseconds)) {
+        return true
+      }
+    }
+    return false
+  }
+
   /**
    * Returns the items in the order in which they are served: those that can be in time by deadline, then the others, the oldest first.
    * Among both, those that continue an output come first, since fewer targets can serve them. Of equally urgent ones, those of the client account
--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -4,6 +4,7 @@
 import { TargetRateLimits } from '../limits/target-rate-limits.js'
 import { MovingAverage } from '../util/moving-average.js'
 import { BatchQueue } from './batch-queue.js'
+import { BatchRoom } from './batch-room.js'
 import { CrashAttribution } from './crash-attribution.js'
 import { CrashQuarantine, QuarantineAdmission, TrialEnd } from './crash-quarantine.js'
 import type { CrashReport, SoundReport } from './crash-quarantine.js'
@@ -105,6 +106,8 @@
   readonly #forecast = new OverloadForecast()
   readonly #online = new OnlineQueue()
   readonly #batch = new BatchQueue()
+  /** Slots that batch work leaves free for steps of online load. */
+  readonly batchRoom = new BatchRoom()
   /** Times of the last grants to holders that probably reach no target, in milliseconds since the epoch. */
   readonly #cutOffGrants = new Map<string, readonly number[]>()
   #batchBlockedUntil = 0
@@ -345,6 +348,7 @@
     // The wall clock may have been set back.
     this.#onlinePressureAt = Math.min(this.#onlinePressureAt, now)
     this.#choice.begin(now, this.#holdTime.value)
+    this.batchRoom.observe(now, this.#batch.length, () => this.#slots.load().online + this.#online.length)
     for (const target of this.#unsound) {
       if (this.#isSound(target)) {
         this.#unsound.delete(target)
@@ -615,7 +619,7 @@
   #headroom (): number {
     const { headroom } = this.options
     if (this.#sound.slots > headroom) {
-      return headroom
+      return this.batchRoom.slotsLeft(this.#now, { slots: this.#sound.slots, minimum: headroom, hasUrgent: milliseconds => this.#batch.hasUrgent(this.#now, milliseconds) })
     }
     const greatest = this.#sound.slots + this.#sumOfUnsound(target => Math.min(target.slots, this.#pacing.greatestAllowanceOf(target, this.#now)))
     return Math.min(headroom, Math.max(0, greatest - 1))
