--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,6 +225,7 @@
       const [slowest, fastest] = [times[0], times.at(-1)]
       logger.info(areUnequal ? 'speeds of targets differ' : 'speeds of targets no longer differ', { service, targets: times.length, slowest: slowest?.target ?? null, slowestMilliseconds: slowest?.expected ?? null, fastest: fastest?.target ?? null, fastestMilliseconds: fastest?.expected ?? null })
     })
+    this.metrics.onCollectBatchRooms(() => this.slots.granted.batchRooms())
     this.metrics.onCollectZoneGrants(() => this.slots.granted.zoneGrants())
     this.metrics.onCollectTargetTimes(() => this.slots.granted.expectedTimes(maximumTimedTargets))
     this.metrics.onCollectRateLimits(() => this.targets.all().flatMap(target => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,7 +1,7 @@
 /** Prometheus metrics of a gateway process. */
 import type { ExpectedTime } from '@arbutusloft/policy'
 import { AccountCounts } from './accounts/account-counts.js'
-import type { ZoneGrants } from './permits/slot-owner.js'
+import type { ServiceBatchRoom, ZoneGrants } from './permits/slot-owner.js'
 import { Counter, Gauge, Histogram, Registry } from './util/prometheus.js'
 
 /** Bucket bounds in seconds, dense around the latency objectives of online routes. */
@@ -242,6 +242,20 @@
     }
   })
 
+  #batchRooms: () => readonly ServiceBatchRoom[] = () => []
+
+  /** Slots that batch work leaves free for steps of online load, beyond the usual ones. */
+  readonly batchRoom: Gauge<'service'> = new Gauge({
+    name: 'arbutus_gateway_batch_room_slots',
+    help: 'Slots that batch work leaves free for steps of online load, beyond the usual ones, at the owner',
+    labelNames: ['service'],
+    registers: [this.registry],
+    collect: () => {
+      this.batchRoom.reset()
+      this.#batchRooms().forEach(({ service, slots }) => { this.batchRoom.set({ service }, slots) })
+    }
+  })
+
   /** Version of the current configuration. */
   readonly routesVersion = new Gauge({
     name: 'arbutus_gateway_routes_version',
@@ -273,6 +287,11 @@
     this.#targetTimes = targetTimes
   }
 
+  /** Asks for the room that batch work leaves when metrics are read. */
+  onCollectBatchRooms (batchRooms: () => readonly ServiceBatchRoom[]): void {
+    this.#batchRooms = batchRooms
+  }
+
   /** Asks for where requests went when metrics are read. */
   onCollectZoneGrants (zoneGrants: () => readonly ZoneGrants[]): void {
     this.#zoneGrants = zoneGrants
--- a/packages/gateway/src/permits/slot-client.ts
+++ b/packages/gateway/src/permits/slot-client.ts
@@ -205,8 +205,8 @@
     this.#owner.onRateLimitChange(listener)
   }
 
-  /** What this process knows of targets whose slots it grants, and of where requests went. */
-  get granted (): Pick<SlotOwner, 'expectedTimes' | 'onSpeedsChange' | 'zoneGrants'> {
+  /** What this process knows of targets whose slots it grants, of where requests went, and of the room that batch work leaves. */
+  get granted (): Pick<SlotOwner, 'batchRooms' | 'expectedTimes' | 'onSpeedsChange' | 'zoneGrants'> {
     return this.#owner
   }
 
--- a/packages/gateway/src/permits/slot-owner.ts
+++ b/packages/gateway/src/permits/slot-owner.ts
@@ -45,6 +45,12 @@
   readonly counts: ReadonlyMap<ZoneCause, number>
 }
 
+/** Slots that batch work of a service leaves free for steps of online load, beyond the usual ones. */
+export interface ServiceBatchRoom {
+  readonly service: string
+  readonly slots: number
+}
+
 /** Interval at which waiting requests are decided anew: their time may be up, and targets may have become available again. */
 const waitingCheckIntervalMilliseconds = 25
 /** Interval at which holders are checked for timeouts. */
@@ -265,6 +271,11 @@
     return [...this.#services].flatMap(([service, { admission }]) => admission.zoneGrants().map(grants => ({ service, ...grants })))
   }
 
+  /** Returns what batch work of each service whose slots this process grants leaves free for steps of online load. */
+  batchRooms (): readonly ServiceBatchRoom[] {
+    return [...this.#services].map(([service, { admission }]) => ({ service, slots: admission.batchRoom.current }))
+  }
+
   /** Grants no more slots on targets that have been added to those that leave. */
   onTargetLeaving (): void {
     this.#updateTargets()
