Count no requests that wait at an owner which is no longer seen

Cause: the number of requests that wait at another owner counts for 900 ms after its last report. When that owner is lost, its holders send them to the next one as soon as they suspect it, where they counted twice, and an account below its allowance was refused. Change: an owner forgets what waits at owners that it does not see any more. What these have granted counts on.

--- a/packages/gateway/src/accounts/allowance-sharing.ts
+++ b/packages/gateway/src/accounts/allowance-sharing.ts
@@ -4,6 +4,7 @@
  */
 import { isChargesReport, isOwnerTime, isUsageReport, maximumEntryBytes, splitToDatagrams } from '@arbutusloft/policy'
 import type { AccountAllowances, AccountEntry, GrantedUsage, OwnerProcess } from '@arbutusloft/policy'
+import type { Member } from '../peers/member.js'
 import type { Membership } from '../peers/membership.js'
 import { PeerMessageType } from '../peers/peer-messages.js'
 import type { AccountChargesMessage, PeerMessage } from '../peers/peer-messages.js'
@@ -45,6 +46,8 @@
   readonly #toTellAgain = new Set<string>()
   /** Incarnations of the instances whose starts the allowances know. */
   readonly #incarnations = new Map<string, number>()
+  /** Members at the latest look. */
+  #seen: readonly Member[] = []
   #wasGranter = false
   #asksAgain = false
   /** Number of the latest question, and whether its answers have set the clock. */
@@ -97,7 +100,12 @@
   /** Tells the allowances how many instances this one sees; called before each decision, since members are suspected at any time. */
   updateGroup (): void {
     const { allowances, membership, clock } = this.dependencies
-    allowances.setGroup(this.#instances.groupOf(membership.live(), clock.now()))
+    const live = membership.live()
+    allowances.setGroup(this.#instances.groupOf(live, clock.now()))
+    if (live !== this.#seen) {
+      this.#seen = live
+      allowances.setSeen(new Set(live.map(({ address }) => address)))
+    }
     if (clock.hasJumped() && this.dependencies.hasAccounts()) {
       this.#ask()
     }
--- a/packages/policy/src/accounts/account-allowances.ts
+++ b/packages/policy/src/accounts/account-allowances.ts
@@ -173,6 +173,15 @@
     this.#peers.apply(address, report, now).forEach(account => { this.#holders.onCharges(account) })
   }
 
+  /**
+   * Forgets what waits at owners that are not seen.
+   *
+   * @param seen addresses of the instances that are seen, this one included
+   */
+  setSeen (seen: ReadonlySet<string>): void {
+    this.#peers.forgetWaitingOfUnseen(seen)
+  }
+
   /** Takes over what a holder was granted by others. */
   onUsage (holder: string, report: UsageReport, now: number): void {
     this.#holders.apply(holder, report, now)
--- a/packages/policy/src/accounts/peer-charges.ts
+++ b/packages/policy/src/accounts/peer-charges.ts
@@ -6,6 +6,7 @@
 import type { ChargesReport, OwnerProcess } from './allowance-messages.js'
 
 interface Source {
+  readonly address: string
   /** Time of this process's clock less that of the sender, for the datagram that took least. */
   offset: number
   heardAt: number
@@ -37,7 +38,7 @@
 
   /** Applies a report; returns the accounts in it. */
   apply (address: string, report: ChargesReport, now: number): readonly string[] {
-    const source = this.#sourceOf(nameOfOwner({ address, incarnation: report.incarnation }), now - report.at, now)
+    const source = this.#sourceOf({ address, incarnation: report.incarnation }, now - report.at, now)
     const newest = bucketOf(report.at)
     const charges = report.entries.map(fromEntry)
     for (const { account, waiting, counts } of charges) {
@@ -52,6 +53,15 @@
     return charges.map(({ account }) => account)
   }
 
+  /** Forgets the waiting requests of owners that are not seen: their holders ask other owners, where they would count a second time. */
+  forgetWaitingOfUnseen (seen: ReadonlySet<string>): void {
+    for (const { address, accounts } of this.#sources.values()) {
+      if (!seen.has(address)) {
+        accounts.forEach(account => { account.waiting = 0 })
+      }
+    }
+  }
+
   /** Returns the milliseconds by which the clock of an owner has stood still since its last report, as one at which its process was stopped does; 0 if unknown. */
   lagOf (owner: OwnerProcess, at: number, now: number): number {
     const known = this.#sources.get(nameOfOwner(owner))
@@ -108,10 +118,11 @@
     }
   }
 
-  #sourceOf (owner: string, offset: number, now: number): Source {
+  #sourceOf (process: OwnerProcess, offset: number, now: number): Source {
+    const owner = nameOfOwner(process)
     const known = this.#sources.get(owner)
     if (known === undefined) {
-      const source = { offset, heardAt: now, accounts: new Map<string, SourceAccount>() }
+      const source = { address: process.address, offset, heardAt: now, accounts: new Map<string, SourceAccount>() }
       setLatest(this.#sources, owner, source, maximumSources)
       return source
     }
--- a/packages/policy/tests/accounts/account-allowances.test.ts
+++ b/packages/policy/tests/accounts/account-allowances.test.ts
@@ -48,6 +48,14 @@
     assert.equal(grant(200, start + 5_100), 80)
   })
 
+  it('refuses nothing to requests that waited at an owner which was lost, and still counts those that it granted', () => {
+    const entry: AccountEntry = [account, 50, 0, 20]
+    allowances.onCharges('lost', { incarnation: 1, at: start, entries: [entry] }, start)
+    allowances.onCharges('other', { incarnation: 1, at: start, entries: [[account, 3]] }, start)
+    allowances.setSeen(new Set(['this', 'other']))
+    assert.equal(grant(200, start + 300), 57)
+  })
+
   it('refuses nothing to an account that sends its rate, and bounds one that sends 4.7 times its usual load', () => {
     for (let at = 0; at < 20_000; at += 100) {
       assert.equal(grant(1, start + at), 1)
