Merge the charges of requests that waited at a lost owner

Cause: requests that waited at an owner which was lost counted twice at the next one, and an account below its allowance was refused.

--- a/packages/policy/src/accounts/peer-charges.ts
+++ b/packages/policy/src/accounts/peer-charges.ts
@@ -6,6 +6,7 @@
 import type { ChargesReport, OwnerProcess } from './allowance-messages.js'
 
 interface Source {
+  readonly address: string
   /** Time of this process's clock less that of the sender, for the datagram that took least. */
   offset: number
   /** Time by which the offset has last grown at once, and when: the sender's clock had stood still, or has been set back. */
@@ -41,7 +42,7 @@
 
   /** Applies a report; returns the accounts in it. */
   apply (address: string, report: ChargesReport, now: number): readonly string[] {
-    const source = this.#sourceOf(nameOfOwner({ address, incarnation: report.incarnation }), now - report.at, now)
+    const source = this.#sourceOf({ address, incarnation: report.incarnation }, now - report.at, now)
     const newest = bucketOf(report.at)
     const charges = report.entries.map(fromEntry)
     for (const { account, waiting, counts } of charges) {
@@ -62,6 +63,15 @@
     return jump !== undefined && jump.by > 0 && jump.at === now
   }
 
+  /** Forgets the waiting requests of owners that are not seen: their holders ask other owners, where they would count a second time. */
+  forgetWaitingOfUnseen (seen: ReadonlySet<string>): void {
+    for (const { address, accounts } of this.#sources.values()) {
+      if (!seen.has(address)) {
+        accounts.forEach(account => { account.waiting = 0 })
+      }
+    }
+  }
+
   /** Returns the milliseconds by which the clock of an owner has stood still since its last report, as one at which its process was stopped does; 0 if unknown. */
   lagOf (owner: OwnerProcess, at: number, now: number): number {
     const known = this.#sources.get(nameOfOwner(owner))
@@ -128,10 +138,11 @@
     }
   }
 
-  #sourceOf (owner: string, offset: number, now: number): Source {
+  #sourceOf (process: OwnerProcess, offset: number, now: number): Source {
+    const owner = nameOfOwner(process)
     const known = this.#sources.get(owner)
     if (known === undefined) {
-      const source: Source = { offset, jump: { by: 0, at: -Infinity }, heardAt: now, accounts: new Map<string, SourceAccount>() }
+      const source: Source = { address: process.address, offset, jump: { by: 0, at: -Infinity }, heardAt: now, accounts: new Map<string, SourceAccount>() }
       setLatest(this.#sources, owner, source, maximumSources)
       return source
     }
