Give targets that were slow as they joined their share of requests

Cause: a target that joins a full fleet gets its first requests at once, over new connections, so that all are late. Ruled out: load beside the test (also idle); a longer span of samples before a target is judged, with the late ones counted (1 of 8 runs failed: 6 requests in 3 s, as estimates that are too slow by less than twice are not contradicted by any sample). Change: answers of the first second after a target's first one are no samples; an idle slow target without an answer for a second gets one of 200 online requests, and the next at once if its answer is shorter than expected by more than twice. An item is not sent so.

--- a/packages/policy/src/fleet/relative-times.ts
+++ b/packages/policy/src/fleet/relative-times.ts
@@ -23,6 +23,8 @@
 interface TargetTimes {
   readonly born: number
   readonly softwareVersion: string
+  /** Time of the first answer, in milliseconds since the epoch. */
+  readonly since: number
   samples: TimedSample[]
   /** Natural logarithm of the target's time relative to the usual one. */
   estimate: number
@@ -73,6 +75,13 @@
 const samplesPerEstimate = 5
 /** Samples that a target needs to count for {@link RelativeTimes.areUnequal}, and to be judged by its own estimate. */
 const minimumSamples = 8
+/**
+ * Time after a target's first answer in which its answers do not count. The requests that a target gets when it joins a full fleet come at once and open its
+ * connections, so that all of them take longer for the same reason.
+ */
+const warmUpMilliseconds = 1_000
+/** Age of a slow target's latest sample from which the target may have become faster unnoticed. */
+const doubtfulAgeMilliseconds = 1_000
 /** Samples in a row beyond {@link changeLogRatio} that show a change. Of 100 answers 15 take 2.5 times as long: 5 in a row are one series in 13,000. */
 const changeSamples = 5
 const changeLogRatio = Math.log(2)
@@ -123,7 +132,11 @@
     if (!Number.isFinite(milliseconds) || milliseconds < 0) {
       return
     }
-    const times = this.#timesOf(target)
+    const times = this.#timesOf(target, now)
+    // The wall clock may have been set back.
+    if (Math.abs(now - times.since) < warmUpMilliseconds) {
+      return
+    }
     const sample = { at: now, group, slotsInUse, logTime: Math.log(Math.max(minimumTime, milliseconds)) }
     const known = times.samples.length === 0 ? this.#summary.centre : times.estimate
     this.#learnUsual(sample, times, known)
@@ -157,6 +170,20 @@
     return times === null ? 1 : Math.exp(times.estimate - this.#summaryAt(now).centre)
   }
 
+  /** Whether a target may be faster than its estimate, which is above the mean: its latest sample is old, or shorter than expected by more than twice. */
+  isDoubtful (target: Pick<TimedTarget, 'id' | 'born'>, now: number): boolean {
+    const times = this.#knownTimesOf(target, now)
+    if (times === null || times.estimate <= this.#summaryAt(now).centre) {
+      return false
+    }
+    return this.isContradicted(target, now) || now - (times.samples.at(-1)?.at ?? now) >= doubtfulAgeMilliseconds
+  }
+
+  /** Whether the latest sample of a target is shorter than its estimate by more than twice. */
+  isContradicted (target: Pick<TimedTarget, 'id' | 'born'>, now: number): boolean {
+    return (this.#knownTimesOf(target, now)?.deviating ?? 0) < 0
+  }
+
   /** Returns the milliseconds that work of a kind takes on a target of the mean speed; null if no answer has told. */
   usualTime (group: string, slotsInUse: number, now: number): number | null {
     const usual = this.#usual.get(group)
@@ -187,19 +214,20 @@
     }
   }
 
-  #timesOf ({ id, born, softwareVersion }: TimedTarget): TargetTimes {
+  #timesOf ({ id, born, softwareVersion }: TimedTarget, now: number): TargetTimes {
     const known = this.#targets.get(id)
     if (known?.born === born && known.softwareVersion === softwareVersion) {
       return known
     }
-    const times = { born, softwareVersion, samples: [], means: new Map<string, TargetMeans>(), estimate: 0, unused: 0, variance: 1, deviating: 0 }
+    const times = { born, softwareVersion, since: now, samples: [], means: new Map<string, TargetMeans>(), estimate: 0, unused: 0, variance: 1, deviating: 0 }
     this.#targets.set(id, times)
     return times
   }
 
   #knownTimesOf ({ id, born }: Pick<TimedTarget, 'id' | 'born'>, now: number): TargetTimes | null {
     const times = this.#targets.get(id)
-    const isKnown = times?.born === born && times.samples.length >= minimumSamples && now - (times.samples.at(-1)?.at ?? -Infinity) <= maximumAgeMilliseconds
+    const latest = times?.samples.at(-1)?.at ?? -Infinity
+    const isKnown = times?.born === born && times.samples.length >= minimumSamples && now - latest <= maximumAgeMilliseconds
     return isKnown ? times : null
   }
 
--- a/packages/policy/src/fleet/target-choice.ts
+++ b/packages/policy/src/fleet/target-choice.ts
@@ -97,6 +97,9 @@
         bestScore = score
       }
     }
+    if (best !== null) {
+      this.state.speeds.onChosen(best, request.workClass, moment.now)
+    }
     return best
   }
 
--- a/packages/policy/src/fleet/target-speeds.ts
+++ b/packages/policy/src/fleet/target-speeds.ts
@@ -51,6 +51,11 @@
  * with the load, because of differences that are within the error of the estimates.
  */
 const minimumShareOfSlot = 0.1
+/** Load of an idle target that takes no time at all, which no other target can have less of. */
+const leastLoad = -1 / minimumShareOfSlot
+/** Least time, and least number of online requests of the service, between two that are sent to idle slow targets to learn whether they still are slow. */
+const retryMilliseconds = 1_000
+const requestsPerRetry = 200
 
 /** Learns how fast the targets of a service are, from the reports of its holders. */
 export class TargetSpeeds {
@@ -58,6 +63,9 @@
   readonly #betweenEvents = new RelativeTimes()
   /** Latest time to the first event of an online request by target, in milliseconds. */
   readonly #measured = new Map<string, number>()
+  /** Time of the latest choice of a target whose retry was due, in milliseconds since the epoch, and online requests since then. */
+  #retriedAt = -Infinity
+  #requestsSinceRetry = 0
 
   /** Records the times of an answer. */
   record (target: TimedTarget, { workClass, isPrefixCached, slotsAtStart, slotsAtEnd }: AnswerConditions, { firstEvent, betweenEvents }: AnswerTiming, now: number): void {
@@ -88,12 +96,25 @@
     if (!times.areUnequal(now)) {
       return granted
     }
+    if (this.#isRetryDue(target, workClass, now)) {
+      return leastLoad
+    }
     // Without a stream of this class, the factors are known from other answers.
     const usual = times.usualTime(workClass, granted + 1, now) ?? 1
     const perSlot = Math.max(times.increasePerSlot(workClass, target.slots, now), usual * minimumShareOfSlot)
     return granted + (times.factorOf(target, now) - 1) * usual / perSlot
   }
 
+  /** Takes note of the choice of a target, just before the slot is counted. */
+  onChosen (target: TargetSlots, workClass: WorkClass, now: number): void {
+    if (this.#isRetryDue(target, workClass, now)) {
+      this.#retriedAt = now
+      this.#requestsSinceRetry = 0
+    } else if (workClass === WorkClass.Online) {
+      this.#requestsSinceRetry += 1
+    }
+  }
+
   /** Returns the milliseconds to the first event of an online request that a target is granted next; null if that is unknown. */
   expectedFirstEvent (target: TargetSlots, now: number): number | null {
     const usual = this.#firstEvents.usualTime(WorkClass.Online, target.granted + 1, now)
@@ -136,6 +157,16 @@
     }
   }
 
+  /**
+   * Whether an idle target gets an online request to correct its estimate. While other targets have free slots, it would get none, and its estimate would
+   * stay as it is. Targets that are as slow as expected cost one of 200 requests.
+   */
+  #isRetryDue (target: TargetSlots, workClass: WorkClass, now: number): boolean {
+    // The wall clock may have been set back.
+    const isAllowed = (this.#requestsSinceRetry >= requestsPerRetry && Math.abs(now - this.#retriedAt) >= retryMilliseconds) || this.#firstEvents.isContradicted(target, now)
+    return workClass === WorkClass.Online && target.granted === 0 && isAllowed && this.#firstEvents.areUnequal(now) && this.#firstEvents.isDoubtful(target, now)
+  }
+
   // An online request is judged by its first event, an item by its end.
   #timesOf (workClass: WorkClass): RelativeTimes {
     return workClass === WorkClass.Online ? this.#firstEvents : this.#betweenEvents
