Share online requests among idle targets whose speeds do not matter to them

Cause: the index keeps targets by speed as soon as those of first events or of the times between events differ. Where only the latter do, online requests see equal loads, and the first candidate of the first speed class won each tie: in a play of six idle targets, of which two take 5 ms between events and four 1 ms, the two got 0 of 400 requests. Ruled out: a tie between a request's own zone and others, and targets of which something bad is known, which are decided as before. Change: while the index holds targets by speed, the least recently chosen one wins a tie. Result: a test of that play, which fails without the change; each target gets half of its share or more.

--- a/packages/policy/src/fleet/target-choice.ts
+++ b/packages/policy/src/fleet/target-choice.ts
@@ -54,6 +54,9 @@
 export class TargetChoice {
   /** Whether the index holds targets by their speeds. */
   #areUnequal = false
+  /** Number of the latest choice of each target, and of all choices. */
+  readonly #chosen = new WeakMap<TargetSlots, number>()
+  #choices = 0
 
   constructor (private readonly state: ChoiceState) {}
 
@@ -92,17 +95,29 @@
     let bestScore = -Infinity
     for (const candidate of candidates) {
       const score = this.#scoreOf(candidate, request, moment)
-      if (score > bestScore) {
+      if (score > bestScore || (score === bestScore && best !== null && this.#precedes(candidate, best, request))) {
         best = candidate
         bestScore = score
       }
     }
     if (best !== null) {
+      this.#choices += 1
+      this.#chosen.set(best, this.#choices)
       this.state.speeds.onChosen(best, request.workClass, moment.now)
     }
     return best
   }
 
+  /**
+   * Whether a target takes precedence over another one that is as good and comes before it: where the index holds targets by their speeds, it does if it was
+   * chosen less recently. Without this, targets of one speed class would get all requests for which the speeds do not matter. A request's own zone comes first.
+   */
+  #precedes (target: TargetSlots, other: TargetSlots, { zone }: SlotRequest): boolean {
+    const { sound } = this.state
+    const areComparable = this.#areUnequal && sound.has(target) && sound.has(other) && (target.zone === zone) === (other.zone === zone)
+    return areComparable && (this.#chosen.get(target) ?? 0) < (this.#chosen.get(other) ?? 0)
+  }
+
   /** Returns why a request gets a slot on this target's zone; called before the slot is counted. */
   zoneCauseOf (target: TargetSlots, request: SlotRequest): ZoneCause {
     const { sound, zones } = this.state
--- a/packages/policy/tests/fleet/target-speeds.test.ts
+++ b/packages/policy/tests/fleet/target-speeds.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from 'node:test'
 import { WorkClass } from '@arbutusloft/protocol'
 import { DecisionKind, FleetAdmission, receivedTiming, SlotOutcome } from '../../src/index.js'
-import type { FleetTarget, SlotRequest } from '../../src/index.js'
+import type { AnswerTiming, FleetTarget, SlotRequest } from '../../src/index.js'
 
 const speedOf = new Map([['slow', 0.7], ['other-slow', 0.7], ['fast', 1.7]])
 
@@ -101,40 +101,45 @@
     assertEqualWith(() => [], index => [3, 2, 1][index] ?? 0)
   })
 
-  /** Plays 100 online requests a second on six targets with free slots and returns how many each of them got from a time on. */
-  function playRequests (firstEventOf: (target: string, now: number) => number, countedFrom: number, until: number): ReadonlyMap<string, number> {
+  /** Plays 100 online requests a second on six targets with free slots, each held until its first event and for a time after it; returns how many each got from a time on. */
+  function playRequests (timingOf: (target: string, now: number) => AnswerTiming, countedFrom: number, until: number, runs = 100): ReadonlyMap<string, number> {
     const admission = new FleetAdmission()
     const ids = Array.from({ length: 6 }, (_, index) => `t${index}`)
     admission.setTargets(ids.map(id => ({ id, address: id, zone: 'a', slots: 8, born: 1, softwareVersion: 'v1', leaving: false, accepting: true })), 0)
     const counts = new Map(ids.map(id => [id, 0]))
-    const held: Array<{ readonly permit: string, readonly until: number, readonly firstEvent: number }> = []
+    const held: Array<{ readonly permit: string, readonly until: number, readonly timing: AnswerTiming }> = []
     for (let now = 0; now < until; now += 10) {
       const ended = held.filter(slot => slot.until <= now)
       held.splice(0, held.length, ...held.filter(slot => slot.until > now))
-      for (const { permit, firstEvent } of ended) {
-        admission.recordTiming(permit, { firstEvent, betweenEvents: 10 }, now)
+      for (const { permit, timing } of ended) {
+        admission.recordTiming(permit, timing, now)
         admission.release(permit, SlotOutcome.Finished, now)
       }
       const [decision] = admission.request({ permit: `p${now}`, holder: 'h', workClass: WorkClass.Online, zone: 'a', prefix: [], digest: '', excluded: [], continues: null, patience: 200, spent: 0, latestReturn: 1_000, due: 0, ran: 0, sinceStart: 0 }, now)
       assert.ok(decision?.kind === DecisionKind.Grant)
-      const firstEvent = firstEventOf(decision.target, now)
-      held.push({ permit: decision.permit, until: now + firstEvent + 100, firstEvent })
+      const timing = timingOf(decision.target, now)
+      held.push({ permit: decision.permit, until: now + timing.firstEvent + runs, timing })
       counts.set(decision.target, (counts.get(decision.target) ?? 0) + (now >= countedFrom ? 1 : 0))
     }
     return counts
   }
 
   it('gives a target its share again that was slow for a while, although others have free slots', () => {
-    const counts = playRequests((target, now) => target === 't5' && now < 4_000 ? 120 : 10, 10_000, 14_000)
+    const counts = playRequests((target, now) => ({ firstEvent: target === 't5' && now < 4_000 ? 120 : 10, betweenEvents: 10 }), 10_000, 14_000)
     assert.ok((counts.get('t5') ?? 0) >= 400 / 6 / 2, [...counts.values()].join(', '))
   })
 
   it('sends one of 100 online requests or fewer to targets that stay slow while others have free slots', () => {
-    const counts = playRequests(target => target === 't5' || target === 't4' ? 120 : 10, 10_000, 30_000)
+    const counts = playRequests(target => ({ firstEvent: target === 't5' || target === 't4' ? 120 : 10, betweenEvents: 10 }), 10_000, 30_000)
     const slow = (counts.get('t4') ?? 0) + (counts.get('t5') ?? 0)
     assert.ok(slow > 0 && slow <= 20, [...counts.values()].join(', '))
   })
 
+  it('shares online requests evenly among idle targets whose first events are equally soon, whatever the times between events', () => {
+    const counts = playRequests(target => ({ firstEvent: 5, betweenEvents: target === 't5' || target === 't4' ? 5 : 1 }), 4_000, 8_000, 4)
+    assert.ok([...counts.values()].every(count => count >= 400 / 6 / 2), [...counts.values()].join(', '))
+  })
+
   it('finds the fast target among 1,000 without a scan of all', () => {
     const admission = new FleetAdmission()
     const targets = Array.from({ length: 1_000 }, (_, index) => ({ id: `t${index}`, address: '', zone: 'abc'.charAt(index % 3), slots: 8, born: 1, softwareVersion: 'v1', leaving: false, accepting: true }))
