Let a test learn the speeds of targets for longer than a second

Cause: answers of the first second after a target's first one are no longer samples, and the test ran for less. Change: 28 rounds, 60 ms apart.

--- a/packages/gateway/tests/permits/target-times.test.ts
+++ b/packages/gateway/tests/permits/target-times.test.ts
@@ -69,9 +69,10 @@
     return owner
   }
 
-  /** Runs requests on each target in turn. */
+  /** Runs requests on each target in turn, for longer than the second in which answers of new targets do not count. */
   async function learn (holder: TestMember): Promise<void> {
-    for (let round = 0; round < 12; round += 1) {
+    for (let round = 0; round < 28; round += 1) {
+      await sleep(60)
       for (const id of ids) {
         release(await acquire(holder, ids.filter(other => other !== id)))
       }
