Count one slot for a request that is granted a second time

Cause: a holder sends a waiting request again each 600 ms. If a slot was granted at that moment, as when the allowance of a target with a rate limit has grown, the request stayed in the queue, was granted a second time, and the first slot was overwritten without being taken off the count of its target, for good. Traced: in a run that failed, the owner counted one slot of the target 6 s long, and had none recorded. Ruled out: speeds of targets (they did not differ), their health (all sound), a slot that its holder keeps (none recorded). Change: a request that is granted leaves the queue; a slot takes the place of one that its permit had, which also holds for slots of another owner that a holder reports while its request waits. Result: two tests, which fail without the change (2 slots where 1 is held).

--- a/packages/policy/src/fleet/fleet-admission.ts
+++ b/packages/policy/src/fleet/fleet-admission.ts
@@ -384,6 +384,8 @@
     this.#online.recordAsked(request, now)
     const granted = this.#grantOnline(request)
     if (granted.length > 0) {
+      // It may have waited, and be sent again.
+      this.withdraw(request.permit)
       return granted
     }
     if (this.#online.has(request.permit)) {
--- a/packages/policy/src/fleet/fleet-slots.ts
+++ b/packages/policy/src/fleet/fleet-slots.ts
@@ -167,8 +167,9 @@
     return this.#heldByAccount.get(account) ?? 0
   }
 
-  /** Records a granted slot; its target may have been removed from the list. */
+  /** Records a granted slot in place of one that the permit had; its target may have been removed from the list. */
   recordGrant (slot: GrantedSlot): void {
+    this.release(slot.permit)
     this.#granted.set(slot.permit, slot)
     this.#permitsByHolder.set(slot.holder, (this.#permitsByHolder.get(slot.holder) ?? new Set()).add(slot.permit))
     if (slot.workClass === WorkClass.Batch) {
--- a/packages/policy/tests/fleet/rate-limits.test.ts
+++ b/packages/policy/tests/fleet/rate-limits.test.ts
@@ -321,3 +321,44 @@
     assert.ok(play.refusals.every(({ reason, retryAfter }) => reason === RefusalReason.Busy && retryAfter > 0))
   })
 })
+
+describe('a request that is sent again while it waits for the allowance of a target', () => {
+  it('gets one slot, which is free once it is released (guards against slots that nobody holds and nobody gets)', () => {
+    const limited = new LimitedFleet('t1')
+    const { fleet } = limited
+    limited.name('t1', 1, 0)
+    let now = 10
+    let first = 0
+    for (; limited.grantsOf('t1', 0, now) === first; now += 10) {
+      first += 1
+      limited.apply(fleet.request(request(`first-${first}`, { patience: 0 }), now), now)
+    }
+    const waiting = request('waiting', { patience: 20_000 })
+    assert.deepEqual(fleet.request(waiting, now), [])
+    const [again] = fleet.request(waiting, now + 5_000)
+    assert.equal(again?.kind, DecisionKind.Grant)
+    assert.deepEqual(fleet.tick(now + 10_000), [])
+    for (const permit of ['waiting', ...Array.from({ length: first }, (_, index) => `first-${index + 1}`)]) {
+      fleet.release(permit, SlotOutcome.Finished, now + 10_010)
+    }
+    assert.equal(fleet.load().online, 0)
+  })
+
+  it('counts as one slot if its holder has got one from another owner meanwhile', () => {
+    const limited = new LimitedFleet('t1')
+    const { fleet } = limited
+    limited.name('t1', 1, 0)
+    let now = 10
+    for (let first = 0; limited.grantsOf('t1', 0, now) === first; now += 10) {
+      first += 1
+      limited.apply(fleet.request(request(`first-${first}`, { patience: 0 }), now), now)
+    }
+    assert.deepEqual(fleet.request(request('waiting', { patience: 20_000 }), now), [])
+    fleet.synchronize('h', [{ permit: 'waiting', target: 't1', workClass: WorkClass.Online, due: 0, ran: 0 }], now + 10)
+    assert.equal(fleet.load().online, limited.grantsOf('t1', 0, now) + 1)
+    assert.equal(fleet.tick(now + 10_000)[0]?.permit, 'waiting')
+    assert.equal(fleet.load().online, limited.grantsOf('t1', 0, now) + 1)
+    fleet.synchronize('h', [], now + 20_000)
+    assert.equal(fleet.load().online, 0)
+  })
+})
